Lay out the workspace: build, base library, object API interface, event catalogue

Cause: every other piece of work needs a room to go into. Change: CMake workspace with one function per library, strong ids and units, errors as values, findings, seeded random numbers, stable hashes, the object API's interface with an in-memory implementation, the event catalogue with its two-way test, formatter and linter settings, and the first page of the design.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# Targets a person needs; each calls the ones it depends on.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+PACKAGES := $(shell cat packages.txt)
+SUDO := $(shell [ $$(id -u) = 0 ] || echo sudo)
+
+.PHONY: setup build test demo asan tsan format format-check tidy mutants capacity bench clean
+
+setup:
+	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
+	  { $(SUDO) apt-get update -qq && \
+	    DEBIAN_FRONTEND=noninteractive $(SUDO) apt-get install -y $(PACKAGES); }
+
+$(BUILD)/build.ninja: | setup
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache
+
+build: setup $(BUILD)/build.ninja
+	ninja -C $(BUILD) -j $(JOBS)
+
+test: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+demo: build
+	$(BUILD)/fennelladder demo
+
+asan tsan: setup
+	cmake -S . -B build-$@ -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache \
+	  -DFENNELLADDER_SANITIZE=$(if $(filter asan,$@),address,thread)
+	ninja -C build-$@ -j $(JOBS)
+	ctest --test-dir build-$@ --output-on-failure -j 4
+
+SOURCES = $(shell git ls-files '*.cpp' '*.hpp' | grep -v /generated/)
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run --Werror $(SOURCES)
+
+# Tests are left out: CppUTest's and RapidCheck's macros are not ours to lint.
+tidy: build
+	git ls-files '*.cpp' | grep -v -e /generated/ -e _test.cpp | \
+	  xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet
+
+clean:
+	rm -rf build build-asan build-tsan out
--- /dev/null
+++ b/cmake/fennelladder.cmake
@@ -0,0 +1,59 @@
+# fennelladder_library(NAME [DEPENDS lib...] [LINK external...])
+#
+# Defines the library fennelladder_NAME from every .cpp beside the calling
+# CMakeLists.txt (and below generated/), and the test program test_NAME from
+# every *_test.cpp there. Public headers live in include/fennelladder/NAME/.
+# DEPENDS names other libraries of this project, LINK external ones.
+
+add_library(fennelladder_options INTERFACE)
+target_compile_options(fennelladder_options INTERFACE
+  -Wall -Wextra -Wpedantic -Wshadow=local -Werror)
+if(FENNELLADDER_SANITIZE)
+  target_compile_options(fennelladder_options INTERFACE
+    -fsanitize=${FENNELLADDER_SANITIZE} -fno-omit-frame-pointer)
+  target_link_options(fennelladder_options INTERFACE
+    -fsanitize=${FENNELLADDER_SANITIZE})
+endif()
+# Assertions state invariants; they stay on in every build.
+add_compile_options(-UNDEBUG)
+
+function(fennelladder_library name)
+  cmake_parse_arguments(arg "" "" "DEPENDS;LINK;TEST_DEPENDS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS *.cpp)
+  file(GLOB generated CONFIGURE_DEPENDS generated/*.cpp)
+  set(tests ${sources})
+  list(FILTER sources EXCLUDE REGEX "_test\\.cpp$")
+  list(FILTER tests INCLUDE REGEX "_test\\.cpp$")
+  set(target fennelladder_${name})
+  add_library(${target} STATIC ${sources} ${generated})
+  add_library(fennelladder::${name} ALIAS ${target})
+  set_target_properties(${target} PROPERTIES EXPORT_NAME ${name})
+  target_include_directories(${target}
+    PUBLIC $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/include>
+           $<INSTALL_INTERFACE:include>
+    PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+  if(generated)
+    set_source_files_properties(${generated} PROPERTIES COMPILE_OPTIONS -w)
+    target_include_directories(${target} SYSTEM PRIVATE
+      ${CMAKE_CURRENT_SOURCE_DIR}/generated)
+  endif()
+  target_link_libraries(${target}
+    PRIVATE $<BUILD_INTERFACE:fennelladder_options>)
+  foreach(lib IN LISTS arg_DEPENDS)
+    target_link_libraries(${target} PUBLIC fennelladder_${lib})
+  endforeach()
+  target_link_libraries(${target} PUBLIC ${arg_LINK})
+  if(tests AND FENNELLADDER_TESTS)
+    add_executable(test_${name} ${tests})
+    target_include_directories(test_${name}
+      PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
+    target_link_libraries(test_${name} PRIVATE
+      ${target} fennelladder_testing fennelladder_options)
+    foreach(lib IN LISTS arg_TEST_DEPENDS)
+      target_link_libraries(test_${name} PRIVATE fennelladder_${lib})
+    endforeach()
+    add_test(NAME ${name} COMMAND test_${name}
+      WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+    set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+  endif()
+endfunction()
--- /dev/null
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -0,0 +1,53 @@
+// The numbered events of the product: log lines and findings carry them.
+//
+// A number is never given to another event once released. docs/EVENTS.md
+// lists the same events for operators; a test compares the two both ways.
+//
+// Ranges: 1000 settings and process, 1100 manifest and configuration,
+// 1200 platform, 1300 journal, 1400 budgets and bills, 1500 requests,
+// 1600 routing and targets, 1700 membership and entry, 1800 orders to
+// targets, 1900 peers, 2000 gateway, 2100 history.
+
+#ifndef FENNELLADDER_TELEMETRY_EVENT_CATALOG_HPP
+#define FENNELLADDER_TELEMETRY_EVENT_CATALOG_HPP
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace fennelladder::telemetry {
+
+enum class severity : std::uint8_t
+{
+    debug,
+    info,
+    warning,
+    error
+};
+
+/// One entry of the catalogue.
+struct event_description
+{
+    int number;
+    severity level;
+    std::string_view name;    ///< Stable, snake_case.
+    std::string_view meaning; ///< One sentence for operators.
+};
+
+/// All events in order of their number.
+std::span<const event_description> event_catalog();
+
+/// The entry of `number`, or nullptr.
+const event_description* find_event(int number);
+
+/// Numbers as constants, for use in code.
+namespace event {
+constexpr int setting_invalid = 1000;
+constexpr int node_started = 1001;
+constexpr int node_stopping = 1002;
+constexpr int node_stopped = 1003;
+} // namespace event
+
+} // namespace fennelladder::telemetry
+
+#endif
--- /dev/null
+++ b/libs/base/time.cpp
@@ -0,0 +1,15 @@
+#include "fennelladder/base/time.hpp"
+
+namespace fennelladder {
+
+system_clock::system_clock()
+    : started_(std::chrono::steady_clock::now()),
+      offset_(std::chrono::system_clock::now().time_since_epoch())
+{}
+
+instant system_clock::now() const
+{
+    return instant(offset_ + (std::chrono::steady_clock::now() - started_));
+}
+
+} // namespace fennelladder
--- /dev/null
+++ b/libs/telemetry/event_catalog.cpp
@@ -0,0 +1,38 @@
+// The table is sorted by number; a test holds it to that and to
+// docs/EVENTS.md.
+
+#include "fennelladder/telemetry/event_catalog.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace fennelladder::telemetry {
+
+namespace {
+
+constexpr auto catalog = std::to_array<event_description>({
+    {event::setting_invalid, severity::error, "setting_invalid",
+     "A flag or environment variable has a value that can't be used."},
+    {event::node_started, severity::info, "node_started",
+     "The node serves callers."},
+    {event::node_stopping, severity::info, "node_stopping",
+     "A graceful shutdown began: new work is turned away."},
+    {event::node_stopped, severity::info, "node_stopped",
+     "The node finished its streams, returned its tokens and exits."},
+});
+
+} // namespace
+
+std::span<const event_description> event_catalog()
+{
+    return catalog;
+}
+
+const event_description* find_event(int number)
+{
+    const auto it = std::ranges::lower_bound(catalog, number, {},
+                                             &event_description::number);
+    return it != catalog.end() && it->number == number ? &*it : nullptr;
+}
+
+} // namespace fennelladder::telemetry
