--- /dev/null
+++ b/apps/fennelladder/benches.hpp
@@ -0,0 +1,9 @@
+// Every measurement's entry point. Each is defined in bench_NAME.cpp and
+// returns an exit code (see command.hpp). argv[0] is the bench's name.
+
+#ifndef FENNELLADDER_APPS_BENCHES_HPP
+#define FENNELLADDER_APPS_BENCHES_HPP
+
+namespace fennelladder::app {} // namespace fennelladder::app
+
+#endif
--- /dev/null
+++ b/apps/fennelladder/commands.hpp
@@ -0,0 +1,13 @@
+// Every subcommand's entry point. Each is defined in command_NAME.cpp and
+// returns an exit code (see command.hpp). argv[0] is the subcommand's name.
+
+#ifndef FENNELLADDER_APPS_COMMANDS_HPP
+#define FENNELLADDER_APPS_COMMANDS_HPP
+
+namespace fennelladder::app {
+
+int run_bench(int argc, char** argv);
+
+} // namespace fennelladder::app
+
+#endif
--- a/apps/fennelladder/main.cpp
+++ b/apps/fennelladder/main.cpp
@@ -1,6 +1,7 @@
 // Entry point: picks the subcommand.
 
-#include "command.hpp"
+#include "command_table.hpp"
+#include "commands.hpp"
 
 #include <array>
 #include <iostream>
@@ -10,33 +11,10 @@
 
 namespace {
 
-constexpr std::array<command, 0> commands{};
-
-int print_help(std::ostream& out)
-{
-    out << "usage: fennelladder COMMAND [--help] [options]\n\n";
-    for (const command& it : commands)
-        out << "  " << it.name << "  " << it.summary << '\n';
-    return exit_success;
-}
-
-int run(int argc, char** argv)
-{
-    const std::string_view name = argc > 1 ? argv[1] : "--help";
-    if (name == "--version") {
-        std::cout << "fennelladder " FENNELLADDER_VERSION "\n";
-        return exit_success;
-    }
-    if (name == "--help" || name == "-h")
-        return print_help(std::cout);
-    for (const command& it : commands) {
-        if (it.name == name)
-            return it.run(argc - 1, argv + 1);
-    }
-    std::cerr << "fennelladder: no command '" << name << "'\n";
-    print_help(std::cerr);
-    return exit_bad_input;
-}
+// One line each, sorted by name.
+constexpr auto commands = std::to_array<command>({
+    {"bench", "measurements, each beside its baselines", run_bench},
+});
 
 } // namespace
 
@@ -44,5 +22,10 @@
 
 int main(int argc, char** argv)
 {
-    return fennelladder::app::run(argc, argv);
+    using namespace fennelladder::app;
+    if (argc > 1 && std::string_view(argv[1]) == "--version") {
+        std::cout << "fennelladder " FENNELLADDER_VERSION "\n";
+        return exit_success;
+    }
+    return run_from_table("fennelladder", commands, argc, argv);
 }
--- a/cmake/fennelladder.cmake
+++ b/cmake/fennelladder.cmake
@@ -7,7 +7,8 @@
 
 add_library(fennelladder_options INTERFACE)
 target_compile_options(fennelladder_options INTERFACE
-  -Wall -Wextra -Wpedantic -Wshadow=local -Werror)
+  -Wall -Wextra -Wpedantic -Wshadow=local -Werror
+  -Wno-missing-field-initializers)
 if(FENNELLADDER_SANITIZE)
   target_compile_options(fennelladder_options INTERFACE
     -fsanitize=${FENNELLADDER_SANITIZE} -fno-omit-frame-pointer)
