--- /dev/null
+++ b/libs/telemetry/log.cpp
@@ -0,0 +1,106 @@
+// easylogging++ owns the output and the time stamp; this file makes the line.
+// It is compiled into the library from the header package's own source.
+
+#include "fennelladder/telemetry/log.hpp"
+
+#include <atomic>
+#include <cassert>
+#include <easylogging++.h>
+#include <nlohmann/json.hpp>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace fennelladder::telemetry {
+
+namespace {
+
+std::atomic<bool> as_json{false};
+std::atomic<severity> lowest_level{severity::info};
+
+std::string_view to_string(severity level)
+{
+    switch (level) {
+    case severity::debug:
+        return "debug";
+    case severity::info:
+        return "info";
+    case severity::warning:
+        return "warning";
+    case severity::error:
+        return "error";
+    }
+    return "unknown";
+}
+
+std::string quoted_if_needed(const std::string& value)
+{
+    if (!value.empty() && value.find_first_of(" \"=\n\t") == std::string::npos)
+        return value;
+    return nlohmann::json(value).dump(-1, ' ', false,
+                                      nlohmann::json::error_handler_t::replace);
+}
+
+std::string format_json(const event_description& what,
+                        std::span<const log_field> fields)
+{
+    nlohmann::ordered_json line;
+    line["event"] = what.number;
+    line["name"] = what.name;
+    line["level"] = to_string(what.level);
+    for (const log_field& it : fields)
+        line[std::string(it.name)] = it.value;
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace
+
+std::string format_event(const event_description& what,
+                         std::span<const log_field> fields, bool json)
+{
+    if (json)
+        return format_json(what, fields);
+    std::string line = "event=" + std::to_string(what.number);
+    line += " name=" + std::string(what.name);
+    line += " level=" + std::string(to_string(what.level));
+    for (const log_field& it : fields)
+        line += " " + std::string(it.name) + "=" + quoted_if_needed(it.value);
+    return line;
+}
+
+void configure_log(const log_options& options)
+{
+    as_json = options.json;
+    lowest_level = options.lowest;
+    el::Configurations wanted;
+    wanted.setToDefault();
+    wanted.setGlobally(el::ConfigurationType::ToFile, "false");
+    wanted.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    wanted.setGlobally(el::ConfigurationType::Format,
+                       options.json ? "%msg"
+                                    : "%datetime{%Y-%M-%dT%H:%m:%s.%gZ} %msg");
+    el::Loggers::reconfigureAllLoggers(wanted);
+}
+
+void log_event(int number, std::initializer_list<log_field> fields)
+{
+    const event_description* what = find_event(number);
+    assert(what != nullptr);
+    if (what->level < lowest_level.load())
+        return;
+    const std::string line =
+        format_event(*what, {fields.begin(), fields.size()}, as_json);
+    switch (what->level) {
+    case severity::debug:
+    case severity::info:
+        LOG(INFO) << line;
+        return;
+    case severity::warning:
+        LOG(WARNING) << line;
+        return;
+    case severity::error:
+        LOG(ERROR) << line;
+        return;
+    }
+}
+
+} // namespace fennelladder::telemetry
