HTTP server: CivetWeb behind a small interface

Cause: the gateway and the stand-ins both need a server; one wrapper serves both. Change: http::server and http::exchange with bounds on heads and bodies, chunked answers, errors as JSON. Measured: 7 requests over plain sockets, malformed and cut ones among them, are answered as the table says.

--- /dev/null
+++ b/include/fennelladder/http/server.hpp
@@ -0,0 +1,143 @@
+// An HTTP/1.1 server: CivetWeb behind a small interface.
+//
+//     server_options options{.listen = "127.0.0.1:0", .threads = 64};
+//     auto made = server::start(options, [](exchange& it) {
+//         if (it.path() == "/ping")
+//             return it.reply({.status = 200, .body = "pong"});
+//         it.reply({.status = 404});
+//     });
+//     int port = made.value()->port();
+//
+// A worker thread carries one connection at a time, kept ones included, so
+// `threads` bounds the number of callers served at once; more wait in the
+// listen queue. Handlers may block.
+//
+// Caveats. That a caller has gone shows only in a write that fails. A caller
+// that reads slower than `write_timeout` allows is treated as gone.
+
+#ifndef FENNELLADDER_HTTP_SERVER_HPP
+#define FENNELLADDER_HTTP_SERVER_HPP
+
+#include "fennelladder/base/error.hpp"
+#include "fennelladder/base/time.hpp"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+struct mg_connection;
+struct mg_context;
+
+namespace fennelladder::http {
+
+/// How a server listens and what it bounds.
+struct server_options
+{
+    /// IP number and port; port 0 lets the system pick one.
+    std::string listen = "127.0.0.1:0";
+    int threads = 64;
+    /// Largest body taken, bytes; a larger one is an error of read_body().
+    std::size_t max_body_bytes = 1'000'000;
+    /// Largest request line and headers together, bytes; CivetWeb answers
+    /// what is larger with an error by itself.
+    std::size_t max_head_bytes = 16'384;
+    /// How long a read or write of one block may stall.
+    duration write_timeout = seconds(10);
+    /// How long a kept connection may idle.
+    duration idle_timeout = seconds(5);
+};
+
+/// A header of an answer.
+struct answer_header
+{
+    std::string name;
+    std::string value;
+};
+
+/// A whole answer.
+struct answer
+{
+    int status = 200;
+    std::string content_type = "application/json";
+    std::vector<answer_header> headers = {};
+    std::string body = {};
+};
+
+/// One request and the way to answer it. Used by the handler's thread only,
+/// and only until the handler returns.
+class exchange
+{
+public:
+    exchange(mg_connection* connection, const server_options& options);
+
+    std::string_view method() const;
+    std::string_view path() const;
+
+    /// Value of a header, or empty. Names compare without regard to case.
+    std::string_view header(const char* name) const;
+
+    /// Decoded value of a query parameter, or empty.
+    std::string query(const char* name) const;
+
+    /// The whole body. Errors: `too_large`; `invalid` if it ended early.
+    result<std::string> read_body();
+
+    /// Answers at once. Precondition: nothing was answered yet.
+    void reply(const answer& what);
+
+    /// Starts an answer in chunks. False if the caller has gone.
+    bool begin_stream(const answer& head);
+
+    /// Writes one chunk. False if the caller has gone.
+    bool write(std::string_view bytes);
+
+    /// Ends the answer in chunks. An answer that is not ended is cut off
+    /// when the handler returns, which callers see as an error.
+    bool end_stream();
+
+    bool answered() const { return answered_; }
+
+private:
+    mg_connection* connection_;
+    const server_options& options_;
+    bool answered_ = false;
+    bool streaming_ = false;
+};
+
+using handler = std::function<void(exchange&)>;
+
+/// A running server. Thread safe.
+class server
+{
+public:
+    /// Fails with `unavailable` when the address can't be listened on.
+    static result<std::unique_ptr<server>> start(server_options options,
+                                                 handler serve);
+
+    /// Waits for the handlers that run, then stops.
+    ~server();
+    server(const server&) = delete;
+    server& operator=(const server&) = delete;
+
+    int port() const { return port_; }
+
+    /// "IP:PORT" as callers reach it.
+    std::string address() const;
+
+private:
+    server(server_options options, handler serve);
+
+    static int on_request(mg_connection* connection, void* self);
+
+    server_options options_;
+    handler serve_;
+    mg_context* context_ = nullptr;
+    int port_ = 0;
+};
+
+} // namespace fennelladder::http
+
+#endif
--- /dev/null
+++ b/libs/http/server.cpp
@@ -0,0 +1,217 @@
+// CivetWeb owns sockets, threads and parsing. One handler takes every path;
+// errors that CivetWeb answers by itself (a request it can't parse) come out
+// as JSON as well, through its error callback.
+
+#include "fennelladder/http/server.hpp"
+
+#include <array>
+#include <cassert>
+#include <civetweb.h>
+#include <mutex>
+
+namespace fennelladder::http {
+
+namespace {
+
+constexpr std::size_t read_block_bytes = 16'384;
+constexpr int handled = 1;
+
+void initialize_library()
+{
+    static std::once_flag once;
+    std::call_once(once, [] { mg_init_library(MG_FEATURES_DEFAULT); });
+}
+
+std::string to_text(duration length)
+{
+    return std::to_string(
+        std::chrono::duration_cast<milliseconds>(length).count());
+}
+
+int answer_error(mg_connection* connection, int status, const char*)
+{
+    const std::string body =
+        R"({"error":{"code":"bad_request","message":"the request can't be )"
+        R"(read"},"outcome":"not_run"})";
+    mg_printf(connection,
+              "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+              "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+              status, mg_get_response_code_text(connection, status),
+              body.size(), body.c_str());
+    return 0;
+}
+
+std::string head_text(mg_connection* connection, const answer& head)
+{
+    std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
+    text += mg_get_response_code_text(connection, head.status);
+    text += "\r\nContent-Type: " + head.content_type + "\r\n";
+    for (const answer_header& it : head.headers)
+        text += it.name + ": " + it.value + "\r\n";
+    return text;
+}
+
+} // namespace
+
+exchange::exchange(mg_connection* connection, const server_options& options)
+    : connection_(connection), options_(options)
+{}
+
+std::string_view exchange::method() const
+{
+    return mg_get_request_info(connection_)->request_method;
+}
+
+std::string_view exchange::path() const
+{
+    return mg_get_request_info(connection_)->local_uri;
+}
+
+std::string_view exchange::header(const char* name) const
+{
+    const char* value = mg_get_header(connection_, name);
+    return value == nullptr ? std::string_view() : std::string_view(value);
+}
+
+std::string exchange::query(const char* name) const
+{
+    const char* text = mg_get_request_info(connection_)->query_string;
+    if (text == nullptr)
+        return {};
+    std::string value(std::char_traits<char>::length(text) + 1, '\0');
+    const int n =
+        mg_get_var(text, value.size() - 1, name, value.data(), value.size());
+    value.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+    return value;
+}
+
+result<std::string> exchange::read_body()
+{
+    const long long announced =
+        mg_get_request_info(connection_)->content_length;
+    const auto limit = static_cast<long long>(options_.max_body_bytes);
+    if (announced > limit)
+        return fail(error_code::too_large, "body over the limit");
+    std::string body;
+    std::array<char, read_block_bytes> buf{};
+    while (true) {
+        const int n = mg_read(connection_, buf.data(), buf.size());
+        if (n < 0)
+            return fail(error_code::invalid, "the body could not be read");
+        if (n == 0)
+            break;
+        body.append(buf.data(), static_cast<std::size_t>(n));
+        if (body.size() > options_.max_body_bytes)
+            return fail(error_code::too_large, "body over the limit");
+    }
+    if (announced > 0 && body.size() != static_cast<std::size_t>(announced))
+        return fail(error_code::invalid, "the body ended early");
+    return body;
+}
+
+void exchange::reply(const answer& what)
+{
+    assert(!answered_);
+    answered_ = true;
+    std::string text = head_text(connection_, what);
+    text += "Content-Length: " + std::to_string(what.body.size()) + "\r\n\r\n";
+    text += what.body;
+    mg_write(connection_, text.data(), text.size());
+}
+
+bool exchange::begin_stream(const answer& head)
+{
+    assert(!answered_);
+    answered_ = true;
+    streaming_ = true;
+    std::string text = head_text(connection_, head);
+    text += "Transfer-Encoding: chunked\r\n\r\n";
+    return mg_write(connection_, text.data(), text.size()) > 0;
+}
+
+bool exchange::write(std::string_view bytes)
+{
+    assert(streaming_);
+    if (bytes.empty())
+        return true;
+    return mg_send_chunk(connection_, bytes.data(),
+                         static_cast<unsigned int>(bytes.size())) > 0;
+}
+
+bool exchange::end_stream()
+{
+    assert(streaming_);
+    streaming_ = false;
+    return mg_send_chunk(connection_, "", 0) >= 0;
+}
+
+server::server(server_options options, handler serve)
+    : options_(std::move(options)), serve_(std::move(serve))
+{}
+
+int server::on_request(mg_connection* connection, void* self)
+{
+    const auto& it = *static_cast<server*>(self);
+    exchange one(connection, it.options_);
+    it.serve_(one);
+    if (!one.answered())
+        one.reply({.status = 500});
+    return handled;
+}
+
+result<std::unique_ptr<server>> server::start(server_options options,
+                                              handler serve)
+{
+    initialize_library();
+    std::unique_ptr<server> it(
+        new server(std::move(options), std::move(serve)));
+    const server_options& use = it->options_;
+    const std::string threads = std::to_string(use.threads);
+    const std::string head = std::to_string(use.max_head_bytes);
+    const std::string write = to_text(use.write_timeout);
+    const std::string idle = to_text(use.idle_timeout);
+    const std::array<const char*, 19> settings{"listening_ports",
+                                               use.listen.c_str(),
+                                               "num_threads",
+                                               threads.c_str(),
+                                               "max_request_size",
+                                               head.c_str(),
+                                               "request_timeout_ms",
+                                               write.c_str(),
+                                               "keep_alive_timeout_ms",
+                                               idle.c_str(),
+                                               "enable_keep_alive",
+                                               "yes",
+                                               "tcp_nodelay",
+                                               "1",
+                                               "listen_backlog",
+                                               "1024",
+                                               "connection_queue",
+                                               "1024",
+                                               nullptr};
+    mg_callbacks callbacks{};
+    callbacks.http_error = answer_error;
+    it->context_ = mg_start(&callbacks, it.get(),
+                            const_cast<const char**>(settings.data()));
+    if (it->context_ == nullptr)
+        return fail(error_code::unavailable, "can't listen on " + use.listen);
+    mg_server_port port{};
+    mg_get_server_ports(it->context_, 1, &port);
+    it->port_ = port.port;
+    mg_set_request_handler(it->context_, "/", on_request, it.get());
+    return it;
+}
+
+server::~server()
+{
+    if (context_ != nullptr)
+        mg_stop(context_);
+}
+
+std::string server::address() const
+{
+    const auto colon = options_.listen.rfind(':');
+    return options_.listen.substr(0, colon + 1) + std::to_string(port_);
+}
+
+} // namespace fennelladder::http
--- /dev/null
+++ b/libs/http/server_test.cpp
@@ -0,0 +1,91 @@
+// Requests are written byte by byte over a plain socket, so that the server
+// is tested without a client of ours.
+
+#include "fennelladder/http/server.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace fennelladder;
+using namespace fennelladder::http;
+
+namespace {
+
+void serve(exchange& it)
+{
+    if (it.path() == "/stream") {
+        it.begin_stream({.content_type = "text/event-stream"});
+        it.write("one");
+        it.write("two");
+        it.end_stream();
+        return;
+    }
+    const auto body = it.read_body();
+    if (!body)
+        return it.reply(
+            {.status = 413, .body = std::string(to_string(body.error().code))});
+    it.reply({.body = std::string(it.method()) + "|" + it.query("q") + "|" +
+                      std::string(it.header("x-one")) + "|" + *body});
+}
+
+std::string ask(int port, const std::string& text)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(static_cast<std::uint16_t>(port));
+    to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    LONGS_EQUAL(0, connect(fd, reinterpret_cast<sockaddr*>(&to), sizeof to));
+    send(fd, text.data(), text.size(), 0);
+    shutdown(fd, SHUT_WR);
+    std::string got;
+    char buf[4096];
+    for (ssize_t n = 0; (n = recv(fd, buf, sizeof buf, 0)) > 0;)
+        got.append(buf, static_cast<std::size_t>(n));
+    close(fd);
+    return got;
+}
+
+} // namespace
+
+TEST_GROUP(server){};
+
+TEST(server, answers_what_it_was_asked)
+{
+    auto made = server::start({.threads = 4, .max_body_bytes = 10}, serve);
+    CHECK(made.has_value());
+    struct
+    {
+        const char* text;
+        const char* wanted;
+    } const cases[] = {
+        {"GET /a?q=x%20y HTTP/1.1\r\nHost: a\r\nX-One: 1\r\n\r\n",
+         "GET|x y|1|"},
+        {"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+         "POST|||abc"},
+        {"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "3\r\nabc\r\n0\r\n\r\n",
+         "POST|||abc"},
+        {"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n"
+         "01234567890",
+         "too_large"},
+        {"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nabc",
+         "invalid"},
+        {"GET /stream HTTP/1.1\r\nHost: a\r\n\r\n",
+         "3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n"},
+        {"nonsense\r\n\r\n", R"("code":"bad_request")"},
+    };
+    for (const auto& it : cases)
+        STRCMP_CONTAINS(it.wanted, ask((*made)->port(), it.text).c_str());
+}
+
+TEST(server, an_address_in_use_is_an_error)
+{
+    auto first = server::start({.threads = 1}, serve);
+    auto second =
+        server::start({.listen = (*first)->address(), .threads = 1}, serve);
+    CHECK_FALSE(second.has_value());
+    CHECK(second.error().code == error_code::unavailable);
+}
