Route by cached prefix, then by predicted completion

Cause: nothing decides yet which target takes a request. Pure: time and random numbers are arguments.

--- /dev/null
+++ b/libs/routing/chooser.cpp
@@ -0,0 +1,149 @@
+// One pass predicts for each target of the pool that has room; a second picks
+// among those that are relevant and near the best. Both are linear in the
+// pool, without allocation once the scratch vector has grown: the walk costs
+// less than keeping targets sorted by a load that changes with each report.
+//
+// The prediction is work that lies ahead of the request on the target, each
+// part over the speed that the target is known for:
+//
+//     first token = way there and back + prompt tokens that wait there
+//                   + slots that have to come free + own uncached tokens
+//     completion  = first token + output tokens x step at that load
+
+#include "fennelladder/routing/chooser.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace fennelladder::routing {
+
+namespace {
+
+double step_seconds(const target_speed& speed, double sequences)
+{
+    return to_seconds(speed.step) +
+           to_seconds(speed.step_per_sequence) * sequences;
+}
+
+// Prompt tokens go through in chunks, each of which shares a step with the
+// sequences that decode.
+double prefill_seconds(const target_speed& speed, double prompt_tokens,
+                       double step)
+{
+    const double chunk = std::max(1U, speed.prefill_chunk);
+    const double steps = std::max(1.0, std::ceil(prompt_tokens / chunk));
+    return prompt_tokens * to_seconds(speed.prefill_per_token) + steps * step;
+}
+
+bool contains(const std::vector<target_id>& ids, const target_id& id)
+{
+    return std::ranges::find(ids, id) != ids.end();
+}
+
+} // namespace
+
+std::optional<choice> chooser::choose(const choice_input& input, instant now,
+                                      random_source& random)
+{
+    gather(input, now);
+    if (candidates_.empty())
+        return std::nullopt;
+    double best = std::numeric_limits<double>::infinity();
+    std::uint32_t most_cached = 0;
+    for (const candidate& it : candidates_) {
+        best = std::min(best, it.expected.completion);
+        most_cached = std::max(most_cached, it.expected.cached_tokens);
+    }
+    const auto relevant = static_cast<std::uint32_t>(
+        std::ceil(options_.relevant_share * most_cached));
+    double best_relevant = std::numeric_limits<double>::infinity();
+    for (const candidate& it : candidates_) {
+        if (it.expected.cached_tokens >= relevant)
+            best_relevant = std::min(best_relevant, it.expected.completion);
+    }
+    const bool keep = best_relevant <= best * options_.patience;
+    const candidate& chosen =
+        keep ? pick(best_relevant, relevant, random) : pick(best, 0, random);
+    return choice{chosen.slot, chosen.expected,
+                  input.match.blocks(chosen.slot)};
+}
+
+prediction chooser::predict(const choice_input& input, target_slot slot,
+                            instant now) const
+{
+    const route_request& request = input.request;
+    const target_speed& speed = input.table.info(slot).speed;
+    const double matched = input.match.blocks(slot) * options_.block_tokens *
+                           input.index.confidence(slot);
+    prediction seen;
+    seen.cached_tokens = std::min(static_cast<std::uint32_t>(matched),
+                                  std::max(1U, request.prompt_tokens) - 1);
+    const double uncached = request.prompt_tokens - seen.cached_tokens;
+    const double load = input.table.in_flight(slot, now);
+    const double running = std::min<double>(load, speed.slots);
+    const double step = step_seconds(speed, running);
+    double wait = 0;
+    // Engines serve urgent requests before all that waits.
+    if (request.rank > 0) {
+        wait = input.table.waiting_prefill(slot, now) *
+               to_seconds(speed.prefill_per_token);
+        const double ahead = load + 1 - speed.slots;
+        if (ahead > 0)
+            wait += ahead / speed.slots * request.output_tokens * step;
+    }
+    seen.first_token = 2 * to_seconds(input.table.network(slot)) + wait +
+                       prefill_seconds(speed, uncached, step);
+    seen.completion = seen.first_token + request.output_tokens * step;
+    return seen;
+}
+
+prediction chooser::predict_idle(const route_request& request,
+                                 const target_speed& speed)
+{
+    const double step = step_seconds(speed, 1);
+    prediction seen;
+    seen.first_token = prefill_seconds(speed, request.prompt_tokens, step);
+    seen.completion = seen.first_token + request.output_tokens * step;
+    return seen;
+}
+
+void chooser::gather(const choice_input& input, instant now)
+{
+    candidates_.clear();
+    const auto members = input.table.members(input.pool);
+    const auto& avoid = input.request.avoid;
+    for (const bool last_resort : {false, true}) {
+        bool any_usable = false;
+        for (const target_slot slot : members) {
+            if (!avoid.empty() &&
+                contains(avoid, input.table.info(slot).id) != last_resort)
+                continue;
+            any_usable |= input.table.usable(slot, now);
+            if (input.table.has_room(slot, input.request.rank, now))
+                candidates_.push_back({slot, predict(input, slot, now)});
+        }
+        if (any_usable || avoid.empty())
+            return;
+    }
+}
+
+const chooser::candidate& chooser::pick(double best, std::uint32_t least_cached,
+                                        random_source& random) const
+{
+    const double worst = std::max(best * (1 + options_.near_share),
+                                  best + to_seconds(options_.near_time));
+    const candidate* chosen = nullptr;
+    std::uint64_t near = 0;
+    for (const candidate& it : candidates_) {
+        if (it.expected.cached_tokens < least_cached ||
+            it.expected.completion > worst)
+            continue;
+        ++near;
+        if (random.below(near) == 0)
+            chosen = &it;
+    }
+    return *chosen;
+}
+
+} // namespace fennelladder::routing
