--- a/include/fennelladder/telemetry/event_catalog.hpp
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -46,6 +46,10 @@
 constexpr int node_started = 1001;
 constexpr int node_stopping = 1002;
 constexpr int node_stopped = 1003;
+constexpr int journal_layout_differs = 1300;
+constexpr int journal_corrupt = 1301;
+constexpr int journal_writer_retired = 1302;
+constexpr int journal_backlog = 1303;
 } // namespace event
 
 } // namespace fennelladder::telemetry
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -19,6 +19,15 @@
      "A graceful shutdown began: new work is turned away."},
     {event::node_stopped, severity::info, "node_stopped",
      "The node finished its streams, returned its tokens and exits."},
+    {event::journal_layout_differs, severity::warning, "journal_layout_differs",
+     "The setting for the journal's shards or slots differs from the stored "
+     "one, which holds."},
+    {event::journal_corrupt, severity::error, "journal_corrupt",
+     "An object of the journal can't be read; its shard stands still."},
+    {event::journal_writer_retired, severity::error, "journal_writer_retired",
+     "A shard says that this incarnation is over; the node must start anew."},
+    {event::journal_backlog, severity::warning, "journal_backlog",
+     "Wishes wait in memory because the platform can't be written to."},
 });
 
 } // namespace
