--- a/include/fennelladder/telemetry/event_catalog.hpp
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -50,6 +50,7 @@
 constexpr int journal_corrupt = 1301;
 constexpr int journal_writer_retired = 1302;
 constexpr int journal_backlog = 1303;
+constexpr int call_invalid = 2000;
 } // namespace event
 
 } // namespace fennelladder::telemetry
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -28,6 +28,8 @@
      "A shard says that this incarnation is over; the node must start anew."},
     {event::journal_backlog, severity::warning, "journal_backlog",
      "Wishes wait in memory because the platform can't be written to."},
+    {event::call_invalid, severity::info, "call_invalid",
+     "A caller's request can't be read; nothing ran and nothing is charged."},
 });
 
 } // namespace
