--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -1,5 +1,5 @@
-// The table is sorted by number; a test holds it to that and to
-// docs/EVENTS.md.
+// The table may be written in any order; it is sorted when it's compiled. A
+// test holds it to docs/EVENTS.md.
 
 #include "fennelladder/telemetry/event_catalog.hpp"
 
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr auto catalog = std::to_array<event_description>({
+constexpr auto written = std::to_array<event_description>({
     {event::setting_invalid, severity::error, "setting_invalid",
      "A flag or environment variable has a value that can't be used."},
     {event::node_started, severity::info, "node_started",
@@ -32,6 +32,12 @@
      "A caller's request can't be read; nothing ran and nothing is charged."},
 });
 
+constexpr auto catalog = [] {
+    auto sorted = written;
+    std::ranges::sort(sorted, {}, &event_description::number);
+    return sorted;
+}();
+
 } // namespace
 
 std::span<const event_description> event_catalog()
