Decide the course, origin and outcome of a request

Cause: a request must end in one of three outcomes, run at most once where it is not idempotent, and be billed once.

--- /dev/null
+++ b/libs/request/request_table.cpp
@@ -0,0 +1,333 @@
+// A hash map per shard, beside two queues: keys in the order they ended, from
+// whose front expired ones are forgotten, and keys with kept text, from whose
+// front texts are dropped when the shard's part of the memory is full. A key
+// that started anew leaves a stale place in a queue; places carry the number
+// of the run, so that a stale one is recognised and passed over. All calls
+// but expire() and counts() are O(1) on average.
+
+#include "fennelladder/request/request_table.hpp"
+
+#include "fennelladder/base/hash.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <deque>
+#include <unordered_map>
+#include <utility>
+
+namespace fennelladder::request {
+
+namespace {
+
+constexpr auto verdict_names = std::to_array<std::string_view>(
+    {"run", "join", "await", "replay", "reply"});
+
+constexpr std::size_t forget_per_admit = 4;
+
+std::string name_of(const team_id& team, const request_key& key)
+{
+    std::string name = team.str();
+    name += '\0'; // can't occur in a team's name
+    return name += key.str();
+}
+
+} // namespace
+
+std::string_view to_string(admit_verdict value)
+{
+    return verdict_names.at(static_cast<std::size_t>(value));
+}
+
+/// Running while `stream` is set, remembered afterwards.
+struct request_table::entry
+{
+    std::string body_digest;
+    std::shared_ptr<answer_stream> stream;
+    outcome_reply reply;
+    std::unique_ptr<std::string> text;
+    instant ended;
+    std::uint64_t run = 0; ///< Number of the run within the shard.
+    bool idempotent = true;
+    bool durable = true;
+};
+
+struct request_table::shard
+{
+    struct place
+    {
+        std::string name;
+        std::uint64_t run = 0;
+    };
+
+    entry* find(const place& it)
+    {
+        const auto found = entries.find(it.name);
+        const bool same = found != entries.end() && found->second.run == it.run;
+        return same ? &found->second : nullptr;
+    }
+
+    void drop_text(entry& it)
+    {
+        if (it.text)
+            text_bytes -= it.text->size();
+        it.text.reset();
+    }
+
+    /// Without it, places of forgotten texts would pile up for as long as
+    /// the memory of the texts never fills.
+    void trim_texts()
+    {
+        while (!texts.empty()) {
+            const entry* oldest = find(texts.front());
+            if (oldest != nullptr && oldest->text)
+                return;
+            texts.pop_front();
+        }
+    }
+
+    mutable std::mutex mutex;
+    // All below are guarded by mutex. text_bytes is the size of all texts.
+    std::unordered_map<std::string, entry> entries;
+    std::deque<place> ended;
+    std::deque<place> texts;
+    std::size_t text_bytes = 0;
+    std::uint64_t runs = 0;
+};
+
+request_table::request_table(request_table_options options) : options_(options)
+{
+    assert(options_.shards > 0);
+    for (std::size_t n = 0; n < options_.shards; ++n)
+        shards_.push_back(std::make_unique<shard>());
+}
+
+request_table::~request_table() = default;
+
+request_table::shard& request_table::shard_of(const std::string& name) const
+{
+    return *shards_[hash64(name) % shards_.size()];
+}
+
+admission request_table::admit(const arrival& it, instant now)
+{
+    const std::string name = name_of(it.team, it.key);
+    shard& part = shard_of(name);
+    const std::lock_guard lock(part.mutex);
+    forget_some(part, now, forget_per_admit);
+    const auto found = part.entries.find(name);
+    if (found == part.entries.end())
+        return add(part, name, it, now);
+    admission got = known(found->second, it, only_here(it, now));
+    if (got.verdict == admit_verdict::run) {
+        part.drop_text(found->second);
+        found->second.run = ++part.runs;
+    }
+    return got;
+}
+
+admission request_table::add(shard& part, const std::string& name,
+                             const arrival& it, instant now)
+{
+    if (part.entries.size() >= options_.max_keys / shards_.size() + 1) {
+        admission got;
+        const bool fresh = it.binding == key_binding::made_here;
+        got.reply.result = fresh ? outcome::not_run : outcome::unknown;
+        got.reply.code = reply_code::too_many_keys;
+        got.reply.retry_useful = true;
+        got.reply.retry_after = seconds(1);
+        got.reply.key = it.key;
+        return got;
+    }
+    entry& made = part.entries[name];
+    made.body_digest = it.body_digest;
+    made.run = ++part.runs;
+    return start(made, it, only_here(it, now), true);
+}
+
+bool request_table::only_here(const arrival& it, instant now) const
+{
+    // Retention counts from a run's end, which is after the issue of its
+    // origin; so what was issued within it can't have been forgotten.
+    const bool recent = now - it.issued <= options_.retention;
+    return it.binding == key_binding::made_here ||
+           (it.binding == key_binding::bound_here && recent);
+}
+
+admission request_table::start(entry& made, const arrival& it, bool only_here,
+                               bool never_run)
+{
+    made.idempotent = it.idempotent;
+    made.stream = std::make_shared<answer_stream>(options_.stream_limit);
+    admission got;
+    got.verdict = admit_verdict::run;
+    got.stream = made.stream;
+    got.billed_before = made.reply.billed;
+    got.first_arrival = only_here && never_run;
+    got.claim_first = !it.idempotent && !only_here;
+    return got;
+}
+
+admission request_table::known(entry& found, const arrival& it, bool only_here)
+{
+    admission got;
+    got.reply = found.reply;
+    got.reply.key = it.key;
+    if (found.body_digest != it.body_digest) {
+        got.reply = outcome_reply();
+        got.reply.key = it.key;
+        got.reply.code = reply_code::key_reused;
+        return got;
+    }
+    if (found.stream) {
+        got.stream = found.stream;
+        got.verdict =
+            found.stream->join() ? admit_verdict::join : admit_verdict::await;
+        return got;
+    }
+    const bool idempotent = it.idempotent && found.idempotent;
+    const outcome before = found.reply.result;
+    if (before == outcome::answered && found.text) {
+        got.verdict = admit_verdict::replay;
+        got.text = *found.text;
+        return got;
+    }
+    // A proved `not_run` leaves the key as if it had never come.
+    if (before == outcome::not_run)
+        return start(found, it, only_here, true);
+    const bool again =
+        idempotent && found.reply.code != reply_code::ran_and_failed;
+    if (again)
+        return start(found, it, only_here, false);
+    if (before == outcome::answered)
+        got.reply.code = reply_code::answered_before;
+    return got;
+}
+
+void request_table::finish(const team_id& team, const request_key& key,
+                           const conclusion& end, instant now)
+{
+    const std::string name = name_of(team, key);
+    shard& part = shard_of(name);
+    std::shared_ptr<answer_stream> stream;
+    {
+        const std::lock_guard lock(part.mutex);
+        const auto found = part.entries.find(name);
+        assert(found != part.entries.end() && found->second.stream);
+        entry& ended = found->second;
+        ended.reply = end.reply;
+        ended.reply.key = request_key(); // it is the entry's name already
+        ended.ended = now;
+        ended.durable = !end.record && end.charge.kind != bill_kind::settle &&
+                        end.charge.kind != bill_kind::hold;
+        stream = std::exchange(ended.stream, nullptr);
+        stream->finish(end.reply);
+        part.ended.push_back({name, ended.run});
+        if (ended.reply.result == outcome::answered) {
+            keep_text(part, name, ended, stream->whole_text());
+        }
+    }
+}
+
+void request_table::keep_text(shard& part, const std::string& name,
+                              entry& ended, std::optional<std::string> text)
+{
+    const std::size_t limit = options_.text_memory / shards_.size();
+    if (!text || text->size() > std::min(options_.small_answer, limit))
+        return;
+    ended.text = std::make_unique<std::string>(std::move(*text));
+    part.text_bytes += ended.text->size();
+    part.texts.push_back({name, ended.run});
+    while (part.text_bytes > limit) {
+        entry* oldest = part.find(part.texts.front());
+        part.texts.pop_front();
+        if (oldest != nullptr)
+            part.drop_text(*oldest);
+    }
+}
+
+bool request_table::resolve(const team_id& team, const request_key& key,
+                            const outcome_reply& reply)
+{
+    const std::string name = name_of(team, key);
+    shard& part = shard_of(name);
+    const std::lock_guard lock(part.mutex);
+    const auto found = part.entries.find(name);
+    if (found == part.entries.end() || found->second.stream)
+        return false;
+    outcome_reply& known = found->second.reply;
+    if (known.result == reply.result || !refines(reply.result, known.result))
+        return false;
+    known = reply;
+    known.key = request_key();
+    found->second.durable = false;
+    return true;
+}
+
+void request_table::mark_durable(const team_id& team, const request_key& key)
+{
+    const std::string name = name_of(team, key);
+    shard& part = shard_of(name);
+    const std::lock_guard lock(part.mutex);
+    const auto found = part.entries.find(name);
+    if (found != part.entries.end())
+        found->second.durable = true;
+}
+
+std::optional<outcome_reply>
+request_table::look_up(const team_id& team, const request_key& key) const
+{
+    const std::string name = name_of(team, key);
+    const shard& part = shard_of(name);
+    const std::lock_guard lock(part.mutex);
+    const auto found = part.entries.find(name);
+    if (found == part.entries.end() || found->second.stream)
+        return std::nullopt;
+    outcome_reply reply = found->second.reply;
+    reply.key = key;
+    return reply;
+}
+
+void request_table::forget_some(shard& part, instant now,
+                                std::size_t most) const
+{
+    for (std::size_t n = 0; n < most && !part.ended.empty(); ++n) {
+        shard::place oldest = part.ended.front();
+        entry* it = part.find(oldest);
+        const bool stale = it == nullptr || it->stream;
+        if (!stale && now - it->ended <= options_.retention)
+            break;
+        part.ended.pop_front();
+        if (stale)
+            continue;
+        if (!it->durable) {
+            part.ended.push_back(std::move(oldest));
+            continue;
+        }
+        part.drop_text(*it);
+        part.entries.erase(oldest.name);
+    }
+    part.trim_texts();
+}
+
+void request_table::expire(instant now)
+{
+    for (const auto& part : shards_) {
+        const std::lock_guard lock(part->mutex);
+        forget_some(*part, now, part->ended.size());
+    }
+}
+
+request_table_counts request_table::counts() const
+{
+    request_table_counts all;
+    for (const auto& part : shards_) {
+        const std::lock_guard lock(part->mutex);
+        for (const auto& [name, it] : part->entries)
+            ++(it.stream ? all.running : all.remembered);
+        all.text_bytes += part->text_bytes;
+    }
+    return all;
+}
+
+} // namespace fennelladder::request
