--- a/include/fennelladder/journal/shard_log.hpp
+++ b/include/fennelladder/journal/shard_log.hpp
@@ -68,7 +68,7 @@
     std::size_t read_ahead = 64;
 
     /// Tries of a call that fails with `unavailable` or `ambiguous`.
-    int tries = 4;
+    int tries = 3;
 
     /// Lost races in one append before it fails with `conflict`.
     int max_conflicts = 200;
@@ -139,6 +139,10 @@
     /// more than about 10,000 chunks. Precondition: is_open().
     status checkpoint();
 
+    /// Position of the newest checkpoint, read now and without opening the
+    /// log: what a new writer puts into record_mark::opened_at. One call.
+    result<std::uint64_t> read_checkpoint_position();
+
     /// Forgets everything read and gives back its memory.
     void close();
 
@@ -152,6 +156,9 @@
     /// Position of the last checkpoint known.
     std::uint64_t checkpoint_position() const { return root_.position; }
 
+    /// Share of the ring in use since the last checkpoint known, 0 to 1.
+    double ring_use() const;
+
     const journal_calls& calls() const { return calls_; }
 
 private:
--- a/libs/journal/shard_log.cpp
+++ b/libs/journal/shard_log.cpp
@@ -237,6 +237,14 @@
     return loaded;
 }
 
+result<std::uint64_t> shard_log::read_checkpoint_position()
+{
+    auto loaded = load_root();
+    if (!loaded)
+        return tl::unexpected(loaded.error());
+    return *loaded ? (*loaded)->root.position : 0;
+}
+
 // Makes the fold from the newest checkpoint. A chunk that is gone means that
 // a later checkpoint took this one's place while it was being read: the root
 // is read again.
@@ -543,6 +551,13 @@
                std::max(options_.checkpoint_bytes, 2 * root_.bytes);
 }
 
+double shard_log::ring_use() const
+{
+    if (root_.position >= position())
+        return 0;
+    return static_cast<double>(position() - root_.position) / layout_.slots;
+}
+
 status shard_log::put_chunks(const std::string& state,
                              std::vector<std::string>& names)
 {
