--- a/include/fennelladder/routing/chooser.hpp
+++ b/include/fennelladder/routing/chooser.hpp
@@ -88,10 +88,11 @@
     prediction predict(const choice_input& input, target_slot slot,
                        instant now) const;
 
-    /// Seconds from dispatch to the end of the answer if the target were
-    /// idle, with nothing cached.
+    /// What an idle target with `cached_tokens` of the prompt would do; the
+    /// way there is left out.
     static prediction predict_idle(const route_request& request,
-                                   const target_speed& speed);
+                                   const target_speed& speed,
+                                   std::uint32_t cached_tokens);
 
     const chooser_options& options() const { return options_; }
 
--- a/libs/routing/chooser.cpp
+++ b/libs/routing/chooser.cpp
@@ -13,6 +13,7 @@
 #include "fennelladder/routing/chooser.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <cmath>
 #include <limits>
 
@@ -99,11 +100,14 @@
 }
 
 prediction chooser::predict_idle(const route_request& request,
-                                 const target_speed& speed)
+                                 const target_speed& speed,
+                                 std::uint32_t cached_tokens)
 {
+    assert(cached_tokens <= request.prompt_tokens);
     const double step = step_seconds(speed, 1);
     prediction seen;
-    seen.first_token = prefill_seconds(speed, request.prompt_tokens, step);
+    seen.first_token =
+        prefill_seconds(speed, request.prompt_tokens - cached_tokens, step);
     seen.completion = seen.first_token + request.output_tokens * step;
     return seen;
 }
