--- a/libs/standin/web_server.cpp
+++ b/libs/standin/web_server.cpp
@@ -6,14 +6,16 @@
 #include "web_server.hpp"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <cassert>
 #include <cctype>
+#include <charconv>
 #include <civetweb.h>
 #include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 namespace fennelladder::standin {
 
@@ -99,21 +101,29 @@
     return head;
 }
 
-// CivetWeb's listener looks at its stop flag only when a connection comes or
-// two seconds have passed; this makes a connection come. False: nobody
-// listens any more.
-bool wake_listener(const std::string& ip, int port)
+// The port that a socket of this process is bound to; 0 if there is none.
+int local_port(int fd)
 {
     sockaddr_in at{};
-    at.sin_family = AF_INET;
-    at.sin_port = htons(static_cast<std::uint16_t>(port));
-    if (inet_pton(AF_INET, ip.c_str(), &at.sin_addr) != 1)
-        return false;
-    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const bool connected =
-        connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof(at)) == 0;
-    close(fd);
-    return connected;
+    socklen_t n = sizeof(at);
+    const bool ok = getsockname(fd, reinterpret_cast<sockaddr*>(&at), &n) == 0;
+    return ok && at.sin_family == AF_INET ? ntohs(at.sin_port) : 0;
+}
+
+// Shuts down the listening socket of `port` and every connection accepted
+// there, as the end of a process does. CivetWeb looks at its stop flag only
+// when a socket stirs or two seconds have passed, and it doesn't hand out its
+// sockets, so they are found among the process's own descriptors.
+void shut_down_sockets(int port)
+{
+    std::error_code ec;
+    std::filesystem::directory_iterator it("/proc/self/fd", ec);
+    for (; !ec && it != std::filesystem::directory_iterator();
+         it.increment(ec)) {
+        const int fd = std::atoi(it->path().filename().c_str());
+        if (local_port(fd) == port)
+            shutdown(fd, SHUT_RDWR);
+    }
 }
 
 } // namespace
@@ -123,6 +133,21 @@
     return find(headers, lower_case_name);
 }
 
+std::uint32_t
+web_request::header_number(const std::string& lower_case_name) const
+{
+    const std::string text = header(lower_case_name);
+    std::uint32_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+std::string
+web_request::decoded_header(const std::string& lower_case_name) const
+{
+    return decode(header(lower_case_name), false);
+}
+
 std::string web_request::parameter(const std::string& name) const
 {
     return find(query, name);
@@ -264,8 +289,10 @@
         return;
     std::atomic<bool> stopped = false;
     std::thread waker([&] {
-        while (!stopped && wake_listener(options_.ip, options_.port))
+        while (!stopped) {
+            shut_down_sockets(options_.port);
             std::this_thread::sleep_for(std::chrono::milliseconds(2));
+        }
     });
     mg_stop(context_);
     stopped = true;
--- a/libs/standin/web_server.hpp
+++ b/libs/standin/web_server.hpp
@@ -43,6 +43,12 @@
     /// A header field or query parameter, or an empty string.
     std::string header(const std::string& lower_case_name) const;
     std::string parameter(const std::string& name) const;
+
+    /// A header field that is a number; 0 if it is not.
+    std::uint32_t header_number(const std::string& lower_case_name) const;
+
+    /// A header field whose value is percent-encoded.
+    std::string decoded_header(const std::string& lower_case_name) const;
 };
 
 class web_server;
