--- a/apps/fennelladder/commands.hpp
+++ b/apps/fennelladder/commands.hpp
@@ -7,6 +7,7 @@
 namespace fennelladder::app {
 
 int run_bench(int argc, char** argv);
+int run_standin(int argc, char** argv);
 
 } // namespace fennelladder::app
 
