--- /dev/null
+++ b/apps/fennelladder/command_apply.cpp
@@ -0,0 +1,157 @@
+// `fennelladder apply FILE`: makes a manifest the accepted configuration.
+
+#include "command.hpp"
+#include "commands.hpp"
+#include "manifest_file.hpp"
+
+#include "fennelladder/base/hash.hpp"
+#include "fennelladder/base/time.hpp"
+#include "fennelladder/http/client.hpp"
+#include "fennelladder/manifest/apply.hpp"
+#include "fennelladder/manifest/rollout.hpp"
+#include "fennelladder/platform/platform_client.hpp"
+#include "fennelladder/settings/settings.hpp"
+
+#include <iostream>
+#include <random>
+#include <thread>
+
+namespace fennelladder::app {
+
+namespace {
+
+void pause(duration length)
+{
+    std::this_thread::sleep_for(length);
+}
+
+// Ids must differ between operators who start in the same instant.
+apply_id fresh_apply_id()
+{
+    std::random_device entropy;
+    const std::uint64_t high = entropy();
+    return apply_id(to_hex(high << 32U | entropy()));
+}
+
+settings::settings declare_settings()
+{
+    settings::settings wanted(
+        "apply", "Makes a manifest the accepted configuration of the fleet.");
+    wanted.positional("FILE", 1, 1, "the manifest (docs/MANIFEST.md)");
+    wanted.text("platform", "http://127.0.0.1:7000",
+                "URL of the platform's object API");
+    wanted.number({.name = "base",
+                   .fallback = -1,
+                   .low = -1,
+                   .unit = "generation",
+                   .help = "fail unless this one is accepted at present; -1 "
+                           "takes the one found at start"});
+    wanted.text("apply-id", "",
+                "id of this change; give the same one to try again after an "
+                "ambiguous end (default: drawn)");
+    wanted.text("who", "operator", "name shown to operators who race with you");
+    wanted.flag("wait", "wait until it is in force on every node");
+    wanted.milliseconds("wait-limit", 60'000, "how long --wait waits at most");
+    wanted.flag("collect", "afterwards remove parts that nothing names any "
+                           "more");
+    return wanted;
+}
+
+manifest::apply_request make_request(const settings::settings& given,
+                                     manifest::document manifest, instant now)
+{
+    manifest::apply_request request;
+    request.manifest = std::move(manifest);
+    if (given.number_of("base") >= 0)
+        request.base = generation(std::uint64_t(given.number_of("base")));
+    const std::string& id = given.text_of("apply-id");
+    request.apply = id.empty() ? fresh_apply_id() : apply_id(id);
+    request.who = given.text_of("who");
+    request.at = now;
+    return request;
+}
+
+void print_receipt(const manifest::apply_receipt& it, const apply_id& id)
+{
+    if (it.unchanged)
+        std::cout << "unchanged: generation " << it.number
+                  << " has the same content\n";
+    else if (it.found_by_apply_id)
+        std::cout << "accepted as generation " << it.number
+                  << ", found by its apply id " << id << '\n';
+    else
+        std::cout << "accepted as generation " << it.number << ", hash "
+                  << it.hash << ", apply id " << id << "; " << it.parts_sent
+                  << " parts, " << it.bytes_sent << " bytes\n";
+}
+
+int wait_for(platform::object_store& store, generation wanted, duration limit)
+{
+    const system_clock clock;
+    const instant until = clock.now() + limit;
+    manifest::rollout seen{wanted, {}};
+    while (true) {
+        const auto nodes = manifest::read_statuses(store);
+        if (nodes)
+            seen = manifest::rollout_of(*nodes, wanted, clock.now());
+        else
+            std::cerr << "statuses: " << nodes.error().message << '\n';
+        if (nodes && seen.complete())
+            break;
+        std::cout << seen.reached() << " of " << seen.expected() << " nodes\n";
+        if (clock.now() > until)
+            break;
+        pause(seconds(1));
+    }
+    std::cout << manifest::to_table(seen, clock.now());
+    return seen.complete() ? exit_success : exit_failure;
+}
+
+int apply(const settings::settings& given)
+{
+    auto manifest = load_manifest(given.positionals()[0]);
+    if (!manifest)
+        return exit_bad_input;
+    http::client connections;
+    platform::platform_client store(connections,
+                                    {.url = given.text_of("platform")});
+    const auto request =
+        make_request(given, std::move(*manifest), system_clock().now());
+    manifest::applier applier(store, {}, pause);
+    const auto receipt = applier.apply(request);
+    if (!receipt) {
+        const error& why = receipt.error();
+        std::cerr << "apply: " << to_string(why.code) << ": " << why.message
+                  << '\n';
+        if (why.code == error_code::ambiguous)
+            std::cerr << "run again with --apply-id " << request.apply
+                      << " to learn what became of it\n";
+        return why.code == error_code::too_large ? exit_bad_input
+                                                 : exit_failure;
+    }
+    print_receipt(*receipt, request.apply);
+    if (given.flag_of("collect")) {
+        const auto erased = applier.collect_orphans();
+        if (erased)
+            std::cout << "removed " << *erased << " orphans\n";
+        else
+            std::cerr << "collect: " << erased.error().message << '\n';
+    }
+    if (given.flag_of("wait"))
+        return wait_for(store, receipt->number,
+                        given.duration_of("wait-limit"));
+    return exit_success;
+}
+
+} // namespace
+
+int run_apply(int argc, char** argv)
+{
+    settings::settings wanted = declare_settings();
+    const auto parsed = wanted.parse(argc, argv);
+    if (parsed.stop)
+        return parsed.exit_code;
+    return apply(wanted);
+}
+
+} // namespace fennelladder::app
--- a/apps/fennelladder/commands.hpp
+++ b/apps/fennelladder/commands.hpp
@@ -6,8 +6,10 @@
 
 namespace fennelladder::app {
 
+int run_apply(int argc, char** argv);
 int run_bench(int argc, char** argv);
 int run_standin(int argc, char** argv);
+int run_validate(int argc, char** argv);
 
 } // namespace fennelladder::app
 
--- a/apps/fennelladder/main.cpp
+++ b/apps/fennelladder/main.cpp
@@ -13,8 +13,10 @@
 
 // One line each, sorted by name.
 constexpr auto commands = std::to_array<command>({
+    {"apply", "bring a manifest into force", run_apply},
     {"bench", "measurements, each beside its baselines", run_bench},
     {"standin", "platform, engine or service for trying out", run_standin},
+    {"validate", "check a manifest, report all findings", run_validate},
 });
 
 } // namespace
