--- a/include/fennelladder/request/request_machine.hpp
+++ b/include/fennelladder/request/request_machine.hpp
@@ -100,23 +100,25 @@
     reserve,       ///< Reserve `amount` tokens of the team's budget.
     claim,         ///< Create the key's claim in the journal.
     check_suspect, ///< Ask suspect_list::begin().
-    choose_target, ///< Ask routing: `alone`, `prefer`.
+    choose_target, ///< Ask routing: `alone`, `only`, `prefer`.
     dispatch,      ///< Send to `target` as `attempt`, from `offset` on.
     read,          ///< Wait for the next chunk of the answer.
     ask_retry,     ///< Ask retry_budget::take().
     pause,         ///< Wait for `wait`.
-    cancel,        ///< Tell `target` to stop, and wait for its word (bounded).
-    conclude       ///< Over: end() says what to tell, bill and record.
+    cancel,  ///< Tell `target` to stop, and wait for its word (bounded); or
+             ///< report `not_sent`.
+    conclude ///< Over: end() says what to tell, bill and record.
 };
 
 struct action
 {
     action_kind kind = action_kind::reserve;
     tokens amount;
-    int attempt = 0;  ///< Number of the dispatch, from 1.
-    target_id target; ///< Of dispatch and cancel.
-    target_id prefer; ///< Of choose_target: resume here if it can be had.
-    bool alone = false;
+    int attempt = 0;    ///< Number of the dispatch, from 1.
+    target_id target;   ///< Of dispatch and cancel.
+    target_id prefer;   ///< Of choose_target: resume here if it can be had.
+    target_id only;     ///< Of choose_target: no other may be chosen.
+    bool alone = false; ///< Of choose_target: nothing else runs there.
     std::uint64_t offset = 0; ///< Bytes of the answer relayed so far.
     tokens relayed;           ///< Output tokens relayed so far.
     duration wait{0};
@@ -127,21 +129,23 @@
     reserved,
     reserve_refused, ///< The budget is short; `retry_after`.
     claimed,
-    claim_lost,      ///< Another node has the key; `known`, `owner`.
-    claim_failed,    ///< The store can't be asked, or its reply was lost.
-    suspect_free,    ///< Run it as any other.
-    suspect_alone,   ///< Run it, alone on its target.
-    suspect_wait,    ///< Ask again after `retry_after`.
-    suspect_refused, ///< Quarantined.
-    target_chosen,   ///< `target`.
-    no_target,       ///< None has room in time; `retry_after`.
-    refused,         ///< The target said no before it ran; `retry_after`.
-    not_sent,        ///< No byte of the request left this node.
-    chunk,           ///< `bytes`, `output` more were relayed.
-    completed,       ///< The answer is whole; `output` in all.
-    connection_lost, ///< Broken, or answer unusable; the target may live.
-    target_silent,   ///< The connection is silent, a fresh probe works.
-    target_died,     ///< No run of it goes on there.
+    claim_lost,          ///< Another node has the key; `known`, `owner`.
+    claim_failed,        ///< The store can't be asked, or its reply was lost.
+    suspect_free,        ///< Run it as any other.
+    suspect_alone,       ///< Run it, alone on its target.
+    suspect_wait,        ///< Ask again after `retry_after`.
+    suspect_same_target, ///< Run it only at `target`.
+    suspect_elsewhere,   ///< Only `owner` may run it; `retry_after`.
+    suspect_refused,     ///< Quarantined.
+    target_chosen,       ///< `target`.
+    no_target,           ///< None has room in time; `retry_after`.
+    refused,             ///< The target said no before it ran; `retry_after`.
+    not_sent,            ///< No byte of the request left this node.
+    chunk,               ///< `bytes`, `output` more were relayed.
+    completed,           ///< The answer is whole; `output` in all.
+    connection_lost,     ///< Broken, or answer unusable; the target may live.
+    target_silent,       ///< The connection is silent, a fresh probe works.
+    target_died,         ///< No run of it goes on there.
     retry_granted,
     retry_denied,
     waited,           ///< A pause is over.
@@ -262,6 +266,7 @@
     conclusion end_;
     target_id target_;
     target_id prefer_;
+    target_id only_;
     reply_code cancel_code_ = reply_code::caller_left;
     reply_code last_failure_ = reply_code::target_refused;
     duration refusal_retry_after_{0};
--- a/libs/request/request_machine.cpp
+++ b/libs/request/request_machine.cpp
@@ -18,16 +18,35 @@
 constexpr auto state_names = std::to_array<std::string_view>(
     {"received", "reserved", "claimed", "dispatched", "streaming", "ended"});
 
-constexpr auto event_names = std::to_array<std::string_view>(
-    {"reserved",         "reserve_refused", "claimed",
-     "claim_lost",       "claim_failed",    "suspect_free",
-     "suspect_alone",    "suspect_wait",    "suspect_refused",
-     "target_chosen",    "no_target",       "refused",
-     "not_sent",         "chunk",           "completed",
-     "connection_lost",  "target_silent",   "target_died",
-     "retry_granted",    "retry_denied",    "waited",
-     "cancel_confirmed", "cancel_failed",   "caller_left",
-     "deadline_passed",  "shutdown"});
+constexpr auto event_names =
+    std::to_array<std::string_view>({"reserved",
+                                     "reserve_refused",
+                                     "claimed",
+                                     "claim_lost",
+                                     "claim_failed",
+                                     "suspect_free",
+                                     "suspect_alone",
+                                     "suspect_wait",
+                                     "suspect_same_target",
+                                     "suspect_elsewhere",
+                                     "suspect_refused",
+                                     "target_chosen",
+                                     "no_target",
+                                     "refused",
+                                     "not_sent",
+                                     "chunk",
+                                     "completed",
+                                     "connection_lost",
+                                     "target_silent",
+                                     "target_died",
+                                     "retry_granted",
+                                     "retry_denied",
+                                     "waited",
+                                     "cancel_confirmed",
+                                     "cancel_failed",
+                                     "caller_left",
+                                     "deadline_passed",
+                                     "shutdown"});
 
 static_assert(event_names.size() ==
               static_cast<std::size_t>(event_kind::shutdown) + 1);
@@ -131,6 +150,7 @@
     next_.attempt = attempt_;
     next_.target = target_;
     next_.prefer = prefer_;
+    next_.only = only_;
     next_.alone = alone_;
     next_.offset = offset_;
     next_.relayed = relayed_;
@@ -182,6 +202,8 @@
     switch (it.kind) {
     case event_kind::suspect_free:
     case event_kind::suspect_alone:
+    case event_kind::suspect_same_target:
+        only_ = it.target;
         alone_ = it.kind == event_kind::suspect_alone;
         go(action_kind::choose_target);
         return true;
@@ -196,6 +218,10 @@
         next_.wait = wait;
         return true;
     }
+    case event_kind::suspect_elsewhere:
+        refuse(reply_code::suspected, it.retry_after);
+        end_.reply.origin = it.owner;
+        return true;
     case event_kind::suspect_refused:
         // Never `not_run`: a copy of it has killed two targets, and a node
         // that only heard of it can't tell under which key.
@@ -354,6 +380,12 @@
         return true;
     case event_kind::chunk:
         return true; // nobody is left to relay it to
+    case event_kind::not_sent:
+        // The wish to stop came between `dispatch` and its first byte.
+        in_flight_ = false;
+        --may_have_run_;
+        refuse(cancel_code_, duration(0));
+        return true;
     case event_kind::cancel_failed:
     case event_kind::connection_lost:
     case event_kind::target_silent:
