--- a/include/fennelladder/budget/allotment_table.hpp
+++ b/include/fennelladder/budget/allotment_table.hpp
@@ -11,11 +11,13 @@
 //   capital = granted + taken - returned     what this node was entrusted with
 //   engaged = used + reserved + given        what it has made of it
 //
-// Invariant: engaged <= min(capital, ceiling). The ceiling is what this node
-// has promised, to the journal or to a witness, not to exceed (see
+// Invariant: engaged <= min(capital, ceiling + taken). The ceiling is what
+// this node has promised, to the journal or to a witness, not to exceed (see
 // budget_books.hpp); whoever raises it here has to have that promise recorded
-// first. A reservation takes the worst case at once, so that no interleaving
-// of requests spends more than there is, and an answer never has to be cut.
+// first. What was transferred to it needs no promise: until the books know of
+// the transfer, the giver's ceiling covers it. A reservation takes the worst
+// case at once, so that no interleaving of requests spends more than there is,
+// and an answer never has to be cut.
 //
 // A reservation that is neither settled nor released stays reserved for good:
 // tokens in doubt are kept, never spent twice.
@@ -103,6 +105,7 @@
 {
     budget_id budget;
     tokens capital;
+    tokens taken; ///< Part of capital.
     tokens used;
     tokens reserved;
     tokens given;
@@ -116,6 +119,9 @@
     tokens engaged() const { return used + reserved + given; }
 
     tokens available() const { return capital - engaged(); }
+
+    /// Most that may be engaged without a further promise.
+    tokens limit() const { return ceiling + taken; }
 };
 
 class allotment_table
--- a/include/fennelladder/budget/budget_books.hpp
+++ b/include/fennelladder/budget/budget_books.hpp
@@ -218,7 +218,8 @@
     };
 
     // Sums over the life of the holder's entry. Invariant: all >= 0, and
-    // returned <= granted + taken.
+    // returned <= granted + taken. What was taken may be used without a
+    // promise, so the limit once fenced is ceiling + taken.
     struct holding_entry
     {
         std::uint32_t holder = 0;
--- a/include/fennelladder/budget/records.hpp
+++ b/include/fennelladder/budget/records.hpp
@@ -82,8 +82,8 @@
 };
 
 /// The holder's promise: what it has spent, reserved and given away of this
-/// budget, summed over its life, stays at or below `ceiling` until a higher
-/// one was recorded. Only grows.
+/// budget, summed over the life of its entry, less what was transferred to it,
+/// stays at or below `ceiling` until a higher one was recorded. Only grows.
 struct raise
 {
     budget_id budget;
@@ -134,8 +134,10 @@
 };
 
 /// First record of an incarnation in a shard. The witnesses are the peers
-/// that it may tell a raised ceiling instead of the journal; a later join
-/// replaces them.
+/// that it may tell a raised ceiling instead of the journal. A later join
+/// replaces them: an incarnation that changes witnesses first joins with old
+/// and new ones, then records all its ceilings, and joins with the new ones
+/// alone only when those records were applied.
 struct join
 {
     std::vector<incarnation_id> witnesses;
--- /dev/null
+++ b/include/fennelladder/budget/transfer_ledger.hpp
@@ -0,0 +1,175 @@
+// Transfers of tokens between two nodes' allotments, without the store.
+//
+//     // taker                              // giver
+//     transfer_ask ask = mine.ask(...);
+//                         -- ask -->
+//                                          transfer_reply reply =
+//                                              theirs.give(ask, most, shard);
+//                         <-- reply --
+//     mine.accept(reply, now);
+//                         -- confirm -->
+//                                          theirs.confirm(confirm);
+//
+// The giver deducts before it replies, and the taker credits an ask once, so
+// that whatever is lost, doubled or late, tokens may be missing for a while
+// but there are never more of them:
+//   * ask lost, or reply lost: the taker sends the same ask again and gets the
+//     same reply. If it gives up, it first forgets the ask (a late reply is
+//     ignored from then on) and confirms that it has credited nothing; only
+//     then does the giver take the tokens back.
+//   * ask doubled or late: the giver knows its number, open or closed.
+//   * taker dead: the tokens stay deducted at the giver, that is stranded.
+//   * giver dead: the taker has the tokens or not; it reports what it has.
+// The books learn of a transfer from the taker, or from the giver when the
+// taker is gone (take_over).
+//
+// Not thread safe; the table it works on is. Memory: an entry for each
+// transfer that is not confirmed, at most transfer_options::max_open.
+
+#ifndef FENNELLADDER_BUDGET_TRANSFER_LEDGER_HPP
+#define FENNELLADDER_BUDGET_TRANSFER_LEDGER_HPP
+
+#include "fennelladder/budget/allotment_table.hpp"
+#include "fennelladder/budget/budget_books.hpp"
+#include "fennelladder/budget/records.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace fennelladder::budget {
+
+/// A taker's wish. `number` counts the taker's asks to this giver from 1.
+struct transfer_ask
+{
+    incarnation_id taker;
+    incarnation_id giver;
+    std::uint64_t number = 0;
+    budget_id budget;
+    tokens wish;
+    tokens need; ///< What a waiting request lacks; less helps a little.
+};
+
+/// The giver's answer; amount zero: nothing was given.
+struct transfer_reply
+{
+    std::uint64_t ask = 0;
+    transfer_id id;
+    tokens amount;
+    bool more_soon = false; ///< Ask anew in a moment: more is on its way.
+};
+
+/// The taker's last word on an ask.
+struct transfer_confirm
+{
+    incarnation_id taker;
+    incarnation_id giver;
+    std::uint64_t ask = 0;
+    bool credited = false;
+};
+
+struct transfer_options
+{
+    /// Most transfers that may be open on either side.
+    std::size_t max_open = 20'000;
+
+    /// After this long without a reply the same ask is sent again.
+    duration repeat_after = milliseconds(200);
+
+    /// After this long the taker gives up.
+    duration give_up_after = seconds(5);
+};
+
+class transfer_ledger
+{
+public:
+    /// `table` must outlive the ledger.
+    transfer_ledger(const incarnation_id& self, allotment_table& table,
+                    const transfer_options& options = {});
+
+    // -- as giver
+
+    /// Answers an ask: gives up to `most`, or nothing. The same ask gets the
+    /// same answer. `shard` is the budget's.
+    transfer_reply give(const transfer_ask& ask, tokens most, shard_id shard);
+
+    /// Takes the taker's last word; may come any number of times.
+    void confirm(const transfer_confirm& word);
+
+    /// Transfers that a taker, now gone, has confirmed; to be reported to the
+    /// books by this node. Reporting one that the taker reported is harmless.
+    std::vector<transfer> take_over(const incarnation_id& taker) const;
+
+    /// Tokens given and not confirmed: stranded if the takers are gone.
+    tokens unconfirmed() const;
+
+    // -- as taker
+
+    /// Makes an ask to be sent. One with number 0 must not be sent: too many
+    /// are open.
+    transfer_ask ask(const incarnation_id& giver, const budget_id& budget,
+                     tokens wish, tokens need, instant now);
+
+    /// Credits a reply if its ask is open. Returns what was credited.
+    tokens accept(const transfer_reply& reply, instant now);
+
+    /// Asks to send again. Those too old are given up first.
+    std::vector<transfer_ask> repeats(instant now);
+
+    /// Words to send to givers until confirmed() says that they have them.
+    const std::vector<transfer_confirm>& confirms() const { return confirms_; }
+    void confirmed(const transfer_confirm& word);
+
+    /// Transfers credited and not yet in the books.
+    const std::vector<transfer>& unreported() const { return unreported_; }
+    void reported(const transfer_id& id);
+
+    /// Open asks for a budget.
+    bool asking(const budget_id& budget) const;
+
+private:
+    struct gift
+    {
+        transfer moved;
+        bool confirmed = false;
+    };
+
+    struct taker_state
+    {
+        number_window closed; // asks that will be answered no more
+        std::map<std::uint64_t, gift> open;
+        std::vector<transfer> credited; // newest last, bounded
+    };
+
+    struct open_ask
+    {
+        transfer_ask sent;
+        instant first;
+        instant last;
+    };
+
+    using ask_key = std::pair<incarnation_id, std::uint64_t>;
+
+    void close_ask(const ask_key& key);
+
+    incarnation_id self_;
+    allotment_table& table_;
+    transfer_options options_;
+
+    std::unordered_map<incarnation_id, taker_state> takers_;
+    std::unordered_map<shard_id, std::uint64_t> next_transfer_;
+    std::size_t open_gifts_ = 0;
+
+    std::map<ask_key, open_ask> asks_;
+    std::unordered_map<incarnation_id, std::uint64_t> next_ask_;
+    std::unordered_map<budget_id, int> asking_;
+    std::vector<transfer_confirm> confirms_;
+    std::vector<transfer> unreported_;
+};
+
+} // namespace fennelladder::budget
+
+#endif
--- a/libs/budget/allotment_table.cpp
+++ b/libs/budget/allotment_table.cpp
@@ -20,9 +20,9 @@
 
 namespace fennelladder::budget {
 
-// Invariants: all sums >= 0; engaged() <= min(capital(), ceiling) except that
-// a refused return or an uncollected bill may be put back at any time, which
-// only adds room.
+// Invariants: all sums >= 0; engaged() <= min(capital(), ceiling + taken)
+// except that a refused return or an uncollected bill may be put back at any
+// time, which only adds room.
 struct allotment_entry
 {
     std::int64_t granted = 0;
@@ -47,7 +47,7 @@
 
     std::int64_t room() const
     {
-        return std::min(capital(), ceiling) - engaged();
+        return std::min(capital(), ceiling + taken) - engaged();
     }
 };
 
@@ -98,6 +98,7 @@
 {
     return {.budget = budget,
             .capital = tokens(it.capital()),
+            .taken = tokens(it.taken),
             .used = tokens(it.used),
             .reserved = tokens(it.reserved),
             .given = tokens(it.given),
@@ -180,7 +181,8 @@
         it.largest = std::max(it.largest, n);
         if (n > it.room()) {
             it.demand += n;
-            const std::int64_t ceiling_room = it.ceiling - it.engaged();
+            const std::int64_t ceiling_room =
+                it.ceiling + it.taken - it.engaged();
             return tl::unexpected<shortfall>(
                 shortfall{tokens(std::max<std::int64_t>(0, n - it.available())),
                           tokens(std::max<std::int64_t>(0, n - ceiling_room))});
--- a/libs/budget/budget_books.cpp
+++ b/libs/budget/budget_books.cpp
@@ -126,7 +126,8 @@
     const std::int64_t used = it.billed + it.given;
     switch (holders_[it.holder].state) {
     case standing::settled:
-        return std::min(capital, std::max(it.ceiling, used)) - it.given;
+        return std::min(capital, std::max(it.ceiling + it.taken, used)) -
+               it.given;
     case standing::released:
         return std::min(capital, used) - it.given;
     default:
--- /dev/null
+++ b/libs/budget/transfer_ledger.cpp
@@ -0,0 +1,177 @@
+// Two small state machines over numbered asks.
+//
+// The giver keeps a gift until the taker's last word on it, then only the
+// ask's number in a window, which answers every copy of the ask that may still
+// be under way with "nothing". The taker keeps an open ask until it is
+// credited or given up, then the word on it until the giver has it. All work
+// per message is logarithmic in the open entries.
+
+#include "fennelladder/budget/transfer_ledger.hpp"
+
+#include <algorithm>
+
+namespace fennelladder::budget {
+
+namespace {
+
+// Of confirmed gifts, how many are kept per taker in case it dies before it
+// has reported them. Takers report within seconds while the store is up.
+constexpr std::size_t max_credited = 1000;
+
+} // namespace
+
+transfer_ledger::transfer_ledger(const incarnation_id& self,
+                                 allotment_table& table,
+                                 const transfer_options& options)
+    : self_(self), table_(table), options_(options)
+{}
+
+// ---- giver
+
+transfer_reply transfer_ledger::give(const transfer_ask& ask, tokens most,
+                                     shard_id shard)
+{
+    transfer_reply reply;
+    reply.ask = ask.number;
+    reply.id.giver = self_;
+    if (ask.giver != self_ || ask.taker == self_ || ask.number == 0)
+        return reply;
+    taker_state& taker = takers_[ask.taker];
+    const auto known = taker.open.find(ask.number);
+    if (known != taker.open.end()) {
+        reply.id = known->second.moved.id;
+        reply.amount = known->second.moved.amount;
+        return reply;
+    }
+    if (open_gifts_ >= options_.max_open || !taker.closed.insert(ask.number))
+        return reply;
+    const tokens amount =
+        table_.debit_transfer(ask.budget, std::min(most, ask.wish), tokens(1));
+    if (amount <= tokens(0))
+        return reply;
+    reply.id.number = ++next_transfer_[shard];
+    reply.amount = amount;
+    taker.open[ask.number] = {{reply.id, ask.budget, ask.taker, amount}, false};
+    ++open_gifts_;
+    return reply;
+}
+
+void transfer_ledger::confirm(const transfer_confirm& word)
+{
+    if (word.giver != self_)
+        return;
+    taker_state& taker = takers_[word.taker];
+    const auto it = taker.open.find(word.ask);
+    if (it == taker.open.end()) {
+        // The ask itself may still be under way; it comes too late now.
+        taker.closed.insert(word.ask);
+        return;
+    }
+    const transfer moved = it->second.moved;
+    taker.open.erase(it);
+    --open_gifts_;
+    if (!word.credited) {
+        table_.refund_transfer(moved.budget, moved.amount);
+        return;
+    }
+    taker.credited.push_back(moved);
+    if (taker.credited.size() > max_credited)
+        taker.credited.erase(taker.credited.begin());
+}
+
+std::vector<transfer>
+transfer_ledger::take_over(const incarnation_id& taker) const
+{
+    const auto it = takers_.find(taker);
+    return it == takers_.end() ? std::vector<transfer>() : it->second.credited;
+}
+
+tokens transfer_ledger::unconfirmed() const
+{
+    tokens sum;
+    for (const auto& [taker, state] : takers_) {
+        for (const auto& [number, it] : state.open)
+            sum += it.moved.amount;
+    }
+    return sum;
+}
+
+// ---- taker
+
+transfer_ask transfer_ledger::ask(const incarnation_id& giver,
+                                  const budget_id& budget, tokens wish,
+                                  tokens need, instant now)
+{
+    transfer_ask made{self_, giver, 0, budget, wish, need};
+    if (asks_.size() >= options_.max_open)
+        return made;
+    made.number = ++next_ask_[giver];
+    asks_[{giver, made.number}] = {made, now, now};
+    ++asking_[budget];
+    return made;
+}
+
+void transfer_ledger::close_ask(const ask_key& key)
+{
+    const auto it = asks_.find(key);
+    const budget_id& budget = it->second.sent.budget;
+    if (--asking_[budget] == 0)
+        asking_.erase(budget);
+    asks_.erase(it);
+}
+
+tokens transfer_ledger::accept(const transfer_reply& reply, instant now)
+{
+    const ask_key key{reply.id.giver, reply.ask};
+    const auto it = asks_.find(key);
+    // Known already, or given up: a second reply must not credit again.
+    if (it == asks_.end())
+        return {};
+    const budget_id budget = it->second.sent.budget;
+    if (reply.amount > tokens(0)) {
+        confirms_.push_back({self_, key.first, key.second, true});
+        table_.credit_transfer(budget, reply.amount, now);
+        unreported_.push_back({reply.id, budget, self_, reply.amount});
+    }
+    close_ask(key);
+    return reply.amount;
+}
+
+std::vector<transfer_ask> transfer_ledger::repeats(instant now)
+{
+    std::vector<transfer_ask> made;
+    std::vector<ask_key> too_old;
+    for (auto& [key, it] : asks_) {
+        if (now - it.first >= options_.give_up_after) {
+            too_old.push_back(key);
+        } else if (now - it.last >= options_.repeat_after) {
+            it.last = now;
+            made.push_back(it.sent);
+        }
+    }
+    for (const ask_key& key : too_old) {
+        confirms_.push_back({self_, key.first, key.second, false});
+        close_ask(key);
+    }
+    return made;
+}
+
+void transfer_ledger::confirmed(const transfer_confirm& word)
+{
+    std::erase_if(confirms_, [&word](const transfer_confirm& it) {
+        return it.giver == word.giver && it.ask == word.ask;
+    });
+}
+
+void transfer_ledger::reported(const transfer_id& id)
+{
+    std::erase_if(unreported_,
+                  [&id](const transfer& it) { return it.id == id; });
+}
+
+bool transfer_ledger::asking(const budget_id& budget) const
+{
+    return asking_.contains(budget);
+}
+
+} // namespace fennelladder::budget
