--- a/include/fennelladder/standin/answer.hpp
+++ b/include/fennelladder/standin/answer.hpp
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace fennelladder::standin {
 
@@ -42,6 +43,12 @@
 std::string answer_text(const request_key& key, std::string_view prompt,
                         std::uint32_t max_tokens);
 
+/// Names of a prompt's whole blocks, as the engines publish them: the hash
+/// (XXH3, 64 bits) of each block's bytes, seeded with the name of the block
+/// before it, 0 for the first.
+std::vector<std::uint64_t> prompt_blocks(std::string_view prompt,
+                                         std::uint32_t block_tokens);
+
 /// A plain service's answer to a call, JSON.
 std::string service_answer(const request_key& key, std::string_view call,
                            std::string_view body);
--- a/include/fennelladder/target/target_client.hpp
+++ b/include/fennelladder/target/target_client.hpp
@@ -154,9 +154,12 @@
     std::vector<std::uint64_t> blocks; ///< Hashes of blocks.
 };
 
-/// Events after a sequence number; there may be holes.
+/// Events after a sequence number; there may be holes. Another `life` than
+/// before says that the engine restarted: its cache is empty and its numbers
+/// began anew, so ask again from 0.
 struct cache_event_page
 {
+    std::uint64_t life = 0;
     std::vector<cache_event> events;
     std::uint64_t next = 0; ///< Ask again after this one.
 };
--- a/libs/standin/answer.cpp
+++ b/libs/standin/answer.cpp
@@ -67,6 +67,19 @@
     return whole.text(0, whole.length());
 }
 
+std::vector<std::uint64_t> prompt_blocks(std::string_view prompt,
+                                         std::uint32_t block_tokens)
+{
+    const std::size_t length = block_tokens * bytes_per_token;
+    std::vector<std::uint64_t> out;
+    std::uint64_t last = 0;
+    for (; prompt.size() >= length; prompt.remove_prefix(length)) {
+        last = hash64(prompt.substr(0, length), last);
+        out.push_back(last);
+    }
+    return out;
+}
+
 std::string service_answer(const request_key& key, std::string_view call,
                            std::string_view body)
 {
--- a/libs/standin/crash_switch.hpp
+++ b/libs/standin/crash_switch.hpp
@@ -1,16 +1,16 @@
 // Lets a handler of a web server end that same server, as a crash would.
 //
-// A server can't be stopped from its own threads, so a thread of its own
+// A server can't be stopped from its own threads, so a thread of the switch
 // waits for the wish, ends the server, and starts it again later if asked to.
 
 #ifndef FENNELLADDER_STANDIN_CRASH_SWITCH_HPP
 #define FENNELLADDER_STANDIN_CRASH_SWITCH_HPP
 
 #include "fennelladder/base/time.hpp"
-#include "web_server.hpp"
 
 #include <atomic>
 #include <condition_variable>
+#include <cstdint>
 #include <functional>
 #include <mutex>
 #include <thread>
@@ -21,11 +21,12 @@
 class crash_switch
 {
 public:
-    /// `on_crash` runs after the server ended, before it starts again.
-    crash_switch(web_server& server, duration restart_after,
-                 std::function<void()> on_crash)
-        : server_(server), restart_after_(restart_after),
-          on_crash_(std::move(on_crash)), thread_([this] { run(); })
+    /// `end` and `start` end the server and start it again. It is started
+    /// `restart_after` a wished crash; not at all if that is zero.
+    crash_switch(duration restart_after, std::function<void()> end,
+                 std::function<void()> start)
+        : restart_after_(restart_after), end_(std::move(end)),
+          start_(std::move(start)), thread_([this] { run(); })
     {}
 
     ~crash_switch() { stop(); }
@@ -56,9 +57,8 @@
     /// Crashes now, on the calling thread. Not for handlers.
     void crash()
     {
-        server_.abort();
+        end_();
         ++crashes_;
-        on_crash_();
     }
 
     /// True once a crash is wished, until it has happened.
@@ -85,13 +85,13 @@
             if (restart_after_ > duration(0) &&
                 !changed_.wait_for(lock, restart_after_,
                                    [this] { return stopping_; }))
-                server_.start();
+                start_();
         }
     }
 
-    web_server& server_;
     const duration restart_after_;
-    const std::function<void()> on_crash_;
+    const std::function<void()> end_;
+    const std::function<void()> start_;
     std::atomic<std::uint32_t> crashes_ = 0;
     mutable std::mutex mutex_; // Guards the two flags.
     std::condition_variable changed_;
--- a/libs/standin/web_server.cpp
+++ b/libs/standin/web_server.cpp
@@ -90,6 +90,14 @@
     return it == in.end() ? std::string() : it->second;
 }
 
+template <class T>
+T to_number(const std::string& text)
+{
+    T value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
 std::string make_head(int status, std::string_view content_type,
                       const std::vector<web_reply::field>& fields)
 {
@@ -136,10 +144,12 @@
 std::uint32_t
 web_request::header_number(const std::string& lower_case_name) const
 {
-    const std::string text = header(lower_case_name);
-    std::uint32_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
+    return to_number<std::uint32_t>(header(lower_case_name));
+}
+
+std::uint64_t web_request::parameter_number(const std::string& name) const
+{
+    return to_number<std::uint64_t>(parameter(name));
 }
 
 std::string
--- a/libs/standin/web_server.hpp
+++ b/libs/standin/web_server.hpp
@@ -44,8 +44,9 @@
     std::string header(const std::string& lower_case_name) const;
     std::string parameter(const std::string& name) const;
 
-    /// A header field that is a number; 0 if it is not.
+    /// A header field or query parameter that is a number; 0 if it is not.
     std::uint32_t header_number(const std::string& lower_case_name) const;
+    std::uint64_t parameter_number(const std::string& name) const;
 
     /// A header field whose value is percent-encoded.
     std::string decoded_header(const std::string& lower_case_name) const;
--- a/libs/target/fake_target.cpp
+++ b/libs/target/fake_target.cpp
@@ -141,7 +141,7 @@
 result<cache_event_page> fake_target::cache_events(std::uint64_t after)
 {
     const std::lock_guard lock(mutex_);
-    return reachable().map([&] { return cache_event_page{{}, after}; });
+    return reachable().map([&] { return cache_event_page{0, {}, after}; });
 }
 
 status fake_target::give(const order& what)
--- a/libs/target/http_target_client.cpp
+++ b/libs/target/http_target_client.cpp
@@ -391,6 +391,7 @@
                     {it.at("sequence").get<std::uint64_t>(), *kind,
                      it.at("blocks").get<std::vector<std::uint64_t>>()});
             }
+            out.life = from.at("life").get<std::uint64_t>();
             out.next = from.at("next").get<std::uint64_t>();
         });
 }
