--- a/libs/request/suspect_list.cpp
+++ b/libs/request/suspect_list.cpp
@@ -1,8 +1,9 @@
-// Records are small join-semilattices: a map of deaths by id (the earliest
-// witness wins, the smallest ids are kept when there are too many), and the
-// greatest time of an answer and of a refusal. Deaths not later than the last
-// answer don't count. What a record says follows from its state alone, so
-// nodes with the same records judge alike:
+// Records are small join-semilattices: a map of deaths by id (the latest
+// sighting of a death wins, the smallest ids are kept when there are too
+// many), and the greatest time of an answer and of a refusal. Deaths not later
+// than the last answer are dropped; since the latest sighting counts, it makes
+// no difference whether that happens before or after a join. What a record says
+// follows from its state alone, so nodes with the same records judge alike:
 //
 //     none counts                       clear
 //     one counts, never answered        suspect: the witness runs it alone
@@ -112,7 +113,7 @@
         deaths.insert(at, it);
         return;
     }
-    if (earlier(it, *at))
+    if (earlier(*at, it))
         *at = it;
 }
 
