--- a/include/fennelladder/telemetry/event_catalog.hpp
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -61,6 +61,9 @@
 constexpr int journal_writer_retired = 1302;
 constexpr int journal_backlog = 1303;
 constexpr int call_invalid = 2000;
+constexpr int history_unreadable = 2100;
+constexpr int history_violation = 2101;
+constexpr int history_lost = 2102;
 } // namespace event
 
 } // namespace fennelladder::telemetry
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -51,6 +51,12 @@
      "Wishes wait in memory because the platform can't be written to."},
     {event::call_invalid, severity::info, "call_invalid",
      "A caller's request can't be read; nothing ran and nothing is charged."},
+    {event::history_unreadable, severity::error, "history_unreadable",
+     "A history can't be judged: a line is malformed or contradicts another."},
+    {event::history_violation, severity::error, "history_violation",
+     "A history breaks one of the rules in docs/HISTORY.md."},
+    {event::history_lost, severity::error, "history_lost",
+     "Lines of a history could not be written, so it proves nothing."},
 });
 
 constexpr auto catalog = [] {
