Measure routing in virtual time beside its baselines

Cause: a choice of targets can only be judged on a fleet, under load, beside what others do. Change: library bench with the fleets and mixes of both firms and of the size two years on, baselines (round robin, random two choices, least loaded, prefix affinity), the paper's replica selection, and a discrete-event fleet; bench routing prints them.

--- a/apps/fennelladder/benches.hpp
+++ b/apps/fennelladder/benches.hpp
@@ -4,6 +4,10 @@
 #ifndef FENNELLADDER_APPS_BENCHES_HPP
 #define FENNELLADDER_APPS_BENCHES_HPP
 
-namespace fennelladder::app {} // namespace fennelladder::app
+namespace fennelladder::app {
+
+int run_bench_routing(int argc, char** argv);
+
+} // namespace fennelladder::app
 
 #endif
--- a/apps/fennelladder/command_bench.cpp
+++ b/apps/fennelladder/command_bench.cpp
@@ -11,7 +11,9 @@
 namespace {
 
 // One line each, sorted by name.
-constexpr std::array<command, 0> benches{};
+constexpr auto benches = std::to_array<command>({
+    {"routing", "time to first token beside baselines", run_bench_routing},
+});
 
 } // namespace
 
