--- a/include/fennelladder/standin/engine_server.hpp
+++ b/include/fennelladder/standin/engine_server.hpp
@@ -58,11 +58,11 @@
 /// What goes wrong; the default is nothing.
 struct engine_faults
 {
-    /// Crashes when it has sent this many chunks from now; 0: never.
-    std::uint32_t crash_after_chunks = 0;
-    /// Answers end tidily, but without their last part, after this many
-    /// chunks; 0: never.
-    std::uint32_t cut_after_chunks = 0;
+    /// Crashes when it has sent this many tokens from now; 0: never.
+    std::uint32_t crash_after_tokens = 0;
+    /// Answers end tidily, but without their last part, when this many
+    /// tokens of an attempt were sent; 0: never.
+    std::uint32_t cut_after_tokens = 0;
     /// Chunks carry the id of another request.
     bool crossed = false;
     /// Every request is turned away, with proof that it didn't run.
