--- a/apps/fennelladder/command_bench.cpp
+++ b/apps/fennelladder/command_bench.cpp
@@ -13,6 +13,8 @@
 // One line each, sorted by name.
 constexpr auto benches = std::to_array<command>({
     {"routing", "time to first token beside baselines", run_bench_routing},
+    {"requests", "time and memory of a request beside its I/O",
+     run_bench_requests},
 });
 
 } // namespace
--- a/include/fennelladder/request/request_table.hpp
+++ b/include/fennelladder/request/request_table.hpp
@@ -39,6 +39,8 @@
 struct request_table_options
 {
     std::size_t shards = 64; ///< Locks; a power of two isn't needed.
+    /// Of the hash by which keys are held; to be drawn anew by each process.
+    std::uint64_t seed = 0;
     duration retention = minutes(10);
     std::size_t max_keys = 100'000;             ///< Running and remembered.
     std::size_t stream_limit = 1024 * 1024;     ///< Bytes of a running answer.
@@ -133,17 +135,20 @@
     request_table_counts counts() const;
 
 private:
+    struct bits128;
+    struct short_reply;
     struct entry;
     struct shard;
 
-    shard& shard_of(const std::string& name) const;
+    bits128 name_of(const team_id& team, const request_key& key) const;
+    shard& shard_of(const bits128& name) const;
     bool only_here(const arrival& it, instant now) const;
     admission known(entry& found, const arrival& it, bool only_here);
     admission start(entry& made, const arrival& it, bool only_here,
                     bool never_run);
-    admission add(shard& part, const std::string& name, const arrival& it,
+    admission add(shard& part, const bits128& name, const arrival& it,
                   instant now);
-    void keep_text(shard& part, const std::string& name, entry& ended,
+    void keep_text(shard& part, const bits128& name, entry& ended,
                    std::optional<std::string> text);
     void forget_some(shard& part, instant now, std::size_t most) const;
 
--- a/libs/request/request_table.cpp
+++ b/libs/request/request_table.cpp
@@ -1,3 +1,7 @@
+// Keys, bodies and digests are kept as 128 bits each. A key's are a hash with
+// a seed of this process, so that nobody outside can look for two that fall
+// together, and among n keys two do with a chance of n * n / 2^129.
+//
 // A hash map per shard, beside two queues: keys in the order they ended, from
 // whose front expired ones are forgotten, and keys with kept text, from whose
 // front texts are dropped when the shard's part of the memory is full. A key
@@ -12,6 +16,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <charconv>
 #include <deque>
 #include <unordered_map>
 #include <utility>
@@ -24,12 +29,13 @@
     {"run", "join", "await", "replay", "reply"});
 
 constexpr std::size_t forget_per_admit = 4;
+constexpr std::size_t digest_size = 32; // hexadecimal digits of digest128
 
-std::string name_of(const team_id& team, const request_key& key)
+std::uint64_t from_hex(std::string_view digits)
 {
-    std::string name = team.str();
-    name += '\0'; // can't occur in a team's name
-    return name += key.str();
+    std::uint64_t value = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), value, 16);
+    return value;
 }
 
 } // namespace
@@ -39,12 +45,56 @@
     return verdict_names.at(static_cast<std::size_t>(value));
 }
 
+struct request_table::bits128
+{
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    bool operator==(const bits128&) const = default;
+
+    static bits128 of_digest(std::string_view digest)
+    {
+        if (digest.size() != digest_size)
+            return {hash64(digest, 1), hash64(digest, 2)};
+        return {from_hex(digest.substr(0, 16)), from_hex(digest.substr(16))};
+    }
+};
+
+/// What is left of an outcome_reply: its key is the entry's name.
+struct request_table::short_reply
+{
+    outcome result = outcome::unknown;
+    reply_code code = reply_code::target_lost;
+    bool retry_useful = false;
+    bool has_digest = false;
+    duration retry_after{0};
+    tokens billed;
+    bits128 digest;
+    std::shared_ptr<const incarnation_id> origin; ///< May be null.
+
+    outcome_reply full(const request_key& key) const
+    {
+        outcome_reply reply;
+        reply.result = result;
+        reply.code = code;
+        reply.retry_useful = retry_useful;
+        reply.retry_after = retry_after;
+        reply.billed = billed;
+        reply.key = key;
+        if (origin)
+            reply.origin = *origin;
+        if (has_digest)
+            reply.digest = to_hex(digest.high) + to_hex(digest.low);
+        return reply;
+    }
+};
+
 /// Running while `stream` is set, remembered afterwards.
 struct request_table::entry
 {
-    std::string body_digest;
+    bits128 body;
     std::shared_ptr<answer_stream> stream;
-    outcome_reply reply;
+    short_reply reply;
     std::unique_ptr<std::string> text;
     instant ended;
     std::uint64_t run = 0; ///< Number of the run within the shard.
@@ -56,10 +106,15 @@
 {
     struct place
     {
-        std::string name;
+        bits128 name;
         std::uint64_t run = 0;
     };
 
+    struct name_hash
+    {
+        std::size_t operator()(const bits128& it) const { return it.low; }
+    };
+
     entry* find(const place& it)
     {
         const auto found = entries.find(it.name);
@@ -74,6 +129,23 @@
         it.text.reset();
     }
 
+    short_reply shorten(const outcome_reply& reply)
+    {
+        short_reply kept;
+        kept.result = reply.result;
+        kept.code = reply.code;
+        kept.retry_useful = reply.retry_useful;
+        kept.retry_after = reply.retry_after;
+        kept.billed = reply.billed;
+        kept.has_digest = reply.digest.size() == digest_size;
+        kept.digest = bits128::of_digest(reply.digest);
+        // Nearly all have this node's name; they share it.
+        if (!last_origin || *last_origin != reply.origin)
+            last_origin = std::make_shared<const incarnation_id>(reply.origin);
+        kept.origin = last_origin;
+        return kept;
+    }
+
     /// Without it, places of forgotten texts would pile up for as long as
     /// the memory of the texts never fills.
     void trim_texts()
@@ -88,11 +160,12 @@
 
     mutable std::mutex mutex;
     // All below are guarded by mutex. text_bytes is the size of all texts.
-    std::unordered_map<std::string, entry> entries;
+    std::unordered_map<bits128, entry, name_hash> entries;
     std::deque<place> ended;
     std::deque<place> texts;
     std::size_t text_bytes = 0;
     std::uint64_t runs = 0;
+    std::shared_ptr<const incarnation_id> last_origin;
 };
 
 request_table::request_table(request_table_options options) : options_(options)
@@ -104,14 +177,21 @@
 
 request_table::~request_table() = default;
 
-request_table::shard& request_table::shard_of(const std::string& name) const
+request_table::bits128 request_table::name_of(const team_id& team,
+                                              const request_key& key) const
+{
+    const std::uint64_t of_team = hash64(team.str(), options_.seed);
+    return {hash64(key.str(), of_team), hash64(key.str(), ~of_team)};
+}
+
+request_table::shard& request_table::shard_of(const bits128& name) const
 {
-    return *shards_[hash64(name) % shards_.size()];
+    return *shards_[name.high % shards_.size()];
 }
 
 admission request_table::admit(const arrival& it, instant now)
 {
-    const std::string name = name_of(it.team, it.key);
+    const bits128 name = name_of(it.team, it.key);
     shard& part = shard_of(name);
     const std::lock_guard lock(part.mutex);
     forget_some(part, now, forget_per_admit);
@@ -126,7 +206,7 @@
     return got;
 }
 
-admission request_table::add(shard& part, const std::string& name,
+admission request_table::add(shard& part, const bits128& name,
                              const arrival& it, instant now)
 {
     if (part.entries.size() >= options_.max_keys / shards_.size() + 1) {
@@ -140,7 +220,7 @@
         return got;
     }
     entry& made = part.entries[name];
-    made.body_digest = it.body_digest;
+    made.body = bits128::of_digest(it.body_digest);
     made.run = ++part.runs;
     return start(made, it, only_here(it, now), true);
 }
@@ -171,9 +251,8 @@
 admission request_table::known(entry& found, const arrival& it, bool only_here)
 {
     admission got;
-    got.reply = found.reply;
-    got.reply.key = it.key;
-    if (found.body_digest != it.body_digest) {
+    got.reply = found.reply.full(it.key);
+    if (found.body != bits128::of_digest(it.body_digest)) {
         got.reply = outcome_reply();
         got.reply.key = it.key;
         got.reply.code = reply_code::key_reused;
@@ -207,7 +286,7 @@
 void request_table::finish(const team_id& team, const request_key& key,
                            const conclusion& end, instant now)
 {
-    const std::string name = name_of(team, key);
+    const bits128 name = name_of(team, key);
     shard& part = shard_of(name);
     std::shared_ptr<answer_stream> stream;
     {
@@ -215,8 +294,7 @@
         const auto found = part.entries.find(name);
         assert(found != part.entries.end() && found->second.stream);
         entry& ended = found->second;
-        ended.reply = end.reply;
-        ended.reply.key = request_key(); // it is the entry's name already
+        ended.reply = part.shorten(end.reply);
         ended.ended = now;
         ended.durable = !end.record && end.charge.kind != bill_kind::settle &&
                         end.charge.kind != bill_kind::hold;
@@ -229,8 +307,8 @@
     }
 }
 
-void request_table::keep_text(shard& part, const std::string& name,
-                              entry& ended, std::optional<std::string> text)
+void request_table::keep_text(shard& part, const bits128& name, entry& ended,
+                              std::optional<std::string> text)
 {
     const std::size_t limit = options_.text_memory / shards_.size();
     if (!text || text->size() > std::min(options_.small_answer, limit))
@@ -249,24 +327,23 @@
 bool request_table::resolve(const team_id& team, const request_key& key,
                             const outcome_reply& reply)
 {
-    const std::string name = name_of(team, key);
+    const bits128 name = name_of(team, key);
     shard& part = shard_of(name);
     const std::lock_guard lock(part.mutex);
     const auto found = part.entries.find(name);
     if (found == part.entries.end() || found->second.stream)
         return false;
-    outcome_reply& known = found->second.reply;
-    if (known.result == reply.result || !refines(reply.result, known.result))
+    const outcome known = found->second.reply.result;
+    if (known == reply.result || !refines(reply.result, known))
         return false;
-    known = reply;
-    known.key = request_key();
+    found->second.reply = part.shorten(reply);
     found->second.durable = false;
     return true;
 }
 
 void request_table::mark_durable(const team_id& team, const request_key& key)
 {
-    const std::string name = name_of(team, key);
+    const bits128 name = name_of(team, key);
     shard& part = shard_of(name);
     const std::lock_guard lock(part.mutex);
     const auto found = part.entries.find(name);
@@ -277,15 +354,13 @@
 std::optional<outcome_reply>
 request_table::look_up(const team_id& team, const request_key& key) const
 {
-    const std::string name = name_of(team, key);
+    const bits128 name = name_of(team, key);
     const shard& part = shard_of(name);
     const std::lock_guard lock(part.mutex);
     const auto found = part.entries.find(name);
     if (found == part.entries.end() || found->second.stream)
         return std::nullopt;
-    outcome_reply reply = found->second.reply;
-    reply.key = key;
-    return reply;
+    return found->second.reply.full(key);
 }
 
 void request_table::forget_some(shard& part, instant now,
