Count offsets of answers in the target's units

Cause: engines number the tokens of an answer, not its bytes, and name each attempt; the relay checker knew bytes and attempt numbers. Change: chunks carry the units they hold and the attempt's id; a chunk of several tokens that starts within what was relayed is dropped and resumed, as its bytes can't be told apart.

--- a/apps/fennelladder/bench_requests.cpp
+++ b/apps/fennelladder/bench_requests.cpp
@@ -77,14 +77,14 @@
                              .max_output = tokens(300)},
                             {});
     const request_id id(key.str());
-    relay_checker checker(id);
+    relay_checker checker;
+    checker.begin_attempt(id);
     while (machine.next().kind != action_kind::read)
         static_cast<void>(
             machine.on_event(answer_to(machine.next(), target), random));
-    checker.begin_attempt(machine.next().attempt);
     for (int n = 0; n < chunks; ++n) {
         const auto got =
-            checker.check({id, 1, checker.offset(), "text", std::nullopt});
+            checker.check({id, checker.offset(), 1, "text", std::nullopt});
         stream.append(got.text);
         static_cast<void>(
             machine.on_event(answer_to(machine.next(), target), random));
@@ -127,6 +127,7 @@
 {
     tables node;
     std::vector<std::thread> workers;
+    workers.reserve(static_cast<std::size_t>(threads));
     const auto begun = std::chrono::steady_clock::now();
     for (int n = 0; n < threads; ++n) {
         workers.emplace_back([&node, n, each] {
@@ -144,6 +145,7 @@
 double median_time(int threads, std::int64_t each)
 {
     std::vector<double> times;
+    times.reserve(repeats);
     for (int n = 0; n < repeats; ++n)
         times.push_back(time_requests(threads, each));
     std::ranges::sort(times);
--- a/include/fennelladder/request/relay_checker.hpp
+++ b/include/fennelladder/request/relay_checker.hpp
@@ -1,8 +1,8 @@
 // Looks at every chunk of an answer before it's relayed: it must belong to
 // this request and this attempt, and go on where the last one ended.
 //
-//     relay_checker checker(id);
-//     checker.begin_attempt(1);
+//     relay_checker checker;
+//     checker.begin_attempt(id);             // each attempt has its own id
 //     relay_result got = checker.check(chunk);
 //     write(got.text);                       // empty if nothing is to relay
 //     if (got.verdict == relay_verdict::gap)
@@ -12,8 +12,12 @@
 //
 // Late answers (of an attempt that was given up), crossed ones (of another
 // request) and repeated ones are dropped; a chunk that overlaps what was
-// relayed is trimmed. The answer is whole only when the end marker was seen
-// and its length is what was relayed.
+// relayed is trimmed, or dropped if it can't be. The answer is whole only when
+// the end marker was seen and its length is what was relayed.
+//
+// Offsets and lengths are in the target's units: tokens at engines, bytes at
+// services. Only a chunk of as many units as bytes can be trimmed, since
+// nothing tells which bytes of a longer one belong to which token.
 
 #ifndef FENNELLADDER_REQUEST_RELAY_CHECKER_HPP
 #define FENNELLADDER_REQUEST_RELAY_CHECKER_HPP
@@ -25,17 +29,18 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace fennelladder::request {
 
 /// Part of an answer as it came from a target.
 struct answer_chunk
 {
-    request_id request;       ///< As the target names it.
-    int attempt = 0;          ///< As the target names it.
-    std::uint64_t offset = 0; ///< Of its first byte in the whole answer.
+    request_id attempt;       ///< As the target names it.
+    std::uint64_t offset = 0; ///< Of its first unit in the whole answer.
+    std::uint64_t units = 0;  ///< That it holds.
     std::string_view text;
-    /// Length of the whole answer in bytes, on the chunk that ends it.
+    /// Length of the whole answer, on the chunk that ends it.
     std::optional<std::uint64_t> end;
 };
 
@@ -46,7 +51,10 @@
     repeated,  ///< All of it was relayed before; dropped.
     crossed,   ///< Of another request; dropped. The connection is unusable.
     late,      ///< Of an earlier attempt; dropped.
-    gap,       ///< Bytes before it are missing; dropped. Resume at offset().
+    overlap,   ///< Part of it was relayed before; dropped, as it can't be
+               ///< trimmed. Resume at offset().
+    gap,       ///< Something before it is missing; dropped. Resume at
+               ///< offset().
     bad_length ///< Its end contradicts what was relayed; dropped.
 };
 
@@ -62,19 +70,19 @@
 class relay_checker
 {
 public:
-    explicit relay_checker(request_id request);
+    relay_checker();
     ~relay_checker();
     relay_checker(relay_checker&&) noexcept;
     relay_checker& operator=(relay_checker&&) noexcept;
 
-    /// From now on only chunks of `attempt` count. Precondition: greater
-    /// than that of the call before.
-    void begin_attempt(int attempt);
+    /// From now on only chunks of this attempt count. Precondition: no
+    /// attempt of any request has had the id before.
+    void begin_attempt(request_id attempt);
 
-    /// Takes one chunk; O(its length).
+    /// Takes one chunk; O(its length). Precondition: an attempt has begun.
     relay_result check(const answer_chunk& chunk);
 
-    /// Bytes relayed so far: where to resume.
+    /// Units relayed so far: where to resume.
     std::uint64_t offset() const { return offset_; }
 
     /// The end marker came, and everything before it was relayed.
@@ -88,11 +96,11 @@
 
     relay_result place(const answer_chunk& chunk) const;
 
-    request_id request_;
-    int attempt_ = 0;
+    request_id attempt_;
+    std::vector<request_id> earlier_; // at most the attempt cap
     std::uint64_t offset_ = 0;
     std::optional<std::uint64_t> end_; // set once; never below offset_
-    std::unique_ptr<hash_state> hash_; // of the bytes before offset_
+    std::unique_ptr<hash_state> hash_; // of the text relayed
 };
 
 } // namespace fennelladder::request
--- a/include/fennelladder/request/request_machine.hpp
+++ b/include/fennelladder/request/request_machine.hpp
@@ -164,6 +164,9 @@
     target_id target;
     std::uint64_t bytes = 0;
     tokens output;
+    /// Of completed: the prompt as the target counted it; else the estimate
+    /// of the traits is billed.
+    std::optional<tokens> prompt;
     duration retry_after{0};
     std::optional<outcome> known; ///< What the journal knows of the key.
     incarnation_id owner;         ///< Who claimed it.
@@ -251,7 +254,7 @@
     void try_again();
     void stop(reply_code why);
     void refuse(reply_code why, duration retry_after);
-    void answer(tokens output);
+    void answer(const event& it);
     void conclude(outcome result, reply_code why, bill charge,
                   duration retry_after);
     bill settle(tokens total) const;
--- a/include/fennelladder/request/request_table.hpp
+++ b/include/fennelladder/request/request_table.hpp
@@ -42,10 +42,10 @@
     /// Of the hash by which keys are held; to be drawn anew by each process.
     std::uint64_t seed = 0;
     duration retention = minutes(10);
-    std::size_t max_keys = 100'000;             ///< Running and remembered.
-    std::size_t stream_limit = 1024 * 1024;     ///< Bytes of a running answer.
-    std::size_t small_answer = 8 * 1024;        ///< Larger texts aren't kept.
-    std::size_t text_memory = 16 * 1024 * 1024; ///< All kept texts.
+    std::size_t max_keys = 100'000;       ///< Running and remembered.
+    std::size_t stream_limit = 1'000'000; ///< Bytes of a running answer.
+    std::size_t small_answer = 8'000;     ///< Larger texts aren't kept.
+    std::size_t text_memory = 16'000'000; ///< All kept texts.
 };
 
 /// How the key of an arriving request came about.
--- a/libs/request/relay_checker.cpp
+++ b/libs/request/relay_checker.cpp
@@ -6,6 +6,7 @@
 
 #include "fennelladder/base/hash.hpp"
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <utility>
@@ -16,7 +17,8 @@
 namespace {
 
 constexpr auto verdict_names = std::to_array<std::string_view>(
-    {"relayed", "trimmed", "repeated", "crossed", "late", "gap", "bad_length"});
+    {"relayed", "trimmed", "repeated", "crossed", "late", "overlap", "gap",
+     "bad_length"});
 
 } // namespace
 
@@ -37,30 +39,32 @@
     XXH3_state_t* state;
 };
 
-relay_checker::relay_checker(request_id request)
-    : request_(std::move(request)), hash_(std::make_unique<hash_state>())
+relay_checker::relay_checker() : hash_(std::make_unique<hash_state>())
 {}
 
 relay_checker::~relay_checker() = default;
 relay_checker::relay_checker(relay_checker&&) noexcept = default;
 relay_checker& relay_checker::operator=(relay_checker&&) noexcept = default;
 
-void relay_checker::begin_attempt(int attempt)
+void relay_checker::begin_attempt(request_id attempt)
 {
-    assert(attempt > attempt_);
-    attempt_ = attempt;
+    assert(attempt != attempt_);
+    if (!attempt_.empty())
+        earlier_.push_back(std::move(attempt_));
+    attempt_ = std::move(attempt);
 }
 
 relay_result relay_checker::place(const answer_chunk& chunk) const
 {
-    if (chunk.request != request_)
-        return {relay_verdict::crossed, {}};
-    if (chunk.attempt != attempt_)
-        return {relay_verdict::late, {}};
+    if (chunk.attempt != attempt_) {
+        const bool ours =
+            std::ranges::find(earlier_, chunk.attempt) != earlier_.end();
+        return {ours ? relay_verdict::late : relay_verdict::crossed, {}};
+    }
     if (chunk.offset > offset_)
         return {relay_verdict::gap, {}};
     const std::uint64_t known = offset_ - chunk.offset;
-    const std::uint64_t size = chunk.text.size();
+    const std::uint64_t size = chunk.units;
     const bool extends = size > known;
     const std::uint64_t reach = extends ? chunk.offset + size : offset_;
     const bool contradicts = chunk.end && end_ && *chunk.end != *end_;
@@ -71,22 +75,26 @@
         return {relay_verdict::bad_length, {}};
     if (!extends && (known > 0 || size > 0))
         return {relay_verdict::repeated, {}};
-    return {known > 0 ? relay_verdict::trimmed : relay_verdict::relayed,
-            chunk.text.substr(known)};
+    if (known == 0)
+        return {relay_verdict::relayed, chunk.text};
+    if (size != chunk.text.size())
+        return {relay_verdict::overlap, {}};
+    return {relay_verdict::trimmed, chunk.text.substr(known)};
 }
 
 relay_result relay_checker::check(const answer_chunk& chunk)
 {
     const relay_result got = place(chunk);
-    const bool counts = got.verdict == relay_verdict::relayed ||
-                        got.verdict == relay_verdict::trimmed ||
-                        got.verdict == relay_verdict::repeated;
-    if (!counts)
+    const bool extends = got.verdict == relay_verdict::relayed ||
+                         got.verdict == relay_verdict::trimmed;
+    if (!extends && got.verdict != relay_verdict::repeated)
         return got;
     if (chunk.end)
         end_ = chunk.end;
-    XXH3_128bits_update(hash_->state, got.text.data(), got.text.size());
-    offset_ += got.text.size();
+    if (extends) {
+        XXH3_128bits_update(hash_->state, got.text.data(), got.text.size());
+        offset_ = chunk.offset + chunk.units;
+    }
     assert(!end_ || offset_ <= *end_);
     return got;
 }
--- a/libs/request/relay_checker_test.cpp
+++ b/libs/request/relay_checker_test.cpp
@@ -17,8 +17,7 @@
 struct chunk_case
 {
     const char* story;
-    const char* id;
-    int attempt;
+    const char* attempt;
     std::uint64_t offset;
     const char* text;
     int end; // -1: no end marker
@@ -28,32 +27,39 @@
 
 // After "0123" of request "r" was relayed in attempt 2.
 constexpr chunk_case chunk_cases[] = {
-    {"the next bytes", "r", 2, 4, "45", -1, verdict::relayed, "45"},
-    {"the rest and the end", "r", 2, 4, "45", 6, verdict::relayed, "45"},
-    {"an end without text", "r", 2, 4, "", 4, verdict::relayed, ""},
-    {"a resume that starts too early", "r", 2, 2, "2345", -1, verdict::trimmed,
+    {"the next bytes", "r2", 4, "45", -1, verdict::relayed, "45"},
+    {"the rest and the end", "r2", 4, "45", 6, verdict::relayed, "45"},
+    {"an end without text", "r2", 4, "", 4, verdict::relayed, ""},
+    {"a resume that starts too early", "r2", 2, "2345", -1, verdict::trimmed,
      "45"},
-    {"a chunk sent twice", "r", 2, 0, "0123", -1, verdict::repeated, ""},
-    {"a chunk sent twice, with the end", "r", 2, 2, "23", 4, verdict::repeated,
+    {"a chunk sent twice", "r2", 0, "0123", -1, verdict::repeated, ""},
+    {"a chunk sent twice, with the end", "r2", 2, "23", 4, verdict::repeated,
      ""},
-    {"the answer of another caller", "s", 2, 4, "45", -1, verdict::crossed, ""},
-    {"a chunk of the attempt given up", "r", 1, 4, "xx", -1, verdict::late, ""},
-    {"a chunk was lost", "r", 2, 5, "5", -1, verdict::gap, ""},
-    {"a chunk was lost before the end", "r", 2, 5, "5", 6, verdict::gap, ""},
-    {"an end beyond the text", "r", 2, 4, "45", 9, verdict::bad_length, ""},
-    {"an end before what was relayed", "r", 2, 0, "01", 2, verdict::bad_length,
+    {"the answer of another caller", "s2", 4, "45", -1, verdict::crossed, ""},
+    {"a chunk of the attempt given up", "r1", 4, "xx", -1, verdict::late, ""},
+    {"a chunk was lost", "r2", 5, "5", -1, verdict::gap, ""},
+    {"a chunk was lost before the end", "r2", 5, "5", 6, verdict::gap, ""},
+    {"an end beyond the text", "r2", 4, "45", 9, verdict::bad_length, ""},
+    {"an end before what was relayed", "r2", 0, "01", 2, verdict::bad_length,
      ""},
-    {"an offset that wraps around", "r", 2, ~std::uint64_t(0), "45", -1,
+    {"an offset that wraps around", "r2", ~std::uint64_t(0), "45", -1,
      verdict::gap, ""},
 };
 
+answer_chunk chunk_of(const char* attempt, std::uint64_t offset,
+                      std::string_view text,
+                      std::optional<std::uint64_t> end = std::nullopt)
+{
+    return {request_id(attempt), offset, text.size(), text, end};
+}
+
 relay_checker after_four_bytes()
 {
-    relay_checker checker(request_id("r"));
-    checker.begin_attempt(1);
-    checker.check({request_id("r"), 1, 0, "01", std::nullopt});
-    checker.begin_attempt(2);
-    checker.check({request_id("r"), 2, 2, "23", std::nullopt});
+    relay_checker checker;
+    checker.begin_attempt(request_id("r1"));
+    checker.check(chunk_of("r1", 0, "01"));
+    checker.begin_attempt(request_id("r2"));
+    checker.check(chunk_of("r2", 2, "23"));
     return checker;
 }
 
@@ -71,8 +77,8 @@
         std::optional<std::uint64_t> end;
         if (it.end >= 0)
             end = static_cast<std::uint64_t>(it.end);
-        const auto got = checker.check(
-            {request_id(it.id), it.attempt, it.offset, it.text, end});
+        const auto got =
+            checker.check(chunk_of(it.attempt, it.offset, it.text, end));
         CHECK_TEXT(got.verdict == it.expected, it.story);
         CHECK_TEXT(got.text == it.relayed, it.story);
         const bool counts =
@@ -84,10 +90,9 @@
 TEST(relay_checker, takes_nothing_after_the_end)
 {
     relay_checker checker = after_four_bytes();
-    checker.check({request_id("r"), 2, 4, "", 4});
-    CHECK(checker.check({request_id("r"), 2, 4, "4", std::nullopt}).verdict ==
-          verdict::bad_length);
-    CHECK(checker.check({request_id("r"), 2, 4, "4", 5}).verdict ==
+    checker.check(chunk_of("r2", 4, "", 4));
+    CHECK(checker.check(chunk_of("r2", 4, "4")).verdict == verdict::bad_length);
+    CHECK(checker.check(chunk_of("r2", 4, "4", 5)).verdict ==
           verdict::bad_length);
     CHECK(checker.whole());
     CHECK_EQUAL(4U, checker.offset());
@@ -101,8 +106,8 @@
         const auto answer =
             *rc::gen::container<std::string>(rc::gen::inRange<char>('a', 'f'));
         const auto size = answer.size();
-        relay_checker checker(request_id("r"));
-        checker.begin_attempt(1);
+        relay_checker checker;
+        checker.begin_attempt(request_id("r"));
         std::string relayed;
         const int chunks = *rc::gen::inRange(0, 40);
         for (int n = 0; n < chunks; ++n) {
@@ -125,3 +130,20 @@
         RC_ASSERT(checker.digest() == digest128(relayed));
     });
 }
+
+// Two tokens come again as one chunk that starts within what was relayed. The
+// bytes of its second token can't be told, so it's dropped and resumed.
+TEST(relay_checker, trims_no_tokens_that_it_cannot_tell_apart)
+{
+    relay_checker checker;
+    checker.begin_attempt(request_id("r"));
+    checker.check({request_id("r"), 0, 2, "repack", std::nullopt});
+    CHECK_EQUAL(2U, checker.offset());
+    const auto got =
+        checker.check({request_id("r"), 1, 2, "ack the", std::nullopt});
+    CHECK(got.verdict == relay_verdict::overlap);
+    CHECK(got.text.empty());
+    CHECK(checker.check({request_id("r"), 2, 1, " the", 3}).text == " the");
+    CHECK(checker.whole());
+    CHECK(checker.digest() == digest128("repack the"));
+}
--- a/libs/request/request_machine.cpp
+++ b/libs/request/request_machine.cpp
@@ -275,7 +275,7 @@
         go(action_kind::read);
         return true;
     case event_kind::completed:
-        answer(it.output);
+        answer(it);
         return true;
     case event_kind::connection_lost:
     case event_kind::target_silent:
@@ -376,7 +376,7 @@
     }
     case event_kind::completed:
         // The last chunk overtook the order to stop: the answer is whole.
-        answer(it.output);
+        answer(it);
         return true;
     case event_kind::chunk:
         return true; // nobody is left to relay it to
@@ -438,10 +438,11 @@
              retry_after);
 }
 
-void request_machine::answer(tokens output)
+void request_machine::answer(const event& it)
 {
     in_flight_ = false;
-    const tokens total = traits_.prompt + std::max(output, relayed_);
+    const tokens total =
+        it.prompt.value_or(traits_.prompt) + std::max(it.output, relayed_);
     conclude(outcome::answered, reply_code::ok, settle(total), duration(0));
 }
 
--- a/libs/request/request_machine_test.cpp
+++ b/libs/request/request_machine_test.cpp
@@ -194,9 +194,9 @@
     {
         if (of_ != kind::streaming) {
             got_.clear();
-            checker_ = relay_checker(request_id("r"));
+            checker_ = relay_checker();
         }
-        checker_.begin_attempt(todo.attempt);
+        checker_.begin_attempt(request_id("r" + std::to_string(todo.attempt)));
         sent_ = true;
         CHECK_EQUAL(text.size(), todo.offset);
         if (fault_here() == fault::target_dies)
@@ -224,14 +224,16 @@
             return tell({event_kind::target_died});
         if (now == fault::connection_silent)
             return go_silent();
-        const std::string id = now == fault::reply_crossed ? "other" : "r";
+        const std::string id =
+            now == fault::reply_crossed
+                ? "other"
+                : "r" + std::to_string(machine_.next().attempt);
         const std::string part = answer.substr(got_.size(), chunk_size);
         std::optional<std::uint64_t> length;
         if (got_.size() + part.size() == answer.size())
             length = answer.size();
-        const auto got =
-            checker_.check({request_id(id), machine_.next().attempt,
-                            got_.size(), part, length});
+        const auto got = checker_.check(
+            {request_id(id), got_.size(), part.size(), part, length});
         if (got.verdict != relay_verdict::relayed)
             return tell({event_kind::connection_lost});
         got_ += got.text;
@@ -262,7 +264,7 @@
     kind of_;
     request_traits traits_;
     request_machine machine_;
-    relay_checker checker_{request_id("r")};
+    relay_checker checker_;
     random_source random_{1};
     std::map<int, fault> faults_;
     std::map<int, bool> begun_;
--- a/libs/request/request_table.cpp
+++ b/libs/request/request_table.cpp
@@ -367,7 +367,7 @@
                                 std::size_t most) const
 {
     for (std::size_t n = 0; n < most && !part.ended.empty(); ++n) {
-        shard::place oldest = part.ended.front();
+        const shard::place oldest = part.ended.front();
         entry* it = part.find(oldest);
         const bool stale = it == nullptr || it->stream;
         if (!stale && now - it->ended <= options_.retention)
@@ -376,7 +376,7 @@
         if (stale)
             continue;
         if (!it->durable) {
-            part.ended.push_back(std::move(oldest));
+            part.ended.push_back(oldest);
             continue;
         }
         part.drop_text(*it);
