--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -40,6 +40,23 @@
     {event::manifest_inconsistent, severity::error, "manifest_inconsistent",
      "Parts of the manifest contradict each other, or nothing serves what is "
      "granted."},
+    {event::configuration_in_force, severity::info, "configuration_in_force",
+     "The node decides by this generation from now on."},
+    {event::configuration_older_refused, severity::warning,
+     "configuration_older_refused",
+     "A watch, peer or the platform offered a generation below the highest "
+     "seen; it is passed over."},
+    {event::configuration_contradiction, severity::error,
+     "configuration_contradiction",
+     "Two configurations carry one generation; the one seen first holds. Was "
+     "the platform wiped or restored?"},
+    {event::configuration_corrupt, severity::error, "configuration_corrupt",
+     "A root or part does not match its hash or can not be read; it is fetched "
+     "from elsewhere."},
+    {event::configuration_after_pause, severity::warning,
+     "configuration_after_pause",
+     "The node was paused and asks whether its configuration is still the "
+     "newest before it takes new work."},
     {event::journal_layout_differs, severity::warning, "journal_layout_differs",
      "The setting for the journal's shards or slots differs from the stored "
      "one, which holds."},
