Find lost replies in one place; believe nothing asked before a pause

A trial with deliberate bugs showed two that no test met: reading back after a conflict stood twice, so either copy could be removed, and a newer root ended the wait after a pause before it was in force. Now the retry loop alone looks for the own apply id, and tests meet both.

--- a/include/fennelladder/manifest/apply.hpp
+++ b/include/fennelladder/manifest/apply.hpp
@@ -103,8 +103,6 @@
                                    const accepted_root& base);
     result<object_version> write_root(const root& next,
                                       const accepted_root& base);
-    result<apply_receipt> after_conflict(const apply_request& request,
-                                         const accepted_root& base);
 
     platform::object_store& store_;
     apply_options options_;
--- a/include/fennelladder/manifest/configuration_holder.hpp
+++ b/include/fennelladder/manifest/configuration_holder.hpp
@@ -68,6 +68,7 @@
     duration longest_backoff = seconds(5);
 
     /// A longer time between two steps means that the node was paused.
+    /// Precondition: longer than call_timeout.
     duration pause_length = seconds(5);
 
     /// How long a node that was paused waits for a confirmation.
@@ -192,14 +193,13 @@
     struct open_call
     {
         fetch what;
-        instant started;
         instant deadline;
     };
 
     void accept_root(std::string_view bytes, const incarnation_id& from,
                      instant now);
     void consider(const root& accepted, instant now);
-    void confirm(const root& accepted, const open_call& call);
+    void confirm(const root& accepted);
     void accept_part(const std::string& bytes);
     void load_names();
     void try_activate();
@@ -244,7 +244,7 @@
 
     // After a pause: unset again by a confirmation.
     std::optional<instant> unconfirmed_until_;
-    instant woke_;
+    bool ask_any_peer_ = false;
 
     holder_counts counts_;
     std::vector<holder_note> notes_;
--- a/libs/manifest/apply.cpp
+++ b/libs/manifest/apply.cpp
@@ -179,22 +179,6 @@
     return put;
 }
 
-result<apply_receipt> applier::after_conflict(const apply_request& request,
-                                              const accepted_root& base)
-{
-    auto now = read_root();
-    if (!now)
-        return fail(error_code::ambiguous,
-                    "can't read back: " + now.error().message);
-    if (now->value) {
-        const apply_record* mine = now->value->find(request.apply);
-        if (mine != nullptr)
-            return receipt_of(*mine, *now->value);
-    }
-    return tl::unexpected(
-        conflict_of(request, number_of(base.value), now->value));
-}
-
 result<apply_receipt> applier::try_once(const apply_request& request,
                                         const accepted_root& base)
 {
@@ -221,8 +205,6 @@
         return tl::unexpected(sent.error());
     const root next = next_root(request, base.value, pieces->directory_hash);
     auto put = write_root(next, base);
-    if (!put && put.error().code == error_code::conflict)
-        return after_conflict(request, base);
     if (!put)
         return tl::unexpected(put.error());
     apply_receipt made;
@@ -238,6 +220,9 @@
     std::optional<generation> base = request.base;
     for (int round = 0;; ++round) {
         auto accepted = read_root();
+        if (!accepted && round > 0)
+            return fail(error_code::ambiguous,
+                        "can't read back: " + accepted.error().message);
         if (!accepted)
             return tl::unexpected(accepted.error());
         if (accepted->value) {
@@ -255,8 +240,9 @@
             !receipt && receipt.error().code == error_code::conflict;
         if (!lost || round >= most_rounds)
             return receipt;
-        // Another operator won, and the next round says so; or orphans were
-        // collected meanwhile, and the next round uploads anew.
+        // The root is not the one that was read. The next round finds the own
+        // apply id, when an earlier reply was lost; or names the operator who
+        // won; or uploads anew, when orphans were collected meanwhile.
     }
 }
 
--- a/libs/manifest/configuration_holder.cpp
+++ b/libs/manifest/configuration_holder.cpp
@@ -36,7 +36,10 @@
 configuration_holder::configuration_holder(holder_options options,
                                            random_source random, instant now)
     : options_(options), random_(random), next_poll_(now), last_step_(now)
-{}
+{
+    // So that no call from before a pause is answered after it.
+    assert(options_.pause_length > options_.call_timeout);
+}
 
 void configuration_holder::note(int event, std::string message)
 {
@@ -58,7 +61,9 @@
 bool configuration_holder::may_take_work(instant now) const
 {
     const bool waiting = unconfirmed_until_ && now < *unconfirmed_until_;
-    return in_force_ != nullptr && !waiting;
+    // A request may come in after a pause before step() notices it.
+    const bool just_woke = now - last_step_ > options_.pause_length;
+    return in_force_ != nullptr && !waiting && !just_woke;
 }
 
 void configuration_holder::on_watch(std::string_view root_bytes, instant now)
@@ -199,12 +204,12 @@
          text_of(highest_) + ", hash " + highest_hash_.str());
 }
 
-// After a pause only an answer to a question asked since then tells whether
-// the configuration in force is still the newest.
-void configuration_holder::confirm(const root& accepted, const open_call& call)
+// Calls from before a pause have expired by now, so this is an answer to a
+// question asked since. A newer root confirms nothing: work waits until it is
+// in force.
+void configuration_holder::confirm(const root& accepted)
 {
-    const bool same = in_force_ && in_force_->hash() == accepted.hash();
-    if (same && call.started >= woke_)
+    if (in_force_ && in_force_->hash() == accepted.hash())
         unconfirmed_until_.reset();
 }
 
@@ -241,7 +246,7 @@
         accept_root(*bytes, what.what.peer, now);
         const auto accepted = decode_root(*bytes);
         if (accepted)
-            confirm(*accepted, what);
+            confirm(*accepted);
         return;
     }
     if (!matches(what.what.part, *bytes)) {
@@ -320,7 +325,7 @@
 void configuration_holder::notice_pause(instant now)
 {
     if (now - last_step_ > options_.pause_length) {
-        woke_ = now;
+        ask_any_peer_ = true;
         unconfirmed_until_ = now + options_.confirm_wait;
         next_poll_ = now;
         note(event::configuration_after_pause,
@@ -355,7 +360,7 @@
         return false;
     what.call = last_call_ = last_call_.next();
     ++(what.from_platform() ? counts_.platform_calls : counts_.peer_calls);
-    calls_[what.call] = {what, now, now + options_.call_timeout};
+    calls_[what.call] = {what, now + options_.call_timeout};
     out.push_back(std::move(what));
     return true;
 }
@@ -367,18 +372,18 @@
         next_poll_ = now + jitter(random_, options_.poll_every);
 
     // The peer that is furthest ahead; after a pause any peer, to confirm.
-    const bool asks_any = unconfirmed_until_ && woke_ == now;
     const incarnation_id* best = nullptr;
     generation ahead = highest_;
     for (const auto& [peer, it] : peers_) {
         const bool newer = it.said.number > ahead;
         const bool first =
-            asks_any && best == nullptr && it.said.number >= highest_;
+            ask_any_peer_ && best == nullptr && it.said.number >= highest_;
         if (it.rested > now || (!newer && !first))
             continue;
         best = &peer;
         ahead = std::max(ahead, it.said.number);
     }
+    ask_any_peer_ = false;
     if (best != nullptr && !under_way(fetch_kind::root, *best))
         start({.what = fetch_kind::root, .peer = *best}, now, out);
 }
@@ -441,8 +446,8 @@
 std::vector<fetch> configuration_holder::step(instant now)
 {
     std::vector<fetch> out;
-    notice_pause(now);
     expire_calls(now);
+    notice_pause(now);
     fetch_roots(now, out);
     fetch_parts(now, out);
     return out;
--- a/libs/manifest/configuration_holder_test.cpp
+++ b/libs/manifest/configuration_holder_test.cpp
@@ -142,6 +142,28 @@
     CHECK(world.all_have(generation(3)));
 }
 
+// The same, and a request arrives at the very moment of waking. The platform
+// names a newer root at once but its parts are slow: until they are there the
+// old configuration must take no work.
+TEST(configuration_holder, a_newer_root_alone_confirms_nothing)
+{
+    auto& holder = *world.nodes[3].holder;
+    world.nodes[3].paused = true;
+    world.accept(2);
+    const std::string bytes = world.store.get(root_key())->value;
+    instant now = world.now + hours(1);
+    CHECK(!holder.may_take_work(now));
+    for (const fetch& it : holder.step(now)) {
+        if (it.what == fetch_kind::root)
+            holder.on_answer(it.call, bytes, now);
+    }
+    CHECK(holder.highest_seen() == generation(2));
+    CHECK(!holder.may_take_work(now));
+    now += seconds(3);
+    holder.step(now);
+    CHECK(holder.may_take_work(now));
+}
+
 // A read of the platform, or a watch that was cut off long ago, brings an old
 // root. Taking it would revert an accepted change.
 TEST(configuration_holder, older_roots_are_refused)
@@ -188,6 +210,9 @@
     CHECK(slow.holder->announce().number == generation(1));
     const generation number = world.accept(3);
     world.collect_orphans();
+    world.heartbeats = false;
+    world.run(seconds(1)); // Sooner than a poll comes round.
+    CHECK(slow.holder->announce().number == number);
     world.run(limit);
     CHECK(world.all_have(number));
 }
