--- a/include/fennelladder/platform/budgeted_object_store.hpp
+++ b/include/fennelladder/platform/budgeted_object_store.hpp
@@ -8,12 +8,16 @@
 //
 // A call that is over the rate waits, for at most the gate's longest wait, and
 // then fails with `unavailable`: nothing was asked of the platform.
+//
+// The gate also sees how calls end, and so how the platform is doing; it logs
+// when that changes.
 
 #ifndef FENNELLADDER_PLATFORM_BUDGETED_OBJECT_STORE_HPP
 #define FENNELLADDER_PLATFORM_BUDGETED_OBJECT_STORE_HPP
 
 #include "fennelladder/platform/call_budget.hpp"
 #include "fennelladder/platform/object_store.hpp"
+#include "fennelladder/platform/platform_health.hpp"
 
 #include <functional>
 #include <mutex>
@@ -32,6 +36,7 @@
     call_budget_options reads{.rate = 200, .burst = 200};
     call_budget_options writes{.rate = 50, .burst = 50};
     duration longest_wait = seconds(2);
+    platform_health_options health;
 };
 
 /// Calls since the start.
@@ -57,13 +62,23 @@
     /// Waits for a call. Fails with `unavailable` after the longest wait.
     status enter(call_kind kind, call_class which);
 
-    /// Tells what came of a call: a refusal slows the node down.
-    void leave(call_kind kind, bool refused);
+    /// Tells what came of a call that began at `started`; nullptr: it was
+    /// answered. One that the platform turned away slows the node down.
+    /// The time of a watch says nothing of the platform's speed: give its
+    /// end as its start.
+    void leave(call_kind kind, const error* failure, instant started);
+
+    platform_state health() const;
+    duration latency() const; ///< Smoothed.
 
     call_gate_counts counts() const;
 
+    /// The present time, by the gate's clock.
+    instant now() const { return time_.now(); }
+
 private:
     call_budget& budget(call_kind kind);
+    status turn_away(call_kind kind, call_class which);
     bool try_enter(call_kind kind, call_class which, bool waited,
                    instant& ready_at);
 
@@ -74,6 +89,8 @@
     call_budget reads_;
     call_budget writes_;
     call_gate_counts counts_;
+    platform_health health_;
+    instant told_over_rate_;
 };
 
 /// Thread safe.
@@ -97,7 +114,7 @@
 
 private:
     template <class T, class F>
-    T pass(call_kind kind, F call);
+    T pass(call_kind kind, F call, bool timed = true);
 
     object_store& inner_;
     call_gate& gate_;
--- a/include/fennelladder/platform/call_budget.hpp
+++ b/include/fennelladder/platform/call_budget.hpp
@@ -21,6 +21,7 @@
 #include "fennelladder/base/time.hpp"
 
 #include <cstdint>
+#include <string_view>
 
 namespace fennelladder::platform {
 
@@ -32,6 +33,9 @@
     telemetry ///< Status reports and the like.
 };
 
+/// The stable name of a class, such as "safety".
+std::string_view to_string(call_class which);
+
 struct call_budget_options
 {
     double rate = 100;  ///< Calls a second.
--- a/libs/platform/budgeted_object_store.cpp
+++ b/libs/platform/budgeted_object_store.cpp
@@ -4,24 +4,47 @@
 
 #include "fennelladder/platform/budgeted_object_store.hpp"
 
+#include "fennelladder/telemetry/log.hpp"
+
 #include <thread>
 
 namespace fennelladder::platform {
 
 namespace {
 
+using telemetry::log_event;
+namespace event = telemetry::event;
+
+constexpr duration over_rate_log_interval = seconds(10);
+
 void sleep_now(duration length)
 {
     std::this_thread::sleep_for(length);
 }
 
+// No answer, or one that turned the call away.
+bool answered(const error* failure)
+{
+    return failure == nullptr || (failure->code != error_code::unavailable &&
+                                  failure->code != error_code::ambiguous);
+}
+
+void log_state(platform_state state, duration latency)
+{
+    constexpr int events[] = {event::platform_well, event::platform_slow,
+                              event::platform_out};
+    log_event(events[static_cast<std::size_t>(state)],
+              {{"latency_ms", std::to_string(to_seconds(latency) * 1e3)}});
+}
+
 } // namespace
 
 call_gate::call_gate(const clock& time, call_gate_options options,
                      sleeper sleep)
     : time_(time), longest_wait_(options.longest_wait),
       sleep_(sleep ? std::move(sleep) : sleeper(sleep_now)),
-      reads_(options.reads, time.now()), writes_(options.writes, time.now())
+      reads_(options.reads, time.now()), writes_(options.writes, time.now()),
+      health_(options.health)
 {}
 
 call_budget& call_gate::budget(call_kind kind)
@@ -49,25 +72,61 @@
     instant ready_at;
     bool waited = false;
     while (!try_enter(kind, which, waited, ready_at)) {
-        if (ready_at > until) {
-            const std::lock_guard lock(mutex_);
-            ++counts_.turned_away;
-            return fail(error_code::unavailable,
-                        "over the node's rate of platform calls");
-        }
+        if (ready_at > until)
+            return turn_away(kind, which);
         waited = true;
         sleep_(ready_at - time_.now());
     }
     return {};
 }
 
-void call_gate::leave(call_kind kind, bool refused)
+status call_gate::turn_away(call_kind kind, call_class which)
+{
+    bool tell = false;
+    {
+        const std::lock_guard lock(mutex_);
+        const instant now = time_.now();
+        tell = counts_.turned_away == 0 ||
+               now - told_over_rate_ >= over_rate_log_interval;
+        told_over_rate_ = tell ? now : told_over_rate_;
+        ++counts_.turned_away;
+    }
+    if (tell)
+        log_event(event::platform_calls_over_rate,
+                  {{"kind", kind == call_kind::read ? "read" : "write"},
+                   {"class", std::string(to_string(which))}});
+    return fail(error_code::unavailable,
+                "over the node's rate of platform calls");
+}
+
+void call_gate::leave(call_kind kind, const error* failure, instant started)
+{
+    std::optional<platform_state> changed;
+    duration latency{};
+    {
+        const std::lock_guard lock(mutex_);
+        const instant now = time_.now();
+        if (failure != nullptr && failure->code == error_code::unavailable) {
+            ++counts_.refused;
+            budget(kind).on_refused(now);
+        }
+        changed = health_.on_call(answered(failure), now - started, now);
+        latency = health_.latency();
+    }
+    if (changed)
+        log_state(*changed, latency);
+}
+
+platform_state call_gate::health() const
+{
+    const std::lock_guard lock(mutex_);
+    return health_.state();
+}
+
+duration call_gate::latency() const
 {
-    if (!refused)
-        return;
     const std::lock_guard lock(mutex_);
-    ++counts_.refused;
-    budget(kind).on_refused(time_.now());
+    return health_.latency();
 }
 
 call_gate_counts call_gate::counts() const
@@ -77,12 +136,14 @@
 }
 
 template <class T, class F>
-T budgeted_object_store::pass(call_kind kind, F call)
+T budgeted_object_store::pass(call_kind kind, F call, bool timed)
 {
     if (auto entered = gate_.enter(kind, class_); !entered)
         return tl::unexpected(entered.error());
+    const instant started = gate_.now();
     T done = call();
-    gate_.leave(kind, !done && done.error().code == error_code::unavailable);
+    gate_.leave(kind, done ? nullptr : &done.error(),
+                timed ? started : gate_.now());
     return done;
 }
 
--- a/libs/platform/call_budget.cpp
+++ b/libs/platform/call_budget.cpp
@@ -6,6 +6,19 @@
 
 namespace fennelladder::platform {
 
+std::string_view to_string(call_class which)
+{
+    switch (which) {
+    case call_class::safety:
+        return "safety";
+    case call_class::refill:
+        return "refill";
+    case call_class::telemetry:
+        break;
+    }
+    return "telemetry";
+}
+
 call_budget::call_budget(call_budget_options options, instant now)
     : options_(options), at_(now), level_(options.burst)
 {
--- a/libs/platform/platform_test.cpp
+++ b/libs/platform/platform_test.cpp
@@ -109,6 +109,50 @@
     const auto counts = gate.counts();
     CHECK(counts.turned_away > 0 && counts.refused > 0 && counts.waited > 0);
     CHECK(counts.turned_away + counts.refused == 20);
+    for (int n = 0; n < 3; ++n) {
+        time.advance(seconds(30));
+        CHECK(!store.get(a));
+    }
+    CHECK(gate.health() == platform_state::out);
+    faulty.set({});
+    time.advance(seconds(30));
+    CHECK(store.get(a)->value == "2");
+    CHECK(gate.health() == platform_state::well);
+}
+
+// An operator asks why nothing comes into force: the node has seen that the
+// platform is out, says since when, and says when it is back, once each.
+TEST(platform, health_follows_calls_without_flapping)
+{
+    platform_health health;
+    const struct
+    {
+        bool answered;
+        int latency_ms;
+        platform_state state;
+    } calls[] = {
+        {true, 5, platform_state::well},     {false, 0, platform_state::well},
+        {false, 0, platform_state::well},    {false, 0, platform_state::out},
+        {false, 0, platform_state::out},     {true, 5, platform_state::well},
+        {true, 5'000, platform_state::slow}, {false, 0, platform_state::slow},
+        {true, 5, platform_state::slow},     {true, 5, platform_state::slow},
+        {true, 5, platform_state::slow},     {true, 5, platform_state::slow},
+        {true, 5, platform_state::slow},     {true, 5, platform_state::slow},
+        {true, 5, platform_state::slow},     {true, 5, platform_state::slow},
+        {true, 5, platform_state::slow},     {true, 5, platform_state::well},
+    };
+    instant now = start;
+    platform_state before = platform_state::well;
+    for (const auto& it : calls) {
+        now += seconds(1);
+        const auto changed =
+            health.on_call(it.answered, milliseconds(it.latency_ms), now);
+        CHECK(health.state() == it.state);
+        CHECK(changed.has_value() == (it.state != before));
+        if (changed)
+            CHECK(health.since() == now);
+        before = it.state;
+    }
 }
 
 // A write's reply is lost: the writer must hear that it doesn't know, whether
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -57,6 +57,15 @@
      "configuration_after_pause",
      "The node was paused and asks whether its configuration is still the "
      "newest before it takes new work."},
+    {event::platform_well, severity::info, "platform_well",
+     "The platform answers again in good time."},
+    {event::platform_slow, severity::warning, "platform_slow",
+     "The platform answers, but late."},
+    {event::platform_out, severity::warning, "platform_out",
+     "The platform doesn't answer, or turns calls away; work goes on."},
+    {event::platform_calls_over_rate, severity::warning,
+     "platform_calls_over_rate",
+     "A call was given up because the node has used its share of the rates."},
     {event::journal_layout_differs, severity::warning, "journal_layout_differs",
      "The setting for the journal's shards or slots differs from the stored "
      "one, which holds."},
