Remember keys that ran only; say not_run of idempotent arrivals

Cause: a clearance that couldn't be claimed while the store was down was remembered as unknown and its retries were given that for an answer; and every refusal of an idempotent request with the caller's own key was told as unknown. Change: a key of which nothing ran is forgotten at once, a refused retry doesn't touch what is known of an earlier run, a failed rerun doesn't undo an earlier answer. For idempotent requests not_run is said of the arrival, unless the table or the origin hints at an earlier one; for others the proof stays as it was.

--- a/apps/fennelladder/bench_requests.cpp
+++ b/apps/fennelladder/bench_requests.cpp
@@ -178,6 +178,7 @@
                                      start);
         got.stream->append(answer);
         conclusion end;
+        end.may_have_run = true;
         end.reply.result = outcome::answered;
         end.reply.code = reply_code::ok;
         end.reply.origin = self;
--- a/include/fennelladder/request/request_machine.hpp
+++ b/include/fennelladder/request/request_machine.hpp
@@ -10,9 +10,11 @@
 //
 // Proof of `not_run`. A run counts as begun the moment the machine hands out
 // `dispatch`, before any byte has left. Only the events `refused` (the target
-// said no before it ran) and `not_sent` take that back. So `not_run` is said
-// only if each dispatch was taken back, and no other node can have run the
-// key either (request_traits::first_arrival).
+// said no before it ran) and `not_sent` take that back. `not_run` is said
+// only if each dispatch was taken back, and request_traits::first_arrival
+// holds: for a request that must not run twice, that no other node can have
+// run the key either; for an idempotent one, that nothing hints at an earlier
+// arrival.
 //
 // Retries. A request that is not idempotent is dispatched again only after a
 // dispatch that was taken back. An idempotent one is dispatched again after a
@@ -62,10 +64,8 @@
     /// It must be claimed in the journal before it is dispatched: not
     /// idempotent, key from the caller, not bound to this node.
     bool claim_first = false;
-    /// No other node, and no earlier arrival, can have run this key: the node
-    /// made the key itself, or the key is bound to this node and not known.
-    /// Without it a refusal is told as `unknown`, since a copy of the request
-    /// may have run at another node.
+    /// As request_table::admit() says. Without it a refusal is told as
+    /// `unknown`, since the request may have run under the same key before.
     bool first_arrival = false;
     tokens prompt;
     tokens max_output;
@@ -199,6 +199,9 @@
     outcome_reply reply;
     bill charge;
     int attempts = 0;
+    /// A target ran it, or may have; false: nothing of it left this node, or
+    /// all of it was taken back.
+    bool may_have_run = false;
     /// The outcome must be put into the journal under the key: the request is
     /// not idempotent and may have run.
     bool record = false;
--- a/include/fennelladder/request/request_table.hpp
+++ b/include/fennelladder/request/request_table.hpp
@@ -9,18 +9,22 @@
 //         run(machine, got.stream);          // then:
 //     table.finish(team, key, machine.end(), now);
 //
-// Memory. Outcomes are kept for `retention` after their end and, beyond it,
-// until mark_durable() says that the journal has what must last; then they
-// may be forgotten. Small answers are kept whole while their memory lasts. A
-// repeated key whose text is gone runs again if it's idempotent, else it's
-// told `answered_before` with the text's digest. When `max_keys` are held,
-// none is forgotten early: new ones are turned away with `too_many_keys`.
+// Memory. Outcomes of what ran, or may have, are kept for `retention` after
+// their end and, beyond it, until mark_durable() says that the journal has
+// what must last; then they may be forgotten. A key of which nothing ran is
+// forgotten at once: its retry is as good as the first try. Small answers are
+// kept whole while their memory lasts. A repeated key whose text is gone runs
+// again if it's idempotent, else it's told `answered_before` with the text's
+// digest. When `max_keys` are held, none is forgotten early: new ones are
+// turned away with `too_many_keys`.
 //
-// A key bound to this node that isn't found is new if its origin was issued
-// less than `retention` ago, since it can't have been forgotten yet. An older
-// one is `forgotten`: it may have run, so it isn't a first arrival and, if
-// not idempotent, needs a claim, which the journal refuses for a key whose
-// outcome it holds.
+// First arrivals. A key bound to this node that isn't found is new if its
+// origin was issued less than `retention` ago, since it can't have been
+// forgotten yet. An older one may have run. What must not run twice is a first
+// arrival only if it's new and bound here, or its key was made here; any other
+// needs a claim, which the journal refuses for a key whose outcome it holds.
+// What is idempotent is a first arrival unless it's known here, or an old or
+// another node's origin hints at an earlier try.
 
 #ifndef FENNELLADDER_REQUEST_REQUEST_TABLE_HPP
 #define FENNELLADDER_REQUEST_REQUEST_TABLE_HPP
@@ -143,9 +147,11 @@
     bits128 name_of(const team_id& team, const request_key& key) const;
     shard& shard_of(const bits128& name) const;
     bool only_here(const arrival& it, instant now) const;
-    admission known(entry& found, const arrival& it, bool only_here);
-    admission start(entry& made, const arrival& it, bool only_here,
+    admission known(entry& found, const arrival& it, instant now);
+    admission start(entry& made, const arrival& it, instant now,
                     bool never_run);
+    void remember(shard& part, const bits128& name, entry& ended,
+                  const conclusion& end, std::optional<std::string> text);
     admission add(shard& part, const bits128& name, const arrival& it,
                   instant now);
     void keep_text(shard& part, const bits128& name, entry& ended,
--- a/libs/request/request_table.cpp
+++ b/libs/request/request_table.cpp
@@ -100,6 +100,7 @@
     std::uint64_t run = 0; ///< Number of the run within the shard.
     bool idempotent = true;
     bool durable = true;
+    bool ran = false; ///< A run before this one; `reply` is its outcome.
 };
 
 struct request_table::shard
@@ -198,7 +199,7 @@
     const auto found = part.entries.find(name);
     if (found == part.entries.end())
         return add(part, name, it, now);
-    admission got = known(found->second, it, only_here(it, now));
+    admission got = known(found->second, it, now);
     if (got.verdict == admit_verdict::run) {
         part.drop_text(found->second);
         found->second.run = ++part.runs;
@@ -211,8 +212,8 @@
 {
     if (part.entries.size() >= options_.max_keys / shards_.size() + 1) {
         admission got;
-        const bool fresh = it.binding == key_binding::made_here;
-        got.reply.result = fresh ? outcome::not_run : outcome::unknown;
+        got.reply.result =
+            only_here(it, now) ? outcome::not_run : outcome::unknown;
         got.reply.code = reply_code::too_many_keys;
         got.reply.retry_useful = true;
         got.reply.retry_after = seconds(1);
@@ -222,7 +223,7 @@
     entry& made = part.entries[name];
     made.body = bits128::of_digest(it.body_digest);
     made.run = ++part.runs;
-    return start(made, it, only_here(it, now), true);
+    return start(made, it, now, true);
 }
 
 bool request_table::only_here(const arrival& it, instant now) const
@@ -234,21 +235,25 @@
            (it.binding == key_binding::bound_here && recent);
 }
 
-admission request_table::start(entry& made, const arrival& it, bool only_here,
+admission request_table::start(entry& made, const arrival& it, instant now,
                                bool never_run)
 {
     made.idempotent = it.idempotent;
     made.stream = std::make_shared<answer_stream>(options_.stream_limit);
+    const bool only = only_here(it, now);
+    const bool hinted = it.binding == key_binding::bound_elsewhere ||
+                        it.binding == key_binding::bound_here;
+    const bool first = it.idempotent ? only || !hinted : only;
     admission got;
     got.verdict = admit_verdict::run;
     got.stream = made.stream;
     got.billed_before = made.reply.billed;
-    got.first_arrival = only_here && never_run;
-    got.claim_first = !it.idempotent && !only_here;
+    got.first_arrival = first && never_run;
+    got.claim_first = !it.idempotent && !only;
     return got;
 }
 
-admission request_table::known(entry& found, const arrival& it, bool only_here)
+admission request_table::known(entry& found, const arrival& it, instant now)
 {
     admission got;
     got.reply = found.reply.full(it.key);
@@ -273,11 +278,11 @@
     }
     // A proved `not_run` leaves the key as if it had never come.
     if (before == outcome::not_run)
-        return start(found, it, only_here, true);
+        return start(found, it, now, true);
     const bool again =
         idempotent && found.reply.code != reply_code::ran_and_failed;
     if (again)
-        return start(found, it, only_here, false);
+        return start(found, it, now, false);
     if (before == outcome::answered)
         got.reply.code = reply_code::answered_before;
     return got;
@@ -288,23 +293,37 @@
 {
     const bits128 name = name_of(team, key);
     shard& part = shard_of(name);
-    std::shared_ptr<answer_stream> stream;
-    {
-        const std::lock_guard lock(part.mutex);
-        const auto found = part.entries.find(name);
-        assert(found != part.entries.end() && found->second.stream);
-        entry& ended = found->second;
-        ended.reply = part.shorten(end.reply);
-        ended.ended = now;
-        ended.durable = !end.record && end.charge.kind != bill_kind::settle &&
-                        end.charge.kind != bill_kind::hold;
-        stream = std::exchange(ended.stream, nullptr);
-        stream->finish(end.reply);
-        part.ended.push_back({name, ended.run});
-        if (ended.reply.result == outcome::answered) {
-            keep_text(part, name, ended, stream->whole_text());
-        }
+    const std::lock_guard lock(part.mutex);
+    const auto found = part.entries.find(name);
+    assert(found != part.entries.end() && found->second.stream);
+    entry& ended = found->second;
+    const auto stream = std::exchange(ended.stream, nullptr);
+    stream->finish(end.reply);
+    if (!end.may_have_run && !ended.ran) {
+        part.entries.erase(found);
+        return;
     }
+    ended.ended = now;
+    part.ended.push_back({name, ended.run});
+    if (end.may_have_run)
+        remember(part, name, ended, end, stream->whole_text());
+}
+
+void request_table::remember(shard& part, const bits128& name, entry& ended,
+                             const conclusion& end,
+                             std::optional<std::string> text)
+{
+    ended.durable = !end.record && end.charge.kind != bill_kind::settle &&
+                    end.charge.kind != bill_kind::hold;
+    // A later run of the key that failed doesn't undo an earlier answer.
+    const bool worse =
+        ended.ran && !refines(end.reply.result, ended.reply.result);
+    ended.ran = true;
+    if (worse)
+        return;
+    ended.reply = part.shorten(end.reply);
+    if (ended.reply.result == outcome::answered)
+        keep_text(part, name, ended, std::move(text));
 }
 
 void request_table::keep_text(shard& part, const bits128& name, entry& ended,
