--- a/include/fennelladder/budget/budget_books.hpp
+++ b/include/fennelladder/budget/budget_books.hpp
@@ -84,6 +84,16 @@
 /// The stable name of a verdict.
 std::string_view to_string(verdict what);
 
+/// Whether a holder may still get tokens.
+enum class standing : std::uint8_t
+{
+    good,
+    fenced,   ///< Gets nothing; witnesses not all heard.
+    settled,  ///< All witnesses heard; all above its ceiling reclaimed.
+    released, ///< An operator's word.
+    unknown   ///< Not joined.
+};
+
 /// A verdict, and what the sender needs to go on.
 struct outcome
 {
@@ -93,21 +103,12 @@
     /// Cumulative, so that a reply can be lost or come twice.
     tokens granted_total;
 
-    tokens free;              ///< Left in the budget's free pool.
-    std::uint32_t holders{};  ///< Holders with an entry in this budget.
-    bool closed = false;      ///< The sender's entry was dropped.
-    incarnation_id gone;      ///< Not empty: nothing more may come of it.
-    incarnation_id key_owner; ///< Claim: who holds the key.
-};
-
-/// Whether a holder may still get tokens.
-enum class standing : std::uint8_t
-{
-    good,
-    fenced,   ///< Gets nothing; witnesses not all heard.
-    settled,  ///< All witnesses heard; all above its ceiling reclaimed.
-    released, ///< An operator's word.
-    unknown   ///< Not joined.
+    tokens free;             ///< Left in the budget's free pool.
+    std::uint32_t holders{}; ///< Holders with an entry in this budget.
+    bool closed = false;     ///< The sender's entry was dropped.
+    incarnation_id gone;     ///< Not empty: nothing more may come of it.
+    standing sender = standing::unknown; ///< The sender's.
+    incarnation_id key_owner;            ///< Claim: who holds the key.
 };
 
 /// What became of a request key.
--- a/include/fennelladder/budget/refill_planner.hpp
+++ b/include/fennelladder/budget/refill_planner.hpp
@@ -168,6 +168,9 @@
     /// End of a record_ceiling.
     void raised(const budget_id& budget);
 
+    /// End of a return_tokens.
+    void returned(const budget_id& budget);
+
     /// End of an ask_peer: what came, or nothing on time-out.
     void transferred(const budget_id& budget, const incarnation_id& peer,
                      const transfer_reply* reply, instant now);
--- a/libs/budget/books_codec.cpp
+++ b/libs/budget/books_codec.cpp
@@ -169,6 +169,7 @@
     out.free = made.free.count();
     out.holders = static_cast<std::int32_t>(made.holders);
     out.closed = made.closed;
+    out.sender = static_cast<std::int32_t>(made.sender);
     if (!made.key_owner.empty())
         out.__set_key_owner(made.key_owner.str());
     if (!made.gone.empty())
@@ -182,7 +183,9 @@
     if (!read)
         return tl::unexpected<error>(read.error());
     if (read->what < 0 ||
-        read->what > static_cast<std::int32_t>(verdict::invalid))
+        read->what > static_cast<std::int32_t>(verdict::invalid) ||
+        read->sender < 0 ||
+        read->sender > static_cast<std::int32_t>(standing::unknown))
         return fail(error_code::corrupt, "verdict of no known kind");
     outcome made;
     made.what = static_cast<verdict>(read->what);
@@ -190,6 +193,7 @@
     made.free = tokens(read->free);
     made.holders = static_cast<std::uint32_t>(read->holders);
     made.closed = read->closed;
+    made.sender = static_cast<standing>(read->sender);
     made.key_owner = incarnation_id(read->key_owner);
     made.gone = incarnation_id(read->gone);
     return made;
--- a/libs/budget/budget.thrift
+++ b/libs/budget/budget.thrift
@@ -55,5 +55,6 @@
 // What the fold answers to the sender of a record.
 struct reply {
   1: i32 what, 2: i64 granted_total, 3: i64 free, 4: i32 holders,
-  5: bool closed, 6: optional string key_owner, 7: optional string gone
+  5: bool closed, 6: optional string key_owner, 7: optional string gone,
+  8: i32 sender
 }
--- a/libs/budget/budget_books.cpp
+++ b/libs/budget/budget_books.cpp
@@ -113,9 +113,11 @@
             return only(verdict::refused);
     }
     const std::uint32_t index = holder.value_or(no_holder);
-    return std::visit(
+    outcome made = std::visit(
         [this, index](const auto& wish) { return apply_one(index, wish); },
         body);
+    made.sender = standing_of(sender);
+    return made;
 }
 
 // ---- sums
--- a/libs/budget/refill_planner.cpp
+++ b/libs/budget/refill_planner.cpp
@@ -265,7 +265,8 @@
 bool refill_planner::short_of_capital(plan& it, tokens need, instant now,
                                       refill_actions& out)
 {
-    if (it.asking_books || it.asking_peers > 0)
+    // A wish to books that can't be reached may stay open for an hour.
+    if ((it.asking_books && store_ok_) || it.asking_peers > 0)
         return true;
     const tokens wish = std::max(need, target(it));
     auto peers = homes_.homes_of(it.level.budget);
@@ -273,7 +274,7 @@
     if (own_home_first &&
         ask_next_peer(it, {peers.front()}, wish, need, now, out))
         return true;
-    if (store_ok_ && now >= it.books_again) {
+    if (store_ok_ && now >= it.books_again && !it.asking_books) {
         ask_from_books(it, wish, need, policy_.grant_spread * 4, out);
         return true;
     }
@@ -311,6 +312,13 @@
         it->second.raising = false;
 }
 
+void refill_planner::returned(const budget_id& budget)
+{
+    const auto it = plans_.find(budget);
+    if (it != plans_.end())
+        it->second.returning = false;
+}
+
 void refill_planner::transferred(const budget_id& budget,
                                  const incarnation_id& peer,
                                  const transfer_reply* reply, instant now)
