Peers by Thrift: one question, one answer, kept connections

Cause: nodes need to ask each other; every deciding library encodes its own messages. Change: peer_service with topics, a Thrift compact non-blocking server and a pooled client, a fake within one process, one contract for both. A server's stop could hang for good since its loop was not woken (seen: a test that ran into its limit); it is woken now.

--- /dev/null
+++ b/libs/peer/local_peers.cpp
@@ -0,0 +1,49 @@
+#include "fennelladder/peer/local_peers.hpp"
+
+namespace fennelladder::peer {
+
+std::string_view to_string(topic what)
+{
+    switch (what) {
+    case topic::heartbeat:
+        return "heartbeat";
+    case topic::append:
+        return "append";
+    case topic::transfer:
+        return "transfer";
+    case topic::witness:
+        return "witness";
+    case topic::keep_bills:
+        return "keep_bills";
+    case topic::suspects:
+        return "suspects";
+    case topic::configuration:
+        return "configuration";
+    case topic::outcome:
+        return "outcome";
+    }
+    return "unknown";
+}
+
+void local_peers::serve(const peer_address& address, peer_handler* handler)
+{
+    const std::lock_guard lock(mutex_);
+    handlers_[address] = handler;
+}
+
+result<std::string> local_peers::ask(const peer_address& to, topic what,
+                                     std::string_view message, duration)
+{
+    peer_handler* handler = nullptr;
+    {
+        const std::lock_guard lock(mutex_);
+        const auto it = handlers_.find(to);
+        if (it != handlers_.end())
+            handler = it->second;
+    }
+    if (handler == nullptr)
+        return fail(error_code::unavailable, "no peer at " + to);
+    return handler->answer(what, message);
+}
+
+} // namespace fennelladder::peer
--- /dev/null
+++ b/libs/peer/peers_test.cpp
@@ -0,0 +1,169 @@
+// The contract of peer_network, run against both implementations, and what
+// only the one over TCP can show.
+
+#include "fennelladder/peer/local_peers.hpp"
+#include "fennelladder/peer/messages.hpp"
+#include "fennelladder/peer/thrift_peers.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <functional>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+using namespace fennelladder;
+using namespace fennelladder::peer;
+
+namespace {
+
+constexpr duration patience = seconds(20);
+
+class echo final : public peer_handler
+{
+public:
+    result<std::string> answer(topic what, std::string_view message) override
+    {
+        if (what == topic::outcome)
+            return fail(error_code::not_found, "no such key");
+        return std::string(to_string(what)) + ":" + std::string(message);
+    }
+};
+
+// A host that accepts connections and never says a word on them.
+class silent_host
+{
+public:
+    silent_host() : fd_(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(fd_, reinterpret_cast<sockaddr*>(&at), sizeof at);
+        listen(fd_, 8);
+        socklen_t size = sizeof at;
+        getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
+        address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+    }
+
+    ~silent_host() { close(fd_); }
+
+    std::string address;
+
+private:
+    int fd_;
+};
+
+void check_contract(peer_network& peers, const peer_address& address)
+{
+    const std::string large(900'000, 'x');
+    for (const std::string& message :
+         {std::string(), std::string("a\0b", 3), large}) {
+        const auto got =
+            peers.ask(address, topic::heartbeat, message, patience);
+        CHECK(got.has_value());
+        CHECK(*got == "heartbeat:" + message);
+    }
+    const auto missing = peers.ask(address, topic::outcome, "k", patience);
+    CHECK(missing.error().code == error_code::not_found);
+    STRCMP_EQUAL("no such key", missing.error().message.c_str());
+    std::vector<std::thread> askers;
+    std::atomic<int> good{0};
+    for (int n = 0; n < 16; ++n) {
+        askers.emplace_back([&, n] {
+            const std::string message = std::to_string(n);
+            for (int round = 0; round < 20; ++round) {
+                const auto got =
+                    peers.ask(address, topic::transfer, message, patience);
+                good += got && *got == "transfer:" + message;
+            }
+        });
+    }
+    for (std::thread& it : askers)
+        it.join();
+    LONGS_EQUAL(320, good.load());
+}
+
+} // namespace
+
+TEST_GROUP(peers){};
+
+TEST(peers, contract_of_local_peers)
+{
+    echo handler;
+    local_peers peers;
+    peers.serve("a", &handler);
+    check_contract(peers, "a");
+    peers.serve("a", nullptr);
+    CHECK(peers.ask("a", topic::heartbeat, "", patience).error().code ==
+          error_code::unavailable);
+}
+
+TEST(peers, contract_over_tcp)
+{
+    echo handler;
+    auto server = thrift_peer_server::start("127.0.0.1:0", handler, {});
+    CHECK(server.has_value());
+    thrift_peer_network peers({});
+    const peer_address address = (*server)->address();
+    check_contract(peers, address);
+    LONGS_EQUAL(324, peers.traffic().questions);
+    server->reset();
+    // The kept connections are closed now; the first question finds out.
+    peers.ask(address, topic::heartbeat, "", patience);
+    CHECK(peers.ask(address, topic::heartbeat, "", patience).error().code ==
+          error_code::unavailable);
+}
+
+// An operator sees a node cut off although its host answers new connections:
+// something between the two lost track of the open one. The question's own
+// timeout drops it, and the next question dials anew.
+TEST(peers, a_silent_connection_is_dropped_and_dialed_anew)
+{
+    silent_host host;
+    thrift_peer_network peers({});
+    const auto got =
+        peers.ask(host.address, topic::heartbeat, "", milliseconds(30));
+    CHECK(got.error().code == error_code::ambiguous);
+    const auto again =
+        peers.ask(host.address, topic::heartbeat, "", milliseconds(30));
+    CHECK(again.error().code == error_code::ambiguous);
+    LONGS_EQUAL(2, peers.traffic().failures);
+}
+
+TEST(peers, bad_addresses_are_errors)
+{
+    thrift_peer_network peers({});
+    echo handler;
+    for (const char* address : {"", "127.0.0.1", "127.0.0.1:", "1:x"}) {
+        CHECK(peers.ask(address, topic::heartbeat, "", patience).error().code ==
+              error_code::invalid);
+        CHECK_FALSE(
+            thrift_peer_server::start(address, handler, {}).has_value());
+    }
+}
+
+TEST(peers, append_messages_survive_the_wire)
+{
+    const append_question asked{
+        shard_id(7),
+        {{{incarnation_id("n.1"), 3, 2, 1}, 5, std::string("\0x", 2)},
+         {{incarnation_id("n.1"), 4, 2, 1}, 6, ""}}};
+    const auto got = decode_append_question(encode(asked));
+    CHECK(got.has_value());
+    LONGS_EQUAL(7, got->shard.value());
+    LONGS_EQUAL(2, got->records.size());
+    CHECK(got->records[0].payload == asked.records[0].payload);
+    LONGS_EQUAL(4, got->records[1].mark.sequence);
+    const std::vector<journal::applied_record> applied{
+        {asked.records[0].mark, journal::record_outcome::refused, "r", true}};
+    const auto back = decode_append_answer(encode(applied));
+    CHECK(back.has_value());
+    CHECK((*back)[0].outcome == journal::record_outcome::refused);
+    CHECK((*back)[0].found);
+    const std::string bytes = encode(asked);
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+        decode_append_question(std::string_view(bytes).substr(0, n));
+    CHECK_FALSE(decode_append_question("\xff\xff\xff\xff").has_value());
+}
--- /dev/null
+++ b/libs/peer/thrift_peers.cpp
@@ -0,0 +1,314 @@
+// The server is Thrift's non-blocking one: one thread watches every
+// connection, a few others answer. The client keeps idle connections per
+// address, newest first, so that surplus ones age and are closed.
+
+#include "fennelladder/peer/thrift_peers.hpp"
+
+#include "peer_service.h"
+
+#include <charconv>
+#include <chrono>
+#include <deque>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <thrift/TOutput.h>
+#include <thrift/concurrency/ThreadFactory.h>
+#include <thrift/concurrency/ThreadManager.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/server/TNonblockingServer.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TNonblockingServerSocket.h>
+#include <thrift/transport/TSocket.h>
+
+namespace fennelladder::peer {
+
+namespace {
+
+using namespace apache::thrift;
+using steady = std::chrono::steady_clock;
+
+struct ip_and_port
+{
+    std::string ip;
+    int port = 0;
+};
+
+result<ip_and_port> parse_address(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    ip_and_port parsed;
+    if (colon == std::string::npos)
+        return fail(error_code::invalid, "no port in " + text);
+    parsed.ip = text.substr(0, colon);
+    const char* end = text.data() + text.size();
+    const auto [stop, ec] =
+        std::from_chars(text.data() + colon + 1, end, parsed.port);
+    if (ec != std::errc() || stop != end)
+        return fail(error_code::invalid, "no port in " + text);
+    return parsed;
+}
+
+void ignore_output(const char*)
+{}
+
+// Thrift prints connection errors by itself; callers here get them as values.
+void silence_thrift()
+{
+    static std::once_flag once;
+    std::call_once(once, [] { GlobalOutput.setOutputFunction(ignore_output); });
+}
+
+class service_adapter final : public wire::peer_serviceIf
+{
+public:
+    explicit service_adapter(peer_handler& handler) : handler_(handler) {}
+
+    void ask(std::string& answer, std::int32_t what,
+             const std::string& message) override
+    {
+        auto made = handler_.answer(static_cast<topic>(what), message);
+        if (made) {
+            answer = std::move(*made);
+            return;
+        }
+        wire::failure why;
+        why.code = static_cast<std::int32_t>(made.error().code);
+        why.message = made.error().message;
+        throw why;
+    }
+
+private:
+    peer_handler& handler_;
+};
+
+struct connection
+{
+    std::shared_ptr<transport::TSocket> socket;
+    std::shared_ptr<transport::TFramedTransport> framed;
+    std::unique_ptr<wire::peer_serviceClient> client;
+    steady::time_point used;
+};
+
+int to_milliseconds(duration length)
+{
+    const auto count = std::chrono::duration_cast<milliseconds>(length).count();
+    return static_cast<int>(std::max<std::int64_t>(count, 1));
+}
+
+error_code to_code(std::int32_t number)
+{
+    const auto last = static_cast<std::int32_t>(error_code::corrupt);
+    if (number < 0 || number > last)
+        return error_code::invalid;
+    return static_cast<error_code>(number);
+}
+
+} // namespace
+
+struct thrift_peer_server::state
+{
+    std::shared_ptr<concurrency::ThreadManager> workers;
+    std::shared_ptr<transport::TNonblockingServerSocket> socket;
+    std::shared_ptr<server::TNonblockingServer> server;
+    std::thread loop;
+};
+
+thrift_peer_server::thrift_peer_server(std::unique_ptr<state> made)
+    : state_(std::move(made))
+{}
+
+result<std::unique_ptr<thrift_peer_server>>
+thrift_peer_server::start(const std::string& listen, peer_handler& handler,
+                          const peer_server_options& options)
+{
+    silence_thrift();
+    const auto where = parse_address(listen);
+    if (!where)
+        return tl::unexpected(where.error());
+    auto made = std::make_unique<state>();
+    try {
+        made->workers = concurrency::ThreadManager::newSimpleThreadManager(
+            static_cast<std::size_t>(options.threads));
+        made->workers->threadFactory(
+            std::make_shared<concurrency::ThreadFactory>(false));
+        made->workers->start();
+        made->socket = std::make_shared<transport::TNonblockingServerSocket>(
+            where->ip, where->port);
+        made->server = std::make_shared<server::TNonblockingServer>(
+            std::make_shared<wire::peer_serviceProcessor>(
+                std::make_shared<service_adapter>(handler)),
+            std::make_shared<protocol::TCompactProtocolFactory>(), made->socket,
+            made->workers);
+        made->server->setMaxFrameSize(max_message_bytes);
+        made->server->setNumIOThreads(1);
+        made->server->registerEvents(nullptr);
+        made->loop = std::thread([server = made->server] { server->serve(); });
+    } catch (const std::exception& failure) {
+        return fail(error_code::unavailable, failure.what());
+    }
+    std::unique_ptr<thrift_peer_server> it(
+        new thrift_peer_server(std::move(made)));
+    it->address_ =
+        where->ip + ":" + std::to_string(it->state_->socket->getListenPort());
+    return it;
+}
+
+// Guards against a stop that never ends: stop() only sets a flag, and the
+// loop looks at it when something happens on a socket. A connection to
+// ourselves is such a thing.
+thrift_peer_server::~thrift_peer_server()
+{
+    state_->server->stop();
+    const auto self = parse_address(address_);
+    transport::TSocket wake(self->ip, self->port);
+    try {
+        wake.open();
+    } catch (const std::exception&) {
+        // Not listening any more, so the loop is past its end already.
+    }
+    state_->loop.join();
+    state_->workers->stop();
+}
+
+struct thrift_peer_network::state
+{
+    peer_network_options options;
+
+    // Guards idle. Held for moments only, never during a call.
+    std::mutex mutex;
+    std::map<peer_address, std::deque<connection>> idle;
+
+    std::atomic<std::uint64_t> questions{0};
+    std::atomic<std::uint64_t> failures{0};
+    std::atomic<std::uint64_t> bytes_sent{0};
+    std::atomic<std::uint64_t> bytes_received{0};
+
+    bool take_idle(const peer_address& to, connection& out);
+    void keep(const peer_address& to, connection&& it);
+    void drop_idle(const peer_address& to);
+    result<connection> dial(const peer_address& to) const;
+    result<std::string> exchange(const peer_address& to, connection& over,
+                                 topic what, std::string_view message,
+                                 bool& broken);
+};
+
+bool thrift_peer_network::state::take_idle(const peer_address& to,
+                                           connection& out)
+{
+    const std::lock_guard lock(mutex);
+    auto& list = idle[to];
+    const auto oldest = steady::now() - options.max_idle_time;
+    while (!list.empty() && list.back().used < oldest)
+        list.pop_back();
+    if (list.empty())
+        return false;
+    out = std::move(list.front());
+    list.pop_front();
+    return true;
+}
+
+void thrift_peer_network::state::keep(const peer_address& to, connection&& it)
+{
+    it.used = steady::now();
+    const std::lock_guard lock(mutex);
+    auto& list = idle[to];
+    list.push_front(std::move(it));
+    if (list.size() > options.max_idle_per_peer)
+        list.pop_back();
+}
+
+// Guards against connections that went silent for good: when one did, its
+// idle siblings are likely as dead, and each would cost a whole timeout.
+void thrift_peer_network::state::drop_idle(const peer_address& to)
+{
+    const std::lock_guard lock(mutex);
+    idle.erase(to);
+}
+
+result<connection>
+thrift_peer_network::state::dial(const peer_address& to) const
+{
+    const auto where = parse_address(to);
+    if (!where)
+        return tl::unexpected(where.error());
+    connection made;
+    made.socket = std::make_shared<transport::TSocket>(where->ip, where->port);
+    made.socket->setConnTimeout(to_milliseconds(options.connect_timeout));
+    made.socket->setNoDelay(true);
+    made.framed = std::make_shared<transport::TFramedTransport>(made.socket);
+    made.client = std::make_unique<wire::peer_serviceClient>(
+        std::make_shared<protocol::TCompactProtocol>(made.framed));
+    try {
+        made.framed->open();
+    } catch (const std::exception& failure) {
+        return fail(error_code::unavailable, failure.what());
+    }
+    return made;
+}
+
+result<std::string>
+thrift_peer_network::state::exchange(const peer_address& to, connection& over,
+                                     topic what, std::string_view message,
+                                     bool& broken)
+{
+    try {
+        std::string answer;
+        over.client->ask(answer, static_cast<std::int32_t>(what),
+                         std::string(message));
+        bytes_received += answer.size();
+        return answer;
+    } catch (const wire::failure& why) {
+        return fail(to_code(why.code), why.message);
+    } catch (const std::exception& failure) {
+        broken = true;
+        return fail(error_code::ambiguous, to + ": " + failure.what());
+    }
+}
+
+thrift_peer_network::thrift_peer_network(const peer_network_options& options)
+    : state_(std::make_unique<state>())
+{
+    silence_thrift();
+    state_->options = options;
+}
+
+thrift_peer_network::~thrift_peer_network() = default;
+
+result<std::string> thrift_peer_network::ask(const peer_address& to, topic what,
+                                             std::string_view message,
+                                             duration timeout)
+{
+    if (message.size() > max_message_bytes)
+        return fail(error_code::too_large, "message to " + to);
+    ++state_->questions;
+    connection over;
+    if (!state_->take_idle(to, over)) {
+        auto made = state_->dial(to);
+        if (!made) {
+            ++state_->failures;
+            return tl::unexpected(made.error());
+        }
+        over = std::move(*made);
+    }
+    over.socket->setRecvTimeout(to_milliseconds(timeout));
+    over.socket->setSendTimeout(to_milliseconds(timeout));
+    state_->bytes_sent += message.size();
+    bool broken = false;
+    auto answer = state_->exchange(to, over, what, message, broken);
+    if (broken) {
+        ++state_->failures;
+        state_->drop_idle(to);
+    } else {
+        state_->keep(to, std::move(over));
+    }
+    return answer;
+}
+
+peer_traffic thrift_peer_network::traffic() const
+{
+    return {state_->questions, state_->failures, state_->bytes_sent,
+            state_->bytes_received};
+}
+
+} // namespace fennelladder::peer
