--- a/libs/journal/shard_log.cpp
+++ b/libs/journal/shard_log.cpp
@@ -48,7 +48,7 @@
 using platform::object_key;
 using platform::write_condition;
 
-constexpr int max_reloads = 8;
+constexpr int max_reloads = 32;
 constexpr std::size_t position_digits = 20;
 constexpr std::size_t sweep_page = 8;
 
