Measure the configuration by size and fleet; parse in linear time

bench config showed that parsing was quadratic: the JSON library's parse with a callback looks at every earlier element of a list after each one. The root remembers 8 earlier changes in place of 16, since every poll reads them.

--- /dev/null
+++ b/apps/fennelladder/bench_config.cpp
@@ -0,0 +1,478 @@
+// `fennelladder bench config`: what the configuration costs.
+//
+// First by size: manifests of growing numbers of budgets are parsed, split,
+// accepted and taken up by one node, with all bytes encoded for real; then
+// one budget is changed. Then by fleet: nodes with a small manifest on virtual
+// time, with fixed times for calls and heartbeats, until a change is in force
+// everywhere. Memory is what the allocator hands out.
+
+#include "benches.hpp"
+#include "command.hpp"
+
+#include "fennelladder/manifest/apply.hpp"
+#include "fennelladder/manifest/configuration_holder.hpp"
+#include "fennelladder/manifest/parse.hpp"
+#include "fennelladder/manifest/synthetic.hpp"
+#include "fennelladder/platform/memory_object_store.hpp"
+#include "fennelladder/settings/settings.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <ctime>
+#include <functional>
+#include <iomanip>
+#include <iostream>
+#include <malloc.h>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace fennelladder::app {
+
+namespace {
+
+using namespace fennelladder::manifest;
+using nlohmann::json;
+
+constexpr instant start = from_nanoseconds(3'600'000'000'000);
+constexpr std::size_t lookups = 200'000;
+constexpr double changes_per_day = 320;
+constexpr double day_seconds = 86'400;
+
+double processor_seconds()
+{
+    return double(std::clock()) / CLOCKS_PER_SEC;
+}
+
+template <class Call>
+double time_of(const Call& call)
+{
+    const double begun = processor_seconds();
+    call();
+    return processor_seconds() - begun;
+}
+
+std::size_t allocated_bytes()
+{
+    const auto info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+/// A store that counts the bytes of values written and read.
+class counting_store final : public platform::object_store
+{
+public:
+    std::size_t calls = 0;
+    std::size_t written = 0;
+    std::size_t read = 0;
+
+    result<platform::stored_object>
+    get(const platform::object_key& key) override
+    {
+        ++calls;
+        auto got = inner_.get(key);
+        read += got ? got->value.size() : 0;
+        return got;
+    }
+
+    result<object_version> put(const platform::object_key& key,
+                               std::string_view value,
+                               platform::write_condition condition) override
+    {
+        ++calls;
+        written += value.size();
+        return inner_.put(key, value, condition);
+    }
+
+    status erase(const platform::object_key& key,
+                 platform::write_condition condition) override
+    {
+        ++calls;
+        return inner_.erase(key, condition);
+    }
+
+    result<platform::object_page> list(std::string_view prefix,
+                                       const platform::object_key& after,
+                                       std::size_t limit) override
+    {
+        ++calls;
+        auto page = inner_.list(prefix, after, limit);
+        for (const auto& it : page->objects)
+            read += it.value.size();
+        return page;
+    }
+
+    result<platform::change_page> watch(std::string_view prefix,
+                                        std::uint64_t revision,
+                                        duration wait) override
+    {
+        ++calls;
+        return inner_.watch(prefix, revision, wait);
+    }
+
+private:
+    platform::memory_object_store inner_;
+};
+
+/// Makes a fetch from the platform and hands the answer to the holder.
+void carry_out(const fetch& it, platform::object_store& store,
+               configuration_holder& holder, instant now)
+{
+    constexpr std::size_t page_limit = 1'000;
+    if (it.what == fetch_kind::parts)
+        return holder.on_page(
+            it.call, store.list(part_prefix(), it.after, page_limit), now);
+    const auto key =
+        it.what == fetch_kind::root ? root_key() : part_key(it.part);
+    holder.on_answer(
+        it.call, store.get(key).map([](const auto& got) { return got.value; }),
+        now);
+}
+
+/// Lets one node take up whatever is accepted; returns processor seconds.
+double take_up(platform::object_store& store, configuration_holder& holder,
+               generation wanted, instant& now)
+{
+    return time_of([&] {
+        while (holder.announce().number < wanted) {
+            now += milliseconds(100);
+            for (const fetch& it : holder.step(now))
+                carry_out(it, store, holder, now);
+        }
+    });
+}
+
+apply_request request_of(document manifest, int n)
+{
+    apply_request made;
+    made.manifest = std::move(manifest);
+    made.apply = apply_id("bench-" + std::to_string(n));
+    made.who = "bench";
+    made.at = start;
+    return made;
+}
+
+void measure_lookups(const active_manifest& config, std::size_t budgets,
+                     std::size_t teams, json& row)
+{
+    random_source random(3);
+    std::size_t found = 0;
+    const double budget_time = time_of([&] {
+        for (std::size_t n = 0; n < lookups; ++n)
+            found += config
+                         .find_budget(budget_id(
+                             "budget-" + std::to_string(random.below(budgets))))
+                         .has_value();
+    });
+    const double team_time = time_of([&] {
+        for (std::size_t n = 0; n < lookups; ++n)
+            found +=
+                config.find_team(team_id(
+                    "team-" + std::to_string(random.below(teams)))) != nullptr;
+    });
+    row["lookups_found"] = found; // 2 x lookups, or the figures are void.
+    row["find_budget_ns"] = budget_time / lookups * 1e9;
+    row["find_team_ns"] = team_time / lookups * 1e9;
+}
+
+/// What reading the root costs a node, once its history is full.
+double poll_bytes_per_second(platform::object_store& store)
+{
+    root full = *decode_root(store.get(root_key())->value);
+    full.history.resize(root::history_limit, full.change);
+    return double(encode(full).size()) /
+           to_seconds(holder_options{}.poll_every);
+}
+
+json measure_size(std::size_t budgets)
+{
+    const std::size_t teams =
+        std::max<std::size_t>(10, budgets * 8'200 / 350'000);
+    document manifest = make_synthetic({.teams = teams,
+                                        .budgets = budgets,
+                                        .targets = 600,
+                                        .models = 37,
+                                        .models_per_team = 10,
+                                        .data_centers = 6});
+    json row = {{"budgets", budgets}, {"teams", teams}};
+    const std::string text = encode(manifest);
+    row["manifest_bytes"] = text.size();
+    row["parse_seconds"] = time_of([&] {
+        if (!parse(text, "bench").ok())
+            row["invalid"] = true;
+    });
+    row["split_seconds"] = time_of([&] {
+        const auto pieces = split(manifest, nullptr);
+        std::size_t bytes = 0;
+        std::size_t largest = 0;
+        for (const auto& [name, part] : pieces->parts) {
+            bytes += part.size();
+            largest = std::max(largest, part.size());
+        }
+        row["parts"] = pieces->parts.size();
+        row["parts_bytes"] = bytes;
+        row["largest_part_bytes"] = largest;
+    });
+
+    counting_store store;
+    applier operators(store, {}, [](duration) {});
+    const auto first = operators.apply(request_of(manifest, 1));
+    instant now = start;
+    const std::size_t before = allocated_bytes();
+    auto holder = std::make_unique<configuration_holder>(holder_options{},
+                                                         random_source(1), now);
+    store.calls = store.read = 0;
+    row["node_start_seconds"] = take_up(store, *holder, first->number, now);
+    row["node_start_calls"] = store.calls;
+    row["node_start_bytes"] = store.read;
+    row["node_memory_bytes"] = allocated_bytes() - before;
+    measure_lookups(*holder->in_force(), budgets, teams, row);
+
+    manifest.budgets[budgets / 2].topups.push_back(
+        {topup_id("more"), tokens(5)});
+    store.calls = store.written = 0;
+    const auto second = operators.apply(request_of(std::move(manifest), 2));
+    row["change_upload_calls"] = store.calls;
+    row["change_upload_bytes"] = store.written;
+    store.calls = store.read = 0;
+    row["change_node_seconds"] = take_up(store, *holder, second->number, now);
+    row["change_node_calls"] = store.calls;
+    row["change_node_bytes"] = store.read;
+    row["changes_node_bytes_per_second"] =
+        double(store.read) * changes_per_day / day_seconds;
+    row["polls_node_bytes_per_second"] = poll_bytes_per_second(store);
+    return row;
+}
+
+/// How news travels in the fleet's run.
+struct fleet_case
+{
+    const char* name;
+    bool watches;    ///< Watches tell of changes.
+    bool heartbeats; ///< Peers announce to each other.
+    bool platform;   ///< Up after the first node took the change up.
+};
+
+/// Nodes on virtual time. A call to the platform takes 5 ms, one to a peer
+/// 3 ms, and each node sends two heartbeats a second to random peers.
+class fleet
+{
+public:
+    fleet(std::size_t count, const fleet_case& how) : how_(how), random_(9)
+    {
+        for (std::size_t n = 0; n < count; ++n) {
+            holders_.push_back(std::make_unique<configuration_holder>(
+                holder_options{}, random_.fork(), now_));
+            holders_.back()->set_fleet_size(count);
+        }
+        next_heartbeat_.assign(count, now_);
+    }
+
+    void accept(int n)
+    {
+        document manifest = make_synthetic({.teams = 20, .budgets = 100});
+        manifest.budgets[0].topups[0].amount = tokens(n);
+        wanted_ = operators_.apply(request_of(std::move(manifest), n))->number;
+        if (!how_.watches)
+            return;
+        const std::string bytes = store_.get(root_key())->value;
+        for (auto& it : holders_)
+            at(platform_time,
+               [this, bytes, &it] { it->on_watch(bytes, now_); });
+    }
+
+    /// Runs until all have the newest or `limit` is over; virtual seconds.
+    double run_until_in_force(duration limit)
+    {
+        const instant begun = now_;
+        while (!all_have() && now_ - begun < limit) {
+            tick();
+            if (!how_.platform && reached() > 0 && wanted_.value() > 1)
+                platform_up_ = false;
+        }
+        return to_seconds(now_ - begun);
+    }
+
+    void run(duration length)
+    {
+        for (const instant until = now_ + length; now_ < until;)
+            tick();
+    }
+
+    bool all_have() const { return reached() == holders_.size(); }
+
+    std::uint64_t platform_calls() const
+    {
+        std::uint64_t sum = 0;
+        for (const auto& it : holders_)
+            sum += it->counts().platform_calls;
+        return sum;
+    }
+
+    std::uint64_t peer_calls() const
+    {
+        std::uint64_t sum = 0;
+        for (const auto& it : holders_)
+            sum += it->counts().peer_calls;
+        return sum;
+    }
+
+private:
+    static constexpr duration platform_time = milliseconds(5);
+    static constexpr duration peer_time = milliseconds(3);
+    static constexpr duration heartbeat_every = milliseconds(500);
+
+    std::size_t reached() const
+    {
+        return std::size_t(std::ranges::count_if(holders_, [&](const auto& it) {
+            return it->announce().number == wanted_;
+        }));
+    }
+
+    void at(duration after, std::function<void()> what)
+    {
+        due_.emplace(now_ + after, std::move(what));
+    }
+
+    void tick()
+    {
+        now_ += milliseconds(5);
+        while (!due_.empty() && due_.begin()->first <= now_) {
+            const auto what = std::move(due_.begin()->second);
+            due_.erase(due_.begin());
+            what();
+        }
+        for (std::size_t n = 0; n < holders_.size(); ++n) {
+            if (holders_[n]->next_step() <= now_)
+                step(*holders_[n]);
+            if (how_.heartbeats && next_heartbeat_[n] <= now_)
+                send_heartbeat(n);
+        }
+    }
+
+    void step(configuration_holder& holder)
+    {
+        for (const fetch& it : holder.step(now_)) {
+            if (it.from_platform())
+                at(platform_time, [this, it, &holder] {
+                    if (platform_up_)
+                        carry_out(it, store_, holder, now_);
+                    else
+                        holder.on_answer(it.call,
+                                         fail(error_code::unavailable, "down"),
+                                         now_);
+                });
+            else
+                at(peer_time, [this, it, &holder] {
+                    holder.on_answer(it.call, ask_peer(it), now_);
+                });
+        }
+    }
+
+    result<std::string> ask_peer(const fetch& it) const
+    {
+        const auto config = holders_[std::stoul(it.peer.str())]->in_force();
+        if (it.what == fetch_kind::root)
+            return encode(config->accepted());
+        const auto part = config->parts().find(it.part);
+        if (part == config->parts().end())
+            return fail(error_code::not_found, "part");
+        return *part->second;
+    }
+
+    void send_heartbeat(std::size_t n)
+    {
+        next_heartbeat_[n] = now_ + jitter(random_, heartbeat_every);
+        const announcement said = holders_[n]->announce();
+        const std::size_t to = random_.below(holders_.size());
+        if (to != n && said.number.value() > 0)
+            at(peer_time, [this, n, to, said] {
+                holders_[to]->on_announcement(incarnation_id(std::to_string(n)),
+                                              said);
+            });
+    }
+
+    fleet_case how_;
+    random_source random_;
+    instant now_ = start;
+    platform::memory_object_store store_;
+    applier operators_{store_, {}, [](duration) {}};
+    std::vector<std::unique_ptr<configuration_holder>> holders_;
+    std::vector<instant> next_heartbeat_;
+    std::multimap<instant, std::function<void()>> due_;
+    generation wanted_;
+    bool platform_up_ = true;
+};
+
+json measure_fleet(std::size_t nodes, const fleet_case& how)
+{
+    constexpr duration limit = minutes(5);
+    constexpr duration quiet = seconds(60);
+    fleet all(nodes, how);
+    all.accept(1);
+    all.run_until_in_force(limit);
+    const auto idle_before = all.platform_calls();
+    const double idle_processor = time_of([&] { all.run(quiet); });
+    const auto idle_calls = all.platform_calls() - idle_before;
+    const auto calls = all.platform_calls();
+    const auto peers = all.peer_calls();
+    all.accept(2);
+    const double taken = all.run_until_in_force(limit);
+    return {
+        {"nodes", nodes},
+        {"case", how.name},
+        {"in_force_seconds", taken},
+        {"in_force_everywhere", all.all_have()},
+        {"platform_calls_for_change", all.platform_calls() - calls},
+        {"peer_calls_for_change", all.peer_calls() - peers},
+        {"platform_polls_per_second", double(idle_calls) / to_seconds(quiet)},
+        {"idle_processor_share_per_node",
+         idle_processor / to_seconds(quiet) / double(nodes)}};
+}
+
+void print_table(const json& rows)
+{
+    for (const json& row : rows) {
+        for (const auto& [name, value] : row.items())
+            std::cout << "  " << std::left << std::setw(32) << name << value
+                      << '\n';
+        std::cout << '\n';
+    }
+}
+
+} // namespace
+
+int run_bench_config(int argc, char** argv)
+{
+    settings::settings wanted("config",
+                              "Cost of the configuration by size and fleet.");
+    wanted.choice("format", {"table", "json"}, "of the output");
+    const auto parsed = wanted.parse(argc, argv);
+    if (parsed.stop)
+        return parsed.exit_code;
+    static constexpr fleet_case cases[] = {
+        {"all is well", true, true, true},
+        {"watches silent", false, true, true},
+        {"watches silent, no heartbeats", false, false, true},
+        {"platform down after the first node", false, true, false}};
+    json out = {{"by_size", json::array()}, {"by_fleet", json::array()}};
+    for (const std::size_t budgets : {1'000U, 10'000U, 100'000U, 350'000U})
+        out["by_size"].push_back(measure_size(budgets));
+    for (const std::size_t nodes : {8U, 32U, 128U, 340U}) {
+        for (const fleet_case& it : cases)
+            out["by_fleet"].push_back(measure_fleet(nodes, it));
+    }
+    if (wanted.text_of("format") == "json")
+        std::cout << out.dump() << '\n';
+    else {
+        print_table(out["by_size"]);
+        print_table(out["by_fleet"]);
+    }
+    const bool all = std::ranges::all_of(out["by_fleet"], [](const json& it) {
+        return it["in_force_everywhere"].get<bool>();
+    });
+    return all ? exit_success : exit_failure;
+}
+
+} // namespace fennelladder::app
--- a/apps/fennelladder/command_bench.cpp
+++ b/apps/fennelladder/command_bench.cpp
@@ -12,6 +12,7 @@
 
 // One line each, sorted by name.
 constexpr auto benches = std::to_array<command>({
+    {"config", "cost of the configuration by size and fleet", run_bench_config},
     {"routing", "time to first token beside baselines", run_bench_routing},
     {"requests", "time and memory of a request beside its I/O",
      run_bench_requests},
--- a/include/fennelladder/manifest/parts.hpp
+++ b/include/fennelladder/manifest/parts.hpp
@@ -78,9 +78,10 @@
 /// configuration is accepted.
 struct root
 {
-    /// How many earlier changes a root remembers: enough for an operator whose
-    /// reply was lost to find the own change under those that followed.
-    static constexpr std::size_t history_limit = 16;
+    /// How many earlier changes a root remembers, so that an operator whose
+    /// reply was lost finds the own change under those that followed. Every
+    /// poll of every node reads them, hence not more.
+    static constexpr std::size_t history_limit = 8;
 
     apply_record change;
     part_hash directory;
--- a/libs/manifest/parse.cpp
+++ b/libs/manifest/parse.cpp
@@ -1,10 +1,12 @@
-// The text becomes a JSON tree, the tables of fields read the tree into
-// records, and a last pass checks what the records say of each other. All
-// three go on after a fault. Each is linear in the size of the text.
+// A first walk checks syntax and keys. Then the text becomes a JSON tree, the
+// tables of fields read the tree into records, and a last pass checks what the
+// records say of each other. All go on after a fault but the first, which
+// can't. Each is linear in the size of the text.
 //
 // The JSON library keeps the last of two equal keys without a word, so that a
-// repeated "teams" would silently drop the first one; key_watch looks at the
-// keys while the library parses and reports the second.
+// repeated "teams" would silently drop the first one; hence the first walk.
+// (The library's parse with a callback would do in one, but takes time
+// quadratic in the length of a list: minutes for 350,000 budgets.)
 
 #include "fennelladder/manifest/parse.hpp"
 
@@ -19,32 +21,55 @@
 
 namespace {
 
-class key_watch
+// Walks the text without building anything.
+class key_watch final : public json::json_sax_t
 {
 public:
     explicit key_watch(finding_sink& sink) : sink_(sink) {}
 
-    void on_event(json::parse_event_t event, const json& parsed)
+    bool null() override { return count_element(); }
+    bool boolean(bool) override { return count_element(); }
+    bool number_integer(number_integer_t) override { return count_element(); }
+    bool number_unsigned(number_unsigned_t) override { return count_element(); }
+    bool number_float(number_float_t, const string_t&) override
     {
-        switch (event) {
-        case json::parse_event_t::object_start:
-        case json::parse_event_t::array_start:
-            count_element();
-            open_.emplace_back();
-            open_.back().array = event == json::parse_event_t::array_start;
-            break;
-        case json::parse_event_t::object_end:
-        case json::parse_event_t::array_end:
-            open_.pop_back();
-            break;
-        case json::parse_event_t::key:
-            on_key(parsed.get<std::string>());
-            break;
-        case json::parse_event_t::value:
-            count_element();
-            break;
-        }
+        return count_element();
     }
+    bool string(string_t&) override { return count_element(); }
+    bool binary(binary_t&) override { return count_element(); }
+
+    bool start_object(std::size_t) override { return open(false); }
+    bool start_array(std::size_t) override { return open(true); }
+    bool end_object() override { return close(); }
+    bool end_array() override { return close(); }
+
+    // Objects of a manifest have a dozen keys, so a list is searched. One
+    // with thousands is no manifest; beyond the limit keys aren't compared.
+    bool key(string_t& name) override
+    {
+        constexpr std::size_t most_keys = 64;
+        auto& keys = open_.back().keys;
+        const bool repeated = std::ranges::find(keys, name) != keys.end();
+        open_.back().key = name;
+        if (repeated)
+            sink_.add(event::manifest_duplicate, pointer(),
+                      "this key stands in its object a second time");
+        else if (keys.size() < most_keys)
+            keys.push_back(name);
+        return true;
+    }
+
+    bool parse_error(std::size_t byte, const std::string&,
+                     const json::exception& ec) override
+    {
+        byte_ = byte;
+        message_ = ec.what();
+        return false;
+    }
+
+    /// Where and why parsing stopped, after it did.
+    std::size_t byte() const { return byte_; }
+    const std::string& message() const { return message_; }
 
 private:
     struct level
@@ -55,25 +80,25 @@
         std::vector<std::string> keys;
     };
 
-    void count_element()
+    bool open(bool array)
     {
-        if (!open_.empty() && open_.back().array)
-            ++open_.back().count;
+        count_element();
+        open_.emplace_back();
+        open_.back().array = array;
+        return true;
     }
 
-    // Objects of a manifest have a dozen keys, so a list is searched. One
-    // with thousands is no manifest; beyond the limit keys aren't compared.
-    void on_key(std::string key)
+    bool close()
     {
-        constexpr std::size_t most_keys = 64;
-        auto& keys = open_.back().keys;
-        const bool repeated = std::ranges::find(keys, key) != keys.end();
-        open_.back().key = key;
-        if (repeated)
-            sink_.add(event::manifest_duplicate, pointer(),
-                      "this key stands in its object a second time");
-        else if (keys.size() < most_keys)
-            keys.push_back(std::move(key));
+        open_.pop_back();
+        return true;
+    }
+
+    bool count_element()
+    {
+        if (!open_.empty() && open_.back().array)
+            ++open_.back().count;
+        return true;
     }
 
     std::string pointer() const
@@ -86,6 +111,8 @@
 
     finding_sink& sink_;
     std::vector<level> open_;
+    std::size_t byte_ = 0;
+    std::string message_;
 };
 
 std::string line_of(std::string_view text, std::size_t byte)
@@ -98,18 +125,11 @@
 json parse_tree(std::string_view text, finding_sink& sink)
 {
     key_watch keys(sink);
-    const auto callback = [&](int, json::parse_event_t event, json& parsed) {
-        keys.on_event(event, parsed);
-        return true;
-    };
-    try {
-        return json::parse(text, callback);
-    } catch (const json::exception& ec) {
-        const auto* syntax = dynamic_cast<const json::parse_error*>(&ec);
-        const std::size_t byte = syntax != nullptr ? syntax->byte : 0;
-        sink.add(event::manifest_syntax, line_of(text, byte), ec.what());
-        return json(json::value_t::discarded);
-    }
+    if (json::sax_parse(text, &keys))
+        return json::parse(text);
+    sink.add(event::manifest_syntax, line_of(text, keys.byte()),
+             keys.message());
+    return json(json::value_t::discarded);
 }
 
 template <class T>
