--- a/libs/request/request_machine_test.cpp
+++ b/libs/request/request_machine_test.cpp
@@ -162,6 +162,7 @@
     int taken_back = 0; // of them, proved not to have run
     bool whole = false; // the answer came to its end
     bool claimed = false;
+    bool claim_tried = false;
 
 private:
     void tell(const event& it)
@@ -172,6 +173,7 @@
             it.kind == event_kind::refused || it.kind == event_kind::not_sent;
         taken_back += back ? 1 : 0;
         CHECK_TRUE(machine_.on_event(it, random_).has_value());
+        claim_tried |= machine_.next().kind == action_kind::claim;
     }
 
     target_id choose()
@@ -395,6 +397,8 @@
     RC_ASSERT(may_have_run || charge.kind <= bill_kind::release);
     RC_ASSERT(may_have_run || charge.total == tokens());
     RC_ASSERT(end.record == (!traits.idempotent && may_have_run));
+    RC_ASSERT(end.release_claim == (run.claim_tried && !may_have_run));
+    RC_ASSERT(end.may_have_run == may_have_run);
     RC_ASSERT(result == outcome::answered || !end.may_still_run ||
               charge.kind == bill_kind::hold);
 }
@@ -483,15 +487,24 @@
          outcome::unknown,
          reply_code::overloaded,
          true},
+        {{e::reserved, e::suspect_free, e::target_chosen, e::chunk,
+          e::target_died},
+         outcome::unknown,
+         reply_code::stream_cut,
+         true},
     };
     for (const refusal& it : cases) {
-        request_machine machine(traits_of(kind::streaming), {});
+        request_traits traits = traits_of(kind::streaming);
+        traits.resumable = it.code != reply_code::stream_cut;
+        request_machine machine(traits, {});
         random_source random(1);
         for (const event_kind event : it.events)
-            CHECK_TRUE(machine
-                           .on_event({.kind = event, .retry_after = seconds(3)},
-                                     random)
-                           .has_value());
+            CHECK_TRUE(
+                machine
+                    .on_event(
+                        {.kind = event, .bytes = 2, .retry_after = seconds(3)},
+                        random)
+                    .has_value());
         const outcome_reply& reply = machine.end().reply;
         CHECK(reply.result == it.result);
         CHECK(reply.code == it.code);
@@ -539,21 +552,35 @@
 }
 
 // A stream was cut and billed, and the caller sends the key again: the key
-// owes the larger of the two bills, not their sum.
-TEST(request_machine, a_key_owes_the_largest_of_its_bills)
+// owes the larger of the two bills, not their sum. A target that runs further
+// than it was told is not billed beyond what was reserved.
+TEST(request_machine, a_key_owes_its_largest_bill_within_the_reservation)
 {
-    for (const std::int64_t before : {0, 12, 15}) {
+    struct bill_case
+    {
+        std::int64_t before;
+        std::int64_t prompt;
+        std::int64_t output;
+        std::int64_t expected;
+    };
+    const bill_case cases[] = {{0, 10, 4, 14},
+                               {12, 10, 4, 14},
+                               {15, 10, 4, 15},
+                               {0, 9, 4, 13},
+                               {0, 10, 100, 16}};
+    for (const bill_case& it : cases) {
         request_traits traits = traits_of(kind::streaming);
-        traits.billed_before = tokens(before);
+        traits.billed_before = tokens(it.before);
         request_machine machine(traits, {});
         random_source random(1);
-        for (const event_kind it :
+        for (const event_kind step :
              {event_kind::reserved, event_kind::suspect_free,
               event_kind::target_chosen})
-            machine.on_event({it}, random);
-        machine.on_event({.kind = event_kind::completed, .output = output},
+            machine.on_event({step}, random);
+        machine.on_event({.kind = event_kind::completed,
+                          .output = tokens(it.output),
+                          .prompt = tokens(it.prompt)},
                          random);
-        CHECK_EQUAL(std::max<std::int64_t>(before, 14),
-                    machine.end().charge.total.count());
+        CHECK_EQUAL(it.expected, machine.end().charge.total.count());
     }
 }
