--- a/libs/request/request_machine.cpp
+++ b/libs/request/request_machine.cpp
@@ -496,6 +496,7 @@
     end_.attempts = attempt_;
     end_.may_have_run = may_have_run_ > 0;
     end_.record = !traits_.idempotent && may_have_run_ > 0;
+    assert(!end_.record || charge.kind >= bill_kind::settle);
     end_.release_claim = claim_tried_ && may_have_run_ == 0;
     end_.may_still_run = open_ > 0;
     state_ = request_state::ended;
--- a/libs/request/request_table.cpp
+++ b/libs/request/request_table.cpp
@@ -313,7 +313,8 @@
                              const conclusion& end,
                              std::optional<std::string> text)
 {
-    ended.durable = !end.record && end.charge.kind != bill_kind::settle &&
+    // Whatever has to be recorded has a bill, too.
+    ended.durable = end.charge.kind != bill_kind::settle &&
                     end.charge.kind != bill_kind::hold;
     // A later run of the key that failed doesn't undo an earlier answer.
     const bool worse =
--- a/libs/request/request_table_test.cpp
+++ b/libs/request/request_table_test.cpp
@@ -125,6 +125,28 @@
     }
 }
 
+// Answers of a busy day don't fill the node's memory: the oldest texts go
+// first, their outcomes stay; and what is forgotten frees its text.
+TEST(request_table, keeps_texts_within_their_memory)
+{
+    request_table table({.shards = 1, .text_memory = 100});
+    for (int n = 0; n < 50; ++n) {
+        const arrival it = arrival_of(std::to_string(n), false);
+        table.admit(it, start).stream->append(std::string(30, 'x'));
+        table.finish(team, it.key, answered, start);
+        table.mark_durable(team, it.key);
+        CHECK(table.counts().text_bytes <= 100);
+        CHECK(table.admit(it, start).verdict == verdict::replay);
+    }
+    CHECK(table.admit(arrival_of("46", false), start).reply.code ==
+          reply_code::answered_before);
+    CHECK(table.admit(arrival_of("47", false), start).verdict ==
+          verdict::replay);
+    table.expire(start + hours(1));
+    CHECK_EQUAL(0U, table.counts().text_bytes);
+    CHECK_EQUAL(0U, table.counts().remembered);
+}
+
 // A bug in an app makes it send another ticket under a used key. Answering
 // with the first ticket's answer would lose the second.
 TEST(request_table, refuses_a_key_with_another_body)
