--- a/Makefile
+++ b/Makefile
@@ -43,5 +43,9 @@
 	  xargs -P $(JOBS) -n 4 clang-tidy -p $(BUILD) --quiet \
 	  --extra-arg=-Wno-unknown-warning-option
 
+# Deliberate bugs, each of which a test must catch; writes docs/MUTANTS.md.
+mutants: setup
+	python3 tools/mutants/run.py --jobs $(JOBS)
+
 clean:
-	rm -rf build build-asan build-tsan out
+	rm -rf build build-asan build-tsan build-mutants out
--- a/libs/budget/budget_books_test.cpp
+++ b/libs/budget/budget_books_test.cpp
@@ -107,6 +107,9 @@
     check_verdict(verdict::duplicate, top_up(100, "t1"));
     check_verdict(verdict::applied, top_up(50, "t2"));
     check(150, 0);
+    // An operator's tool repeats the first one after the second.
+    check_verdict(verdict::duplicate, top_up(100, "t1"));
+    check(150, 0);
 }
 
 // The same request is answered at two nodes, since its caller crossed over.
