Report service-level burn by objective, caller kind and team

Sliding windows in rings of cells keep memory independent of requests; teams beyond a limit count together. Counts travel in /metrics lines that the report adds up over nodes, or come from a recorded history, where a caller's retries under one key are one request. Table, JSON and a page with its plot inside are pure functions of the same report.

--- /dev/null
+++ b/apps/fennelladder/command_report.cpp
@@ -0,0 +1,151 @@
+// `fennelladder report NAME`: reports for operators.
+
+#include "command.hpp"
+#include "command_table.hpp"
+#include "commands.hpp"
+#include "manifest_file.hpp"
+
+#include "fennelladder/history/event.hpp"
+#include "fennelladder/http/client.hpp"
+#include "fennelladder/report/history_burn.hpp"
+#include "fennelladder/settings/settings.hpp"
+#include "fennelladder/telemetry/burn_report.hpp"
+
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+namespace fennelladder::app {
+
+namespace {
+
+constexpr http::deadlines node_deadlines{
+    .connect = seconds(1), .first_byte = seconds(3), .total = seconds(10)};
+
+std::optional<telemetry::burn_snapshot>
+read_history(const std::string& path, const std::string& manifest_path)
+{
+    std::optional<manifest::document> manifest;
+    if (!manifest_path.empty()) {
+        manifest = load_manifest(manifest_path);
+        if (!manifest)
+            return std::nullopt;
+    }
+    std::ifstream in(path);
+    if (!in) {
+        std::cerr << path << ": can't be read\n";
+        return std::nullopt;
+    }
+    report::history_burn burn;
+    std::string line;
+    bool good = true;
+    for (std::size_t n = 1; std::getline(in, line); ++n) {
+        const auto it = history::parse_event(line);
+        if (it)
+            burn.add(*it);
+        else
+            std::cerr << path << " line " << n << ": " << it.error().message
+                      << '\n';
+        good &= it.has_value();
+    }
+    if (!good)
+        return std::nullopt;
+    return burn.finish(manifest ? report::objectives_of(manifest->objectives)
+                                : report::objectives_of_kinds(burn.kinds()));
+}
+
+/// The sum over nodes. A node that doesn't answer is told and left out.
+std::optional<telemetry::burn_snapshot> read_nodes(const std::string& list)
+{
+    http::client connections;
+    telemetry::burn_snapshot seen;
+    std::istringstream nodes(list);
+    std::string node;
+    std::size_t answered = 0;
+    while (std::getline(nodes, node, ',')) {
+        http::request ask;
+        ask.url = "http://" + node + "/metrics";
+        const auto page = connections.fetch(ask, node_deadlines);
+        if (!page || page->status != 200) {
+            std::cerr << node << ": no metrics: "
+                      << (page ? "status " + std::to_string(page->status)
+                               : page.error().message)
+                      << '\n';
+            continue;
+        }
+        const auto part = telemetry::parse_prometheus(page->body);
+        if (!part) {
+            std::cerr << node << ": " << part.error().message << '\n';
+            continue;
+        }
+        seen.merge(*part);
+        ++answered;
+    }
+    if (answered == 0)
+        return std::nullopt;
+    return seen;
+}
+
+int print(const telemetry::burn_report& report, const std::string& format)
+{
+    if (format == "json")
+        std::cout << telemetry::to_json(report) << '\n';
+    else if (format == "html")
+        std::cout << telemetry::to_html(report);
+    else
+        std::cout << telemetry::to_table(report);
+    return std::cout.flush() ? exit_success : exit_failure;
+}
+
+int run_report_burn(int argc, char** argv)
+{
+    settings::settings wanted(
+        "burn", "Service-level burn by objective, caller kind and team.");
+    wanted.text("nodes", "",
+                "addresses of nodes, IP:PORT by comma, whose /metrics are "
+                "added up");
+    wanted.text("history", "", "recorded history to judge in place of nodes");
+    wanted.text("manifest", "",
+                "manifest whose objectives a history is judged by; without it "
+                "99% whole and once");
+    wanted.choice("format", {"table", "json", "html"}, "of the report");
+    wanted.number({.name = "teams",
+                   .fallback = 20,
+                   .low = 0,
+                   .high = 100'000,
+                   .unit = "teams",
+                   .help = "most teams listed"});
+    const auto parsed = wanted.parse(argc, argv);
+    if (parsed.stop)
+        return parsed.exit_code;
+    const std::string& nodes = wanted.text_of("nodes");
+    const std::string& history = wanted.text_of("history");
+    if (nodes.empty() == history.empty()) {
+        std::cerr << "report burn: give either --nodes or --history\n";
+        return exit_bad_input;
+    }
+    const auto seen = history.empty()
+                          ? read_nodes(nodes)
+                          : read_history(history, wanted.text_of("manifest"));
+    if (!seen)
+        return history.empty() ? exit_failure : exit_bad_input;
+    const auto limit = std::size_t(wanted.number_of("teams"));
+    return print(telemetry::make_report(*seen, {.team_limit = limit}),
+                 wanted.text_of("format"));
+}
+
+// One line each, sorted by name.
+constexpr auto reports = std::to_array<command>({
+    {"burn", "service-level burn, from nodes or a history", run_report_burn},
+});
+
+} // namespace
+
+int run_report(int argc, char** argv)
+{
+    return run_from_table("fennelladder report", reports, argc, argv);
+}
+
+} // namespace fennelladder::app
--- a/apps/fennelladder/main.cpp
+++ b/apps/fennelladder/main.cpp
@@ -16,6 +16,7 @@
     {"apply", "bring a manifest into force", run_apply},
     {"bench", "measurements, each beside its baselines", run_bench},
     {"standin", "platform, engine or service for trying out", run_standin},
+    {"report", "reports for operators", run_report},
     {"validate", "check a manifest, report all findings", run_validate},
     {"check-history", "judges the record of a run", run_check_history},
 });
--- /dev/null
+++ b/include/fennelladder/telemetry/service_level.hpp
@@ -0,0 +1,256 @@
+// How fast requests use up what the service-level objectives allow.
+//
+// An objective says which share of a kind of caller's requests must be
+// answered whole, once and in time. What falls short burns its error budget,
+// for one of four causes. The burn rate is the share that fell short, divided
+// by the share that may: at 1 the budget lasts exactly its window.
+//
+//     service_level_meter meter(objectives, {});
+//     meter.add({team, kind, request_end::answered, false, first, gap, total},
+//               now);
+//     burn_snapshot seen = meter.snapshot(now);
+//     page += to_prometheus(seen);            // on a node's /metrics
+//     seen.merge(*parse_prometheus(other));   // in the report
+//
+// Counts are kept per objective over six windows and per objective and team
+// over two, in rings of cells, so that memory doesn't grow with requests. A
+// window's count is short by up to one cell (a twelfth, for teams a sixth) at
+// its far end.
+
+#ifndef FENNELLADDER_TELEMETRY_SERVICE_LEVEL_HPP
+#define FENNELLADDER_TELEMETRY_SERVICE_LEVEL_HPP
+
+#include "fennelladder/base/error.hpp"
+#include "fennelladder/base/ids.hpp"
+#include "fennelladder/base/time.hpp"
+
+#include <array>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace fennelladder::telemetry {
+
+/// What an objective looks at.
+enum class latency_measure : std::uint8_t
+{
+    first_byte,
+    inter_token,
+    total
+};
+
+/// A service-level objective, as the manifest gives it.
+struct service_level_objective
+{
+    std::string name;
+    caller_kind kind;
+    latency_measure measure = latency_measure::total;
+    duration latency{};
+    double target = 0.99; ///< Share that must be good, 0 to 1.
+    duration window = hours(24 * 28);
+
+    bool operator==(const service_level_objective&) const = default;
+};
+
+/// How a request ended for its caller.
+enum class request_end : std::uint8_t
+{
+    answered,
+    refused, ///< Told "not run".
+    missing  ///< Told "unknown", cut off, or never told anything.
+};
+
+/// One request, counted when it ends.
+struct request_sample
+{
+    team_id team;
+    caller_kind kind;
+    request_end end = request_end::answered;
+    bool doubled = false; ///< Ran or was billed more than once.
+    duration first_byte{};
+    duration longest_gap{};
+    duration total{};
+};
+
+/// Why a request does or doesn't count as good.
+enum class burn_cause : std::uint8_t
+{
+    good,
+    slow,
+    missing,
+    doubled,
+    refused
+};
+
+constexpr std::size_t cause_count = 5;
+
+/// "good", "slow", ...
+std::string_view to_string(burn_cause cause);
+
+/// How `sample` counts for `objective`. The worst cause wins: doubled, then
+/// missing, refused, slow.
+burn_cause judge(const service_level_objective& objective,
+                 const request_sample& sample);
+
+/// Requests by cause.
+struct burn_counts
+{
+    std::array<std::uint64_t, cause_count> by_cause{};
+
+    std::uint64_t of(burn_cause cause) const
+    {
+        return by_cause[std::size_t(cause)];
+    }
+
+    std::uint64_t total() const;
+    std::uint64_t bad() const { return total() - of(burn_cause::good); }
+
+    burn_counts& operator+=(const burn_counts& other);
+    bool operator==(const burn_counts&) const = default;
+};
+
+/// The windows that burn rates are taken over; `whole` is the objective's.
+enum class burn_window : std::uint8_t
+{
+    minutes_5,
+    minutes_30,
+    hour_1,
+    hours_6,
+    days_3,
+    whole
+};
+
+constexpr std::size_t window_count = 6;
+
+/// "5m", "30m", "1h", "6h", "3d", "whole".
+std::string_view to_string(burn_window window);
+
+/// Length of a window of `objective`.
+duration length_of(burn_window window,
+                   const service_level_objective& objective);
+
+/// Counts over one sliding window.
+class window_ring
+{
+public:
+    /// Precondition: 1 <= cells, length >= cells nanoseconds.
+    window_ring(duration length, std::size_t cells);
+
+    void add(burn_cause cause, instant now);
+    burn_counts sum(instant now) const;
+
+private:
+    struct cell
+    {
+        std::int64_t number = -1; ///< Which cell of time it holds.
+        std::array<std::uint32_t, cause_count> by_cause{};
+    };
+
+    std::int64_t number_of(instant at) const;
+
+    duration cell_length_;
+    std::vector<cell> cells_;
+};
+
+/// What a count is about. An empty team: all teams together.
+struct burn_key
+{
+    std::string objective;
+    std::string team;
+    burn_window window = burn_window::whole;
+
+    friend auto operator<=>(const burn_key&, const burn_key&) = default;
+};
+
+/// Counts at one time, of one node or, merged, of many.
+struct burn_snapshot
+{
+    std::map<std::string, service_level_objective> objectives;
+    std::map<burn_key, burn_counts> counts;
+
+    /// Adds another node's counts. Objectives of the same name are taken to
+    /// be the same; the first one's definition stays.
+    void merge(const burn_snapshot& other);
+
+    /// The counts of a key, zero when there are none.
+    burn_counts of(const std::string& objective, const std::string& team,
+                   burn_window window) const;
+};
+
+struct meter_options
+{
+    /// Teams counted by themselves, over all objectives; later ones count
+    /// under `other_teams` until the process ends. 700 bytes each.
+    std::size_t most_team_series = 10'000;
+
+    /// Teams in a snapshot, for each objective those with most bad requests:
+    /// bounds what a node shows at /metrics.
+    std::size_t teams_shown = 50;
+};
+
+/// The name under which teams beyond the limit are counted.
+constexpr std::string_view other_teams = "(other)";
+
+/// Counts requests. Thread safe; add() takes one lock for a few additions.
+class service_level_meter
+{
+public:
+    service_level_meter(std::vector<service_level_objective> objectives,
+                        meter_options options);
+
+    /// Counts a request under every objective of its kind. `now` must not go
+    /// back by more than a cell.
+    void add(const request_sample& sample, instant now);
+
+    burn_snapshot snapshot(instant now) const;
+
+    /// Takes over changed objectives; counts of those that stay are kept.
+    void set_objectives(std::vector<service_level_objective> objectives);
+
+private:
+    struct series
+    {
+        std::map<burn_window, window_ring> windows;
+    };
+
+    struct measured
+    {
+        service_level_objective objective;
+        series all;
+        std::unordered_map<std::string, series> teams;
+    };
+
+    series make_series(const service_level_objective& objective,
+                       bool team) const;
+    series& team_series(measured& it, const team_id& team);
+    void show_teams(const measured& it, instant now, burn_snapshot& out) const;
+
+    const meter_options options_;
+
+    // Both guarded by mutex_, which is a leaf.
+    mutable std::mutex mutex_;
+    std::vector<measured> measured_;
+};
+
+/// The snapshot as lines of the Prometheus text format:
+///
+///   fennelladder_service_level_objective{objective="..",kind="..",
+///     measure="total",latency_ns="..",window_ns=".."} 0.999
+///   fennelladder_service_level_requests{objective="..",team="..",
+///     window="1h",cause="slow"} 17
+///
+/// Counts of zero are left out.
+std::string to_prometheus(const burn_snapshot& seen);
+
+/// Reads such lines from a /metrics page and passes over all others. Fails
+/// with `corrupt` when one of them can't be read.
+result<burn_snapshot> parse_prometheus(std::string_view page);
+
+} // namespace fennelladder::telemetry
+
+#endif
--- /dev/null
+++ b/libs/telemetry/service_level_test.cpp
@@ -0,0 +1,214 @@
+#include "fennelladder/base/random.hpp"
+#include "fennelladder/telemetry/burn_report.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <deque>
+#include <nlohmann/json.hpp>
+#include <set>
+
+using namespace fennelladder;
+using namespace fennelladder::telemetry;
+
+namespace {
+
+const instant start = from_nanoseconds(0) + hours(1'000);
+
+service_level_objective make_objective(const std::string& name,
+                                       const std::string& kind, double target)
+{
+    return {name,   caller_kind(kind), latency_measure::total, seconds(1),
+            target, hours(24 * 28)};
+}
+
+request_sample make_sample(const std::string& team, const std::string& kind,
+                           duration total)
+{
+    request_sample made;
+    made.team = team_id(team);
+    made.kind = caller_kind(kind);
+    made.total = total;
+    return made;
+}
+
+} // namespace
+
+TEST_GROUP(service_level){};
+
+TEST(service_level, the_worst_cause_wins)
+{
+    auto objective = make_objective("o", "k", 0.99);
+    auto it = make_sample("t", "k", seconds(1));
+    CHECK(judge(objective, it) == burn_cause::good);
+    it.total += duration(1);
+    CHECK(judge(objective, it) == burn_cause::slow);
+    objective.measure = latency_measure::first_byte;
+    it.first_byte = seconds(2);
+    CHECK(judge(objective, it) == burn_cause::slow);
+    objective.measure = latency_measure::inter_token;
+    CHECK(judge(objective, it) == burn_cause::good);
+    it.end = request_end::refused;
+    CHECK(judge(objective, it) == burn_cause::refused);
+    it.end = request_end::missing;
+    CHECK(judge(objective, it) == burn_cause::missing);
+    it.doubled = true;
+    CHECK(judge(objective, it) == burn_cause::doubled);
+}
+
+// The ring against a list of all events: a window may be short by up to one
+// cell at its far end, and never counts what is older than the window.
+TEST(service_level, a_window_is_exact_but_for_its_last_cell)
+{
+    random_source random(4);
+    const duration length = minutes(6);
+    window_ring ring(length, 6);
+    std::deque<instant> all;
+    instant now = start;
+    for (int n = 0; n < 20'000; ++n) {
+        now += duration(std::int64_t(random.exponential(2e9)));
+        if (random.chance(0.001))
+            now += duration(std::int64_t(random.below(1'000)) * 1'000'000'000);
+        all.push_back(now);
+        ring.add(burn_cause::slow, now);
+        std::uint64_t least = 0;
+        std::uint64_t most = 0;
+        while (!all.empty() && all.front() <= now - length)
+            all.pop_front();
+        for (const instant it : all) {
+            ++most;
+            least += it > now - length + minutes(1);
+        }
+        const auto sum = ring.sum(now).bad();
+        CHECK(sum >= least && sum <= most);
+    }
+    CHECK(ring.sum(now + length).total() == 0);
+}
+
+// A target dies and dispatchers wait: their objective burns at once in every
+// window, inspectors' doesn't. An hour after the end the short window is quiet
+// again, so the page ends, while the day's budget still shows the loss.
+TEST(service_level, a_burst_pages_and_ends)
+{
+    service_level_meter meter({make_objective("dispatch", "dispatcher", 0.999),
+                               make_objective("inspect", "inspector", 0.95)},
+                              {});
+    instant now = start;
+    const auto run = [&](duration length, double bad) {
+        random_source random(6);
+        for (const instant until = now + length; now < until;
+             now += milliseconds(500)) {
+            const bool slow = random.chance(bad);
+            meter.add(make_sample("harbour", "dispatcher",
+                                  slow ? seconds(3) : milliseconds(100)),
+                      now);
+            meter.add(make_sample("station", "inspector", milliseconds(100)),
+                      now);
+        }
+        return make_report(meter.snapshot(now), {});
+    };
+    auto report = run(hours(7), 0);
+    CHECK(report.objectives[0].state == burn_state::quiet);
+    DOUBLES_EQUAL(1, report.objectives[0].left, 0);
+    report = run(minutes(10), 0.5);
+    STRCMP_EQUAL("dispatch", report.objectives[0].objective.name.c_str());
+    CHECK(report.objectives[0].state == burn_state::page);
+    CHECK(report.objectives[0].left < 0);
+    CHECK(report.objectives[1].state == burn_state::quiet);
+    CHECK(report.kinds[0].kind == caller_kind("dispatcher"));
+    STRCMP_EQUAL("harbour", report.teams[0].team.c_str());
+    DOUBLES_EQUAL(1, report.teams[0].share, 0);
+    report = run(hours(1), 0);
+    const auto& row = report.objectives[0];
+    DOUBLES_EQUAL(0, row.rates[std::size_t(burn_window::minutes_5)], 0);
+    CHECK(row.state == burn_state::ticket);
+    CHECK(row.left < 0);
+}
+
+TEST(service_level, rates_and_budgets)
+{
+    const struct
+    {
+        std::uint64_t good;
+        std::uint64_t slow;
+        double target;
+        double rate;
+        double left;
+    } cases[] = {{0, 0, 0.99, 0, 1},    {100, 0, 0.99, 0, 1},
+                 {99, 1, 0.99, 1, 0},   {995, 5, 0.99, 0.5, 0.5},
+                 {0, 7, 0.95, 20, -19}, {1, 1, 1, 500'000, -499'999}};
+    for (const auto& it : cases) {
+        const burn_counts counts{{it.good, it.slow, 0, 0, 0}};
+        DOUBLES_EQUAL(it.rate, burn_rate(counts, it.target), 1e-6 * it.rate);
+        DOUBLES_EQUAL(it.left, budget_left(counts, it.target), 1e-3);
+    }
+}
+
+// Thousands of teams must not eat a node's memory or its metrics page: teams
+// beyond the limit count together, and only the worst are shown.
+TEST(service_level, teams_are_bounded)
+{
+    service_level_meter meter({make_objective("o", "k", 0.99)},
+                              {.most_team_series = 100, .teams_shown = 5});
+    for (int n = 0; n < 1'000; ++n) {
+        for (int times = 0; times <= n % 100; ++times)
+            meter.add(make_sample("t" + std::to_string(n), "k", seconds(2)),
+                      start);
+    }
+    const auto seen = meter.snapshot(start);
+    std::set<std::string> teams;
+    for (const auto& [key, counts] : seen.counts)
+        teams.insert(key.team);
+    CHECK_EQUAL(6, int(teams.size())); // Five, and "" for all.
+    CHECK(teams.contains("t99"));
+    CHECK(teams.contains(std::string(other_teams)));
+    CHECK_EQUAL(10 * 5'050, int(seen.of("o", "", burn_window::whole).bad()));
+}
+
+// The report adds up what many nodes show at /metrics; a page also has other
+// series, and a truncated one must be told.
+TEST(service_level, metrics_pages_add_up)
+{
+    burn_snapshot sum;
+    for (int node = 0; node < 3; ++node) {
+        service_level_meter meter({make_objective("o", "k", 0.999)}, {});
+        for (int n = 0; n <= node; ++n)
+            meter.add(make_sample("t", "k", seconds(5)), start);
+        const auto seen = meter.snapshot(start);
+        const std::string page = "# HELP x\nother_total{a=\"b\"} 3\n" +
+                                 to_prometheus(seen) + "more 1\n";
+        const auto back = parse_prometheus(page);
+        CHECK(back.has_value());
+        CHECK(back->objectives == seen.objectives);
+        CHECK(back->of("o", "t", burn_window::hour_1) ==
+              seen.of("o", "t", burn_window::hour_1));
+        sum.merge(*back);
+        const auto cut = to_prometheus(seen);
+        CHECK(!parse_prometheus(cut.substr(0, cut.size() - 4)));
+    }
+    CHECK_EQUAL(6, int(sum.of("o", "", burn_window::hours_6).bad()));
+    CHECK_EQUAL(6, int(sum.of("o", "t", burn_window::whole).bad()));
+}
+
+TEST(service_level, renderers_tell_the_same)
+{
+    service_level_meter meter({make_objective("o<1>", "k", 0.99)}, {});
+    auto sample = make_sample("t&co", "k", seconds(1));
+    meter.add(sample, start);
+    sample.end = request_end::missing;
+    meter.add(sample, start);
+    const auto report = make_report(meter.snapshot(start), {});
+    const auto json = nlohmann::json::parse(to_json(report));
+    const auto& window = json["objectives"][0]["windows"]["5m"];
+    CHECK_EQUAL(2, window["requests"].get<int>());
+    CHECK_EQUAL(1, window["missing"].get<int>());
+    DOUBLES_EQUAL(50, window["burn_rate"].get<double>(), 1e-6);
+    STRCMP_EQUAL("page",
+                 json["objectives"][0]["state"].get<std::string>().c_str());
+    const std::string table = to_table(report);
+    for (const char* it : {"o<1>", "t&co", "50.00", "page", "-4900.00%"})
+        CHECK_TEXT(table.find(it) != std::string::npos, table.c_str());
+    const std::string page = to_html(report);
+    for (const char* it : {"<svg", "<rect", "o&lt;1&gt;", "t&amp;co"})
+        CHECK_TEXT(page.find(it) != std::string::npos, it);
+    CHECK(page.find("src=") == std::string::npos);
+    CHECK(page.find("href=") == std::string::npos);
+}
