--- a/apps/fennelladder/command_bench.cpp
+++ b/apps/fennelladder/command_bench.cpp
@@ -14,6 +14,7 @@
 constexpr auto benches = std::to_array<command>({
     {"config", "cost of the configuration by size and fleet", run_bench_config},
     {"routing", "time to first token beside baselines", run_bench_routing},
+    {"journal", "calls, bytes and time of the journal", run_bench_journal},
     {"requests", "time and memory of a request beside its I/O",
      run_bench_requests},
 });
