--- a/cmake/fennelladder.cmake
+++ b/cmake/fennelladder.cmake
@@ -3,7 +3,8 @@
 # Defines the library fennelladder_NAME from every .cpp beside the calling
 # CMakeLists.txt (and below generated/), and the test program test_NAME from
 # every *_test.cpp there. Public headers live in include/fennelladder/NAME/.
-# DEPENDS names other libraries of this project, LINK external ones.
+# DEPENDS names other libraries of this project, LINK external ones. The
+# library and its headers are installed (see install.cmake).
 
 add_library(fennelladder_options INTERFACE)
 target_compile_options(fennelladder_options INTERFACE
@@ -29,6 +30,7 @@
   add_library(${target} STATIC ${sources} ${generated})
   add_library(fennelladder::${name} ALIAS ${target})
   set_target_properties(${target} PROPERTIES EXPORT_NAME ${name})
+  target_compile_features(${target} PUBLIC cxx_std_20)
   target_include_directories(${target}
     PUBLIC $<BUILD_INTERFACE:${CMAKE_SOURCE_DIR}/include>
            $<INSTALL_INTERFACE:include>
@@ -44,6 +46,12 @@
     target_link_libraries(${target} PUBLIC fennelladder_${lib})
   endforeach()
   target_link_libraries(${target} PUBLIC ${arg_LINK})
+  install(TARGETS ${target} EXPORT fennelladder-targets
+    ARCHIVE DESTINATION lib)
+  set(headers ${CMAKE_SOURCE_DIR}/include/fennelladder/${name})
+  if(IS_DIRECTORY ${headers})
+    install(DIRECTORY ${headers} DESTINATION include/fennelladder)
+  endif()
   if(tests AND FENNELLADDER_TESTS)
     add_executable(test_${name} ${tests})
     target_include_directories(test_${name}
