--- a/include/fennelladder/http/client.hpp
+++ b/include/fennelladder/http/client.hpp
@@ -56,7 +56,7 @@
     std::string url = {}; ///< "http://IP[:PORT]/path?query"; IPv6 in brackets.
     std::vector<header> headers = {};
     std::string body = {};
-    /// Dial anew instead of using a kept connection.
+    /// Dial anew instead of using a kept connection, and close it after.
     bool fresh_connection = false;
 };
 
--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -165,6 +165,10 @@
     }
     // Waiting for "100 Continue" costs a second where it isn't known.
     append(list, "Expect:");
+    // A fresh connection serves one request. Kept ones would add up at the
+    // other side, which may hold a thread for each.
+    if (what.fresh_connection)
+        append(list, "Connection: close");
     if (find_field(what.headers, "Content-Type").empty())
         append(list, "Content-Type:");
     return list;
@@ -572,7 +576,7 @@
               .run();
     // Whatever ended otherwise leaves a connection in doubt: silent ones are
     // dropped here, with the session.
-    if (end.complete())
+    if (end.complete() && !what.fresh_connection)
         pool_->give_back(address, std::move(on));
     return end;
 }
--- a/libs/http/client_test.cpp
+++ b/libs/http/client_test.cpp
@@ -130,7 +130,8 @@
 // asked on a fresh connection, answers.
 TEST(http_client, fresh_connection_works_while_the_old_one_hangs)
 {
-    scripted_server server({{ok("1")}, {"", after::hang}, {ok("3")}});
+    scripted_server server(
+        {{ok("1")}, {"", after::hang}, {ok("3")}, {ok("4")}});
     client asks;
     const request what{.url = server.url()};
     CHECK(asks.fetch(what, patient).has_value());
@@ -139,6 +140,8 @@
     again.fresh_connection = true;
     CHECK(asks.fetch(again, patient).has_value());
     LONGS_EQUAL(2, server.connections());
+    CHECK(asks.fetch(what, patient).has_value()); // It wasn't kept.
+    LONGS_EQUAL(3, server.connections());
 }
 
 TEST(http_client, stops_when_receiver_or_canceler_says_so)
