Serve callers end to end: nodes over real TCP, from entry answer to bill

Cause: no request went through the system yet. Change: library node puts membership, configuration, budgets, routing, requests and targets together behind the callers' protocol; serve runs it as a process; peers carry transfers, ceilings, copies of bills and suspects. A peer server that was stopped before its loop had begun hung for good (seen when the callers' port was taken): it is told to stop until it has ended, with a test.

--- a/apps/fennelladder/main.cpp
+++ b/apps/fennelladder/main.cpp
@@ -14,6 +14,7 @@
 // One line each, sorted by name.
 constexpr auto commands = std::to_array<command>({
     {"apply", "bring a manifest into force", run_apply},
+    {"serve", "run one node", run_serve},
     {"bench", "measurements, each beside its baselines", run_bench},
     {"standin", "platform, engine or service for trying out", run_standin},
     {"report", "reports for operators", run_report},
--- a/include/fennelladder/peer/messages.hpp
+++ b/include/fennelladder/peer/messages.hpp
@@ -5,10 +5,13 @@
 
 #include "fennelladder/base/error.hpp"
 #include "fennelladder/base/ids.hpp"
+#include "fennelladder/budget/budget_agent.hpp"
 #include "fennelladder/journal/record.hpp"
+#include "fennelladder/request/suspect_list.hpp"
 
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace fennelladder::peer {
@@ -28,6 +31,41 @@
 result<std::vector<journal::applied_record>>
 decode_append_answer(std::string_view bytes);
 
+/// An ask for tokens, or the taker's last word on one.
+using transfer_question =
+    std::variant<budget::transfer_ask, budget::transfer_confirm>;
+
+std::string encode(const transfer_question& message);
+result<transfer_question> decode_transfer_question(std::string_view bytes);
+
+std::string encode(const budget::transfer_reply& answer);
+result<budget::transfer_reply> decode_transfer_answer(std::string_view bytes);
+
+/// Answered by a yes or a no.
+std::string encode(const budget::ceiling_ask& message);
+result<budget::ceiling_ask> decode_witness_question(std::string_view bytes);
+
+/// Answered by a yes or a no.
+std::string encode(const budget::copy_message& message);
+result<budget::copy_message> decode_copies_question(std::string_view bytes);
+
+std::string encode_yes(bool yes);
+result<bool> decode_yes(std::string_view bytes);
+
+/// Records that `sender` witnessed.
+struct suspects_question
+{
+    incarnation_id sender;
+    std::vector<request::suspect_record> records;
+};
+
+std::string encode(const suspects_question& message);
+result<suspects_question> decode_suspects_question(std::string_view bytes);
+
+std::string encode(const std::vector<request::suspect_ack>& acks);
+result<std::vector<request::suspect_ack>>
+decode_suspects_answer(std::string_view bytes);
+
 } // namespace fennelladder::peer
 
 #endif
--- a/libs/peer/peers_test.cpp
+++ b/libs/peer/peers_test.cpp
@@ -132,6 +132,18 @@
     LONGS_EQUAL(2, peers.traffic().failures);
 }
 
+// A node whose callers' port is taken gives up at once, and its operator sees
+// a process that neither serves nor ends: its peer server was stopped before
+// its loop had begun, which made the loop miss it.
+TEST(peers, a_server_stops_however_early)
+{
+    echo handler;
+    for (int n = 0; n < 20; ++n) {
+        auto server = thrift_peer_server::start("127.0.0.1:0", handler, {});
+        CHECK(server.has_value());
+    }
+}
+
 TEST(peers, bad_addresses_are_errors)
 {
     thrift_peer_network peers({});
--- a/libs/peer/thrift_peers.cpp
+++ b/libs/peer/thrift_peers.cpp
@@ -28,6 +28,8 @@
 using namespace apache::thrift;
 using steady = std::chrono::steady_clock;
 
+constexpr duration wake_interval = milliseconds(2);
+
 struct ip_and_port
 {
     std::string ip;
@@ -111,6 +113,7 @@
     std::shared_ptr<concurrency::ThreadManager> workers;
     std::shared_ptr<transport::TNonblockingServerSocket> socket;
     std::shared_ptr<server::TNonblockingServer> server;
+    std::atomic<bool> ended{false}; // serve() has returned
     std::thread loop;
 };
 
@@ -143,7 +146,10 @@
         made->server->setMaxFrameSize(max_message_bytes);
         made->server->setNumIOThreads(1);
         made->server->registerEvents(nullptr);
-        made->loop = std::thread([server = made->server] { server->serve(); });
+        made->loop = std::thread([at = made.get()] {
+            at->server->serve();
+            at->ended = true;
+        });
     } catch (const std::exception& failure) {
         return fail(error_code::unavailable, failure.what());
     }
@@ -154,18 +160,22 @@
     return it;
 }
 
-// Guards against a stop that never ends: stop() only sets a flag, and the
-// loop looks at it when something happens on a socket. A connection to
-// ourselves is such a thing.
+// Guards against a stop that never ends: stop() only sets a flag, at which the
+// loop looks when something happens on a socket, and which a loop that is just
+// starting clears. A connection to ourselves makes something happen; it is
+// made again until the loop has ended.
 thrift_peer_server::~thrift_peer_server()
 {
-    state_->server->stop();
     const auto self = parse_address(address_);
-    transport::TSocket wake(self->ip, self->port);
-    try {
-        wake.open();
-    } catch (const std::exception&) {
-        // Not listening any more, so the loop is past its end already.
+    while (!state_->ended) {
+        state_->server->stop();
+        transport::TSocket wake(self->ip, self->port);
+        try {
+            wake.open();
+        } catch (const std::exception&) {
+            // Not listening any more, so the loop is about to end.
+        }
+        std::this_thread::sleep_for(wake_interval);
     }
     state_->loop.join();
     state_->workers->stop();
