--- a/libs/request/suspect_list.cpp
+++ b/libs/request/suspect_list.cpp
@@ -515,7 +515,9 @@
     suspect_record answer;
     answer.mark = mark;
     answer.answered = now;
-    join(touch(mark).record, answer);
+    known_record& it = touch(mark);
+    it.witnessed = true; // this node tells the others
+    join(it.record, answer);
     return true;
 }
 
--- a/libs/request/suspect_list_test.cpp
+++ b/libs/request/suspect_list_test.cpp
@@ -433,6 +433,8 @@
     CHECK(it.send(1, 1, 8) == verdict::refused);
     CHECK(it.lists[1]->forgive(marks(1).body, it.now));
     CHECK(it.send(1, 1, 8) == verdict::same_target);
+    it.settle();
+    CHECK(it.send(0, 1, 8) == verdict::free);
 }
 
 // The owner waits for a node that is cut off: it may run a copy. Only a
