--- a/include/fennelladder/request/request_table.hpp
+++ b/include/fennelladder/request/request_table.hpp
@@ -98,6 +98,7 @@
     std::size_t running = 0;
     std::size_t remembered = 0;
     std::size_t text_bytes = 0;
+    std::size_t queued = 0; ///< Places in the queues that forget.
 };
 
 /// Thread safe. Each shard has a lock; no call holds two of them, and the
--- a/libs/request/request_table.cpp
+++ b/libs/request/request_table.cpp
@@ -421,6 +421,7 @@
         for (const auto& [name, it] : part->entries)
             ++(it.stream ? all.running : all.remembered);
         all.text_bytes += part->text_bytes;
+        all.queued += part->ended.size() + part->texts.size();
     }
     return all;
 }
--- a/libs/request/request_table_test.cpp
+++ b/libs/request/request_table_test.cpp
@@ -145,6 +145,7 @@
     table.expire(start + hours(1));
     CHECK_EQUAL(0U, table.counts().text_bytes);
     CHECK_EQUAL(0U, table.counts().remembered);
+    CHECK_EQUAL(0U, table.counts().queued);
 }
 
 // A bug in an app makes it send another ticket under a used key. Answering
@@ -379,6 +380,7 @@
         wrong += text == whole ? 0 : 1;
     };
     std::vector<std::thread> callers;
+    callers.reserve(threads);
     for (int n = 0; n < threads; ++n)
         callers.emplace_back([&call] {
             for (int key = 0; key < keys; ++key)
--- a/libs/request/suspect_list_test.cpp
+++ b/libs/request/suspect_list_test.cpp
@@ -210,7 +210,7 @@
     case 0:
     case 1:
         return it.send(static_cast<std::size_t>(what), 0,
-                       static_cast<std::size_t>(10 + what)) < verdict::wait;
+                       10 + static_cast<std::size_t>(what)) < verdict::wait;
     case 2:
         return it.kill();
     case 3:
