Replace the codec's macros by overloads; lint clean

The scalar types' readers and writers are plain overloads and the tables of fields are declared one by one: what the linter asked for, and easier to search.

--- a/libs/manifest/apply.cpp
+++ b/libs/manifest/apply.cpp
@@ -141,7 +141,9 @@
         there.insert(names.begin(), names.end());
     }
     upload sent;
-    for (const auto& [name, bytes] : pieces.parts) {
+    for (const auto& part : pieces.parts) {
+        const part_hash& name = part.first;
+        const std::string& bytes = part.second;
         if (there.contains(name))
             continue;
         // Same name, same bytes: writing twice after a lost reply is harmless.
--- a/libs/manifest/configuration_holder.cpp
+++ b/libs/manifest/configuration_holder.cpp
@@ -119,7 +119,7 @@
         return;
     highest_ = number;
     highest_hash_ = accepted.hash();
-    candidate_.emplace();
+    candidate_ = candidate{};
     candidate_->accepted = accepted;
     candidate_->from_platform = now;
     // All nodes learn of a change in the same instant. Those of a large fleet
--- a/libs/manifest/fields.cpp
+++ b/libs/manifest/fields.cpp
@@ -13,8 +13,10 @@
 constexpr bool optional = false;
 
 constexpr std::int64_t second = 1'000'000'000;
+constexpr std::int64_t hour = 3'600 * second;
+constexpr std::int64_t day = 24 * hour;
 constexpr bounds token_range{0, max_budget_tokens};
-constexpr bounds latency_range{1'000, 3'600 * second};
+constexpr bounds latency_range{1'000, hour};
 
 } // namespace
 
@@ -50,9 +52,9 @@
         make_field<&limits::max_attempts>("max_attempts", optional, {1, 10}),
         make_field<&limits::retry_share>("retry_share", optional),
         make_field<&limits::entry_validity>("entry_validity", optional,
-                                            {second, 3'600 * second}),
+                                            {second, hour}),
         make_field<&limits::reclaim_grace>("reclaim_grace", optional,
-                                           {second, 7 * 86'400 * second}),
+                                           {second, 7 * day}),
         make_field<&limits::weight_loads>("weight_loads", optional,
                                           {1, 1'000})};
     return table;
@@ -78,8 +80,7 @@
         make_field<&objective::measures>("measure", required),
         make_field<&objective::latency>("latency", required, latency_range),
         make_field<&objective::target>("target", required),
-        make_field<&objective::window>("window", optional,
-                                       {3'600 * second, 90 * 86'400 * second})};
+        make_field<&objective::window>("window", optional, {hour, 90 * day})};
     return table;
 }
 
--- a/libs/manifest/fields.hpp
+++ b/libs/manifest/fields.hpp
@@ -8,27 +8,50 @@
 
 namespace fennelladder::manifest {
 
-#define FENNELLADDER_DECLARE_FIELDS(T)                                         \
-    template <>                                                                \
-    std::span<const field<T>> fields_of<T>()
-
-FENNELLADDER_DECLARE_FIELDS(region);
-FENNELLADDER_DECLARE_FIELDS(deployment);
-FENNELLADDER_DECLARE_FIELDS(limits);
-FENNELLADDER_DECLARE_FIELDS(caller_kind_policy);
-FENNELLADDER_DECLARE_FIELDS(objective);
-FENNELLADDER_DECLARE_FIELDS(model);
-FENNELLADDER_DECLARE_FIELDS(service_call);
-FENNELLADDER_DECLARE_FIELDS(service);
-FENNELLADDER_DECLARE_FIELDS(model_grant);
-FENNELLADDER_DECLARE_FIELDS(team);
-FENNELLADDER_DECLARE_FIELDS(topup);
-FENNELLADDER_DECLARE_FIELDS(budget);
-FENNELLADDER_DECLARE_FIELDS(model_placement);
-FENNELLADDER_DECLARE_FIELDS(target);
-FENNELLADDER_DECLARE_FIELDS(document);
-
-#undef FENNELLADDER_DECLARE_FIELDS
+template <>
+std::span<const field<region>> fields_of<region>();
+
+template <>
+std::span<const field<deployment>> fields_of<deployment>();
+
+template <>
+std::span<const field<limits>> fields_of<limits>();
+
+template <>
+std::span<const field<caller_kind_policy>> fields_of<caller_kind_policy>();
+
+template <>
+std::span<const field<objective>> fields_of<objective>();
+
+template <>
+std::span<const field<model>> fields_of<model>();
+
+template <>
+std::span<const field<service_call>> fields_of<service_call>();
+
+template <>
+std::span<const field<service>> fields_of<service>();
+
+template <>
+std::span<const field<model_grant>> fields_of<model_grant>();
+
+template <>
+std::span<const field<team>> fields_of<team>();
+
+template <>
+std::span<const field<topup>> fields_of<topup>();
+
+template <>
+std::span<const field<budget>> fields_of<budget>();
+
+template <>
+std::span<const field<model_placement>> fields_of<model_placement>();
+
+template <>
+std::span<const field<target>> fields_of<target>();
+
+template <>
+std::span<const field<document>> fields_of<document>();
 
 } // namespace fennelladder::manifest
 
--- a/libs/manifest/json_codec.cpp
+++ b/libs/manifest/json_codec.cpp
@@ -130,8 +130,8 @@
 {
     if (number >= at.range().least && number <= at.range().most)
         return true;
-    const json least = codec<duration>::write(duration(at.range().least));
-    const json most = codec<duration>::write(duration(at.range().most));
+    const json least = write_scalar(duration(at.range().least));
+    const json most = write_scalar(duration(at.range().most));
     at.report(event::manifest_out_of_range,
               "out of range: " + least.get<std::string>() + " to " +
                   most.get<std::string>());
@@ -243,12 +243,12 @@
     return true;
 }
 
-std::string_view codec<bool>::type()
+std::string_view type_name(const bool&)
 {
     return "boolean";
 }
 
-void codec<bool>::read(const cursor& at, bool& value)
+void read_scalar(const cursor& at, bool& value)
 {
     if (at.value().is_boolean())
         value = at.value().get<bool>();
@@ -256,66 +256,66 @@
         at.report(event::manifest_wrong_type, "not true or false");
 }
 
-json codec<bool>::write(const bool& value)
+json write_scalar(const bool& value)
 {
     return value;
 }
 
-std::string_view codec<std::string>::type()
+std::string_view type_name(const std::string&)
 {
     return "text";
 }
 
-void codec<std::string>::read(const cursor& at, std::string& value)
+void read_scalar(const cursor& at, std::string& value)
 {
     const std::string* text = read_text(at);
     if (text != nullptr)
         value = *text;
 }
 
-json codec<std::string>::write(const std::string& value)
+json write_scalar(const std::string& value)
 {
     return value;
 }
 
-std::string_view codec<std::int64_t>::type()
+std::string_view type_name(const std::int64_t&)
 {
     return "integer";
 }
 
-void codec<std::int64_t>::read(const cursor& at, std::int64_t& value)
+void read_scalar(const cursor& at, std::int64_t& value)
 {
     read_integer(at, value);
 }
 
-json codec<std::int64_t>::write(const std::int64_t& value)
+json write_scalar(const std::int64_t& value)
 {
     return value;
 }
 
-std::string_view codec<tokens>::type()
+std::string_view type_name(const tokens&)
 {
     return "tokens";
 }
 
-void codec<tokens>::read(const cursor& at, tokens& value)
+void read_scalar(const cursor& at, tokens& value)
 {
     std::int64_t count = 0;
     if (read_integer(at, count))
         value = tokens(count);
 }
 
-json codec<tokens>::write(const tokens& value)
+json write_scalar(const tokens& value)
 {
     return value.count();
 }
 
-std::string_view codec<duration>::type()
+std::string_view type_name(const duration&)
 {
     return "duration";
 }
 
-void codec<duration>::read(const cursor& at, duration& value)
+void read_scalar(const cursor& at, duration& value)
 {
     const std::string* text = read_text(at);
     if (text == nullptr)
@@ -339,7 +339,7 @@
         value = duration(total);
 }
 
-json codec<duration>::write(const duration& value)
+json write_scalar(const duration& value)
 {
     for (const std::string_view suffix : writing_order) {
         const std::int64_t scale = find_unit(suffix)->nanoseconds;
@@ -349,13 +349,13 @@
     return "0s";
 }
 
-std::string_view codec<share>::type()
+std::string_view type_name(const share&)
 {
     return "percentage";
 }
 
 // "99.95%": up to four decimals, kept as parts per million.
-void codec<share>::read(const cursor& at, share& value)
+void read_scalar(const cursor& at, share& value)
 {
     constexpr std::size_t most_decimals = 4;
     const std::string* text = read_text(at);
@@ -385,7 +385,7 @@
     value.parts_per_million = parts;
 }
 
-json codec<share>::write(const share& value)
+json write_scalar(const share& value)
 {
     std::string text = std::to_string(value.parts_per_million / 10'000);
     std::string decimals =
@@ -397,12 +397,12 @@
     return text + "%";
 }
 
-std::string_view codec<endpoint>::type()
+std::string_view type_name(const endpoint&)
 {
     return "endpoint";
 }
 
-void codec<endpoint>::read(const cursor& at, endpoint& value)
+void read_scalar(const cursor& at, endpoint& value)
 {
     const std::string* text = read_text(at);
     if (text == nullptr)
@@ -429,67 +429,67 @@
     value = {std::move(ip), std::uint16_t(port)};
 }
 
-json codec<endpoint>::write(const endpoint& value)
+json write_scalar(const endpoint& value)
 {
     return value.str();
 }
 
-std::string_view codec<weight>::type()
+std::string_view type_name(const weight&)
 {
     return "overspend or false_refusal";
 }
 
-void codec<weight>::read(const cursor& at, weight& value)
+void read_scalar(const cursor& at, weight& value)
 {
     read_enum(at, weights, value);
 }
 
-json codec<weight>::write(const weight& value)
+json write_scalar(const weight& value)
 {
     return write_enum(weights, value);
 }
 
-std::string_view codec<target_kind>::type()
+std::string_view type_name(const target_kind&)
 {
     return "engine or service";
 }
 
-void codec<target_kind>::read(const cursor& at, target_kind& value)
+void read_scalar(const cursor& at, target_kind& value)
 {
     read_enum(at, target_kinds, value);
 }
 
-json codec<target_kind>::write(const target_kind& value)
+json write_scalar(const target_kind& value)
 {
     return write_enum(target_kinds, value);
 }
 
-std::string_view codec<engine_role>::type()
+std::string_view type_name(const engine_role&)
 {
     return "mixed, prefill or decode";
 }
 
-void codec<engine_role>::read(const cursor& at, engine_role& value)
+void read_scalar(const cursor& at, engine_role& value)
 {
     read_enum(at, engine_roles, value);
 }
 
-json codec<engine_role>::write(const engine_role& value)
+json write_scalar(const engine_role& value)
 {
     return write_enum(engine_roles, value);
 }
 
-std::string_view codec<measure>::type()
+std::string_view type_name(const measure&)
 {
     return "first_byte, inter_token or total";
 }
 
-void codec<measure>::read(const cursor& at, measure& value)
+void read_scalar(const cursor& at, measure& value)
 {
     read_enum(at, measures, value);
 }
 
-json codec<measure>::write(const measure& value)
+json write_scalar(const measure& value)
 {
     return write_enum(measures, value);
 }
--- a/libs/manifest/json_codec.hpp
+++ b/libs/manifest/json_codec.hpp
@@ -249,34 +249,62 @@
 /// Reads a whole number within the cursor's range.
 bool read_integer(const cursor& at, std::int64_t& number);
 
-/// Declares the codec of a type that is one JSON value.
-#define FENNELLADDER_SCALAR_CODEC(T)                                           \
-    template <>                                                                \
-    struct codec<T>                                                            \
-    {                                                                          \
-        static std::string_view type();                                        \
-        static void read(const cursor& at, T& value);                          \
-        static json write(const T& value);                                     \
-        static void describe(const schema_key& key,                            \
-                             std::vector<schema_key>& keys)                    \
-        {                                                                      \
-            describe_scalar<T>(key, keys);                                     \
-        }                                                                      \
-    }
+// Types that are one JSON value: how each is read, written and named. On a
+// finding, read_scalar() leaves the value as it was.
+void read_scalar(const cursor& at, bool& value);
+json write_scalar(const bool& value);
+std::string_view type_name(const bool& value);
+void read_scalar(const cursor& at, std::string& value);
+json write_scalar(const std::string& value);
+std::string_view type_name(const std::string& value);
+void read_scalar(const cursor& at, std::int64_t& value);
+json write_scalar(const std::int64_t& value);
+std::string_view type_name(const std::int64_t& value);
+void read_scalar(const cursor& at, tokens& value);
+json write_scalar(const tokens& value);
+std::string_view type_name(const tokens& value);
+void read_scalar(const cursor& at, duration& value);
+json write_scalar(const duration& value);
+std::string_view type_name(const duration& value);
+void read_scalar(const cursor& at, share& value);
+json write_scalar(const share& value);
+std::string_view type_name(const share& value);
+void read_scalar(const cursor& at, endpoint& value);
+json write_scalar(const endpoint& value);
+std::string_view type_name(const endpoint& value);
+void read_scalar(const cursor& at, weight& value);
+json write_scalar(const weight& value);
+std::string_view type_name(const weight& value);
+void read_scalar(const cursor& at, target_kind& value);
+json write_scalar(const target_kind& value);
+std::string_view type_name(const target_kind& value);
+void read_scalar(const cursor& at, engine_role& value);
+json write_scalar(const engine_role& value);
+std::string_view type_name(const engine_role& value);
+void read_scalar(const cursor& at, measure& value);
+json write_scalar(const measure& value);
+std::string_view type_name(const measure& value);
+
+template <class T>
+concept scalar = requires(const cursor& at, T& value)
+{
+    read_scalar(at, value);
+};
+
+template <scalar T>
+struct codec<T>
+{
+    static std::string_view type() { return type_name(T{}); }
 
-FENNELLADDER_SCALAR_CODEC(bool);
-FENNELLADDER_SCALAR_CODEC(std::string);
-FENNELLADDER_SCALAR_CODEC(std::int64_t);
-FENNELLADDER_SCALAR_CODEC(tokens);
-FENNELLADDER_SCALAR_CODEC(duration);
-FENNELLADDER_SCALAR_CODEC(share);
-FENNELLADDER_SCALAR_CODEC(endpoint);
-FENNELLADDER_SCALAR_CODEC(weight);
-FENNELLADDER_SCALAR_CODEC(target_kind);
-FENNELLADDER_SCALAR_CODEC(engine_role);
-FENNELLADDER_SCALAR_CODEC(measure);
-
-#undef FENNELLADDER_SCALAR_CODEC
+    static void read(const cursor& at, T& value) { read_scalar(at, value); }
+
+    static json write(const T& value) { return write_scalar(value); }
+
+    static void describe(const schema_key& key, std::vector<schema_key>& keys)
+    {
+        describe_scalar<T>(key, keys);
+    }
+};
 
 } // namespace fennelladder::manifest
 
--- a/libs/report/history_burn.cpp
+++ b/libs/report/history_burn.cpp
@@ -42,6 +42,7 @@
 objectives_of(const std::vector<manifest::objective>& objectives)
 {
     std::vector<service_level_objective> made;
+    made.reserve(objectives.size());
     for (const manifest::objective& it : objectives)
         made.push_back({it.id.str(), it.kind, measure_of(it.measures),
                         it.latency, it.target.value(), it.window});
@@ -52,6 +53,7 @@
 objectives_of_kinds(const std::set<caller_kind>& kinds)
 {
     std::vector<service_level_objective> made;
+    made.reserve(kinds.size());
     for (const caller_kind& it : kinds) {
         service_level_objective one;
         one.name = it.str() + "-whole";
--- a/libs/telemetry/burn_report.cpp
+++ b/libs/telemetry/burn_report.cpp
@@ -57,6 +57,7 @@
         row.state = std::max(row.state, it.state);
     }
     std::vector<kind_row> list;
+    list.reserve(kinds.size());
     for (auto& [kind, row] : kinds)
         list.push_back(std::move(row));
     std::ranges::stable_sort(list, {}, &kind_row::least_left);
@@ -145,6 +146,7 @@
                         const burn_report_options& options)
 {
     burn_report report;
+    report.objectives.reserve(seen.objectives.size());
     for (const auto& [name, objective] : seen.objectives)
         report.objectives.push_back(make_objective_row(objective, seen));
     std::ranges::stable_sort(report.objectives, {}, &objective_row::left);
