Stop passing on news that everyone has

Cause: at 340 nodes each rumour was sent a fixed number of times; after a cold start that took eight minutes, and pages of the table went on being read after it agreed: 2366 B/s while nodes restart, above the limit of 2 KB/s. Change: four messages in a row with our own digest end all rumours, questions and paging; a reply to a differing digest carries what changed last; the digest covers suspicion and missing descriptions.

--- a/include/fennelladder/membership/member_table.hpp
+++ b/include/fennelladder/membership/member_table.hpp
@@ -218,6 +218,7 @@
     gossip make_gossip(const host_id& to, bool describe, instant now);
     member_update update_of(const member& row, bool describe) const;
     void add_updates(gossip& out, const host_id& to);
+    void add_recent(gossip& out) const;
     void add_samples(gossip& out, const host_id& to, instant now);
     void changed(member& row, instant now);
     std::uint64_t digest();
@@ -252,7 +253,8 @@
     bool ticked_ = false;
     bool synced_ = false;
     std::optional<host_id> page_cursor_;
-    int mismatches_ = 0;
+    int mismatches_ = 0; ///< Messages in a row with another digest.
+    int agreements_ = 0; ///< Messages in a row with our digest.
     generation highest_;
     host_id generation_source_;
     std::uint64_t revision_ = 0;
--- a/include/fennelladder/membership/messages.hpp
+++ b/include/fennelladder/membership/messages.hpp
@@ -34,7 +34,7 @@
     member_update sender;
     member_sample sample;
     generation highest_generation; ///< Highest seen, not only in force.
-    std::uint64_t digest = 0;      ///< Of hosts and versions believed up.
+    std::uint64_t digest = 0;      ///< Of who is believed up, and its version.
     std::vector<member_update> updates;
     std::vector<member_sample> samples;
     std::string extension; ///< Small opaque bytes of other libraries.
--- a/libs/membership/member_sending.cpp
+++ b/libs/membership/member_sending.cpp
@@ -29,7 +29,7 @@
 constexpr std::size_t max_probes = 8;
 constexpr std::size_t max_queue = 64;
 constexpr std::size_t join_messages = 3;
-constexpr std::size_t steady_page_limit = 4;
+constexpr std::size_t steady_page_limit = 12;
 constexpr std::uint64_t lost_host_turn = 4;
 constexpr duration sample_memory = seconds(20);
 constexpr std::size_t sample_walk = 64;
@@ -330,6 +330,7 @@
 void member_table::spread(const host_id& host, bool describe)
 {
     news_ = true;
+    agreements_ = 0;
     const auto it = std::ranges::find(rumors_, host, &rumor::host);
     if (it == rumors_.end()) {
         rumors_.push_back({host, 0, describe});
@@ -398,6 +399,29 @@
     std::erase_if(rumors_, [&](const rumor& it) { return it.sent >= limit; });
 }
 
+// The other one's table differs, and most likely in what changed last: news
+// that passed it by, of which nobody speaks any more.
+void member_table::add_recent(gossip& out) const
+{
+    std::vector<const member*> rows;
+    for (const auto& [host, row] : members_) {
+        if (row.version > 0)
+            rows.push_back(&row);
+    }
+    const std::size_t n = std::min(options_.max_updates, rows.size());
+    std::ranges::partial_sort(rows,
+                              rows.begin() + static_cast<std::ptrdiff_t>(n),
+                              std::greater<>(), &member::changed_at);
+    for (std::size_t i = 0; i < n && out.updates.size() < n; ++i) {
+        const bool there =
+            std::ranges::any_of(out.updates, [&](const member_update& u) {
+                return u.host == rows[i]->host;
+            });
+        if (!there)
+            out.updates.push_back(update_of(*rows[i], true));
+    }
+}
+
 void member_table::add_samples(gossip& out, const host_id& to, instant now)
 {
     const member* row = find(to);
--- a/libs/membership/member_table.cpp
+++ b/libs/membership/member_table.cpp
@@ -35,10 +35,14 @@
 // Messages with another digest before the table is read anew: more than news
 // needs to reach everyone.
 constexpr int tolerated_mismatches = 8;
+// Messages in a row with our own digest before news is no longer passed on.
+constexpr int enough_agreements = 4;
 
 std::uint64_t contribution(const member& row)
 {
-    return row.up() ? hash64(row.host.str(), row.version) : 0;
+    const std::uint64_t seed =
+        2 * row.version + (row.health == member_health::suspect ? 1 : 0);
+    return row.up() && row.described ? hash64(row.host.str(), seed) : 0;
 }
 
 } // namespace
@@ -176,6 +180,8 @@
     heartbeat_reply out;
     member* row = find(from);
     out.gossip = make_gossip(from, message.describe, now);
+    if (message.gossip.digest != digest())
+        add_recent(out.gossip);
     out.describe = row != nullptr && !row->described;
     if (row != nullptr && message.describe)
         row->knows_us = true;
@@ -226,9 +232,19 @@
 void member_table::note_digest(std::uint64_t other, instant /*now*/)
 {
     if (other == digest()) {
+        // The other one knows all that we do. After a few of them everyone
+        // does, nearly; those who don't will find their digest differs.
+        ++agreements_;
+        if (agreements_ >= enough_agreements) {
+            rumors_.clear();
+            questions_.clear();
+        }
         mismatches_ = 0;
+        synced_ = true;
+        page_cursor_.reset();
         return;
     }
+    agreements_ = 0;
     ++mismatches_;
     if (mismatches_ >= tolerated_mismatches && !page_cursor_)
         page_cursor_ = host_id();
@@ -310,6 +326,8 @@
         row->description = *update.description;
         row->described = true;
         ++revision_;
+        digest_stale_ = true;
+        fingers_stale_ = true;
     }
     if (update.health > row->health && row->health == member_health::alive) {
         suspect(*row, now);
