Probe the next member of the ring every second time

Cause: a dead host was first probed after up to 5 s, as each of its fifteen probers came by every 15 s, and the news of it missed some nodes for another second or two. Change: every second probe goes to the next member of the data center's ring; period 0.75 s; news goes to five members, at most ten urgent messages a second.

--- a/include/fennelladder/membership/member_table.hpp
+++ b/include/fennelladder/membership/member_table.hpp
@@ -40,7 +40,7 @@
 /// docs/notes/membership.md.
 struct member_options
 {
-    duration probe_period = seconds(1);
+    duration probe_period = milliseconds(750);
     duration probe_timeout = milliseconds(400);    ///< Then helpers are asked.
     duration indirect_timeout = milliseconds(600); ///< Then it's suspected.
     duration suspicion = seconds(3);               ///< Time to object.
@@ -51,8 +51,8 @@
     std::size_t max_updates = 6; ///< Per message.
     std::size_t max_samples = 4; ///< Per message.
     std::size_t page_limit = 16; ///< Members in one reply.
-    std::size_t urgent_fanout = 3;
-    double urgent_rate = 4;           ///< Urgent messages a second.
+    std::size_t urgent_fanout = 5;
+    double urgent_rate = 10;          ///< Urgent messages a second.
     std::size_t extension_limit = 64; ///< Bytes; longer is not sent.
     std::size_t max_members = 4096;   ///< Further hosts are ignored.
 };
@@ -239,6 +239,7 @@
     std::deque<host_id> questions_;
     std::vector<outgoing> queue_;
     std::vector<host_id> fingers_;
+    host_id successor_; ///< One of the fingers, probed most often.
     std::size_t finger_ = 0;
     bool fingers_stale_ = true;
     host_id sample_cursor_;
--- a/libs/membership/member_sending.cpp
+++ b/libs/membership/member_sending.cpp
@@ -7,7 +7,12 @@
 // many, and the graph is an expander: news needs O(log n) steps. Probing
 // random members (SWIM) gives the same rates but touches every other node.
 //
-// Every fourth probe goes to a host that the host list has and the table
+// Every second probe goes to the next member of the ring of the data center
+// (of the fleet, where there is no other), so that each member has one that
+// looks after it at short and bounded intervals; the others are spread over
+// the rest.
+//
+// Every eighth probe goes to a host that the host list has and the table
 // doesn't, that is dead, or that didn't answer last time: so that halves of a
 // partition find each other again, whoever noticed the end of it.
 //
@@ -30,7 +35,8 @@
 constexpr std::size_t max_queue = 64;
 constexpr std::size_t join_messages = 3;
 constexpr std::size_t steady_page_limit = 12;
-constexpr std::uint64_t lost_host_turn = 4;
+constexpr std::uint64_t successor_turn = 2;
+constexpr std::uint64_t lost_host_turn = 8;
 constexpr duration sample_memory = seconds(20);
 constexpr std::size_t sample_walk = 64;
 constexpr duration sequence_step = milliseconds(100);
@@ -120,17 +126,18 @@
     ++probe_count_;
     if (fingers_stale_)
         rebuild_fingers();
-    const bool odd_turn = probe_count_ % 2 == 1;
-    if (!questions_.empty() && (odd_turn || fingers_.empty())) {
+    if (probe_count_ % successor_turn == 0 && !successor_.empty())
+        return successor_;
+    if (probe_count_ % lost_host_turn == 1 || fingers_.empty()) {
+        if (const auto host = some_lost_host())
+            return *host;
+    }
+    if (!questions_.empty()) {
         host_id host = std::move(questions_.front());
         questions_.pop_front();
         if (find(host) != nullptr)
             return host;
     }
-    if (fingers_.empty() || probe_count_ % lost_host_turn == 0) {
-        if (const auto host = some_lost_host())
-            return *host;
-    }
     if (fingers_.empty())
         return {};
     finger_ = (finger_ + 1) % fingers_.size();
@@ -161,6 +168,7 @@
     };
     fingers_stale_ = false;
     fingers_.clear();
+    successor_ = host_id();
     finger_ = 0;
     const std::uint64_t own = hash64(self_.host.str());
     const auto add_ring = [&](bool everywhere) {
@@ -181,6 +189,8 @@
     };
     add_ring(false);
     add_ring(true);
+    if (!fingers_.empty())
+        successor_ = fingers_.front();
     for (std::size_t n = fingers_.size(); n > 1; --n)
         std::swap(fingers_[n - 1], fingers_[random_.below(n)]);
 }
