--- a/include/fennelladder/telemetry/burn_report.hpp
+++ b/include/fennelladder/telemetry/burn_report.hpp
@@ -62,13 +62,15 @@
     burn_state state = burn_state::quiet;
 };
 
-/// One kind of caller: its objectives taken together.
+/// One kind of caller, by the objective that has least budget left. (Adding up
+/// its objectives would count each request several times.)
 struct kind_row
 {
     caller_kind kind;
-    burn_counts counts; ///< Sums over its objectives, whole window.
-    double least_left = 1;
-    burn_state state = burn_state::quiet;
+    std::string objective;
+    burn_counts counts; ///< Whole window.
+    double left = 1;
+    burn_state state = burn_state::quiet; ///< The worst of all objectives.
 };
 
 /// One team under one objective.
--- a/libs/telemetry/burn_page.cpp
+++ b/libs/telemetry/burn_page.cpp
@@ -151,13 +151,15 @@
 
 void write_kinds(std::ostream& out, const burn_report& report)
 {
-    out << "<table><tr><th>caller kind</th><th>least left</th>"
+    out << "<table><tr><th>caller kind</th><th>worst "
+           "objective</th><th>left</th>"
            "<th>state</th>"
         << cause_heads;
     for (const kind_row& it : report.kinds) {
         out << "<tr class=\"" << to_string(it.state) << "\"><td>"
-            << escape(it.kind.str()) << "</td><td>" << it.least_left * 100
-            << "%</td><td>" << to_string(it.state) << "</td>";
+            << escape(it.kind.str()) << "</td><td>" << escape(it.objective)
+            << "</td><td>" << it.left * 100 << "%</td><td>"
+            << to_string(it.state) << "</td>";
         write_causes(out, it.counts);
         out << "</tr>\n";
     }
--- a/libs/telemetry/burn_report.cpp
+++ b/libs/telemetry/burn_report.cpp
@@ -46,21 +46,21 @@
     return row;
 }
 
+// Rows come with the least budget left first, so a kind's first is its worst.
 std::vector<kind_row> make_kind_rows(const std::vector<objective_row>& rows)
 {
-    std::map<caller_kind, kind_row> kinds;
+    std::vector<kind_row> list;
     for (const objective_row& it : rows) {
-        kind_row& row = kinds[it.objective.kind];
-        row.kind = it.objective.kind;
-        row.counts += it.counts[std::size_t(burn_window::whole)];
-        row.least_left = std::min(row.least_left, it.left);
-        row.state = std::max(row.state, it.state);
+        const auto known =
+            std::ranges::find(list, it.objective.kind, &kind_row::kind);
+        if (known != list.end()) {
+            known->state = std::max(known->state, it.state);
+            continue;
+        }
+        list.push_back({it.objective.kind, it.objective.name,
+                        it.counts[std::size_t(burn_window::whole)], it.left,
+                        it.state});
     }
-    std::vector<kind_row> list;
-    list.reserve(kinds.size());
-    for (auto& [kind, row] : kinds)
-        list.push_back(std::move(row));
-    std::ranges::stable_sort(list, {}, &kind_row::least_left);
     return list;
 }
 
@@ -176,13 +176,13 @@
         out << '\n';
     }
     out << '\n'
-        << std::left << std::setw(40) << "caller kind" << std::right
-        << std::setw(20) << "least left" << std::setw(8) << "state"
-        << cause_heads << '\n';
+        << std::left << std::setw(24) << "caller kind" << std::setw(24)
+        << "worst objective" << std::right << std::setw(12) << "left"
+        << std::setw(8) << "state" << cause_heads << '\n';
     for (const kind_row& it : report.kinds) {
-        out << std::left << std::setw(40) << it.kind.str() << std::right
-            << std::setw(20) << percent(it.least_left) << std::setw(8)
-            << to_string(it.state);
+        out << std::left << std::setw(24) << it.kind.str() << std::setw(24)
+            << it.objective << std::right << std::setw(12) << percent(it.left)
+            << std::setw(8) << to_string(it.state);
         print_causes(out, it.counts);
         out << '\n';
     }
@@ -223,7 +223,8 @@
     for (const kind_row& it : report.kinds) {
         json row = causes_json(it.counts);
         row["caller_kind"] = it.kind.str();
-        row["least_budget_left"] = it.least_left;
+        row["worst_objective"] = it.objective;
+        row["budget_left"] = it.left;
         row["state"] = to_string(it.state);
         out["caller_kinds"].push_back(std::move(row));
     }
--- a/libs/telemetry/service_level_test.cpp
+++ b/libs/telemetry/service_level_test.cpp
@@ -114,6 +114,8 @@
     CHECK(report.objectives[0].left < 0);
     CHECK(report.objectives[1].state == burn_state::quiet);
     CHECK(report.kinds[0].kind == caller_kind("dispatcher"));
+    STRCMP_EQUAL("dispatch", report.kinds[0].objective.c_str());
+    CHECK_EQUAL(2, int(report.kinds.size()));
     STRCMP_EQUAL("harbour", report.teams[0].team.c_str());
     DOUBLES_EQUAL(1, report.teams[0].share, 0);
     report = run(hours(1), 0);
