Keep a stand-in's connection serial in place, not on the heap

Cause: the leak check of AddressSanitizer found 16 serials of 8 bytes: CivetWeb doesn't report the end of every connection. Change: the serial is the connection's data itself. Two parameters that the linter found are passed by reference.

--- a/include/fennelladder/platform/platform_client.hpp
+++ b/include/fennelladder/platform/platform_client.hpp
@@ -47,7 +47,8 @@
     result<host_page> hosts() override;
 
 private:
-    http::request make_request(std::string method, std::string path) const;
+    http::request make_request(std::string method,
+                               const std::string& path) const;
     result<http::response> read(const std::string& path, duration wait);
     result<http::response> write(const http::request& what);
 
--- a/include/fennelladder/standin/platform_server.hpp
+++ b/include/fennelladder/standin/platform_server.hpp
@@ -52,7 +52,7 @@
 class platform_server
 {
 public:
-    explicit platform_server(platform_server_options options);
+    explicit platform_server(const platform_server_options& options);
     ~platform_server();
 
     /// False: the port could not be had.
--- a/libs/platform/platform_client.cpp
+++ b/libs/platform/platform_client.cpp
@@ -79,7 +79,7 @@
 {}
 
 http::request platform_client::make_request(std::string method,
-                                            std::string path) const
+                                            const std::string& path) const
 {
     return {.method = std::move(method), .url = options_.url + path};
 }
--- a/libs/standin/platform_server.cpp
+++ b/libs/standin/platform_server.cpp
@@ -300,7 +300,7 @@
     web_server server_; // Last: its threads use everything above.
 };
 
-platform_server::platform_server(platform_server_options options)
+platform_server::platform_server(const platform_server_options& options)
     : state_(std::make_unique<state>(options))
 {}
 
--- a/libs/standin/web_server.cpp
+++ b/libs/standin/web_server.cpp
@@ -219,17 +219,16 @@
         return owner(from).serve(from);
     }
 
+    // The serial number itself is the connection's data: CivetWeb doesn't
+    // tell of the end of every connection, so nothing may hang on it.
     static int init_connection(const mg_connection* from, void** data)
     {
-        *data = new std::uint64_t(++owner(from).last_serial_);
+        const std::uintptr_t serial = ++owner(from).last_serial_;
+        // NOLINTNEXTLINE(performance-no-int-to-ptr)
+        *data = reinterpret_cast<void*>(serial);
         return 0;
     }
 
-    static void connection_closed(const mg_connection* from)
-    {
-        delete static_cast<std::uint64_t*>(mg_get_user_connection_data(from));
-    }
-
     static int log_message(const mg_connection*, const char*) { return 1; }
 };
 
@@ -275,7 +274,6 @@
     mg_callbacks callbacks{};
     callbacks.begin_request = web_callbacks::begin_request;
     callbacks.init_connection = web_callbacks::init_connection;
-    callbacks.connection_closed = web_callbacks::connection_closed;
     callbacks.log_message = web_callbacks::log_message;
     context_ = mg_start(&callbacks, this, settings);
     if (context_ == nullptr)
@@ -324,7 +322,7 @@
 int web_server::serve(mg_connection* from)
 {
     const auto serial =
-        *static_cast<std::uint64_t*>(mg_get_user_connection_data(from));
+        reinterpret_cast<std::uintptr_t>(mg_get_user_connection_data(from));
     web_request ask = make_request(from);
     web_reply reply(*this, from, serial);
     if (!read_body(from, ask.body))
