Count service levels in the node and show them at /metrics

A page of the listing that timed out now brings its parts all the same, so that a slow platform can't hold up a cold start for good.

--- a/apps/fennelladder/command_report.cpp
+++ b/apps/fennelladder/command_report.cpp
@@ -7,6 +7,7 @@
 
 #include "fennelladder/history/event.hpp"
 #include "fennelladder/http/client.hpp"
+#include "fennelladder/manifest/objectives.hpp"
 #include "fennelladder/report/history_burn.hpp"
 #include "fennelladder/settings/settings.hpp"
 #include "fennelladder/telemetry/burn_report.hpp"
@@ -52,8 +53,9 @@
     }
     if (!good)
         return std::nullopt;
-    return burn.finish(manifest ? report::objectives_of(manifest->objectives)
-                                : report::objectives_of_kinds(burn.kinds()));
+    return burn.finish(manifest
+                           ? manifest::service_levels_of(manifest->objectives)
+                           : report::objectives_of_kinds(burn.kinds()));
 }
 
 /// The sum over nodes. A node that doesn't answer is told and left out.
--- a/include/fennelladder/report/history_burn.hpp
+++ b/include/fennelladder/report/history_burn.hpp
@@ -4,7 +4,7 @@
 //     while (std::getline(in, line))
 //         burn.add(*history::parse_event(line));
 //     telemetry::burn_snapshot seen =
-//         burn.finish(objectives_of(manifest.objectives));
+//         burn.finish(service_levels_of(manifest.objectives));
 //
 // A caller's retries under one key count as one request, from the first try to
 // the first whole answer, since that is what the caller went through.
@@ -15,7 +15,6 @@
 #define FENNELLADDER_REPORT_HISTORY_BURN_HPP
 
 #include "fennelladder/history/event.hpp"
-#include "fennelladder/manifest/document.hpp"
 #include "fennelladder/telemetry/service_level.hpp"
 
 #include <optional>
@@ -26,10 +25,6 @@
 
 namespace fennelladder::report {
 
-/// The manifest's objectives as the meter takes them.
-std::vector<telemetry::service_level_objective>
-objectives_of(const std::vector<manifest::objective>& objectives);
-
 /// Objectives for a history without a manifest: for each kind of caller seen,
 /// 99% whole and once, whatever the latency.
 std::vector<telemetry::service_level_objective>
--- a/libs/manifest/configuration_holder.cpp
+++ b/libs/manifest/configuration_holder.cpp
@@ -263,20 +263,21 @@
                                    const result<platform::object_page>& page,
                                    instant now)
 {
-    const auto it = calls_.find(call);
-    if (it == calls_.end())
-        return;
-    calls_.erase(it);
-    if (!page)
-        return failed({}, now);
-    succeeded({});
-    if (!candidate_)
+    // A page that timed out brings parts all the same, but the listing goes on
+    // from where the last page in time ended.
+    const bool in_time = calls_.erase(call) > 0;
+    if (in_time && !page)
+        failed({}, now);
+    if (!page || !candidate_)
         return;
-    for (const platform::stored_object& one : page->objects) {
-        candidate_->listed_to = one.key;
+    for (const platform::stored_object& one : page->objects)
         accept_part(one.value);
+    if (in_time) {
+        succeeded({});
+        candidate_->listed = !page->more || page->objects.empty();
+        if (!page->objects.empty())
+            candidate_->listed_to = page->objects.back().key;
     }
-    candidate_->listed = !page->more || page->objects.empty();
     try_activate();
 }
 
--- a/libs/node/caller_api.cpp
+++ b/libs/node/caller_api.cpp
@@ -115,9 +115,12 @@
 
 caller_api::caller_api(run_tools tools, configuration_service& config,
                        member_service& members, http::client& connections,
-                       telemetry::metrics& metrics, std::uint64_t key_seed)
+                       telemetry::metrics& metrics,
+                       telemetry::service_level_meter& levels,
+                       std::uint64_t key_seed)
     : tools_(tools), config_(config), members_(members),
-      connections_(connections), metrics_(metrics), key_seed_(key_seed)
+      connections_(connections), metrics_(metrics), levels_(levels),
+      key_seed_(key_seed)
 {}
 
 std::string caller_api::origin_now() const
@@ -141,8 +144,7 @@
     else if (path.starts_with(requests_prefix))
         look_up(it);
     else if (path == "/metrics")
-        it.reply({.content_type = "text/plain; version=0.0.4",
-                  .body = metrics_.to_prometheus()});
+        show_metrics(it);
     else if (path == "/healthz")
         health(it);
     else
@@ -511,7 +513,7 @@
     form.key = what.head.key;
     form.origin = what.head.origin.str();
     gateway::answer_writer out(it, form);
-    count(what, reply);
+    count(what, reply, {});
     if (!kept.empty() && reply.result == request::outcome::answered) {
         history::answer_digest digest;
         digest.add(kept);
@@ -536,15 +538,17 @@
             what.traits.billed_before = admitted.billed_before;
             const bool whole = what.is_call;
             std::string text;
+            answer_pace pace;
             request_run run(tools_, what, admitted,
                             [&](std::string_view piece) {
+                                pace.on_piece(tools_.time.now());
                                 if (!whole)
                                     return out.text(piece);
                                 text += piece;
                                 return true;
                             });
             const auto reply = run.run();
-            count(what, reply);
+            count(what, reply, pace);
             if (whole)
                 out.end_call(reply, run.result().status,
                              run.result().content_type, text);
@@ -566,10 +570,10 @@
                 out.text(admitted.text);
                 out.end(admitted.reply, {});
             }
-            return count(what, admitted.reply);
+            return count(what, admitted.reply, {});
         case admit_verdict::reply:
             out.end(admitted.reply, {});
-            return count(what, admitted.reply);
+            return count(what, admitted.reply, {});
         }
     }
 }
@@ -579,6 +583,7 @@
 {
     std::size_t offset = 0;
     std::string text;
+    answer_pace pace;
     while (true) {
         auto part = admitted.stream->read(offset, join_wait);
         if (part.overflowed) {
@@ -589,12 +594,14 @@
             return out.end(reply, {});
         }
         offset += part.text.size();
+        if (!part.text.empty())
+            pace.on_piece(tools_.time.now());
         if (what.is_call)
             text += part.text;
         else if (!part.text.empty())
             out.text(part.text);
         if (part.reply) {
-            count(what, *part.reply);
+            count(what, *part.reply, pace);
             if (what.is_call)
                 return out.end_call(*part.reply, 200, "application/json", text);
             return out.end(*part.reply, {});
@@ -604,13 +611,55 @@
     }
 }
 
-void caller_api::count(const runnable& what, const outcome_reply& reply)
+void caller_api::answer_pace::on_piece(instant now)
+{
+    if (first)
+        longest_gap = std::max(longest_gap, now - last);
+    else
+        first = now;
+    last = now;
+}
+
+void caller_api::show_metrics(http::exchange& it)
+{
+    const auto levels = levels_.snapshot(tools_.time.now());
+    it.reply(
+        {.content_type = "text/plain; version=0.0.4",
+         .body = metrics_.to_prometheus() + telemetry::to_prometheus(levels)});
+}
+
+// A node can't see that something ran twice, so it never counts `doubled`; a
+// history shows it.
+void caller_api::count_service_level(const runnable& what,
+                                     const outcome_reply& reply,
+                                     const answer_pace& pace, instant now)
+{
+    // What the caller did is no failing of the service.
+    if (reply.code == reply_code::caller_left ||
+        reply.code == reply_code::key_reused)
+        return;
+    telemetry::request_sample sample;
+    sample.team = what.head.team;
+    sample.kind = what.head.kind;
+    if (reply.result == request::outcome::not_run)
+        sample.end = telemetry::request_end::refused;
+    if (reply.result == request::outcome::unknown)
+        sample.end = telemetry::request_end::missing;
+    sample.first_byte = pace.first.value_or(now) - what.received;
+    sample.longest_gap = pace.longest_gap;
+    sample.total = now - what.received;
+    levels_.add(sample, now);
+}
+
+void caller_api::count(const runnable& what, const outcome_reply& reply,
+                       const answer_pace& pace)
 {
     const telemetry::labels where{
         {"caller_kind", what.head.kind.str()},
         {"code", std::string(to_string(reply.code))},
         {"outcome", std::string(to_string(reply.result))}};
     metrics_.counter_of("fennelladder_requests_total", where).add();
+    count_service_level(what, reply, pace, tools_.time.now());
     metrics_
         .summary_of("fennelladder_request_seconds",
                     {{"caller_kind", what.head.kind.str()}})
--- a/libs/node/caller_api.hpp
+++ b/libs/node/caller_api.hpp
@@ -5,9 +5,11 @@
 
 #include "fennelladder/http/client.hpp"
 #include "fennelladder/http/server.hpp"
+#include "fennelladder/telemetry/service_level.hpp"
 #include "request_runner.hpp"
 
 #include <atomic>
+#include <optional>
 
 namespace fennelladder::node {
 
@@ -18,7 +20,8 @@
     /// All references must outlive this.
     caller_api(run_tools tools, configuration_service& config,
                member_service& members, http::client& connections,
-               telemetry::metrics& metrics, std::uint64_t key_seed);
+               telemetry::metrics& metrics,
+               telemetry::service_level_meter& levels, std::uint64_t key_seed);
 
     /// Serves one request of a caller.
     void serve(http::exchange& it);
@@ -54,7 +57,22 @@
                  const incarnation_id& origin, std::string_view body);
     void answer_from_journal(http::exchange& it, const runnable& what,
                              const incarnation_id& origin);
-    void count(const runnable& what, const request::outcome_reply& reply);
+    /// How the pieces of an answer came, for the service levels.
+    struct answer_pace
+    {
+        std::optional<instant> first;
+        instant last;
+        duration longest_gap{};
+
+        void on_piece(instant now);
+    };
+
+    void count(const runnable& what, const request::outcome_reply& reply,
+               const answer_pace& pace);
+    void count_service_level(const runnable& what,
+                             const request::outcome_reply& reply,
+                             const answer_pace& pace, instant now);
+    void show_metrics(http::exchange& it);
     std::string origin_now() const;
 
     run_tools tools_;
@@ -62,6 +80,7 @@
     member_service& members_;
     http::client& connections_;
     telemetry::metrics& metrics_;
+    telemetry::service_level_meter& levels_;
     const std::uint64_t key_seed_;
     std::atomic<std::uint64_t> next_key_{1};
     std::atomic<int> active_{0};
--- a/libs/node/node.cpp
+++ b/libs/node/node.cpp
@@ -1,6 +1,8 @@
 // Puts the parts together and runs their recurring work.
 
 #include "fennelladder/node/node.hpp"
+#include "fennelladder/manifest/objectives.hpp"
+#include "fennelladder/telemetry/service_level.hpp"
 
 #include "caller_api.hpp"
 #include "fennelladder/base/hash.hpp"
@@ -72,6 +74,7 @@
     platform::budgeted_object_store telemetry_store;
     std::unique_ptr<peer::peer_network> peers;
     telemetry::metrics metrics;
+    telemetry::service_level_meter levels{{}, {}};
     std::atomic<bool> stopping{false};
     std::atomic<bool> serving{false};
     call_queue calls;
@@ -110,7 +113,7 @@
       targets(options, connections, routes, suspects, time, calls),
       ledger(options, self, safety_store, *peers, members, config, time, calls),
       table({.seed = options.seed}), retries({}, time.now()),
-      api(tools(), config, members, connections, metrics, options.seed)
+      api(tools(), config, members, connections, metrics, levels, options.seed)
 {}
 
 run_tools node::parts::tools()
@@ -191,6 +194,7 @@
 void node::parts::on_configuration(const manifest_pointer& it)
 {
     targets.apply(it);
+    levels.set_objectives(manifest::service_levels_of(it->objectives()));
 }
 
 // The journal's layout is read once; a platform that is down at the start
--- a/libs/report/history_burn.cpp
+++ b/libs/report/history_burn.cpp
@@ -15,19 +15,6 @@
 
 namespace {
 
-telemetry::latency_measure measure_of(manifest::measure it)
-{
-    switch (it) {
-    case manifest::measure::first_byte:
-        return telemetry::latency_measure::first_byte;
-    case manifest::measure::inter_token:
-        return telemetry::latency_measure::inter_token;
-    case manifest::measure::total:
-        break;
-    }
-    return telemetry::latency_measure::total;
-}
-
 duration longest_gap(const std::vector<instant>& sorted)
 {
     duration longest{};
@@ -38,17 +25,6 @@
 
 } // namespace
 
-std::vector<service_level_objective>
-objectives_of(const std::vector<manifest::objective>& objectives)
-{
-    std::vector<service_level_objective> made;
-    made.reserve(objectives.size());
-    for (const manifest::objective& it : objectives)
-        made.push_back({it.id.str(), it.kind, measure_of(it.measures),
-                        it.latency, it.target.value(), it.window});
-    return made;
-}
-
 std::vector<service_level_objective>
 objectives_of_kinds(const std::set<caller_kind>& kinds)
 {
