Let a refused request leave its first target

Cause: the node asks begin() anew for each attempt without ending the one before; a request of an unproved body that a target refused was then held to that same target as a copy of itself, until its attempts were used up. Change: begin() ends an earlier attempt of the same key and body that isn't in doubt.

--- a/include/fennelladder/request/suspect_list.hpp
+++ b/include/fennelladder/request/suspect_list.hpp
@@ -187,7 +187,8 @@
     suspect_list(incarnation_id self, suspect_list_options options);
 
     /// Asks to run. A verdict of free, same_target or alone registers the run
-    /// until ended(). O(1) on average.
+    /// until ended(), or until the same key and body ask anew: a key has one
+    /// run at a time. O(1) on average.
     run_permit begin(const run_marks& marks, instant now);
 
     /// The run is about to be sent to `target`. Precondition: begun.
@@ -277,6 +278,7 @@
     bool may_run_alone(const known_record& it, instant now) const;
     run_permit judge_record(known_record& it, instant now);
     run_permit judge_copies(suspect_mark body) const;
+    void end_earlier_attempt(const run_marks& marks);
     run_number add_run(const run_marks& marks, bool alone);
     void remove_run(run_number run);
     void count_copy(suspect_mark mark, run_number run);
--- a/libs/request/suspect_list.cpp
+++ b/libs/request/suspect_list.cpp
@@ -264,6 +264,7 @@
 run_permit suspect_list::begin(const run_marks& marks, instant now)
 {
     const std::lock_guard lock(mutex_);
+    end_earlier_attempt(marks);
     run_permit permit = judge_copies(marks.body);
     for (const suspect_mark mark : {marks.key, marks.body}) {
         known_record* it = find(mark);
@@ -279,6 +280,23 @@
     return permit;
 }
 
+// A request that was refused by one target asks again for the next one. If its
+// first attempt still counted as a copy, it would be sent to the same target
+// until its attempts are used up. One key has one run at a time, so an
+// attempt of it that isn't in doubt is over.
+void suspect_list::end_earlier_attempt(const run_marks& marks)
+{
+    const auto copies = copies_.find(marks.key);
+    if (copies == copies_.end())
+        return;
+    const std::vector<run_number> earlier = copies->second;
+    for (const run_number run : earlier) {
+        const run_state& it = runs_.at(run);
+        if (it.marks.body == marks.body && it.doubted_since == instant())
+            remove_run(run);
+    }
+}
+
 run_number suspect_list::add_run(const run_marks& marks, bool alone)
 {
     last_run_ = last_run_.next();
--- a/libs/request/suspect_list_test.cpp
+++ b/libs/request/suspect_list_test.cpp
@@ -397,6 +397,19 @@
     CHECK(list.begin(marks(1), start + seconds(11)).verdict == verdict::alone);
 }
 
+// The first target is full and refuses, so the request asks for another. Its
+// own first attempt must not keep it at the full one.
+TEST(suspect_list, a_refused_request_goes_to_another_target)
+{
+    suspect_list list(node_name(0), {});
+    const auto first = list.begin(marks(1, 1), start);
+    list.placed(first.run, target_id("full"), target_life(1));
+    CHECK(list.begin(marks(1, 1), start).verdict == verdict::free);
+    list.ended(first.run, run_end::stopped, start); // too late to matter
+    CHECK(list.begin(marks(1, 2), start).verdict == verdict::wait);
+    CHECK_FALSE(list.target_died(target_id("full"), target_life(1), start));
+}
+
 // A target that doesn't report its life dies twice of the same request under
 // the same name. Taken for one death, it could go on for ever.
 TEST(suspect_list, deaths_without_a_life_count_each)
