Read teams when they are asked for

At 350,000 budgets and 8,200 teams a node's configuration took 36.7 MB of the 64 MB for control, 13 MB of it in teams that most nodes never serve.

--- a/apps/fennelladder/bench_config.cpp
+++ b/apps/fennelladder/bench_config.cpp
@@ -228,6 +228,7 @@
     row["node_start_bytes"] = store.read;
     row["node_memory_bytes"] = allocated_bytes() - before;
     measure_lookups(*holder->in_force(), budgets, teams, row);
+    row["node_memory_bytes_all_teams_used"] = allocated_bytes() - before;
 
     manifest.budgets[budgets / 2].topups.push_back(
         {topup_id("more"), tokens(5)});
@@ -249,9 +250,9 @@
 struct fleet_case
 {
     const char* name;
-    bool watches;    ///< Watches tell of changes.
-    bool heartbeats; ///< Peers announce to each other.
-    bool platform;   ///< Up after the first node took the change up.
+    std::size_t watches; ///< Nodes whose watch tells of changes.
+    bool heartbeats;     ///< Peers announce to each other.
+    bool platform;       ///< Up after the first node took the change up.
 };
 
 /// Nodes on virtual time. A call to the platform takes 5 ms, one to a peer
@@ -261,7 +262,7 @@
 public:
     fleet(std::size_t count, const fleet_case& how) : how_(how), random_(9)
     {
-        for (std::size_t n = 0; n < count; ++n) {
+        for (std::size_t to = 0; to < count; ++to) {
             holders_.push_back(std::make_unique<configuration_holder>(
                 holder_options{}, random_.fork(), now_));
             holders_.back()->set_fleet_size(count);
@@ -274,12 +275,11 @@
         document manifest = make_synthetic({.teams = 20, .budgets = 100});
         manifest.budgets[0].topups[0].amount = tokens(n);
         wanted_ = operators_.apply(request_of(std::move(manifest), n))->number;
-        if (!how_.watches)
-            return;
         const std::string bytes = store_.get(root_key())->value;
-        for (auto& it : holders_)
+        const std::size_t count = std::min(how_.watches, holders_.size());
+        for (std::size_t to = 0; to < count; ++to)
             at(platform_time,
-               [this, bytes, &it] { it->on_watch(bytes, now_); });
+               [this, bytes, to] { holders_[to]->on_watch(bytes, now_); });
     }
 
     /// Runs until all have the newest or `limit` is over; virtual seconds.
@@ -452,10 +452,11 @@
     if (parsed.stop)
         return parsed.exit_code;
     static constexpr fleet_case cases[] = {
-        {"all is well", true, true, true},
-        {"watches silent", false, true, true},
-        {"watches silent, no heartbeats", false, false, true},
-        {"platform down after the first node", false, true, false}};
+        {"every node watches", SIZE_MAX, true, true},
+        {"12 nodes watch", 12, true, true},
+        {"watches silent", 0, true, true},
+        {"watches silent, no heartbeats", 0, false, true},
+        {"platform down after the first node", 0, true, false}};
     json out = {{"by_size", json::array()}, {"by_fleet", json::array()}};
     for (const std::size_t budgets : {1'000U, 10'000U, 100'000U, 350'000U})
         out["by_size"].push_back(measure_size(budgets));
--- a/include/fennelladder/manifest/active_manifest.hpp
+++ b/include/fennelladder/manifest/active_manifest.hpp
@@ -6,8 +6,8 @@
 //
 // It is immutable; a new generation is a new one that shares every bucket
 // that did not change, so bringing a change into force costs what changed.
-// Budgets, 350,000 at the size designed for, stay as the bytes of their parts
-// and are read one at a time: about 45 bytes each in place of some 250.
+// Teams and budgets, 8,200 and 350,000 at the size designed for, stay as the
+// bytes of their parts and are read when they are asked for.
 //
 // Pointers that it hands out live as long as it does: keep the shared_ptr.
 
@@ -32,7 +32,10 @@
 /// Parts by name.
 using part_map = std::unordered_map<part_hash, part_bytes>;
 
-/// One generation of the configuration. Immutable and therefore thread safe.
+class team_bucket;
+
+/// One generation of the configuration. Immutable but for the teams that were
+/// read already, which have a lock of their own; thread safe.
 class active_manifest
 {
 public:
@@ -68,9 +71,10 @@
 
     const std::vector<service>& services() const { return base_->services; }
 
-    /// Look-ups return nullptr or nothing for an unknown id. Teams and
-    /// targets: O(log n) in a bucket; budgets parse one line besides; the
-    /// others search a list of a few dozen.
+    /// Look-ups return nullptr or nothing for an unknown id. Teams, targets
+    /// and budgets: O(log n) in a bucket. Budgets parse one line each time,
+    /// teams the first time (and are kept). The others search a list of a few
+    /// dozen.
     const team* find_team(const team_id& id) const;
     const target* find_target(const target_id& id) const;
     std::optional<budget> find_budget(const budget_id& id) const;
@@ -85,10 +89,8 @@
     /// All targets, in no particular order.
     std::vector<const target*> targets() const;
 
-    /// All teams, in no particular order.
-    std::vector<const team*> teams() const;
-
-    /// Calls `visit` with every budget; parses them all.
+    /// Calls `visit` with every team or budget; parses them all.
+    void for_each_team(const std::function<void(const team&)>& visit) const;
     void for_each_budget(const std::function<void(const budget&)>& visit) const;
 
     /// Every part with its bytes, to be handed to peers that ask.
@@ -98,9 +100,6 @@
     std::size_t held_bytes() const;
 
 private:
-    template <class T>
-    using bucket = std::shared_ptr<const std::vector<T>>;
-
     active_manifest() = default;
 
     status load_base(const active_manifest* previous);
@@ -115,8 +114,8 @@
     directory directory_;
     part_map parts_;
     std::shared_ptr<const document> base_;
-    std::vector<bucket<team>> teams_;
-    std::vector<bucket<target>> targets_;
+    std::vector<std::shared_ptr<const team_bucket>> teams_;
+    std::vector<std::shared_ptr<const std::vector<target>>> targets_;
 };
 
 /// The configuration in force, as the threads of a node share it.
--- a/include/fennelladder/manifest/parts.hpp
+++ b/include/fennelladder/manifest/parts.hpp
@@ -130,7 +130,8 @@
 result<std::vector<target>> decode_targets(std::string_view bytes);
 result<std::vector<budget>> decode_budgets(std::string_view bytes);
 
-/// Reads one line of a bucket of budgets.
+/// Read one line of a bucket.
+result<team> decode_team_row(std::string_view line);
 result<budget> decode_budget_row(std::string_view line);
 
 /// Key of the root object.
--- a/libs/manifest/active_manifest.cpp
+++ b/libs/manifest/active_manifest.cpp
@@ -1,10 +1,13 @@
 // A bucket whose name is also in the previous generation is shared with it,
-// so a change of one team parses one bucket. Budgets are found by binary
-// search over the lines of their bucket's bytes: lines are sorted by id, and
-// an id has no character that JSON would escape.
+// so a change of one team reads one bucket. Rows of teams and budgets stay
+// bytes until they are asked for; assemble() reads each new one once, so that
+// a look-up in the middle of a request is never the first to find it corrupt.
 
 #include "fennelladder/manifest/active_manifest.hpp"
 
+#include "row_search.hpp"
+#include "team_bucket.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -12,38 +15,6 @@
 
 namespace {
 
-// The id of a line ["id",...].
-std::string_view id_of_line(std::string_view line)
-{
-    constexpr std::size_t start = 2;
-    return line.substr(start, line.find('"', start) - start);
-}
-
-// The line of `bytes` whose id is `id`, or an empty view.
-std::string_view find_line(std::string_view bytes, std::string_view id)
-{
-    std::size_t low = 0; // Both are starts of lines or the end of bytes.
-    std::size_t high = bytes.size();
-    while (low < high) {
-        const std::size_t middle = low + (high - low) / 2;
-        const std::size_t before = bytes.rfind('\n', middle);
-        const bool first = before == std::string_view::npos || before < low;
-        std::size_t start = first ? low : before + 1;
-        if (start >= high)
-            start = low;
-        const std::size_t end = bytes.find('\n', start);
-        const auto line = bytes.substr(start, end - start);
-        const auto found = id_of_line(line);
-        if (found == id)
-            return line;
-        if (found < id)
-            low = end + 1;
-        else
-            high = start;
-    }
-    return {};
-}
-
 template <class T>
 const T* find_sorted(const std::vector<T>& list, std::string_view id)
 {
@@ -60,16 +31,15 @@
     return it == list.end() ? nullptr : &*it;
 }
 
-template <class T>
-using buckets = std::vector<std::shared_ptr<const std::vector<T>>>;
+template <class Bucket>
+using buckets = std::vector<std::shared_ptr<const Bucket>>;
 
-// Parses the buckets named by `names`, but takes over those of the same name.
-template <class T>
-status load_table(const std::vector<part_hash>& names, const part_map& parts,
+// Makes the buckets named by `names`, but takes over those of the same name.
+template <class Bucket, class Make>
+status load_table(const std::vector<part_hash>& names,
                   const std::vector<part_hash>* old_names,
-                  const buckets<T>* old_buckets,
-                  result<std::vector<T>> (*decode)(std::string_view),
-                  buckets<T>& out)
+                  const buckets<Bucket>* old_buckets, const Make& make,
+                  buckets<Bucket>& out)
 {
     std::unordered_map<part_hash, std::size_t> old;
     if (old_names != nullptr) {
@@ -83,29 +53,35 @@
             out.push_back((*old_buckets)[same->second]);
             continue;
         }
-        auto list = decode(*parts.at(name));
-        if (!list)
-            return tl::unexpected(list.error());
-        if (!std::ranges::is_sorted(*list, {}, &T::id))
-            return fail(error_code::corrupt, "rows out of order");
-        out.push_back(std::make_shared<const std::vector<T>>(std::move(*list)));
+        auto made = make(name);
+        if (!made)
+            return tl::unexpected(made.error());
+        out.push_back(std::move(*made));
     }
     return {};
 }
 
-// Every row of a bucket that is parsed on demand must be readable, or a
-// look-up in the middle of a request would be the first to learn of it.
+// Rows that can be read and stand in order of their ids.
+template <class T>
+result<std::vector<T>>
+read_rows(const part_map& parts, const part_hash& name,
+          result<std::vector<T>> (*decode)(std::string_view))
+{
+    auto rows = decode(*parts.at(name));
+    if (rows && !std::ranges::is_sorted(*rows, {}, &T::id))
+        return fail(error_code::corrupt, "rows out of order");
+    return rows;
+}
+
 status check_budgets(const directory& names, const part_map& parts,
                      const part_map* old)
 {
     for (const part_hash& name : names.budgets) {
         if (old != nullptr && old->contains(name))
             continue;
-        const auto rows = decode_budgets(*parts.at(name));
+        const auto rows = read_rows<budget>(parts, name, &decode_budgets);
         if (!rows)
             return tl::unexpected(rows.error());
-        if (!std::ranges::is_sorted(*rows, {}, &budget::id))
-            return fail(error_code::corrupt, "budgets out of order");
     }
     return {};
 }
@@ -161,24 +137,38 @@
 
 status active_manifest::load_teams(const active_manifest* previous)
 {
+    using made = result<std::shared_ptr<const team_bucket>>;
+    const auto make = [this](const part_hash& name) -> made {
+        const auto rows = read_rows<team>(parts_, name, &decode_teams);
+        if (!rows)
+            return tl::unexpected(rows.error());
+        return std::make_shared<const team_bucket>(parts_.at(name));
+    };
     const bool any = previous != nullptr;
-    return load_table<team>(
-        directory_.teams, parts_, any ? &previous->directory_.teams : nullptr,
-        any ? &previous->teams_ : nullptr, &decode_teams, teams_);
+    return load_table<team_bucket>(
+        directory_.teams, any ? &previous->directory_.teams : nullptr,
+        any ? &previous->teams_ : nullptr, make, teams_);
 }
 
 status active_manifest::load_targets(const active_manifest* previous)
 {
+    using list = std::vector<target>;
+    using made = result<std::shared_ptr<const list>>;
+    const auto make = [this](const part_hash& name) -> made {
+        auto rows = read_rows<target>(parts_, name, &decode_targets);
+        if (!rows)
+            return tl::unexpected(rows.error());
+        return std::make_shared<const list>(std::move(*rows));
+    };
     const bool any = previous != nullptr;
-    return load_table<target>(directory_.targets, parts_,
-                              any ? &previous->directory_.targets : nullptr,
-                              any ? &previous->targets_ : nullptr,
-                              &decode_targets, targets_);
+    return load_table<list>(
+        directory_.targets, any ? &previous->directory_.targets : nullptr,
+        any ? &previous->targets_ : nullptr, make, targets_);
 }
 
 const team* active_manifest::find_team(const team_id& id) const
 {
-    return find_sorted(*teams_[bucket_of(id.str(), teams_.size())], id.str());
+    return teams_[bucket_of(id.str(), teams_.size())]->find(id);
 }
 
 const target* active_manifest::find_target(const target_id& id) const
@@ -191,7 +181,7 @@
 {
     const auto& names = directory_.budgets;
     const part_hash& name = names[bucket_of(id.str(), names.size())];
-    const auto line = find_line(*parts_.at(name), id.str());
+    const auto line = find_row(*parts_.at(name), id.str());
     if (line.empty())
         return std::nullopt;
     auto found = decode_budget_row(line);
@@ -234,14 +224,15 @@
     return all;
 }
 
-std::vector<const team*> active_manifest::teams() const
+void active_manifest::for_each_team(
+    const std::function<void(const team&)>& visit) const
 {
-    std::vector<const team*> all;
-    for (const auto& list : teams_) {
-        for (const team& it : *list)
-            all.push_back(&it);
+    for (const auto& it : teams_) {
+        const auto rows = decode_teams(it->bytes());
+        if (!rows)
+            continue; // assemble() has read them all.
+        std::ranges::for_each(*rows, visit);
     }
-    return all;
 }
 
 void active_manifest::for_each_budget(
@@ -251,8 +242,7 @@
         const auto rows = decode_budgets(*parts_.at(name));
         if (!rows)
             continue; // assemble() has read them all.
-        for (const budget& it : *rows)
-            visit(it);
+        std::ranges::for_each(*rows, visit);
     }
 }
 
--- a/libs/manifest/parts.cpp
+++ b/libs/manifest/parts.cpp
@@ -1,11 +1,10 @@
 // Bytes of parts, all canonical, so that equal content has an equal name:
 //
 //   base       the manifest as JSON without teams, targets and budgets
-//   teams,     one JSON object a line, in order of their ids
-//   targets
-//   budgets    one JSON list a line, ["id","team",[["topup",tokens],...]], in
-//              order of their ids: half the size of objects, which a node
-//              keeps 350,000 of, and searchable without being parsed
+//   teams,     one JSON list a line, ["id",{...}], in order of their ids, so
+//   targets    that a line is found without parsing the others
+//   budgets    likewise ["id","team",[["topup",tokens],...]]: half the size of
+//              objects, and a node keeps 350,000 of them
 //   directory  JSON lists of names
 //
 // Splitting encodes each row once and sorts within buckets: O(n log n).
@@ -42,6 +41,12 @@
     return json::array({it.id.str(), it.team.str(), std::move(topups)});
 }
 
+template <class T>
+json encode_record_row(const T& it)
+{
+    return json::array({it.id.str(), codec<T>::write(it)});
+}
+
 template <class T>
 std::vector<row> encode_rows(const std::vector<T>& list,
                              json (*encode_one)(const T&))
@@ -144,11 +149,8 @@
 }
 
 template <class T>
-result<T> decode_record(std::string_view bytes, std::string_view what)
+result<T> decode_record(const json& tree, std::string_view what)
 {
-    const json tree = json::parse(bytes, nullptr, false);
-    if (tree.is_discarded())
-        return corrupt(what);
     findings found;
     finding_sink sink{found, std::string(what)};
     T record;
@@ -158,6 +160,19 @@
     return record;
 }
 
+// Reads ["id",{...}].
+template <class T>
+result<T> decode_record_row(std::string_view line, std::string_view what)
+{
+    const json tree = json::parse(line, nullptr, false);
+    if (!tree.is_array() || tree.size() != 2)
+        return corrupt(what);
+    auto record = decode_record<T>(tree[1], what);
+    if (record && tree[0] != record->id.str())
+        return corrupt(what);
+    return record;
+}
+
 template <class T>
 result<std::vector<T>> decode_lines(std::string_view bytes,
                                     result<T> (*decode)(std::string_view))
@@ -176,14 +191,9 @@
     return list;
 }
 
-result<team> decode_team_row(std::string_view line)
-{
-    return decode_record<team>(line, "team");
-}
-
 result<target> decode_target_row(std::string_view line)
 {
-    return decode_record<target>(line, "target");
+    return decode_record_row<target>(line, "target");
 }
 
 json encode_names(const std::vector<part_hash>& names)
@@ -283,10 +293,11 @@
                     "caller kinds, objectives, models and services together "
                     "exceed the size of a part");
     pieces.directory.base = add_part(std::move(base), pieces);
-    auto teams = add_table(encode_rows(manifest.teams, &codec<team>::write),
-                           before.teams.size(), pieces);
+    auto teams =
+        add_table(encode_rows(manifest.teams, &encode_record_row<team>),
+                  before.teams.size(), pieces);
     auto targets =
-        add_table(encode_rows(manifest.targets, &codec<target>::write),
+        add_table(encode_rows(manifest.targets, &encode_record_row<target>),
                   before.targets.size(), pieces);
     auto budgets = add_table(encode_rows(manifest.budgets, &encode_budget),
                              before.budgets.size(), pieces);
@@ -353,7 +364,10 @@
 
 result<document> decode_base(std::string_view bytes)
 {
-    return decode_record<document>(bytes, "base");
+    const json tree = json::parse(bytes, nullptr, false);
+    if (tree.is_discarded())
+        return corrupt("base");
+    return decode_record<document>(tree, "base");
 }
 
 result<std::vector<team>> decode_teams(std::string_view bytes)
@@ -371,6 +385,11 @@
     return decode_lines<budget>(bytes, &decode_budget_row);
 }
 
+result<team> decode_team_row(std::string_view line)
+{
+    return decode_record_row<team>(line, "team");
+}
+
 result<budget> decode_budget_row(std::string_view line)
 {
     return read_json<budget>(line, "budget", [](const json& it) {
--- a/libs/manifest/parts_test.cpp
+++ b/libs/manifest/parts_test.cpp
@@ -64,7 +64,12 @@
         for (const target& it : manifest.targets)
             CHECK(*config->find_target(it.id) == it);
         CHECK(config->targets().size() == manifest.targets.size());
-        CHECK(config->teams().size() == manifest.teams.size());
+        std::size_t teams = 0;
+        config->for_each_team([&](const team& it) {
+            ++teams;
+            CHECK(*config->find_team(it.id) == it);
+        });
+        CHECK_EQUAL(manifest.teams.size(), teams);
         for (const char* id : {"", "a", "budget-", "budget-00", "zz", "~"}) {
             CHECK(!config->find_budget(budget_id(id)));
             POINTERS_EQUAL(nullptr, config->find_team(team_id(id)));
