--- a/libs/journal/shard_log_test.cpp
+++ b/libs/journal/shard_log_test.cpp
@@ -161,6 +161,33 @@
     }
 }
 
+// A node pauses just before it writes its checkpoint. Others go round the ring
+// and write later ones. Were the old one to take their place, it would point
+// at segments that were written over since, and nobody could read the shard.
+TEST(shard_log, checkpoint_that_comes_late_does_not_replace_a_later_one)
+{
+    for (const auto& options : {quick_options(), chunked_options()}) {
+        faulty_store store;
+        shard_log sleeper = open_log(store, options);
+        shard_log other = open_log(store, options);
+        append_one(sleeper, "s", 1);
+        CHECK(sleeper.checkpoint().has_value());
+        append_one(sleeper, "s", 2);
+        bool asleep = true;
+        store.plan = [&](call_kind kind) {
+            if (kind == call_kind::root && std::exchange(asleep, false)) {
+                for (std::uint64_t n = 1; n <= 20; ++n)
+                    append_one(other, "o", n);
+                CHECK(other.checkpoint().has_value());
+            }
+            return fault::none;
+        };
+        CHECK(sleeper.checkpoint().has_value());
+        LONGS_EQUAL(22, sleeper.checkpoint_position());
+        CHECK(recovered(store) == encoded(other));
+    }
+}
+
 // Two nodes both believe that they own the shard and tend it at full rate,
 // checkpoints included; each loses races, neither loses a record.
 // A checkpoint must be readable between two others, so with several chunks
