Bill nothing rather than zero; tell whether a key is known

Cause: an idempotent request whose target died before a token was relayed was settled at zero tokens. The books keep the first bill of a key, so the whole answer of its retry was free. And a node that leaves needs to tell retries of what it runs from new work. Change: such a reservation is released; request_table::knows().

--- a/include/fennelladder/request/request_machine.hpp
+++ b/include/fennelladder/request/request_machine.hpp
@@ -29,7 +29,8 @@
 //                                     reserved
 //     not_run                         nothing; the reservation is released
 //     unknown, no attempt may still   prompt + what was relayed, or nothing
-//     be running, idempotent          if nothing was
+//     be running, idempotent          if nothing was (then it's released, and
+//                                     a retry of the key is billed)
 //     unknown, otherwise              nothing yet: the reservation is held
 //                                     until evidence arrives
 //     the caller left or its          prompt + what the target says it ran
--- a/include/fennelladder/request/request_table.hpp
+++ b/include/fennelladder/request/request_table.hpp
@@ -133,6 +133,10 @@
     std::optional<outcome_reply> look_up(const team_id& team,
                                          const request_key& key) const;
 
+    /// True if the key is running or remembered: a retry of it must not be
+    /// turned away as if it were new, also while the node leaves.
+    bool knows(const team_id& team, const request_key& key) const;
+
     /// Forgets what may be forgotten; O(number of keys). For a timer; admit()
     /// does the same bit by bit.
     void expire(instant now);
--- a/libs/request/request_machine.cpp
+++ b/libs/request/request_machine.cpp
@@ -475,6 +475,10 @@
     bill charge = settle(delivered());
     if (open_ > 0 || !traits_.idempotent)
         charge.kind = bill_kind::hold;
+    // A bill over nothing would be the key's one bill, and the whole answer
+    // that a retry gets would be free.
+    else if (delivered() == tokens())
+        return release();
     return charge;
 }
 
--- a/libs/request/request_machine_test.cpp
+++ b/libs/request/request_machine_test.cpp
@@ -397,6 +397,7 @@
     RC_ASSERT(may_have_run || charge.kind <= bill_kind::release);
     RC_ASSERT(may_have_run || charge.total == tokens());
     RC_ASSERT(end.record == (!traits.idempotent && may_have_run));
+    RC_ASSERT(charge.kind != bill_kind::settle || charge.total > tokens());
     RC_ASSERT(end.release_claim == (run.claim_tried && !may_have_run));
     RC_ASSERT(end.may_have_run == may_have_run);
     RC_ASSERT(result == outcome::answered || !end.may_still_run ||
--- a/libs/request/request_table.cpp
+++ b/libs/request/request_table.cpp
@@ -383,6 +383,14 @@
     return found->second.reply.full(key);
 }
 
+bool request_table::knows(const team_id& team, const request_key& key) const
+{
+    const bits128 name = name_of(team, key);
+    const shard& part = shard_of(name);
+    const std::lock_guard lock(part.mutex);
+    return part.entries.contains(name);
+}
+
 void request_table::forget_some(shard& part, instant now,
                                 std::size_t most) const
 {
--- a/libs/request/request_table_test.cpp
+++ b/libs/request/request_table_test.cpp
@@ -172,6 +172,8 @@
     const arrival it = arrival_of("k");
     const auto run = table.admit(it, start);
     run.stream->append("ab");
+    CHECK(table.knows(team, it.key));
+    CHECK_FALSE(table.knows(team_id("another"), it.key));
     const auto joined = table.admit(it, start);
     CHECK(joined.verdict == verdict::join);
     CHECK(joined.stream->read(0, duration(0)).text == "ab");
@@ -185,6 +187,7 @@
     CHECK(late.verdict == verdict::await);
     table.finish(team, it.key, unknown, start);
     CHECK(late.stream->read(4, duration(0)).reply.has_value());
+    CHECK(table.knows(team, it.key));
     CHECK(table.admit(it, start).verdict == verdict::run);
 }
 
