Measure budgets under faults beside two baselines, and admission in memory

Cause: whether escrow refuses fewer callers than an even split, at how many platform writes, has to be measured.

The first runs showed an hour's partition to be slow to simulate, since a node walked all waiting bills, words and reports at every tick: the keeper and the ledger now keep cursors and send a word again each second only.

--- a/apps/fennelladder/command_bench.cpp
+++ b/apps/fennelladder/command_bench.cpp
@@ -15,6 +15,8 @@
     {"config", "cost of the configuration by size and fleet", run_bench_config},
     {"control", "what control costs a node, and how quick it is",
      run_bench_control},
+    {"budgets", "budgets under faults beside two baselines", run_bench_budgets},
+    {"reserve", "cost of reserve and settle in memory", run_bench_reserve},
     {"routing", "time to first token beside baselines", run_bench_routing},
     {"journal", "calls, bytes and time of the journal", run_bench_journal},
     {"requests", "time and memory of a request beside its I/O",
--- a/include/fennelladder/budget/bill_keeper.hpp
+++ b/include/fennelladder/budget/bill_keeper.hpp
@@ -71,8 +71,10 @@
     /// No more work should be admitted.
     bool full() const { return bytes_ >= options_.max_bytes; }
 
-    /// Up to `limit` bills of a shard that wait for the books, oldest first.
-    std::vector<bill> pending(shard_id shard, std::size_t limit) const;
+    /// Up to `limit` bills of a shard that wait for the books and come after
+    /// number `after`, oldest first.
+    std::vector<bill> pending(shard_id shard, std::size_t limit,
+                              std::uint64_t after = 0) const;
 
     /// Shards with bills that wait.
     std::vector<shard_id> shards() const;
@@ -126,6 +128,8 @@
     struct shard_state
     {
         std::uint64_t last = 0; // number given last
+        // All waiting bills before this number have a copy.
+        std::uint64_t first_uncopied = 1;
         std::map<std::uint64_t, waiting_bill> waiting;
     };
 
--- a/include/fennelladder/budget/budget_agent.hpp
+++ b/include/fennelladder/budget/budget_agent.hpp
@@ -209,7 +209,11 @@
         // Witnesses that the books know of, and those in the join under way.
         std::vector<incarnation_id> recorded;
         std::vector<incarnation_id> sent;
+        // Bills before `next_bill` were sent; those in the set have no
+        // answer, `again`: some came back and are to be sent anew.
+        std::uint64_t next_bill = 1;
         std::set<std::uint64_t> bills_in_flight;
+        bool again = false;
     };
 
     void submit(const budget_id& budget, record_body body, agent_output& out);
@@ -236,7 +240,6 @@
     instant now_; // of the last event, for new joins
     std::vector<incarnation_id> witnesses_;
     std::unordered_map<shard_id, shard_state> shards_;
-    std::set<transfer_id> reports_in_flight_;
     // Asks whose first answer the planner waits for.
     std::set<std::pair<incarnation_id, std::uint64_t>> awaited_;
     std::size_t witness_turn_ = 0;
--- a/include/fennelladder/budget/transfer_ledger.hpp
+++ b/include/fennelladder/budget/transfer_ledger.hpp
@@ -79,6 +79,9 @@
     /// After this long without a reply the same ask is sent again.
     duration repeat_after = milliseconds(200);
 
+    /// A word that was not taken is sent again after this long.
+    duration word_again = seconds(1);
+
     /// After this long the taker gives up.
     duration give_up_after = seconds(5);
 };
@@ -119,13 +122,22 @@
     /// Asks to send again. Those too old are given up first.
     std::vector<transfer_ask> repeats(instant now);
 
-    /// Words to send to givers until confirmed() says that they have them.
-    const std::vector<transfer_confirm>& confirms() const { return confirms_; }
+    /// Words to send to givers now; each comes again every
+    /// transfer_options::word_again until confirmed() says that its giver has
+    /// it.
+    std::vector<transfer_confirm> confirms(instant now);
     void confirmed(const transfer_confirm& word);
 
+    /// Transfers credited that the books have not been told of. Each comes
+    /// once, and again if reported() says that it did not get through.
+    std::vector<transfer> reports();
+    void reported(const transfer_id& id, bool taken);
+
     /// Transfers credited and not yet in the books.
-    const std::vector<transfer>& unreported() const { return unreported_; }
-    void reported(const transfer_id& id);
+    std::size_t unreported() const
+    {
+        return to_report_.size() + in_report_.size();
+    }
 
     /// Open asks for a budget.
     bool asking(const budget_id& budget) const;
@@ -154,6 +166,7 @@
     using ask_key = std::pair<incarnation_id, std::uint64_t>;
 
     void close_ask(const ask_key& key);
+    void keep_word(const ask_key& key, bool credited, instant now);
 
     incarnation_id self_;
     allotment_table& table_;
@@ -166,8 +179,18 @@
     std::map<ask_key, open_ask> asks_;
     std::unordered_map<incarnation_id, std::uint64_t> next_ask_;
     std::unordered_map<budget_id, int> asking_;
-    std::vector<transfer_confirm> confirms_;
-    std::vector<transfer> unreported_;
+    // The last word on an ask, kept until its giver has it.
+    struct open_word
+    {
+        bool credited = false;
+        instant next; // when to send it
+    };
+
+    std::map<ask_key, open_word> words_;
+    // Words by when they are due; entries of words that are done are stale.
+    std::multimap<instant, ask_key> due_;
+    std::map<transfer_id, transfer> to_report_;
+    std::map<transfer_id, transfer> in_report_;
 };
 
 } // namespace fennelladder::budget
--- a/include/fennelladder/budget_rig/fleet_rig.hpp
+++ b/include/fennelladder/budget_rig/fleet_rig.hpp
@@ -132,6 +132,9 @@
     /// Fences the node's incarnation, as if it were off the list.
     void fence(int node);
 
+    /// Whether a node could write to the store now.
+    bool reaches_store(int node) const;
+
     bool alive(int node) const
     {
         return nodes_[static_cast<std::size_t>(node)]->alive;
@@ -197,7 +200,6 @@
     void start(int index);
     void tick(int index, int life);
     bool reaches(int from, int to) const;
-    bool reaches_store(int index) const;
     duration delay(int from, int to) const;
     void send(int from, const incarnation_id& to, std::size_t bytes,
               std::function<void(node&)> deliver);
--- a/libs/budget/bill_keeper.cpp
+++ b/libs/budget/bill_keeper.cpp
@@ -36,16 +36,18 @@
                           waiting_bill{std::move(charge), now, false});
 }
 
-std::vector<bill> bill_keeper::pending(shard_id shard, std::size_t limit) const
+std::vector<bill> bill_keeper::pending(shard_id shard, std::size_t limit,
+                                       std::uint64_t after) const
 {
     std::vector<bill> made;
     const auto found = shards_.find(shard);
     if (found == shards_.end())
         return made;
-    for (const auto& [number, it] : found->second.waiting) {
+    const auto& waiting = found->second.waiting;
+    for (auto it = waiting.upper_bound(after); it != waiting.end(); ++it) {
         if (made.size() >= limit)
             break;
-        made.push_back(it.charge);
+        made.push_back(it->second.charge);
     }
     return made;
 }
@@ -88,7 +90,9 @@
 {
     std::vector<shard_bill> made;
     for (const auto& [shard, state] : shards_) {
-        for (const auto& [number, it] : state.waiting) {
+        auto next = state.waiting.lower_bound(state.first_uncopied);
+        for (; next != state.waiting.end(); ++next) {
+            const waiting_bill& it = next->second;
             // Bills are in order of time, so the rest is younger still.
             if (made.size() >= limit || now - it.since < options_.copy_after)
                 break;
@@ -101,15 +105,21 @@
 
 void bill_keeper::copied(shard_id shard, std::uint64_t number)
 {
-    auto& waiting = shards_[shard].waiting;
-    const auto it = waiting.find(number);
-    if (it != waiting.end())
+    shard_state& state = shards_[shard];
+    const auto it = state.waiting.find(number);
+    if (it != state.waiting.end())
         it->second.copied = true;
+    auto next = state.waiting.lower_bound(state.first_uncopied);
+    while (next != state.waiting.end() && next->second.copied)
+        ++next;
+    state.first_uncopied =
+        next == state.waiting.end() ? state.last + 1 : next->first;
 }
 
 void bill_keeper::copies_lost()
 {
     for (auto& [shard, state] : shards_) {
+        state.first_uncopied = 1;
         for (auto& [number, it] : state.waiting)
             it.copied = false;
     }
--- a/libs/budget/budget_agent.cpp
+++ b/libs/budget/budget_agent.cpp
@@ -10,6 +10,7 @@
 
 #include "fennelladder/budget/budget_agent.hpp"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -87,8 +88,8 @@
     carry(actions, now, out);
     for (transfer_ask& it : transfers_.repeats(now))
         out.asks.push_back(std::move(it));
-    const auto& words = transfers_.confirms();
-    out.words.insert(out.words.end(), words.begin(), words.end());
+    for (transfer_confirm& it : transfers_.confirms(now))
+        out.words.push_back(std::move(it));
     if (store_ok_) {
         report_transfers(out);
         send_bills(out);
@@ -223,10 +224,8 @@
 
 void budget_agent::report_transfers(agent_output& out)
 {
-    for (const transfer& it : transfers_.unreported()) {
-        if (reports_in_flight_.insert(it.id).second)
-            submit(it.budget, it, out);
-    }
+    for (const transfer& it : transfers_.reports())
+        submit(it.budget, it, out);
 }
 
 void budget_agent::send_bills(agent_output& out)
@@ -234,9 +233,12 @@
     const std::size_t most = options_.bills_in_flight;
     for (const shard_id shard : bills_.shards()) {
         shard_state& state = joined(shard, out);
-        if (state.bills_in_flight.size() >= most)
-            continue;
-        for (bill& it : bills_.pending(shard, most)) {
+        const std::size_t room =
+            most - std::min(most, state.bills_in_flight.size());
+        if (std::exchange(state.again, false))
+            state.next_bill = 1;
+        for (bill& it : bills_.pending(shard, room, state.next_bill - 1)) {
+            state.next_bill = it.number + 1;
             if (state.bills_in_flight.insert(it.number).second)
                 out.wishes.push_back({shard, std::move(it)});
         }
@@ -272,7 +274,9 @@
             bills_.flushed(sent.biller, wish.shard, sent.number);
         return;
     }
-    shards_[wish.shard].bills_in_flight.erase(sent.number);
+    shard_state& state = shards_[wish.shard];
+    state.bills_in_flight.erase(sent.number);
+    state.again = state.again || made == nullptr;
     if (made == nullptr)
         return;
     const bill_result end = bills_.resolve(wish.shard, sent.number, *made);
@@ -313,9 +317,7 @@
         returning_.erase(back->budget);
         planner_.returned(back->budget);
     } else if (const auto* moved = std::get_if<transfer>(&wish.body)) {
-        reports_in_flight_.erase(moved->id);
-        if (made != nullptr)
-            transfers_.reported(moved->id);
+        transfers_.reported(moved->id, made != nullptr);
     } else if (std::holds_alternative<join>(wish.body)) {
         shard_state& state = shards_[wish.shard];
         state.join = applied ? join_state::joined : join_state::none;
--- a/libs/budget/transfer_ledger.cpp
+++ b/libs/budget/transfer_ledger.cpp
@@ -129,9 +129,9 @@
         return {};
     const budget_id budget = it->second.sent.budget;
     if (reply.amount > tokens(0)) {
-        confirms_.push_back({self_, key.first, key.second, true});
+        keep_word(key, true, now);
         table_.credit_transfer(budget, reply.amount, now);
-        unreported_.push_back({reply.id, budget, self_, reply.amount});
+        to_report_[reply.id] = {reply.id, budget, self_, reply.amount};
     }
     close_ask(key);
     return reply.amount;
@@ -150,23 +150,56 @@
         }
     }
     for (const ask_key& key : too_old) {
-        confirms_.push_back({self_, key.first, key.second, false});
+        keep_word(key, false, now);
         close_ask(key);
     }
     return made;
 }
 
+void transfer_ledger::keep_word(const ask_key& key, bool credited, instant now)
+{
+    words_[key] = {credited, now};
+    due_.emplace(now, key);
+}
+
+std::vector<transfer_confirm> transfer_ledger::confirms(instant now)
+{
+    std::vector<transfer_confirm> made;
+    while (!due_.empty() && due_.begin()->first <= now) {
+        const ask_key key = due_.begin()->second;
+        due_.erase(due_.begin());
+        const auto it = words_.find(key);
+        if (it == words_.end())
+            continue;
+        it->second.next = now + options_.word_again;
+        due_.emplace(it->second.next, key);
+        made.push_back({self_, key.first, key.second, it->second.credited});
+    }
+    return made;
+}
+
 void transfer_ledger::confirmed(const transfer_confirm& word)
 {
-    std::erase_if(confirms_, [&word](const transfer_confirm& it) {
-        return it.giver == word.giver && it.ask == word.ask;
-    });
+    words_.erase({word.giver, word.ask});
+}
+
+std::vector<transfer> transfer_ledger::reports()
+{
+    std::vector<transfer> made;
+    for (const auto& [id, it] : to_report_)
+        made.push_back(it);
+    in_report_.merge(to_report_);
+    return made;
 }
 
-void transfer_ledger::reported(const transfer_id& id)
+void transfer_ledger::reported(const transfer_id& id, bool taken)
 {
-    std::erase_if(unreported_,
-                  [&id](const transfer& it) { return it.id == id; });
+    const auto it = in_report_.find(id);
+    if (it == in_report_.end())
+        return;
+    if (!taken)
+        to_report_.insert(*it);
+    in_report_.erase(it);
 }
 
 bool transfer_ledger::asking(const budget_id& budget) const
--- a/libs/budget/transfer_ledger_test.cpp
+++ b/libs/budget/transfer_ledger_test.cpp
@@ -74,6 +74,7 @@
         const transfer_ask ask =
             run.mine.ask(giver, fund, tokens(40), tokens(40), at(0));
         transfer_reply reply{ask.number, {giver, 0}, {}, false};
+        instant late = at(6000);
         for (const char step : it.steps) {
             if (step == 'a')
                 reply = run.theirs.give(ask, tokens(1000), shard);
@@ -81,13 +82,16 @@
                 run.mine.accept(reply, at(1));
             if (step == 't')
                 run.mine.repeats(at(6000));
-            if (step == 'c' && !run.mine.confirms().empty())
-                run.theirs.confirm(run.mine.confirms().front());
+            if (step == 'c') {
+                for (const transfer_confirm& word : run.mine.confirms(late))
+                    run.theirs.confirm(word);
+                late += seconds(1);
+            }
             CHECK(run.left(run.giving) + run.left(run.taking) <= 100);
         }
         LONGS_EQUAL(it.giver_left, run.left(run.giving));
         LONGS_EQUAL(it.taker_left, run.left(run.taking));
-        LONGS_EQUAL(it.taker_left > 0 ? 1 : 0, run.mine.unreported().size());
+        LONGS_EQUAL(it.taker_left > 0 ? 1 : 0, run.mine.unreported());
     }
 }
 
@@ -115,8 +119,14 @@
     mine.accept(theirs.give(ask, tokens(30), shard), at(0));
     LONGS_EQUAL(0, theirs.take_over(taker).size());
     LONGS_EQUAL(30, theirs.unconfirmed().count());
-    theirs.confirm(mine.confirms().front());
-    CHECK(theirs.take_over(taker).front().id == mine.unreported().front().id);
+    theirs.confirm(mine.confirms(at(0)).front());
+    const auto reports = mine.reports();
+    CHECK(theirs.take_over(taker).front().id == reports.front().id);
+    LONGS_EQUAL(0, mine.reports().size());
+    mine.reported(reports.front().id, false);
+    LONGS_EQUAL(1, mine.reports().size());
+    mine.reported(reports.front().id, true);
+    LONGS_EQUAL(0, mine.unreported());
     LONGS_EQUAL(0, theirs.unconfirmed().count());
 }
 
@@ -129,9 +139,12 @@
     LONGS_EQUAL(0, mine.repeats(at(300)).size());
     LONGS_EQUAL(0, mine.repeats(at(5000)).size());
     CHECK(!mine.asking(fund));
-    CHECK(!mine.confirms().front().credited);
-    mine.confirmed(mine.confirms().front());
-    LONGS_EQUAL(0, mine.confirms().size());
+    const auto words = mine.confirms(at(5000));
+    CHECK(!words.front().credited);
+    LONGS_EQUAL(0, mine.confirms(at(5500)).size());
+    LONGS_EQUAL(1, mine.confirms(at(6000)).size());
+    mine.confirmed(words.front());
+    LONGS_EQUAL(0, mine.confirms(at(9000)).size());
 }
 
 TEST_GROUP(witness_ledger){};
--- a/libs/budget_rig/fleet_rig.cpp
+++ b/libs/budget_rig/fleet_rig.cpp
@@ -491,10 +491,14 @@
             it->topped_up.count();
 }
 
+// The homes learn of a top-up from the books.
 void fleet_rig::announce(int budget)
 {
-    for (const auto& it : nodes_) {
-        if (!it->alive || now() < it->paused_until || !reaches_store(it->index))
+    const auto homes = directory(*this, 0).homes_of(name_of(budget));
+    for (const incarnation_id& id : homes) {
+        node* it = find(id);
+        const bool asleep = it == nullptr || now() < it->paused_until;
+        if (asleep || !reaches_store(it->index))
             continue;
         agent_output out;
         it->agent->on_topup(name_of(budget), now(), out);
