Let http::server stop without cutting answers, and cut unfinished ones at once

Change: the server drains first: new requests get 503 with X-Request-Ran: no, and it stops when the handlers are done; abort() is the end that a crash has. The stand-ins' server is http::server with faults, no second wrapper around CivetWeb.

--- a/include/fennelladder/http/client.hpp
+++ b/include/fennelladder/http/client.hpp
@@ -184,6 +184,9 @@
 /// Percent-encodes all but unreserved characters.
 std::string encode_query(std::string_view text);
 
+/// Undoes either encoding; '+' stays as it is.
+std::string decode_path(std::string_view text);
+
 } // namespace fennelladder::http
 
 #endif
--- a/include/fennelladder/http/server.hpp
+++ b/include/fennelladder/http/server.hpp
@@ -21,9 +21,13 @@
 #include "fennelladder/base/error.hpp"
 #include "fennelladder/base/time.hpp"
 
+#include <atomic>
+#include <condition_variable>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -74,8 +78,12 @@
     exchange(mg_connection* connection, const server_options& options);
 
     std::string_view method() const;
+    /// Decoded and normalized ("//" and ".." are resolved).
     std::string_view path() const;
 
+    /// Decoded, but otherwise as it was sent.
+    std::string raw_path() const;
+
     /// Value of a header, or empty. Names compare without regard to case.
     std::string_view header(const char* name) const;
 
@@ -98,13 +106,22 @@
     /// when the handler returns, which callers see as an error.
     bool end_stream();
 
+    /// Breaks the connection when the handler returns; nothing more is sent.
+    void drop();
+
     bool answered() const { return answered_; }
 
+    /// Number of the connection: grows by one with each that is accepted.
+    std::uint64_t connection_serial() const;
+
 private:
+    friend class server;
+
     mg_connection* connection_;
     const server_options& options_;
     bool answered_ = false;
     bool streaming_ = false;
+    bool dropped_ = false;
 };
 
 using handler = std::function<void(exchange&)>;
@@ -117,11 +134,23 @@
     static result<std::unique_ptr<server>> start(server_options options,
                                                  handler serve);
 
-    /// Waits for the handlers that run, then stops.
+    /// Turns new requests away (503, not run), waits for the handlers that
+    /// run, and stops when their answers are out.
     ~server();
     server(const server&) = delete;
     server& operator=(const server&) = delete;
 
+    /// Breaks all connections, as a crash does: writes of handlers fail, and
+    /// nobody listens any more. Waits for the handlers; not to be called by
+    /// one. The server can't be used again.
+    void abort();
+
+    /// True from the call of abort() on.
+    bool aborting() const { return aborting_; }
+
+    /// Serial number of the last connection accepted; 0 if there was none.
+    std::uint64_t last_connection_serial() const { return last_serial_; }
+
     int port() const { return port_; }
 
     /// "IP:PORT" as callers reach it.
@@ -131,11 +160,22 @@
     server(server_options options, handler serve);
 
     static int on_request(mg_connection* connection, void* self);
+    static int on_connection(const mg_connection* connection, void** data);
+    void serve(mg_connection* connection);
+    void drain();
+    void stop();
 
     server_options options_;
     handler serve_;
     mg_context* context_ = nullptr;
     int port_ = 0;
+    std::atomic<std::uint64_t> last_serial_ = 0;
+    std::atomic<bool> aborting_ = false;
+
+    std::mutex mutex_; // Guards the fields below.
+    std::condition_variable idle_;
+    std::size_t running_ = 0; // Handlers.
+    bool draining_ = false;
 };
 
 } // namespace fennelladder::http
--- a/libs/http/client_test.cpp
+++ b/libs/http/client_test.cpp
@@ -8,15 +8,17 @@
 
 namespace {
 
-// For answers that never come; what does come may take its time.
-const deadlines brisk{.connect = seconds(30),
-                      .first_byte = milliseconds(40),
-                      .between_bytes = milliseconds(40),
-                      .total = duration(0)};
+// What comes may take its time on a busy machine; only where nothing will
+// come, or nothing more, the wait is short.
 const deadlines patient{.connect = seconds(30),
                         .first_byte = seconds(30),
                         .between_bytes = seconds(30),
                         .total = seconds(60)};
+const deadlines brisk_start{.connect = seconds(30),
+                            .first_byte = milliseconds(40)};
+const deadlines brisk_middle{.connect = seconds(30),
+                             .first_byte = seconds(30),
+                             .between_bytes = milliseconds(40)};
 
 const std::string chunked =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -78,6 +80,7 @@
         scripted_server server({it.does, {ok("next")}});
         client asks;
         const bool hangs = it.does.then == after::hang;
+        const auto& brisk = it.does.send.empty() ? brisk_start : brisk_middle;
         const transfer end =
             asks.stream({.url = server.url()}, hangs ? brisk : patient,
                         [](auto) { return true; });
@@ -135,7 +138,7 @@
     client asks;
     const request what{.url = server.url()};
     CHECK(asks.fetch(what, patient).has_value());
-    CHECK(asks.fetch(what, brisk).error().code == error_code::ambiguous);
+    CHECK(asks.fetch(what, brisk_start).error().code == error_code::ambiguous);
     request again = what;
     again.fresh_connection = true;
     CHECK(asks.fetch(again, patient).has_value());
@@ -188,4 +191,5 @@
 {
     STRCMP_EQUAL("a/b%20%3F%C3%A9", encode_path("a/b ?\xc3\xa9").c_str());
     STRCMP_EQUAL("a%2Fb", encode_query("a/b").c_str());
+    STRCMP_EQUAL("a/b +\xc3\xa9", decode_path("a%2Fb%20+%C3%A9").c_str());
 }
--- a/libs/http/server.cpp
+++ b/libs/http/server.cpp
@@ -1,13 +1,26 @@
 // CivetWeb owns sockets, threads and parsing. One handler takes every path;
 // errors that CivetWeb answers by itself (a request it can't parse) come out
 // as JSON as well, through its error callback.
+//
+// Once CivetWeb is told to stop, it writes nothing more, also not for handlers
+// that run: an answer under way would be cut. So the server first drains: new
+// requests are turned away, and it waits for the handlers. CivetWeb's threads
+// then look at the stop flag only when their socket stirs or two seconds have
+// passed, and it doesn't hand out its sockets; they are shut down to wake them.
 
 #include "fennelladder/http/server.hpp"
 
+#include "fennelladder/http/client.hpp"
+
 #include <array>
 #include <cassert>
 #include <civetweb.h>
+#include <cstdlib>
+#include <filesystem>
 #include <mutex>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
 
 namespace fennelladder::http {
 
@@ -28,19 +41,36 @@
         std::chrono::duration_cast<milliseconds>(length).count());
 }
 
-int answer_error(mg_connection* connection, int status, const char*)
+// An answer of the server itself, after which it closes the connection.
+void answer_closing(mg_connection* connection, int status,
+                    const std::string& body)
 {
-    const std::string body =
-        R"({"error":{"code":"bad_request","message":"the request can't be )"
-        R"(read"},"outcome":"not_run"})";
+    mg_disable_connection_keep_alive(connection);
     mg_printf(connection,
               "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-              "Content-Length: %zu\r\nConnection: close\r\n\r\n%s",
+              "X-Request-Ran: no\r\nConnection: close\r\n"
+              "Content-Length: %zu\r\n\r\n%s",
               status, mg_get_response_code_text(connection, status),
               body.size(), body.c_str());
+}
+
+int answer_error(mg_connection* connection, int status, const char*)
+{
+    answer_closing(
+        connection, status,
+        R"({"error":{"code":"bad_request","message":"the request can't be )"
+        R"(read"},"outcome":"not_run"})");
     return 0;
 }
 
+void answer_draining(mg_connection* connection)
+{
+    constexpr int service_unavailable = 503;
+    answer_closing(connection, service_unavailable,
+                   R"({"error":{"code":"draining","message":"this server )"
+                   R"(stops"},"outcome":"not_run"})");
+}
+
 std::string head_text(mg_connection* connection, const answer& head)
 {
     std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
@@ -51,8 +81,45 @@
     return text;
 }
 
+// The port that a socket of this process is bound to; 0 if there is none.
+int local_port(int fd)
+{
+    sockaddr_storage at{};
+    socklen_t n = sizeof(at);
+    if (getsockname(fd, reinterpret_cast<sockaddr*>(&at), &n) != 0)
+        return 0;
+    if (at.ss_family == AF_INET)
+        return ntohs(reinterpret_cast<sockaddr_in*>(&at)->sin_port);
+    if (at.ss_family == AF_INET6)
+        return ntohs(reinterpret_cast<sockaddr_in6*>(&at)->sin6_port);
+    return 0;
+}
+
+// Shuts down every socket of this process that is bound to `port`: those of
+// one server. Outgoing connections have ports of their own.
+void shut_down_sockets(int port)
+{
+    std::error_code ec;
+    std::filesystem::directory_iterator it("/proc/self/fd", ec);
+    for (; !ec && it != std::filesystem::directory_iterator();
+         it.increment(ec)) {
+        const int fd = std::atoi(it->path().filename().c_str());
+        if (local_port(fd) == port)
+            shutdown(fd, SHUT_RDWR);
+    }
+}
+
 } // namespace
 
+std::string decode_path(std::string_view text)
+{
+    std::string out(text.size() + 1, '\0');
+    const int n = mg_url_decode(text.data(), static_cast<int>(text.size()),
+                                out.data(), static_cast<int>(out.size()), 0);
+    out.resize(n > 0 ? static_cast<std::size_t>(n) : 0);
+    return out;
+}
+
 exchange::exchange(mg_connection* connection, const server_options& options)
     : connection_(connection), options_(options)
 {}
@@ -67,6 +134,11 @@
     return mg_get_request_info(connection_)->local_uri;
 }
 
+std::string exchange::raw_path() const
+{
+    return decode_path(mg_get_request_info(connection_)->request_uri);
+}
+
 std::string_view exchange::header(const char* name) const
 {
     const char* value = mg_get_header(connection_, name);
@@ -145,18 +217,63 @@
     return mg_send_chunk(connection_, "", 0) >= 0;
 }
 
+void exchange::drop()
+{
+    answered_ = true;
+    dropped_ = true;
+}
+
+std::uint64_t exchange::connection_serial() const
+{
+    return reinterpret_cast<std::uintptr_t>(
+        mg_get_user_connection_data(connection_));
+}
+
 server::server(server_options options, handler serve)
     : options_(std::move(options)), serve_(std::move(serve))
 {}
 
 int server::on_request(mg_connection* connection, void* self)
 {
-    const auto& it = *static_cast<server*>(self);
-    exchange one(connection, it.options_);
-    it.serve_(one);
+    auto& it = *static_cast<server*>(self);
+    {
+        const std::lock_guard lock(it.mutex_);
+        if (it.draining_) {
+            answer_draining(connection);
+            return handled;
+        }
+        ++it.running_;
+    }
+    it.serve(connection);
+    const std::lock_guard lock(it.mutex_);
+    if (--it.running_ == 0)
+        it.idle_.notify_all();
+    return handled;
+}
+
+void server::serve(mg_connection* connection)
+{
+    exchange one(connection, options_);
+    serve_(one);
     if (!one.answered())
         one.reply({.status = 500});
-    return handled;
+    // Guards against an answer in chunks that the handler didn't end: on a
+    // connection that is kept, its caller would wait for the rest until the
+    // idle timeout, instead of seeing it cut at once.
+    if (one.streaming_ || one.dropped_)
+        mg_disable_connection_keep_alive(connection);
+}
+
+// The serial number itself is the connection's data: CivetWeb doesn't tell of
+// the end of every connection, so nothing may hang on it.
+int server::on_connection(const mg_connection* connection, void** data)
+{
+    auto& it =
+        *static_cast<server*>(mg_get_user_data(mg_get_context(connection)));
+    const std::uintptr_t serial = ++it.last_serial_;
+    // NOLINTNEXTLINE(performance-no-int-to-ptr)
+    *data = reinterpret_cast<void*>(serial);
+    return 0;
 }
 
 result<std::unique_ptr<server>> server::start(server_options options,
@@ -191,6 +308,7 @@
                                                nullptr};
     mg_callbacks callbacks{};
     callbacks.http_error = answer_error;
+    callbacks.init_connection = on_connection;
     it->context_ = mg_start(&callbacks, it.get(),
                             const_cast<const char**>(settings.data()));
     if (it->context_ == nullptr)
@@ -204,8 +322,38 @@
 
 server::~server()
 {
-    if (context_ != nullptr)
-        mg_stop(context_);
+    drain();
+    stop();
+}
+
+void server::abort()
+{
+    aborting_ = true;
+    stop();
+}
+
+void server::drain()
+{
+    std::unique_lock lock(mutex_);
+    draining_ = true;
+    idle_.wait(lock, [this] { return running_ == 0; });
+}
+
+void server::stop()
+{
+    if (context_ == nullptr)
+        return;
+    std::atomic<bool> stopped = false;
+    std::thread waker([&] {
+        while (!stopped) {
+            shut_down_sockets(port_);
+            std::this_thread::sleep_for(milliseconds(2));
+        }
+    });
+    mg_stop(context_);
+    stopped = true;
+    waker.join();
+    context_ = nullptr;
 }
 
 std::string server::address() const
--- a/libs/http/server_test.cpp
+++ b/libs/http/server_test.cpp
@@ -1,11 +1,14 @@
 // Requests are written byte by byte over a plain socket, so that the server
 // is tested without a client of ours.
 
+#include "fennelladder/http/client.hpp"
 #include "fennelladder/http/server.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <arpa/inet.h>
+#include <atomic>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 using namespace fennelladder;
@@ -22,6 +25,13 @@
         it.end_stream();
         return;
     }
+    if (it.path() == "/cut") {
+        it.begin_stream({});
+        it.write("one");
+        return;
+    }
+    if (it.path() == "/drop")
+        return it.drop();
     const auto body = it.read_body();
     if (!body)
         return it.reply(
@@ -75,12 +85,75 @@
          "invalid"},
         {"GET /stream HTTP/1.1\r\nHost: a\r\n\r\n",
          "3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n"},
+        {"GET /cut HTTP/1.1\r\nHost: a\r\n\r\n", "3\r\none\r\n"},
         {"nonsense\r\n\r\n", R"("code":"bad_request")"},
     };
     for (const auto& it : cases)
         STRCMP_CONTAINS(it.wanted, ask((*made)->port(), it.text).c_str());
 }
 
+// A mechanic's answer is cut because its target died. His client must see
+// that at once: on a connection that was kept open it would go on waiting for
+// the rest, until the connection's idle timeout.
+TEST(server, unfinished_answer_is_cut_at_once)
+{
+    auto made = server::start({.threads = 4, .idle_timeout = hours(1)}, serve);
+    client asks;
+    for (const char* path : {"cut", "drop", "cut"}) {
+        const auto end = asks.stream(
+            {.url = "http://" + (*made)->address() + "/" + path},
+            {.first_byte = seconds(60), .between_bytes = seconds(60)},
+            [](auto) { return true; });
+        CHECK_TEXT(end.how == ending::broken, path);
+    }
+}
+
+// A graceful stop: the node is told to stop while an answer is under way and
+// another caller's kept connection is idle. The answer goes out whole, and
+// the idle connection doesn't hold the stop up.
+TEST(server, stop_lets_answers_under_way_finish)
+{
+    std::atomic<bool> begun = false;
+    std::atomic<bool> go_on = false;
+    auto made = server::start({.threads = 4, .idle_timeout = hours(1)},
+                              [&](exchange& it) {
+                                  it.begin_stream({});
+                                  it.write("one");
+                                  begun = true;
+                                  while (it.path() == "/slow" && !go_on)
+                                      std::this_thread::yield();
+                                  it.write("two");
+                                  it.end_stream();
+                              });
+    const std::string url = "http://" + (*made)->address();
+    client idle;
+    CHECK(idle.fetch({.url = url + "/quick"}, {}).has_value());
+    result<response> got;
+    begun = false;
+    std::thread caller([&] {
+        client asks;
+        got = asks.fetch({.url = url + "/slow"},
+                         {.first_byte = hours(1), .between_bytes = hours(1)});
+    });
+    while (!begun)
+        std::this_thread::yield();
+    std::thread stopper([&] { made->reset(); });
+    const request probe{.url = url + "/quick", .fresh_connection = true};
+    const auto turned_away = [&] {
+        const auto seen = idle.fetch(probe, {});
+        return seen && seen->status == 503 &&
+               seen->field("X-Request-Ran") == "no" &&
+               seen->body.find(R"("outcome":"not_run")") != std::string::npos;
+    };
+    while (!turned_away())
+        std::this_thread::yield();
+    go_on = true; // The stop is under way: new callers aren't served.
+    stopper.join();
+    caller.join();
+    CHECK(got && got->body == "onetwo");
+    CHECK(!idle.fetch({.url = url + "/quick"}, {}));
+}
+
 TEST(server, an_address_in_use_is_an_error)
 {
     auto first = server::start({.threads = 1}, serve);
--- a/libs/standin/platform_server.cpp
+++ b/libs/standin/platform_server.cpp
@@ -123,8 +123,8 @@
         if (path == "/v1/hosts")
             return serve_hosts(reply);
         if (path == objects_path)
-            return ask.query.contains("watch") ? serve_watch(ask, reply)
-                                               : serve_list(ask, reply);
+            return !ask.parameter("watch").empty() ? serve_watch(ask, reply)
+                                                   : serve_list(ask, reply);
         if (path.starts_with(objects_path) &&
             path.size() > objects_path.size() + 1)
             return serve_object(
--- a/libs/standin/web_server.hpp
+++ b/libs/standin/web_server.hpp
@@ -1,4 +1,4 @@
-// The HTTP server of the stand-ins, on CivetWeb, with faults of connections.
+// The HTTP server of the stand-ins: http::server with faults of connections.
 //
 //     web_server server({}, [](const web_request& ask, web_reply& reply) {
 //         reply.whole(200, "text/plain", "hello");
@@ -16,40 +16,46 @@
 #ifndef FENNELLADDER_STANDIN_WEB_SERVER_HPP
 #define FENNELLADDER_STANDIN_WEB_SERVER_HPP
 
+#include "fennelladder/http/server.hpp"
+
 #include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
-#include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
 #include <vector>
 
-struct mg_connection;
-struct mg_context;
-
 namespace fennelladder::standin {
 
-/// A request as received.
-struct web_request
+/// A request as received. Valid while its handler runs.
+class web_request
 {
-    std::string method;
-    std::string path; ///< Percent-decoded, without the query.
-    std::map<std::string, std::string> query;
-    std::map<std::string, std::string> headers; ///< Names in lower case.
-    std::string body;
+public:
+    web_request(const http::exchange& from, std::string body)
+        : method(from.method()), path(from.raw_path()), body(std::move(body)),
+          from_(from)
+    {}
+
+    const std::string method;
+    const std::string path; ///< Percent-decoded, without the query.
+    const std::string body;
 
     /// A header field or query parameter, or an empty string.
-    std::string header(const std::string& lower_case_name) const;
-    std::string parameter(const std::string& name) const;
+    std::string header(const char* name) const;
+    std::string parameter(const char* name) const;
 
     /// A header field or query parameter that is a number; 0 if it is not.
-    std::uint32_t header_number(const std::string& lower_case_name) const;
-    std::uint64_t parameter_number(const std::string& name) const;
+    std::uint32_t header_number(const char* name) const;
+    std::uint64_t parameter_number(const char* name) const;
 
     /// A header field whose value is percent-encoded.
-    std::string decoded_header(const std::string& lower_case_name) const;
+    std::string decoded_header(const char* name) const;
+
+private:
+    const http::exchange& from_;
 };
 
 class web_server;
@@ -58,19 +64,13 @@
 class web_reply
 {
 public:
-    struct field
-    {
-        std::string name;
-        std::string value;
-    };
-
     /// Sends a whole answer.
     void whole(int status, std::string_view content_type, std::string_view body,
-               const std::vector<field>& fields = {});
+               const std::vector<http::answer_header>& fields = {});
 
     /// Begins an answer of unknown length. False: the caller is gone.
     bool begin(int status, std::string_view content_type,
-               const std::vector<field>& fields = {});
+               const std::vector<http::answer_header>& fields = {});
 
     /// Sends bytes. Precondition: begin(). False: the caller is gone, or the
     /// server was aborted.
@@ -80,21 +80,17 @@
     void finish();
 
     /// Breaks the connection without an answer.
-    void drop() { dropped_ = true; }
+    void drop() { to_.drop(); }
 
 private:
     friend class web_server;
-    web_reply(web_server& server, mg_connection* to, std::uint64_t serial)
-        : server_(server), to_(to), serial_(serial)
+    web_reply(web_server& server, http::exchange& to) : server_(server), to_(to)
     {}
 
-    bool write(std::string_view bytes);
+    bool muted() const;
 
     web_server& server_;
-    mg_connection* to_;
-    std::uint64_t serial_; // Of the connection.
-    bool answered_ = false;
-    bool dropped_ = false;
+    http::exchange& to_;
 };
 
 /// Where and how to listen.
@@ -117,7 +113,7 @@
     web_server(const web_server&) = delete;
     web_server& operator=(const web_server&) = delete;
 
-    bool started() const { return context_.load() != nullptr; }
+    bool started() const;
     int port() const { return options_.port; }
     std::string url() const;
 
@@ -136,18 +132,17 @@
 
 private:
     friend class web_reply;
-    friend struct web_callbacks;
 
-    int serve(mg_connection* from);
+    void serve(http::exchange& from);
     bool muted(std::uint64_t serial) const { return serial <= muted_up_to_; }
     void hold_silent();
 
     web_server_options options_;
     handler serve_;
-    std::mutex control_mutex_; // Serializes start() and abort().
-    std::atomic<mg_context*> context_ = nullptr;
+    mutable std::mutex control_mutex_; // Serializes start() and abort().
+    std::unique_ptr<http::server> server_;
     std::atomic<bool> aborting_ = false;
-    std::atomic<std::uint64_t> last_serial_ = 0;
+    // Serial numbers begin anew with each start(), and none is muted then.
     std::atomic<std::uint64_t> muted_up_to_ = 0;
     std::mutex hold_mutex_; // With hold_, for threads of muted connections.
     std::condition_variable hold_;
