Keep issuers going past engines that time out

Cause: with a rack of silent engines one step of the issuer took longer than its leases last, so they lapsed and engines later in the list were never reached. Engines that are to hold several models never got the second, as one slot was the default. Refused orders were repeated every second. Change: a step ends after 5 s and the next one goes on there; silent engines are read back at the slow interval; a plan's own models always count as fitting; refused orders wait for the slow interval. Tests of each but the last; a flapping node joins the fault table.

--- a/include/fennelladder/fleet/engine_orders.hpp
+++ b/include/fennelladder/fleet/engine_orders.hpp
@@ -70,7 +70,8 @@
     target_id target;
     engine_role role = engine_role::mixed;
     std::map<model_ref, std::set<adapter_id>> models;
-    std::uint32_t model_slots = 1; ///< Versions that fit side by side.
+    /// Versions that fit side by side; as many as `models` fit in any case.
+    std::uint32_t model_slots = 1;
     bool checks_fencing = true;
 
     friend bool operator==(const engine_plan&, const engine_plan&) = default;
--- a/include/fennelladder/fleet/order_issuer.hpp
+++ b/include/fennelladder/fleet/order_issuer.hpp
@@ -48,6 +48,7 @@
     duration board_every = seconds(10); ///< The board is read anew.
     duration read_every = seconds(2);   ///< An engine being worked on.
     duration watch_every = seconds(15); ///< One that is as it should be.
+    duration step_limit = seconds(5);   ///< Then step() leaves the rest.
     duration retry_failed = minutes(2); ///< A load that failed.
     duration death_grace = seconds(30); ///< Silence after a load: it failed.
     std::size_t stable_after = 3;       ///< Equal read-backs.
@@ -148,6 +149,7 @@
     void lose(std::size_t group, group_lease& lease);
     bool lease_is_fresh(const group_lease& lease) const;
 
+    void work_on_all(const issuer_input& input);
     void work_on(const engine_plan& plan, const issuer_input& input);
     void work_on_silent(const engine_plan& plan, engine_track& track);
     void retry_load(const engine_plan& plan, const engine_state& state,
@@ -196,6 +198,7 @@
     bool board_known_ = false;
     instant board_read_at_;
     std::uint64_t writes_ = 0;
+    std::size_t first_plan_ = 0; ///< Where the last step() left off.
     std::vector<issuer_event> events_;
 };
 
--- a/libs/fleet/order_issuer.cpp
+++ b/libs/fleet/order_issuer.cpp
@@ -137,7 +137,23 @@
     });
     if (held_groups().empty() || !load_board(options_.board_every))
         return;
-    for (const engine_plan& it : input.plans) {
+    work_on_all(input);
+}
+
+// Guards against engines that are silent and time out one after the other
+// (a rack is gone): the leases would lapse meanwhile, and the engines that
+// come later in the list would never be reached.
+void order_issuer::work_on_all(const issuer_input& input)
+{
+    const instant start = clock_.now();
+    const std::size_t count = input.plans.size();
+    const std::size_t first = count == 0 ? 0 : first_plan_ % count;
+    for (std::size_t n = 0; n < count; ++n) {
+        const std::size_t i = (first + n) % count;
+        first_plan_ = i;
+        if (clock_.now() - start >= options_.step_limit)
+            return;
+        const engine_plan& it = input.plans[i];
         if (lease_is_fresh(leases_[group_of(it.target)]))
             work_on(it, input);
     }
@@ -363,8 +379,10 @@
     wait_for(track, "the engine doesn't answer");
     if (!track.silent_since)
         track.silent_since = now;
-    if (now - *track.silent_since < options_.death_grace ||
-        !load_board(options_.read_every))
+    if (now - *track.silent_since < options_.death_grace)
+        return;
+    track.next_read = now + jitter(random_, options_.watch_every);
+    if (!load_board(options_.read_every))
         return;
     rollout_board noted = board_;
     bool changed = note_silent(noted, plan.target);
@@ -519,7 +537,9 @@
     const bool refused = !given && given.error().code == error_code::refused;
     report(refused ? event::order_refused : event::order_given, plan.target,
            describe(order));
-    track.next_read = clock_.now() + jitter(random_, options_.read_every / 2);
+    const duration wait =
+        refused ? options_.watch_every : options_.read_every / 2;
+    track.next_read = clock_.now() + jitter(random_, wait);
 }
 
 void order_issuer::settle(const engine_plan& plan, const engine_plan& wanted,
--- a/libs/fleet/order_issuer_test.cpp
+++ b/libs/fleet/order_issuer_test.cpp
@@ -40,13 +40,14 @@
 class fake_engines final : public engine_orders
 {
 public:
-    explicit fake_engines(fennelladder::clock& time) : time_(time) {}
+    explicit fake_engines(manual_clock& time) : time_(time) {}
 
     std::map<target_id, fake_engine> all;
     std::set<model_ref> bad;    ///< Fail to load.
     std::set<model_ref> poison; ///< Kill the engine when they're loaded.
     duration load_time = seconds(20);
-    double lost = 0; ///< Share of orders lost, or their replies.
+    duration timeout{}; ///< What a call to a dead engine takes.
+    double lost = 0;    ///< Share of orders lost, or their replies.
     random_source random{5};
     /// Holds back the next order that unloads, as a pause before sending.
     bool hold_next = false;
@@ -71,8 +72,10 @@
     {
         fake_engine& it = all.at(target);
         advance(it);
-        if (it.dead)
+        if (it.dead) {
+            time_.advance(timeout);
             return fail(error_code::unavailable, "dead");
+        }
         return it.state;
     }
 
@@ -154,7 +157,7 @@
         }
     }
 
-    fennelladder::clock& time_;
+    manual_clock& time_;
 };
 
 struct world_options
@@ -563,6 +566,24 @@
     CHECK_EQUAL(w.options.limits.max_loads, w.most_loading);
 }
 
+// A rack is gone: 24 engines run into a timeout of a second at each read-back.
+// The others are still looked after: one that restarted is loaded again, and
+// no lease lapses.
+TEST(order_issuer, silent_engines_starve_nobody)
+{
+    world w({.engines = 30, .issuers = 1});
+    w.run(minutes(2));
+    w.engines.timeout = seconds(1);
+    int n = 0;
+    for (auto& [target, it] : w.engines.all)
+        it.dead = ++n <= 24;
+    w.engines.all.rbegin()->second.state = {};
+    w.run(minutes(3));
+    CHECK_EQUAL(6, w.holding(1));
+    CHECK_FALSE(w.happened(event::order_lease_lost));
+    CHECK_EQUAL(4, w.issuers[0]->held_groups().size());
+}
+
 // A canary has the new version alone for the soak time.
 TEST(order_issuer, lets_the_canary_soak)
 {
--- a/libs/fleet/order_planner.cpp
+++ b/libs/fleet/order_planner.cpp
@@ -65,6 +65,12 @@
     return std::nullopt;
 }
 
+// An engine that is to hold several models has room for them.
+std::size_t slots_of(const engine_plan& wanted)
+{
+    return std::max<std::size_t>(wanted.model_slots, wanted.models.size());
+}
+
 std::optional<order_step> missing_model_step(const engine_plan& wanted,
                                              const engine_plan& tolerated,
                                              const engine_state& state)
@@ -78,7 +84,7 @@
             out.what = step_kind::failed;
             return out;
         }
-        if (state.models.size() < wanted.model_slots)
+        if (state.models.size() < slots_of(wanted))
             return model_step(order_kind::load_model, wanted, ref);
         if (const auto old = unwanted_model(wanted, tolerated, state))
             return model_step(order_kind::unload_model, wanted, *old);
--- a/libs/fleet/order_planner_test.cpp
+++ b/libs/fleet/order_planner_test.cpp
@@ -64,6 +64,9 @@
     const loaded_model adapted{load_phase::ready, {tickets}};
     engine_plan decode = wanting(v1);
     decode.role = engine_role::decode;
+    const model_ref other{model_id("n"), model_version("v1")};
+    engine_plan two = wanting(v1);
+    two.models[other] = {};
     const step_case cases[] = {
         {"as it should be", wanting(v1), holding({{v1, ready}}),
          step_kind::none},
@@ -73,6 +76,8 @@
          step_kind::order,
          load_model,
          &v1},
+        {"two models on one engine", two, holding({{v1, ready}}),
+         step_kind::order, load_model, &other},
         {"no room: unload first", wanting(v2), holding({{v1, ready}}),
          step_kind::order, unload_model, &v1, true},
         {"room: load beside", wanting(v2, {}, 2), holding({{v1, ready}}),
--- a/libs/membership/member_table_test.cpp
+++ b/libs/membership/member_table_test.cpp
@@ -107,6 +107,17 @@
          fleet.reachable = [](std::size_t, std::size_t b) { return b != 3; };
      },
      seconds(30), check_three_is_out, connect_all, seconds(90)},
+    {"A node comes and goes every three seconds: its callers are sent to "
+     "others, also in its good moments.",
+     [](member_fleet& fleet) {
+         for (int n = 0; n < 10; ++n) {
+             fleet.at(3).paused = true;
+             fleet.run_for(seconds(3));
+             fleet.resume(3);
+             fleet.run_for(seconds(3));
+         }
+     },
+     milliseconds(1), check_three_is_out, nothing, seconds(90)},
     {"The regions lose each other for an hour. Each goes on with its own "
      "half, calls the other dead, and finds it again afterwards.",
      [](member_fleet& fleet) {
