Bound the teams that a node keeps parsed

A node that serves every team ended at 37.2 MB of configuration, since each team asked for was kept.

--- a/include/fennelladder/manifest/active_manifest.hpp
+++ b/include/fennelladder/manifest/active_manifest.hpp
@@ -1,7 +1,7 @@
 // The configuration as a node holds it: small, shared, and quick to look up.
 //
 //     std::shared_ptr<const active_manifest> config = slot.load();
-//     const team* it = config->find_team(id);
+//     std::shared_ptr<const team> it = config->find_team(id);
 //     std::optional<budget> paid = config->find_budget(id);
 //
 // It is immutable; a new generation is a new one that shares every bucket
@@ -34,8 +34,8 @@
 
 class team_bucket;
 
-/// One generation of the configuration. Immutable but for the teams that were
-/// read already, which have a lock of their own; thread safe.
+/// One generation of the configuration. Immutable but for the few teams
+/// that each bucket keeps, under a lock of its own; thread safe.
 class active_manifest
 {
 public:
@@ -73,9 +73,9 @@
 
     /// Look-ups return nullptr or nothing for an unknown id. Teams, targets
     /// and budgets: O(log n) in a bucket. Budgets parse one line each time,
-    /// teams the first time (and are kept). The others search a list of a few
-    /// dozen.
-    const team* find_team(const team_id& id) const;
+    /// teams unless they were asked for lately. The others search a list of a
+    /// few dozen.
+    std::shared_ptr<const team> find_team(const team_id& id) const;
     const target* find_target(const target_id& id) const;
     std::optional<budget> find_budget(const budget_id& id) const;
     const caller_kind_policy* find_caller_kind(const caller_kind& id) const;
--- a/libs/manifest/active_manifest.cpp
+++ b/libs/manifest/active_manifest.cpp
@@ -31,6 +31,11 @@
     return it == list.end() ? nullptr : &*it;
 }
 
+// Teams kept parsed, in all and at least in each bucket: all of a small
+// deployment's, a share of a large one's.
+constexpr std::size_t kept_teams = 2'048;
+constexpr std::size_t least_kept_teams = 16;
+
 template <class Bucket>
 using buckets = std::vector<std::shared_ptr<const Bucket>>;
 
@@ -138,11 +143,13 @@
 status active_manifest::load_teams(const active_manifest* previous)
 {
     using made = result<std::shared_ptr<const team_bucket>>;
-    const auto make = [this](const part_hash& name) -> made {
+    const std::size_t kept =
+        std::max(least_kept_teams, kept_teams / directory_.teams.size());
+    const auto make = [this, kept](const part_hash& name) -> made {
         const auto rows = read_rows<team>(parts_, name, &decode_teams);
         if (!rows)
             return tl::unexpected(rows.error());
-        return std::make_shared<const team_bucket>(parts_.at(name));
+        return std::make_shared<const team_bucket>(parts_.at(name), kept);
     };
     const bool any = previous != nullptr;
     return load_table<team_bucket>(
@@ -166,7 +173,7 @@
         any ? &previous->targets_ : nullptr, make, targets_);
 }
 
-const team* active_manifest::find_team(const team_id& id) const
+std::shared_ptr<const team> active_manifest::find_team(const team_id& id) const
 {
     return teams_[bucket_of(id.str(), teams_.size())]->find(id);
 }
--- a/libs/manifest/parts_test.cpp
+++ b/libs/manifest/parts_test.cpp
@@ -72,7 +72,7 @@
         CHECK_EQUAL(manifest.teams.size(), teams);
         for (const char* id : {"", "a", "budget-", "budget-00", "zz", "~"}) {
             CHECK(!config->find_budget(budget_id(id)));
-            POINTERS_EQUAL(nullptr, config->find_team(team_id(id)));
+            CHECK(config->find_team(team_id(id)) == nullptr);
         }
         CHECK(!config->find_call(service_id("desk"), call_name("x")));
         CHECK(config->find_call(service_id("desk"), call_name("lookup"))
@@ -102,8 +102,8 @@
     const auto second = activate(2, *after, first.get());
     CHECK(second->find_budget(budget_id("budget-77"))->prepaid() ==
           tokens(1'000'005));
-    POINTERS_EQUAL(first->find_team(team_id("team-3")),
-                   second->find_team(team_id("team-3")));
+    POINTERS_EQUAL(first->find_team(team_id("team-3")).get(),
+                   second->find_team(team_id("team-3")).get());
 }
 
 // Growth keeps the buckets' number until they are twice their goal; then all
--- a/libs/manifest/team_bucket.cpp
+++ b/libs/manifest/team_bucket.cpp
@@ -6,20 +6,23 @@
 
 namespace fennelladder::manifest {
 
-const team* team_bucket::find(const team_id& id) const
+std::shared_ptr<const team> team_bucket::find(const team_id& id) const
 {
     const std::lock_guard lock(mutex_);
-    const auto known = read_.find(id);
-    if (known != read_.end())
-        return known->second.get();
+    const auto known = kept_.find(id);
+    if (known != kept_.end())
+        return known->second;
     const auto line = find_row(*bytes_, id.str());
     if (line.empty())
         return nullptr; // Not kept: unknown ids are without bound.
     auto one = decode_team_row(line);
     if (!one)
         return nullptr; // assemble() has read them all.
-    auto made = std::make_unique<const team>(std::move(*one));
-    return read_.emplace(id, std::move(made)).first->second.get();
+    auto made = std::make_shared<const team>(std::move(*one));
+    if (kept_.size() >= most_kept_)
+        kept_.erase(kept_.begin());
+    kept_.emplace(id, made);
+    return made;
 }
 
 } // namespace fennelladder::manifest
--- a/libs/manifest/team_bucket.hpp
+++ b/libs/manifest/team_bucket.hpp
@@ -1,4 +1,4 @@
-// A bucket of teams that parses a team when it is first asked for.
+// A bucket of teams that parses a team when it is asked for, and keeps a few.
 
 #ifndef FENNELLADDER_LIBS_MANIFEST_TEAM_BUCKET_HPP
 #define FENNELLADDER_LIBS_MANIFEST_TEAM_BUCKET_HPP
@@ -11,23 +11,28 @@
 
 namespace fennelladder::manifest {
 
-/// Memory grows with the teams that this node serves, not with all. Thread
-/// safe; its lock is a leaf, held for one look-up or one parse.
+/// Memory is bounded by the bytes and the teams kept. Thread safe; its lock is
+/// a leaf, held for one look-up or one parse.
 class team_bucket
 {
 public:
     /// Precondition: decode_teams() reads `bytes`, and ids are in order.
-    explicit team_bucket(part_bytes bytes) : bytes_(std::move(bytes)) {}
+    /// At most `most_kept` teams are kept parsed; one more takes the place of
+    /// any other.
+    team_bucket(part_bytes bytes, std::size_t most_kept)
+        : bytes_(std::move(bytes)), most_kept_(most_kept)
+    {}
 
-    /// The team, or nullptr; lives as long as the bucket.
-    const team* find(const team_id& id) const;
+    /// The team, or nullptr.
+    std::shared_ptr<const team> find(const team_id& id) const;
 
     const std::string& bytes() const { return *bytes_; }
 
 private:
     const part_bytes bytes_;
+    const std::size_t most_kept_;
     mutable std::mutex mutex_;
-    mutable std::unordered_map<team_id, std::unique_ptr<const team>> read_;
+    mutable std::unordered_map<team_id, std::shared_ptr<const team>> kept_;
 };
 
 } // namespace fennelladder::manifest
--- a/libs/node/caller_api.cpp
+++ b/libs/node/caller_api.cpp
@@ -251,7 +251,7 @@
     runnable what;
     what.head = head;
     what.received = tools_.time.now();
-    const auto* team = config->find_team(head.team);
+    const auto team = config->find_team(head.team);
     const auto paid = config->find_budget(head.budget);
     const auto* kind = config->find_caller_kind(head.kind);
     if (team == nullptr)
@@ -286,7 +286,7 @@
                                   const manifest_pointer& config,
                                   runnable& what, findings& found)
 {
-    const auto* team = config->find_team(call.head.team);
+    const auto team = config->find_team(call.head.team);
     const auto grant = std::ranges::find(team->models, call.model,
                                          &manifest::model_grant::model);
     const auto& limits = config->limits();
@@ -339,7 +339,7 @@
                             const manifest_pointer& config, runnable& what,
                             findings& found)
 {
-    const auto* team = config->find_team(call.head.team);
+    const auto team = config->find_team(call.head.team);
     const auto* known =
         config->find_call(call.service, manifest::call_name(call.call));
     if (!contains(team->services, call.service) || known == nullptr) {
