Let http::server's abort return at once

Cause: a node that dies in a trial must not wait for its own handlers. Change: abort() shuts the sockets down and lets CivetWeb stop on a thread of its own; the destructor waits. shut_down_port() is public for others who must break off a server that hides its sockets.

--- a/include/fennelladder/http/server.hpp
+++ b/include/fennelladder/http/server.hpp
@@ -30,6 +30,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 struct mg_connection;
@@ -126,6 +127,11 @@
 
 using handler = std::function<void(exchange&)>;
 
+/// Shuts down the listening socket of `port` and every connection accepted
+/// there. CivetWeb doesn't hand out its sockets, so they are found among the
+/// process's own descriptors. Thread safe.
+void shut_down_port(int port);
+
 /// A running server. Thread safe.
 class server
 {
@@ -140,9 +146,9 @@
     server(const server&) = delete;
     server& operator=(const server&) = delete;
 
-    /// Breaks all connections, as a crash does: writes of handlers fail, and
-    /// nobody listens any more. Waits for the handlers; not to be called by
-    /// one. The server can't be used again.
+    /// Breaks off every connection and listens no more, as the end of a
+    /// process does; handlers see their callers gone. Doesn't wait for them:
+    /// the destructor does.
     void abort();
 
     /// True from the call of abort() on.
@@ -176,6 +182,7 @@
     std::condition_variable idle_;
     std::size_t running_ = 0; // Handlers.
     bool draining_ = false;
+    std::thread stopper_; // After abort().
 };
 
 } // namespace fennelladder::http
--- a/libs/http/server.cpp
+++ b/libs/http/server.cpp
@@ -95,20 +95,6 @@
     return 0;
 }
 
-// Shuts down every socket of this process that is bound to `port`: those of
-// one server. Outgoing connections have ports of their own.
-void shut_down_sockets(int port)
-{
-    std::error_code ec;
-    std::filesystem::directory_iterator it("/proc/self/fd", ec);
-    for (; !ec && it != std::filesystem::directory_iterator();
-         it.increment(ec)) {
-        const int fd = std::atoi(it->path().filename().c_str());
-        if (local_port(fd) == port)
-            shutdown(fd, SHUT_RDWR);
-    }
-}
-
 } // namespace
 
 std::string decode_path(std::string_view text)
@@ -320,16 +306,35 @@
     return it;
 }
 
+void shut_down_port(int port)
+{
+    std::error_code ec;
+    std::filesystem::directory_iterator it("/proc/self/fd", ec);
+    for (; !ec && it != std::filesystem::directory_iterator();
+         it.increment(ec)) {
+        const int fd = std::atoi(it->path().filename().c_str());
+        // Outgoing connections have ports of their own.
+        if (local_port(fd) == port)
+            shutdown(fd, SHUT_RDWR);
+    }
+}
+
 server::~server()
 {
+    if (stopper_.joinable())
+        stopper_.join();
     drain();
     stop();
 }
 
 void server::abort()
 {
-    aborting_ = true;
-    stop();
+    const std::lock_guard lock(mutex_);
+    if (aborting_.exchange(true))
+        return;
+    shut_down_port(port_);
+    // CivetWeb has to stop at once: its listener spins on a dead socket.
+    stopper_ = std::thread([this] { stop(); });
 }
 
 void server::drain()
@@ -346,7 +351,7 @@
     std::atomic<bool> stopped = false;
     std::thread waker([&] {
         while (!stopped) {
-            shut_down_sockets(port_);
+            shut_down_port(port_);
             std::this_thread::sleep_for(milliseconds(2));
         }
     });
--- a/libs/http/server_test.cpp
+++ b/libs/http/server_test.cpp
@@ -154,6 +154,40 @@
     CHECK(!idle.fetch({.url = url + "/quick"}, {}));
 }
 
+// A node dies with streams open. Callers see their connections break at once,
+// not when the node's threads have noticed, and nobody listens there any more.
+TEST(server, abort_breaks_connections_without_waiting)
+{
+    std::atomic<bool> begun = false;
+    std::atomic<bool> go_on = false;
+    std::atomic<bool> written = true;
+    auto made = server::start({.threads = 4}, [&](exchange& it) {
+        it.begin_stream({});
+        it.write("one");
+        begun = true;
+        while (!go_on)
+            std::this_thread::yield();
+        written = it.write("two");
+    });
+    const request what{.url = "http://" + (*made)->address() + "/"};
+    const deadlines patient{.first_byte = hours(1), .between_bytes = hours(1)};
+    transfer end;
+    std::thread caller([&] {
+        client asks;
+        end = asks.stream(what, patient, [](auto) { return true; });
+    });
+    while (!begun)
+        std::this_thread::yield();
+    (*made)->abort();
+    caller.join();
+    CHECK(end.how == ending::broken);
+    client asks;
+    CHECK(asks.fetch(what, {}).error().code == error_code::unavailable);
+    go_on = true;
+    made->reset();
+    CHECK_FALSE(written);
+}
+
 TEST(server, an_address_in_use_is_an_error)
 {
     auto first = server::start({.threads = 1}, serve);
