Work out the capacity from measured slopes

How far the design reaches was a matter of opinion. make capacity runs the benches at four sizes each, fits lines, names their residuals, works out what each role costs at 340 nodes and 350,000 budgets and what breaks first, and redraws the figures.

--- a/Makefile
+++ b/Makefile
@@ -47,5 +47,9 @@
 mutants: setup
 	python3 tools/mutants/run.py --jobs $(JOBS)
 
+# Runs the measurements again and rewrites docs/CAPACITY.md and its figures.
+capacity: build
+	python3 tools/capacity/capacity.py
+
 clean:
 	rm -rf build build-asan build-tsan build-mutants out
