--- a/apps/fennelladder/benches.hpp
+++ b/apps/fennelladder/benches.hpp
@@ -9,6 +9,7 @@
 int run_bench_config(int argc, char** argv);
 int run_bench_control(int argc, char** argv);
 int run_bench_routing(int argc, char** argv);
+int run_bench_history(int argc, char** argv);
 int run_bench_journal(int argc, char** argv);
 int run_bench_budgets(int argc, char** argv);
 int run_bench_requests(int argc, char** argv);
--- a/apps/fennelladder/command_bench.cpp
+++ b/apps/fennelladder/command_bench.cpp
@@ -18,6 +18,8 @@
     {"budgets", "budgets under faults beside two baselines", run_bench_budgets},
     {"reserve", "cost of reserve and settle in memory", run_bench_reserve},
     {"routing", "time to first token beside baselines", run_bench_routing},
+    {"history", "what recording and checking a history cost",
+     run_bench_history},
     {"journal", "calls, bytes and time of the journal", run_bench_journal},
     {"requests", "time and memory of a request beside its I/O",
      run_bench_requests},
