Say of the last flush, not of the last append, whether it failed

A follower whose append failed in an outage and whose later wishes the owner took went on saying last_failure, and its node took the store for unreachable. The new test fails without the change.

--- a/include/fennelladder/journal/group_committer.hpp
+++ b/include/fennelladder/journal/group_committer.hpp
@@ -122,9 +122,9 @@
     std::uint64_t forwarded = 0;   ///< Groups another node committed.
     std::uint64_t fallbacks = 0;   ///< Groups a node asked didn't commit.
     std::uint64_t appended = 0;    ///< Groups appended here.
-    std::uint64_t failures = 0;    ///< Groups that could not be appended.
+    std::uint64_t failures = 0;    ///< Flushes that committed nothing.
     std::uint64_t turned_away = 0; ///< Wishes refused because memory is full.
-    int last_failure = -1;         ///< error_code of the last one, or -1.
+    int last_failure = -1; ///< error_code of the last flush; -1: it succeeded.
     journal_calls calls;
 };
 
--- a/libs/journal/group_committer.cpp
+++ b/libs/journal/group_committer.cpp
@@ -331,10 +331,9 @@
         tend_checkpoint(owner);
     }
     const std::lock_guard lock(queue_mutex_);
-    ++(ok ? figures_.appended : figures_.failures);
-    figures_.last_failure = ok ? -1 : static_cast<int>(ok.error().code);
     if (!ok)
         return tl::unexpected(ok.error());
+    ++figures_.appended;
     return made;
 }
 
@@ -374,6 +373,8 @@
     failed_flushes_ = ok ? 0 : failed_flushes_ + 1;
     const std::lock_guard lock(queue_mutex_);
     figures_.calls = log_.calls();
+    figures_.failures += !ok;
+    figures_.last_failure = ok ? -1 : static_cast<int>(ok.error().code);
     retrying_ = !ok;
     if (!ok) {
         due_ = now + backoff(random_, failed_flushes_ - 1, options_.first_retry,
--- a/libs/journal/group_committer_test.cpp
+++ b/libs/journal/group_committer_test.cpp
@@ -272,7 +272,9 @@
         LONGS_EQUAL(100, all.at(2).committer->pending().size());
         CHECK(all.store.calls < 3600 / 2 * 3);
         all.store.plan = {};
+        CHECK(figures.last_failure >= 0);
         all.run(seconds(30));
+        LONGS_EQUAL(-1, all.at(2).committer->figures().last_failure);
         all.check_accepted(2, 110);
         all.check_log(110);
         std::string last = "";
@@ -290,6 +292,27 @@
     }
 }
 
+// A follower's flush fails while the platform is down; later its owner takes
+// the wishes. The follower's figures must not go on saying that it can't
+// commit, or its node would hold tokens back for good.
+TEST(group_committer, a_group_taken_by_the_owner_ends_a_failure)
+{
+    committer_options options;
+    options.owner_retry = duration(0);
+    fleet all(3, options);
+    CHECK(all.submit(2).has_value());
+    all.run(seconds(1));
+    all.store.plan = [](call_kind) { return fault::refuse; };
+    CHECK(all.submit(2).has_value());
+    all.run(seconds(1));
+    CHECK(all.at(2).committer->figures().last_failure >= 0);
+    all.store.plan = {};
+    all.run(seconds(5));
+    all.check_accepted(2, 2);
+    LONGS_EQUAL(0, all.at(2).committer->figures().appended);
+    LONGS_EQUAL(-1, all.at(2).committer->figures().last_failure);
+}
+
 // A node dies with bills that only its peer has a copy of. The peer puts them
 // in the journal; so does the node, which was only paused, when it wakes.
 TEST(group_committer, copies_kept_by_a_peer_count_once_beside_the_originals)
