Believe the prefix index more after a lost cache event

Cause: a lost event halved the belief in a target for seconds; with 2% lost, some target was always doubted, so its documents were prefilled again elsewhere. Change: a gap multiplies the confidence by 0.9 in place of 0.5.

--- a/include/fennelladder/routing/prefix_index.hpp
+++ b/include/fennelladder/routing/prefix_index.hpp
@@ -12,7 +12,7 @@
 // therefore a belief, never a fact: it is corrected by events, by what this
 // node dispatched itself, and by how many cached tokens engines report in
 // their answers. confidence() is the share of the belief that held lately; a
-// gap in a target's event numbers halves it, good predictions restore it.
+// gap in a target's event numbers lowers it, good predictions restore it.
 //
 // Memory is bounded by max_blocks; the blocks used longest ago go first.
 // Not thread safe.
@@ -56,7 +56,7 @@
 {
     std::size_t max_blocks = 32'768; ///< About 200 bytes each at 1024 slots.
     std::size_t max_targets = 1'024; ///< Slots from here on are not indexed.
-    double gap_factor = 0.5;         ///< Confidence is multiplied by it.
+    double gap_factor = 0.9;         ///< Confidence is multiplied by it.
     double learning_rate = 0.1;      ///< Weight of one observed answer.
 };
 
