Count only a request's own and higher ranks against its room

Cause: short lookups waited at nodes behind long guides in flight, which engines would have let them pass. Change: a rank's room on a target is what its own and higher ranks leave of the limit; the mix is taken from the node's own requests in flight. The fixed excess of rank 0 goes.

--- a/include/fennelladder/routing/scheduler.hpp
+++ b/include/fennelladder/routing/scheduler.hpp
@@ -12,8 +12,9 @@
 // served in time, with the time after which a new try is worth it; it never
 // ran then, so its caller may be told so.
 //
-// Rank 0 may go over the targets' limits up to an excess, since engines serve
-// it first; lower ranks leave headroom. When rank 0 still finds no room, the
+// Requests of a lower rank than its own don't take a request's room, since
+// engines serve it first; lower ranks leave headroom, too. When rank 0 still
+// finds no room, the
 // latest started resumable request of the last rank is preempted: the node
 // stops its stream on the target and calls preempted(), and it waits in front
 // of its team, with the deadline that it had.
--- a/include/fennelladder/routing/target_table.hpp
+++ b/include/fennelladder/routing/target_table.hpp
@@ -12,6 +12,10 @@
 // is not known to it. A target whose reports fall silent keeps its last load,
 // which fades, and never less than this node's own requests in flight.
 //
+// Engines serve by priority, so a rank's room on a target is what requests of
+// its own and higher ranks leave of the limit. Reports don't tell ranks apart;
+// the table takes the mix of all to be that of this node's own requests.
+//
 // A target is usable when it is present, not leaving, and not ejected. It is
 // ejected after `failures_to_eject` failures in a row, for a time that
 // doubles with each ejection in a row; then one request at a time may try it,
@@ -27,6 +31,7 @@
 
 #include "fennelladder/routing/types.hpp"
 
+#include <array>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -67,8 +72,6 @@
 
     double headroom_share = 0.1;  ///< Of a limit, kept from rank 1 on.
     double reserved_share = 0.25; ///< What lower ranks get of a reserved one.
-    double urgent_excess = 1.5;   ///< Rank 0 may go this far over a limit.
-
     std::size_t max_pools = 4'096;
 };
 
@@ -112,13 +115,13 @@
     // This node's own work.
 
     /// A request with `prefill_tokens` uncached ones goes there now.
-    void dispatched(target_slot slot, std::uint32_t prefill_tokens,
-                    instant now);
+    void dispatched(target_slot slot, priority rank,
+                    std::uint32_t prefill_tokens, instant now);
 
     /// A dispatched request is over. `idle_first_token` is what an idle
     /// target would have taken for its first token. True if the target had
     /// been removed and its slot became free by this.
-    bool finished(target_slot slot, const attempt_result& result,
+    bool finished(target_slot slot, priority rank, const attempt_result& result,
                   duration idle_first_token, instant now);
 
     // Questions.
@@ -142,6 +145,9 @@
     /// Estimated requests in flight there, of all nodes.
     double in_flight(target_slot slot, instant now) const;
 
+    /// The part of them that engines serve no later than `rank`.
+    double in_flight(target_slot slot, priority rank, instant now) const;
+
     /// Estimated uncached prompt tokens that wait there.
     double waiting_prefill(target_slot slot, instant now) const;
 
@@ -181,6 +187,7 @@
         double backlog = 0;
         instant backlog_at;
         std::uint32_t own = 0;
+        std::array<std::uint32_t, priority_levels> own_by_rank{};
         duration network{};
 
         int failures = 0;
@@ -197,11 +204,13 @@
     void judge_health(target& it, const attempt_result& result, instant now);
     void adapt_limit(target& it, const attempt_result& result,
                      duration idle_first_token, instant now);
+    double share_up_to(priority rank) const;
     static void add_change(target& it, const own_change& change);
     static double backlog_now(const target& it, instant now);
 
     target_table_options options_;
     std::vector<target> targets_;
+    std::array<std::uint32_t, priority_levels> own_by_rank_{};
     std::vector<target_slot> free_;
     std::unordered_map<target_id, target_slot> by_id_;
     std::map<capability, pool_id> pool_ids_;
--- a/libs/bench/routing_policy.cpp
+++ b/libs/bench/routing_policy.cpp
@@ -134,9 +134,9 @@
     {
         pool_ = *table_.pool_of(route.needs);
         const target_slot slot = (this->*pick_)(route, now);
-        table_.dispatched(slot, route.prompt_tokens, now);
+        table_.dispatched(slot, route.rank, route.prompt_tokens, now);
         index_.dispatched(slot, route.prefix);
-        running_[request] = {slot, now};
+        running_[request] = {slot, route.rank, now};
         todo.sent.push_back({request, table_.info(slot).id});
     }
 
@@ -145,7 +145,7 @@
     {
         const auto known = running_.find(request);
         const target_slot slot = known->second.slot;
-        table_.finished(slot, result, duration(0), now);
+        table_.finished(slot, known->second.rank, result, duration(0), now);
         // The average response time of the last answers, as the paper has it.
         double& average = response(slot);
         const double took = to_seconds(now - known->second.since);
@@ -211,6 +211,7 @@
     struct running
     {
         target_slot slot;
+        priority rank;
         instant since;
     };
 
--- a/libs/routing/chooser.cpp
+++ b/libs/routing/chooser.cpp
@@ -89,7 +89,8 @@
     if (request.rank > 0) {
         wait = input.table.waiting_prefill(slot, now) *
                to_seconds(speed.prefill_per_token);
-        const double ahead = load + 1 - speed.slots;
+        const double ahead =
+            input.table.in_flight(slot, request.rank, now) + 1 - speed.slots;
         if (ahead > 0)
             wait += ahead / speed.slots * request.output_tokens * step;
     }
--- a/libs/routing/scheduler.cpp
+++ b/libs/routing/scheduler.cpp
@@ -247,7 +247,7 @@
         in.request, table_.info(in.slot).speed, chosen->expected.cached_tokens);
     in.idle_first_token =
         from_seconds(idle.first_token) + 2 * table_.network(in.slot);
-    table_.dispatched(in.slot, uncached, now);
+    table_.dispatched(in.slot, in.request.rank, uncached, now);
     index_.dispatched(in.slot, in.request.prefix);
     if (in.request.resumable)
         resumable_.push_back(ticket);
@@ -307,7 +307,8 @@
 
 void scheduler::release(job& in, const attempt_result& result, instant now)
 {
-    if (table_.finished(in.slot, result, in.idle_first_token, now))
+    if (table_.finished(in.slot, in.request.rank, result, in.idle_first_token,
+                        now))
         index_.forget(in.slot);
 }
 
--- a/libs/routing/target_table.cpp
+++ b/libs/routing/target_table.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <numeric>
 
 namespace fennelladder::routing {
 
@@ -118,22 +119,27 @@
         it.backlog += change.prefill_tokens;
 }
 
-void target_table::dispatched(target_slot slot, std::uint32_t prefill_tokens,
-                              instant now)
+void target_table::dispatched(target_slot slot, priority rank,
+                              std::uint32_t prefill_tokens, instant now)
 {
     target& it = targets_[slot];
     ++it.own;
+    ++it.own_by_rank[rank];
+    ++own_by_rank_[rank];
     it.backlog = backlog_now(it, now) + prefill_tokens;
     it.backlog_at = now;
     add_change(it, {now, 1, prefill_tokens});
 }
 
-bool target_table::finished(target_slot slot, const attempt_result& result,
+bool target_table::finished(target_slot slot, priority rank,
+                            const attempt_result& result,
                             duration idle_first_token, instant now)
 {
     target& it = targets_[slot];
-    assert(it.own > 0);
+    assert(it.own_by_rank[rank] > 0);
     --it.own;
+    --it.own_by_rank[rank];
+    --own_by_rank_[rank];
     add_change(it, {now, -1, 0});
     judge_health(it, result, now);
     adapt_limit(it, result, idle_first_token, now);
@@ -209,13 +215,11 @@
         return false;
     const target& it = targets_[slot];
     double room = it.limit;
-    if (rank == 0)
-        room *= options_.urgent_excess;
-    else if (rank > it.info.reserved_up_to)
+    if (rank > it.info.reserved_up_to)
         room *= options_.reserved_share;
-    else
+    else if (rank > 0)
         room *= 1 - options_.headroom_share;
-    return in_flight(slot, now) + 1 <= std::max(room, 1.0);
+    return in_flight(slot, rank, now) + 1 <= std::max(room, 1.0);
 }
 
 double target_table::in_flight(target_slot slot, instant now) const
@@ -233,6 +237,15 @@
     return std::max<double>(load, it.own);
 }
 
+double target_table::in_flight(target_slot slot, priority rank,
+                               instant now) const
+{
+    const auto& own = targets_[slot].own_by_rank;
+    const double least =
+        std::accumulate(own.begin(), own.begin() + rank + 1, 0.0);
+    return std::max(least, in_flight(slot, now) * share_up_to(rank));
+}
+
 double target_table::waiting_prefill(target_slot slot, instant now) const
 {
     return backlog_now(targets_[slot], now);
@@ -330,6 +343,19 @@
     return std::max(0.0, it.backlog - passed / std::max(per_token, 1e-9));
 }
 
+// One request is added to both, so that a node with few of its own takes
+// more of the others' for urgent than too few.
+double target_table::share_up_to(priority rank) const
+{
+    double up_to = 1;
+    double all = 1;
+    for (priority it = 0; it < priority_levels; ++it) {
+        all += own_by_rank_[it];
+        up_to += it <= rank ? own_by_rank_[it] : 0;
+    }
+    return up_to / all;
+}
+
 void target_table::add_change(target& it, const own_change& change)
 {
     it.changes.push_back(change);
