Wait for a cached prefix in proportion to what it saves

Cause: a relevant target was taken up to a quarter of the completion later, which for a checklist of 200 tokens is 170 ms of waiting to save 10 ms of prefill; hot documents piled up on one engine. Change: the first token may come later by at most twice the prefill that the cache saves.

--- a/include/fennelladder/routing/chooser.hpp
+++ b/include/fennelladder/routing/chooser.hpp
@@ -39,9 +39,10 @@
     /// longest usable prefix.
     double relevant_share = 0.75;
 
-    /// A relevant target is taken if it is done within `patience` times the
-    /// best prediction of all. 1 ranks by predicted completion alone.
-    double patience = 1.25;
+    /// A relevant target is taken if its first token is later than the best
+    /// completion's by no more than `patience` times the prefill that its cache
+    /// saves. 0 ranks by predicted completion alone.
+    double patience = 2;
 
     /// Predictions within this share of the best, or this time, are equal.
     double near_share = 0.05;
--- a/libs/routing/chooser.cpp
+++ b/libs/routing/chooser.cpp
@@ -50,22 +50,30 @@
     gather(input, now);
     if (candidates_.empty())
         return std::nullopt;
-    double best = std::numeric_limits<double>::infinity();
+    const candidate* best = &candidates_.front();
     std::uint32_t most_cached = 0;
     for (const candidate& it : candidates_) {
-        best = std::min(best, it.expected.completion);
+        if (it.expected.completion < best->expected.completion)
+            best = &it;
         most_cached = std::max(most_cached, it.expected.cached_tokens);
     }
     const auto relevant = static_cast<std::uint32_t>(
         std::ceil(options_.relevant_share * most_cached));
-    double best_relevant = std::numeric_limits<double>::infinity();
+    const candidate* near = nullptr;
     for (const candidate& it : candidates_) {
-        if (it.expected.cached_tokens >= relevant)
-            best_relevant = std::min(best_relevant, it.expected.completion);
+        if (it.expected.cached_tokens >= relevant &&
+            (near == nullptr ||
+             it.expected.completion < near->expected.completion))
+            near = &it;
     }
-    const bool keep = best_relevant <= best * options_.patience;
+    const double saved =
+        (1.0 * near->expected.cached_tokens - best->expected.cached_tokens) *
+        to_seconds(input.table.info(near->slot).speed.prefill_per_token);
+    const double later = near->expected.first_token - best->expected.first_token;
     const candidate& chosen =
-        keep ? pick(best_relevant, relevant, random) : pick(best, 0, random);
+        later <= options_.patience * saved
+            ? pick(near->expected.completion, relevant, random)
+            : pick(best->expected.completion, 0, random);
     return choice{chosen.slot, chosen.expected,
                   input.match.blocks(chosen.slot)};
 }
