Measure routing with warm caches and dispatch workers at every site

Cause: ten seconds of warm-up left first touches of documents in the urgent p99, and the targets set aside lay in two of three data centers. Change: 30 s of warm-up; the targets set aside are one per data center.

--- a/apps/fennelladder/bench_routing.cpp
+++ b/apps/fennelladder/bench_routing.cpp
@@ -136,7 +136,7 @@
             wanted.back().rate = made.capacity * load / 100;
             // Enough requests for a p99, and caches that are warm.
             if (load == idle_load) {
-                wanted.back().warm_up = base.warm_up * idle_stretch;
+                wanted.back().warm_up = base.warm_up * idle_stretch / 3;
                 wanted.back().length = base.length * idle_stretch;
             }
             load_of.push_back(load);
@@ -224,7 +224,7 @@
                    .low = 1,
                    .high = 3600,
                    .unit = "s",
-                   .help = "virtual time measured, after 10 s of warm-up"});
+                   .help = "virtual time measured, after 30 s of warm-up"});
     wanted.number({.name = "seed", .fallback = 1, .help = "of all draws"});
     wanted.number({.name = "jobs",
                    .fallback = 2,
--- a/include/fennelladder/bench/routing_fleet.hpp
+++ b/include/fennelladder/bench/routing_fleet.hpp
@@ -30,8 +30,8 @@
     std::string policy;
     double rate = 100;        ///< Requests a second, at random times.
     std::uint32_t closed = 0; ///< Above 0: that many callers in a closed loop.
-    duration warm_up = seconds(10);
-    duration length = seconds(40); ///< Measured, after the warm-up.
+    duration warm_up = seconds(30); ///< Until caches are.
+    duration length = seconds(40);  ///< Measured, after the warm-up.
     std::uint64_t seed = 1;
     routing::scheduler_options routing;
     standin::engine_options engine; ///< The step is the deployment's.
--- a/libs/bench/routing_fleet.cpp
+++ b/libs/bench/routing_fleet.cpp
@@ -189,9 +189,8 @@
             info.speed.prefill_per_token = engine.prefill_per_token;
             info.speed.prefill_chunk = engine.prefill_chunk;
             info.speed.slots = engine.slots;
-            const bool reserved = it * firm_.reserved / firm_.workers !=
-                                  (it + 1) * firm_.reserved / firm_.workers;
-            info.reserved_up_to = reserved ? 0 : priority_levels;
+            // The first ones: spread over the data centers, as the firms'.
+            info.reserved_up_to = it < firm_.reserved ? 0 : priority_levels;
             nodes_.back()->add_target(info, epoch);
         }
         push(epoch + poll_interval * n / firm_.nodes, event_kind::poll, n);
