Let a target's limit follow what its reports show it to run

Cause: the limit shrank whenever lower ranks queued at an engine, which lost batch size, and at its lowest held up rank 0, too. Change: a target that reports is sent what it ran at once while more waited, and a little beyond; rank 0 has all slots; targets set aside take others when the rest has no room.

--- a/include/fennelladder/routing/chooser.hpp
+++ b/include/fennelladder/routing/chooser.hpp
@@ -44,6 +44,20 @@
     /// saves. 0 ranks by predicted completion alone.
     double patience = 2;
 
+    /// Weight of the time from the first token to the last: below 1, since
+    /// callers read along, and it differs little between targets.
+    double decode_weight = 1;
+
+    /// Lower ranks may use targets set aside for higher ones when no other
+    /// has room, not only when no other is usable. Gives them more under
+    /// overload, and makes rank 0 somewhat slower.
+    bool overflow_to_reserved = true;
+
+    /// What a target that isn't set aside for rank 0 costs it more: engines
+    /// serve it before all that waits, but not before the step under way,
+    /// which lower ranks' prompts make long.
+    duration interference = milliseconds(0);
+
     /// Predictions within this share of the best, or this time, are equal.
     double near_share = 0.05;
     duration near_time = milliseconds(1);
@@ -54,6 +68,7 @@
 {
     double first_token = 0; ///< Seconds from dispatch.
     double completion = 0;  ///< Seconds from dispatch.
+    double cost = 0;        ///< What targets are compared by.
     std::uint32_t cached_tokens = 0;
 };
 
@@ -81,7 +96,8 @@
     explicit chooser(chooser_options options = {}) : options_(options) {}
 
     /// The target for the request, or nothing if none has room. Targets in
-    /// request.avoid are taken only if no other is usable.
+    /// request.avoid, and those set aside for higher ranks, are taken only if
+    /// no other is usable.
     std::optional<choice> choose(const choice_input& input, instant now,
                                  random_source& random);
 
--- a/include/fennelladder/routing/target_table.hpp
+++ b/include/fennelladder/routing/target_table.hpp
@@ -14,16 +14,19 @@
 //
 // Engines serve by priority, so a rank's room on a target is what requests of
 // its own and higher ranks leave of the limit. Reports don't tell ranks apart;
-// the table takes the mix of all to be that of this node's own requests.
+// the table takes the mix of all to be that of this node's own requests
+// there.
 //
 // A target is usable when it is present, not leaving, and not ejected. It is
 // ejected after `failures_to_eject` failures in a row, for a time that
 // doubles with each ejection in a row; then one request at a time may try it,
 // and the first that succeeds brings it back.
 //
-// The concurrency limit of a target adapts by additive increase and
-// multiplicative decrease: it shrinks when first tokens come much later than
-// an idle target's would, and grows while it is in use and they don't.
+// The concurrency limit of a target adapts. One that reports its load is sent
+// what it was seen to run at once while more waited, and a little beyond; the
+// limit grows while it is used up and nothing waits. One that doesn't report
+// has additive increase and multiplicative decrease: its limit shrinks when
+// first tokens come much later than an idle target's would.
 // Not thread safe.
 
 #ifndef FENNELLADDER_ROUTING_TARGET_TABLE_HPP
@@ -58,6 +61,10 @@
 
     duration report_fade = seconds(2); ///< Half-life of a silent load.
 
+    /// A change of this node's since a report counts for all nodes', which
+    /// choose alike, but for no more than this many.
+    double most_others = 1;
+
     int failures_to_eject = 3;
     duration first_ejection = seconds(1);
     duration longest_ejection = seconds(30);
@@ -69,6 +76,8 @@
     double shrink_factor = 0.9;
     duration shrink_pause = milliseconds(500); ///< At most one in this time.
     double growth = 0.5;
+    double queue_share = 0.1;  ///< Sent beyond what a target runs at once.
+    double limit_weight = 0.2; ///< Of the last report in the limit.
 
     double headroom_share = 0.1;  ///< Of a limit, kept from rank 1 on.
     double reserved_share = 0.25; ///< What lower ranks get of a reserved one.
@@ -148,8 +157,9 @@
     /// The part of them that engines serve no later than `rank`.
     double in_flight(target_slot slot, priority rank, instant now) const;
 
-    /// Estimated uncached prompt tokens that wait there.
-    double waiting_prefill(target_slot slot, instant now) const;
+    /// Estimated uncached prompt tokens that wait there and are served no
+    /// later than `rank`.
+    double waiting_prefill(target_slot slot, priority rank, instant now) const;
 
     /// One way from here to the target.
     duration network(target_slot slot) const;
@@ -202,15 +212,19 @@
     void free_slot(target_slot slot);
     void rebuild_pools();
     void judge_health(target& it, const attempt_result& result, instant now);
+    void follow_report(target& it);
+    void clamp_limit(target& it) const;
     void adapt_limit(target& it, const attempt_result& result,
                      duration idle_first_token, instant now);
-    double share_up_to(priority rank) const;
+    double others_factor() const;
+    double share_up_to(const target& on, priority rank) const;
     static void add_change(target& it, const own_change& change);
     static double backlog_now(const target& it, instant now);
 
     target_table_options options_;
     std::vector<target> targets_;
     std::array<std::uint32_t, priority_levels> own_by_rank_{};
+    std::uint64_t reported_ = 0; ///< Requests in the last reports of all.
     std::vector<target_slot> free_;
     std::unordered_map<target_id, target_slot> by_id_;
     std::map<capability, pool_id> pool_ids_;
--- a/libs/routing/chooser.cpp
+++ b/libs/routing/chooser.cpp
@@ -53,7 +53,7 @@
     const candidate* best = &candidates_.front();
     std::uint32_t most_cached = 0;
     for (const candidate& it : candidates_) {
-        if (it.expected.completion < best->expected.completion)
+        if (it.expected.cost < best->expected.cost)
             best = &it;
         most_cached = std::max(most_cached, it.expected.cached_tokens);
     }
@@ -62,18 +62,17 @@
     const candidate* near = nullptr;
     for (const candidate& it : candidates_) {
         if (it.expected.cached_tokens >= relevant &&
-            (near == nullptr ||
-             it.expected.completion < near->expected.completion))
+            (near == nullptr || it.expected.cost < near->expected.cost))
             near = &it;
     }
     const double saved =
         (1.0 * near->expected.cached_tokens - best->expected.cached_tokens) *
         to_seconds(input.table.info(near->slot).speed.prefill_per_token);
-    const double later = near->expected.first_token - best->expected.first_token;
-    const candidate& chosen =
-        later <= options_.patience * saved
-            ? pick(near->expected.completion, relevant, random)
-            : pick(best->expected.completion, 0, random);
+    const double later =
+        near->expected.first_token - best->expected.first_token;
+    const candidate& chosen = later <= options_.patience * saved
+                                  ? pick(near->expected.cost, relevant, random)
+                                  : pick(best->expected.cost, 0, random);
     return choice{chosen.slot, chosen.expected,
                   input.match.blocks(chosen.slot)};
 }
@@ -82,7 +81,8 @@
                             instant now) const
 {
     const route_request& request = input.request;
-    const target_speed& speed = input.table.info(slot).speed;
+    const target_info& info = input.table.info(slot);
+    const target_speed& speed = info.speed;
     const double matched = input.match.blocks(slot) * options_.block_tokens *
                            input.index.confidence(slot);
     prediction seen;
@@ -92,19 +92,19 @@
     const double load = input.table.in_flight(slot, now);
     const double running = std::min<double>(load, speed.slots);
     const double step = step_seconds(speed, running);
-    double wait = 0;
-    // Engines serve urgent requests before all that waits.
-    if (request.rank > 0) {
-        wait = input.table.waiting_prefill(slot, now) *
-               to_seconds(speed.prefill_per_token);
-        const double ahead =
-            input.table.in_flight(slot, request.rank, now) + 1 - speed.slots;
-        if (ahead > 0)
-            wait += ahead / speed.slots * request.output_tokens * step;
-    }
+    double wait = input.table.waiting_prefill(slot, request.rank, now) *
+                  to_seconds(speed.prefill_per_token);
+    const double ahead =
+        input.table.in_flight(slot, request.rank, now) + 1 - speed.slots;
+    if (ahead > 0)
+        wait += ahead / speed.slots * request.output_tokens * step;
     seen.first_token = 2 * to_seconds(input.table.network(slot)) + wait +
                        prefill_seconds(speed, uncached, step);
-    seen.completion = seen.first_token + request.output_tokens * step;
+    const double decode = request.output_tokens * step;
+    seen.completion = seen.first_token + decode;
+    seen.cost = seen.first_token + options_.decode_weight * decode;
+    if (request.rank == 0 && info.reserved_up_to >= priority_levels)
+        seen.cost += to_seconds(options_.interference);
     return seen;
 }
 
@@ -121,22 +121,29 @@
     return seen;
 }
 
+// Targets set aside for higher ranks, and those where the request has failed,
+// come in only when no other is usable, or none has room if that is allowed.
 void chooser::gather(const choice_input& input, instant now)
 {
     candidates_.clear();
     const auto members = input.table.members(input.pool);
-    const auto& avoid = input.request.avoid;
+    const route_request& request = input.request;
+    bool any_usable = false;
     for (const bool last_resort : {false, true}) {
-        bool any_usable = false;
         for (const target_slot slot : members) {
-            if (!avoid.empty() &&
-                contains(avoid, input.table.info(slot).id) != last_resort)
+            const target_info& info = input.table.info(slot);
+            const bool set_aside =
+                request.rank > info.reserved_up_to ||
+                (!request.avoid.empty() && contains(request.avoid, info.id));
+            if (set_aside != last_resort || !input.table.usable(slot, now))
                 continue;
-            any_usable |= input.table.usable(slot, now);
-            if (input.table.has_room(slot, input.request.rank, now))
+            any_usable = true;
+            if (input.table.has_room(slot, request.rank, now))
                 candidates_.push_back({slot, predict(input, slot, now)});
         }
-        if (any_usable || avoid.empty())
+        const bool enough =
+            options_.overflow_to_reserved ? !candidates_.empty() : any_usable;
+        if (enough)
             return;
     }
 }
@@ -150,7 +157,7 @@
     std::uint64_t near = 0;
     for (const candidate& it : candidates_) {
         if (it.expected.cached_tokens < least_cached ||
-            it.expected.completion > worst)
+            it.expected.cost > worst)
             continue;
         ++near;
         if (random.below(near) == 0)
--- a/libs/routing/target_table.cpp
+++ b/libs/routing/target_table.cpp
@@ -105,6 +105,8 @@
     target& it = targets_[slot];
     if (it.reported && load.taken_at <= it.load.taken_at)
         return;
+    reported_ += load.running + load.waiting;
+    reported_ -= it.load.running + it.load.waiting;
     it.load = load;
     it.reported = true;
     // A request is seen by the engine only after its way there.
@@ -113,6 +115,7 @@
         it.changed -= it.changes.front().requests;
         it.changes.pop_front();
     }
+    follow_report(it);
     it.backlog = static_cast<double>(load.waiting_prefill_tokens);
     it.backlog_at = load.taken_at;
     for (const own_change& change : it.changes)
@@ -215,9 +218,12 @@
         return false;
     const target& it = targets_[slot];
     double room = it.limit;
-    if (rank > it.info.reserved_up_to)
+    // The limit follows how lower ranks queue, which doesn't hold up rank 0.
+    if (rank == 0)
+        room = std::max<double>(room, it.info.speed.slots);
+    else if (rank > it.info.reserved_up_to)
         room *= options_.reserved_share;
-    else if (rank > 0)
+    else
         room *= 1 - options_.headroom_share;
     return in_flight(slot, rank, now) + 1 <= std::max(room, 1.0);
 }
@@ -225,7 +231,9 @@
 double target_table::in_flight(target_slot slot, instant now) const
 {
     const target& it = targets_[slot];
-    double load = it.changed;
+    // Ends come to the nodes one by one; what is sent follows from reports
+    // that all have seen.
+    double load = it.changed > 0 ? it.changed * others_factor() : it.changed;
     if (it.reported) {
         // Guards against reports that fell silent: the last one fades away,
         // lest a target that was busy then is shunned for ever.
@@ -243,12 +251,15 @@
     const auto& own = targets_[slot].own_by_rank;
     const double least =
         std::accumulate(own.begin(), own.begin() + rank + 1, 0.0);
-    return std::max(least, in_flight(slot, now) * share_up_to(rank));
+    return std::max(least,
+                    in_flight(slot, now) * share_up_to(targets_[slot], rank));
 }
 
-double target_table::waiting_prefill(target_slot slot, instant now) const
+double target_table::waiting_prefill(target_slot slot, priority rank,
+                                     instant now) const
 {
-    return backlog_now(targets_[slot], now);
+    const target& it = targets_[slot];
+    return backlog_now(it, now) * share_up_to(it, rank);
 }
 
 duration target_table::network(target_slot slot) const
@@ -268,6 +279,8 @@
 
 void target_table::free_slot(target_slot slot)
 {
+    const load_report& last = targets_[slot].load;
+    reported_ -= last.running + last.waiting;
     by_id_.erase(targets_[slot].info.id);
     targets_[slot] = target();
     free_.push_back(slot);
@@ -316,10 +329,11 @@
 void target_table::adapt_limit(target& it, const attempt_result& result,
                                duration idle_first_token, instant now)
 {
-    if (result.outcome != attempt_outcome::answered ||
+    const bool reports =
+        it.reported && now - it.load.taken_at < options_.report_fade;
+    if (reports || result.outcome != attempt_outcome::answered ||
         result.first_token <= duration(0))
         return;
-    const double slots = it.info.speed.slots;
     const double ratio =
         to_seconds(result.first_token) /
         std::max(to_seconds(idle_first_token), to_seconds(it.info.speed.step));
@@ -328,12 +342,32 @@
             return;
         it.shrunk_at = now;
         it.limit *= options_.shrink_factor;
-    } else if (it.load.running + it.load.waiting >= it.limit / 2) {
+    } else if (it.own + 1 >= it.limit / 2) {
         it.limit += options_.growth;
     }
-    it.limit = std::clamp(
-        it.limit, options_.lowest_limit,
-        std::max(options_.lowest_limit, options_.highest_limit_share * slots));
+    clamp_limit(it);
+}
+
+// A target that has more than it runs shows how many it runs at once: its
+// slots, or fewer when its memory is full. That, and a few that wait for the
+// next free place, is what it is sent.
+void target_table::follow_report(target& it)
+{
+    const double running = it.load.running;
+    if (it.load.waiting > 0) {
+        const double useful = running * (1 + options_.queue_share);
+        it.limit += options_.limit_weight * (useful - it.limit);
+    } else if (running + 2 >= it.limit * (1 - options_.headroom_share)) {
+        it.limit += options_.growth;
+    }
+    clamp_limit(it);
+}
+
+void target_table::clamp_limit(target& it) const
+{
+    const double highest = options_.highest_limit_share * it.info.speed.slots;
+    it.limit = std::clamp(it.limit, options_.lowest_limit,
+                          std::max(options_.lowest_limit, highest));
 }
 
 double target_table::backlog_now(const target& it, instant now)
@@ -343,17 +377,31 @@
     return std::max(0.0, it.backlog - passed / std::max(per_token, 1e-9));
 }
 
-// One request is added to both, so that a node with few of its own takes
-// more of the others' for urgent than too few.
-double target_table::share_up_to(priority rank) const
+// Other nodes choose by the same reports as this one, and so much alike: what
+// it sent to a target since the report, they sent as well, in proportion.
+double target_table::others_factor() const
 {
-    double up_to = 1;
-    double all = 1;
-    for (priority it = 0; it < priority_levels; ++it) {
-        all += own_by_rank_[it];
-        up_to += it <= rank ? own_by_rank_[it] : 0;
-    }
-    return up_to / all;
+    double own = 1;
+    for (const std::uint32_t it : own_by_rank_)
+        own += it;
+    return std::clamp((1 + static_cast<double>(reported_)) / own, 1.0,
+                      options_.most_others);
+}
+
+// The mix on a target is taken from this node's requests there, filled up
+// with a few of its mix on all targets, and with one that counts as urgent, so
+// that a node with few of its own rather finds too little room than too much.
+double target_table::share_up_to(const target& on, priority rank) const
+{
+    constexpr double filling = 1e9;
+    const auto up_to = [&](const auto& own) {
+        return std::accumulate(own.begin(), own.begin() + rank + 1, 0.0);
+    };
+    const auto all = [](const auto& own) {
+        return std::accumulate(own.begin(), own.end(), 0.0);
+    };
+    const double anywhere = (1 + up_to(own_by_rank_)) / (1 + all(own_by_rank_));
+    return (up_to(on.own_by_rank) + filling * anywhere) / (on.own + filling);
 }
 
 void target_table::add_change(target& it, const own_change& change)
