Take the mix of ranks on a target from the work sent there

Cause: an engine that holds a hot document is full of checklists, but its load was split by the mix of the whole fleet, so it seemed to have room. Change: the share of higher ranks on a target comes from this node's own requests there, filled up with two of its mix anywhere.

--- a/libs/routing/target_table.cpp
+++ b/libs/routing/target_table.cpp
@@ -393,7 +393,7 @@
 // that a node with few of its own rather finds too little room than too much.
 double target_table::share_up_to(const target& on, priority rank) const
 {
-    constexpr double filling = 1e9;
+    constexpr double filling = 2;
     const auto up_to = [&](const auto& own) {
         return std::accumulate(own.begin(), own.begin() + rank + 1, 0.0);
     };
