Reckon with other nodes choosing alike

Cause: eight nodes send to the target that looks emptiest until the next report, and each counts only its own. Change: what a node sent since a report counts for all nodes', by the ratio of reported to own requests, at most 16.

--- a/include/fennelladder/routing/target_table.hpp
+++ b/include/fennelladder/routing/target_table.hpp
@@ -63,7 +63,7 @@
 
     /// A change of this node's since a report counts for all nodes', which
     /// choose alike, but for no more than this many.
-    double most_others = 1;
+    double most_others = 16;
 
     int failures_to_eject = 3;
     duration first_ejection = seconds(1);
