Compare targets by first token, and wait less for a cached prefix

Cause: over the whole answer small differences in load outweigh a first token that comes from another data center or after another prefill. Change: the time from the first token to the last counts a tenth; a cached prefix may cost half of what it saves in waiting, not twice.

--- a/include/fennelladder/routing/chooser.hpp
+++ b/include/fennelladder/routing/chooser.hpp
@@ -42,11 +42,11 @@
     /// A relevant target is taken if its first token is later than the best
     /// completion's by no more than `patience` times the prefill that its cache
     /// saves. 0 ranks by predicted completion alone.
-    double patience = 2;
+    double patience = 0.5;
 
     /// Weight of the time from the first token to the last: below 1, since
     /// callers read along, and it differs little between targets.
-    double decode_weight = 1;
+    double decode_weight = 0.1;
 
     /// Lower ranks may use targets set aside for higher ones when no other
     /// has room, not only when no other is usable. Gives them more under
