Keep targets that are set aside for the urgent

Cause: the step under way at an engine holds up even rank 0, and lower ranks' prompts make steps long. Change: lower ranks use targets set aside only when no other is usable (an option lets them in when no other has room); rank 0 prefers them.

--- a/include/fennelladder/routing/chooser.hpp
+++ b/include/fennelladder/routing/chooser.hpp
@@ -51,12 +51,12 @@
     /// Lower ranks may use targets set aside for higher ones when no other
     /// has room, not only when no other is usable. Gives them more under
     /// overload, and makes rank 0 somewhat slower.
-    bool overflow_to_reserved = true;
+    bool overflow_to_reserved = false;
 
     /// What a target that isn't set aside for rank 0 costs it more: engines
     /// serve it before all that waits, but not before the step under way,
     /// which lower ranks' prompts make long.
-    duration interference = milliseconds(0);
+    duration interference = milliseconds(4);
 
     /// Predictions within this share of the best, or this time, are equal.
     double near_share = 0.05;
