Count a node's own requests by their ranks, and choose in less time

Change: own requests count exactly, the estimate is for the others' only; speeds are kept in seconds, the mix is kept up to date instead of summed per target, and what a choice reads lies together.

--- a/apps/fennelladder/bench_routing.cpp
+++ b/apps/fennelladder/bench_routing.cpp
@@ -93,10 +93,11 @@
 {
     std::counting_semaphore<> free(jobs);
     std::vector<std::future<fleet_outcome>> running;
+    running.reserve(wanted.size());
     for (const fleet_options& it : wanted) {
         running.push_back(std::async(std::launch::async, [&free, it] {
             free.acquire();
-            const fleet_outcome seen = simulate(it);
+            fleet_outcome seen = simulate(it);
             free.release();
             return seen;
         }));
@@ -224,7 +225,13 @@
                    .low = 1,
                    .high = 3600,
                    .unit = "s",
-                   .help = "virtual time measured, after 30 s of warm-up"});
+                   .help = "virtual time measured, after the warm-up"});
+    wanted.number({.name = "warm-up",
+                   .fallback = 30,
+                   .low = 0,
+                   .high = 3600,
+                   .unit = "s",
+                   .help = "virtual time before, until caches are warm"});
     wanted.number({.name = "seed", .fallback = 1, .help = "of all draws"});
     wanted.number({.name = "jobs",
                    .fallback = 2,
@@ -248,6 +255,7 @@
         fleet_options base;
         base.firm = firm;
         base.length = seconds(wanted.number_of("seconds"));
+        base.warm_up = seconds(wanted.number_of("warm-up"));
         base.seed = static_cast<std::uint64_t>(wanted.number_of("seed"));
         const study made = measure(base, wanted.number_of("jobs"));
         const json reached = goals(made);
--- a/include/fennelladder/routing/chooser.hpp
+++ b/include/fennelladder/routing/chooser.hpp
@@ -120,6 +120,8 @@
         prediction expected;
     };
 
+    prediction predict(const choice_input& input, target_slot slot,
+                       const target_load& load) const;
     void gather(const choice_input& input, instant now);
     const candidate& pick(double worst, std::uint32_t least_cached,
                           random_source& random) const;
--- a/include/fennelladder/routing/target_table.hpp
+++ b/include/fennelladder/routing/target_table.hpp
@@ -96,6 +96,30 @@
     double limit = 0;
 };
 
+/// A target's speed and distance in seconds, as numbers to reckon with.
+struct target_rates
+{
+    double step = 0;
+    double step_per_sequence = 0;
+    double prefill_per_token = 0;
+    double prefill_chunk = 1; ///< Tokens.
+    double slots = 1;         ///< Sequences.
+    double network = 0;       ///< One way.
+};
+
+/// The rates of a speed, without a network.
+target_rates rates_of(const target_speed& speed);
+
+/// What a choice needs to know of a target's load, for one rank.
+struct target_load
+{
+    bool usable = false;
+    bool room = false;     ///< Usable, and the rank has room.
+    double in_flight = 0;  ///< Estimate, all nodes' requests.
+    double up_to_rank = 0; ///< Those that engines serve no later.
+    double prefill = 0;    ///< Uncached prompt tokens served no later.
+};
+
 class target_table
 {
 public:
@@ -149,22 +173,34 @@
     bool usable(target_slot slot, instant now) const;
 
     /// True if it is usable and `rank` has room there by the limit.
-    bool has_room(target_slot slot, priority rank, instant now) const;
+    bool has_room(target_slot slot, priority rank, instant now) const
+    {
+        return load(slot, rank, now).room;
+    }
 
     /// Estimated requests in flight there, of all nodes.
     double in_flight(target_slot slot, instant now) const;
 
-    /// The part of them that engines serve no later than `rank`.
-    double in_flight(target_slot slot, priority rank, instant now) const;
-
-    /// Estimated uncached prompt tokens that wait there and are served no
-    /// later than `rank`.
-    double waiting_prefill(target_slot slot, priority rank, instant now) const;
+    /// All that a choice needs to know, at once. Precondition: rank is below
+    /// priority_levels.
+    target_load load(target_slot slot, priority rank, instant now) const;
 
     /// One way from here to the target.
     duration network(target_slot slot) const;
 
     const target_info& info(target_slot slot) const;
+
+    const target_rates& rates(target_slot slot) const
+    {
+        return targets_[slot].rates;
+    }
+
+    /// Ranks up to this one have the target set aside for them, or all.
+    priority reserved_up_to(target_slot slot) const
+    {
+        return targets_[slot].reserved_up_to;
+    }
+
     std::uint32_t own_in_flight(target_slot slot) const;
 
     /// Slots in use or free: the bound of every slot given out.
@@ -179,33 +215,39 @@
         std::uint32_t prefill_tokens;
     };
 
-    // Invariant: `changes` holds what happened after the last report was
-    // taken, oldest first, and `changed` is the sum of its requests.
+    // Invariant: `own_up_to[r]` counts own requests of ranks up to r, so that
+    // the last one counts all. `changes` holds what happened after the last
+    // report was taken, oldest first, and `changed` is the sum of its requests.
     // `backlog` uncached prompt tokens waited at `backlog_at`; they drain at
     // the target's prefill speed.
+    // What a choice reads comes first and lies together: a walk over hundreds
+    // of targets is bound by the cache lines that it touches.
     struct target
     {
-        target_info info;
         bool present = false;
         bool leaving = false;
-        bool removed = false; ///< Goes when nothing of ours is in flight.
-        instant leaving_since;
-        load_report load;
         bool reported = false;
-        std::deque<own_change> changes;
+        bool probing = false; ///< After an ejection: one request at a time.
+        priority reserved_up_to = priority_levels;
+        std::uint32_t own = 0;
         int changed = 0;
+        instant ejected_until;
+        double limit = 0;
         double backlog = 0;
         instant backlog_at;
-        std::uint32_t own = 0;
-        std::array<std::uint32_t, priority_levels> own_by_rank{};
-        duration network{};
+        instant load_at;
+        double load = 0; ///< Running and waiting, as reported.
+        target_rates rates;
+        std::array<std::uint32_t, priority_levels> own_up_to{};
 
+        target_info info;
+        load_report report;
+        std::deque<own_change> changes;
+        duration network{};
+        bool removed = false; ///< Goes when nothing of ours is in flight.
+        instant leaving_since;
         int failures = 0;
         int ejections = 0;
-        instant ejected_until;
-        bool probing = false; ///< After an ejection: one request at a time.
-
-        double limit = 0;
         instant shrunk_at;
     };
 
@@ -216,15 +258,21 @@
     void clamp_limit(target& it) const;
     void adapt_limit(target& it, const attempt_result& result,
                      duration idle_first_token, instant now);
-    double others_factor() const;
+    void refresh_mix();
     double share_up_to(const target& on, priority rank) const;
+    bool rank_has_room(const target& on, priority rank,
+                       double up_to_rank) const;
+    void count_own(target& it, priority rank, int change);
     static void add_change(target& it, const own_change& change);
     static double backlog_now(const target& it, instant now);
 
     target_table_options options_;
     std::vector<target> targets_;
-    std::array<std::uint32_t, priority_levels> own_by_rank_{};
+    std::array<std::uint32_t, priority_levels> own_up_to_{};
     std::uint64_t reported_ = 0; ///< Requests in the last reports of all.
+    // Derived from the two above by refresh_mix().
+    double others_factor_ = 1;
+    std::array<double, priority_levels> share_up_to_{};
     std::vector<target_slot> free_;
     std::unordered_map<target_id, target_slot> by_id_;
     std::map<capability, pool_id> pool_ids_;
--- a/libs/bench/routing_workload.cpp
+++ b/libs/bench/routing_workload.cpp
@@ -212,6 +212,7 @@
 std::vector<std::uint32_t> workers_per_model(const deployment& firm)
 {
     std::vector<double> weights;
+    weights.reserve(firm.models);
     for (std::uint32_t n = 0; n < firm.models; ++n)
         weights.push_back(std::pow(n + 1, -model_exponent));
     const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
@@ -270,6 +271,7 @@
 std::vector<double> workload::zipf(std::uint32_t n, double exponent)
 {
     std::vector<double> weights;
+    weights.reserve(n);
     for (std::uint32_t it = 1; it <= n; ++it)
         weights.push_back(std::pow(it, -exponent));
     return cumulate(weights);
--- a/libs/routing/admission_queue.cpp
+++ b/libs/routing/admission_queue.cpp
@@ -142,7 +142,7 @@
 {
     const auto known = entries_.find(ticket);
     assert(known != entries_.end());
-    const waiting_request request = known->second;
+    waiting_request request = known->second;
     entries_.erase(known);
     due_.erase({request.start_by, ticket});
     count(request, -1);
--- a/libs/routing/chooser.cpp
+++ b/libs/routing/chooser.cpp
@@ -21,20 +21,19 @@
 
 namespace {
 
-double step_seconds(const target_speed& speed, double sequences)
+double step_seconds(const target_rates& rates, double sequences)
 {
-    return to_seconds(speed.step) +
-           to_seconds(speed.step_per_sequence) * sequences;
+    return rates.step + rates.step_per_sequence * sequences;
 }
 
 // Prompt tokens go through in chunks, each of which shares a step with the
 // sequences that decode.
-double prefill_seconds(const target_speed& speed, double prompt_tokens,
+double prefill_seconds(const target_rates& rates, double prompt_tokens,
                        double step)
 {
-    const double chunk = std::max(1U, speed.prefill_chunk);
-    const double steps = std::max(1.0, std::ceil(prompt_tokens / chunk));
-    return prompt_tokens * to_seconds(speed.prefill_per_token) + steps * step;
+    const double steps = std::ceil(prompt_tokens / rates.prefill_chunk);
+    return prompt_tokens * rates.prefill_per_token +
+           std::max(1.0, steps) * step;
 }
 
 bool contains(const std::vector<target_id>& ids, const target_id& id)
@@ -67,7 +66,7 @@
     }
     const double saved =
         (1.0 * near->expected.cached_tokens - best->expected.cached_tokens) *
-        to_seconds(input.table.info(near->slot).speed.prefill_per_token);
+        input.table.rates(near->slot).prefill_per_token;
     const double later =
         near->expected.first_token - best->expected.first_token;
     const candidate& chosen = later <= options_.patience * saved
@@ -79,31 +78,35 @@
 
 prediction chooser::predict(const choice_input& input, target_slot slot,
                             instant now) const
+{
+    return predict(input, slot,
+                   input.table.load(slot, input.request.rank, now));
+}
+
+prediction chooser::predict(const choice_input& input, target_slot slot,
+                            const target_load& load) const
 {
     const route_request& request = input.request;
-    const target_info& info = input.table.info(slot);
-    const target_speed& speed = info.speed;
+    const target_rates& rates = input.table.rates(slot);
     const double matched = input.match.blocks(slot) * options_.block_tokens *
                            input.index.confidence(slot);
     prediction seen;
     seen.cached_tokens = std::min(static_cast<std::uint32_t>(matched),
                                   std::max(1U, request.prompt_tokens) - 1);
     const double uncached = request.prompt_tokens - seen.cached_tokens;
-    const double load = input.table.in_flight(slot, now);
-    const double running = std::min<double>(load, speed.slots);
-    const double step = step_seconds(speed, running);
-    double wait = input.table.waiting_prefill(slot, request.rank, now) *
-                  to_seconds(speed.prefill_per_token);
-    const double ahead =
-        input.table.in_flight(slot, request.rank, now) + 1 - speed.slots;
+    const double running = std::min(load.in_flight, rates.slots);
+    const double step = step_seconds(rates, running);
+    double wait = load.prefill * rates.prefill_per_token;
+    const double ahead = load.up_to_rank + 1 - rates.slots;
     if (ahead > 0)
-        wait += ahead / speed.slots * request.output_tokens * step;
-    seen.first_token = 2 * to_seconds(input.table.network(slot)) + wait +
-                       prefill_seconds(speed, uncached, step);
+        wait += ahead / rates.slots * request.output_tokens * step;
+    seen.first_token =
+        2 * rates.network + wait + prefill_seconds(rates, uncached, step);
     const double decode = request.output_tokens * step;
     seen.completion = seen.first_token + decode;
     seen.cost = seen.first_token + options_.decode_weight * decode;
-    if (request.rank == 0 && info.reserved_up_to >= priority_levels)
+    if (request.rank == 0 &&
+        input.table.reserved_up_to(slot) >= priority_levels)
         seen.cost += to_seconds(options_.interference);
     return seen;
 }
@@ -113,10 +116,10 @@
                                  std::uint32_t cached_tokens)
 {
     assert(cached_tokens <= request.prompt_tokens);
-    const double step = step_seconds(speed, 1);
+    const double step = step_seconds(rates_of(speed), 1);
     prediction seen;
-    seen.first_token =
-        prefill_seconds(speed, request.prompt_tokens - cached_tokens, step);
+    seen.first_token = prefill_seconds(
+        rates_of(speed), request.prompt_tokens - cached_tokens, step);
     seen.completion = seen.first_token + request.output_tokens * step;
     return seen;
 }
@@ -131,15 +134,16 @@
     bool any_usable = false;
     for (const bool last_resort : {false, true}) {
         for (const target_slot slot : members) {
-            const target_info& info = input.table.info(slot);
             const bool set_aside =
-                request.rank > info.reserved_up_to ||
-                (!request.avoid.empty() && contains(request.avoid, info.id));
-            if (set_aside != last_resort || !input.table.usable(slot, now))
+                request.rank > input.table.reserved_up_to(slot) ||
+                (!request.avoid.empty() &&
+                 contains(request.avoid, input.table.info(slot).id));
+            if (set_aside != last_resort)
                 continue;
-            any_usable = true;
-            if (input.table.has_room(slot, request.rank, now))
-                candidates_.push_back({slot, predict(input, slot, now)});
+            const target_load load = input.table.load(slot, request.rank, now);
+            any_usable |= load.usable;
+            if (load.room)
+                candidates_.push_back({slot, predict(input, slot, load)});
         }
         const bool enough =
             options_.overflow_to_reserved ? !candidates_.empty() : any_usable;
--- a/libs/routing/target_table.cpp
+++ b/libs/routing/target_table.cpp
@@ -13,7 +13,6 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
-#include <numeric>
 
 namespace fennelladder::routing {
 
@@ -23,9 +22,22 @@
 
 } // namespace
 
+target_rates rates_of(const target_speed& speed)
+{
+    target_rates it;
+    it.step = to_seconds(speed.step);
+    it.step_per_sequence = to_seconds(speed.step_per_sequence);
+    it.prefill_per_token = to_seconds(speed.prefill_per_token);
+    it.prefill_chunk = std::max(1U, speed.prefill_chunk);
+    it.slots = std::max(1U, speed.slots);
+    return it;
+}
+
 target_table::target_table(target_table_options options)
     : options_(std::move(options))
-{}
+{
+    refresh_mix();
+}
 
 target_slot target_table::upsert(const target_info& info, instant now)
 {
@@ -57,6 +69,9 @@
         if (way.data_center == info.data_center)
             it.network = way.one_way;
     }
+    it.reserved_up_to = info.reserved_up_to;
+    it.rates = rates_of(info.speed);
+    it.rates.network = to_seconds(it.network);
     if (known == by_id_.end() || !same_pools)
         rebuild_pools();
     return slot;
@@ -103,11 +118,14 @@
 void target_table::report(target_slot slot, const load_report& load, instant)
 {
     target& it = targets_[slot];
-    if (it.reported && load.taken_at <= it.load.taken_at)
+    if (it.reported && load.taken_at <= it.load_at)
         return;
     reported_ += load.running + load.waiting;
-    reported_ -= it.load.running + it.load.waiting;
-    it.load = load;
+    reported_ -= it.report.running + it.report.waiting;
+    refresh_mix();
+    it.report = load;
+    it.load = load.running + load.waiting;
+    it.load_at = load.taken_at;
     it.reported = true;
     // A request is seen by the engine only after its way there.
     const instant seen = load.taken_at - it.network;
@@ -126,9 +144,7 @@
                               std::uint32_t prefill_tokens, instant now)
 {
     target& it = targets_[slot];
-    ++it.own;
-    ++it.own_by_rank[rank];
-    ++own_by_rank_[rank];
+    count_own(it, rank, 1);
     it.backlog = backlog_now(it, now) + prefill_tokens;
     it.backlog_at = now;
     add_change(it, {now, 1, prefill_tokens});
@@ -139,10 +155,8 @@
                             duration idle_first_token, instant now)
 {
     target& it = targets_[slot];
-    assert(it.own_by_rank[rank] > 0);
-    --it.own;
-    --it.own_by_rank[rank];
-    --own_by_rank_[rank];
+    assert(it.own > 0);
+    count_own(it, rank, -1);
     add_change(it, {now, -1, 0});
     judge_health(it, result, now);
     adapt_limit(it, result, idle_first_token, now);
@@ -212,20 +226,34 @@
     return !it.probing || it.own == 0;
 }
 
-bool target_table::has_room(target_slot slot, priority rank, instant now) const
+bool target_table::rank_has_room(const target& on, priority rank,
+                                 double up_to_rank) const
 {
-    if (!usable(slot, now))
-        return false;
-    const target& it = targets_[slot];
-    double room = it.limit;
+    double room = on.limit;
     // The limit follows how lower ranks queue, which doesn't hold up rank 0.
     if (rank == 0)
-        room = std::max<double>(room, it.info.speed.slots);
-    else if (rank > it.info.reserved_up_to)
+        room = std::max(room, on.rates.slots);
+    else if (rank > on.reserved_up_to)
         room *= options_.reserved_share;
     else
         room *= 1 - options_.headroom_share;
-    return in_flight(slot, rank, now) + 1 <= std::max(room, 1.0);
+    return up_to_rank + 1 <= std::max(room, 1.0);
+}
+
+target_load target_table::load(target_slot slot, priority rank,
+                               instant now) const
+{
+    const target& it = targets_[slot];
+    const double share = share_up_to(it, rank);
+    target_load seen;
+    seen.usable = usable(slot, now);
+    seen.in_flight = in_flight(slot, now);
+    // This node knows its own mix; the others' is taken to be alike.
+    const double others = std::max(0.0, seen.in_flight - it.own);
+    seen.up_to_rank = it.own_up_to[rank] + others * share;
+    seen.prefill = backlog_now(it, now) * share;
+    seen.room = seen.usable && rank_has_room(it, rank, seen.up_to_rank);
+    return seen;
 }
 
 double target_table::in_flight(target_slot slot, instant now) const
@@ -233,35 +261,20 @@
     const target& it = targets_[slot];
     // Ends come to the nodes one by one; what is sent follows from reports
     // that all have seen.
-    double load = it.changed > 0 ? it.changed * others_factor() : it.changed;
+    double load = it.changed > 0 ? it.changed * others_factor_ : it.changed;
     if (it.reported) {
         // Guards against reports that fell silent: the last one fades away,
         // lest a target that was busy then is shunned for ever.
-        const double age = to_seconds(now - it.load.taken_at) /
-                           to_seconds(options_.report_fade);
-        const double weight = age <= 1 ? 1 : std::exp2(1 - age);
-        load += weight * (it.load.running + it.load.waiting);
+        const duration age = now - it.load_at;
+        double weight = 1;
+        if (age > options_.report_fade)
+            weight = std::exp2(1 - to_seconds(age) /
+                                       to_seconds(options_.report_fade));
+        load += weight * (it.load);
     }
     return std::max<double>(load, it.own);
 }
 
-double target_table::in_flight(target_slot slot, priority rank,
-                               instant now) const
-{
-    const auto& own = targets_[slot].own_by_rank;
-    const double least =
-        std::accumulate(own.begin(), own.begin() + rank + 1, 0.0);
-    return std::max(least,
-                    in_flight(slot, now) * share_up_to(targets_[slot], rank));
-}
-
-double target_table::waiting_prefill(target_slot slot, priority rank,
-                                     instant now) const
-{
-    const target& it = targets_[slot];
-    return backlog_now(it, now) * share_up_to(it, rank);
-}
-
 duration target_table::network(target_slot slot) const
 {
     return targets_[slot].network;
@@ -279,7 +292,7 @@
 
 void target_table::free_slot(target_slot slot)
 {
-    const load_report& last = targets_[slot].load;
+    const load_report& last = targets_[slot].report;
     reported_ -= last.running + last.waiting;
     by_id_.erase(targets_[slot].info.id);
     targets_[slot] = target();
@@ -289,16 +302,16 @@
 
 void target_table::rebuild_pools()
 {
-    for (const auto& [needed, pool] : pool_ids_) {
-        std::vector<target_slot>& members = pools_[pool.value()];
+    for (const auto& it : pool_ids_) {
+        std::vector<target_slot>& members = pools_[it.second.value()];
         members.clear();
         for (target_slot slot = 0; slot < targets_.size(); ++slot) {
-            const target& it = targets_[slot];
+            const target& one = targets_[slot];
             const bool has = std::ranges::any_of(
-                it.info.loaded, [&](const capability& loaded) {
-                    return serves(loaded, needed);
+                one.info.loaded, [&](const capability& loaded) {
+                    return serves(loaded, it.first);
                 });
-            if (it.present && has)
+            if (one.present && has)
                 members.push_back(slot);
         }
     }
@@ -329,8 +342,7 @@
 void target_table::adapt_limit(target& it, const attempt_result& result,
                                duration idle_first_token, instant now)
 {
-    const bool reports =
-        it.reported && now - it.load.taken_at < options_.report_fade;
+    const bool reports = it.reported && now - it.load_at < options_.report_fade;
     if (reports || result.outcome != attempt_outcome::answered ||
         result.first_token <= duration(0))
         return;
@@ -353,8 +365,8 @@
 // next free place, is what it is sent.
 void target_table::follow_report(target& it)
 {
-    const double running = it.load.running;
-    if (it.load.waiting > 0) {
+    const double running = it.report.running;
+    if (it.report.waiting > 0) {
         const double useful = running * (1 + options_.queue_share);
         it.limit += options_.limit_weight * (useful - it.limit);
     } else if (running + 2 >= it.limit * (1 - options_.headroom_share)) {
@@ -372,20 +384,22 @@
 
 double target_table::backlog_now(const target& it, instant now)
 {
+    if (it.backlog <= 0)
+        return 0;
     const double passed = to_seconds(now - it.backlog_at);
-    const double per_token = to_seconds(it.info.speed.prefill_per_token);
-    return std::max(0.0, it.backlog - passed / std::max(per_token, 1e-9));
+    const double per_token = std::max(it.rates.prefill_per_token, 1e-9);
+    return std::max(0.0, it.backlog - passed / per_token);
 }
 
 // Other nodes choose by the same reports as this one, and so much alike: what
 // it sent to a target since the report, they sent as well, in proportion.
-double target_table::others_factor() const
+void target_table::refresh_mix()
 {
-    double own = 1;
-    for (const std::uint32_t it : own_by_rank_)
-        own += it;
-    return std::clamp((1 + static_cast<double>(reported_)) / own, 1.0,
-                      options_.most_others);
+    const double own = 1.0 + own_up_to_.back();
+    others_factor_ = std::clamp((1 + static_cast<double>(reported_)) / own, 1.0,
+                                options_.most_others);
+    for (priority rank = 0; rank < priority_levels; ++rank)
+        share_up_to_[rank] = (1.0 + own_up_to_[rank]) / own;
 }
 
 // The mix on a target is taken from this node's requests there, filled up
@@ -394,14 +408,18 @@
 double target_table::share_up_to(const target& on, priority rank) const
 {
     constexpr double filling = 2;
-    const auto up_to = [&](const auto& own) {
-        return std::accumulate(own.begin(), own.begin() + rank + 1, 0.0);
-    };
-    const auto all = [](const auto& own) {
-        return std::accumulate(own.begin(), own.end(), 0.0);
-    };
-    const double anywhere = (1 + up_to(own_by_rank_)) / (1 + all(own_by_rank_));
-    return (up_to(on.own_by_rank) + filling * anywhere) / (on.own + filling);
+    return (on.own_up_to[rank] + filling * share_up_to_[rank]) /
+           (on.own + filling);
+}
+
+void target_table::count_own(target& it, priority rank, int change)
+{
+    it.own += static_cast<std::uint32_t>(change);
+    for (priority level = rank; level < priority_levels; ++level) {
+        it.own_up_to[level] += static_cast<std::uint32_t>(change);
+        own_up_to_[level] += static_cast<std::uint32_t>(change);
+    }
+    refresh_mix();
 }
 
 void target_table::add_change(target& it, const own_change& change)
