--- a/apps/fennelladder/benches.hpp
+++ b/apps/fennelladder/benches.hpp
@@ -8,6 +8,7 @@
 
 int run_bench_config(int argc, char** argv);
 int run_bench_control(int argc, char** argv);
+int run_bench_choose(int argc, char** argv);
 int run_bench_routing(int argc, char** argv);
 int run_bench_history(int argc, char** argv);
 int run_bench_journal(int argc, char** argv);
--- a/apps/fennelladder/command_bench.cpp
+++ b/apps/fennelladder/command_bench.cpp
@@ -17,6 +17,7 @@
      run_bench_control},
     {"budgets", "budgets under faults beside two baselines", run_bench_budgets},
     {"reserve", "cost of reserve and settle in memory", run_bench_reserve},
+    {"choose", "one choice among many targets", run_bench_choose},
     {"routing", "time to first token beside baselines", run_bench_routing},
     {"history", "what recording and checking a history cost",
      run_bench_history},
