--- a/libs/standin/servers_test.cpp
+++ b/libs/standin/servers_test.cpp
@@ -8,6 +8,7 @@
 #include "fennelladder/standin/answer.hpp"
 #include "fennelladder/standin/engine_server.hpp"
 #include "fennelladder/standin/platform_server.hpp"
+#include "fennelladder/standin/service_server.hpp"
 #include "fennelladder/target/http_target_client.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -106,6 +107,38 @@
     CHECK(!it.client.probe());
 }
 
+// A volunteer's loaner return hangs: the kept connection to the service is
+// forgotten by something in between. It may have run, for all that the node
+// knows; a call that must not run twice never meets the hung connection, since
+// it goes out on one of its own.
+TEST(standin_servers, hung_service_connection_leaves_fresh_calls_alone)
+{
+    service_server service({});
+    http::client connections;
+    target::http_target_options options{.url = service.url()};
+    options.call.first_byte = seconds(30);
+    target::http_target_client patient(connections, options);
+    options.call.first_byte = milliseconds(100);
+    target::http_target_client brisk(connections, options);
+    target::service_call ask;
+    ask.key = request_key("lookup");
+    ask.name = "lookup";
+    ask.repeatable = true;
+    CHECK(patient.call(ask).outcome == dispatch_outcome::ran);
+    service.silence_open_connections();
+    const auto hung = brisk.call(ask);
+    CHECK(hung.outcome == dispatch_outcome::interrupted && hung.silent);
+    LONGS_EQUAL(1, service.executions_of(ask.key));
+
+    CHECK(patient.call(ask).outcome == dispatch_outcome::ran);
+    service.silence_open_connections();
+    target::service_call once = ask;
+    once.key = request_key("loaner return");
+    once.repeatable = false;
+    CHECK(patient.call(once).outcome == dispatch_outcome::ran);
+    LONGS_EQUAL(1, service.executions_of(once.key));
+}
+
 // One request crashes each engine that runs it. The streams beside it break,
 // and the engine is back a little later with an empty cache.
 TEST(standin_servers, poison_takes_the_engine_and_its_neighbours_down)
