Stop nodes that are short from handing each other what they gather

Change: who is short gives only what covers an ask whole; a peer that answered with too little is asked again after 20 ms at the soonest; a peer that does not answer is asked by nobody for 0.5 s, doubled up to 10 s; words are repeated at doubling intervals.

--- a/include/fennelladder/budget/refill_planner.hpp
+++ b/include/fennelladder/budget/refill_planner.hpp
@@ -80,6 +80,11 @@
     /// Who had none isn't asked again for this long.
     duration ask_again = seconds(1);
 
+    /// A peer that did not answer isn't asked for anything for this long,
+    /// doubled with each further time up to `silent_limit`.
+    duration silent_first = milliseconds(500);
+    duration silent_limit = seconds(10);
+
     /// Time constant of the demand's moving average.
     duration demand_window = minutes(3);
 };
@@ -114,7 +119,8 @@
     bool by_witness = false;
 };
 
-/// Send an ask (transfer_ledger::ask) and call transferred() with its end.
+/// Send an ask (transfer_ledger::ask) and call transferred() with its end, or
+/// not_asked() if the ledger had no room for it.
 struct ask_peer
 {
     budget_id budget;
@@ -172,8 +178,11 @@
     void returned(const budget_id& budget);
 
     /// End of an ask_peer: what came, or nothing on time-out.
-    void transferred(const budget_id& budget, const incarnation_id& peer,
-                     const transfer_reply* reply, instant now);
+    void transferred(const transfer_ask& ask, const transfer_reply* reply,
+                     instant now);
+
+    /// An ask_peer that was not carried out.
+    void not_asked(const budget_id& budget);
 
     /// Most to give for an ask. Notes the taker as one who may be asked back.
     /// `more_soon` says that the ceiling is in the way and is being raised, or
@@ -207,6 +216,7 @@
         tokens minimum; // of the last wish sent to the books
         instant books_again;
         int asking_peers = 0;
+        instant short_at; // when a request here lacked tokens last
         std::vector<std::pair<incarnation_id, instant>> peers_again;
         std::vector<incarnation_id> takers; // the latest, for asking back
     };
@@ -228,11 +238,21 @@
     void check_later(plan& it, instant at);
     void give_idle_back(plan& it, instant now, refill_actions& out);
 
+    // A peer that did not answer lately.
+    struct silence
+    {
+        duration wait{};
+        instant until;
+    };
+
+    void note_answer(const incarnation_id& peer, bool answered, instant now);
+
     incarnation_id self_;
     const home_directory& homes_;
     refill_policy policy_;
     bool store_ok_ = true;
     std::unordered_map<budget_id, plan> plans_;
+    std::unordered_map<incarnation_id, silence> silent_;
     // When to look at a budget again; an entry may be stale.
     std::multimap<instant, budget_id> checks_;
 };
--- a/include/fennelladder/budget/transfer_ledger.hpp
+++ b/include/fennelladder/budget/transfer_ledger.hpp
@@ -35,6 +35,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <unordered_map>
 #include <utility>
@@ -79,8 +80,10 @@
     /// After this long without a reply the same ask is sent again.
     duration repeat_after = milliseconds(200);
 
-    /// A word that was not taken is sent again after this long.
+    /// A word that was not taken is sent again after this long, doubled each
+    /// time up to `word_limit`.
     duration word_again = seconds(1);
+    duration word_limit = minutes(1);
 
     /// After this long the taker gives up.
     duration give_up_after = seconds(5);
@@ -153,7 +156,7 @@
     {
         number_window closed; // asks that will be answered no more
         std::map<std::uint64_t, gift> open;
-        std::vector<transfer> credited; // newest last, bounded
+        std::deque<transfer> credited; // newest last, bounded
     };
 
     struct open_ask
@@ -183,7 +186,7 @@
     struct open_word
     {
         bool credited = false;
-        instant next; // when to send it
+        duration wait{}; // until it is sent again
     };
 
     std::map<ask_key, open_word> words_;
--- a/libs/budget/budget_agent.cpp
+++ b/libs/budget/budget_agent.cpp
@@ -184,7 +184,7 @@
             transfer_ask ask = transfers_.ask(peer->peer, peer->budget,
                                               peer->wish, peer->need, now);
             if (ask.number == 0) {
-                planner_.transferred(peer->budget, peer->peer, nullptr, now);
+                planner_.not_asked(peer->budget);
                 continue;
             }
             awaited_.insert({ask.giver, ask.number});
@@ -335,7 +335,7 @@
         transfers_.accept(*reply, now);
     // A late answer brings its tokens, but the planner has gone on already.
     if (awaited_.erase({ask.giver, ask.number}) > 0)
-        planner_.transferred(ask.budget, ask.giver, reply, now);
+        planner_.transferred(ask, reply, now);
     out.woken.push_back(ask.budget);
 }
 
--- a/libs/budget/refill_planner.cpp
+++ b/libs/budget/refill_planner.cpp
@@ -130,7 +130,8 @@
 bool refill_planner::may_ask(const plan& it, const incarnation_id& peer,
                              instant now) const
 {
-    if (peer == self_)
+    const auto quiet = silent_.find(peer);
+    if (peer == self_ || (quiet != silent_.end() && now < quiet->second.until))
         return false;
     for (const auto& [blocked, until] : it.peers_again) {
         if (blocked == peer)
@@ -255,6 +256,7 @@
     const tokens demand = it.level.demand;
     it.level = level;
     it.level.demand = demand;
+    it.short_at = now;
     if (gap.short_by == tokens(0)) {
         want_ceiling(it, worst, out);
         return it.raising;
@@ -319,21 +321,46 @@
         it->second.returning = false;
 }
 
-void refill_planner::transferred(const budget_id& budget,
-                                 const incarnation_id& peer,
+void refill_planner::not_asked(const budget_id& budget)
+{
+    plan& it = plans_[budget];
+    it.asking_peers = std::max(0, it.asking_peers - 1);
+}
+
+void refill_planner::transferred(const transfer_ask& ask,
                                  const transfer_reply* reply, instant now)
 {
-    plan& it = plan_of(budget, now);
+    plan& it = plan_of(ask.budget, now);
     it.asking_peers = std::max(0, it.asking_peers - 1);
+    note_answer(ask.giver, reply != nullptr, now);
     std::erase_if(it.peers_again, [&](const auto& known) {
-        return known.first == peer || now >= known.second;
+        return known.first == ask.giver || now >= known.second;
     });
-    if (reply != nullptr && reply->amount > tokens(0))
+    const bool some = reply != nullptr && reply->amount > tokens(0);
+    if (some && reply->amount >= ask.need)
         return;
-    const bool soon = reply != nullptr && reply->more_soon;
+    const bool soon = some || (reply != nullptr && reply->more_soon);
     it.low = it.low || !soon;
     it.peers_again.emplace_back(
-        peer, now + (soon ? more_soon_wait : policy_.ask_again));
+        ask.giver, now + (soon ? more_soon_wait : policy_.ask_again));
+}
+
+// A partition makes every ask to the other side time out, for every budget; a
+// few probes are enough to see when it has healed.
+void refill_planner::note_answer(const incarnation_id& peer, bool answered,
+                                 instant now)
+{
+    if (answered) {
+        silent_.erase(peer);
+        return;
+    }
+    silence& it = silent_[peer];
+    // Asks that were under way together count as one.
+    if (now < it.until)
+        return;
+    it.wait =
+        std::clamp(it.wait * 2, policy_.silent_first, policy_.silent_limit);
+    it.until = now + it.wait;
 }
 
 tokens refill_planner::most_to_give(const transfer_ask& ask,
@@ -352,6 +379,11 @@
     }
     const std::int64_t left =
         std::max<std::int64_t>(0, level.available().count());
+    // Two that are short would hand each other what they gather for ever.
+    const bool short_here =
+        it.short_at > instant() && now - it.short_at < policy_.patience;
+    if (short_here && left < std::max<std::int64_t>(1, ask.need.count()))
+        return tokens(0);
     const std::int64_t need = std::min(ask.need.count(), left);
     std::int64_t most = std::min(ask.wish.count(), left / slice_share);
     if (!it.home) {
@@ -367,8 +399,10 @@
         more_soon = it.raising && below_ceiling < need;
         return tokens(below_ceiling < need ? 0 : below_ceiling);
     }
-    if (ask.need.count() > left && it.home && !from_home)
+    if (ask.need.count() > left && it.home && !from_home) {
+        std::erase(it.takers, ask.taker); // it would be asked back
         more_soon = short_of_capital(it, ask.need - tokens(left), now, out);
+    }
     return tokens(most);
 }
 
--- a/libs/budget/transfer_ledger.cpp
+++ b/libs/budget/transfer_ledger.cpp
@@ -76,14 +76,16 @@
     }
     taker.credited.push_back(moved);
     if (taker.credited.size() > max_credited)
-        taker.credited.erase(taker.credited.begin());
+        taker.credited.pop_front();
 }
 
 std::vector<transfer>
 transfer_ledger::take_over(const incarnation_id& taker) const
 {
     const auto it = takers_.find(taker);
-    return it == takers_.end() ? std::vector<transfer>() : it->second.credited;
+    if (it == takers_.end())
+        return {};
+    return {it->second.credited.begin(), it->second.credited.end()};
 }
 
 tokens transfer_ledger::unconfirmed() const
@@ -158,7 +160,7 @@
 
 void transfer_ledger::keep_word(const ask_key& key, bool credited, instant now)
 {
-    words_[key] = {credited, now};
+    words_[key] = {credited, options_.word_again};
     due_.emplace(now, key);
 }
 
@@ -171,9 +173,10 @@
         const auto it = words_.find(key);
         if (it == words_.end())
             continue;
-        it->second.next = now + options_.word_again;
-        due_.emplace(it->second.next, key);
-        made.push_back({self_, key.first, key.second, it->second.credited});
+        open_word& word = it->second;
+        due_.emplace(now + word.wait, key);
+        word.wait = std::min(word.wait * 2, options_.word_limit);
+        made.push_back({self_, key.first, key.second, word.credited});
     }
     return made;
 }
