Give every node a witness in its own data center and one outside

Cause: in the rig both witnesses of a cut-off node were on the other side, so that its ceilings could not rise and it refused callers with tokens in hand.

--- a/include/fennelladder/budget_rig/fleet_rig.hpp
+++ b/include/fennelladder/budget_rig/fleet_rig.hpp
@@ -198,6 +198,7 @@
     class directory;
 
     void start(int index);
+    std::vector<incarnation_id> witnesses_of(int index) const;
     void tick(int index, int life);
     bool reaches(int from, int to) const;
     duration delay(int from, int to) const;
--- a/libs/budget_rig/fleet_rig.cpp
+++ b/libs/budget_rig/fleet_rig.cpp
@@ -132,19 +132,7 @@
                             static_cast<std::uint64_t>(shards));
         },
         options_.agent);
-    std::vector<incarnation_id> witnesses;
-    for (const int step : {1, options_.data_centers}) {
-        const int other = (index + step) % options_.nodes;
-        const auto& peer = nodes_[static_cast<std::size_t>(other)];
-        if (other != index && peer->alive)
-            witnesses.push_back(
-                peer->life > 0
-                    ? peer->id
-                    : incarnation_id("n" + std::to_string(other) + ".1"));
-    }
-    std::sort(witnesses.begin(), witnesses.end());
-    witnesses.erase(std::unique(witnesses.begin(), witnesses.end()),
-                    witnesses.end());
+    std::vector<incarnation_id> witnesses = witnesses_of(index);
     it.agent->set_witnesses(std::move(witnesses), now());
     const auto first = duration(
         random_.below(static_cast<std::uint64_t>(options_.tick.count())));
@@ -152,6 +140,29 @@
     events_.after(first, [this, index, life] { tick(index, life); });
 }
 
+// The next host of the own data center, for when that is cut off, and the next
+// of another one, for when the own fails as a whole.
+std::vector<incarnation_id> fleet_rig::witnesses_of(int index) const
+{
+    std::vector<incarnation_id> made;
+    for (const bool own : {true, false}) {
+        for (int n = 1; n < options_.nodes; ++n) {
+            const int other = (index + n) % options_.nodes;
+            const auto& peer = nodes_[static_cast<std::size_t>(other)];
+            const bool same = data_center_of(other) == data_center_of(index);
+            if (same != own || !peer->alive)
+                continue;
+            // At the start, hosts that come up later are known by name.
+            made.push_back(
+                peer->life > 0
+                    ? peer->id
+                    : incarnation_id("n" + std::to_string(other) + ".1"));
+            break;
+        }
+    }
+    return made;
+}
+
 void fleet_rig::tick(int index, int life)
 {
     node& it = *nodes_[static_cast<std::size_t>(index)];
