Let short requests wait, and gather the last tokens sooner

Cause: of a nearly empty budget the last tokens are spread in slices, and requests that end free what they did not use; a request refused at once misses both.

Change: with the weight false_refusal a short request waits out its patience (1.5 s) also when nobody is known to have any; of a low budget nodes ask only for what a request lacks and return the rest after 0.5 s.

--- a/include/fennelladder/budget/refill_planner.hpp
+++ b/include/fennelladder/budget/refill_planner.hpp
@@ -72,13 +72,17 @@
     /// How long a request that is short may wait for tokens.
     duration patience = milliseconds(1500);
 
+    /// Let it wait also when nobody is known to have any: requests that end
+    /// free what they did not use.
+    bool wait_when_empty = true;
+
     /// Tokens of a node that is no home go back after this long unused; of a
     /// budget that runs low, after `idle_low`.
     duration idle_after = minutes(5);
-    duration idle_low = seconds(2);
+    duration idle_low = milliseconds(500);
 
     /// Who had none isn't asked again for this long.
-    duration ask_again = seconds(1);
+    duration ask_again = milliseconds(300);
 
     /// A peer that did not answer isn't asked for anything for this long,
     /// doubled with each further time up to `silent_limit`.
--- a/libs/budget/refill_planner.cpp
+++ b/libs/budget/refill_planner.cpp
@@ -45,7 +45,8 @@
     made.grant_spread = 8;
     made.ceiling_ahead = seconds(5);
     made.least_ceiling = tokens(4096);
-    made.patience = seconds(3);
+    made.patience = milliseconds(500);
+    made.wait_when_empty = false;
     made.idle_after = minutes(1);
     return made;
 }
@@ -270,7 +271,7 @@
     // A wish to books that can't be reached may stay open for an hour.
     if ((it.asking_books && store_ok_) || it.asking_peers > 0)
         return true;
-    const tokens wish = std::max(need, target(it));
+    const tokens wish = it.low ? need : std::max(need, target(it));
     auto peers = homes_.homes_of(it.level.budget);
     const bool own_home_first = !it.home && !peers.empty();
     if (own_home_first &&
@@ -281,7 +282,8 @@
         return true;
     }
     peers.insert(peers.end(), it.takers.begin(), it.takers.end());
-    return ask_next_peer(it, peers, need, need, now, out);
+    return ask_next_peer(it, peers, need, need, now, out) ||
+           policy_.wait_when_empty;
 }
 
 void refill_planner::granted(const budget_id& budget, const outcome* made,
