Gather leftovers for other homes too, and know sooner that a budget is low

Change: homes ask their takers back for every asker; less than wished for means low; a node is short for 250 ms after its own last want.

--- a/libs/budget/refill_planner.cpp
+++ b/libs/budget/refill_planner.cpp
@@ -22,6 +22,10 @@
 // this many of what a home has.
 constexpr std::int64_t slice_share = 4;
 
+// A node counts as short for this long after a request of its own lacked
+// tokens; those that wait are tried again more often than that.
+constexpr duration short_for = milliseconds(250);
+
 // Wait before asking a peer anew that said more would come soon.
 constexpr duration more_soon_wait = milliseconds(20);
 
@@ -339,6 +343,7 @@
         return known.first == ask.giver || now >= known.second;
     });
     const bool some = reply != nullptr && reply->amount > tokens(0);
+    it.low = it.low || (some && reply->amount < ask.wish);
     if (some && reply->amount >= ask.need)
         return;
     const bool soon = some || (reply != nullptr && reply->more_soon);
@@ -383,7 +388,7 @@
         std::max<std::int64_t>(0, level.available().count());
     // Two that are short would hand each other what they gather for ever.
     const bool short_here =
-        it.short_at > instant() && now - it.short_at < policy_.patience;
+        it.short_at > instant() && now - it.short_at < short_for;
     if (short_here && left < std::max<std::int64_t>(1, ask.need.count()))
         return tokens(0);
     const std::int64_t need = std::min(ask.need.count(), left);
@@ -401,9 +406,12 @@
         more_soon = it.raising && below_ceiling < need;
         return tokens(below_ceiling < need ? 0 : below_ceiling);
     }
-    if (ask.need.count() > left && it.home && !from_home) {
-        std::erase(it.takers, ask.taker); // it would be asked back
-        more_soon = short_of_capital(it, ask.need - tokens(left), now, out);
+    if (ask.need.count() > left && it.home) {
+        // Gathers for the taker. Another home asks books and homes itself.
+        std::erase(it.takers, ask.taker);
+        const tokens gap = ask.need - tokens(left);
+        more_soon = from_home ? ask_next_peer(it, it.takers, gap, gap, now, out)
+                              : short_of_capital(it, gap, now, out);
     }
     return tokens(most);
 }
