Count a bill in the rig where it is folded

Cause: the RapidCheck machine said 'double billed' for a node that was fenced and paused: the rig counted the answer once when it came and again when the node woke. The books had charged the key once.

Change: the rig counts at the fold.

--- a/include/fennelladder/budget_rig/fleet_rig.hpp
+++ b/include/fennelladder/budget_rig/fleet_rig.hpp
@@ -209,6 +209,7 @@
     void ask_peer(node& self, const budget::transfer_ask& ask);
     void ask_witness(node& self, const budget::ceiling_ask& ask);
     void send_copies(node& self, const budget::copy_message& message);
+    void count_bill(const fake_reply& reply);
     void on_flushed(const fake_reply& reply);
     void flush(int shard);
     void try_waiting(node& self, const budget_id& budget);
--- a/libs/budget_rig/fleet_rig.cpp
+++ b/libs/budget_rig/fleet_rig.cpp
@@ -427,6 +427,8 @@
     auto replies = books_.flush(shard, may, lose);
     if (lose)
         --lost_replies_;
+    for (const fake_reply& it : replies)
+        count_bill(it);
     if (replies.empty())
         return;
     events_.after(options_.store_time + options_.far,
@@ -447,14 +449,20 @@
     }
 }
 
+// Counts where it is folded: an answer may reach its sender late or never.
+void fleet_rig::count_bill(const fake_reply& reply)
+{
+    const auto* charge = std::get_if<bill>(&reply.wish.body);
+    const bool charged = reply.made && reply.made->what == verdict::applied;
+    if (charge == nullptr || !charge->keyed || !charged)
+        return;
+    if (++billed_keys_[charge->key.str()] > 1)
+        ++figures_.double_billed;
+}
+
 void fleet_rig::on_flushed(const fake_reply& reply)
 {
     const auto* charge = std::get_if<bill>(&reply.wish.body);
-    if (charge != nullptr && reply.made &&
-        reply.made->what == verdict::applied && charge->keyed) {
-        if (++billed_keys_[charge->key.str()] > 1)
-            ++figures_.double_billed;
-    }
     if (const auto* paid = std::get_if<topup>(&reply.wish.body)) {
         const int budget = budget_of(paid->budget);
         sync_prepaid(budget);
