--- a/include/fennelladder/budget/refill_planner.hpp
+++ b/include/fennelladder/budget/refill_planner.hpp
@@ -194,8 +194,9 @@
     tokens most_to_give(const transfer_ask& ask, const allotment_level& level,
                         instant now, refill_actions& out, bool& more_soon);
 
-    /// Whether the books can be reached.
-    void store_reachable(bool yes) { store_ok_ = yes; }
+    /// Whether the books can be reached. A ceiling on its way to books that
+    /// can't be reached is told to a witness instead.
+    void store_reachable(bool yes);
 
     /// The books have closed the entry.
     void forget(const budget_id& budget);
--- a/libs/budget/refill_planner.cpp
+++ b/libs/budget/refill_planner.cpp
@@ -313,6 +313,16 @@
         it.books_again = now + policy_.ask_again;
 }
 
+void refill_planner::store_reachable(bool yes)
+{
+    const bool lost = store_ok_ && !yes;
+    store_ok_ = yes;
+    if (!lost)
+        return;
+    for (auto& [budget, it] : plans_)
+        it.raising = false;
+}
+
 void refill_planner::raised(const budget_id& budget)
 {
     const auto it = plans_.find(budget);
