Demo: both deployments in one process, with faults and a verdict

Cause: nobody could see the whole system work, or fail. Change: library trial runs platform, targets, nodes and callers on loopback, brings faults about and judges the history; command demo.

--- a/apps/fennelladder/main.cpp
+++ b/apps/fennelladder/main.cpp
@@ -15,6 +15,7 @@
 constexpr auto commands = std::to_array<command>({
     {"apply", "bring a manifest into force", run_apply},
     {"serve", "run one node", run_serve},
+    {"demo", "both deployments in one process, with faults", run_demo},
     {"bench", "measurements, each beside its baselines", run_bench},
     {"standin", "platform, engine or service for trying out", run_standin},
     {"report", "reports for operators", run_report},
--- a/include/fennelladder/gateway/calls.hpp
+++ b/include/fennelladder/gateway/calls.hpp
@@ -30,11 +30,13 @@
 constexpr const char* caller = "Fennelladder-Caller";
 constexpr const char* idempotency_key = "Idempotency-Key";
 constexpr const char* origin = "Fennelladder-Origin";
+constexpr const char* request = "X-Request-Id";
 constexpr const char* deadline = "Fennelladder-Deadline-Ms";
 constexpr const char* forwarded = "Fennelladder-Forwarded";
 constexpr const char* outcome = "Fennelladder-Outcome";
 constexpr const char* code = "Fennelladder-Code";
 constexpr const char* key = "Fennelladder-Key";
+constexpr const char* digest = "Fennelladder-Digest";
 constexpr const char* billed = "Fennelladder-Billed-Tokens";
 } // namespace header_name
 
@@ -55,6 +57,7 @@
     caller_kind kind;
     caller_id caller;      ///< For the spread of entry answers; optional.
     request_key key;       ///< Empty: the node makes one.
+    request_id request;    ///< Of this arrival; empty: none given.
     incarnation_id origin; ///< Empty: the key is bound to no node.
     std::optional<duration> deadline; ///< Empty: that of the caller kind.
     bool forwarded = false;           ///< Another node passed it on.
--- a/include/fennelladder/node/node.hpp
+++ b/include/fennelladder/node/node.hpp
@@ -27,10 +27,10 @@
 #include "fennelladder/base/ids.hpp"
 #include "fennelladder/base/time.hpp"
 #include "fennelladder/history/recorder.hpp"
+#include "fennelladder/node/fault_links.hpp"
 #include "fennelladder/peer/peer_service.hpp"
 
 #include <cstdint>
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -55,12 +55,6 @@
 
     /// Writes down what the node does; null: nothing. Must outlive the node.
     history::recorder* history = nullptr;
-
-    /// For tests and the demo: wraps the network to other nodes, so that cuts
-    /// between them can be made. Empty: none.
-    std::function<std::unique_ptr<peer::peer_network>(
-        std::unique_ptr<peer::peer_network>)>
-        wrap_peers;
 };
 
 /// Thread safe.
@@ -73,7 +67,7 @@
     static result<std::unique_ptr<node>> start(const node_options& options,
                                                const clock& time);
 
-    /// Ends at once, as a death would, if shut_down() was not called.
+    /// Ends without leaving in order if shut_down() was not called.
     ~node();
     node(const node&) = delete;
     node& operator=(const node&) = delete;
@@ -100,6 +94,13 @@
     /// tokens returned. True if all of it was done within `limit`.
     bool shut_down(duration limit);
 
+    /// Ends as a crash does: connections break off, and nothing of this node
+    /// reaches platform or peers any more. For tests, trials and drills.
+    void die();
+
+    /// Cuts between this node and others.
+    fault_links& links();
+
 private:
     struct parts;
     explicit node(std::unique_ptr<parts> made);
--- a/libs/gateway/answer_writer.cpp
+++ b/libs/gateway/answer_writer.cpp
@@ -109,6 +109,8 @@
         {header_name::billed, std::to_string(reply.billed.count())}};
     if (!form_.origin.empty())
         all.push_back({header_name::origin, form_.origin});
+    if (!reply.digest.empty())
+        all.push_back({header_name::digest, reply.digest});
     if (reply.retry_useful) {
         const auto wait = std::chrono::ceil<seconds>(reply.retry_after);
         all.push_back({"Retry-After", std::to_string(wait.count())});
--- a/libs/gateway/calls.cpp
+++ b/libs/gateway/calls.cpp
@@ -124,6 +124,8 @@
         caller_id(read_name(header, header_name::caller, false, found));
     head.key = request_key(
         read_name(header, header_name::idempotency_key, false, found));
+    head.request =
+        request_id(read_name(header, header_name::request, false, found));
     head.origin =
         incarnation_id(read_name(header, header_name::origin, false, found));
     head.deadline = read_deadline(header, found);
--- a/libs/node/caller_api.cpp
+++ b/libs/node/caller_api.cpp
@@ -275,6 +275,8 @@
                         "-" + std::to_string(next_key_.fetch_add(1)));
         what.arrival.binding = request::key_binding::made_here;
     }
+    if (head.request.empty())
+        what.head.request = request_id(what.head.key.str());
     what.arrival.team = head.team;
     what.arrival.key = what.head.key;
     what.traits.key = what.head.key;
@@ -469,7 +471,8 @@
         for (const char* name :
              {gateway::header_name::outcome, gateway::header_name::code,
               gateway::header_name::key, gateway::header_name::origin,
-              gateway::header_name::billed, "Retry-After"}) {
+              gateway::header_name::billed, gateway::header_name::digest,
+              "Retry-After"}) {
             const auto value = head.field(name);
             if (!value.empty())
                 out.headers.push_back({name, std::string(value)});
@@ -667,8 +670,7 @@
     if (reply.code == reply_code::budget_exhausted)
         history::record(tools_.options.history, tools_.time.now(),
                         history::node_id(tools_.self.str()),
-                        history::refused{request_id(what.head.key.str()),
-                                         what.head.budget});
+                        history::refused{what.head.request, what.head.budget});
 }
 
 } // namespace fennelladder::node
--- a/libs/node/ledger_service.cpp
+++ b/libs/node/ledger_service.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t owner_candidates = 2;
 constexpr std::size_t witness_count = 2;
 constexpr duration gone_patience = seconds(10);
+constexpr duration topup_travel = seconds(5);
 
 std::uint64_t score(std::string_view what, const incarnation_id& who)
 {
@@ -307,7 +308,8 @@
         if (made.held)
             return std::move(made.held);
         const instant now = clock_.now();
-        if (!made.wait || now >= until)
+        const bool wait = made.wait || tokens_may_come(budget, now);
+        if (!wait || now >= until)
             return {};
         std::unique_lock lock(wait_mutex_);
         woken_.wait_for(lock, std::min(until - now, duration(milliseconds(50))),
@@ -315,6 +317,22 @@
     }
 }
 
+// Guards against refusing a budget that was just accepted: its first top-up is
+// on its way to the journal, where this node finds none yet.
+bool ledger_service::tokens_may_come(const budget_id& budget, instant now) const
+{
+    if (now - configured_at_.load() > topup_travel)
+        return false;
+    const auto level = agent_->table().level(budget);
+    return !level || level->capital == tokens();
+}
+
+void ledger_service::on_configuration(instant now)
+{
+    configured_at_ = now;
+    topups_due_ = true;
+}
+
 void ledger_service::cancel(budget::reservation held)
 {
     agent_->cancel(std::move(held));
@@ -468,6 +486,8 @@
     }
     agent_->set_store_reachable(reachable);
     choose_witnesses();
+    if (topups_due_.exchange(false))
+        tend();
     budget::agent_output out;
     agent_->tick(clock_.now(), out);
     if (out.fenced)
@@ -511,6 +531,7 @@
 {
     if (!open_)
         return;
+    const std::lock_guard lock(tend_mutex_);
     tend_gone();
     for (std::uint32_t n = 0; n < layout_.shards; ++n) {
         const shard_id shard(n);
--- a/libs/node/ledger_service.hpp
+++ b/libs/node/ledger_service.hpp
@@ -106,6 +106,10 @@
     /// Reclaims, fences, top-ups of shards tended here. Call every second.
     void tend();
 
+    /// A new configuration is in force: its top-ups are brought at the next
+    /// tick instead of within a second.
+    void on_configuration(instant now);
+
     // -- for peers
 
     result<std::string> on_append(std::string_view bytes);
@@ -140,6 +144,7 @@
     void wake();
 
     void choose_witnesses();
+    bool tokens_may_come(const budget_id& budget, instant now) const;
     void bring_topups(shard_id shard);
     void tend_fences(shard_id shard);
     void tend_gone();
@@ -169,8 +174,13 @@
     mutable std::mutex witness_mutex_; // guards witnesses_
     std::vector<incarnation_id> witnesses_;
 
-    // Used by tend() only, on one thread: top-ups this life has brought to
-    // the journal, and incarnations whose end it has told.
+    std::atomic<instant> configured_at_{instant()};
+    std::atomic<bool> topups_due_{true};
+
+    std::mutex tend_mutex_; // guards the four below
+
+    // Top-ups this life has brought to the journal, and incarnations whose
+    // end it has told.
     std::unordered_set<std::string> topups_brought_;
     std::unordered_set<std::string> gone_told_;
     generation topups_of_;
--- a/libs/node/node.cpp
+++ b/libs/node/node.cpp
@@ -35,16 +35,6 @@
     return incarnation_id(options.host.str() + "." + to_hex(bits));
 }
 
-std::unique_ptr<peer::peer_network> make_peers(const node_options& options)
-{
-    std::unique_ptr<peer::peer_network> made =
-        std::make_unique<peer::thrift_peer_network>(
-            peer::peer_network_options{});
-    if (options.wrap_peers)
-        return options.wrap_peers(std::move(made));
-    return made;
-}
-
 } // namespace
 
 struct node::parts final : peer::peer_handler
@@ -67,12 +57,15 @@
     const clock& time;
     const incarnation_id self;
     http::client connections;
+    fault_links links;
     platform::platform_client platform;
+    cut_object_store store;
     platform::call_gate gate;
     platform::budgeted_object_store safety_store;
     platform::budgeted_object_store refill_store;
     platform::budgeted_object_store telemetry_store;
-    std::unique_ptr<peer::peer_network> peers;
+    peer::thrift_peer_network network;
+    cut_peers peers;
     telemetry::metrics metrics;
     telemetry::service_level_meter levels{{}, {}};
     std::atomic<bool> stopping{false};
@@ -98,20 +91,21 @@
     : options(with), time(clock_of_node),
       self(draw_incarnation(options, time.now())),
       connections(http::client_options{}),
-      platform(connections, {.url = options.platform_url}), gate(time, {}),
-      safety_store(platform, gate, platform::call_class::safety),
-      refill_store(platform, gate, platform::call_class::refill),
-      telemetry_store(platform, gate, platform::call_class::telemetry),
-      peers(make_peers(options)), calls(call_threads, most_calls),
-      suspect_calls(2, most_calls), members(options, self, *peers, time, calls),
-      config(options, self, refill_store, *peers, members, time, calls,
+      platform(connections, {.url = options.platform_url}),
+      store(platform, links), gate(time, {}),
+      safety_store(store, gate, platform::call_class::safety),
+      refill_store(store, gate, platform::call_class::refill),
+      telemetry_store(store, gate, platform::call_class::telemetry),
+      network({}), peers(network, links), calls(call_threads, most_calls),
+      suspect_calls(2, most_calls), members(options, self, peers, time, calls),
+      config(options, self, refill_store, peers, members, time, calls,
              [this](const manifest_pointer& it) { on_configuration(it); }),
       suspects(self, {}),
       routes({.table = {.own_data_center = options.data_center}}, time,
              options.seed + 100,
              [this](routing::ticket_id it) { preempted.ask(it); }),
       targets(options, connections, routes, suspects, time, calls),
-      ledger(options, self, safety_store, *peers, members, config, time, calls),
+      ledger(options, self, safety_store, peers, members, config, time, calls),
       table({.seed = options.seed}), retries({}, time.now()),
       api(tools(), config, members, connections, metrics, levels, options.seed)
 {}
@@ -125,6 +119,8 @@
 result<std::string> node::parts::answer(peer::topic what,
                                         std::string_view message)
 {
+    if (links.peers_are_cut())
+        return fail(error_code::unavailable, "the link is cut");
     switch (what) {
     case peer::topic::heartbeat:
         return members.on_heartbeat(message);
@@ -195,6 +191,7 @@
 {
     targets.apply(it);
     levels.set_objectives(manifest::service_levels_of(it->objectives()));
+    ledger.on_configuration(time.now());
 }
 
 // The journal's layout is read once; a platform that is down at the start
@@ -235,9 +232,9 @@
             continue;
         suspect_calls.post([this, to = it, pending = std::move(pending)] {
             const auto bytes =
-                peers->ask(to.address, peer::topic::suspects,
-                           peer::encode(peer::suspects_question{self, pending}),
-                           suspect_timeout);
+                peers.ask(to.address, peer::topic::suspects,
+                          peer::encode(peer::suspects_question{self, pending}),
+                          suspect_timeout);
             if (!bytes)
                 return;
             if (const auto acks = peer::decode_suspects_answer(*bytes))
@@ -248,6 +245,8 @@
 
 void node::parts::look_at_hosts()
 {
+    if (links.platform_is_cut())
+        return;
     const auto page = platform.hosts();
     if (!page)
         return;
@@ -329,6 +328,22 @@
         std::ranges::count_if(*view, &peer_info::up));
 }
 
+void node::die()
+{
+    parts& it = *parts_;
+    history::record(it.options.history, it.time.now(),
+                    history::node_id(it.self.str()), history::died{});
+    it.links.cut_platform(true);
+    it.links.cut_peers(true);
+    it.stopping = true;
+    it.caller_server->abort();
+}
+
+fault_links& node::links()
+{
+    return parts_->links;
+}
+
 bool node::shut_down(duration limit)
 {
     parts& it = *parts_;
--- a/libs/node/request_runner.cpp
+++ b/libs/node/request_runner.cpp
@@ -268,7 +268,7 @@
     history::record(tools_.options.history, dispatched_at_,
                     history::node_id(tools_.self.str()),
                     history::dispatched{
-                        request_id(what_.head.key.str()),
+                        what_.head.request,
                         history::global_key(what_.head.team, what_.head.key),
                         what.target, static_cast<std::uint64_t>(what.attempt)});
     const event came = what_.is_call ? call(what, *at) : complete(what, *at);
