--- a/examples/embed/main.cpp
+++ b/examples/embed/main.cpp
@@ -63,7 +63,7 @@
     const record_body paid =
         topup{team, workshop, topup_id("invoice-7"), tokens(10'000)};
     (void)log.submit(record_type(paid), encode_record(paid), {}, now);
-    int answered = 0;
+    std::int64_t answered = 0;
     for (int n = 0; n < 40; ++n, now += seconds(1)) {
         auto got = agent.admit(workshop, tokens(500), now, out);
         carry_out(out, agent, log, now);
