Settle the linter's findings in budgets

Cause: clang-tidy named a use after move (of a number, harmless), two vectors grown in loops, a copied function and a cast.

--- a/apps/fennelladder/bench_reserve.cpp
+++ b/apps/fennelladder/bench_reserve.cpp
@@ -31,6 +31,7 @@
 std::vector<budget_id> make_budgets(std::int64_t count)
 {
     std::vector<budget_id> made;
+    made.reserve(static_cast<std::size_t>(count));
     for (std::int64_t n = 0; n < count; ++n)
         made.emplace_back("budget-" + std::to_string(n));
     return made;
@@ -56,6 +57,7 @@
 {
     const auto started = std::chrono::steady_clock::now();
     std::vector<std::thread> all;
+    all.reserve(static_cast<std::size_t>(threads));
     for (int n = 0; n < threads; ++n) {
         all.emplace_back([&table, &budgets, n, rounds] {
             work(table, budgets, static_cast<std::uint64_t>(n) + 1, rounds);
--- a/include/fennelladder/budget_rig/fleet_rig.hpp
+++ b/include/fennelladder/budget_rig/fleet_rig.hpp
@@ -203,7 +203,7 @@
     bool reaches(int from, int to) const;
     duration delay(int from, int to) const;
     void send(int from, const incarnation_id& to, std::size_t bytes,
-              std::function<void(node&)> deliver);
+              const std::function<void(node&)>& deliver);
     node* find(const incarnation_id& id);
     void carry_out(node& self, budget::agent_output& out);
     void ask_peer(node& self, const budget::transfer_ask& ask);
--- a/libs/budget/bill_keeper.cpp
+++ b/libs/budget/bill_keeper.cpp
@@ -29,11 +29,11 @@
 void bill_keeper::add(shard_id shard, bill charge, instant now)
 {
     shard_state& state = shards_[shard];
-    charge.number = ++state.last;
+    const std::uint64_t number = ++state.last;
+    charge.number = number;
     bytes_ += bytes_of(charge);
     ++size_;
-    state.waiting.emplace(charge.number,
-                          waiting_bill{std::move(charge), now, false});
+    state.waiting.emplace(number, waiting_bill{std::move(charge), now, false});
 }
 
 std::vector<bill> bill_keeper::pending(shard_id shard, std::size_t limit,
--- a/libs/budget_rig/fleet_rig.cpp
+++ b/libs/budget_rig/fleet_rig.cpp
@@ -58,8 +58,9 @@
                 const auto slot =
                     static_cast<int>((hash + static_cast<std::uint64_t>(i)) %
                                      static_cast<std::uint64_t>(hosts));
-                const node& it =
-                    *rig_.nodes_[static_cast<std::size_t>(slot * n + dc)];
+                const node& it = *rig_.nodes_[static_cast<std::size_t>(slot) *
+                                                  static_cast<std::size_t>(n) +
+                                              static_cast<std::size_t>(dc)];
                 if (!it.alive)
                     continue;
                 made.push_back(it.id);
@@ -281,7 +282,7 @@
 }
 
 void fleet_rig::send(int from, const incarnation_id& to, std::size_t bytes,
-                     std::function<void(node&)> deliver)
+                     const std::function<void(node&)>& deliver)
 {
     ++figures_.messages;
     figures_.message_bytes += bytes;
