Let lower ranks overflow into a quarter of the targets set aside

Cause: at 95% load lower ranks queued for seconds beside idle slots of targets set aside for the urgent; and a request that had failed on a target could only be told apart from them by luck. Change: lower ranks get a quarter of such a target when no open one has room; targets where a request failed come in last, only when no other is usable.

--- a/include/fennelladder/routing/chooser.hpp
+++ b/include/fennelladder/routing/chooser.hpp
@@ -48,10 +48,10 @@
     /// callers read along, and it differs little between targets.
     double decode_weight = 0.1;
 
-    /// Lower ranks may use targets set aside for higher ones when no other
-    /// has room, not only when no other is usable. Gives them more under
-    /// overload, and makes rank 0 somewhat slower.
-    bool overflow_to_reserved = false;
+    /// Lower ranks may use a share of the targets set aside for higher ones
+    /// when no other has room, not only when no other is usable. Gives them
+    /// more under overload, and makes rank 0 a little slower.
+    bool overflow_to_reserved = true;
 
     /// What a target that isn't set aside for rank 0 costs it more: engines
     /// serve it before all that waits, but not before the step under way,
@@ -96,8 +96,7 @@
     explicit chooser(chooser_options options = {}) : options_(options) {}
 
     /// The target for the request, or nothing if none has room. Targets in
-    /// request.avoid, and those set aside for higher ranks, are taken only if
-    /// no other is usable.
+    /// request.avoid are taken only if no other is usable.
     std::optional<choice> choose(const choice_input& input, instant now,
                                  random_source& random);
 
--- a/include/fennelladder/routing/target_table.hpp
+++ b/include/fennelladder/routing/target_table.hpp
@@ -79,7 +79,8 @@
     double queue_share = 0.1;  ///< Sent beyond what a target runs at once.
     double limit_weight = 0.2; ///< Of the last report in the limit.
 
-    double headroom_share = 0.1;  ///< Of a limit, kept from rank 1 on.
+    /// Of a limit, kept free of ranks from 1 on.
+    double headroom_share = 0.1;
     double reserved_share = 0.25; ///< What lower ranks get of a reserved one.
     std::size_t max_pools = 4'096;
 };
--- a/include/fennelladder/routing/types.hpp
+++ b/include/fennelladder/routing/types.hpp
@@ -84,7 +84,7 @@
     std::vector<capability> loaded;
     target_speed speed;
 
-    /// Ranks after this one get the target only when no other is usable, and
+    /// Ranks after this one get the target only when no other has room, and
     /// then a small share of it, so that it stays quick for the ones it is
     /// set aside for.
     priority reserved_up_to = priority_levels;
--- a/libs/routing/chooser.cpp
+++ b/libs/routing/chooser.cpp
@@ -36,6 +36,13 @@
            std::max(1.0, steps) * step;
 }
 
+enum class tier : std::uint8_t
+{
+    open,
+    set_aside,
+    failed
+};
+
 bool contains(const std::vector<target_id>& ids, const target_id& id)
 {
     return std::ranges::find(ids, id) != ids.end();
@@ -124,30 +131,33 @@
     return seen;
 }
 
-// Targets set aside for higher ranks, and those where the request has failed,
-// come in only when no other is usable, or none has room if that is allowed.
+// Targets come in tiers: those for all, those set aside for higher ranks, and
+// those where the request has failed. The last comes in only when no other
+// target is usable, however full the others are.
 void chooser::gather(const choice_input& input, instant now)
 {
     candidates_.clear();
-    const auto members = input.table.members(input.pool);
     const route_request& request = input.request;
+    const auto tier_of = [&](target_slot slot) {
+        if (!request.avoid.empty() &&
+            contains(request.avoid, input.table.info(slot).id))
+            return tier::failed;
+        return request.rank > input.table.reserved_up_to(slot) ? tier::set_aside
+                                                               : tier::open;
+    };
     bool any_usable = false;
-    for (const bool last_resort : {false, true}) {
-        for (const target_slot slot : members) {
-            const bool set_aside =
-                request.rank > input.table.reserved_up_to(slot) ||
-                (!request.avoid.empty() &&
-                 contains(request.avoid, input.table.info(slot).id));
-            if (set_aside != last_resort)
+    for (const tier wanted : {tier::open, tier::set_aside, tier::failed}) {
+        for (const target_slot slot : input.table.members(input.pool)) {
+            if (tier_of(slot) != wanted)
                 continue;
             const target_load load = input.table.load(slot, request.rank, now);
             any_usable |= load.usable;
             if (load.room)
                 candidates_.push_back({slot, predict(input, slot, load)});
         }
-        const bool enough =
-            options_.overflow_to_reserved ? !candidates_.empty() : any_usable;
-        if (enough)
+        const bool overflow =
+            options_.overflow_to_reserved && wanted == tier::open;
+        if (overflow ? !candidates_.empty() : any_usable)
             return;
     }
 }
--- a/libs/routing/scheduler_test.cpp
+++ b/libs/routing/scheduler_test.cpp
@@ -196,6 +196,31 @@
     LONGS_EQUAL(1, it.counts().preempted);
 }
 
+// Two workers, one set aside for dispatch. Drafts fill the other one first,
+// then a quarter of the one set aside, and the rest waits; one that failed on
+// the open worker does not go back to it while the other is merely full.
+TEST(scheduler, lower_ranks_get_a_quarter_of_a_target_set_aside)
+{
+    target_info desk = worker("desk", 8);
+    desk.reserved_up_to = 0;
+    it.upsert_target(desk, start);
+    it.upsert_target(worker("open", 8), start);
+    for (int n = 0; n < 12; ++n)
+        submit(call(2));
+    std::map<std::string, int> sent;
+    for (const grant& made : todo.granted)
+        ++sent[made.target.str()];
+    LONGS_EQUAL(8, sent["open"]);
+    LONGS_EQUAL(2, sent["desk"]);
+    finish(todo.granted[0].ticket);
+    todo = scheduler_actions();
+    route_request again = call(2);
+    again.avoid = {target_id("open")};
+    CHECK_FALSE(granted(submit(again)));
+    CHECK(granted(submit(call(0))));
+    STRCMP_EQUAL("desk", todo.granted.back().target.str().c_str());
+}
+
 TEST(scheduler, a_full_queue_sheds_the_lowest_rank)
 {
     scheduler_options options = plain();
