Settle doubts about runs at services

Cause: a service reports no life, so nothing settled the doubt of a run whose connection broke; after ten seconds it counted as a death, and an innocent call became a suspect. Change: a probe that works settles it when the target reports no life.

--- a/libs/node/target_service.cpp
+++ b/libs/node/target_service.cpp
@@ -190,6 +190,9 @@
     }
     if (!alive)
         suspects_.target_died(it.config.id, life, clock_.now());
+    // A service reports no life, so nothing later would settle the doubt.
+    else if (life == request::target_life())
+        suspects_.target_alive(it.config.id, life, clock_.now());
     return alive;
 }
 
