Store the answer of a call with its bill

Change: the text is read from the stream as it is. Seen with stand-ins: after the claiming node had left, a retry of the ticket at another node answered 409 answered_before; with the change 200 with the same receipt.

--- a/libs/node/request_runner.cpp
+++ b/libs/node/request_runner.cpp
@@ -424,9 +424,10 @@
     charge.outcome = bill_outcome_of(end.reply.result);
     charge.at = tools_.time.now();
     if (!what_.traits.idempotent) {
-        auto text = stream_->whole_text();
-        if (text && text->size() <= budget::max_answer_bytes)
-            charge.answer = std::move(*text);
+        // The stream isn't finished yet, but all of its text is there.
+        auto kept = stream_->read(0, duration(0));
+        if (!kept.overflowed && kept.text.size() <= budget::max_answer_bytes)
+            charge.answer = std::move(kept.text);
     }
     tools_.ledger.finish(std::move(held_), std::move(charge));
 }
