Push news of a death before its caller is answered

Cause: news went out within 50 ms, while a caller that is told of the failure may send the request to another node within 2 ms; and nodes that can't be reached were not waited for, though they may run a copy. Change: the node that finds a target dead posts the news before it goes on; peers on the host list count whether they can be reached or not.

--- a/libs/node/node.cpp
+++ b/libs/node/node.cpp
@@ -126,8 +126,17 @@
 
 run_tools node::parts::tools()
 {
-    return {options, self,  time,     ledger,  targets,
-            routes,  table, suspects, retries, stopping};
+    return {options,
+            self,
+            time,
+            ledger,
+            targets,
+            routes,
+            table,
+            suspects,
+            retries,
+            stopping,
+            [this] { push_suspects(); }};
 }
 
 result<std::string> node::parts::answer(peer::topic what,
@@ -233,8 +242,10 @@
     suspects.expire(time.now());
     std::set<incarnation_id> others;
     const auto view = members.peers();
+    // A node that can't be reached may run a copy of a suspect all the same;
+    // only one that left the host list can't.
     for (const peer_info& it : *view) {
-        if (!it.life.empty() && it.up)
+        if (!it.life.empty() && (it.up || it.listed))
             others.insert(it.life);
     }
     suspects.set_peers(others);
--- a/libs/node/request_runner.cpp
+++ b/libs/node/request_runner.cpp
@@ -398,6 +398,9 @@
         return {.kind = silent ? event_kind::target_silent
                                : event_kind::connection_lost};
     avoid_.push_back(at.config.id);
+    // Before the caller hears of it: it may send the request to another node
+    // at once, and that node must know by then.
+    tools_.tell_suspects();
     return {.kind = event_kind::target_died};
 }
 
--- a/libs/node/request_runner.hpp
+++ b/libs/node/request_runner.hpp
@@ -17,6 +17,7 @@
 #include "target_service.hpp"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <unordered_map>
 
@@ -67,6 +68,7 @@
     request::suspect_list& suspects;
     request::retry_budget& retries;
     const std::atomic<bool>& stopping;
+    std::function<void()> tell_suspects; ///< Pushes news of them to all nodes.
 };
 
 /// Receives the answer's text; false once the caller has gone.
