Ask the node that holds a claim; serve known keys while leaving

Cause: a ticket without an origin, retried at another node than the first, was told unknown or answered without its text; and a node that leaves told retries of what it runs not_run. Seen with stand-ins: one ticket sent to three nodes at once, and to each in turn, gives one execution and three times the same receipt.

--- a/libs/node/caller_api.cpp
+++ b/libs/node/caller_api.cpp
@@ -230,9 +230,13 @@
     it.reply({.body = gateway::error_body(reply_of(**found, key), "")});
 }
 
-bool caller_api::ready(http::exchange& it, const gateway::call_head&)
+bool caller_api::ready(http::exchange& it, const gateway::call_head& head)
 {
-    if (tools_.stopping) {
+    // A retry of what runs or ran here is no new work: told `not_run`, its
+    // caller would send it anew under another key, and it would run twice.
+    const bool known =
+        !head.key.empty() && tools_.table.knows(head.team, head.key);
+    if (tools_.stopping && !known) {
         reply_refused(it, 503, to_string(reply_code::shutting_down), {},
                       milliseconds(1));
         return false;
@@ -438,7 +442,7 @@
     }
     if (verdict == origin_verdict::look_up)
         return answer_from_journal(it, what, facts.origin->node);
-    run_here(it, what, form);
+    run_here(it, what, form, body);
 }
 
 // Passes the request on to the node that its key is bound to, and the answer
@@ -528,7 +532,8 @@
 }
 
 void caller_api::run_here(http::exchange& it, runnable& what,
-                          const gateway::answer_form& form)
+                          const gateway::answer_form& form,
+                          std::string_view body)
 {
     gateway::answer_writer out(it, form);
     while (true) {
@@ -551,6 +556,14 @@
                                 return true;
                             });
             const auto reply = run.run();
+            // The claim is another node's, which knows what became of it and
+            // has the answer; if it's gone, the journal may have it.
+            if (reply.code == reply_code::claimed_elsewhere &&
+                !what.head.forwarded && reply.origin != tools_.self) {
+                if (!forward(it, what, reply.origin, body))
+                    answer_from_journal(it, what, reply.origin);
+                return;
+            }
             count(what, reply, pace);
             if (whole)
                 out.end_call(reply, run.result().status,
--- a/libs/node/caller_api.hpp
+++ b/libs/node/caller_api.hpp
@@ -50,7 +50,7 @@
     void carry(http::exchange& it, runnable what,
                const gateway::answer_form& form, std::string_view body);
     void run_here(http::exchange& it, runnable& what,
-                  const gateway::answer_form& form);
+                  const gateway::answer_form& form, std::string_view body);
     void join(const request::admission& admitted, gateway::answer_writer& out,
               const runnable& what);
     bool forward(http::exchange& it, const runnable& what,
