--- a/tools/capacity/capacity.py
+++ b/tools/capacity/capacity.py
@@ -7,7 +7,8 @@
 The page's text is page.md beside this script; `{name}` in it is a figure.
 A bench that the binary does not have leaves "not measured" in the page.
 
---reuse takes the points of docs/capacity/measured.json instead of measuring.
+Points are kept in docs/capacity/measured.json with their commits; --only
+takes those of some benches anew.
 """
 
 import argparse
@@ -203,6 +204,17 @@
     return {}
 
 
+def measure_history(table):
+    found = bench("history")
+    if not found:
+        return {}
+    series = Series(table, "history_check", "lines", "s", "history")
+    for row in found:
+        series.add(row["lines"], row["check_seconds"])
+    return {"history_lines": found[-1]["lines"],
+            "history_seconds": found[-1]["check_seconds"]}
+
+
 def measure_budgets(table):
     writes = Series(table, "budget_writes", "budgets", "writes/s",
                     "budgets --fleet large --large-budgets N")
@@ -226,23 +238,40 @@
     return extra
 
 
-def measure_all():
-    """All points, single figures and where they were taken."""
-    table, extra = {}, {}
-    for step in (measure_control, measure_config, measure_journal,
-                 measure_requests, measure_reserve, measure_budgets):
-        extra.update(step(table))
-    commit = subprocess.run(["git", "rev-parse", "--short", "HEAD"], cwd=ROOT,
-                            stdout=subprocess.PIPE, check=True, text=True)
+STEPS = {
+    "control": measure_control,
+    "config": measure_config,
+    "journal": measure_journal,
+    "requests": measure_requests,
+    "reserve": measure_reserve,
+    "history": measure_history,
+    "budgets": measure_budgets,
+}
+
+
+def current_commit():
+    done = subprocess.run(["git", "rev-parse", "--short", "HEAD"], cwd=ROOT,
+                          stdout=subprocess.PIPE, check=True, text=True)
+    return done.stdout.strip()
+
+
+def measure(names, measured):
+    """Takes the named steps' points anew and keeps the rest."""
+    for name in names:
+        table = {}
+        measured["single"].update(STEPS[name](table))
+        for series, it in table.items():
+            if it["points"]:
+                it["commit"] = current_commit()
+                measured["series"][series] = it
+        MEASURED.write_text(json.dumps(measured, indent=1) + "\n")
     processor = re.search(r"model name\s*: (.*)",
                           pathlib.Path("/proc/cpuinfo").read_text())
-    machine = (f"{os.cpu_count()} cores of "
-               f"{processor.group(1) if processor else platform.machine()}, "
-               f"load average {os.getloadavg()[0]:.1f} at the end")
-    return {"commit": commit.stdout.strip(), "machine": machine,
-            "series": {name: it for name, it in table.items()
-                       if it["points"]},
-            "single": extra}
+    measured["machine"] = (
+        f"{os.cpu_count()} cores of "
+        f"{processor.group(1) if processor else platform.machine()}, "
+        f"load average {os.getloadavg()[0]:.1f} at the end")
+    MEASURED.write_text(json.dumps(measured, indent=1) + "\n")
 
 
 def fit(points):
@@ -275,8 +304,8 @@
 
 def slope_table(series, fits):
     lines = ["| cost | over | points | start | slope | R² | "
-             "largest residual | measured by |",
-             "| --- | --- | --- | --- | --- | --- | --- | --- |"]
+             "largest residual | measured by | at commit |",
+             "| --- | --- | --- | --- | --- | --- | --- | --- | --- |"]
     for name, it in series.items():
         points = ", ".join(f"{short(x)}: {short(y)}" for x, y in it["points"])
         line = fits[name]
@@ -284,7 +313,7 @@
             f"| {name} ({it['unit']}) | {it['size']} | {points} | "
             f"{short(line['start'])} | {short(line['slope'])} | "
             f"{line['r2']:.3f} | {100 * line['residual']:.0f} % of the "
-            f"largest | `{it['command']}` |")
+            f"largest | `{it['command']}` | {it['commit']} |")
     return "\n".join(lines)
 
 
@@ -461,7 +490,6 @@
 def write_page(measured, model):
     figures = {name: short(value) for name, value in derive(model).items()}
     figures["slopes"] = slope_table(model.series, model.fits)
-    figures["commit"] = measured["commit"]
     figures["machine"] = measured["machine"]
     text = re.sub(r"\{(\w+)\}",
                   lambda it: figures.get(it.group(1), MISSING),
@@ -471,15 +499,16 @@
 
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--reuse", action="store_true",
-                        help="take the points of the last run")
+    parser.add_argument("--only", default=",".join(STEPS),
+                        help="benches to run, by comma; the points of the "
+                             "others stay as they are; 'none' only writes")
     options = parser.parse_args()
     FOLDER.mkdir(parents=True, exist_ok=True)
-    if options.reuse:
+    measured = {"series": {}, "single": {}}
+    if options.only != ",".join(STEPS) and MEASURED.exists():
         measured = json.loads(MEASURED.read_text())
-    else:
-        measured = measure_all()
-        MEASURED.write_text(json.dumps(measured, indent=1) + "\n")
+    names = [it for it in options.only.split(",") if it != "none"]
+    measure(names, measured)
     model = Model(measured)
     draw(model)
     write_page(measured, model)
