--- a/include/fennelladder/journal/layout.hpp
+++ b/include/fennelladder/journal/layout.hpp
@@ -39,6 +39,12 @@
                                         const journal_layout& wanted,
                                         findings& found);
 
+/// Reads the stored layout under `prefix` and never stores one, for tools that
+/// only look. Errors: those of the store (`not_found`: no node has started
+/// yet), and `corrupt`. Thread safe.
+result<journal_layout> find_layout(platform::object_store& store,
+                                   const std::string& prefix = "journal");
+
 /// The shard of a team's budgets, bills and keys. Precondition: shards > 0.
 shard_id shard_of(const team_id& team, std::uint32_t shards);
 
--- a/libs/journal/layout.cpp
+++ b/libs/journal/layout.cpp
@@ -92,6 +92,12 @@
     return stored;
 }
 
+result<journal_layout> find_layout(platform::object_store& store,
+                                   const std::string& prefix)
+{
+    return read_layout(store, platform::object_key(prefix + "/layout"), prefix);
+}
+
 shard_id shard_of(const team_id& team, std::uint32_t shards)
 {
     return shard_id(hash64(team.str()) % shards);
