--- a/apps/fennelladder/main.cpp
+++ b/apps/fennelladder/main.cpp
@@ -19,6 +19,7 @@
     {"bench", "measurements, each beside its baselines", run_bench},
     {"standin", "platform, engine or service for trying out", run_standin},
     {"report", "reports for operators", run_report},
+    {"status", "how nodes, targets, budgets and platform are", run_status},
     {"topup", "prepay tokens of a budget, once by id", run_topup},
     {"validate", "check a manifest, report all findings", run_validate},
     {"check-history", "judges the record of a run", run_check_history},
