Add bench path

Cause: what the way through a node adds was not measured. Change: bench path asks engines directly and through a node in turn, in one run; trial::fleet tells the engines' URLs.

--- a/apps/fennelladder/benches.hpp
+++ b/apps/fennelladder/benches.hpp
@@ -13,6 +13,7 @@
 int run_bench_history(int argc, char** argv);
 int run_bench_journal(int argc, char** argv);
 int run_bench_budgets(int argc, char** argv);
+int run_bench_path(int argc, char** argv);
 int run_bench_requests(int argc, char** argv);
 int run_bench_reserve(int argc, char** argv);
 
--- a/apps/fennelladder/command_bench.cpp
+++ b/apps/fennelladder/command_bench.cpp
@@ -22,6 +22,8 @@
     {"history", "what recording and checking a history cost",
      run_bench_history},
     {"journal", "calls, bytes and time of the journal", run_bench_journal},
+    {"path", "what the way through a node adds, beside direct calls",
+     run_bench_path},
     {"requests", "time and memory of a request beside its I/O",
      run_bench_requests},
 });
--- a/include/fennelladder/trial/fleet.hpp
+++ b/include/fennelladder/trial/fleet.hpp
@@ -69,6 +69,10 @@
     /// "IP:port" of every node that runs.
     std::vector<std::string> addresses() const;
 
+    /// "http://IP:port" of every engine that serves `model`, for callers that
+    /// go around the nodes.
+    std::vector<std::string> engine_urls(const model_id& model) const;
+
     void begin(fault what);
     void end(fault what);
 
--- a/libs/trial/fleet.cpp
+++ b/libs/trial/fleet.cpp
@@ -213,6 +213,20 @@
     return all;
 }
 
+std::vector<std::string> fleet::engine_urls(const model_id& model) const
+{
+    std::vector<std::string> all;
+    const auto add = [&](const auto& engines) {
+        for (const auto& it : engines)
+            all.push_back(it->url());
+    };
+    if (model == plan_.long_model)
+        add(long_engines_);
+    if (model == plan_.short_model)
+        add(short_engines_);
+    return all;
+}
+
 void fleet::begin(fault what)
 {
     switch (what) {
