Pass heartbeats' news on at once and log the member table's events

Cause: news that a message brought in waited for the next beat (100 ms), and suspicions and deaths were never logged (events 1700 to 1704). Change: after a message or a reply with something to send, the table is moved on from the call queue, one such call at a time. take_events() is logged.

--- a/libs/node/member_service.cpp
+++ b/libs/node/member_service.cpp
@@ -5,6 +5,7 @@
 #include "member_service.hpp"
 
 #include "fennelladder/membership/messages.hpp"
+#include "fennelladder/telemetry/log.hpp"
 
 #include <algorithm>
 
@@ -76,12 +77,22 @@
 }
 
 void member_service::tick()
+{
+    send_due();
+    refresh_view();
+}
+
+void member_service::send_due()
 {
     std::vector<membership::outgoing> todo;
+    std::vector<membership::member_event> events;
     {
         const std::lock_guard lock(mutex_);
         todo = table_->tick(clock_.now());
+        events = table_->take_events();
     }
+    for (const membership::member_event& it : events)
+        telemetry::log_event(it.number, {{"host", it.host.str()}});
     for (membership::outgoing& it : todo) {
         const host_id host = it.host;
         if (calls_.post([this, it = std::move(it)] { send(it); }))
@@ -89,7 +100,20 @@
         const std::lock_guard lock(mutex_);
         table_->send_failed(host, clock_.now());
     }
-    refresh_view();
+}
+
+// News that came in go on at once rather than at the next beat. One call at a
+// time: a burst of messages must not fill the queue that all parts share.
+void member_service::send_soon()
+{
+    if (sending_soon_.exchange(true))
+        return;
+    const bool posted = calls_.post([this] {
+        sending_soon_ = false;
+        send_due();
+    });
+    if (!posted)
+        sending_soon_ = false;
 }
 
 void member_service::send(const membership::outgoing& it)
@@ -105,8 +129,14 @@
     const auto reply = membership::decode_heartbeat_reply(*bytes);
     if (!reply)
         return;
-    const std::lock_guard lock(mutex_);
-    table_->receive_reply(*reply, clock_.now());
+    bool more = false;
+    {
+        const std::lock_guard lock(mutex_);
+        table_->receive_reply(*reply, clock_.now());
+        more = table_->has_outgoing();
+    }
+    if (more)
+        send_soon();
 }
 
 result<std::string> member_service::on_heartbeat(std::string_view bytes)
@@ -114,12 +144,20 @@
     const auto message = membership::decode_heartbeat(bytes);
     if (!message)
         return tl::unexpected(message.error());
-    const std::lock_guard lock(mutex_);
-    // Other nodes may know this address from an earlier life, and ask before
-    // this one has described itself.
-    if (!table_)
-        return fail(error_code::unavailable, "starting");
-    return membership::encode(table_->receive(*message, clock_.now()));
+    membership::heartbeat_reply answer;
+    bool more = false;
+    {
+        const std::lock_guard lock(mutex_);
+        // Other nodes may know this address from an earlier life, and ask
+        // before this one has described itself.
+        if (!table_)
+            return fail(error_code::unavailable, "starting");
+        answer = table_->receive(*message, clock_.now());
+        more = table_->has_outgoing();
+    }
+    if (more)
+        send_soon();
+    return membership::encode(answer);
 }
 
 void member_service::refresh_view()
--- a/libs/node/member_service.hpp
+++ b/libs/node/member_service.hpp
@@ -11,6 +11,7 @@
 #include "fennelladder/peer/peer_service.hpp"
 #include "fennelladder/platform/host_list.hpp"
 
+#include <atomic>
 #include <memory>
 #include <mutex>
 #include <shared_mutex>
@@ -72,6 +73,8 @@
     std::size_t rank(std::string_view duty, bool everywhere) const;
 
 private:
+    void send_due();
+    void send_soon();
     void send(const membership::outgoing& it);
     void refresh_view();
 
@@ -81,7 +84,8 @@
     const clock& clock_;
     call_queue& calls_;
 
-    mutable std::mutex mutex_; // guards table_
+    std::atomic<bool> sending_soon_{false}; // send_due() is in calls_
+    mutable std::mutex mutex_;              // guards table_
     std::unique_ptr<membership::member_table> table_;
 
     mutable std::shared_mutex view_mutex_; // guards the two below
