Let nodes give orders to engines

Cause: libs/fleet was finished but no node ran it: an engine that came up empty stayed so. Leases are handed back when a node leaves in order, and left to lapse when it dies. The node's load is told once a second instead of every 100 ms, so that it isn't news all the time. Figures: none measured beside the tests in virtual time.

--- a/include/fennelladder/fleet/order_issuer.hpp
+++ b/include/fennelladder/fleet/order_issuer.hpp
@@ -92,6 +92,9 @@
                  const clock& clock, incarnation_id self,
                  const issuer_options& options, std::uint64_t seed);
 
+    /// Limits of claims from now on; those of all issuers should agree.
+    void set_limits(const board_limits& limits) { options_.limits = limits; }
+
     /// Renews or takes leases, reads back the engines that are due and gives
     /// at most one order to each.
     void step(const issuer_input& input);
--- a/include/fennelladder/node/node.hpp
+++ b/include/fennelladder/node/node.hpp
@@ -17,6 +17,8 @@
 //     budget_agent, then allotment stripes;
 //     router, request_table, suspect_list, metrics: leaves.
 //
+// order_service takes no locks: one background thread runs it.
+//
 // No lock is held during a call to the platform, a peer or a target, except a
 // committer's own flush lock.
 
--- a/libs/node/node.cpp
+++ b/libs/node/node.cpp
@@ -11,6 +11,7 @@
 #include "fennelladder/platform/budgeted_object_store.hpp"
 #include "fennelladder/platform/platform_client.hpp"
 #include "fennelladder/telemetry/log.hpp"
+#include "order_service.hpp"
 
 #include <algorithm>
 
@@ -99,6 +100,7 @@
     request::request_table table;
     request::retry_budget retries;
     caller_api api;
+    order_service orders;
     std::unique_ptr<peer::thrift_peer_server> peer_server;
     std::unique_ptr<http::server> caller_server;
     recurring_tasks tasks;
@@ -125,7 +127,13 @@
       targets(options, connections, routes, suspects, time, calls),
       ledger(options, self, safety_store, peers, members, config, time, calls),
       table({.seed = options.seed}), retries({}, time.now()),
-      api(tools(), config, members, connections, metrics, levels, options.seed)
+      api(tools(), config, members, connections, metrics, levels, options.seed),
+      orders(
+          self, refill_store, time, options.seed + 200,
+          [this](std::string_view duty) {
+              return members.rank(duty, true) == 0;
+          },
+          make_engine_clients(connections))
 {}
 
 run_tools node::parts::tools()
@@ -195,11 +203,12 @@
 void node::parts::start_work()
 {
     members.describe(caller_server->address(), peer_server->address());
-    tasks.add(beat, [this] {
+    tasks.add(second_beat, [this] {
         const auto share = 1000 * api.active() / std::max(options.threads, 1);
         members.set_load(static_cast<std::uint32_t>(share));
-        members.tick();
     });
+    tasks.add(beat, [this] { members.tick(); });
+    tasks.add(second_beat, [this] { orders.tick(config.in_force()); });
     tasks.add(beat, [this] { config.tick(); });
     tasks.add(milliseconds(1), [this] { config.watch(); });
     tasks.add(beat, [this] {
@@ -368,6 +377,7 @@
     it.links.cut_platform(true);
     it.links.cut_peers(true);
     it.stopping = true;
+    it.orders.stop();
     it.caller_server->abort();
 }
 
@@ -386,9 +396,10 @@
                          {{"host", it.options.host.str()}});
     it.members.set_state(membership::member_state::draining);
     it.stopping = true;
+    it.orders.leave();
     bool done = false;
     while (!done && it.time.now() < until) {
-        done = it.api.active() == 0 && it.ledger.drain();
+        done = it.api.active() == 0 && it.ledger.drain() && it.orders.is_out();
         if (!done)
             std::this_thread::sleep_for(drain_step);
     }
