--- a/apps/fennelladder/books_reader.cpp
+++ b/apps/fennelladder/books_reader.cpp
@@ -162,7 +162,8 @@
     const auto opened_at = log.read_checkpoint_position();
     if (!opened_at)
         return tl::unexpected(opened_at.error());
-    const auto make = [&](std::uint64_t sequence, budget::record_body body) {
+    const auto make = [&](std::uint64_t sequence,
+                          const budget::record_body& body) {
         journal::record made;
         const bool last = sequence == leave_sequence;
         made.mark = {writer, sequence, last ? topup_sequence : 0, *opened_at};
--- a/apps/fennelladder/command_status.cpp
+++ b/apps/fennelladder/command_status.cpp
@@ -145,6 +145,7 @@
                                     http::client& connections)
 {
     std::vector<target_row> rows;
+    rows.reserve(all.size());
     for (manifest::target& it : all)
         rows.push_back({std::move(it), target::load_status()});
     std::atomic<std::size_t> next{0};
