Count the node's first byte at the first piece; judge both goals

Cause: a comment sent before the answer would have counted as its first byte, and the goal was judged by the first byte alone. Change: the first event with a piece counts; first byte and end are judged each.

--- a/apps/fennelladder/bench_path.cpp
+++ b/apps/fennelladder/bench_path.cpp
@@ -4,8 +4,10 @@
 // N threads has one stream open at a time and alternates between asking an
 // engine directly and asking the node, so that both ways meet the same load
 // of the machine at the same time; half of the threads begin with each. Both
-// ways ask for the same completions of the same engines. The CPU and memory
-// are the whole process's: callers, engines, platform and node together.
+// ways ask for the same completions of the same engines. An engine puts out
+// tokens in steps of 2 ms, so a delay below a step may not show in a single
+// request. The CPU and memory are the whole process's: callers, engines,
+// platform and node together.
 
 #include "benches.hpp"
 #include "command.hpp"
@@ -142,13 +144,15 @@
         it.code = "no_answer";
         std::string pending;
         const auto began = steady::now();
-        connections_.stream(
-            what, {.first_byte = seconds(10)}, [&](std::string_view bytes) {
-                if (it.first_byte_ms == 0)
-                    it.first_byte_ms = milliseconds_since(began);
-                pending += bytes;
-                return true;
-            });
+        // The first piece of the answer counts; a comment before it doesn't.
+        const auto on_bytes = [&](std::string_view bytes) {
+            pending += bytes;
+            if (it.first_byte_ms == 0 &&
+                pending.find("\"choices\"") != std::string::npos)
+                it.first_byte_ms = milliseconds_since(began);
+            return true;
+        };
+        connections_.stream(what, {.first_byte = seconds(10)}, on_bytes);
         it.end_ms = milliseconds_since(began);
         judge(pending, it);
         return it;
@@ -373,9 +377,11 @@
         {"process_peak_rss_mb", memory_mb("VmHWM:")},
         {"goal_p50_ms", goal_p50_ms},
         {"goal_p99_ms", goal_p99_ms}};
-    const json& first = out["first_byte"];
-    out["met"] = first["p50"]["added_ms"].get<double>() < goal_p50_ms &&
-                 first["p99"]["added_ms"].get<double>() < goal_p99_ms;
+    for (const char* way : {"first_byte", "end"}) {
+        const json& of = out[way];
+        out["met"][way] = of["p50"]["added_ms"].get<double>() < goal_p50_ms &&
+                          of["p99"]["added_ms"].get<double>() < goal_p99_ms;
+    }
     return out;
 }
 
@@ -391,20 +397,21 @@
                         row["added_ms"].get<double>());
         }
     }
-    std::printf("%d streams, %.0f requests/s; failed: direct %s, node %s\n"
-                "whole process: %.1f cores, %.0f us CPU a request, %.0f MB "
-                "(peak %.0f); load before %s on %u cores\n"
-                "goal (first byte): p50 < %.0f ms, p99 < %.0f ms added: %s\n",
-                it["streams"].get<int>(), it["requests_per_s"].get<double>(),
-                it["direct_failed"].dump().c_str(),
-                it["node_failed"].dump().c_str(),
-                it["process_cpu_cores"].get<double>(),
-                it["process_cpu_us_per_request"].get<double>(),
-                it["process_rss_mb"].get<double>(),
-                it["process_peak_rss_mb"].get<double>(),
-                it["load_before"].get<std::string>().c_str(),
-                it["cores"].get<unsigned>(), goal_p50_ms, goal_p99_ms,
-                it["met"].get<bool>() ? "met" : "missed");
+    std::printf(
+        "%d streams, %.0f requests/s; failed: direct %s, node %s\n"
+        "whole process: %.1f cores, %.0f us CPU a request, %.0f MB "
+        "(peak %.0f); load before %s on %u cores\n"
+        "goal p50 < %.0f ms, p99 < %.0f ms added: first byte %s, end %s\n",
+        it["streams"].get<int>(), it["requests_per_s"].get<double>(),
+        it["direct_failed"].dump().c_str(), it["node_failed"].dump().c_str(),
+        it["process_cpu_cores"].get<double>(),
+        it["process_cpu_us_per_request"].get<double>(),
+        it["process_rss_mb"].get<double>(),
+        it["process_peak_rss_mb"].get<double>(),
+        it["load_before"].get<std::string>().c_str(),
+        it["cores"].get<unsigned>(), goal_p50_ms, goal_p99_ms,
+        it["met"]["first_byte"].get<bool>() ? "met" : "missed",
+        it["met"]["end"].get<bool>() ? "met" : "missed");
 }
 
 settings::settings declare_settings()
