--- a/apps/fennelladder/bench_path.cpp
+++ b/apps/fennelladder/bench_path.cpp
@@ -292,6 +292,7 @@
     std::atomic<bool> counts{false};
     std::atomic<bool> over{false};
     std::vector<std::thread> threads;
+    threads.reserve(parts.size());
     for (int n = 0; n < plan.streams; ++n) {
         threads.emplace_back([&, n] {
             const auto place = static_cast<std::size_t>(n);
