Report every transfer when two shards' carry one number

Cause: after a platform outage nodes could not leave in order. A giver counts its transfers shard by shard, but the taker kept unreported ones by giver and number alone. Ruled out: a give-back refunded though applied (no unreadable verdict in the log), a transfer refunded and credited (the word on an ask is kept with its credit), and a stale granted_total (it can only credit too little). Change: the taker keeps them by budget and id. Test: two budgets of two shards with one number; with the old key it finds 1 report instead of 2.

--- a/include/fennelladder/budget/records.hpp
+++ b/include/fennelladder/budget/records.hpp
@@ -114,7 +114,8 @@
     instant at;
 };
 
-/// Names a transfer: the giver, and a number it gives to no other.
+/// Names a transfer in a shard: the giver, and a number that it gives to no
+/// other one there.
 struct transfer_id
 {
     incarnation_id giver;
--- a/include/fennelladder/budget/transfer_ledger.hpp
+++ b/include/fennelladder/budget/transfer_ledger.hpp
@@ -134,7 +134,7 @@
     /// Transfers credited that the books have not been told of. Each comes
     /// once, and again if reported() says that it did not get through.
     std::vector<transfer> reports();
-    void reported(const transfer_id& id, bool taken);
+    void reported(const transfer& moved, bool taken);
 
     /// Transfers credited and not yet in the books.
     std::size_t unreported() const
@@ -192,8 +192,12 @@
     std::map<ask_key, open_word> words_;
     // Words by when they are due; entries of words that are done are stale.
     std::multimap<instant, ask_key> due_;
-    std::map<transfer_id, transfer> to_report_;
-    std::map<transfer_id, transfer> in_report_;
+    // By the budget too, for a giver counts its transfers shard by shard. By
+    // the id alone, of two reports for two shards one would be lost, and its
+    // tokens could be neither billed nor given back.
+    using report_key = std::pair<budget_id, transfer_id>;
+    std::map<report_key, transfer> to_report_;
+    std::map<report_key, transfer> in_report_;
 };
 
 } // namespace fennelladder::budget
--- a/libs/budget/budget_agent.cpp
+++ b/libs/budget/budget_agent.cpp
@@ -321,7 +321,7 @@
         // be reported in the wrong order, and a report that is given up leaves
         // its tokens out for good.
         const bool taken = made != nullptr && made->what != verdict::refused;
-        transfers_.reported(moved->id, taken);
+        transfers_.reported(*moved, taken);
     } else if (std::holds_alternative<join>(wish.body)) {
         shard_state& state = shards_[wish.shard];
         state.join = applied ? join_state::joined : join_state::none;
--- a/libs/budget/transfer_ledger.cpp
+++ b/libs/budget/transfer_ledger.cpp
@@ -133,7 +133,8 @@
     if (reply.amount > tokens(0)) {
         keep_word(key, true, now);
         table_.credit_transfer(budget, reply.amount, now);
-        to_report_[reply.id] = {reply.id, budget, self_, reply.amount};
+        to_report_[{budget, reply.id}] = {reply.id, budget, self_,
+                                          reply.amount};
     }
     close_ask(key);
     return reply.amount;
@@ -189,15 +190,15 @@
 std::vector<transfer> transfer_ledger::reports()
 {
     std::vector<transfer> made;
-    for (const auto& [id, it] : to_report_)
+    for (const auto& [key, it] : to_report_)
         made.push_back(it);
     in_report_.merge(to_report_);
     return made;
 }
 
-void transfer_ledger::reported(const transfer_id& id, bool taken)
+void transfer_ledger::reported(const transfer& moved, bool taken)
 {
-    const auto it = in_report_.find(id);
+    const auto it = in_report_.find({moved.budget, moved.id});
     if (it == in_report_.end())
         return;
     if (!taken)
--- a/libs/budget/transfer_ledger_test.cpp
+++ b/libs/budget/transfer_ledger_test.cpp
@@ -43,6 +43,33 @@
 
 TEST_GROUP_BASE(transfer, transfer_fixture){};
 
+// After a platform outage a node can't leave: its give-backs are refused for
+// good. It got tokens of two budgets from one giver, which counts its transfers
+// shard by shard, so that both had the number 1. While no report got out, the
+// second took the place of the first, which the books were never told.
+TEST(transfer, reports_of_two_shards_with_one_number_both_get_out)
+{
+    const budget_id other("other");
+    giving.credit_grant(other, tokens(100), at(0));
+    giving.raise_ceiling(other, tokens(80));
+    const auto move = [&](const budget_id& budget, shard_id where) {
+        const auto ask = mine.ask(giver, budget, tokens(9), tokens(9), at(0));
+        mine.accept(theirs.give(ask, tokens(9), where), at(0));
+    };
+    move(fund, shard);
+    move(other, shard_id(2));
+    auto reports = mine.reports();
+    LONGS_EQUAL(2, reports.size());
+    CHECK(reports[0].id == reports[1].id);
+    CHECK(reports[0].budget != reports[1].budget);
+    mine.reported(reports[0], true);
+    mine.reported(reports[1], false);
+    reports = mine.reports();
+    LONGS_EQUAL(1, reports.size());
+    mine.reported(reports[0], true);
+    LONGS_EQUAL(0, mine.unreported());
+}
+
 // Messages between giver and taker are lost, doubled or late. A caller may be
 // refused for it, but the tokens of both sides together never grow, and after
 // both have spoken again they are the same as before. Steps, in order:
@@ -123,9 +150,9 @@
     const auto reports = mine.reports();
     CHECK(theirs.take_over(taker).front().id == reports.front().id);
     LONGS_EQUAL(0, mine.reports().size());
-    mine.reported(reports.front().id, false);
+    mine.reported(reports.front(), false);
     LONGS_EQUAL(1, mine.reports().size());
-    mine.reported(reports.front().id, true);
+    mine.reported(reports.front(), true);
     LONGS_EQUAL(0, mine.unreported());
     LONGS_EQUAL(0, theirs.unconfirmed().count());
 }
