Fold reports of transfers that wait for each other

Change: the report of a giver in good standing, or fenced, is folded whatever the books think it has, up to what the budget was topped up by. Its sum may go below zero, as that of a node that bills early; effective() of such a holder is a plain sum, so that the total over holders is exact in any order. A settled or released giver, whose sum is clamped, still has to be covered.

--- a/libs/budget/budget_books.cpp
+++ b/libs/budget/budget_books.cpp
@@ -10,9 +10,10 @@
 // entry and then calls recommit(), so that the cost of a record is the number
 // of holders of its budget (at most the fleet).
 //
-// Transfers: taker and giver may both report one, or the taker's bills may
-// come in before the report. Until it is in, the tokens count at the giver,
-// whose ceiling covers them, so nothing is counted less than it is.
+// Transfers: taker and giver may both report one, or the taker's bills and
+// gifts may come in before the report. Until it is in, the tokens count at the
+// giver, whose ceiling covers them, so nothing is counted less than it is; the
+// taker's own effective() may be below what it billed, or below zero.
 //
 // An unknown sender can only top up, fence, release and join: what it would
 // hold or charge has no entry to go to.
@@ -414,14 +415,26 @@
     if (!giver || !taker || *giver == *taker || found == budgets_.end())
         return only(verdict::refused);
     budget_entry& entry = found->second;
-    const auto from = find_holding(entry.holdings, *giver);
+    auto from = find_holding(entry.holdings, *giver);
     const std::int64_t n = wish.amount.count();
     if (holders_[*giver].transfers.contains(wish.id.number))
         return answer(entry, sender, verdict::replayed);
-    // The giver may have passed on what it was given itself, and that report
-    // is not folded yet. The number isn't used up by a refusal, so that the
-    // report counts when it is sent again.
-    if (from == entry.holdings.end() || effective(*from) - from->billed < n)
+    // Guards against reports that wait for each other for ever: a gave to b, b
+    // gave some back, and a returned or billed that before either report came.
+    // Seen as tokens that can't be returned after an outage. A giver whose sum
+    // can't shrink may go below zero, as may one that bills early (charge):
+    // what it gets is then still counted at the node that gave it that, so the
+    // sum over all holders is right in any order of the reports.
+    const standing state = holders_[*giver].state;
+    const bool whole = state == standing::good || state == standing::fenced;
+    if (whole && n <= entry.topped_up && from == entry.holdings.end())
+        from = entry.holdings.insert(from, holding_entry{.holder = *giver});
+    const bool covered =
+        from != entry.holdings.end() &&
+        (whole ? n <= entry.topped_up : effective(*from) - from->billed >= n);
+    // The number isn't used up by a refusal, so that the report counts when it
+    // is sent again.
+    if (!covered)
         return answer(entry, sender, verdict::refused);
     holders_[*giver].transfers.insert(wish.id.number);
     from->given += n;
