Let a leaving node wait for its reports, and for nothing else

Cause: three faults of leaving in order. (1) A request that found no tokens makes an entry in the node's table and none in the books; its give-back is refused for want of one and sent again until time runs out. (2) A node counted as done with reports of transfers still out, so that its giver's tokens stayed counted at the giver. Change: an entry that the books say is closed is dropped whatever the verdict; done() waits for reports; a give-back without a verdict stays out. Tests: budget_agent_test, one each; all three fail on the old agent.

--- a/include/fennelladder/budget/budget_agent.hpp
+++ b/include/fennelladder/budget/budget_agent.hpp
@@ -154,12 +154,14 @@
     /// until done().
     void drain(instant now, agent_output& out);
 
-    /// Nothing is out, no bill waits.
+    /// Nothing is out, no bill or report waits.
     bool done() const;
 
     // -- answers
 
-    /// A wish came out as `made`. Null: it is provably not in the journal.
+    /// A wish came out as `made`. Null: it is provably not in the journal, or
+    /// it was one that is safe to send again. `replayed` for a give_back: the
+    /// journal has it and doesn't keep how it came out.
     void on_outcome(const book_wish& wish, const outcome* made, instant now,
                     agent_output& out);
 
@@ -222,6 +224,7 @@
     void start_raise(const record_ceiling& action, agent_output& out);
     void start_return(const return_tokens& action, agent_output& out);
     void report_transfers(agent_output& out);
+    bool all_in() const;
     void send_bills(agent_output& out);
     void send_copies(instant now, agent_output& out);
     void on_bill(const book_wish& wish, const bill& sent, const outcome* made);
--- a/libs/budget/budget_agent.cpp
+++ b/libs/budget/budget_agent.cpp
@@ -132,17 +132,25 @@
     }
     report_transfers(out);
     send_bills(out);
-    if (bills_.size() > 0 || table_.size() > 0 || left_)
+    if (!all_in() || left_)
         return;
     left_ = true;
     for (const auto& [shard, state] : shards_)
         out.wishes.push_back({shard, leave{}});
 }
 
+// A report that is still out counts: without it the giver's own tokens are in
+// the books as if it had them, and it can't leave in order either.
+bool budget_agent::all_in() const
+{
+    return bills_.size() == 0 && table_.size() == 0 &&
+           transfers_.unreported() == 0;
+}
+
 bool budget_agent::done() const
 {
     const std::lock_guard lock(mutex_);
-    return bills_.size() == 0 && table_.size() == 0;
+    return all_in();
 }
 
 // ---- messages out
@@ -310,9 +318,17 @@
         planner_.raised(higher->budget);
         out.woken.push_back(higher->budget);
     } else if (const auto* back = std::get_if<give_back>(&wish.body)) {
-        if (!applied)
+        // Guards against spending what was given back: of a record that the
+        // journal counted earlier it may not keep the verdict (`replayed`).
+        // Left out, the tokens are stranded here at worst.
+        const bool refused = made == nullptr ||
+                             made->what == verdict::refused ||
+                             made->what == verdict::invalid;
+        if (refused)
             table_.refund_return(back->budget, back->amount);
-        if (applied && made->closed && table_.drop(back->budget))
+        // Refused for want of an entry it is closed all the same: a request
+        // that found no tokens has made an entry here and none in the books.
+        if (made != nullptr && made->closed && table_.drop(back->budget))
             planner_.forget(back->budget);
         returning_.erase(back->budget);
         planner_.returned(back->budget);
--- a/libs/node/ledger_service.cpp
+++ b/libs/node/ledger_service.cpp
@@ -205,7 +205,7 @@
 void ledger_service::on_applied(const budget::book_wish& wish,
                                 const journal::applied_record& made)
 {
-    const auto outcome = budget::decode_outcome(made.reply);
+    auto outcome = budget::decode_outcome(made.reply);
     budget::agent_output out;
     if (outcome)
         record_bill(wish, *outcome);
@@ -217,6 +217,12 @@
              {"record", std::to_string(budget::record_type(wish.body))},
              {"verdict",
               std::string(outcome ? to_string(outcome->what) : "unreadable")}});
+    // Without a verdict it may have been applied: for a give-back that must
+    // not be taken for a record that never got there.
+    if (!outcome && std::holds_alternative<budget::give_back>(wish.body)) {
+        outcome.emplace();
+        outcome->what = budget::verdict::replayed;
+    }
     agent_->on_outcome(wish, outcome ? &*outcome : nullptr, clock_.now(), out);
     carry_out(std::move(out));
     wake();
