--- a/include/fennelladder/journal/layout.hpp
+++ b/include/fennelladder/journal/layout.hpp
@@ -19,6 +19,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fennelladder::journal {
@@ -45,6 +46,18 @@
 result<journal_layout> find_layout(platform::object_store& store,
                                    const std::string& prefix = "journal");
 
+/// An open node's layout, prefix and all, for a peer that can't reach the
+/// store.
+std::string encode_layout(const journal_layout& layout);
+
+/// Reads what a peer encoded and reports differences as establish_layout()
+/// does. A peer that is open read it from the store, and it never changes, so
+/// that it is as good as the stored one. Fails with `corrupt`, and with
+/// `invalid` if the peer's journal has another prefix than `wanted`.
+result<journal_layout> adopt_layout(std::string_view bytes,
+                                    const journal_layout& wanted,
+                                    findings& found);
+
 /// The shard of a team's budgets, bills and keys. Precondition: shards > 0.
 shard_id shard_of(const team_id& team, std::uint32_t shards);
 
--- a/include/fennelladder/peer/peer_service.hpp
+++ b/include/fennelladder/peer/peer_service.hpp
@@ -32,7 +32,8 @@
     keep_bills = 5,    ///< copies of bills that wait for the journal
     suspects = 6,      ///< requests that targets died of
     configuration = 7, ///< root or part of the configuration
-    outcome = 8        ///< what became of a request key
+    outcome = 8,       ///< what became of a request key
+    layout = 9         ///< how the journal is cut, see journal/layout.hpp
 };
 
 /// The stable name of a topic, or "unknown".
--- a/libs/journal/fold_test.cpp
+++ b/libs/journal/fold_test.cpp
@@ -209,6 +209,32 @@
               error_code::invalid);
 }
 
+// A node that starts while the platform is down gets the layout from a peer.
+// Damaged on the way, or from another fleet, it must not cut the journal.
+TEST(layout, a_peers_layout_is_taken_only_if_it_is_whole)
+{
+    findings found;
+    const std::string bytes = encode_layout({"j", 4, 64});
+    const auto taken = adopt_layout(bytes, {"j", 4, 64}, found);
+    LONGS_EQUAL(4, taken->shards);
+    LONGS_EQUAL(64, taken->slots);
+    STRCMP_EQUAL("j", taken->prefix.c_str());
+    CHECK(found.empty());
+    LONGS_EQUAL(4, adopt_layout(bytes, {"j", 8, 64}, found)->shards);
+    LONGS_EQUAL(1, found.all().size());
+    CHECK(adopt_layout(bytes, {"k", 4, 64}, found).error().code ==
+          error_code::invalid);
+    CHECK(adopt_layout(encode_layout({"j", 0, 64}), {"j", 4, 64}, found)
+              .error()
+              .code == error_code::corrupt);
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+        std::string damaged = bytes;
+        damaged[n] = static_cast<char>(damaged[n] ^ 1);
+        CHECK(!adopt_layout(damaged, {"j", 4, 64}, found));
+        CHECK(!adopt_layout(bytes.substr(0, n), {"j", 4, 64}, found));
+    }
+}
+
 TEST(layout, a_member_that_leaves_moves_only_its_own_shards)
 {
     std::vector<incarnation_id> members;
--- a/libs/journal/layout.cpp
+++ b/libs/journal/layout.cpp
@@ -29,24 +29,40 @@
            layout.slots >= min_slots && layout.slots <= max_slots;
 }
 
-result<journal_layout> read_layout(platform::object_store& store,
-                                   const platform::object_key& key,
-                                   const std::string& prefix)
+std::string to_bytes(const journal_layout& layout)
 {
-    auto got = store.get(key);
-    if (!got)
-        return tl::unexpected(got.error());
     wire::layout stored;
-    if (auto ok = unpack(got->value, stored); !ok)
-        return fail(error_code::corrupt, key.str() + ": " + ok.error().message);
+    stored.version = stored_version;
+    stored.shards = static_cast<std::int32_t>(layout.shards);
+    stored.slots = static_cast<std::int32_t>(layout.slots);
+    return pack(0, stored);
+}
+
+result<journal_layout> to_layout(std::string_view bytes,
+                                 const std::string& source,
+                                 const std::string& prefix)
+{
+    wire::layout stored;
+    if (auto ok = unpack(bytes, stored); !ok)
+        return fail(error_code::corrupt, source + ": " + ok.error().message);
     const journal_layout layout{prefix,
                                 static_cast<std::uint32_t>(stored.shards),
                                 static_cast<std::uint32_t>(stored.slots)};
     if (!in_bounds(layout))
-        return fail(error_code::corrupt, key.str() + ": counts out of bounds");
+        return fail(error_code::corrupt, source + ": counts out of bounds");
     return layout;
 }
 
+result<journal_layout> read_layout(platform::object_store& store,
+                                   const platform::object_key& key,
+                                   const std::string& prefix)
+{
+    auto got = store.get(key);
+    if (!got)
+        return tl::unexpected(got.error());
+    return to_layout(got->value, key.str(), prefix);
+}
+
 void compare(const journal_layout& stored, const journal_layout& wanted,
              const std::string& source, findings& found)
 {
@@ -73,13 +89,9 @@
     const platform::object_key key(wanted.prefix + "/layout");
     auto stored = read_layout(store, key, wanted.prefix);
     if (!stored && stored.error().code == error_code::not_found) {
-        wire::layout first;
-        first.version = stored_version;
-        first.shards = static_cast<std::int32_t>(wanted.shards);
-        first.slots = static_cast<std::int32_t>(wanted.slots);
         // Two nodes may do this at once, and the reply may be lost: what
         // holds is what is there afterwards, whoever wrote it.
-        (void)store.put(key, pack(0, first),
+        (void)store.put(key, to_bytes(wanted),
                         platform::write_condition::absent());
         stored = read_layout(store, key, wanted.prefix);
     }
@@ -98,6 +110,29 @@
     return read_layout(store, platform::object_key(prefix + "/layout"), prefix);
 }
 
+// The prefix, a zero byte, and the layout as it is stored, checksum included.
+std::string encode_layout(const journal_layout& layout)
+{
+    return layout.prefix + '\0' + to_bytes(layout);
+}
+
+result<journal_layout> adopt_layout(std::string_view bytes,
+                                    const journal_layout& wanted,
+                                    findings& found)
+{
+    const std::string source = "a peer's layout";
+    const std::size_t end = bytes.find('\0');
+    if (end == std::string_view::npos)
+        return fail(error_code::corrupt, source + " has no prefix");
+    auto read = to_layout(bytes.substr(end + 1), source, wanted.prefix);
+    if (!read)
+        return read;
+    if (bytes.substr(0, end) != wanted.prefix)
+        return fail(error_code::invalid, source + " has another prefix");
+    compare(*read, wanted, source, found);
+    return read;
+}
+
 shard_id shard_of(const team_id& team, std::uint32_t shards)
 {
     return shard_id(hash64(team.str()) % shards);
--- a/libs/node/ledger_service.cpp
+++ b/libs/node/ledger_service.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t committer_threads = 4;
 constexpr std::size_t owner_candidates = 2;
 constexpr std::size_t witness_count = 2;
+constexpr std::size_t layout_peers = 3;
 constexpr duration gone_patience = seconds(10);
 constexpr duration topup_travel = seconds(5);
 
@@ -62,16 +63,43 @@
 
 ledger_service::~ledger_service() = default;
 
-status ledger_service::open()
+// Guards against a node that starts during an outage of the platform and stays
+// out of work until its end, though its peers have all else that it needs. A
+// peer's word is as good as the store's, since the layout never changes.
+result<journal::journal_layout> ledger_service::find_layout()
 {
     findings found;
-    const auto layout =
-        journal::establish_layout(store_, {.shards = options_.shards}, found);
-    if (!layout)
-        return tl::unexpected(layout.error());
+    const journal::journal_layout wanted{.shards = options_.shards};
+    auto layout = journal::establish_layout(store_, wanted, found);
+    const bool silent =
+        !layout && (layout.error().code == error_code::unavailable ||
+                    layout.error().code == error_code::ambiguous);
+    std::size_t asked = 0;
+    const auto view = members_.peers();
+    for (const peer_info& it : *view) {
+        if (!silent || layout || asked == layout_peers)
+            break;
+        if (!it.serving)
+            continue;
+        ++asked;
+        const auto bytes =
+            peers_.ask(it.address, peer::topic::layout, {}, ask_timeout);
+        if (!bytes)
+            continue;
+        if (auto read = journal::adopt_layout(*bytes, wanted, found))
+            layout = std::move(read);
+    }
     for (const finding& it : found.all())
         telemetry::log_event(
             it.event, {{"host", options_.host.str()}, {"message", it.message}});
+    return layout;
+}
+
+status ledger_service::open()
+{
+    const auto layout = find_layout();
+    if (!layout)
+        return tl::unexpected(layout.error());
     layout_ = *layout;
     const auto config = config_.in_force();
     const bool careful =
@@ -509,6 +537,13 @@
     return peer::encode_yes(agent_->keep_copies(*asked));
 }
 
+result<std::string> ledger_service::on_layout() const
+{
+    if (!open_)
+        return fail(error_code::unavailable, "not open yet");
+    return journal::encode_layout(layout_);
+}
+
 // -- time
 
 void ledger_service::tick()
--- a/libs/node/ledger_service.hpp
+++ b/libs/node/ledger_service.hpp
@@ -70,8 +70,9 @@
                    const clock& time, call_queue& calls);
     ~ledger_service() override;
 
-    /// Reads or makes the journal's layout and opens the shards. Fails with
-    /// the store's errors; call again.
+    /// Reads or makes the journal's layout and opens the shards. While the
+    /// store can't be reached, peers that are open are asked for the layout.
+    /// Fails with the store's errors; call again.
     status open();
 
     bool is_open() const { return open_.load(); }
@@ -123,6 +124,7 @@
     result<std::string> on_transfer(std::string_view bytes);
     result<std::string> on_witness(std::string_view bytes);
     result<std::string> on_copies(std::string_view bytes);
+    result<std::string> on_layout() const;
 
     /// Gives everything back; true once nothing is out and no bill waits.
     bool drain();
@@ -154,6 +156,7 @@
     void send_ceiling(const budget::ceiling_ask& ask);
     void send_copies(const budget::copy_message& copies);
     void wake();
+    result<journal::journal_layout> find_layout();
 
     void choose_witnesses();
     bool only_held_is_left() const;
--- a/libs/node/node.cpp
+++ b/libs/node/node.cpp
@@ -28,6 +28,7 @@
 constexpr duration suspect_interval = milliseconds(50);
 constexpr duration suspect_timeout = milliseconds(400);
 constexpr duration drain_step = milliseconds(20);
+constexpr duration not_ready_interval = seconds(10);
 constexpr std::size_t call_threads = 8;
 constexpr std::size_t most_calls = 10'000;
 
@@ -88,6 +89,7 @@
     telemetry::service_level_meter levels{{}, {}};
     std::atomic<bool> stopping{false};
     std::atomic<bool> serving{false};
+    instant not_ready_again; // Of the ledger's task alone.
     call_queue calls;
     call_queue suspect_calls;
     member_service members;
@@ -175,6 +177,8 @@
             return tl::unexpected(asked.error());
         return peer::encode(suspects.merge(asked->records, time.now()));
     }
+    case peer::topic::layout:
+        return ledger.on_layout();
     case peer::topic::outcome:
         break;
     }
@@ -233,13 +237,17 @@
     ledger.on_configuration(time.now());
 }
 
-// The journal's layout is read once; a platform that is down at the start
-// only delays the moment from which this node takes work.
+// The journal's layout is read once; without the platform and without an open
+// peer that has it, this node takes no work yet.
 void node::parts::open_ledger()
 {
     if (!config.in_force())
         return;
     if (const auto ok = ledger.open(); !ok) {
+        const instant now = time.now();
+        if (now < not_ready_again)
+            return;
+        not_ready_again = now + not_ready_interval;
         telemetry::log_event(
             telemetry::event::node_not_ready,
             {{"host", options.host.str()}, {"message", ok.error().message}});
--- a/libs/peer/local_peers.cpp
+++ b/libs/peer/local_peers.cpp
@@ -21,6 +21,8 @@
         return "configuration";
     case topic::outcome:
         return "outcome";
+    case topic::layout:
+        return "layout";
     }
     return "unknown";
 }
