Keep a budget's entry while its transfers are under way

Cause: the table's entry of a budget was dropped when the books said that theirs was closed and nothing was available. With a transfer not yet in the books, or a gift that the taker may still give up, the entry was made anew without what came back later: tokens lost, or an assertion of the table that ends the node. Change: an entry is dropped only when no transfer of its budget is under way; a draining node asks again by its next give-back.

--- a/include/fennelladder/budget/budget_agent.hpp
+++ b/include/fennelladder/budget/budget_agent.hpp
@@ -225,6 +225,7 @@
     void start_return(const return_tokens& action, agent_output& out);
     void report_transfers(agent_output& out);
     bool all_in() const;
+    void drop_closed(const budget_id& budget);
     void send_bills(agent_output& out);
     void send_copies(instant now, agent_output& out);
     void on_bill(const book_wish& wish, const bill& sent, const outcome* made);
--- a/include/fennelladder/budget/transfer_ledger.hpp
+++ b/include/fennelladder/budget/transfer_ledger.hpp
@@ -136,6 +136,10 @@
     std::vector<transfer> reports();
     void reported(const transfer& moved, bool taken);
 
+    /// True while a gift from this budget awaits the taker's last word, or a
+    /// transfer to it is not in the books.
+    bool moving(const budget_id& budget) const;
+
     /// Transfers credited and not yet in the books.
     std::size_t unreported() const
     {
@@ -178,6 +182,7 @@
     std::unordered_map<incarnation_id, taker_state> takers_;
     std::unordered_map<shard_id, std::uint64_t> next_transfer_;
     std::size_t open_gifts_ = 0;
+    std::unordered_map<budget_id, std::size_t> giving_; // open, by budget
 
     std::map<ask_key, open_ask> asks_;
     std::unordered_map<incarnation_id, std::uint64_t> next_ask_;
--- a/libs/budget/budget_agent.cpp
+++ b/libs/budget/budget_agent.cpp
@@ -290,8 +290,18 @@
     const bill_result end = bills_.resolve(wish.shard, sent.number, *made);
     if (end.uncharge > tokens(0))
         table_.uncharge(end.budget, end.uncharge);
-    if (made->closed && end.known && table_.drop(end.budget))
-        planner_.forget(end.budget);
+    if (made->closed && end.known)
+        drop_closed(end.budget);
+}
+
+// Guards against a gift or a bill that comes back to an entry that was dropped
+// and made anew, which would then hold less than nothing. The books' entry can
+// be closed, or not be there yet, while transfers are under way; without any,
+// closed and nothing available here means that all bills are in.
+void budget_agent::drop_closed(const budget_id& budget)
+{
+    if (!transfers_.moving(budget) && table_.drop(budget))
+        planner_.forget(budget);
 }
 
 void budget_agent::on_outcome(const book_wish& wish, const outcome* made,
@@ -328,8 +338,8 @@
             table_.refund_return(back->budget, back->amount);
         // Refused for want of an entry it is closed all the same: a request
         // that found no tokens has made an entry here and none in the books.
-        if (made != nullptr && made->closed && table_.drop(back->budget))
-            planner_.forget(back->budget);
+        if (made != nullptr && made->closed)
+            drop_closed(back->budget);
         returning_.erase(back->budget);
         planner_.returned(back->budget);
     } else if (const auto* moved = std::get_if<transfer>(&wish.body)) {
--- a/libs/budget/transfer_ledger.cpp
+++ b/libs/budget/transfer_ledger.cpp
@@ -53,6 +53,7 @@
     reply.amount = amount;
     taker.open[ask.number] = {{reply.id, ask.budget, ask.taker, amount}, false};
     ++open_gifts_;
+    ++giving_[ask.budget];
     return reply;
 }
 
@@ -70,6 +71,8 @@
     const transfer moved = it->second.moved;
     taker.open.erase(it);
     --open_gifts_;
+    if (--giving_[moved.budget] == 0)
+        giving_.erase(moved.budget);
     if (!word.credited) {
         table_.refund_transfer(moved.budget, moved.amount);
         return;
@@ -206,6 +209,15 @@
     in_report_.erase(it);
 }
 
+bool transfer_ledger::moving(const budget_id& budget) const
+{
+    const auto has = [&](const std::map<report_key, transfer>& all) {
+        const auto it = all.lower_bound({budget, {}});
+        return it != all.end() && it->first.first == budget;
+    };
+    return giving_.contains(budget) || has(to_report_) || has(in_report_);
+}
+
 bool transfer_ledger::asking(const budget_id& budget) const
 {
     return asking_.contains(budget);
