Stop streams that must make way, and resume them; choose witnesses on both sides of a cut

Change: a preempted stream closes its connection, waits for its turn and goes on after what was relayed; one witness is elsewhere, one in the node's own data center.

--- a/libs/node/ledger_service.cpp
+++ b/libs/node/ledger_service.cpp
@@ -9,6 +9,7 @@
 #include "fennelladder/telemetry/log.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <future>
 #include <thread>
 
@@ -568,25 +569,29 @@
     carry_out(std::move(out));
 }
 
+// One witness elsewhere, which also keeps copies of bills, and one in this
+// data center: whichever side of a cut the node is on, it reaches one. Without
+// other nodes here the second is elsewhere as well.
 void ledger_service::choose_witnesses()
 {
     struct candidate
     {
-        bool elsewhere;
-        std::uint64_t points;
+        bool here = false;
+        std::uint64_t points = 0;
         incarnation_id who;
     };
     std::vector<candidate> all;
     const auto view = members_.peers();
     for (const peer_info& it : *view) {
         if (it.serving)
-            all.push_back({it.data_center != options_.data_center,
+            all.push_back({it.data_center == options_.data_center,
                            score(self_.str(), it.life), it.life});
     }
-    std::ranges::sort(all, [](const candidate& a, const candidate& b) {
-        return std::pair(a.elsewhere, a.points) >
-               std::pair(b.elsewhere, b.points);
-    });
+    std::ranges::sort(all, std::greater(), &candidate::points);
+    std::ranges::stable_partition(all, std::logical_not(), &candidate::here);
+    const auto near = std::ranges::find(all, true, &candidate::here);
+    if (all.size() > 2 && near != all.end())
+        std::iter_swap(all.begin() + 1, near);
     std::vector<incarnation_id> chosen;
     for (std::size_t n = 0; n < std::min(all.size(), witness_count); ++n)
         chosen.push_back(all[n].who);
--- a/libs/node/node.cpp
+++ b/libs/node/node.cpp
@@ -95,7 +95,6 @@
     member_service members;
     configuration_service config;
     request::suspect_list suspects;
-    preemptions preempted;
     routing::router routes;
     target_service targets;
     ledger_service ledger;
@@ -124,8 +123,7 @@
              [this](const manifest_pointer& it) { on_configuration(it); }),
       suspects(self, {}),
       routes({.table = {.own_data_center = options.data_center}}, time,
-             options.seed + 100,
-             [this](routing::ticket_id it) { preempted.ask(it); }),
+             options.seed + 100),
       targets(options, connections, routes, suspects, time, calls),
       ledger(options, self, safety_store, peers, members, config, time, calls),
       table({.seed = options.seed}), retries({}, time.now()),
--- a/libs/node/request_runner.cpp
+++ b/libs/node/request_runner.cpp
@@ -52,24 +52,6 @@
 
 } // namespace
 
-void preemptions::ask(routing::ticket_id ticket)
-{
-    const std::lock_guard lock(mutex_);
-    asked_[ticket] = true;
-}
-
-bool preemptions::asked(routing::ticket_id ticket) const
-{
-    const std::lock_guard lock(mutex_);
-    return asked_.contains(ticket);
-}
-
-void preemptions::forget(routing::ticket_id ticket)
-{
-    const std::lock_guard lock(mutex_);
-    asked_.erase(ticket);
-}
-
 request_run::request_run(run_tools tools, const runnable& what,
                          const request::admission& admitted, text_receiver send)
     : tools_(tools), what_(what), stream_(admitted.stream),
@@ -271,11 +253,42 @@
                         what_.head.request,
                         history::global_key(what_.head.team, what_.head.key),
                         what.target, static_cast<std::uint64_t>(what.attempt)});
-    const event came = what_.is_call ? call(what, *at) : complete(what, *at);
-    target_service::leave(*at, what.alone);
+    target_pointer now_at = at;
+    const event came =
+        what_.is_call ? call(what, *now_at) : complete(what, now_at);
+    if (now_at)
+        target_service::leave(*now_at, what.alone);
     return came;
 }
 
+// A stream that makes way for a more urgent request closes its connection,
+// which cancels its run, and waits for its turn; then it goes on after what
+// was relayed, wherever there is room. False: its deadline can't be met any
+// more, and `at` is empty.
+bool request_run::make_way(target_pointer& at)
+{
+    target_service::leave(*at, false);
+    at = nullptr;
+    const auto again = tools_.routes.preempted(ticket_, to_count(relayed_));
+    granted_ = again.state == routing::admission_state::granted;
+    if (!granted_)
+        return false;
+    at = tools_.targets.find(again.target);
+    if (!at || !target_service::enter(*at, false, alone_wait)) {
+        at = nullptr;
+        give_back_target(routing::attempt_outcome::canceled);
+        return false;
+    }
+    request::target_life life;
+    {
+        const std::lock_guard lock(at->mutex);
+        life = at->life;
+    }
+    if (permitted_)
+        tools_.suspects.placed(permit_.run, again.target, life);
+    return true;
+}
+
 void request_run::relay(std::string_view text, tokens output)
 {
     if (first_token_ == duration(0))
@@ -292,11 +305,12 @@
 }
 
 request_run::event request_run::complete(const request::action& what,
-                                         known_target& at)
+                                         target_pointer& at)
 {
+    const std::string id = what_.head.team.str() + "/" + what_.head.key.str() +
+                           "/" + std::to_string(what.attempt);
     target::completion ask;
-    ask.id = request_id(what_.head.team.str() + "/" + what_.head.key.str() +
-                        "/" + std::to_string(what.attempt));
+    ask.id = request_id(id);
     ask.key = history::global_key(what_.head.team, what_.head.key);
     ask.attempt = static_cast<std::uint32_t>(what.attempt);
     ask.model = what_.model;
@@ -307,19 +321,30 @@
     ask.priority = what_.route.rank;
     ask.resume_offset = to_count(relayed_);
     request::event_kind stopped = event_kind::connection_lost;
-    const auto end = at.client->complete(
-        ask,
-        [&](const target::chunk& it) {
-            relay(it.text, tokens(it.tokens));
-            return true;
-        },
-        [&] {
-            if (tools_.time.now() > what_.deadline)
-                stopped = event_kind::deadline_passed;
-            else if (left_ && stream_->close_if_abandoned())
-                stopped = event_kind::caller_left;
-            return stopped != event_kind::connection_lost;
-        });
+    bool way = false;
+    const auto must_end = [&] {
+        if (tools_.time.now() > what_.deadline)
+            stopped = event_kind::deadline_passed;
+        else if (left_ && stream_->close_if_abandoned())
+            stopped = event_kind::caller_left;
+        else
+            way = granted_ && !what.alone &&
+                  tools_.routes.preempt_requested(ticket_);
+        return way || stopped != event_kind::connection_lost;
+    };
+    const auto pass_on = [&](const target::chunk& it) {
+        relay(it.text, tokens(it.tokens));
+        return true;
+    };
+    auto end = at->client->complete(ask, pass_on, must_end);
+    for (int turn = 1; end.canceled && way; ++turn) {
+        way = false;
+        if (!make_way(at))
+            return {.kind = event_kind::deadline_passed};
+        ask.id = request_id(id + "-" + std::to_string(turn));
+        ask.resume_offset = to_count(relayed_);
+        end = at->client->complete(ask, pass_on, must_end);
+    }
     if (end.canceled) {
         give_back_target(routing::attempt_outcome::canceled);
         left_ = false;
@@ -341,7 +366,7 @@
                 .output = tokens(end.next_offset),
                 .prompt = tokens(end.prompt_tokens)};
     }
-    return ended(end.outcome, end.silent, end.retry_after, at);
+    return ended(end.outcome, end.silent, end.retry_after, *at);
 }
 
 request_run::event request_run::call(const request::action& what,
--- a/libs/node/request_runner.hpp
+++ b/libs/node/request_runner.hpp
@@ -19,7 +19,6 @@
 #include <atomic>
 #include <functional>
 #include <memory>
-#include <unordered_map>
 
 namespace fennelladder::node {
 
@@ -74,19 +73,6 @@
 /// Receives the answer's text; false once the caller has gone.
 using text_receiver = std::function<bool(std::string_view)>;
 
-/// Streams that have to make way for more urgent ones. Thread safe.
-class preemptions
-{
-public:
-    void ask(routing::ticket_id ticket);
-    bool asked(routing::ticket_id ticket) const;
-    void forget(routing::ticket_id ticket);
-
-private:
-    mutable std::mutex mutex_;
-    std::unordered_map<routing::ticket_id, bool> asked_;
-};
-
 /// Runs `what`, which request_table admitted with `run`, and finishes it in
 /// the table. `send` gets each piece of the answer. Called on a worker;
 /// blocks.
@@ -112,7 +98,8 @@
     event check_suspect();
     event choose_target(const request::action& what);
     event dispatch(const request::action& what);
-    event complete(const request::action& what, known_target& at);
+    event complete(const request::action& what, target_pointer& at);
+    bool make_way(target_pointer& at);
     event call(const request::action& what, known_target& at);
     event ended(target::dispatch_outcome outcome, bool silent,
                 duration retry_after, known_target& at);
