Look at the host list six times a second in the whole fleet

Cause: each node read it every 2 s, 170 platform reads a second at 340 nodes (docs/CAPACITY.md counts them). Change: the interval grows with the fleet, 58 s at 340 nodes.

--- a/libs/node/member_service.cpp
+++ b/libs/node/member_service.cpp
@@ -67,6 +67,7 @@
     const std::vector<platform::listed_host>& hosts)
 {
     std::vector<membership::listed_host> rows;
+    rows.reserve(hosts.size() + options_.seeds.size());
     for (const platform::listed_host& it : hosts)
         rows.push_back(
             {it.host, it.address, it.data_center, it.region, it.leaving});
--- a/libs/node/node.cpp
+++ b/libs/node/node.cpp
@@ -24,7 +24,9 @@
 // connection that went silent then costs no refusal.
 constexpr duration platform_timeout = milliseconds(700);
 constexpr duration second_beat = seconds(1);
-constexpr duration host_list_interval = seconds(2);
+constexpr duration host_list_interval = milliseconds(1900);
+constexpr duration host_list_share = milliseconds(170);
+constexpr duration host_list_look = seconds(2);
 constexpr duration suspect_interval = milliseconds(50);
 constexpr duration suspect_timeout = milliseconds(400);
 constexpr duration drain_step = milliseconds(20);
@@ -104,6 +106,7 @@
     order_service orders;
     std::unique_ptr<peer::thrift_peer_server> peer_server;
     std::unique_ptr<http::server> caller_server;
+    instant hosts_at; // of the last look, on the task's thread only
     recurring_tasks tasks;
 };
 
@@ -225,7 +228,7 @@
     });
     tasks.add(options.load_interval, [this] { targets.tick(); });
     tasks.add(suspect_interval, [this] { push_suspects(); });
-    tasks.add(host_list_interval, [this] { look_at_hosts(); });
+    tasks.add(host_list_look, [this] { look_at_hosts(); });
 }
 
 void node::parts::on_configuration(const manifest_pointer& it)
@@ -292,8 +295,15 @@
 
 void node::parts::look_at_hosts()
 {
-    if (links.platform_is_cut())
+    // The platform counts each call: the fleet asks six times a second at
+    // most, however many nodes it has.
+    const auto up = static_cast<std::int64_t>(members.peers()->size());
+    const duration due =
+        std::max<duration>(host_list_interval, up * host_list_share);
+    const instant now = time.now();
+    if (links.platform_is_cut() || now - hosts_at < due)
         return;
+    hosts_at = now;
     const auto page = platform.hosts();
     if (!page)
         return;
