Settle the linter's findings in node, trial, metrics and bench

Change: parameters by reference, reserved vectors, a rounding, a narrowing, an unused constant and field.

--- a/libs/bench/routing_workload.cpp
+++ b/libs/bench/routing_workload.cpp
@@ -217,6 +217,7 @@
         weights.push_back(std::pow(n + 1, -model_exponent));
     const double sum = std::accumulate(weights.begin(), weights.end(), 0.0);
     std::vector<std::uint32_t> share;
+    share.reserve(weights.size());
     for (const double weight : weights)
         share.push_back(std::max(
             1U, static_cast<std::uint32_t>(weight / sum * firm.workers)));
--- a/libs/node/caller_api.cpp
+++ b/libs/node/caller_api.cpp
@@ -118,7 +118,7 @@
                        telemetry::metrics& metrics,
                        telemetry::service_level_meter& levels,
                        std::uint64_t key_seed)
-    : tools_(tools), config_(config), members_(members),
+    : tools_(std::move(tools)), config_(config), members_(members),
       connections_(connections), metrics_(metrics), levels_(levels),
       key_seed_(key_seed)
 {}
--- a/libs/node/ledger_service.cpp
+++ b/libs/node/ledger_service.cpp
@@ -183,6 +183,7 @@
     std::sort(best.begin() + 1, best.end(),
               [](const home& a, const home& b) { return a.where < b.where; });
     std::vector<incarnation_id> homes;
+    homes.reserve(best.size());
     for (const home& it : best)
         homes.push_back(it.who);
     return homes;
@@ -190,7 +191,7 @@
 
 // -- carrying out
 
-void ledger_service::carry_out(budget::agent_output out)
+void ledger_service::carry_out(const budget::agent_output& out)
 {
     for (const budget::book_wish& it : out.wishes)
         send_wish(it);
@@ -228,7 +229,7 @@
         return;
     budget::agent_output out;
     agent_->on_outcome(wish, nullptr, clock_.now(), out);
-    carry_out(std::move(out));
+    carry_out(out);
 }
 
 void ledger_service::on_applied(const budget::book_wish& wish,
@@ -253,7 +254,7 @@
         outcome->what = budget::verdict::replayed;
     }
     agent_->on_outcome(wish, outcome ? &*outcome : nullptr, clock_.now(), out);
-    carry_out(std::move(out));
+    carry_out(out);
     wake();
 }
 
@@ -291,7 +292,7 @@
     }
     budget::agent_output out;
     agent_->on_reply(ask, reply ? &*reply : nullptr, clock_.now(), out);
-    carry_out(std::move(out));
+    carry_out(out);
     wake();
 }
 
@@ -316,7 +317,7 @@
     }
     budget::agent_output out;
     agent_->on_ceiling(ask, agreed, clock_.now(), out);
-    carry_out(std::move(out));
+    carry_out(out);
 }
 
 void ledger_service::send_copies(const budget::copy_message& copies)
@@ -351,7 +352,7 @@
         }
         budget::agent_output out;
         auto made = agent_->admit(budget, worst, clock_.now(), out);
-        carry_out(std::move(out));
+        carry_out(out);
         if (made.held)
             return std::move(made.held);
         const instant now = clock_.now();
@@ -514,7 +515,7 @@
     budget::agent_output out;
     const auto reply =
         agent_->give(std::get<budget::transfer_ask>(*asked), clock_.now(), out);
-    carry_out(std::move(out));
+    carry_out(out);
     return peer::encode(reply);
 }
 
@@ -566,7 +567,7 @@
     if (out.fenced)
         telemetry::log_event(telemetry::event::node_fenced,
                              {{"host", options_.host.str()}});
-    carry_out(std::move(out));
+    carry_out(out);
 }
 
 // One witness elsewhere, which also keeps copies of bills, and one in this
@@ -588,7 +589,8 @@
                            score(self_.str(), it.life), it.life});
     }
     std::ranges::sort(all, std::greater(), &candidate::points);
-    std::ranges::stable_partition(all, std::logical_not(), &candidate::here);
+    std::stable_partition(all.begin(), all.end(),
+                          [](const candidate& it) { return !it.here; });
     const auto near = std::ranges::find(all, true, &candidate::here);
     if (all.size() > 2 && near != all.end())
         std::iter_swap(all.begin() + 1, near);
@@ -649,7 +651,7 @@
                         history::prepaid{wish.budget, wish.amount, wish.id});
                     budget::agent_output out;
                     agent_->on_topup(wish.budget, clock_.now(), out);
-                    carry_out(std::move(out));
+                    carry_out(out);
                 },
                 now);
             if (!taken)
@@ -671,7 +673,7 @@
     budget::agent_output out;
     for (const incarnation_id& it : awaited)
         agent_->on_fence_awaited(shard, it, out);
-    carry_out(std::move(out));
+    carry_out(out);
 }
 
 void ledger_service::tend_gone()
@@ -686,7 +688,7 @@
         if (gone >= gone_patience && gone_told_.insert(it.life.str()).second) {
             budget::agent_output out;
             agent_->on_gone(it.life, out);
-            carry_out(std::move(out));
+            carry_out(out);
         }
         if (gone < config->limits().reclaim_grace ||
             !gone_told_.insert("fence/" + it.life.str()).second)
@@ -748,7 +750,7 @@
         return true;
     budget::agent_output out;
     agent_->drain(clock_.now(), out);
-    carry_out(std::move(out));
+    carry_out(out);
     return agent_->done() || only_held_is_left();
 }
 
--- a/libs/node/ledger_service.hpp
+++ b/libs/node/ledger_service.hpp
@@ -145,7 +145,7 @@
     journal::group_committer& committer(shard_id shard) const;
     std::vector<incarnation_id> ranking(shard_id shard) const;
 
-    void carry_out(budget::agent_output out);
+    void carry_out(const budget::agent_output& out);
     void send_wish(const budget::book_wish& wish);
     void on_applied(const budget::book_wish& wish,
                     const journal::applied_record& made);
--- a/libs/node/node.cpp
+++ b/libs/node/node.cpp
@@ -127,7 +127,7 @@
       suspects(self, {}),
       routes({.table = {.own_data_center = options.data_center}}, time,
              options.seed + 100),
-      targets(options, connections, routes, suspects, time, calls),
+      targets(connections, routes, suspects, time, calls),
       ledger(options, self, safety_store, peers, members, config, time, calls),
       table({.seed = options.seed}), retries({}, time.now()),
       api(tools(), config, members, connections, metrics, levels, options.seed),
--- a/libs/node/request_runner.cpp
+++ b/libs/node/request_runner.cpp
@@ -13,7 +13,6 @@
 
 constexpr duration alone_wait = seconds(5);
 constexpr duration short_budget_retry = seconds(1);
-constexpr duration pause_slice = milliseconds(20);
 
 using request::action_kind;
 using request::bill_kind;
@@ -52,7 +51,7 @@
 
 } // namespace
 
-request_run::request_run(run_tools tools, const runnable& what,
+request_run::request_run(const run_tools& tools, const runnable& what,
                          const request::admission& admitted, text_receiver send)
     : tools_(tools), what_(what), stream_(admitted.stream),
       send_(std::move(send)), machine_(what.traits, {}),
@@ -254,8 +253,7 @@
                         history::global_key(what_.head.team, what_.head.key),
                         what.target, static_cast<std::uint64_t>(what.attempt)});
     target_pointer now_at = at;
-    const event came =
-        what_.is_call ? call(what, *now_at) : complete(what, now_at);
+    event came = what_.is_call ? call(what, *now_at) : complete(what, now_at);
     if (now_at)
         target_service::leave(*now_at, what.alone);
     return came;
--- a/libs/node/request_runner.hpp
+++ b/libs/node/request_runner.hpp
@@ -79,7 +79,7 @@
 class request_run
 {
 public:
-    request_run(run_tools tools, const runnable& what,
+    request_run(const run_tools& tools, const runnable& what,
                 const request::admission& admitted, text_receiver send);
 
     /// To the end. The reply is that of the table.
--- a/libs/node/target_service.cpp
+++ b/libs/node/target_service.cpp
@@ -62,13 +62,12 @@
 
 } // namespace
 
-target_service::target_service(const node_options& options,
-                               http::client& connections,
+target_service::target_service(http::client& connections,
                                routing::router& routes,
                                request::suspect_list& suspects,
                                const clock& time, call_queue& calls)
-    : options_(options), connections_(connections), routes_(routes),
-      suspects_(suspects), clock_(time), calls_(calls)
+    : connections_(connections), routes_(routes), suspects_(suspects),
+      clock_(time), calls_(calls)
 {}
 
 void target_service::apply(const manifest_pointer& config)
--- a/libs/node/target_service.hpp
+++ b/libs/node/target_service.hpp
@@ -46,9 +46,9 @@
 {
 public:
     /// All references must outlive the service.
-    target_service(const node_options& options, http::client& connections,
-                   routing::router& routes, request::suspect_list& suspects,
-                   const clock& time, call_queue& calls);
+    target_service(http::client& connections, routing::router& routes,
+                   request::suspect_list& suspects, const clock& time,
+                   call_queue& calls);
 
     /// A new configuration: targets come and go.
     void apply(const manifest_pointer& config);
@@ -75,7 +75,6 @@
     void note_look(known_target& it, bool reached, bool leaving);
     void look_at_cache(const target_pointer& it);
 
-    const node_options& options_;
     http::client& connections_;
     routing::router& routes_;
     request::suspect_list& suspects_;
--- a/libs/telemetry/metrics.cpp
+++ b/libs/telemetry/metrics.cpp
@@ -103,7 +103,7 @@
     const auto found = accumulators::extended_p_square(state_->values);
     for (std::size_t n = 0; n < probabilities.size(); ++n) {
         if (probabilities[n] == probability)
-            return found[n];
+            return found[static_cast<std::ptrdiff_t>(n)];
     }
     assert(false);
     return 0;
--- a/libs/trial/trial.cpp
+++ b/libs/trial/trial.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cmath>
 #include <map>
 #include <set>
 #include <sstream>
@@ -143,7 +144,7 @@
         return 0;
     std::ranges::sort(values);
     const auto at = static_cast<std::size_t>(
-        share * static_cast<double>(values.size() - 1) + 0.5);
+        std::lround(share * static_cast<double>(values.size() - 1)));
     return values[at];
 }
 
