Let budget and peer share one Thrift codec

Cause: the same two functions stood in both libraries, and the peers' copy lacked the other's guard: a garbled length in a message could make a node allocate far more than the message holds.

--- a/libs/budget/books_codec.cpp
+++ b/libs/budget/books_codec.cpp
@@ -7,7 +7,7 @@
 #include "fennelladder/budget/budget_books.hpp"
 
 #include "budget_types.h"
-#include "thrift_codec.hpp"
+#include "fennelladder/base/thrift_codec.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/libs/budget/records.cpp
+++ b/libs/budget/records.cpp
@@ -6,7 +6,7 @@
 #include "fennelladder/budget/records.hpp"
 
 #include "budget_types.h"
-#include "thrift_codec.hpp"
+#include "fennelladder/base/thrift_codec.hpp"
 
 #include <utility>
 
--- a/libs/peer/budget_messages.cpp
+++ b/libs/peer/budget_messages.cpp
@@ -3,8 +3,8 @@
 
 #include "fennelladder/peer/messages.hpp"
 
+#include "fennelladder/base/thrift_codec.hpp"
 #include "peer_types.h"
-#include "thrift_codec.hpp"
 
 namespace fennelladder::peer {
 
