--- /dev/null
+++ b/apps/fennelladder/command_front.cpp
@@ -0,0 +1,117 @@
+// `fennelladder front`: runs one node on the users' platform until SIGTERM.
+// Its addresses come from the settings file that the platform places.
+
+#include "command.hpp"
+#include "commands.hpp"
+#include "fennelladder/edge/edge_node.hpp"
+#include "fennelladder/settings/settings.hpp"
+#include "fennelladder/telemetry/line_writer.hpp"
+#include "fennelladder/telemetry/log.hpp"
+#include "platform/host_settings.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <unistd.h>
+
+namespace fennelladder::app {
+
+namespace {
+
+settings::settings declare()
+{
+    settings::settings wanted(
+        "front", "Runs one node on the users' platform until SIGTERM or "
+                 "SIGINT, then leaves in order. Addresses and limits come "
+                 "from the platform's settings file.");
+    wanted.text("settings-file", "",
+                "the platform's file; default: as the platform says");
+    wanted.number({.name = "metrics-port",
+                   .fallback = 0,
+                   .low = 0,
+                   .high = 65535,
+                   .unit = "port",
+                   .help = "for GET /metrics at the host's address; 0: none"});
+    wanted.milliseconds("entry-validity", 2000,
+                        "how long callers may keep an entry answer");
+    return wanted;
+}
+
+std::string timestamp()
+{
+    const auto now = std::chrono::system_clock::now();
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now.time_since_epoch());
+    const std::time_t whole = ms.count() / 1000;
+    std::tm parts{};
+    gmtime_r(&whole, &parts);
+    char buf[40];
+    const std::size_t n =
+        std::strftime(buf, sizeof buf, "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(buf + n, sizeof buf - n, ".%03dZ",
+                  static_cast<int>(ms.count() % 1000));
+    return buf;
+}
+
+/// Sends log lines through `out`, with their time in front.
+void log_through(telemetry::line_writer& out, const clock& time,
+                 const std::string& host)
+{
+    telemetry::configure_log({.json = true});
+    telemetry::set_log_sink(
+        [&out, &time, host](const telemetry::event_description& what,
+                            const std::string& line) {
+            const std::string head =
+                R"({"time":")" + timestamp() + R"(","host":")" + host + "\",";
+            out.add(what, head + line.substr(1), time.now());
+        });
+}
+
+} // namespace
+
+int run_front(int argc, char** argv)
+{
+    settings::settings wanted = declare();
+    const auto parsed = wanted.parse(argc, argv);
+    if (parsed.stop)
+        return parsed.exit_code;
+    std::string path = wanted.text_of("settings-file");
+    if (path.empty())
+        path = platform::host_settings_path();
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        std::cerr << path << ": can't be read\n";
+        return exit_bad_input;
+    }
+    auto read = platform::read_host_settings(text.str(), path);
+    if (!read) {
+        std::cerr << read.error().to_text();
+        return exit_bad_input;
+    }
+    // A caller or target that closes while it is written to must not end the
+    // process.
+    std::signal(SIGPIPE, SIG_IGN);
+    const system_clock time;
+    telemetry::line_writer log(STDOUT_FILENO, {});
+    log_through(log, time, read->host.str());
+    edge::edge_node_options options;
+    options.settings_path = path;
+    options.entry_validity = wanted.duration_of("entry-validity");
+    if (const auto port = wanted.number_of("metrics-port"); port != 0)
+        options.metrics_address = read->ip + ":" + std::to_string(port);
+    edge::asio::io_context io(1);
+    edge::edge_node node(io, time, std::move(*read), options, log);
+    if (auto ok = node.start(); !ok) {
+        std::cerr << "fennelladder front: " << ok.error().message << '\n';
+        return exit_failure;
+    }
+    io.run();
+    return exit_success;
+}
+
+} // namespace fennelladder::app
--- a/apps/fennelladder/commands.hpp
+++ b/apps/fennelladder/commands.hpp
@@ -8,6 +8,7 @@
 
 int run_apply(int argc, char** argv);
 int run_bench(int argc, char** argv);
+int run_front(int argc, char** argv);
 int run_demo(int argc, char** argv);
 int run_serve(int argc, char** argv);
 int run_standin(int argc, char** argv);
--- a/apps/fennelladder/main.cpp
+++ b/apps/fennelladder/main.cpp
@@ -14,6 +14,7 @@
 // One line each, sorted by name.
 constexpr auto commands = std::to_array<command>({
     {"apply", "bring a manifest into force", run_apply},
+    {"front", "run one node on the users' platform", run_front},
     {"serve", "run one node", run_serve},
     {"demo", "both deployments in one process, with faults", run_demo},
     {"bench", "measurements, each beside its baselines", run_bench},
--- /dev/null
+++ b/include/fennelladder/catalog/target_entry.hpp
@@ -0,0 +1,99 @@
+// A target as the platform's list names it, and the list as a node follows
+// it.
+//
+//     target_list list;
+//     list.replace_all(entries, as_of);       // a full listing
+//     list.apply(changes, as_of);             // what changed since
+//     list.changes_since(revision)            // for a node that follows us
+//
+// A node needs to ask another only if the other's latest_change() is after
+// its own as_of().
+//
+// The list mirrors one linear history: every state it holds is one that the
+// platform had at `as_of()`, and as_of() never goes back.
+
+#ifndef FENNELLADDER_CATALOG_TARGET_ENTRY_HPP
+#define FENNELLADDER_CATALOG_TARGET_ENTRY_HPP
+
+#include "fennelladder/base/ids.hpp"
+#include "fennelladder/base/time.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fennelladder::catalog {
+
+/// Revision of the platform's history; one counter for all objects.
+using revision = number_id<struct revision_tag>;
+
+/// One life of one target. Each start has an id of its own.
+struct target_entry
+{
+    target_id id;
+    service_id service;
+    std::string address; ///< IP:port.
+    data_center_id data_center;
+    std::uint32_t slots = 1;
+    bool leaving = false;
+    duration warm_up_left{0}; ///< How much longer it stays slow.
+
+    friend bool operator==(const target_entry&, const target_entry&) = default;
+};
+
+/// A target appeared or changed, or (without an entry) is gone.
+struct target_change
+{
+    target_id id;
+    std::optional<target_entry> entry;
+    /// When it changed; for one that is gone, a revision not before that.
+    revision at;
+};
+
+/// Not thread safe.
+class target_list
+{
+public:
+    using entry_map = std::map<target_id, target_entry>;
+
+    /// Takes a full listing as of `as_of`. A listing older than the list is
+    /// passed over (false).
+    bool replace_all(const std::vector<target_change>& entries, revision as_of);
+
+    /// Takes the changes between this list's as_of() and `as_of`.
+    /// Precondition: `changes` is complete for that span.
+    bool apply(const std::vector<target_change>& changes, revision as_of);
+
+    /// The changes after `since`, or nothing when that is too long ago and
+    /// only a full listing helps.
+    std::optional<std::vector<target_change>>
+    changes_since(revision since) const;
+
+    const entry_map& entries() const { return entries_; }
+    revision as_of() const { return as_of_; }
+
+    /// Of the newest change in the list.
+    revision latest_change() const { return latest_change_; }
+
+    /// Whether a first listing was taken.
+    bool known() const { return known_; }
+
+private:
+    void note(target_change change);
+
+    static constexpr std::size_t log_limit = 1024; ///< Changes kept.
+
+    entry_map entries_;
+    revision as_of_;
+    revision log_from_; ///< log_ is complete after this revision.
+    revision latest_change_;
+    std::deque<target_change> log_;
+    bool known_ = false;
+};
+
+} // namespace fennelladder::catalog
+
+#endif
--- /dev/null
+++ b/include/fennelladder/dispatch/poison_list.hpp
@@ -0,0 +1,92 @@
+// Requests that were running at several targets when these died, and are
+// therefore sent to no target any more.
+//
+//     if (list.is_poison(mark, now))
+//         ... refuse ...
+//     list.note_death(mark, target, now);     // it ran there as that died
+//     for (const poison_record& it : list.records(now))
+//         ... tell the other nodes ...
+//     list.merge(record, now);                // what another node tells
+//
+// A request is recognised by what its caller would send again (method, path,
+// team and body), since each try carries a new id. Only first-hand evidence
+// counts: the connection broke while the request ran, and the target could
+// not be reached afterwards. Every request that ran there is noted; a
+// harmless one is refused only if as many targets die under it, one after
+// the other, as a poisonous one kills.
+//
+// Records merge commutatively and idempotently: losing, repeating or
+// reordering messages delays knowledge and does no more.
+
+#ifndef FENNELLADDER_DISPATCH_POISON_LIST_HPP
+#define FENNELLADDER_DISPATCH_POISON_LIST_HPP
+
+#include "fennelladder/base/ids.hpp"
+#include "fennelladder/base/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace fennelladder::dispatch {
+
+/// Recognises a request that is sent again.
+using request_mark = number_id<struct request_mark_tag>;
+
+/// The mark of a request. Thread safe.
+request_mark mark_of(std::string_view method, std::string_view path,
+                     const team_id& team, std::string_view body);
+
+/// Targets that died while the request ran there.
+struct poison_record
+{
+    request_mark mark;
+    std::vector<target_id> deaths; ///< Each once, in order of id.
+};
+
+struct poison_list_options
+{
+    /// Deaths after which a request is refused. Two, not one: whatever else
+    /// ran beside a poisonous request is noted with one death as well.
+    std::size_t deaths = 2;
+    /// A record is forgotten this long after its last death.
+    duration memory = minutes(10);
+    std::size_t most_records = 4096;
+};
+
+/// Not thread safe.
+class poison_list
+{
+public:
+    explicit poison_list(poison_list_options options);
+
+    bool is_poison(request_mark mark, instant now) const;
+
+    /// The target died while the request ran there. True if that is news.
+    bool note_death(request_mark mark, const target_id& target, instant now);
+
+    /// Takes over what another node knows. True if that is news.
+    bool merge(const poison_record& record, instant now);
+
+    /// What was learned in the last `span`, newest first, `limit` at most.
+    std::vector<poison_record> recent(duration span, std::size_t limit,
+                                      instant now) const;
+
+private:
+    struct entry
+    {
+        std::vector<target_id> deaths;
+        instant last;
+    };
+
+    void forget(instant now);
+
+    poison_list_options options_;
+    std::unordered_map<request_mark, entry> entries_;
+};
+
+} // namespace fennelladder::dispatch
+
+#endif
--- /dev/null
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -0,0 +1,238 @@
+// What a node knows of the targets of all services, and where a request is
+// best sent.
+//
+//     book.sync(list.entries(), now);                // the platform's list
+//     auto made = book.choose(wish, now, random);
+//     book.started(made->target, made->work, now);
+//     ...
+//     book.first_byte(made->target, *made, waited, now);
+//     book.finished(made->target, made->work, target_evidence::answered, now);
+//
+// A choice is the target with the least predicted time until the first byte:
+//
+//     (tokens to read there that it doesn't hold + tokens that others have it
+//      read already) / reading speed + time for what runs there,
+//     times how much slower than predicted the target has lately been,
+//     plus a penalty for its lately failed requests.
+//
+// Which target holds a shared part of a prompt is known from own requests;
+// besides, all nodes expect it at the target that rendezvous hashing names
+// for the part, so that nodes agree without a message and a part is read
+// once. Load overrides that as soon as waiting costs more than reading the
+// part again.
+//
+// What others send is heard with a lag (peer_load). A failing target leaves
+// the choice on first-hand evidence and is tried again with one request at a
+// time. The list may lag: a target that says it is another life is dropped
+// at once.
+//
+// Cost: choose() is linear in the targets of the service. Not thread safe.
+
+#ifndef FENNELLADDER_DISPATCH_TARGET_BOOK_HPP
+#define FENNELLADDER_DISPATCH_TARGET_BOOK_HPP
+
+#include "fennelladder/base/random.hpp"
+#include "fennelladder/catalog/target_entry.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace fennelladder::dispatch {
+
+/// A part of a prompt that several requests share.
+struct shared_part
+{
+    std::uint64_t id = 0;
+    std::uint32_t size = 0; ///< Tokens.
+};
+
+/// What a request asks of a target.
+struct work_wish
+{
+    service_id service;
+    bool on_engine = false;
+    std::vector<shared_part> prompt; ///< In order; the last is its own.
+    std::uint32_t prompt_size = 0;   ///< Tokens, all parts and the rest.
+    duration objective{0};           ///< To the first byte.
+    std::vector<target_id> avoid;    ///< Tried already.
+};
+
+/// Work given to a target, to be taken back with the same value.
+struct work_share
+{
+    std::uint32_t reading = 0; ///< Prompt tokens to be read.
+};
+
+struct choice
+{
+    target_id target;
+    std::string address;
+    data_center_id data_center;
+    work_share work;
+    duration predicted{0}; ///< Until the first byte, on an average target.
+    double cost = 0;       ///< Of the target chosen, in seconds.
+    std::size_t candidates = 0;
+    int running = 0; ///< There, as known when it was chosen.
+};
+
+/// What the end of a request says of its target.
+enum class target_evidence : std::uint8_t
+{
+    answered,    ///< It works.
+    failed,      ///< It answered with a failure of its own.
+    broke,       ///< The connection ended before the answer did.
+    silent,      ///< Nothing came for too long.
+    unreachable, ///< No connection could be made.
+    full,        ///< It turned the request away.
+    other_life,  ///< Another life of a target has its address.
+    nothing      ///< Stopped from this side: says nothing.
+};
+
+std::string_view to_string(target_evidence value);
+
+/// How many requests a node has running at a target.
+struct target_load
+{
+    target_id target;
+    std::uint32_t running = 0;
+    std::uint32_t reading = 0; ///< Tokens still to be read before answers.
+};
+
+struct target_book_options
+{
+    data_center_id own_data_center;
+    /// Reading speed assumed of an engine, tokens a second; what a target
+    /// really does shows in its slowness. Of the engines measured so far,
+    /// 48 to 55 thousand.
+    double reading_speed = 50'000;
+    /// Time to the first byte that each request running on an engine adds.
+    duration per_running = milliseconds(2);
+    /// Service time assumed of a plain service's target.
+    duration plain_time = milliseconds(50);
+    /// Added for a target in another data centre: a round trip and the price
+    /// of the bytes.
+    duration distance = milliseconds(4);
+    /// Weight of the newest observation in averages.
+    double newest_weight = 0.25;
+    /// Slowness and failures lately seen are halved in this time, so that a
+    /// target that was shunned is tried again.
+    duration forget_half = seconds(3);
+    /// First and longest time that an unreachable target is left alone.
+    duration first_rest = milliseconds(300);
+    duration longest_rest = seconds(3);
+    /// A target that turned requests away gets none for this long.
+    duration full_rest = milliseconds(100);
+    /// How long a target that left the list is still sent work if it left
+    /// while the platform was unwell: entries that lapsed meanwhile come back
+    /// within two seconds if the target lives.
+    duration lapsed_grace = milliseconds(1500);
+    /// A part that was not used for this long counts as gone.
+    duration part_memory = seconds(20);
+    std::size_t most_parts = 4096; ///< Remembered a target.
+};
+
+class target_book
+{
+public:
+    explicit target_book(target_book_options options);
+
+    /// Takes the platform's list. `list_in_doubt`: the platform was unwell
+    /// lately, so missing entries may come back.
+    void sync(const catalog::target_list::entry_map& listed, bool list_in_doubt,
+              instant now);
+
+    /// The best target, or nothing when the service has none to offer.
+    std::optional<choice> choose(const work_wish& wish, instant now,
+                                 random_source& random);
+
+    /// A request was sent. Every started() is followed by one finished().
+    void started(const target_id& target, work_share work, const work_wish& of,
+                 instant now);
+
+    /// The first byte came `waited` after sending; its prompt is read.
+    void first_byte(const target_id& target, const choice& made,
+                    duration waited, instant now);
+
+    /// The request is over; `read` says whether first_byte() was called.
+    void finished(const target_id& target, work_share work, bool read,
+                  target_evidence evidence, instant now);
+
+    /// No request was started, but this was learned (a connection failed).
+    void learned(const target_id& target, target_evidence evidence,
+                 instant now);
+
+    /// Another node's load, replacing what it said before.
+    void peer_load(const host_id& peer, std::vector<target_load> load);
+    void forget_peer(const host_id& peer);
+
+    /// What this node has running, for its peers.
+    std::vector<target_load> own_load() const;
+
+    /// True if the target may take new work now.
+    bool may_use(const target_id& target, instant now) const;
+
+    /// The address of a target that is still known.
+    std::optional<std::string> address_of(const target_id& target) const;
+
+    std::size_t count(const service_id& service) const;
+
+private:
+    struct fading_average
+    {
+        double value = 0;
+        instant at;
+    };
+
+    struct target_state
+    {
+        catalog::target_entry entry;
+        std::optional<instant> use_until; ///< Left the list in doubt.
+        bool gone = false; ///< Is another life, or left for good.
+        int running = 0;
+        std::int64_t reading = 0;
+        int peers_running = 0;
+        std::int64_t peers_reading = 0;
+        fading_average log_slowness; ///< Natural logarithm; 0: as predicted.
+        fading_average failures;     ///< Share, 0 to 1.
+        instant rest_until;
+        int rests = 0;       ///< In a row.
+        bool trying = false; ///< One request finds out whether it works.
+        std::unordered_map<std::uint64_t, instant> parts; ///< Last use.
+    };
+
+    using state_map = std::map<target_id, target_state>;
+
+    double faded(const fading_average& of, instant now) const;
+    void observe(fading_average& of, double value, instant now) const;
+    bool usable(const target_state& it, instant now) const;
+    bool resting(const target_state& it, instant now) const;
+    std::uint32_t unread(const target_state& it, const work_wish& wish,
+                         bool expected_here, instant now) const;
+    double predicted_seconds(const target_state& it, const work_wish& wish,
+                             std::uint32_t reading) const;
+    double cost(const target_state& it, const work_wish& wish, double predicted,
+                instant now) const;
+    void rest(target_state& it, duration first, instant now);
+    void forget_parts(target_state& it, instant now) const;
+    target_state* find(const target_id& target);
+    void recount_peers();
+    void add_peer(const std::vector<target_load>& load, int sign);
+
+    target_book_options options_;
+    state_map targets_;
+    std::unordered_map<service_id, std::vector<target_id>> by_service_;
+    std::map<host_id, std::vector<target_load>> peer_loads_;
+};
+
+/// The part of a prompt by which requests are brought together: the last one
+/// that is not the request's own. Nothing without a prompt.
+std::optional<std::uint64_t> meeting_part(std::span<const shared_part> prompt);
+
+} // namespace fennelladder::dispatch
+
+#endif
--- /dev/null
+++ b/include/fennelladder/edge/caller_server.hpp
@@ -0,0 +1,77 @@
+// Serves callers: accepts connections, reads their requests one after the
+// other, hands each to the driver, and notices when a caller leaves.
+//
+//     caller_server server(tables, driver, limits);
+//     server.start(address);
+//     server.stop_accepting();            // when the node leaves
+//     server.close_idle();
+//
+// Bounds that keep a flood from ending the process: connections, requests
+// under way, and bytes of bodies held; what exceeds them is answered 503 at
+// once ("not run").
+//
+// Not thread safe.
+
+#ifndef FENNELLADDER_EDGE_CALLER_SERVER_HPP
+#define FENNELLADDER_EDGE_CALLER_SERVER_HPP
+
+#include "fennelladder/edge/request_driver.hpp"
+
+#include <cstddef>
+#include <memory>
+#include <set>
+
+namespace fennelladder::edge {
+
+struct caller_server_limits
+{
+    std::size_t connections = 2000;
+    std::size_t requests = 600;          ///< Under way at once.
+    std::size_t body_bytes = 16'000'000; ///< Held at once, over all requests.
+};
+
+/// Limits that fit a host.
+caller_server_limits limits_for(const platform::host_settings& settings);
+
+class caller_session;
+
+class caller_server
+{
+public:
+    caller_server(node_tables& tables, request_driver& driver,
+                  caller_server_limits limits);
+    ~caller_server();
+
+    status start(const std::string& address);
+
+    /// No new connections from now on.
+    void stop_accepting();
+
+    /// From now on each answer ends its connection.
+    void announce_leaving();
+
+    /// Refuses new requests; connections without one under way are closed.
+    void refuse_new();
+
+    /// Requests under way.
+    std::size_t under_way() const { return under_way_; }
+
+private:
+    friend class caller_session;
+
+    awaitable<void> accept();
+
+    node_tables& tables_;
+    request_driver& driver_;
+    const caller_server_limits limits_;
+    tcp::acceptor acceptor_;
+    std::set<caller_session*> sessions_;
+    std::size_t under_way_ = 0;
+    std::size_t body_bytes_ = 0;
+    bool leaving_ = false;
+    bool refusing_ = false;
+};
+
+} // namespace fennelladder::edge
+
+#endif
--- /dev/null
+++ b/include/fennelladder/edge/exchange.hpp
@@ -0,0 +1,82 @@
+// What can end a request's course from outside, while a coroutine works on it.
+//
+//     exchange course(io, now);
+//     course.set_deadline(at);
+//     course.hold(connection);         // closed when the course is stopped
+//     ... read from the connection; on failure look at course.stopped() ...
+//
+// The coroutine waits for the target; the caller's leaving, the deadline and
+// a silence that lasted too long come from elsewhere. Each of them notes its
+// reason and closes the connection to the target, which ends the wait and
+// stops the target's work.
+//
+// Not thread safe.
+
+#ifndef FENNELLADDER_EDGE_EXCHANGE_HPP
+#define FENNELLADDER_EDGE_EXCHANGE_HPP
+
+#include "fennelladder/edge/target_connection.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace fennelladder::edge {
+
+enum class stop_reason : std::uint8_t
+{
+    none,
+    caller_left,
+    out_of_time,
+    silent ///< Of one attempt: the next begins with a clean slate.
+};
+
+class exchange : public std::enable_shared_from_this<exchange>
+{
+public:
+    exchange(asio::io_context& io, const clock& time);
+
+    /// Stops the course at `at`.
+    void set_deadline(instant at);
+
+    /// Stops the attempt at `at` unless it's moved on before.
+    void set_silence_limit(std::optional<instant> at);
+
+    /// The connection to close when the course is stopped.
+    void hold(connection_ptr held);
+    void release();
+
+    /// Called when the course is stopped, besides closing what is held: to
+    /// cut the caller off when it doesn't take its answer.
+    void on_stop(std::function<void(stop_reason)> then);
+
+    void stop(stop_reason why);
+    stop_reason stopped() const { return stopped_; }
+
+    /// After a silent attempt.
+    void clear_silence();
+
+    /// Nothing may stop it any more.
+    void end();
+
+private:
+    void arm();
+    void on_timer();
+
+    const clock& time_;
+    asio::steady_timer timer_;
+    std::optional<instant> armed_for_;
+    std::optional<instant> deadline_;
+    std::optional<instant> silence_limit_;
+    connection_ptr held_;
+    std::function<void(stop_reason)> then_;
+    stop_reason stopped_ = stop_reason::none;
+    bool ended_ = false;
+};
+
+using exchange_ptr = std::shared_ptr<exchange>;
+
+} // namespace fennelladder::edge
+
+#endif
--- /dev/null
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -0,0 +1,84 @@
+// Everything that the parts of one node share.
+//
+// The parts (caller sessions, the feed from the platform, the mesh, the token
+// desk) get a reference each and work on these tables from one thread. The
+// tables decide; the parts do the input and output.
+
+#ifndef FENNELLADDER_EDGE_NODE_TABLES_HPP
+#define FENNELLADDER_EDGE_NODE_TABLES_HPP
+
+#include "fennelladder/base/random.hpp"
+#include "fennelladder/catalog/configuration.hpp"
+#include "fennelladder/catalog/target_entry.hpp"
+#include "fennelladder/dispatch/poison_list.hpp"
+#include "fennelladder/dispatch/retry_window.hpp"
+#include "fennelladder/dispatch/target_book.hpp"
+#include "fennelladder/edge/target_connection.hpp"
+#include "fennelladder/mesh/roster.hpp"
+#include "fennelladder/prepaid/purse.hpp"
+#include "fennelladder/telemetry/metrics.hpp"
+#include "platform/host_settings.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace fennelladder::edge {
+
+/// Whether the platform answers this node.
+struct platform_contact
+{
+    bool reached = false;
+    instant changed; ///< When `reached` last changed.
+};
+
+struct node_tables
+{
+    node_tables(asio::io_context& context, const clock& clock_used,
+                platform::host_settings given, std::uint64_t seed);
+
+    instant now() const { return time.now(); }
+
+    /// The node takes callers: it knows what is in force and isn't leaving.
+    bool ready() const;
+
+    mesh::node_state state() const;
+
+    /// Lets the target book know what the list says.
+    void list_changed();
+
+    /// Takes a newer configuration into force; older ones are passed over.
+    /// `text` is what to pass on to other nodes. True if it is in force now.
+    bool take_configuration(catalog::configuration_parts parts,
+                            std::string text);
+
+    /// Notes whether a call to the platform was answered.
+    void note_contact(bool reached, const std::string& detail);
+
+    asio::io_context& io;
+    const clock& time;
+    random_source random;
+    platform::host_settings settings;
+    mesh::node_life life; ///< Of this process.
+
+    /// Null until one is known.
+    std::shared_ptr<const catalog::configuration> config;
+    std::string config_text;
+    catalog::target_list targets;
+    dispatch::target_book book;
+    dispatch::retry_window retries;
+    dispatch::poison_list poison;
+    prepaid::purse purse;
+    mesh::roster nodes;
+    target_pool pool;
+    telemetry::metrics metrics;
+    platform_contact contact;
+    bool leaving = false;
+
+    /// Tells the other nodes at once; set by the mesh.
+    std::function<void()> spread_news = [] {};
+};
+
+} // namespace fennelladder::edge
+
+#endif
--- /dev/null
+++ b/include/fennelladder/edge/platform_client.hpp
@@ -0,0 +1,75 @@
+// Calls the platform's store.
+//
+//     platform_reply got = co_await client.call(http::verb::get, target, "",
+//                                               limit);
+//     switch (got.outcome) ...
+//
+// Each call takes a kept connection or dials one. A connection on which a
+// reply was lost answers nothing more; it is closed. The client repeats
+// nothing: a call without a reply may have been carried out, or may be later.
+//
+// Not thread safe.
+
+#ifndef FENNELLADDER_EDGE_PLATFORM_CLIENT_HPP
+#define FENNELLADDER_EDGE_PLATFORM_CLIENT_HPP
+
+#include "fennelladder/edge/node_tables.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fennelladder::edge {
+
+enum class call_outcome : std::uint8_t
+{
+    done,         ///< 2xx.
+    missing,      ///< No such object.
+    conflict,     ///< The condition didn't hold; the body has the object.
+    history_gone, ///< That revision is too old to watch from.
+    turned_away,  ///< Nothing was done.
+    no_reply      ///< It may have been done, or may be done later.
+};
+
+std::string_view to_string(call_outcome value);
+
+struct platform_reply
+{
+    call_outcome outcome = call_outcome::no_reply;
+    std::string body;
+};
+
+class platform_client
+{
+public:
+    explicit platform_client(node_tables& tables);
+
+    /// Ends after `limit` at the latest.
+    awaitable<platform_reply> call(http::verb method, std::string target,
+                                   std::string body, duration limit);
+
+private:
+    struct connection
+    {
+        explicit connection(asio::io_context& io) : socket(io) {}
+
+        tcp::socket socket;
+        beast::flat_buffer buf;
+        bool used = false;
+    };
+
+    using connection_ptr = std::shared_ptr<connection>;
+
+    awaitable<platform_reply> exchange_on(connection_ptr with,
+                                          http::verb method,
+                                          const std::string& target,
+                                          const std::string& body);
+    awaitable<bool> connect(connection_ptr made);
+
+    node_tables& tables_;
+    std::vector<connection_ptr> idle_;
+};
+
+} // namespace fennelladder::edge
+
+#endif
--- /dev/null
+++ b/include/fennelladder/edge/token_desk.hpp
@@ -0,0 +1,149 @@
+// Gets a node the prepaid tokens that its requests need: from its purse, from
+// other nodes, and from the platform's record.
+//
+//     if (!co_await desk.obtain(team, worst, until))
+//         ... refuse: not run, come back ...
+//     desk.settle(team, worst, used);
+//
+// The purse is tried first, without a message. Then the node with the largest
+// stock that is known is asked, and the next; meanwhile, if this node is one
+// of the team's stockists, more is taken out of the record.
+//
+// What is credited was deducted elsewhere before: by a conditional write that
+// is proved to have taken effect, or by a peer that answers each number once.
+// A lost message strands tokens and never makes any.
+//
+// Not thread safe.
+
+#ifndef FENNELLADDER_EDGE_TOKEN_DESK_HPP
+#define FENNELLADDER_EDGE_TOKEN_DESK_HPP
+
+#include "fennelladder/edge/node_tables.hpp"
+#include "fennelladder/edge/platform_client.hpp"
+#include "fennelladder/prepaid/allotment_record.hpp"
+#include "fennelladder/prepaid/stock_plan.hpp"
+#include "platform/object_codec.hpp"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace fennelladder::edge {
+
+/// Why tokens were not to be had.
+enum class shortage : std::uint8_t
+{
+    none,
+    /// The team's whole prepaid amount doesn't cover the request.
+    never_covered,
+    /// Not here and not now; others may hold some.
+    short_now
+};
+
+class token_desk
+{
+public:
+    /// Sends a datagram to the peer at an address.
+    using sender =
+        std::function<void(const std::string& address, const mesh::datagram&)>;
+
+    token_desk(node_tables& tables, platform_client& client, sender send);
+
+    /// Starts taking tokens out of the record as needed.
+    void start();
+
+    /// Sets aside the most a request can cost, waiting until `until` at most.
+    awaitable<shortage> obtain(const team_id& team, tokens amount,
+                               instant until);
+
+    /// The request is over and cost `used`.
+    void settle(const team_id& team, tokens reserved, tokens used);
+
+    /// Messages of other nodes.
+    void on_ask(const mesh::token_ask& ask, const std::string& from);
+    void on_give(const mesh::token_give& give);
+    void on_gift(const mesh::token_gift& gift, const std::string& from);
+    void on_gift_taken(const mesh::token_gift_taken& taken);
+
+    /// What another node says it holds.
+    void on_stock(const mesh::beacon& from);
+
+    /// What to say of this node's stock.
+    std::vector<mesh::token_stock> own_stock() const;
+
+    /// Hands all free tokens to other nodes; done when confirmed, or after
+    /// `limit`.
+    awaitable<void> hand_over(duration limit);
+
+private:
+    struct peer_stock
+    {
+        std::string address;
+        std::map<team_id, tokens> free;
+        instant heard;
+    };
+
+    /// A write whose reply was lost: either its mark turns up in the record,
+    /// or another revision without it does.
+    struct doubtful_write
+    {
+        prepaid::allotment_draft draft;
+        prepaid::write_mark mark;
+        catalog::revision expected;
+    };
+
+    struct asked
+    {
+        team_id team;
+        host_id peer;
+        instant at;
+    };
+
+    awaitable<void> keep_stock();
+    awaitable<bool> refill(const prepaid::token_amounts& wishes);
+    awaitable<bool> read_record();
+    awaitable<bool> create_record();
+    awaitable<bool> write(const doubtful_write& wanted);
+    awaitable<bool> resolve_doubt();
+    awaitable<void> wait_for_change(instant until);
+    void give(const mesh::token_ask& ask, const std::string& from,
+              tokens amount);
+    void take(const prepaid::allotment_draft& draft);
+    bool adopt(const platform::stored_object& object);
+    prepaid::token_amounts wishes() const;
+    prepaid::token_amounts prepaid_totals() const;
+    std::optional<host_id> best_peer(const team_id& team, tokens least,
+                                     const std::set<host_id>& tried) const;
+    void ask(const host_id& peer, const team_id& team, tokens amount);
+    void forget_old();
+    void changed();
+
+    node_tables& tables_;
+    platform_client& client_;
+    sender send_;
+    prepaid::stock_options stock_options_;
+    asio::steady_timer wake_refill_;
+    std::vector<std::weak_ptr<asio::steady_timer>> waiting_;
+    std::map<host_id, peer_stock> peers_;
+    std::map<mesh::transfer_number, asked> asked_;
+    std::map<std::pair<mesh::node_life, mesh::transfer_number>,
+             std::pair<mesh::token_give, instant>>
+        answered_;
+    std::map<std::pair<mesh::node_life, mesh::transfer_number>, instant>
+        gifts_taken_;
+    std::map<mesh::transfer_number, mesh::token_gift> gifts_;
+    mesh::transfer_number last_number_;
+    std::optional<prepaid::allotment_record> record_;
+    catalog::revision record_revision_;
+    instant record_read_;
+    std::optional<doubtful_write> doubt_;
+    std::uint64_t writes_ = 0;
+    int failures_ = 0;         ///< Failed calls in a row.
+    std::set<team_id> wanted_; ///< Teams somebody waits for.
+};
+
+} // namespace fennelladder::edge
+
+#endif
--- /dev/null
+++ b/include/fennelladder/mesh/messages.hpp
@@ -0,0 +1,152 @@
+// What nodes tell each other.
+//
+// Beacons and transfers of tokens travel as single datagrams: there is no
+// connection that could fall silent, and each message makes sense alone. What
+// doesn't fit a datagram (a configuration, many targets) is fetched over a
+// connection from a node whose beacon shows that it knows more.
+//
+//     std::string bytes = encode(datagram{.beacon = mine});
+//     result<datagram> got = decode_datagram(bytes);
+//
+// Thrift's compact protocol on the wire; decoding never trusts a length. All
+// functions are thread safe.
+
+#ifndef FENNELLADDER_MESH_MESSAGES_HPP
+#define FENNELLADDER_MESH_MESSAGES_HPP
+
+#include "fennelladder/base/error.hpp"
+#include "fennelladder/base/ids.hpp"
+#include "fennelladder/base/tokens.hpp"
+#include "fennelladder/catalog/configuration.hpp"
+#include "fennelladder/catalog/target_entry.hpp"
+#include "fennelladder/dispatch/poison_list.hpp"
+#include "fennelladder/dispatch/target_book.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fennelladder::mesh {
+
+/// One life of a node's process: drawn at random when it starts.
+using node_life = number_id<struct node_life_tag>;
+
+/// Number of a transfer of tokens, unique within the life that began it.
+using transfer_number = number_id<struct transfer_number_tag>;
+
+enum class node_state : std::uint8_t
+{
+    starting, ///< Knows no configuration yet.
+    ready,    ///< Takes callers.
+    leaving   ///< Finishes what it has.
+};
+
+/// Free tokens of a team at a node.
+struct token_stock
+{
+    team_id team;
+    tokens free;
+};
+
+/// What a node says of itself, a few times a second.
+struct beacon
+{
+    host_id host;
+    node_life life;
+    std::uint64_t sequence = 0; ///< Grows with each beacon of a life.
+    node_state state = node_state::starting;
+    data_center_id data_center;
+    std::string caller_address;
+    std::string peer_address;
+    catalog::configuration_version configuration; ///< In force there.
+    catalog::revision targets_changed; ///< Latest change it knows; 0: none.
+    bool platform_reached = false;     ///< Lately, and it answered.
+    std::vector<dispatch::target_load> load;
+    std::vector<token_stock> stock;
+    std::vector<dispatch::poison_record> poison;
+    std::vector<std::string> introduced; ///< Addresses of further nodes.
+    std::vector<target_id> leaving;      ///< Targets first seen leaving here.
+};
+
+/// Asks a peer for tokens. Asking again with the same number gets the same
+/// answer, whatever was lost in between.
+struct token_ask
+{
+    node_life life;
+    transfer_number number;
+    team_id team;
+    tokens wanted;
+    tokens least; ///< Less is of no use.
+};
+
+/// The answer; the giver has already taken the amount out of its purse.
+struct token_give
+{
+    node_life life; ///< Of the one that asked.
+    transfer_number number;
+    team_id team;
+    tokens amount;
+};
+
+/// Tokens that a node hands on unasked, since it leaves. Repeated until it is
+/// confirmed; the receiver credits each number once.
+struct token_gift
+{
+    node_life life;
+    transfer_number number;
+    team_id team;
+    tokens amount;
+};
+
+struct token_gift_taken
+{
+    node_life life; ///< Of the giver.
+    transfer_number number;
+};
+
+/// One of these.
+struct datagram
+{
+    std::optional<beacon> hello;
+    std::optional<token_ask> ask;
+    std::optional<token_give> give;
+    std::optional<token_gift> gift;
+    std::optional<token_gift_taken> gift_taken;
+};
+
+/// Asks a node for what it knows beyond this.
+struct sync_ask
+{
+    catalog::configuration_version configuration;
+    catalog::revision targets_as_of;
+};
+
+struct sync_reply
+{
+    /// The operator's configuration as the platform spells it; empty if the
+    /// asker's is as new.
+    std::string configuration;
+    catalog::revision targets_as_of;
+    bool targets_full = false; ///< `targets` is the whole list.
+    std::vector<catalog::target_change> targets;
+};
+
+/// Datagrams up to this size fit in one packet on every network we know of
+/// (IPv4 and UDP headers within an Ethernet frame); larger ones go out in
+/// fragments and are lost more often.
+inline constexpr std::size_t packet_size = 1472;
+
+std::string encode(const datagram& message);
+std::string encode(const sync_ask& message);
+std::string encode(const sync_reply& message);
+
+/// Fail with `corrupt` on bytes that are no such message.
+result<datagram> decode_datagram(std::string_view bytes);
+result<sync_ask> decode_sync_ask(std::string_view bytes);
+result<sync_reply> decode_sync_reply(std::string_view bytes);
+
+} // namespace fennelladder::mesh
+
+#endif
--- /dev/null
+++ b/include/fennelladder/mesh/roster.hpp
@@ -0,0 +1,112 @@
+// The nodes of the fleet as one node hears them.
+//
+//     roster nodes(self, options);
+//     if (nodes.hear(beacon, now))
+//         ... news: spread it, refresh the entry answers ...
+//     nodes.ready(now)                // whom callers may be sent to
+//     nodes.rank(now) < 3             // this node watches the platform
+//
+// A hint only: a silent node may live and a heard one may have died since.
+// Nothing that must never happen rests on it.
+//
+// Cost: a few words a node; every query is linear in the nodes. Not thread
+// safe.
+
+#ifndef FENNELLADDER_MESH_ROSTER_HPP
+#define FENNELLADDER_MESH_ROSTER_HPP
+
+#include "fennelladder/mesh/messages.hpp"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace fennelladder::mesh {
+
+struct roster_options
+{
+    /// Between two beacons to the same node in a small fleet.
+    duration beacon_period = milliseconds(250);
+    /// Beacons a second that a node sends at most; a larger fleet hears each
+    /// node less often.
+    double beacon_rate = 40;
+    /// A node not heard for this many periods is taken for dead.
+    double silent_periods = 4;
+    /// A node silent for this long is forgotten.
+    duration forget_after = seconds(60);
+    /// Addresses told in one beacon to a node that is new.
+    std::size_t introductions = 16;
+};
+
+/// Another node.
+struct node_row
+{
+    beacon last; ///< Without what changes fast (load, stock, poison).
+    instant heard;
+};
+
+/// What a beacon changed.
+struct roster_news
+{
+    bool new_node = false; ///< Or a new life of a known one.
+    bool state_changed = false;
+};
+
+class roster
+{
+public:
+    using row_map = std::map<host_id, node_row>;
+
+    roster(host_id self, roster_options options);
+
+    /// Takes a beacon of another node in. Late ones are passed over.
+    roster_news hear(const beacon& from, instant now);
+
+    /// Addresses to send beacons to although nobody answered there yet.
+    void add_addresses(const std::vector<std::string>& addresses);
+
+    /// Whom to send a beacon to now: every node once a period, and one of the
+    /// addresses that never answered.
+    std::vector<std::string> due(instant now);
+
+    /// Everybody known, for news that must not wait.
+    std::vector<std::string> all_addresses() const;
+
+    /// Nodes heard lately, by host.
+    std::vector<const node_row*> alive(instant now) const;
+    bool is_alive(const node_row& row, instant now) const;
+
+    /// Hosts of this and all living nodes that aren't leaving, sorted.
+    std::vector<host_id> members(instant now) const;
+
+    /// Position of this node among the living that reach the platform, in an
+    /// order all nodes agree on; `reached` says whether this one does.
+    std::size_t rank(std::string_view salt, bool reached, instant now) const;
+
+    /// Addresses to introduce to a node that is new here.
+    std::vector<std::string> introductions(const host_id& to,
+                                           instant now) const;
+
+    /// How long a period is in a fleet of this size.
+    duration period() const;
+
+    /// Nodes ever heard and not forgotten, and this one.
+    std::size_t size() const { return rows_.size() + 1; }
+
+    const row_map& rows() const { return rows_; }
+
+    void forget_old(instant now);
+
+private:
+    host_id self_;
+    roster_options options_;
+    row_map rows_;
+    std::vector<std::string> unanswered_; ///< Addresses without a row.
+    std::map<std::string, instant> next_due_;
+    std::size_t turn_ = 0; ///< Which unanswered address is next.
+};
+
+} // namespace fennelladder::mesh
+
+#endif
--- /dev/null
+++ b/include/fennelladder/prepaid/purse.hpp
@@ -0,0 +1,79 @@
+// The prepaid tokens that one node holds, by team. They were taken out of the
+// platform's record before (see allotment_record.hpp), so spending them needs
+// nobody's consent, and what all nodes spend never exceeds what was prepaid.
+//
+//     if (!purse.reserve(team, worst))
+//         ... ask a peer, or refuse ...
+//     purse.settle(team, worst, used);
+//
+// Invariant: free + reserved + spent of a team equals what was credited minus
+// what was debited; none of them is negative. What a node holds when it dies
+// is lost to the team: a holder that looks dead may still spend.
+//
+// Not thread safe.
+
+#ifndef FENNELLADDER_PREPAID_PURSE_HPP
+#define FENNELLADDER_PREPAID_PURSE_HPP
+
+#include "fennelladder/base/ids.hpp"
+#include "fennelladder/base/time.hpp"
+#include "fennelladder/base/tokens.hpp"
+
+#include <map>
+
+namespace fennelladder::prepaid {
+
+/// What a node holds of one team.
+struct holding
+{
+    tokens free;
+    tokens reserved;
+    tokens spent;
+    tokens largest;    ///< Largest amount that was lately wanted at once.
+    double demand = 0; ///< Tokens a second wanted here, by this node's callers
+                       ///< and by peers; fades.
+    instant demand_at;
+};
+
+class purse
+{
+public:
+    using holding_map = std::map<team_id, holding>;
+
+    /// Sets aside the most that a request can cost. False, and nothing set
+    /// aside, if there is less. Precondition: amount >= 0.
+    bool reserve(const team_id& team, tokens amount, instant now);
+
+    /// The request is over and cost `used`. Precondition: `reserved` was set
+    /// aside; 0 <= used <= reserved.
+    void settle(const team_id& team, tokens reserved, tokens used);
+
+    /// Tokens came from the platform's record or from a peer.
+    void credit(const team_id& team, tokens amount);
+
+    /// Takes out up to `wanted` to give to a peer, nothing if less than
+    /// `least` is free.
+    tokens debit(const team_id& team, tokens wanted, tokens least, instant now);
+
+    /// Takes out all that is free.
+    tokens debit_all(const team_id& team);
+
+    tokens free_of(const team_id& team) const;
+
+    /// Tokens a second wanted here lately.
+    double demand(const team_id& team, instant now) const;
+
+    const holding_map& holdings() const { return holdings_; }
+
+    /// In this time without requests the demand seen falls to 1/e.
+    static constexpr duration demand_memory = seconds(4);
+
+private:
+    void note_demand(holding& it, tokens amount, instant now);
+
+    holding_map holdings_;
+};
+
+} // namespace fennelladder::prepaid
+
+#endif
--- /dev/null
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -0,0 +1,67 @@
+// How many tokens of a team a node should take out of the platform's record.
+//
+//     if (is_stockist(team, self, nodes, options))
+//         wish = stock_wish(state, options);
+//
+// A few nodes of the fleet, the team's stockists, take tokens out for all;
+// the others ask them (or whoever has some) when a request comes. So the
+// calls to the platform and the tokens that lie about depend on the number of
+// teams and not on the number of nodes.
+//
+// Stock is what callers are served from while the platform is out of reach,
+// and what is lost when a node dies. Hence it is sized by demand, and its
+// share of what is left shrinks as a team's tokens run low.
+//
+// Pure; thread safe.
+
+#ifndef FENNELLADDER_PREPAID_STOCK_PLAN_HPP
+#define FENNELLADDER_PREPAID_STOCK_PLAN_HPP
+
+#include "fennelladder/base/ids.hpp"
+#include "fennelladder/base/time.hpp"
+#include "fennelladder/base/tokens.hpp"
+
+#include <cstddef>
+#include <vector>
+
+namespace fennelladder::prepaid {
+
+struct stock_options
+{
+    /// Nodes that take out tokens of one team. Three, so that one of them
+    /// may die and another be cut off.
+    std::size_t stockists = 3;
+    /// Demand that the stock covers: the platform may be away for this long.
+    duration horizon = seconds(12);
+    /// Stock before any demand was seen, as a share of what was prepaid, over
+    /// all stockists.
+    double first_share = 0.08;
+    /// Of what is left in the record, one wish takes this share at most.
+    double most_of_rest = 0.25;
+    /// The stock is filled up when it is below this share of its goal.
+    double refill_below = 0.6;
+};
+
+/// What is known when a node considers its stock of a team.
+struct stock_state
+{
+    tokens prepaid;            ///< Total of the day.
+    tokens left;               ///< Not handed out yet.
+    tokens free;               ///< Held here.
+    tokens largest;            ///< Largest single want lately.
+    double demand = 0;         ///< Tokens a second, here.
+    std::size_t stockists = 1; ///< That are alive.
+};
+
+/// Tokens to take out now; 0: none.
+tokens stock_wish(const stock_state& state, const stock_options& options);
+
+/// The team's stockists among `nodes`, in order: a few of highest rank by
+/// rendezvous hashing, so nodes that know the same fleet agree.
+std::vector<host_id> stockists_of(const team_id& team,
+                                  const std::vector<host_id>& nodes,
+                                  const stock_options& options);
+
+} // namespace fennelladder::prepaid
+
+#endif
--- a/include/fennelladder/telemetry/log.hpp
+++ b/include/fennelladder/telemetry/log.hpp
@@ -16,6 +16,7 @@
 
 #include "fennelladder/telemetry/event_catalog.hpp"
 
+#include <functional>
 #include <initializer_list>
 #include <span>
 #include <string>
@@ -40,6 +41,14 @@
 /// Sets how lines are written from now on. Thread safe; call it at start.
 void configure_log(const log_options& options);
 
+/// Takes finished lines (without time or line end) in place of
+/// easylogging++, whose output blocks the caller when its reader is slow.
+using log_sink =
+    std::function<void(const event_description& what, std::string line)>;
+
+/// Sends all lines to `sink` from now on. Not thread safe; call it at start.
+void set_log_sink(log_sink sink);
+
 /// Writes one line. Precondition: `number` is in the catalogue. Thread safe.
 void log_event(int number, std::initializer_list<log_field> fields = {});
 
--- /dev/null
+++ b/libs/catalog/target_entry.cpp
@@ -0,0 +1,70 @@
+// A full listing is turned into changes against what was known, so that the
+// log stays complete whichever way the news came.
+
+#include "fennelladder/catalog/target_entry.hpp"
+
+#include <algorithm>
+
+namespace fennelladder::catalog {
+
+bool target_list::replace_all(const std::vector<target_change>& entries,
+                              revision as_of)
+{
+    if (known_ && as_of < as_of_)
+        return false;
+    if (!known_)
+        log_from_ = as_of;
+    std::map<target_id, const target_change*> listed;
+    for (const target_change& it : entries)
+        listed.emplace(it.id, &it);
+    std::vector<target_change> changes;
+    for (const auto& [id, entry] : entries_)
+        if (!listed.contains(id))
+            changes.push_back({id, std::nullopt, as_of});
+    for (const auto& [id, change] : listed) {
+        const auto old = entries_.find(id);
+        if (old == entries_.end() || old->second != change->entry)
+            changes.push_back(*change);
+    }
+    known_ = true;
+    return apply(changes, as_of);
+}
+
+bool target_list::apply(const std::vector<target_change>& changes,
+                        revision as_of)
+{
+    if (!known_ || as_of < as_of_)
+        return false;
+    for (const target_change& it : changes)
+        note(it);
+    as_of_ = as_of;
+    return true;
+}
+
+void target_list::note(target_change change)
+{
+    if (change.entry)
+        entries_[change.id] = *change.entry;
+    else
+        entries_.erase(change.id);
+    latest_change_ = std::max(latest_change_, change.at);
+    log_.push_back(std::move(change));
+    if (log_.size() > log_limit) {
+        log_from_ = std::max(log_from_, log_.front().at);
+        log_.pop_front();
+    }
+}
+
+std::optional<std::vector<target_change>>
+target_list::changes_since(revision since) const
+{
+    if (!known_ || since < log_from_)
+        return std::nullopt;
+    std::vector<target_change> out;
+    for (const target_change& it : log_)
+        if (it.at > since)
+            out.push_back(it);
+    return out;
+}
+
+} // namespace fennelladder::catalog
--- /dev/null
+++ b/libs/dispatch/poison_list.cpp
@@ -0,0 +1,81 @@
+#include "fennelladder/dispatch/poison_list.hpp"
+
+#include "fennelladder/base/hash.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace fennelladder::dispatch {
+
+request_mark mark_of(std::string_view method, std::string_view path,
+                     const team_id& team, std::string_view body)
+{
+    std::uint64_t out = hash64(method);
+    out = hash64(path, out);
+    out = hash64(team.str(), out);
+    return request_mark(hash64(body, out));
+}
+
+poison_list::poison_list(poison_list_options options) : options_(options)
+{}
+
+bool poison_list::is_poison(request_mark mark, instant now) const
+{
+    const auto it = entries_.find(mark);
+    return it != entries_.end() &&
+           it->second.deaths.size() >= options_.deaths &&
+           now - it->second.last < options_.memory;
+}
+
+bool poison_list::note_death(request_mark mark, const target_id& target,
+                             instant now)
+{
+    entry& it = entries_[mark];
+    const auto place = std::ranges::lower_bound(it.deaths, target);
+    if (place != it.deaths.end() && *place == target)
+        return false;
+    it.deaths.insert(place, target);
+    it.last = now;
+    forget(now);
+    return true;
+}
+
+bool poison_list::merge(const poison_record& record, instant now)
+{
+    bool news = false;
+    for (const target_id& it : record.deaths)
+        news |= note_death(record.mark, it, now);
+    return news;
+}
+
+void poison_list::forget(instant now)
+{
+    if (entries_.size() <= options_.most_records)
+        return;
+    std::erase_if(entries_, [&](const auto& it) {
+        return now - it.second.last >= options_.memory;
+    });
+    // Still full: those with one death are the least worth keeping.
+    if (entries_.size() > options_.most_records)
+        std::erase_if(entries_, [&](const auto& it) {
+            return it.second.deaths.size() < options_.deaths;
+        });
+}
+
+std::vector<poison_record> poison_list::recent(duration span, std::size_t limit,
+                                               instant now) const
+{
+    std::vector<std::pair<instant, poison_record>> found;
+    for (const auto& [mark, it] : entries_)
+        if (now - it.last < span)
+            found.push_back({it.last, {mark, it.deaths}});
+    std::ranges::sort(found, std::greater<>(),
+                      [](const auto& it) { return it.first; });
+    std::vector<poison_record> out;
+    for (auto& it : found)
+        if (out.size() < limit)
+            out.push_back(std::move(it.second));
+    return out;
+}
+
+} // namespace fennelladder::dispatch
--- /dev/null
+++ b/libs/dispatch/target_book.cpp
@@ -0,0 +1,403 @@
+// Averages fade: an observation's weight is halved every forget_half, so a
+// target that gets no requests drifts back to "as predicted" and is tried
+// again.
+
+#include "fennelladder/dispatch/target_book.hpp"
+
+#include "fennelladder/base/hash.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace fennelladder::dispatch {
+
+namespace {
+
+/// A failure counts as this many objectives of waiting.
+constexpr double failure_cost = 3;
+
+/// Bounds of one slowness observation; a single odd wait must not condemn a
+/// target for long.
+constexpr double least_slowness = 0.5;
+constexpr double most_slowness = 30;
+
+/// Waits shorter than this say more of the network than of the target.
+constexpr double shortest_wait = 0.005;
+
+/// Ranks for rendezvous hashing: the target with the highest weight for a
+/// part is where all nodes expect it.
+std::uint64_t weight(std::uint64_t part, const target_id& target)
+{
+    return hash64(target.str(), part);
+}
+
+} // namespace
+
+std::string_view to_string(target_evidence value)
+{
+    switch (value) {
+    case target_evidence::answered:
+        return "answered";
+    case target_evidence::failed:
+        return "failed";
+    case target_evidence::broke:
+        return "broke";
+    case target_evidence::silent:
+        return "silent";
+    case target_evidence::unreachable:
+        return "unreachable";
+    case target_evidence::full:
+        return "full";
+    case target_evidence::other_life:
+        return "other_life";
+    case target_evidence::nothing:
+        return "nothing";
+    }
+    return "unknown";
+}
+
+std::optional<std::uint64_t> meeting_part(std::span<const shared_part> prompt)
+{
+    if (prompt.empty())
+        return std::nullopt;
+    return prompt.size() > 1 ? prompt[prompt.size() - 2].id : prompt[0].id;
+}
+
+target_book::target_book(target_book_options options)
+    : options_(std::move(options))
+{}
+
+void target_book::sync(const catalog::target_list::entry_map& listed,
+                       bool list_in_doubt, instant now)
+{
+    for (auto& [id, state] : targets_) {
+        if (listed.contains(id) || state.gone)
+            continue;
+        if (!list_in_doubt)
+            state.gone = true;
+        else if (!state.use_until)
+            state.use_until = now + options_.lapsed_grace;
+    }
+    for (const auto& [id, entry] : listed) {
+        target_state& state = targets_[id];
+        state.entry = entry;
+        state.use_until.reset();
+    }
+    std::erase_if(targets_, [&](const auto& it) {
+        return it.second.gone && it.second.running == 0 &&
+               !listed.contains(it.first);
+    });
+    by_service_.clear();
+    for (const auto& [id, state] : targets_)
+        by_service_[state.entry.service].push_back(id);
+    recount_peers();
+}
+
+/// Targets came and went: counts are taken from what peers said last.
+void target_book::recount_peers()
+{
+    for (auto& [id, state] : targets_) {
+        state.peers_running = 0;
+        state.peers_reading = 0;
+    }
+    for (const auto& [peer, load] : peer_loads_)
+        add_peer(load, 1);
+}
+
+void target_book::add_peer(const std::vector<target_load>& load, int sign)
+{
+    for (const target_load& it : load)
+        if (target_state* state = find(it.target)) {
+            state->peers_running += sign * static_cast<int>(it.running);
+            state->peers_reading +=
+                sign * static_cast<std::int64_t>(it.reading);
+        }
+}
+
+double target_book::faded(const fading_average& of, instant now) const
+{
+    const double halves =
+        to_seconds(now - of.at) / to_seconds(options_.forget_half);
+    return of.value * std::exp2(-std::max(halves, 0.0));
+}
+
+void target_book::observe(fading_average& of, double value, instant now) const
+{
+    const double old = faded(of, now);
+    of.value = old + options_.newest_weight * (value - old);
+    of.at = now;
+}
+
+bool target_book::usable(const target_state& it, instant now) const
+{
+    if (it.gone || it.entry.leaving)
+        return false;
+    return !it.use_until || now < *it.use_until;
+}
+
+bool target_book::resting(const target_state& it, instant now) const
+{
+    return now < it.rest_until || (it.rests > 0 && it.trying);
+}
+
+bool target_book::may_use(const target_id& target, instant now) const
+{
+    const auto it = targets_.find(target);
+    return it != targets_.end() && usable(it->second, now);
+}
+
+std::optional<std::string>
+target_book::address_of(const target_id& target) const
+{
+    const auto it = targets_.find(target);
+    if (it == targets_.end())
+        return std::nullopt;
+    return it->second.entry.address;
+}
+
+std::size_t target_book::count(const service_id& service) const
+{
+    const auto it = by_service_.find(service);
+    return it == by_service_.end() ? 0 : it->second.size();
+}
+
+/// Tokens of the prompt that the target has to read. A part counts as held
+/// only if all parts before it are.
+std::uint32_t target_book::unread(const target_state& it, const work_wish& wish,
+                                  bool expected_here, instant now) const
+{
+    std::uint32_t held = 0;
+    for (std::size_t i = 0; i < wish.prompt.size(); ++i) {
+        const bool own = i + 1 == wish.prompt.size() && i > 0;
+        const auto known = it.parts.find(wish.prompt[i].id);
+        const bool used = known != it.parts.end() &&
+                          now - known->second < options_.part_memory;
+        if (!used && (own || !expected_here))
+            break;
+        held += wish.prompt[i].size;
+    }
+    return wish.prompt_size > held ? wish.prompt_size - held : 0;
+}
+
+double target_book::predicted_seconds(const target_state& it,
+                                      const work_wish& wish,
+                                      std::uint32_t reading) const
+{
+    const int running = it.running + it.peers_running;
+    if (!wish.on_engine) {
+        const double queue =
+            static_cast<double>(running) / std::max(it.entry.slots, 1U);
+        return to_seconds(options_.plain_time) * (1 + queue);
+    }
+    const double tokens_first =
+        static_cast<double>(it.reading + it.peers_reading) + reading;
+    return tokens_first / options_.reading_speed +
+           to_seconds(options_.per_running) * (running + 1);
+}
+
+double target_book::cost(const target_state& it, const work_wish& wish,
+                         double predicted, instant now) const
+{
+    const double slowness = std::exp(faded(it.log_slowness, now));
+    const double objective = std::max(to_seconds(wish.objective), 0.05);
+    double out = predicted * slowness +
+                 faded(it.failures, now) * failure_cost * objective;
+    if (it.entry.data_center != options_.own_data_center)
+        out += to_seconds(options_.distance);
+    return out;
+}
+
+std::optional<choice> target_book::choose(const work_wish& wish, instant now,
+                                          random_source& random)
+{
+    const auto known = by_service_.find(wish.service);
+    if (known == by_service_.end())
+        return std::nullopt;
+    std::vector<target_state*> candidates;
+    for (const target_id& id : known->second) {
+        target_state& it = targets_[id];
+        if (usable(it, now) &&
+            std::ranges::find(wish.avoid, id) == wish.avoid.end())
+            candidates.push_back(&it);
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    // Resting targets are used only when all others are ruled out.
+    const bool all_rest = std::ranges::all_of(
+        candidates, [&](const target_state* it) { return resting(*it, now); });
+    const target_state* expected = nullptr;
+    if (const auto part = meeting_part(wish.prompt)) {
+        std::uint64_t best = 0;
+        for (const target_state* it : candidates) {
+            const std::uint64_t rank = weight(*part, it->entry.id);
+            if (!resting(*it, now) && (expected == nullptr || rank > best)) {
+                expected = it;
+                best = rank;
+            }
+        }
+    }
+    choice out;
+    out.candidates = candidates.size();
+    const target_state* chosen = nullptr;
+    const std::size_t first = random.below(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const target_state* it = candidates[(first + i) % candidates.size()];
+        if (!all_rest && resting(*it, now))
+            continue;
+        const std::uint32_t reading = unread(*it, wish, it == expected, now);
+        const double predicted = predicted_seconds(*it, wish, reading);
+        const double price = cost(*it, wish, predicted, now);
+        if (chosen != nullptr && price >= out.cost)
+            continue;
+        chosen = it;
+        out.cost = price;
+        out.work.reading = reading;
+        out.predicted = from_seconds(predicted);
+    }
+    assert(chosen != nullptr);
+    out.target = chosen->entry.id;
+    out.address = chosen->entry.address;
+    out.data_center = chosen->entry.data_center;
+    out.running = chosen->running + chosen->peers_running;
+    return out;
+}
+
+target_book::target_state* target_book::find(const target_id& target)
+{
+    const auto it = targets_.find(target);
+    return it == targets_.end() ? nullptr : &it->second;
+}
+
+void target_book::started(const target_id& target, work_share work,
+                          const work_wish& of, instant now)
+{
+    target_state* it = find(target);
+    if (it == nullptr)
+        return;
+    ++it->running;
+    it->reading += work.reading;
+    if (it->rests > 0)
+        it->trying = true;
+    for (const shared_part& part : of.prompt)
+        it->parts[part.id] = now;
+    forget_parts(*it, now);
+}
+
+void target_book::forget_parts(target_state& it, instant now) const
+{
+    if (it.parts.size() <= options_.most_parts)
+        return;
+    std::erase_if(it.parts, [&](const auto& part) {
+        return now - part.second > options_.part_memory;
+    });
+    if (it.parts.size() > options_.most_parts)
+        it.parts.clear();
+}
+
+void target_book::first_byte(const target_id& target, const choice& made,
+                             duration waited, instant now)
+{
+    target_state* it = find(target);
+    if (it == nullptr)
+        return;
+    it->reading -= made.work.reading;
+    const double predicted =
+        std::max(to_seconds(made.predicted), shortest_wait);
+    const double slowness = std::clamp(to_seconds(waited) / predicted,
+                                       least_slowness, most_slowness);
+    observe(it->log_slowness, std::log(slowness), now);
+}
+
+void target_book::finished(const target_id& target, work_share work, bool read,
+                           target_evidence evidence, instant now)
+{
+    target_state* it = find(target);
+    if (it == nullptr)
+        return;
+    assert(it->running > 0);
+    --it->running;
+    if (!read)
+        it->reading -= work.reading;
+    learned(target, evidence, now);
+}
+
+void target_book::rest(target_state& it, duration first, instant now)
+{
+    duration length = first;
+    for (int i = 0; i < it.rests && length < options_.longest_rest; ++i)
+        length *= 2;
+    it.rest_until = now + std::min(length, options_.longest_rest);
+    ++it.rests;
+    it.trying = false;
+}
+
+void target_book::learned(const target_id& target, target_evidence evidence,
+                          instant now)
+{
+    target_state* it = find(target);
+    if (it == nullptr)
+        return;
+    switch (evidence) {
+    case target_evidence::answered:
+        it->rests = 0;
+        it->trying = false;
+        observe(it->failures, 0, now);
+        return;
+    case target_evidence::failed:
+        it->rests = 0;
+        it->trying = false;
+        observe(it->failures, 0.5, now);
+        return;
+    case target_evidence::broke:
+    case target_evidence::silent:
+        it->trying = false;
+        observe(it->failures, 1, now);
+        return;
+    case target_evidence::unreachable:
+        observe(it->failures, 1, now);
+        // Several requests may fail at once; that is one rest.
+        if (now >= it->rest_until)
+            rest(*it, options_.first_rest, now);
+        return;
+    case target_evidence::full:
+        it->trying = false;
+        it->rest_until = std::max(it->rest_until, now + options_.full_rest);
+        return;
+    case target_evidence::other_life:
+        it->gone = true;
+        return;
+    case target_evidence::nothing:
+        it->trying = false;
+        return;
+    }
+}
+
+void target_book::peer_load(const host_id& peer, std::vector<target_load> load)
+{
+    forget_peer(peer);
+    add_peer(load, 1);
+    peer_loads_[peer] = std::move(load);
+}
+
+void target_book::forget_peer(const host_id& peer)
+{
+    const auto known = peer_loads_.find(peer);
+    if (known == peer_loads_.end())
+        return;
+    add_peer(known->second, -1);
+    peer_loads_.erase(known);
+}
+
+std::vector<target_load> target_book::own_load() const
+{
+    std::vector<target_load> out;
+    for (const auto& [id, state] : targets_)
+        if (state.running > 0)
+            out.push_back({id, static_cast<std::uint32_t>(state.running),
+                           static_cast<std::uint32_t>(
+                               std::max<std::int64_t>(state.reading, 0))});
+    return out;
+}
+
+} // namespace fennelladder::dispatch
--- /dev/null
+++ b/libs/edge/attempt.cpp
@@ -0,0 +1,445 @@
+// The request is written while its answer is read, since a target may answer
+// before it has read a long body. If it does, the rest of the body is still
+// due on that connection, which is therefore closed and not used again.
+
+#include "fennelladder/edge/attempt.hpp"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <limits>
+
+namespace fennelladder::edge {
+
+namespace {
+
+using dispatch::attempt_end;
+using dispatch::target_evidence;
+
+/// A connection within the fleet's networks is made in milliseconds; one that
+/// takes longer lost a packet or goes nowhere, and another target is sooner.
+constexpr duration connect_limit = milliseconds(350);
+
+/// Answers up to this size are held until complete.
+constexpr std::size_t most_held = 512 * 1024;
+
+/// Answers to other requests that are skipped before the right one.
+constexpr int most_skipped = 4;
+
+constexpr std::size_t piece_size = 16 * 1024;
+
+/// What is being written; outlives the attempt, since the write may.
+struct outgoing_request
+{
+    std::string head;
+    std::string body;
+    connection_ptr connection;
+    bool done = false;
+};
+
+using answer_parser = http::response_parser<http::buffer_body>;
+
+class attempt
+{
+public:
+    explicit attempt(attempt_input& in) : in_(in) {}
+
+    awaitable<attempt_outcome> run();
+
+private:
+    awaitable<bool> connect();
+    void send();
+    awaitable<void> read_answers();
+    awaitable<bool> read_head(std::optional<answer_parser>& parser);
+    awaitable<bool> read_piece(answer_parser& parser, std::string& out);
+    awaitable<bool> skip(answer_parser& parser);
+    awaitable<void> take_answer(answer_parser& parser,
+                                const platform::answer_facts& facts);
+    awaitable<void> pass_stream(answer_parser& parser);
+    awaitable<void> pass_whole(answer_parser& parser);
+    awaitable<void> pass_large(answer_parser& parser, std::string begun);
+    awaitable<void> hold_failure(answer_parser& parser);
+    awaitable<bool> pass_events();
+    answer_head head_of(const answer_parser& parser) const;
+    void end(attempt_end how, target_evidence evidence, std::string detail);
+    void end_by_error(const char* where);
+    void moved_on(std::optional<duration> limit);
+    void give_back(const answer_parser& parser);
+    void note_first_byte();
+
+    attempt_input& in_;
+    attempt_outcome out_;
+    connection_ptr connection_;
+    std::shared_ptr<outgoing_request> outgoing_;
+    instant sent_at_;
+    net_error ec_;
+};
+
+void attempt::end(attempt_end how, target_evidence evidence, std::string detail)
+{
+    out_.ended = how;
+    out_.evidence = evidence;
+    out_.detail = std::move(detail);
+}
+
+/// The connection failed, or was closed from outside.
+void attempt::end_by_error(const char* where)
+{
+    switch (in_.course.stopped()) {
+    case stop_reason::caller_left:
+        return end(attempt_end::caller_left, target_evidence::nothing, where);
+    case stop_reason::out_of_time:
+        return end(attempt_end::out_of_time,
+                   out_.first_byte ? target_evidence::nothing
+                                   : target_evidence::silent,
+                   where);
+    case stop_reason::silent:
+        return end(attempt_end::silent, target_evidence::silent, where);
+    case stop_reason::none:
+        break;
+    }
+    // A kept connection that ended before any answer most likely ended before
+    // the request came: that says nothing of the target.
+    const bool idle_race = out_.kept_connection && !out_.first_byte;
+    end(attempt_end::broken,
+        idle_race ? target_evidence::nothing : target_evidence::broke,
+        std::string(where) + ": " + ec_.message());
+}
+
+void attempt::moved_on(std::optional<duration> limit)
+{
+    if (limit)
+        in_.course.set_silence_limit(in_.tables.now() + *limit);
+    else
+        in_.course.set_silence_limit(std::nullopt);
+}
+
+awaitable<bool> attempt::connect()
+{
+    if (in_.course.stopped() != stop_reason::none) {
+        end_by_error("before connecting");
+        co_return false;
+    }
+    connection_ = in_.tables.pool.take_idle(in_.target.target, in_.longest_rest,
+                                            in_.tables.now());
+    if (connection_) {
+        out_.kept_connection = true;
+        in_.course.hold(connection_);
+        co_return true;
+    }
+    connection_ = in_.tables.pool.make(in_.target.target);
+    in_.course.hold(connection_);
+    const bool made = co_await in_.tables.pool.open(
+        connection_, in_.target.address, connect_limit);
+    if (made && in_.course.stopped() == stop_reason::none)
+        co_return true;
+    if (in_.course.stopped() == stop_reason::none)
+        end(attempt_end::not_connected, target_evidence::unreachable,
+            "no connection");
+    else
+        end_by_error("connect");
+    co_return false;
+}
+
+void attempt::send()
+{
+    const caller_request& request = in_.request;
+    outgoing_ = std::make_shared<outgoing_request>();
+    std::optional<std::size_t> body_size;
+    if (request.has_body)
+        body_size = request.body.size();
+    outgoing_->head = platform::encode_request(
+        request.method, request.path, request.fields, in_.order, body_size);
+    outgoing_->body = request.body;
+    outgoing_->connection = connection_;
+    out_.sent = true;
+    sent_at_ = in_.tables.now();
+    const std::array<asio::const_buffer, 2> bytes{
+        asio::buffer(outgoing_->head), asio::buffer(outgoing_->body)};
+    asio::async_write(connection_->socket, bytes,
+                      [sent = outgoing_](net_error ec, std::size_t) {
+                          sent->done = !ec;
+                          // A failure shows to the reader as well.
+                      });
+}
+
+awaitable<bool> attempt::read_head(std::optional<answer_parser>& parser)
+{
+    for (;;) {
+        parser.emplace();
+        parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        co_await http::async_read_header(connection_->socket, connection_->buf,
+                                         *parser, into(ec_));
+        if (ec_) {
+            end_by_error("answer's head");
+            co_return false;
+        }
+        // Interim answers announce the real one.
+        if (parser->get().result_int() >= 200)
+            co_return true;
+    }
+}
+
+/// Appends what comes next of the body. False on failure, which is noted.
+awaitable<bool> attempt::read_piece(answer_parser& parser, std::string& out)
+{
+    const std::size_t before = out.size();
+    out.resize(before + piece_size);
+    parser.get().body().data = out.data() + before;
+    parser.get().body().size = piece_size;
+    co_await http::async_read_some(connection_->socket, connection_->buf,
+                                   parser, into(ec_));
+    if (ec_ == http::error::need_buffer)
+        ec_ = {};
+    out.resize(before + piece_size - parser.get().body().size);
+    if (!ec_ && in_.course.stopped() == stop_reason::none)
+        co_return true;
+    end_by_error("answer's body");
+    co_return false;
+}
+
+awaitable<bool> attempt::skip(answer_parser& parser)
+{
+    if (parser.need_eof()) {
+        end(attempt_end::garbled, target_evidence::broke,
+            "another request's answer without an end");
+        co_return false;
+    }
+    std::string thrown_away;
+    while (!parser.is_done()) {
+        const bool more = co_await read_piece(parser, thrown_away);
+        if (!more)
+            co_return false;
+        thrown_away.clear();
+    }
+    co_return true;
+}
+
+answer_head attempt::head_of(const answer_parser& parser) const
+{
+    answer_head out;
+    out.status = parser.get().result_int();
+    const auto reason = parser.get().reason();
+    out.reason = std::string(reason.data(), reason.size());
+    out.headers = platform::encode_answer_headers(parser.get().base());
+    return out;
+}
+
+void attempt::give_back(const answer_parser& parser)
+{
+    const auto facts = platform::read_answer(parser.get().base());
+    const bool clean = parser.is_done() && !parser.need_eof() &&
+                       parser.keep_alive() && !facts.closes &&
+                       outgoing_->done && connection_->buf.size() == 0;
+    in_.course.release();
+    if (!clean)
+        return;
+    in_.tables.pool.give_back(connection_, facts.keep_alive, in_.tables.now());
+    connection_.reset();
+}
+
+void attempt::note_first_byte()
+{
+    if (out_.first_byte)
+        return;
+    out_.first_byte = true;
+    const instant now = in_.tables.now();
+    in_.tables.book.first_byte(in_.target.target, in_.target, now - sent_at_,
+                               now);
+}
+
+/// Passes on the whole events that are there. False if the caller is gone.
+awaitable<bool> attempt::pass_events()
+{
+    const std::string whole = in_.events.take();
+    const bool sent = co_await in_.reply.send_piece(whole);
+    if (!sent)
+        end(attempt_end::caller_left, target_evidence::nothing, "caller");
+    co_return sent;
+}
+
+awaitable<void> attempt::pass_stream(answer_parser& parser)
+{
+    in_.events.restart();
+    std::string piece;
+    std::uint64_t passed = in_.events.events();
+    while (!parser.is_done()) {
+        piece.clear();
+        const bool more = co_await read_piece(parser, piece);
+        if (!more)
+            co_return;
+        if (!in_.events.feed(piece)) {
+            end(attempt_end::garbled, target_evidence::broke, "events");
+            co_return;
+        }
+        if (in_.events.events() == passed)
+            continue;
+        passed = in_.events.events();
+        moved_on(in_.gap_limit);
+        note_first_byte();
+        if (!in_.reply.begun()) {
+            const answer_head head = head_of(parser);
+            const bool begun = co_await in_.reply.begin(head);
+            if (!begun) {
+                end(attempt_end::caller_left, target_evidence::nothing,
+                    "caller");
+                co_return;
+            }
+        }
+        const bool passed_on = co_await pass_events();
+        if (!passed_on)
+            co_return;
+    }
+    give_back(parser);
+    if (!in_.reply.begun()) {
+        const answer_head head = head_of(parser);
+        (void)co_await in_.reply.begin(head);
+    }
+    // Bytes behind the last event belong to the target's whole answer.
+    const std::string rest = in_.events.rest();
+    (void)co_await in_.reply.send_piece(rest);
+    const bool finished = co_await in_.reply.finish();
+    if (finished)
+        end(attempt_end::answered, target_evidence::answered, "");
+    else
+        end(attempt_end::caller_left, target_evidence::nothing, "caller");
+}
+
+awaitable<void> attempt::pass_large(answer_parser& parser, std::string piece)
+{
+    const answer_head head = head_of(parser);
+    bool taken = co_await in_.reply.begin(head);
+    while (taken) {
+        taken = co_await in_.reply.send_piece(piece);
+        if (!taken || parser.is_done())
+            break;
+        piece.clear();
+        const bool more = co_await read_piece(parser, piece);
+        if (!more)
+            co_return;
+    }
+    if (taken) {
+        give_back(parser);
+        taken = co_await in_.reply.finish();
+    }
+    if (taken)
+        end(attempt_end::answered, target_evidence::answered, "");
+    else
+        end(attempt_end::caller_left, target_evidence::nothing, "caller");
+}
+
+awaitable<void> attempt::pass_whole(answer_parser& parser)
+{
+    std::string body;
+    while (!parser.is_done()) {
+        const bool more = co_await read_piece(parser, body);
+        if (!more)
+            co_return;
+        moved_on(in_.gap_limit);
+        if (body.size() > most_held) {
+            co_await pass_large(parser, std::move(body));
+            co_return;
+        }
+    }
+    give_back(parser);
+    const answer_head head = head_of(parser);
+    const bool sent = co_await in_.reply.send_whole(head, body);
+    if (sent)
+        end(attempt_end::answered, target_evidence::answered, "");
+    else
+        end(attempt_end::caller_left, target_evidence::nothing, "caller");
+}
+
+awaitable<void> attempt::hold_failure(answer_parser& parser)
+{
+    out_.head = head_of(parser);
+    while (!parser.is_done() && out_.body.size() <= most_held) {
+        const bool more = co_await read_piece(parser, out_.body);
+        if (!more)
+            co_return;
+    }
+    give_back(parser);
+    end(attempt_end::failed_there, target_evidence::failed,
+        "status " + std::to_string(out_.head.status));
+}
+
+awaitable<void> attempt::take_answer(answer_parser& parser,
+                                     const platform::answer_facts& facts)
+{
+    constexpr unsigned misdirected = 421;
+    const unsigned status = parser.get().result_int();
+    if (facts.not_run || status == misdirected) {
+        (void)co_await skip(parser);
+        give_back(parser);
+        const bool moved = status == misdirected;
+        end(moved ? attempt_end::other_life : attempt_end::rejected,
+            moved ? target_evidence::other_life : target_evidence::full,
+            "status " + std::to_string(status));
+        co_return;
+    }
+    if (!facts.signed_by_target || facts.request != in_.request.facts.id) {
+        end(attempt_end::garbled, target_evidence::broke,
+            "status " + std::to_string(status) + " without a signature");
+        co_return;
+    }
+    if (status < 200 || status >= 300) {
+        co_await hold_failure(parser);
+        co_return;
+    }
+    const auto type = parser.get()[http::field::content_type];
+    if (in_.way.streams && type.starts_with("text/event-stream")) {
+        co_await pass_stream(parser);
+        co_return;
+    }
+    note_first_byte();
+    co_await pass_whole(parser);
+}
+
+awaitable<void> attempt::read_answers()
+{
+    std::optional<answer_parser> parser;
+    for (int skipped = 0; skipped <= most_skipped; ++skipped) {
+        const bool read = co_await read_head(parser);
+        if (!read)
+            co_return;
+        const auto facts = platform::read_answer(parser->get().base());
+        if (facts.request.empty() || facts.request == in_.request.facts.id) {
+            co_await take_answer(*parser, facts);
+            co_return;
+        }
+        const bool skipped_it = co_await skip(*parser);
+        if (!skipped_it)
+            co_return;
+    }
+    end(attempt_end::garbled, target_evidence::broke,
+        "only other requests' answers");
+}
+
+awaitable<attempt_outcome> attempt::run()
+{
+    const bool connected = co_await connect();
+    if (connected) {
+        moved_on(in_.first_byte_limit);
+        send();
+        co_await read_answers();
+    }
+    in_.course.clear_silence();
+    in_.course.release();
+    // A connection that didn't go back to the pool ends here: its target has
+    // to hear that nobody waits any more.
+    if (connection_) {
+        net_error ec;
+        connection_->socket.close(ec);
+    }
+    co_return std::move(out_);
+}
+
+} // namespace
+
+awaitable<attempt_outcome> run_attempt(attempt_input& in)
+{
+    attempt it(in);
+    attempt_outcome out = co_await it.run();
+    co_return out;
+}
+
+} // namespace fennelladder::edge
--- /dev/null
+++ b/libs/edge/caller_server.cpp
@@ -0,0 +1,365 @@
+// A session is one connection. While a request is under way it also watches
+// for the caller's leaving: the socket becomes readable when the caller sends
+// ahead, which is kept for the next request, or when it closes.
+
+#include "fennelladder/edge/caller_server.hpp"
+
+#include "fennelladder/edge/simple_server.hpp"
+#include "fennelladder/telemetry/log.hpp"
+
+#include <boost/asio/write.hpp>
+#include <sys/socket.h>
+
+namespace fennelladder::edge {
+
+namespace {
+
+constexpr duration accept_pause = milliseconds(50);
+constexpr duration silence_limit = seconds(10);
+
+/// A whole body has to be there within this time.
+constexpr duration body_limit_time = seconds(15);
+
+/// What a caller may send ahead of its next answer.
+constexpr std::size_t most_ahead = 64 * 1024;
+
+constexpr duration come_back = milliseconds(300);
+
+/// Bytes of memory a connection is counted with, buffers of the kernel
+/// included.
+constexpr std::size_t bytes_a_connection = 24 * 1024;
+
+using request_parser = http::request_parser<http::string_body>;
+
+/// A body length that two sides could read in different ways is how one
+/// request hides in another; only "chunked" is taken.
+bool has_odd_transfer_encoding(const http::fields& fields)
+{
+    const auto range = fields.equal_range(http::field::transfer_encoding);
+    int count = 0;
+    for (auto it = range.first; it != range.second; ++it, ++count)
+        if (!beast::iequals(it->value(), "chunked"))
+            return true;
+    return count > 1;
+}
+
+} // namespace
+
+caller_server_limits limits_for(const platform::host_settings& settings)
+{
+    caller_server_limits out;
+    const std::size_t memory = std::size_t(settings.memory_mb) * 1'000'000;
+    // A third for connections, a fifth for bodies; the rest is the process.
+    out.connections = std::min<std::size_t>(memory / 3 / bytes_a_connection,
+                                            settings.descriptors / 2);
+    out.body_bytes = memory / 5;
+    return out;
+}
+
+class caller_session : public std::enable_shared_from_this<caller_session>
+{
+public:
+    caller_session(caller_server& server, tcp::socket socket)
+        : server_(server), tables_(server.tables_), socket_(std::move(socket)),
+          timer_(tables_.io), reply_(socket_)
+    {
+        server_.sessions_.insert(this);
+    }
+
+    ~caller_session() { server_.sessions_.erase(this); }
+
+    /// Holds the session for as long as it lasts.
+    static awaitable<void> run(std::shared_ptr<caller_session> session);
+
+    /// Closes the connection unless a request is under way.
+    void close_if_idle()
+    {
+        if (!busy_)
+            close();
+    }
+
+private:
+    awaitable<void> serve_requests();
+    awaitable<bool> wait_for_request();
+    awaitable<bool> read_request(caller_request& out);
+    awaitable<bool> reject(unsigned status, const char* reason);
+    awaitable<void> serve(caller_request request);
+    void watch_caller(exchange_ptr course);
+    void on_readable(const exchange_ptr& course);
+    void limit_time(duration length);
+    void close();
+
+    caller_server& server_;
+    node_tables& tables_;
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    caller_reply reply_;
+    beast::flat_buffer buf_;
+    bool busy_ = false;
+    bool first_ = true;
+};
+
+void caller_session::close()
+{
+    net_error ec;
+    socket_.close(ec);
+}
+
+/// Closes the connection when what follows takes longer.
+void caller_session::limit_time(duration length)
+{
+    timer_.expires_after(length);
+    timer_.async_wait([weak = weak_from_this()](net_error ec) {
+        const auto self = weak.lock();
+        if (!ec && self)
+            self->close();
+    });
+}
+
+awaitable<bool> caller_session::wait_for_request()
+{
+    if (buf_.size() > 0)
+        co_return true;
+    const auto config = tables_.config;
+    const catalog::caller_limits limits =
+        config ? config->parts().limits : catalog::caller_limits();
+    limit_time(first_ ? std::min(limits.header_timeout, limits.idle_timeout)
+                      : limits.idle_timeout);
+    net_error ec;
+    co_await socket_.async_wait(tcp::socket::wait_read, into(ec));
+    co_return !ec && socket_.is_open();
+}
+
+awaitable<bool> caller_session::reject(unsigned status, const char* reason)
+{
+    telemetry::log_event(
+        telemetry::event::call_rejected,
+        {{"outcome", std::to_string(status)}, {"reason", reason}});
+    reply_.close_after();
+    own_answer answer{status, "", std::nullopt, reason};
+    (void)co_await reply_.send_own(answer);
+    co_return false;
+}
+
+awaitable<bool> caller_session::read_request(caller_request& out)
+{
+    const auto config = tables_.config;
+    const catalog::caller_limits limits =
+        config ? config->parts().limits : catalog::caller_limits();
+    request_parser parser;
+    parser.header_limit(limits.header_bytes);
+    parser.body_limit(limits.body_bytes);
+    limit_time(limits.header_timeout);
+    net_error ec;
+    co_await http::async_read_header(socket_, buf_, parser, into(ec));
+    if (ec == http::error::header_limit) {
+        const bool more = co_await reject(431, "head too large");
+        co_return more;
+    }
+    if (ec == http::error::body_limit) {
+        const bool more = co_await reject(413, "body too large");
+        co_return more;
+    }
+    if (ec) {
+        // Beast's own errors are faults of what was sent; others mean that
+        // there is nobody to tell.
+        const bool nobody =
+            ec == http::error::end_of_stream ||
+            ec.category() !=
+                make_error_code(http::error::bad_method).category();
+        if (nobody)
+            co_return false;
+        const bool more = co_await reject(400, "no proper request");
+        co_return more;
+    }
+    if (has_odd_transfer_encoding(parser.get())) {
+        const bool more = co_await reject(400, "transfer encoding");
+        co_return more;
+    }
+    out.arrived = tables_.now();
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+        const std::string go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(socket_, asio::buffer(go_on), into(ec));
+    }
+    limit_time(body_limit_time);
+    co_await http::async_read(socket_, buf_, parser, into(ec));
+    timer_.cancel();
+    if (ec == http::error::body_limit) {
+        const bool more = co_await reject(413, "body too large");
+        co_return more;
+    }
+    if (ec)
+        co_return false;
+    if (!parser.keep_alive())
+        reply_.close_after();
+    out.has_body = parser.get().has_content_length() || parser.chunked();
+    auto& message = parser.get();
+    out.method = std::string(message.method_string());
+    out.path = std::string(message.target());
+    out.body = std::move(message.body());
+    out.fields = std::move(message.base());
+    out.facts = platform::read_request(out.fields);
+    co_return true;
+}
+
+void caller_session::on_readable(const exchange_ptr& course)
+{
+    net_error ec;
+    if (buf_.size() < most_ahead) {
+        const std::size_t n =
+            socket_.read_some(buf_.prepare(most_ahead - buf_.size()), ec);
+        if (!ec)
+            buf_.commit(n);
+    }
+    if (!ec && buf_.size() < most_ahead)
+        watch_caller(course);
+    else if (ec == asio::error::would_block)
+        watch_caller(course);
+    else if (ec)
+        course->stop(stop_reason::caller_left);
+}
+
+void caller_session::watch_caller(exchange_ptr course)
+{
+    socket_.async_wait(tcp::socket::wait_read,
+                       [weak = weak_from_this(),
+                        of = std::weak_ptr<exchange>(course)](net_error ec) {
+                           const auto self = weak.lock();
+                           const auto running = of.lock();
+                           if (!ec && self && running && self->busy_)
+                               self->on_readable(running);
+                       });
+}
+
+awaitable<void> caller_session::serve(caller_request request)
+{
+    const auto course = std::make_shared<exchange>(tables_.io, tables_.time);
+    busy_ = true;
+    ++server_.under_way_;
+    server_.body_bytes_ += request.body.size();
+    // A caller that doesn't take its answer holds a write up; giving the
+    // request up ends that too.
+    course->on_stop([weak = weak_from_this()](stop_reason why) {
+        const auto self = weak.lock();
+        if (self && why != stop_reason::silent && self->reply_.is_writing())
+            self->close();
+    });
+    watch_caller(course);
+    co_await server_.driver_.serve(request, reply_, course);
+    course->end();
+    net_error ec;
+    socket_.cancel(ec);
+    server_.body_bytes_ -= request.body.size();
+    --server_.under_way_;
+    busy_ = false;
+}
+
+awaitable<void> caller_session::run(std::shared_ptr<caller_session> session)
+{
+    co_await session->serve_requests();
+}
+
+awaitable<void> caller_session::serve_requests()
+{
+    guard_silence(socket_, silence_limit);
+    net_error ec;
+    socket_.non_blocking(true, ec);
+    for (;;) {
+        const bool waiting = co_await wait_for_request();
+        if (!waiting)
+            break;
+        reply_.reset();
+        caller_request request;
+        const bool read = co_await read_request(request);
+        if (!read)
+            break;
+        first_ = false;
+        if (server_.leaving_)
+            reply_.close_after();
+        const bool full = server_.refusing_ ||
+                          server_.under_way_ >= server_.limits_.requests ||
+                          server_.body_bytes_ + request.body.size() >
+                              server_.limits_.body_bytes;
+        if (full) {
+            const char* reason =
+                server_.refusing_ ? "the node leaves" : "too much at once";
+            telemetry::log_event(telemetry::event::request_refused,
+                                 {{"id", request.facts.id},
+                                  {"outcome", "503"},
+                                  {"reason", reason}});
+            own_answer answer{503, request.facts.id, come_back, reason};
+            (void)co_await reply_.send_own(answer);
+        } else {
+            co_await serve(std::move(request));
+        }
+        if (!reply_.finished() || reply_.closes())
+            break;
+    }
+    timer_.cancel();
+    // Unread bytes would turn the end into a reset, which may take the last
+    // answer with it.
+    socket_.shutdown(tcp::socket::shutdown_send, ec);
+    if (reply_.closes() && reply_.finished()) {
+        char rest[1024];
+        while (socket_.read_some(asio::buffer(rest), ec) > 0 && !ec) {
+        }
+    }
+    close();
+}
+
+caller_server::caller_server(node_tables& tables, request_driver& driver,
+                             caller_server_limits limits)
+    : tables_(tables), driver_(driver), limits_(limits), acceptor_(tables.io)
+{}
+
+caller_server::~caller_server() = default;
+
+status caller_server::start(const std::string& address)
+{
+    if (auto ok = listen_on(acceptor_, address); !ok)
+        return ok;
+    spawn(tables_.io, accept());
+    return {};
+}
+
+void caller_server::stop_accepting()
+{
+    net_error ec;
+    acceptor_.close(ec);
+}
+
+void caller_server::announce_leaving()
+{
+    leaving_ = true;
+}
+
+void caller_server::refuse_new()
+{
+    refusing_ = true;
+    const auto all = sessions_;
+    for (caller_session* it : all)
+        it->close_if_idle();
+}
+
+awaitable<void> caller_server::accept()
+{
+    asio::steady_timer timer(tables_.io);
+    while (acceptor_.is_open()) {
+        tcp::socket socket(tables_.io);
+        net_error ec;
+        co_await acceptor_.async_accept(socket, into(ec));
+        if (ec) {
+            co_await sleep_on(timer, accept_pause);
+            continue;
+        }
+        if (sessions_.size() >= limits_.connections) {
+            socket.close(ec);
+            continue;
+        }
+        const auto session =
+            std::make_shared<caller_session>(*this, std::move(socket));
+        spawn(tables_.io, caller_session::run(session));
+    }
+}
+
+} // namespace fennelladder::edge
--- /dev/null
+++ b/libs/edge/edge_node.cpp
@@ -0,0 +1,264 @@
+#include "fennelladder/edge/edge_node.hpp"
+
+#include "fennelladder/telemetry/log.hpp"
+#include "platform/request_headers.hpp"
+
+#include <csignal>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+namespace fennelladder::edge {
+
+namespace {
+
+using telemetry::log_event;
+namespace event = telemetry::event;
+
+constexpr duration log_period = milliseconds(100);
+constexpr duration upkeep_period = seconds(1);
+constexpr duration drain_check = milliseconds(20);
+constexpr duration hand_over_limit = milliseconds(500);
+
+/// Kept back of the time until SIGKILL, to hand tokens on and end.
+constexpr duration reserve_at_end = milliseconds(700);
+
+std::uint64_t random_seed()
+{
+    std::random_device source;
+    return std::uint64_t(source()) << 32 | source();
+}
+
+std::string peer_address(const platform::host_settings& settings)
+{
+    return settings.ip + ":" + std::to_string(settings.first_internal_port);
+}
+
+std::string read_file(const std::string& path)
+{
+    std::ifstream in(path);
+    std::ostringstream out;
+    out << in.rdbuf();
+    return out.str();
+}
+
+} // namespace
+
+edge_node::edge_node(asio::io_context& io, const clock& time,
+                     platform::host_settings settings,
+                     edge_node_options options, telemetry::line_writer& log)
+    : io_(io), options_(std::move(options)), log_(log),
+      tables_(io, time, std::move(settings), random_seed()), client_(tables_),
+      mesh_(tables_, peer_address(tables_.settings)),
+      desk_(tables_, client_,
+            [this](const std::string& address, const mesh::datagram& message) {
+                mesh_.send(address, message);
+            }),
+      feed_(tables_, client_, mesh_), driver_(tables_, desk_),
+      callers_(tables_, driver_, limits_for(tables_.settings)),
+      signals_(io, SIGTERM, SIGINT, SIGHUP)
+{}
+
+status edge_node::start_servers()
+{
+    const auto serve = [this](const std::string& address,
+                              simple_server::handler handler) -> status {
+        if (address.empty())
+            return {};
+        servers_.push_back(
+            std::make_unique<simple_server>(io_, address, std::move(handler)));
+        return servers_.back()->start();
+    };
+    const auto& listen = tables_.settings.listen;
+    if (auto ok = serve(listen.readiness,
+                        [this](const simple_request& asked) {
+                            return answer_readiness(asked);
+                        });
+        !ok)
+        return ok;
+    if (auto ok = serve(listen.entry,
+                        [this](const simple_request& asked) {
+                            return answer_entry(asked);
+                        });
+        !ok)
+        return ok;
+    if (auto ok = serve(options_.metrics_address,
+                        [this](const simple_request& asked) {
+                            return answer_metrics(asked);
+                        });
+        !ok)
+        return ok;
+    return callers_.start(listen.callers);
+}
+
+status edge_node::start()
+{
+    settings_text_ = read_file(options_.settings_path);
+    mesh_.connect_desk(desk_);
+    if (auto ok = mesh_.start(); !ok)
+        return ok;
+    if (auto ok = start_servers(); !ok)
+        return ok;
+    std::vector<std::string> seeds;
+    for (const std::string& it : tables_.settings.seeds)
+        seeds.push_back(with_port(it, tables_.settings.first_internal_port));
+    mesh_.introduce(seeds);
+    feed_.start();
+    desk_.start();
+    spawn(io_, watch_signals());
+    spawn(io_, housekeeping());
+    log_event(event::node_started,
+              {{"host", tables_.settings.host.str()},
+               {"listen", tables_.settings.listen.callers},
+               {"life", std::to_string(tables_.life.value())}});
+    return {};
+}
+
+awaitable<void> edge_node::watch_signals()
+{
+    for (;;) {
+        net_error ec;
+        const int number = co_await signals_.async_wait(into(ec));
+        if (ec)
+            co_return;
+        if (number == SIGHUP) {
+            reload_settings();
+            continue;
+        }
+        if (!tables_.leaving)
+            spawn(io_, leave());
+    }
+}
+
+awaitable<void> edge_node::leave()
+{
+    const instant begun = tables_.now();
+    const instant end = begun + tables_.settings.stop_grace - reserve_at_end;
+    log_event(event::node_stopping,
+              {{"under_way", std::to_string(callers_.under_way())}});
+    tables_.leaving = true;
+    callers_.announce_leaving();
+    tables_.spread_news();
+    asio::steady_timer timer(io_);
+    co_await sleep_on(timer, options_.serve_on);
+    callers_.stop_accepting();
+    callers_.refuse_new();
+    while (callers_.under_way() > 0 && tables_.now() < end)
+        co_await sleep_on(timer, drain_check);
+    const std::size_t left = callers_.under_way();
+    co_await desk_.hand_over(hand_over_limit);
+    log_event(left == 0 ? event::node_stopped : event::node_left_unclean,
+              {{"under_way", std::to_string(left)}});
+    log_.flush(tables_.now());
+    io_.stop();
+}
+
+void edge_node::reload_settings()
+{
+    std::string text = read_file(options_.settings_path);
+    if (text == settings_text_)
+        return;
+    auto read = platform::read_host_settings(text, options_.settings_path);
+    if (!read) {
+        log_event(event::settings_unreadable,
+                  {{"findings", read.error().to_text()}});
+        return;
+    }
+    settings_text_ = std::move(text);
+    // Addresses and limits hold for the life of the process; what can move
+    // is where the store and other nodes are.
+    tables_.settings.store_address = read->store_address;
+    tables_.settings.seeds = read->seeds;
+    tables_.settings.stop_grace = read->stop_grace;
+    std::vector<std::string> seeds;
+    for (const std::string& it : read->seeds)
+        seeds.push_back(with_port(it, tables_.settings.first_internal_port));
+    mesh_.introduce(seeds);
+    log_event(event::settings_reloaded, {{"path", options_.settings_path}});
+}
+
+awaitable<void> edge_node::housekeeping()
+{
+    asio::steady_timer timer(io_);
+    instant next_upkeep;
+    for (;;) {
+        const instant now = tables_.now();
+        log_.flush(now);
+        if (now >= next_upkeep) {
+            next_upkeep = now + upkeep_period;
+            tables_.pool.drop_old(now);
+            reload_settings();
+        }
+        co_await sleep_on(timer, log_period);
+    }
+}
+
+simple_answer edge_node::answer_readiness(const simple_request& asked)
+{
+    if (asked.path != platform::readiness_path)
+        return {404, "text/plain", "no such path\n"};
+    if (tables_.ready())
+        return {200, "text/plain", "ready\n"};
+    return {503, "text/plain",
+            tables_.leaving ? "leaving\n" : "no configuration yet\n"};
+}
+
+simple_answer edge_node::answer_entry(const simple_request& asked)
+{
+    if (asked.path != platform::entry_path)
+        return {404, "text/plain", "no such path\n"};
+    const auto question = platform::read_entry_question(asked.query);
+    std::vector<entry_node> nodes;
+    if (tables_.ready())
+        nodes.push_back(
+            {tables_.settings.listen.callers, tables_.settings.data_center});
+    for (const mesh::node_row* it : tables_.nodes.alive(tables_.now()))
+        if (it->last.state == mesh::node_state::ready)
+            nodes.push_back({it->last.caller_address, it->last.data_center});
+    const auto addresses = plan_entry(nodes, question.data_center, {});
+    if (addresses.empty())
+        return {503, "text/plain", "no node is ready\n"};
+    const duration validity = std::min(options_.entry_validity,
+                                       tables_.settings.entry_validity_limit);
+    return {200, "application/json",
+            platform::encode_entry_answer(addresses, validity)};
+}
+
+void edge_node::update_gauges()
+{
+    auto& metrics = tables_.metrics;
+    metrics.gauge_of("fennelladder_requests_under_way")
+        .set(static_cast<std::int64_t>(callers_.under_way()));
+    metrics.gauge_of("fennelladder_nodes_alive")
+        .set(static_cast<std::int64_t>(
+            tables_.nodes.alive(tables_.now()).size() + 1));
+    metrics.gauge_of("fennelladder_platform_reached")
+        .set(tables_.contact.reached ? 1 : 0);
+    metrics.gauge_of("fennelladder_configuration_version")
+        .set(tables_.config
+                 ? static_cast<std::int64_t>(tables_.config->version().value())
+                 : 0);
+    metrics.gauge_of("fennelladder_target_connections_opened")
+        .set(static_cast<std::int64_t>(tables_.pool.opened()));
+    metrics.gauge_of("fennelladder_log_lines_dropped")
+        .set(static_cast<std::int64_t>(log_.dropped()));
+    for (const auto& [team, it] : tables_.purse.holdings()) {
+        const telemetry::labels where{{"team", team.str()}};
+        metrics.gauge_of("fennelladder_tokens_free", where)
+            .set(it.free.count());
+        metrics.gauge_of("fennelladder_tokens_reserved", where)
+            .set(it.reserved.count());
+        metrics.gauge_of("fennelladder_tokens_spent", where)
+            .set(it.spent.count());
+    }
+}
+
+simple_answer edge_node::answer_metrics(const simple_request& asked)
+{
+    if (asked.path != options_.metrics_path)
+        return {404, "text/plain", "no such path\n"};
+    update_gauges();
+    return {200, "text/plain; version=0.0.4", tables_.metrics.to_prometheus()};
+}
+
+} // namespace fennelladder::edge
--- /dev/null
+++ b/libs/edge/exchange.cpp
@@ -0,0 +1,101 @@
+// One timer serves both limits. Moving the silence limit on, as each event of
+// a stream does, costs nothing: the timer looks when it fires whether the
+// limit has moved, and waits for the rest.
+
+#include "fennelladder/edge/exchange.hpp"
+
+#include <algorithm>
+
+namespace fennelladder::edge {
+
+exchange::exchange(asio::io_context& io, const clock& time)
+    : time_(time), timer_(io)
+{}
+
+void exchange::set_deadline(instant at)
+{
+    deadline_ = at;
+    arm();
+}
+
+void exchange::set_silence_limit(std::optional<instant> at)
+{
+    silence_limit_ = at;
+    arm();
+}
+
+void exchange::arm()
+{
+    std::optional<instant> next = deadline_;
+    if (silence_limit_ && (!next || *silence_limit_ < *next))
+        next = silence_limit_;
+    if (ended_ || !next || (armed_for_ && *armed_for_ <= *next))
+        return;
+    armed_for_ = next;
+    timer_.expires_after(std::max(*next - time_.now(), duration(0)));
+    timer_.async_wait([weak = weak_from_this()](net_error ec) {
+        const auto self = weak.lock();
+        if (!ec && self)
+            self->on_timer();
+    });
+}
+
+void exchange::on_timer()
+{
+    armed_for_.reset();
+    if (ended_)
+        return;
+    const instant now = time_.now();
+    if (deadline_ && *deadline_ <= now)
+        stop(stop_reason::out_of_time);
+    else if (silence_limit_ && *silence_limit_ <= now)
+        stop(stop_reason::silent);
+    else
+        arm();
+}
+
+void exchange::hold(connection_ptr held)
+{
+    held_ = std::move(held);
+}
+
+void exchange::release()
+{
+    held_.reset();
+}
+
+void exchange::on_stop(std::function<void(stop_reason)> then)
+{
+    then_ = std::move(then);
+}
+
+void exchange::stop(stop_reason why)
+{
+    if (ended_ || stopped_ != stop_reason::none)
+        return;
+    stopped_ = why;
+    if (held_) {
+        net_error ec;
+        held_->socket.close(ec);
+    }
+    if (then_)
+        then_(why);
+}
+
+void exchange::clear_silence()
+{
+    if (stopped_ == stop_reason::silent)
+        stopped_ = stop_reason::none;
+    silence_limit_.reset();
+    arm();
+}
+
+void exchange::end()
+{
+    ended_ = true;
+    then_ = nullptr;
+    held_.reset();
+    timer_.cancel();
+}
+
+} // namespace fennelladder::edge
--- /dev/null
+++ b/libs/edge/io.cpp
@@ -0,0 +1,71 @@
+#include "fennelladder/edge/io.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <exception>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace fennelladder::edge {
+
+namespace {
+
+void set_option(tcp::socket& socket, int level, int name, int value)
+{
+    // A kernel without the option leaves the connection as it is.
+    (void)::setsockopt(socket.native_handle(), level, name, &value,
+                       sizeof value);
+}
+
+} // namespace
+
+std::optional<tcp::endpoint> parse_endpoint(const std::string& address)
+{
+    const auto colon = address.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    net_error ec;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
+    std::uint16_t port = 0;
+    const char* end = address.data() + address.size();
+    const auto read = std::from_chars(address.data() + colon + 1, end, port);
+    if (ec || read.ec != std::errc() || read.ptr != end)
+        return std::nullopt;
+    return tcp::endpoint(ip, port);
+}
+
+std::string with_port(const std::string& address, std::uint16_t port)
+{
+    return address.substr(0, address.rfind(':')) + ":" + std::to_string(port);
+}
+
+void guard_silence(tcp::socket& socket, duration limit)
+{
+    net_error ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    const auto ms = std::chrono::duration_cast<milliseconds>(limit).count();
+    const int idle_seconds =
+        static_cast<int>(std::max<std::int64_t>(ms / 2000, 1));
+    set_option(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, idle_seconds);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, 1);
+    set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, 2);
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ms));
+}
+
+awaitable<void> sleep_on(asio::steady_timer& timer, duration length)
+{
+    timer.expires_after(length);
+    net_error ec;
+    co_await timer.async_wait(into(ec));
+}
+
+void spawn(asio::io_context& io, awaitable<void> work)
+{
+    asio::co_spawn(io, std::move(work), [](std::exception_ptr failure) {
+        if (failure)
+            std::rethrow_exception(failure);
+    });
+}
+
+} // namespace fennelladder::edge
--- /dev/null
+++ b/libs/edge/mesh_node.cpp
@@ -0,0 +1,412 @@
+#include "fennelladder/edge/mesh_node.hpp"
+
+#include "fennelladder/telemetry/log.hpp"
+#include "platform/configuration_codec.hpp"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <nlohmann/json.hpp>
+
+namespace fennelladder::edge {
+
+namespace {
+
+using telemetry::log_event;
+namespace event = telemetry::event;
+
+constexpr duration tick_period = milliseconds(50);
+
+/// A whole exchange of configurations; a few kilobytes within the fleet.
+constexpr duration sync_limit = milliseconds(700);
+
+/// A configuration is a megabyte at most, a list of 600 targets far less.
+constexpr std::uint32_t largest_message = 4 * 1024 * 1024;
+
+/// How long a death of a target is told to others.
+constexpr duration poison_span = seconds(20);
+constexpr std::size_t poison_limit = 24;
+
+/// Loads and stocks named in one beacon, so that it stays in one packet in
+/// the usual case.
+constexpr std::size_t load_limit = 32;
+constexpr std::size_t stock_limit = 16;
+
+constexpr duration accept_pause = milliseconds(50);
+
+std::string framed(const std::string& message)
+{
+    const auto n = static_cast<std::uint32_t>(message.size());
+    std::string out{static_cast<char>(n >> 24), static_cast<char>(n >> 16),
+                    static_cast<char>(n >> 8), static_cast<char>(n)};
+    return out + message;
+}
+
+std::uint32_t length_of(const std::array<unsigned char, 4>& head)
+{
+    return std::uint32_t(head[0]) << 24 | std::uint32_t(head[1]) << 16 |
+           std::uint32_t(head[2]) << 8 | std::uint32_t(head[3]);
+}
+
+/// Reads one message; false when the connection ended or misbehaved.
+awaitable<bool> read_message(tcp::socket& socket, std::string& out)
+{
+    std::array<unsigned char, 4> head{};
+    net_error ec;
+    co_await asio::async_read(socket, asio::buffer(head), into(ec));
+    if (ec || length_of(head) > largest_message)
+        co_return false;
+    out.resize(length_of(head));
+    co_await asio::async_read(socket, asio::buffer(out), into(ec));
+    co_return !ec;
+}
+
+awaitable<bool> write_message(tcp::socket& socket, const std::string& message)
+{
+    const std::string bytes = framed(message);
+    net_error ec;
+    co_await asio::async_write(socket, asio::buffer(bytes), into(ec));
+    co_return !ec;
+}
+
+template <class List>
+void shorten(List& list, std::size_t limit)
+{
+    if (list.size() > limit)
+        list.resize(limit);
+}
+
+} // namespace
+
+mesh_node::mesh_node(node_tables& tables, std::string address)
+    : tables_(tables), address_(std::move(address)), socket_(tables.io),
+      acceptor_(tables.io)
+{}
+
+void mesh_node::connect_desk(token_desk& desk)
+{
+    desk_ = &desk;
+}
+
+status mesh_node::start()
+{
+    const auto endpoint = parse_endpoint(address_);
+    if (!endpoint)
+        return fail(error_code::invalid, "not an address: " + address_);
+    try {
+        socket_.open(udp::v4());
+        socket_.bind(udp::endpoint(endpoint->address(), endpoint->port()));
+        socket_.non_blocking(true);
+        acceptor_.open(tcp::v4());
+        acceptor_.set_option(tcp::acceptor::reuse_address(true));
+        acceptor_.bind(*endpoint);
+        acceptor_.listen();
+    } catch (const std::exception& failure) {
+        return fail(error_code::unavailable, address_ + ": " + failure.what());
+    }
+    tables_.spread_news = [this] { spread(); };
+    spawn(tables_.io, receive());
+    spawn(tables_.io, tick());
+    spawn(tables_.io, accept());
+    return {};
+}
+
+void mesh_node::introduce(const std::vector<std::string>& addresses)
+{
+    std::vector<std::string> others;
+    for (const std::string& it : addresses)
+        if (it != address_ && parse_endpoint(it))
+            others.push_back(it);
+    tables_.nodes.add_addresses(others);
+}
+
+// Sending.
+
+void mesh_node::send(const std::string& address, const mesh::datagram& message)
+{
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint)
+        return;
+    const std::string bytes = mesh::encode(message);
+    net_error ec;
+    socket_.send_to(asio::buffer(bytes),
+                    udp::endpoint(endpoint->address(), endpoint->port()), 0,
+                    ec);
+    // A datagram that can't be sent is lost like any other.
+    tables_.metrics
+        .counter_of("fennelladder_mesh_datagrams_total",
+                    {{"result", ec ? "failed" : "sent"}})
+        .add();
+}
+
+mesh::beacon mesh_node::own_beacon()
+{
+    mesh::beacon out;
+    out.host = tables_.settings.host;
+    out.life = tables_.life;
+    out.sequence = ++sequence_;
+    out.state = tables_.state();
+    out.data_center = tables_.settings.data_center;
+    out.caller_address = tables_.settings.listen.callers;
+    out.peer_address = address_;
+    if (tables_.config != nullptr)
+        out.configuration = tables_.config->version();
+    out.targets_changed = tables_.targets.latest_change();
+    out.platform_reached = tables_.contact.reached;
+    out.load = tables_.book.own_load();
+    shorten(out.load, load_limit);
+    if (desk_ != nullptr)
+        out.stock = desk_->own_stock();
+    shorten(out.stock, stock_limit);
+    out.poison =
+        tables_.poison.recent(poison_span, poison_limit, tables_.now());
+    return out;
+}
+
+void mesh_node::send_beacon(const std::string& address, bool introduce_others)
+{
+    mesh::datagram message;
+    message.hello = own_beacon();
+    if (introduce_others)
+        message.hello->introduced =
+            tables_.nodes.introductions(host_id(), tables_.now());
+    send(address, message);
+}
+
+/// Gathers what changes in one go into one round of beacons.
+void mesh_node::spread()
+{
+    if (spreading_)
+        return;
+    spreading_ = true;
+    asio::post(tables_.io, [this] {
+        spreading_ = false;
+        mesh::datagram message;
+        message.hello = own_beacon();
+        for (const std::string& it : tables_.nodes.all_addresses())
+            send(it, message);
+    });
+}
+
+awaitable<void> mesh_node::tick()
+{
+    asio::steady_timer timer(tables_.io);
+    for (;;) {
+        const auto due = tables_.nodes.due(tables_.now());
+        if (!due.empty()) {
+            mesh::datagram message;
+            message.hello = own_beacon();
+            for (const std::string& it : due)
+                send(it, message);
+        }
+        tables_.nodes.forget_old(tables_.now());
+        co_await sleep_on(timer, tick_period);
+    }
+}
+
+// Receiving.
+
+awaitable<void> mesh_node::receive()
+{
+    udp::endpoint from;
+    for (;;) {
+        net_error ec;
+        const std::size_t n = co_await socket_.async_receive_from(
+            asio::buffer(datagram_), from, into(ec));
+        if (ec) {
+            // An earlier datagram came back as unreachable; the next may not.
+            asio::steady_timer timer(tables_.io);
+            co_await sleep_on(timer, milliseconds(1));
+            continue;
+        }
+        const auto got = mesh::decode_datagram({datagram_.data(), n});
+        if (got)
+            take(*got, from.address().to_string() + ":" +
+                           std::to_string(from.port()));
+        else
+            log_event(event::call_invalid,
+                      {{"from", from.address().to_string()},
+                       {"reason", got.error().message}});
+    }
+}
+
+void mesh_node::take(const mesh::datagram& message, const std::string& from)
+{
+    if (message.hello)
+        take_beacon(*message.hello);
+    if (desk_ == nullptr)
+        return;
+    if (message.ask)
+        desk_->on_ask(*message.ask, from);
+    if (message.give)
+        desk_->on_give(*message.give);
+    if (message.gift)
+        desk_->on_gift(*message.gift, from);
+    if (message.gift_taken)
+        desk_->on_gift_taken(*message.gift_taken);
+}
+
+void mesh_node::take_beacon(const mesh::beacon& from)
+{
+    const instant now = tables_.now();
+    const mesh::roster_news news = tables_.nodes.hear(from, now);
+    introduce(from.introduced);
+    tables_.book.peer_load(from.host, from.load);
+    if (desk_ != nullptr)
+        desk_->on_stock(from);
+    for (const dispatch::poison_record& it : from.poison)
+        tables_.poison.merge(it, now);
+    if (news.new_node) {
+        log_event(event::node_heard,
+                  {{"node", from.host.str()}, {"address", from.peer_address}});
+        send_beacon(from.peer_address, true);
+    }
+    if (news.state_changed)
+        log_event(event::node_state_changed,
+                  {{"node", from.host.str()},
+                   {"state", std::to_string(static_cast<int>(from.state))}});
+    if (knows_less_than(from))
+        spawn(tables_.io, sync_from(from.peer_address));
+}
+
+bool mesh_node::knows_less_than(const mesh::beacon& from) const
+{
+    const catalog::configuration_version own =
+        tables_.config ? tables_.config->version()
+                       : catalog::configuration_version();
+    return from.configuration > own ||
+           from.targets_changed > tables_.targets.as_of();
+}
+
+// Bringing the configuration and targets.
+
+awaitable<void> mesh_node::sync_from(std::string address)
+{
+    if (syncing_)
+        co_return;
+    syncing_ = true;
+    const auto endpoint = parse_endpoint(address);
+    if (endpoint) {
+        auto socket = std::make_shared<tcp::socket>(tables_.io);
+        asio::steady_timer timer(tables_.io, sync_limit);
+        timer.async_wait([socket](net_error ec) {
+            if (!ec)
+                socket->close(ec);
+        });
+        net_error ec;
+        co_await socket->async_connect(*endpoint, into(ec));
+        if (!ec)
+            (void)co_await ask_sync(*socket);
+        timer.cancel();
+    }
+    syncing_ = false;
+}
+
+awaitable<bool> mesh_node::ask_sync(tcp::socket& socket)
+{
+    mesh::sync_ask ask;
+    if (tables_.config != nullptr)
+        ask.configuration = tables_.config->version();
+    ask.targets_as_of = tables_.targets.as_of();
+    const std::string question = mesh::encode(ask);
+    const bool sent = co_await write_message(socket, question);
+    std::string bytes;
+    if (!sent)
+        co_return false;
+    const bool read = co_await read_message(socket, bytes);
+    if (!read)
+        co_return false;
+    const auto reply = mesh::decode_sync_reply(bytes);
+    if (!reply) {
+        log_event(event::configuration_unreadable,
+                  {{"source", "peer"}, {"reason", reply.error().message}});
+        co_return false;
+    }
+    take_sync(*reply);
+    co_return true;
+}
+
+void mesh_node::take_sync(const mesh::sync_reply& reply)
+{
+    bool news = false;
+    if (!reply.configuration.empty()) {
+        const auto spec =
+            nlohmann::json::parse(reply.configuration, nullptr, false);
+        auto parts = platform::decode_configuration(spec);
+        if (parts)
+            news |= tables_.take_configuration(std::move(*parts),
+                                               reply.configuration);
+        else
+            log_event(event::configuration_unreadable,
+                      {{"source", "peer"}, {"reason", parts.error().message}});
+    }
+    const catalog::revision before = tables_.targets.latest_change();
+    const bool first = !tables_.targets.known();
+    if (reply.targets_full)
+        tables_.targets.replace_all(reply.targets, reply.targets_as_of);
+    else
+        tables_.targets.apply(reply.targets, reply.targets_as_of);
+    if (first ? tables_.targets.known()
+              : tables_.targets.latest_change() != before) {
+        news = true;
+        tables_.list_changed();
+    }
+    if (news)
+        tables_.spread_news();
+}
+
+mesh::sync_reply mesh_node::sync_answer(const mesh::sync_ask& ask) const
+{
+    mesh::sync_reply out;
+    if (tables_.config != nullptr &&
+        tables_.config->version() > ask.configuration)
+        out.configuration = tables_.config_text;
+    if (!tables_.targets.known())
+        return out;
+    out.targets_as_of = tables_.targets.as_of();
+    const auto changes = tables_.targets.changes_since(ask.targets_as_of);
+    if (changes) {
+        out.targets = *changes;
+        return out;
+    }
+    out.targets_full = true;
+    for (const auto& [id, entry] : tables_.targets.entries())
+        out.targets.push_back({id, entry, tables_.targets.latest_change()});
+    return out;
+}
+
+awaitable<void> mesh_node::accept()
+{
+    asio::steady_timer timer(tables_.io);
+    for (;;) {
+        auto socket = std::make_shared<tcp::socket>(tables_.io);
+        net_error ec;
+        co_await acceptor_.async_accept(*socket, into(ec));
+        if (ec) {
+            co_await sleep_on(timer, accept_pause);
+            continue;
+        }
+        spawn(tables_.io, serve_sync(socket));
+    }
+}
+
+awaitable<void> mesh_node::serve_sync(std::shared_ptr<tcp::socket> socket)
+{
+    asio::steady_timer timer(tables_.io, sync_limit);
+    timer.async_wait([socket](net_error ec) {
+        if (!ec)
+            socket->close(ec);
+    });
+    std::string bytes;
+    const bool read = co_await read_message(*socket, bytes);
+    if (!read)
+        co_return;
+    const auto ask = mesh::decode_sync_ask(bytes);
+    if (!ask) {
+        log_event(event::call_invalid, {{"reason", ask.error().message}});
+        co_return;
+    }
+    const std::string answer = mesh::encode(sync_answer(*ask));
+    (void)co_await write_message(*socket, answer);
+}
+
+} // namespace fennelladder::edge
--- /dev/null
+++ b/libs/edge/node_tables.cpp
@@ -0,0 +1,91 @@
+#include "fennelladder/edge/node_tables.hpp"
+
+#include "fennelladder/telemetry/log.hpp"
+
+namespace fennelladder::edge {
+
+namespace {
+
+using telemetry::log_event;
+namespace event = telemetry::event;
+
+/// For this long after the platform came back, entries that are missing from
+/// its list may still return: targets write anew within two seconds.
+constexpr duration list_doubt = milliseconds(2500);
+
+dispatch::target_book_options
+book_options(const platform::host_settings& settings)
+{
+    dispatch::target_book_options out;
+    out.own_data_center = settings.data_center;
+    return out;
+}
+
+dispatch::retry_window_options
+retry_options(const platform::host_settings& settings)
+{
+    dispatch::retry_window_options out;
+    out.share = settings.retry_share;
+    out.slack = settings.retry_slack;
+    out.window = settings.retry_window;
+    return out;
+}
+
+} // namespace
+
+node_tables::node_tables(asio::io_context& context, const clock& clock_used,
+                         platform::host_settings given, std::uint64_t seed)
+    : io(context), time(clock_used), random(seed), settings(std::move(given)),
+      life(random.bits() >> 1), book(book_options(settings)),
+      retries(retry_options(settings)), poison({}), nodes(settings.host, {}),
+      pool(context, {})
+{}
+
+bool node_tables::ready() const
+{
+    return config != nullptr && targets.known() && !leaving;
+}
+
+mesh::node_state node_tables::state() const
+{
+    if (leaving)
+        return mesh::node_state::leaving;
+    return ready() ? mesh::node_state::ready : mesh::node_state::starting;
+}
+
+void node_tables::list_changed()
+{
+    const bool in_doubt =
+        !contact.reached || now() - contact.changed < list_doubt;
+    book.sync(targets.entries(), in_doubt, now());
+    log_event(event::targets_changed,
+              {{"targets", std::to_string(targets.entries().size())},
+               {"as_of", std::to_string(targets.as_of().value())},
+               {"in_doubt", in_doubt ? "true" : "false"}});
+}
+
+bool node_tables::take_configuration(catalog::configuration_parts parts,
+                                     std::string text)
+{
+    if (config != nullptr && parts.version <= config->version())
+        return false;
+    config = std::make_shared<const catalog::configuration>(std::move(parts));
+    config_text = std::move(text);
+    log_event(event::configuration_in_force,
+              {{"generation", std::to_string(config->version().value())},
+               {"routes", std::to_string(config->parts().routes.size())},
+               {"teams", std::to_string(config->parts().teams.size())}});
+    return true;
+}
+
+void node_tables::note_contact(bool reached, const std::string& detail)
+{
+    if (reached == contact.reached)
+        return;
+    contact = {reached, now()};
+    log_event(reached ? event::platform_well : event::platform_out,
+              {{"detail", detail}});
+    spread_news();
+}
+
+} // namespace fennelladder::edge
--- /dev/null
+++ b/libs/edge/request_driver.cpp
@@ -0,0 +1,467 @@
+#include "fennelladder/edge/request_driver.hpp"
+
+#include "fennelladder/telemetry/log.hpp"
+
+#include <algorithm>
+
+namespace fennelladder::edge {
+
+namespace {
+
+using dispatch::attempt_end;
+using dispatch::next_action;
+using telemetry::log_event;
+namespace event = telemetry::event;
+
+/// A refused caller is asked to come back after this: long enough for a rest
+/// of a target or a transfer of tokens, short against any deadline.
+constexpr duration come_back = milliseconds(300);
+/// While a node knows no configuration yet.
+constexpr duration come_back_at_start = milliseconds(500);
+/// A request that kills targets is not wanted back soon.
+constexpr duration come_back_poison = seconds(5);
+
+/// How long a request waits for tokens, at most this part of its objective.
+constexpr int token_wait_part = 2;
+constexpr duration longest_token_wait = milliseconds(400);
+
+/// What may be sent again uses kept connections that rested up to this long;
+/// what may run once only those on which the target can hardly have given up
+/// meanwhile.
+constexpr duration rest_if_repeatable = seconds(60);
+constexpr duration rest_if_once = milliseconds(250);
+
+/// Targets stop at the time they are given and say so; that answer is waited
+/// for this long.
+constexpr duration last_word = milliseconds(60);
+
+/// Waiting for the first byte is given up after this many objectives, if the
+/// request may go elsewhere.
+constexpr int patience_in_objectives = 2;
+constexpr duration least_patience = milliseconds(250);
+/// The same for a pause in a stream.
+constexpr int patience_in_pauses = 2;
+
+constexpr int least_urgent = 9;
+
+struct refusal
+{
+    unsigned status = 503;
+    std::optional<duration> retry_after;
+    const char* reason = "";
+};
+
+std::string ms_text(duration length)
+{
+    return std::to_string(
+        std::chrono::duration_cast<milliseconds>(length).count());
+}
+
+std::string_view path_only(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+std::string version_text(const node_tables& tables)
+{
+    return tables.config ? std::to_string(tables.config->version().value())
+                         : "none";
+}
+
+} // namespace
+
+/// One request's way: what serve() knows while it lasts.
+class request_run
+{
+public:
+    request_run(request_driver& driver, const caller_request& request,
+                caller_reply& reply, exchange_ptr course)
+        : driver_(driver), tables_(driver.tables_), request_(request),
+          reply_(reply), course_(std::move(course)), config_(tables_.config)
+    {}
+
+    awaitable<void> run();
+
+private:
+    std::optional<refusal> find_route();
+    awaitable<std::optional<refusal>> set_aside_tokens();
+    awaitable<void> attempt_until_done();
+    awaitable<attempt_outcome> attempt_at(const dispatch::choice& target);
+    void note_attempt(const attempt_outcome& got,
+                      const dispatch::choice& target);
+    awaitable<void> conclude(next_action action, const attempt_outcome& last);
+    awaitable<void> refuse(const refusal& why);
+    void settle();
+    void log_end(int number, std::string_view outcome, std::string_view reason);
+    dispatch::work_wish wish() const;
+    platform::passing_on order_for(const target_id& target) const;
+    duration time_left() const;
+    duration whole_time() const;
+    const service_id& pick_service();
+    bool another_is_possible() const;
+
+    request_driver& driver_;
+    node_tables& tables_;
+    const caller_request& request_;
+    caller_reply& reply_;
+    exchange_ptr course_;
+    std::shared_ptr<const catalog::configuration> config_;
+    const catalog::route* way_ = nullptr;
+    const catalog::team* team_ = nullptr;
+    service_id service_;
+    const catalog::engine_traits* engine_ = nullptr;
+    dispatch::request_mark mark_;
+    std::optional<tokens> set_aside_;
+    dispatch::course so_far_;
+    event_splitter events_;
+    std::vector<target_id> tried_;
+    target_id last_target_;
+    bool prompt_was_read_ = false; ///< A target may have begun to read it.
+    std::optional<instant> first_byte_at_;
+};
+
+duration request_run::whole_time() const
+{
+    duration out = way_->timeout;
+    if (request_.facts.patience)
+        out = std::min(out, *request_.facts.patience);
+    return out;
+}
+
+duration request_run::time_left() const
+{
+    return request_.arrived + whole_time() - tables_.now();
+}
+
+const service_id& request_run::pick_service()
+{
+    double total = 0;
+    for (const auto& it : way_->services)
+        total += it.weight;
+    double draw = tables_.random.unit() * total;
+    for (const auto& it : way_->services) {
+        draw -= it.weight;
+        if (draw < 0)
+            return it.service;
+    }
+    return way_->services.back().service;
+}
+
+std::optional<refusal> request_run::find_route()
+{
+    if (!tables_.ready() && config_ == nullptr)
+        return refusal{503, come_back_at_start, "no configuration yet"};
+    if (request_.facts.id.empty())
+        return refusal{400, std::nullopt, "no request id"};
+    const auto host = request_.fields[http::field::host];
+    way_ = config_->find_route({host.data(), host.size()},
+                               path_only(request_.path));
+    if (way_ == nullptr || way_->services.empty())
+        return refusal{404, std::nullopt, "no such route"};
+    if (!way_->is_public && config_->parts().needs_keys) {
+        team_ = config_->find_team_by_key(request_.facts.key);
+        if (team_ == nullptr)
+            return refusal{401, std::nullopt, "no valid key"};
+    }
+    mark_ = dispatch::mark_of(request_.method, request_.path,
+                              team_ ? team_->id : team_id(), request_.body);
+    if (tables_.poison.is_poison(mark_, tables_.now()))
+        return refusal{503, come_back_poison, "it kills its targets"};
+    service_ = pick_service();
+    const catalog::service* served = config_->find_service(service_);
+    if (served != nullptr && served->engine)
+        engine_ = &*served->engine;
+    return std::nullopt;
+}
+
+awaitable<std::optional<refusal>> request_run::set_aside_tokens()
+{
+    if (team_ == nullptr || !team_->prepaid || !request_.facts.prompt_size)
+        co_return std::nullopt;
+    const tokens worst = *request_.facts.prompt_size +
+                         request_.facts.longest_answer.value_or(tokens(0));
+    const duration wait =
+        std::min(way_->objective / token_wait_part, longest_token_wait);
+    const instant until = tables_.now() + wait;
+    const shortage got = co_await driver_.desk_.obtain(team_->id, worst, until);
+    if (got == shortage::none) {
+        set_aside_ = worst;
+        co_return std::nullopt;
+    }
+    if (got == shortage::never_covered)
+        co_return refusal{402, std::nullopt, "more than was prepaid"};
+    co_return refusal{503, come_back, "short of tokens"};
+}
+
+void request_run::settle()
+{
+    if (!set_aside_)
+        return;
+    tokens used(0);
+    if (prompt_was_read_) {
+        const std::int64_t each = engine_ ? engine_->tokens_per_event : 1;
+        const auto events = static_cast<std::int64_t>(events_.events());
+        // One more than was seen: it may have been on its way.
+        used = std::min(*set_aside_, *request_.facts.prompt_size +
+                                         tokens((events + 1) * each));
+    }
+    driver_.desk_.settle(team_->id, *set_aside_, used);
+    set_aside_.reset();
+}
+
+dispatch::work_wish request_run::wish() const
+{
+    dispatch::work_wish out;
+    out.service = service_;
+    out.on_engine = engine_ != nullptr;
+    out.objective = way_->objective;
+    out.avoid = tried_;
+    for (const platform::prompt_part& it : request_.facts.prompt)
+        out.prompt.push_back({it.id, it.size});
+    out.prompt_size = static_cast<std::uint32_t>(
+        request_.facts.prompt_size.value_or(tokens(0)).count());
+    return out;
+}
+
+platform::passing_on request_run::order_for(const target_id& target) const
+{
+    platform::passing_on out;
+    out.target = target;
+    if (team_ != nullptr)
+        out.team = team_->id;
+    out.time_left = std::max(time_left(), duration(0));
+    const int urgency =
+        team_ && team_->urgency ? *team_->urgency : way_->urgency;
+    out.urgency = std::clamp(urgency, 0, least_urgent);
+    out.resume_after = events_.last_id().empty() ? request_.facts.resume_after
+                                                 : events_.last_id();
+    return out;
+}
+
+/// Whether giving up a silent attempt leaves a chance elsewhere.
+bool request_run::another_is_possible() const
+{
+    return way_->repeats == catalog::repeat_rule::idempotent &&
+           so_far_.may_have_run + 1 < way_->max_targets &&
+           tables_.book.count(service_) > tried_.size() + 1;
+}
+
+awaitable<attempt_outcome>
+request_run::attempt_at(const dispatch::choice& target)
+{
+    const bool repeatable = way_->repeats == catalog::repeat_rule::idempotent;
+    attempt_input in{.tables = tables_,
+                     .course = *course_,
+                     .request = request_,
+                     .way = *way_,
+                     .target = target,
+                     .order = order_for(target.target),
+                     .reply = reply_,
+                     .events = events_};
+    in.longest_rest = repeatable ? rest_if_repeatable : rest_if_once;
+    if (another_is_possible()) {
+        in.first_byte_limit =
+            std::max(way_->objective * patience_in_objectives, least_patience);
+        if (way_->streams)
+            in.gap_limit = way_->pause_objective * patience_in_pauses;
+    }
+    const dispatch::work_wish wanted = wish();
+    tables_.book.started(target.target, target.work, wanted, tables_.now());
+    attempt_outcome got = co_await run_attempt(in);
+    tables_.book.finished(target.target, target.work, got.first_byte,
+                          got.evidence, tables_.now());
+    co_return got;
+}
+
+void request_run::note_attempt(const attempt_outcome& got,
+                               const dispatch::choice& target)
+{
+    last_target_ = target.target;
+    const bool proved_not_run = got.ended == attempt_end::not_connected ||
+                                got.ended == attempt_end::rejected ||
+                                got.ended == attempt_end::other_life;
+    if (got.sent)
+        ++so_far_.sent;
+    if (got.sent && !proved_not_run) {
+        ++so_far_.may_have_run;
+        prompt_was_read_ = true;
+    }
+    if (got.ended == attempt_end::rejected)
+        ++so_far_.rejections;
+    if (got.ended == attempt_end::not_connected)
+        ++so_far_.failed_connects;
+    if (got.first_byte && !first_byte_at_)
+        first_byte_at_ = tables_.now();
+    if (got.ended == attempt_end::broken && got.sent)
+        driver_.prober_.broke(target.target, mark_);
+    // The same target again is right only if nothing reached it but an end
+    // of a kept connection.
+    const bool idle_race = got.ended == attempt_end::broken &&
+                           got.kept_connection && !got.first_byte;
+    if (!idle_race)
+        tried_.push_back(target.target);
+    else
+        tables_.pool.drop_idle(target.target);
+    so_far_.head_passed_on = reply_.begun();
+    so_far_.time_left = time_left();
+}
+
+awaitable<void> request_run::attempt_until_done()
+{
+    so_far_.way = way_;
+    so_far_.time_left = time_left();
+    tables_.retries.count_request(service_, tables_.now());
+    attempt_outcome got;
+    got.ended = attempt_end::not_connected;
+    for (;;) {
+        const dispatch::work_wish wanted = wish();
+        const auto target =
+            tables_.book.choose(wanted, tables_.now(), tables_.random);
+        if (!target) {
+            co_await conclude(dispatch::give_up(so_far_, got.ended), got);
+            co_return;
+        }
+        got = co_await attempt_at(*target);
+        note_attempt(got, *target);
+        const dispatch::next_step step =
+            dispatch::decide_next(so_far_, got.ended, driver_.policy_);
+        next_action action = step.action;
+        if (action == next_action::try_other && step.uses_retry &&
+            !tables_.retries.take_retry(service_, tables_.nodes.size(),
+                                        tables_.now()))
+            action = dispatch::give_up(so_far_, got.ended);
+        if (got.ended != attempt_end::answered &&
+            got.ended != attempt_end::caller_left)
+            log_event(event::attempt_ended,
+                      {{"id", request_.facts.id},
+                       {"target", target->target.str()},
+                       {"address", target->address},
+                       {"ended", std::string(to_string(got.ended))},
+                       {"detail", got.detail},
+                       {"running", std::to_string(target->running)},
+                       {"candidates", std::to_string(target->candidates)},
+                       {"left_ms", ms_text(so_far_.time_left)},
+                       {"next", std::string(to_string(action))}});
+        if (action != next_action::try_other) {
+            co_await conclude(action, got);
+            co_return;
+        }
+    }
+}
+
+void request_run::log_end(int number, std::string_view outcome,
+                          std::string_view reason)
+{
+    const duration took = tables_.now() - request_.arrived;
+    log_event(
+        number,
+        {{"id", request_.facts.id},
+         {"outcome", std::string(outcome)},
+         {"reason", std::string(reason)},
+         {"route", way_ ? way_->id.str() : ""},
+         {"team", team_ ? team_->id.str() : ""},
+         {"target", last_target_.str()},
+         {"ms", ms_text(took)},
+         {"sends", std::to_string(so_far_.sent)},
+         {"may_have_run", std::to_string(so_far_.may_have_run)},
+         {"rejections", std::to_string(so_far_.rejections)},
+         {"events", std::to_string(events_.events())},
+         {"generation", version_text(tables_)},
+         {"targets_as_of", std::to_string(tables_.targets.as_of().value())},
+         {"tokens_free",
+          team_ ? std::to_string(tables_.purse.free_of(team_->id).count())
+                : ""},
+         {"platform", tables_.contact.reached ? "reached" : "out"}});
+    tables_.metrics
+        .counter_of("fennelladder_requests_total",
+                    {{"outcome", std::string(outcome)}})
+        .add();
+    tables_.metrics.summary_of("fennelladder_request_seconds")
+        .observe(to_seconds(took));
+}
+
+awaitable<void> request_run::refuse(const refusal& why)
+{
+    own_answer answer{why.status, request_.facts.id, why.retry_after,
+                      why.reason};
+    const bool own_fault = why.status == 503 || why.status == 402;
+    log_end(own_fault ? event::request_refused : event::call_rejected,
+            std::to_string(why.status), why.reason);
+    (void)co_await reply_.send_own(answer);
+}
+
+awaitable<void> request_run::conclude(next_action action,
+                                      const attempt_outcome& last)
+{
+    settle();
+    const std::string ended(to_string(last.ended));
+    own_answer answer;
+    answer.request = request_.facts.id;
+    switch (action) {
+    case next_action::finish:
+        if (last.ended == attempt_end::caller_left)
+            log_end(event::caller_left, "caller_left", last.detail);
+        else
+            log_end(event::request_answered, "answered", "");
+        co_return;
+    case next_action::pass_on:
+        log_end(event::request_failed, "passed_on", last.detail);
+        (void)co_await reply_.send_whole(last.head, last.body);
+        co_return;
+    case next_action::say_not_run:
+        answer.status = 503;
+        answer.retry_after = come_back;
+        answer.message = "not run: no target took it";
+        log_end(event::request_refused, "not_run", ended);
+        break;
+    case next_action::say_late:
+        answer.status = 504;
+        answer.message = "out of time; it may have run";
+        log_end(event::request_failed, "late", ended);
+        break;
+    case next_action::say_unknown:
+        answer.status = 502;
+        answer.message = "no whole answer; it may have run";
+        log_end(event::request_failed, "unknown", ended);
+        break;
+    case next_action::cut:
+    case next_action::try_other:
+        log_end(event::request_failed, "cut", ended);
+        co_return;
+    }
+    (void)co_await reply_.send_own(answer);
+}
+
+awaitable<void> request_run::run()
+{
+    auto refused = find_route();
+    if (refused) {
+        co_await refuse(*refused);
+        co_return;
+    }
+    course_->set_deadline(request_.arrived + whole_time() + last_word);
+    refused = co_await set_aside_tokens();
+    if (refused) {
+        co_await refuse(*refused);
+        co_return;
+    }
+    if (course_->stopped() == stop_reason::caller_left) {
+        settle();
+        log_end(event::caller_left, "caller_left", "before any attempt");
+        co_return;
+    }
+    co_await attempt_until_done();
+}
+
+request_driver::request_driver(node_tables& tables, token_desk& desk)
+    : tables_(tables), desk_(desk), prober_(tables)
+{}
+
+awaitable<void> request_driver::serve(const caller_request& request,
+                                      caller_reply& reply, exchange_ptr course)
+{
+    request_run run(*this, request, reply, std::move(course));
+    co_await run.run();
+}
+
+} // namespace fennelladder::edge
--- /dev/null
+++ b/libs/edge/target_connection.cpp
@@ -0,0 +1,98 @@
+#include "fennelladder/edge/target_connection.hpp"
+
+#include <algorithm>
+#include <cerrno>
+#include <sys/socket.h>
+
+namespace fennelladder::edge {
+
+target_connection::target_connection(asio::io_context& io, target_id to)
+    : target(std::move(to)), socket(io)
+{}
+
+bool is_spent(tcp::socket& socket)
+{
+    char byte = 0;
+    const ssize_t n =
+        ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return !(n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
+target_pool::target_pool(asio::io_context& io, target_pool_options options)
+    : io_(io), options_(options)
+{}
+
+connection_ptr target_pool::take_idle(const target_id& target, duration longest,
+                                      instant now)
+{
+    const auto found = idle_.find(target);
+    if (found == idle_.end())
+        return nullptr;
+    auto& idle = found->second;
+    while (!idle.empty()) {
+        connection_ptr it = idle.back();
+        const duration rested = now - it->idle_since;
+        // The others have rested for longer still.
+        if (rested > longest && rested < it->idle_limit)
+            return nullptr;
+        idle.pop_back();
+        if (rested < it->idle_limit && !is_spent(it->socket))
+            return it;
+    }
+    return nullptr;
+}
+
+connection_ptr target_pool::make(const target_id& target)
+{
+    ++opened_;
+    return std::make_shared<target_connection>(io_, target);
+}
+
+awaitable<bool> target_pool::open(connection_ptr made,
+                                  const std::string& address, duration limit)
+{
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint)
+        co_return false;
+    asio::steady_timer timer(io_, limit);
+    timer.async_wait([made](net_error ec) {
+        if (!ec)
+            made->socket.close(ec);
+    });
+    net_error ec;
+    co_await made->socket.async_connect(*endpoint, into(ec));
+    timer.cancel();
+    if (ec || !made->socket.is_open())
+        co_return false;
+    guard_silence(made->socket, options_.silence_limit);
+    co_return true;
+}
+
+void target_pool::give_back(connection_ptr used,
+                            std::optional<duration> keep_alive, instant now)
+{
+    auto& idle = idle_[used->target];
+    if (idle.size() >= options_.most_idle)
+        return;
+    used->used = true;
+    used->idle_since = now;
+    used->idle_limit = keep_alive ? *keep_alive * 4 / 5 : options_.idle_limit;
+    idle.push_back(std::move(used));
+}
+
+void target_pool::drop_idle(const target_id& target)
+{
+    idle_.erase(target);
+}
+
+void target_pool::drop_old(instant now)
+{
+    for (auto& [target, idle] : idle_)
+        std::erase_if(idle, [now](const connection_ptr& it) {
+            return now - it->idle_since >= it->idle_limit ||
+                   is_spent(it->socket);
+        });
+    std::erase_if(idle_, [](const auto& it) { return it.second.empty(); });
+}
+
+} // namespace fennelladder::edge
--- /dev/null
+++ b/libs/edge/token_desk.cpp
@@ -0,0 +1,547 @@
+// Two rules keep spending within what was prepaid, whatever is lost, repeated
+// or late:
+//
+//   - Tokens are credited only after the amount is known to be deducted: by a
+//     write whose effect is proved, or by the peer that gave them.
+//   - A transfer is credited once for its number; its giver deducts once for
+//     the number and repeats the answer as often as it is asked.
+
+#include "fennelladder/edge/token_desk.hpp"
+
+#include "fennelladder/telemetry/log.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fennelladder::edge {
+
+namespace {
+
+using telemetry::log_event;
+namespace event = telemetry::event;
+using platform::object_kind;
+
+constexpr const char* record_name = "main";
+
+/// Between two looks at the stock.
+constexpr duration stock_period = milliseconds(250);
+
+/// Between two writes of this node, unless somebody waits for tokens.
+constexpr duration write_pause = seconds(1);
+
+/// Retry after a failed call, doubled up to the longest.
+constexpr duration first_pause = milliseconds(200);
+constexpr duration longest_pause = seconds(2);
+
+constexpr duration call_limit = milliseconds(800);
+
+/// A record without anything left is read again after this long: others may
+/// have been more modest than was thought, and a top-up shows by itself.
+constexpr duration empty_record_age = seconds(5);
+
+/// A peer in the fleet answers in a few milliseconds; then the next is asked.
+constexpr duration peer_patience = milliseconds(40);
+
+/// Numbers of transfers are remembered for longer than any datagram lives.
+constexpr duration transfer_memory = seconds(30);
+
+/// Stock that a peer spoke of longer ago is no reason to ask it.
+constexpr duration stock_memory = seconds(5);
+
+constexpr duration gift_repeat = milliseconds(60);
+
+std::string amounts_text(const prepaid::token_amounts& amounts)
+{
+    std::string out;
+    for (const auto& [team, amount] : amounts) {
+        if (!out.empty())
+            out += ',';
+        out += team.str() + ":" + std::to_string(amount.count());
+    }
+    return out;
+}
+
+} // namespace
+
+token_desk::token_desk(node_tables& tables, platform_client& client,
+                       sender send)
+    : tables_(tables), client_(client), send_(std::move(send)),
+      wake_refill_(tables.io)
+{}
+
+void token_desk::start()
+{
+    spawn(tables_.io, keep_stock());
+}
+
+void token_desk::changed()
+{
+    for (const auto& it : waiting_)
+        if (const auto timer = it.lock())
+            timer->cancel();
+    waiting_.clear();
+}
+
+awaitable<void> token_desk::wait_for_change(instant until)
+{
+    const duration left = until - tables_.now();
+    if (left <= duration(0))
+        co_return;
+    auto timer = std::make_shared<asio::steady_timer>(tables_.io);
+    waiting_.push_back(timer);
+    co_await sleep_on(*timer, left);
+}
+
+// Spending.
+
+awaitable<shortage> token_desk::obtain(const team_id& team, tokens amount,
+                                       instant until)
+{
+    const auto* payer = tables_.config->find_team(team);
+    if (payer == nullptr || !payer->prepaid || *payer->prepaid < amount)
+        co_return shortage::never_covered;
+    std::set<host_id> tried;
+    while (!tables_.purse.reserve(team, amount, tables_.now())) {
+        if (tables_.now() >= until)
+            co_return shortage::short_now;
+        wanted_.insert(team);
+        const tokens missing = amount - tables_.purse.free_of(team);
+        const auto peer = best_peer(team, missing, tried);
+        if (peer) {
+            tried.insert(*peer);
+            ask(*peer, team, missing);
+        } else {
+            // Everybody was asked; the record is the last hope.
+            wake_refill_.cancel();
+        }
+        const instant next = tables_.now() + peer_patience;
+        co_await wait_for_change(std::min(next, until));
+    }
+    co_return shortage::none;
+}
+
+void token_desk::settle(const team_id& team, tokens reserved, tokens used)
+{
+    tables_.purse.settle(team, reserved, used);
+    if (used < reserved)
+        changed();
+}
+
+// Transfers between nodes.
+
+std::optional<host_id>
+token_desk::best_peer(const team_id& team, tokens least,
+                      const std::set<host_id>& tried) const
+{
+    std::optional<host_id> best;
+    tokens most(0);
+    for (const auto& [host, peer] : peers_) {
+        const auto it = peer.free.find(team);
+        const bool old = tables_.now() - peer.heard > stock_memory;
+        if (old || it == peer.free.end() || tried.contains(host))
+            continue;
+        if (it->second >= least && it->second > most) {
+            best = host;
+            most = it->second;
+        }
+    }
+    if (best)
+        return best;
+    // Nobody is known to have enough: a stockist may have got some since.
+    const auto members = tables_.nodes.members(tables_.now());
+    for (const host_id& it :
+         prepaid::stockists_of(team, members, stock_options_))
+        if (!tried.contains(it) && peers_.contains(it))
+            return it;
+    return std::nullopt;
+}
+
+void token_desk::ask(const host_id& peer, const team_id& team, tokens amount)
+{
+    last_number_ = last_number_.next();
+    asked_[last_number_] = {team, peer, tables_.now()};
+    auto& known = peers_[peer];
+    mesh::datagram message;
+    message.ask = {tables_.life, last_number_, team, amount, amount};
+    // Until its next word, what was asked for counts as gone.
+    tokens& free = known.free[team];
+    free = std::max(free - amount, tokens(0));
+    send_(known.address, message);
+}
+
+void token_desk::on_ask(const mesh::token_ask& ask, const std::string& from)
+{
+    const auto key = std::make_pair(ask.life, ask.number);
+    const auto known = answered_.find(key);
+    if (known != answered_.end()) {
+        mesh::datagram again;
+        again.give = known->second.first;
+        send_(from, again);
+        return;
+    }
+    const tokens given =
+        tables_.purse.debit(ask.team, ask.wanted, ask.least, tables_.now());
+    if (given == tokens(0) && ask.least > tokens(0)) {
+        wanted_.insert(ask.team);
+        wake_refill_.cancel();
+    }
+    give(ask, from, given);
+}
+
+void token_desk::give(const mesh::token_ask& ask, const std::string& from,
+                      tokens amount)
+{
+    mesh::datagram message;
+    message.give = {ask.life, ask.number, ask.team, amount};
+    answered_[{ask.life, ask.number}] = {*message.give, tables_.now()};
+    send_(from, message);
+    if (amount > tokens(0))
+        log_event(event::tokens_moved,
+                  {{"team", ask.team.str()},
+                   {"amount", std::to_string(amount.count())},
+                   {"to", from},
+                   {"left",
+                    std::to_string(tables_.purse.free_of(ask.team).count())}});
+}
+
+void token_desk::on_give(const mesh::token_give& give)
+{
+    const auto it = asked_.find(give.number);
+    if (give.life != tables_.life || it == asked_.end())
+        return;
+    assert(it->second.team == give.team);
+    asked_.erase(it);
+    tables_.purse.credit(give.team, give.amount);
+    changed();
+}
+
+void token_desk::on_gift(const mesh::token_gift& gift, const std::string& from)
+{
+    const auto key = std::make_pair(gift.life, gift.number);
+    if (gifts_taken_.emplace(key, tables_.now()).second) {
+        tables_.purse.credit(gift.team, gift.amount);
+        log_event(event::tokens_moved,
+                  {{"team", gift.team.str()},
+                   {"amount", std::to_string(gift.amount.count())},
+                   {"from", from}});
+        changed();
+    }
+    mesh::datagram message;
+    message.gift_taken = {gift.life, gift.number};
+    send_(from, message);
+}
+
+void token_desk::on_gift_taken(const mesh::token_gift_taken& taken)
+{
+    if (taken.life == tables_.life)
+        gifts_.erase(taken.number);
+}
+
+void token_desk::on_stock(const mesh::beacon& from)
+{
+    peer_stock& it = peers_[from.host];
+    it.address = from.peer_address;
+    it.heard = tables_.now();
+    it.free.clear();
+    if (from.state == mesh::node_state::leaving)
+        return;
+    for (const mesh::token_stock& stock : from.stock)
+        it.free[stock.team] = stock.free;
+}
+
+std::vector<mesh::token_stock> token_desk::own_stock() const
+{
+    std::vector<mesh::token_stock> out;
+    for (const auto& [team, it] : tables_.purse.holdings())
+        if (it.free > tokens(0))
+            out.push_back({team, it.free});
+    return out;
+}
+
+awaitable<void> token_desk::hand_over(duration limit)
+{
+    const instant until = tables_.now() + limit;
+    const auto members = tables_.nodes.members(tables_.now());
+    for (const mesh::token_stock& it : own_stock()) {
+        std::vector<std::string> takers;
+        for (const host_id& host :
+             prepaid::stockists_of(it.team, members, stock_options_))
+            if (host != tables_.settings.host && peers_.contains(host))
+                takers.push_back(peers_[host].address);
+        if (takers.empty())
+            continue;
+        last_number_ = last_number_.next();
+        mesh::token_gift gift{tables_.life, last_number_, it.team,
+                              tables_.purse.debit_all(it.team)};
+        gifts_[last_number_] = gift;
+        // One taker a gift: two could both credit it.
+        spawn(tables_.io,
+              [](token_desk& desk, mesh::token_gift what, std::string to,
+                 instant end) -> awaitable<void> {
+                  asio::steady_timer timer(desk.tables_.io);
+                  while (desk.gifts_.contains(what.number) &&
+                         desk.tables_.now() < end) {
+                      mesh::datagram message;
+                      message.gift = what;
+                      desk.send_(to, message);
+                      co_await sleep_on(timer, gift_repeat);
+                  }
+              }(*this, gift, takers.front(), until));
+    }
+    asio::steady_timer timer(tables_.io);
+    while (!gifts_.empty() && tables_.now() < until)
+        co_await sleep_on(timer, gift_repeat / 3);
+    for (const auto& [number, gift] : gifts_)
+        log_event(event::tokens_stranded,
+                  {{"team", gift.team.str()},
+                   {"amount", std::to_string(gift.amount.count())}});
+}
+
+void token_desk::forget_old()
+{
+    const instant now = tables_.now();
+    std::erase_if(asked_, [&](const auto& it) {
+        return now - it.second.at > transfer_memory;
+    });
+    std::erase_if(answered_, [&](const auto& it) {
+        return now - it.second.second > transfer_memory;
+    });
+    std::erase_if(gifts_taken_, [&](const auto& it) {
+        return now - it.second > transfer_memory;
+    });
+}
+
+// The platform's record.
+
+prepaid::token_amounts token_desk::prepaid_totals() const
+{
+    prepaid::token_amounts out;
+    for (const catalog::team& it : tables_.config->parts().teams)
+        if (it.prepaid)
+            out[it.id] = *it.prepaid;
+    return out;
+}
+
+prepaid::token_amounts token_desk::wishes() const
+{
+    prepaid::token_amounts out;
+    const auto totals = prepaid_totals();
+    const auto members = tables_.nodes.members(tables_.now());
+    for (const auto& [team, total] : totals) {
+        const auto stockists =
+            prepaid::stockists_of(team, members, stock_options_);
+        const bool ours = std::ranges::find(stockists, tables_.settings.host) !=
+                          stockists.end();
+        if (!ours && !wanted_.contains(team))
+            continue;
+        prepaid::stock_state state;
+        // Others take out what a waiting request needs, and no stock.
+        state.prepaid = ours ? total : tokens(0);
+        state.left = record_ ? prepaid::left_of(*record_, totals, team) : total;
+        state.free = tables_.purse.free_of(team);
+        const auto held = tables_.purse.holdings().find(team);
+        if (held != tables_.purse.holdings().end())
+            state.largest = held->second.largest;
+        state.demand = ours ? tables_.purse.demand(team, tables_.now()) : 0;
+        state.stockists = stockists.size();
+        const tokens wish = prepaid::stock_wish(state, stock_options_);
+        if (wish > tokens(0))
+            out[team] = wish;
+    }
+    return out;
+}
+
+bool token_desk::adopt(const platform::stored_object& object)
+{
+    auto read = prepaid::allotment_from_json(object.content);
+    if (!read) {
+        log_event(event::allotment_unreadable,
+                  {{"reason", read.error().message}});
+        return false;
+    }
+    if (object.changed == catalog::revision()) {
+        log_event(event::allotment_unreadable, {{"reason", "no revision"}});
+        return false;
+    }
+    record_ = std::move(*read);
+    record_revision_ = object.changed;
+    record_read_ = tables_.now();
+    return true;
+}
+
+awaitable<bool> token_desk::create_record()
+{
+    const auto body =
+        platform::encode_object(record_name, catalog::revision(),
+                                prepaid::to_json(prepaid::allotment_record()));
+    const auto got = co_await client_.call(
+        http::verb::post, platform::create_target(object_kind::prepaid), body,
+        call_limit);
+    // Another node may have been first; both ways it's there to be read.
+    const bool there = got.outcome == call_outcome::done ||
+                       got.outcome == call_outcome::conflict;
+    if (!there)
+        co_return false;
+    const auto object = platform::decode_object(got.body);
+    co_return object&& adopt(*object);
+}
+
+awaitable<bool> token_desk::read_record()
+{
+    const auto got = co_await client_.call(
+        http::verb::get,
+        platform::object_target(object_kind::prepaid, record_name,
+                                platform::freshness::newest),
+        "", call_limit);
+    tables_.note_contact(got.outcome != call_outcome::no_reply &&
+                             got.outcome != call_outcome::turned_away,
+                         "allotment record");
+    if (got.outcome == call_outcome::missing) {
+        const bool created = co_await create_record();
+        co_return created;
+    }
+    if (got.outcome != call_outcome::done)
+        co_return false;
+    const auto object = platform::decode_object(got.body);
+    if (!object) {
+        log_event(event::allotment_unreadable,
+                  {{"reason", object.error().message}});
+        co_return false;
+    }
+    co_return adopt(*object);
+}
+
+void token_desk::take(const prepaid::allotment_draft& draft)
+{
+    for (const auto& [team, amount] : draft.granted) {
+        tables_.purse.credit(team, amount);
+        wanted_.erase(team);
+    }
+    log_event(event::tokens_allotted,
+              {{"amounts", amounts_text(draft.granted)},
+               {"revision", std::to_string(record_revision_.value())}});
+    changed();
+}
+
+/// Writes; what the reply leaves open is in doubt_ afterwards.
+awaitable<bool> token_desk::write(const doubtful_write& wanted)
+{
+    const auto body = platform::encode_object(
+        record_name, wanted.expected, prepaid::to_json(wanted.draft.record));
+    const auto got = co_await client_.call(
+        http::verb::put,
+        platform::object_target(object_kind::prepaid, record_name,
+                                platform::freshness::newest),
+        body, call_limit);
+    if (got.outcome == call_outcome::turned_away && !doubt_)
+        co_return false;
+    if (got.outcome != call_outcome::done &&
+        got.outcome != call_outcome::conflict) {
+        if (!doubt_)
+            log_event(event::allotment_in_doubt, {{"mark", wanted.mark}});
+        doubt_ = wanted;
+        co_return false;
+    }
+    const auto object = platform::decode_object(got.body);
+    if (!object || !adopt(*object)) {
+        doubt_ = wanted;
+        co_return false;
+    }
+    const bool written =
+        prepaid::written_by(*record_, tables_.settings.host, wanted.mark);
+    const auto draft = wanted.draft;
+    doubt_.reset();
+    if (written)
+        take(draft);
+    co_return written;
+}
+
+/// True when nothing is in doubt any more.
+awaitable<bool> token_desk::resolve_doubt()
+{
+    const bool read = co_await read_record();
+    if (!read || !doubt_)
+        co_return false;
+    if (prepaid::written_by(*record_, tables_.settings.host, doubt_->mark)) {
+        const auto draft = doubt_->draft;
+        doubt_.reset();
+        take(draft);
+        co_return true;
+    }
+    if (record_revision_ != doubt_->expected) {
+        // Its condition can't hold any more: it never takes effect.
+        doubt_.reset();
+        co_return true;
+    }
+    // It may still take effect; the same write again settles it either way.
+    const doubtful_write again = *doubt_;
+    (void)co_await write(again);
+    co_return !doubt_;
+}
+
+awaitable<bool> token_desk::refill(const prepaid::token_amounts& wishes)
+{
+    constexpr int most_conflicts = 5;
+    // Without a revision the write would have no condition.
+    assert(record_revision_ != catalog::revision());
+    for (int i = 0; i < most_conflicts; ++i) {
+        doubtful_write wanted;
+        wanted.mark = std::to_string(tables_.life.value()) + "." +
+                      std::to_string(++writes_);
+        wanted.draft =
+            prepaid::draft_allotment(*record_, prepaid_totals(), wishes,
+                                     tables_.settings.host, wanted.mark);
+        wanted.expected = record_revision_;
+        if (wanted.draft.granted.empty())
+            co_return true;
+        const bool written = co_await write(wanted);
+        if (written)
+            co_return true;
+        if (doubt_)
+            co_return false;
+    }
+    co_return false;
+}
+
+awaitable<void> token_desk::keep_stock()
+{
+    duration pause = stock_period;
+    instant last_write;
+    instant not_before;
+    for (;;) {
+        co_await sleep_on(wake_refill_, pause);
+        pause = stock_period;
+        forget_old();
+        if (tables_.config == nullptr || tables_.leaving)
+            continue;
+        const instant now = tables_.now();
+        if (now < not_before)
+            continue;
+        bool fine = true;
+        if (doubt_) {
+            fine = co_await resolve_doubt();
+        } else if (!record_ || (!wanted_.empty() &&
+                                now - record_read_ > empty_record_age)) {
+            fine = co_await read_record();
+        }
+        const bool urgent = !wanted_.empty();
+        if (fine && !doubt_ && record_ &&
+            (urgent || now - last_write > write_pause)) {
+            const auto amounts = wishes();
+            if (!amounts.empty()) {
+                fine = co_await refill(amounts);
+                last_write = tables_.now();
+            }
+            wanted_.clear();
+        }
+        if (!fine) {
+            failures_ = std::min(failures_ + 1, 8);
+            not_before = tables_.now() + backoff(tables_.random, failures_,
+                                                 first_pause, longest_pause);
+        } else {
+            failures_ = 0;
+        }
+    }
+}
+
+} // namespace fennelladder::edge
--- /dev/null
+++ b/libs/mesh/mesh.thrift
@@ -0,0 +1,100 @@
+// Wire form of what nodes tell each other (see
+// include/fennelladder/mesh/messages.hpp, which says what it means). Fields
+// may be added with new numbers; a number is never used again.
+//
+// Generate: thrift --gen cpp:no_skeleton -out generated mesh.thrift
+
+namespace cpp fennelladder.mesh.wire
+
+struct Load {
+  1: string target
+  2: i32 running
+  3: i32 reading
+}
+
+struct Stock {
+  1: string team
+  2: i64 free
+}
+
+struct Poison {
+  1: i64 mark
+  2: list<string> deaths
+}
+
+struct Beacon {
+  1: string host
+  2: i64 life
+  3: i64 sequence
+  4: i8 state
+  5: string data_center
+  6: string caller_address
+  7: string peer_address
+  8: i64 configuration
+  9: i64 targets_changed
+  10: bool platform_reached
+  11: optional list<Load> load
+  12: optional list<Stock> stock
+  13: optional list<Poison> poison
+  14: optional list<string> introduced
+  15: optional list<string> leaving
+}
+
+struct TokenAsk {
+  1: i64 life
+  2: i64 number
+  3: string team
+  4: i64 wanted
+  5: i64 least
+}
+
+struct TokenGive {
+  1: i64 life
+  2: i64 number
+  3: string team
+  4: i64 amount
+}
+
+struct TokenGift {
+  1: i64 life
+  2: i64 number
+  3: string team
+  4: i64 amount
+}
+
+struct TokenGiftTaken {
+  1: i64 life
+  2: i64 number
+}
+
+struct Datagram {
+  1: optional Beacon beacon
+  2: optional TokenAsk ask
+  3: optional TokenGive give
+  4: optional TokenGift gift
+  5: optional TokenGiftTaken gift_taken
+}
+
+struct TargetRow {
+  1: string id
+  2: bool gone
+  3: string service_name
+  4: string address
+  5: string data_center
+  6: i32 slots
+  7: bool leaving
+  8: i64 warm_up_ms
+  9: i64 changed_at
+}
+
+struct SyncAsk {
+  1: i64 configuration
+  2: i64 targets_as_of
+}
+
+struct SyncReply {
+  1: optional string configuration
+  2: i64 targets_as_of
+  3: bool targets_full
+  4: optional list<TargetRow> targets
+}
--- /dev/null
+++ b/libs/mesh/messages.cpp
@@ -0,0 +1,271 @@
+// Translates between the typed messages and Thrift's generated structs, field
+// by field.
+
+#include "fennelladder/mesh/messages.hpp"
+
+#include "fennelladder/base/thrift_codec.hpp"
+#include "mesh_types.h"
+
+namespace fennelladder::mesh {
+
+namespace {
+
+std::int64_t number(std::uint64_t value)
+{
+    return static_cast<std::int64_t>(value);
+}
+
+template <class Id>
+Id id_of(std::int64_t value)
+{
+    return Id(static_cast<std::uint64_t>(value));
+}
+
+wire::Beacon to_wire(const beacon& from)
+{
+    wire::Beacon out;
+    out.host = from.host.str();
+    out.life = number(from.life.value());
+    out.sequence = number(from.sequence);
+    out.state = static_cast<std::int8_t>(from.state);
+    out.data_center = from.data_center.str();
+    out.caller_address = from.caller_address;
+    out.peer_address = from.peer_address;
+    out.configuration = number(from.configuration.value());
+    out.targets_changed = number(from.targets_changed.value());
+    out.platform_reached = from.platform_reached;
+    for (const auto& it : from.load) {
+        wire::Load load;
+        load.target = it.target.str();
+        load.running = static_cast<std::int32_t>(it.running);
+        load.reading = static_cast<std::int32_t>(it.reading);
+        out.load.push_back(std::move(load));
+    }
+    out.__isset.load = !out.load.empty();
+    for (const auto& it : from.stock) {
+        wire::Stock stock;
+        stock.team = it.team.str();
+        stock.free = it.free.count();
+        out.stock.push_back(std::move(stock));
+    }
+    out.__isset.stock = !out.stock.empty();
+    for (const auto& it : from.poison) {
+        wire::Poison poison;
+        poison.mark = number(it.mark.value());
+        for (const target_id& death : it.deaths)
+            poison.deaths.push_back(death.str());
+        out.poison.push_back(std::move(poison));
+    }
+    out.__isset.poison = !out.poison.empty();
+    out.introduced = from.introduced;
+    out.__isset.introduced = !out.introduced.empty();
+    for (const target_id& it : from.leaving)
+        out.leaving.push_back(it.str());
+    out.__isset.leaving = !out.leaving.empty();
+    return out;
+}
+
+beacon from_wire(const wire::Beacon& from)
+{
+    beacon out;
+    out.host = host_id(from.host);
+    out.life = id_of<node_life>(from.life);
+    out.sequence = static_cast<std::uint64_t>(from.sequence);
+    // A state of a later release counts as one that takes no callers.
+    const bool known =
+        from.state >= 0 && from.state <= static_cast<int>(node_state::leaving);
+    out.state =
+        known ? static_cast<node_state>(from.state) : node_state::leaving;
+    out.data_center = data_center_id(from.data_center);
+    out.caller_address = from.caller_address;
+    out.peer_address = from.peer_address;
+    out.configuration =
+        id_of<catalog::configuration_version>(from.configuration);
+    out.targets_changed = id_of<catalog::revision>(from.targets_changed);
+    out.platform_reached = from.platform_reached;
+    for (const wire::Load& it : from.load)
+        out.load.push_back({target_id(it.target),
+                            static_cast<std::uint32_t>(it.running),
+                            static_cast<std::uint32_t>(it.reading)});
+    for (const wire::Stock& it : from.stock)
+        out.stock.push_back({team_id(it.team), tokens(it.free)});
+    for (const wire::Poison& it : from.poison) {
+        dispatch::poison_record record;
+        record.mark = id_of<dispatch::request_mark>(it.mark);
+        for (const std::string& death : it.deaths)
+            record.deaths.emplace_back(death);
+        out.poison.push_back(std::move(record));
+    }
+    out.introduced = from.introduced;
+    for (const std::string& it : from.leaving)
+        out.leaving.emplace_back(it);
+    return out;
+}
+
+/// The four token messages share these fields.
+template <class Wire, class Message>
+Wire transfer_to_wire(const Message& from)
+{
+    Wire out;
+    out.life = number(from.life.value());
+    out.number = number(from.number.value());
+    if constexpr (requires { from.team; })
+        out.team = from.team.str();
+    if constexpr (requires { from.amount; })
+        out.amount = from.amount.count();
+    if constexpr (requires { from.wanted; }) {
+        out.wanted = from.wanted.count();
+        out.least = from.least.count();
+    }
+    return out;
+}
+
+template <class Message, class Wire>
+Message transfer_from_wire(const Wire& from)
+{
+    Message out;
+    out.life = id_of<node_life>(from.life);
+    out.number = id_of<transfer_number>(from.number);
+    if constexpr (requires { out.team; })
+        out.team = team_id(from.team);
+    if constexpr (requires { out.amount; })
+        out.amount = tokens(from.amount);
+    if constexpr (requires { out.wanted; }) {
+        out.wanted = tokens(from.wanted);
+        out.least = tokens(from.least);
+    }
+    return out;
+}
+
+/// Amounts that can't be: from another release, or no message of ours.
+bool has_negative_amount(const datagram& it)
+{
+    constexpr tokens none(0);
+    return (it.ask && (it.ask->wanted < none || it.ask->least < none)) ||
+           (it.give && it.give->amount < none) ||
+           (it.gift && it.gift->amount < none);
+}
+
+wire::TargetRow to_wire(const catalog::target_change& from)
+{
+    wire::TargetRow out;
+    out.id = from.id.str();
+    out.gone = !from.entry.has_value();
+    out.changed_at = number(from.at.value());
+    if (!from.entry)
+        return out;
+    out.service_name = from.entry->service.str();
+    out.address = from.entry->address;
+    out.data_center = from.entry->data_center.str();
+    out.slots = static_cast<std::int32_t>(from.entry->slots);
+    out.leaving = from.entry->leaving;
+    out.warm_up_ms =
+        std::chrono::duration_cast<milliseconds>(from.entry->warm_up_left)
+            .count();
+    return out;
+}
+
+catalog::target_change from_wire(const wire::TargetRow& from)
+{
+    catalog::target_change out;
+    out.id = target_id(from.id);
+    out.at = id_of<catalog::revision>(from.changed_at);
+    if (from.gone)
+        return out;
+    catalog::target_entry entry;
+    entry.id = out.id;
+    entry.service = service_id(from.service_name);
+    entry.address = from.address;
+    entry.data_center = data_center_id(from.data_center);
+    entry.slots = static_cast<std::uint32_t>(from.slots);
+    entry.leaving = from.leaving;
+    entry.warm_up_left = milliseconds(from.warm_up_ms);
+    out.entry = std::move(entry);
+    return out;
+}
+
+} // namespace
+
+std::string encode(const datagram& message)
+{
+    wire::Datagram out;
+    if (message.hello)
+        out.__set_beacon(to_wire(*message.hello));
+    if (message.ask)
+        out.__set_ask(transfer_to_wire<wire::TokenAsk>(*message.ask));
+    if (message.give)
+        out.__set_give(transfer_to_wire<wire::TokenGive>(*message.give));
+    if (message.gift)
+        out.__set_gift(transfer_to_wire<wire::TokenGift>(*message.gift));
+    if (message.gift_taken)
+        out.__set_gift_taken(
+            transfer_to_wire<wire::TokenGiftTaken>(*message.gift_taken));
+    return to_bytes(out);
+}
+
+std::string encode(const sync_ask& message)
+{
+    wire::SyncAsk out;
+    out.configuration = number(message.configuration.value());
+    out.targets_as_of = number(message.targets_as_of.value());
+    return to_bytes(out);
+}
+
+std::string encode(const sync_reply& message)
+{
+    wire::SyncReply out;
+    if (!message.configuration.empty())
+        out.__set_configuration(message.configuration);
+    out.targets_as_of = number(message.targets_as_of.value());
+    out.targets_full = message.targets_full;
+    for (const catalog::target_change& it : message.targets)
+        out.targets.push_back(to_wire(it));
+    out.__isset.targets = !out.targets.empty();
+    return to_bytes(out);
+}
+
+result<datagram> decode_datagram(std::string_view bytes)
+{
+    auto read = from_bytes<wire::Datagram>(bytes);
+    if (!read)
+        return tl::unexpected(read.error());
+    datagram out;
+    if (read->__isset.beacon)
+        out.hello = from_wire(read->beacon);
+    if (read->__isset.ask)
+        out.ask = transfer_from_wire<token_ask>(read->ask);
+    if (read->__isset.give)
+        out.give = transfer_from_wire<token_give>(read->give);
+    if (read->__isset.gift)
+        out.gift = transfer_from_wire<token_gift>(read->gift);
+    if (read->__isset.gift_taken)
+        out.gift_taken = transfer_from_wire<token_gift_taken>(read->gift_taken);
+    if (has_negative_amount(out))
+        return fail(error_code::corrupt, "negative amount of tokens");
+    return out;
+}
+
+result<sync_ask> decode_sync_ask(std::string_view bytes)
+{
+    auto read = from_bytes<wire::SyncAsk>(bytes);
+    if (!read)
+        return tl::unexpected(read.error());
+    return sync_ask{id_of<catalog::configuration_version>(read->configuration),
+                    id_of<catalog::revision>(read->targets_as_of)};
+}
+
+result<sync_reply> decode_sync_reply(std::string_view bytes)
+{
+    auto read = from_bytes<wire::SyncReply>(bytes);
+    if (!read)
+        return tl::unexpected(read.error());
+    sync_reply out;
+    out.configuration = read->configuration;
+    out.targets_as_of = id_of<catalog::revision>(read->targets_as_of);
+    out.targets_full = read->targets_full;
+    for (const wire::TargetRow& it : read->targets)
+        out.targets.push_back(from_wire(it));
+    return out;
+}
+
+} // namespace fennelladder::mesh
--- /dev/null
+++ b/libs/mesh/roster.cpp
@@ -0,0 +1,156 @@
+#include "fennelladder/mesh/roster.hpp"
+
+#include "fennelladder/base/hash.hpp"
+
+#include <algorithm>
+
+namespace fennelladder::mesh {
+
+namespace {
+
+beacon without_details(const beacon& from)
+{
+    beacon out = from;
+    out.load.clear();
+    out.stock.clear();
+    out.poison.clear();
+    out.introduced.clear();
+    out.leaving.clear();
+    return out;
+}
+
+} // namespace
+
+roster::roster(host_id self, roster_options options)
+    : self_(std::move(self)), options_(options)
+{}
+
+roster_news roster::hear(const beacon& from, instant now)
+{
+    roster_news news;
+    if (from.host == self_)
+        return news;
+    const auto known = rows_.find(from.host);
+    if (known == rows_.end() || known->second.last.life != from.life) {
+        news.new_node = true;
+    } else {
+        if (from.sequence <= known->second.last.sequence)
+            return news;
+        news.state_changed = known->second.last.state != from.state;
+    }
+    rows_[from.host] = {without_details(from), now};
+    std::erase(unanswered_, from.peer_address);
+    return news;
+}
+
+void roster::add_addresses(const std::vector<std::string>& addresses)
+{
+    for (const std::string& it : addresses) {
+        const bool known = std::ranges::any_of(rows_, [&](const auto& row) {
+            return row.second.last.peer_address == it;
+        });
+        if (!known && std::ranges::find(unanswered_, it) == unanswered_.end())
+            unanswered_.push_back(it);
+    }
+}
+
+duration roster::period() const
+{
+    const double seconds_each =
+        static_cast<double>(rows_.size()) / options_.beacon_rate;
+    return std::max(options_.beacon_period, from_seconds(seconds_each));
+}
+
+std::vector<std::string> roster::due(instant now)
+{
+    std::vector<std::string> out;
+    for (const auto& [host, row] : rows_) {
+        instant& next = next_due_[row.last.peer_address];
+        if (now < next)
+            continue;
+        next = now + period();
+        out.push_back(row.last.peer_address);
+    }
+    if (!unanswered_.empty()) {
+        instant& next = next_due_[""];
+        if (now >= next) {
+            next = now + options_.beacon_period;
+            out.push_back(unanswered_[turn_++ % unanswered_.size()]);
+        }
+    }
+    return out;
+}
+
+std::vector<std::string> roster::all_addresses() const
+{
+    std::vector<std::string> out = unanswered_;
+    for (const auto& [host, row] : rows_)
+        out.push_back(row.last.peer_address);
+    return out;
+}
+
+bool roster::is_alive(const node_row& row, instant now) const
+{
+    const double silent = to_seconds(now - row.heard);
+    return silent < options_.silent_periods * to_seconds(period());
+}
+
+std::vector<const node_row*> roster::alive(instant now) const
+{
+    std::vector<const node_row*> out;
+    for (const auto& [host, row] : rows_)
+        if (is_alive(row, now))
+            out.push_back(&row);
+    return out;
+}
+
+std::vector<host_id> roster::members(instant now) const
+{
+    std::vector<host_id> out{self_};
+    for (const node_row* it : alive(now))
+        if (it->last.state != node_state::leaving)
+            out.push_back(it->last.host);
+    std::ranges::sort(out);
+    return out;
+}
+
+std::size_t roster::rank(std::string_view salt, bool reached, instant now) const
+{
+    const std::uint64_t seed = hash64(salt);
+    const std::uint64_t own = hash64(self_.str(), seed);
+    std::size_t out = 0;
+    for (const node_row* it : alive(now)) {
+        if (it->last.state != node_state::ready)
+            continue;
+        if (it->last.platform_reached != reached) {
+            // Those that reach the platform come before those that don't.
+            out += it->last.platform_reached ? 1 : 0;
+            continue;
+        }
+        if (hash64(it->last.host.str(), seed) > own)
+            ++out;
+    }
+    return out;
+}
+
+std::vector<std::string> roster::introductions(const host_id& to,
+                                               instant now) const
+{
+    std::vector<std::string> out;
+    for (const node_row* it : alive(now))
+        if (it->last.host != to && out.size() < options_.introductions)
+            out.push_back(it->last.peer_address);
+    return out;
+}
+
+void roster::forget_old(instant now)
+{
+    std::erase_if(rows_, [&](const auto& it) {
+        return now - it.second.heard > options_.forget_after;
+    });
+    std::erase_if(next_due_, [&](const auto& it) {
+        return now - it.second > options_.forget_after;
+    });
+}
+
+} // namespace fennelladder::mesh
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -138,6 +138,59 @@
     {event::request_keys_full, severity::warning, "request_keys_full",
      "The node remembers as many request keys as it may; new ones are "
      "refused."},
+    {event::settings_reloaded, severity::info, "settings_reloaded",
+     "The settings file was read again; what changed is in force."},
+    {event::settings_unreadable, severity::error, "settings_unreadable",
+     "The settings file can't be read or has faults; the settings in force "
+     "stay."},
+    {event::log_lines_dropped, severity::warning, "log_lines_dropped",
+     "Lines were left out to keep the log's volume bounded; the counts are by "
+     "event."},
+    {event::configuration_unreadable, severity::error,
+     "configuration_unreadable",
+     "A configuration or target entry can't be decoded; the last good one "
+     "stays in force."},
+    {event::targets_changed, severity::info, "targets_changed",
+     "The list of targets changed."},
+    {event::platform_call_failed, severity::warning, "platform_call_failed",
+     "A call to the platform failed; the message says how."},
+    {event::platform_watch_ended, severity::info, "platform_watch_ended",
+     "A watch of the platform ended and is opened again or replaced by a "
+     "listing."},
+    {event::tokens_allotted, severity::info, "tokens_allotted",
+     "Tokens were taken out of the platform's record for this node to spend."},
+    {event::tokens_moved, severity::info, "tokens_moved",
+     "Tokens went from one node to another."},
+    {event::allotment_in_doubt, severity::warning, "allotment_in_doubt",
+     "A write of the allotment record got no answer; it is read back before "
+     "anything is spent."},
+    {event::allotment_unreadable, severity::error, "allotment_unreadable",
+     "The allotment record can't be decoded; nothing is taken out of it."},
+    {event::tokens_stranded, severity::warning, "tokens_stranded",
+     "Tokens are lost to their team: the node couldn't hand them on."},
+    {event::request_answered, severity::info, "request_answered",
+     "A request got its whole answer."},
+    {event::request_refused, severity::warning, "request_refused",
+     "A request was refused before it ran at any target."},
+    {event::request_failed, severity::warning, "request_failed",
+     "A request ended without its whole answer and may have run."},
+    {event::caller_left, severity::info, "caller_left",
+     "A caller went away before its answer was complete; its target's work was "
+     "stopped."},
+    {event::attempt_ended, severity::info, "attempt_ended",
+     "One attempt at a target ended without a whole answer; the line says what "
+     "follows."},
+    {event::call_rejected, severity::info, "call_rejected",
+     "A request was turned away for what it is: no such route, no valid key, "
+     "or no proper request."},
+    {event::target_died, severity::warning, "target_died",
+     "A target broke off its answers and can't be reached; what ran there is "
+     "suspected."},
+    {event::node_heard, severity::info, "node_heard",
+     "Another node, or a new life of it, was heard for the first time."},
+    {event::node_state_changed, severity::info, "node_state_changed",
+     "Another node became ready or began to leave, or its configuration moved "
+     "on."},
     {event::call_invalid, severity::info, "call_invalid",
      "A caller's request can't be read; nothing ran and nothing is charged."},
     {event::history_unreadable, severity::error, "history_unreadable",
--- a/libs/telemetry/log.cpp
+++ b/libs/telemetry/log.cpp
@@ -17,6 +17,12 @@
 std::atomic<bool> as_json{false};
 std::atomic<severity> lowest_level{severity::info};
 
+log_sink& sink()
+{
+    static log_sink it;
+    return it;
+}
+
 std::string_view to_string(severity level)
 {
     switch (level) {
@@ -81,14 +87,23 @@
     el::Loggers::reconfigureAllLoggers(wanted);
 }
 
+void set_log_sink(log_sink wanted)
+{
+    sink() = std::move(wanted);
+}
+
 void log_event(int number, std::initializer_list<log_field> fields)
 {
     const event_description* what = find_event(number);
     assert(what != nullptr);
     if (what->level < lowest_level.load())
         return;
-    const std::string line =
+    std::string line =
         format_event(*what, {fields.begin(), fields.size()}, as_json);
+    if (sink()) {
+        sink()(*what, std::move(line));
+        return;
+    }
     switch (what->level) {
     case severity::debug:
     case severity::info:
