Give the platform adapter a namespace of its own

Cause: processes ended with a fault as soon as they had listed the configuration: stored_object and object_page stood in fennelladder::platform twice, in the older library and in the adapter, with other fields, and the linker took one destructor for both. Shown by AddressSanitizer against a stand-in store; without a store nothing failed.

--- a/apps/fennelladder/command_front.cpp
+++ b/apps/fennelladder/command_front.cpp
@@ -80,7 +80,7 @@
         return parsed.exit_code;
     std::string path = wanted.text_of("settings-file");
     if (path.empty())
-        path = platform::host_settings_path();
+        path = adapter::host_settings_path();
     std::ifstream file(path);
     std::ostringstream text;
     text << file.rdbuf();
@@ -88,7 +88,7 @@
         std::cerr << path << ": can't be read\n";
         return exit_bad_input;
     }
-    auto read = platform::read_host_settings(text.str(), path);
+    auto read = adapter::read_host_settings(text.str(), path);
     if (!read) {
         std::cerr << read.error().to_text();
         return exit_bad_input;
--- a/cmake/fennelladder.cmake
+++ b/cmake/fennelladder.cmake
@@ -11,8 +11,11 @@
   -Wall -Wextra -Wpedantic -Wshadow=local -Werror
   -Wno-missing-field-initializers)
 if(FENNELLADDER_SANITIZE)
+  # Instrumented code makes GCC warn of uninitialized values in headers that
+  # have none.
   target_compile_options(fennelladder_options INTERFACE
-    -fsanitize=${FENNELLADDER_SANITIZE} -fno-omit-frame-pointer)
+    -fsanitize=${FENNELLADDER_SANITIZE} -fno-omit-frame-pointer
+    -Wno-maybe-uninitialized)
   target_link_options(fennelladder_options INTERFACE
     -fsanitize=${FENNELLADDER_SANITIZE})
 endif()
--- a/include/fennelladder/edge/attempt.hpp
+++ b/include/fennelladder/edge/attempt.hpp
@@ -32,10 +32,10 @@
 {
     std::string method;
     std::string path; ///< With its query, as the caller wrote it.
-    platform::header_fields fields;
+    adapter::header_fields fields;
     std::string body;
     bool has_body = false;
-    platform::request_facts facts;
+    adapter::request_facts facts;
     instant arrived; ///< When its head was read.
 };
 
@@ -46,7 +46,7 @@
     const caller_request& request;
     const catalog::route& way;
     const dispatch::choice& target;
-    platform::passing_on order;
+    adapter::passing_on order;
     caller_reply& reply;
     event_splitter& events;
     /// Rest that a kept connection may have had at most.
--- a/include/fennelladder/edge/caller_server.hpp
+++ b/include/fennelladder/edge/caller_server.hpp
@@ -31,7 +31,7 @@
 };
 
 /// Limits that fit a host.
-caller_server_limits limits_for(const platform::host_settings& settings);
+caller_server_limits limits_for(const adapter::host_settings& settings);
 
 class caller_session;
 
--- a/include/fennelladder/edge/edge_node.hpp
+++ b/include/fennelladder/edge/edge_node.hpp
@@ -45,7 +45,7 @@
 {
 public:
     edge_node(asio::io_context& io, const clock& time,
-              platform::host_settings settings, edge_node_options options,
+              adapter::host_settings settings, edge_node_options options,
               telemetry::line_writer& log);
 
     /// Fails with the reason when an address can't be used.
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -35,7 +35,7 @@
 struct node_tables
 {
     node_tables(asio::io_context& context, const clock& clock_used,
-                platform::host_settings given, std::uint64_t seed);
+                adapter::host_settings given, std::uint64_t seed);
 
     instant now() const { return time.now(); }
 
@@ -58,7 +58,7 @@
     asio::io_context& io;
     const clock& time;
     random_source random;
-    platform::host_settings settings;
+    adapter::host_settings settings;
     mesh::node_life life; ///< Of this process.
 
     /// Null until one is known.
--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -39,8 +39,8 @@
     awaitable<void> follow_targets();
     awaitable<void> register_node();
 
-    awaitable<bool> list_configuration(platform::freshness wanted);
-    awaitable<bool> list_targets(platform::freshness wanted);
+    awaitable<bool> list_configuration(adapter::freshness wanted);
+    awaitable<bool> list_targets(adapter::freshness wanted);
     awaitable<bool> list_nodes();
     awaitable<bool> watch_configuration();
     awaitable<bool> watch_targets();
@@ -49,7 +49,7 @@
     awaitable<void> pause_after(bool success, int& failures);
 
     bool is_watcher(std::string_view what);
-    bool take_configuration(const platform::stored_object& object);
+    bool take_configuration(const adapter::stored_object& object);
     void note(const platform_reply& reply, const char* what);
 
     node_tables& tables_;
--- a/include/fennelladder/edge/token_desk.hpp
+++ b/include/fennelladder/edge/token_desk.hpp
@@ -111,7 +111,7 @@
     void give(const mesh::token_ask& ask, const std::string& from,
               tokens amount);
     void take(const prepaid::allotment_draft& draft);
-    bool adopt(const platform::stored_object& object);
+    bool adopt(const adapter::stored_object& object);
     prepaid::token_amounts wishes() const;
     prepaid::token_amounts prepaid_totals() const;
     std::optional<host_id> best_peer(const team_id& team, tokens least,
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -53,7 +53,7 @@
     awaitable<bool> read_piece(answer_parser& parser, std::string& out);
     awaitable<bool> skip(answer_parser& parser);
     awaitable<void> take_answer(answer_parser& parser,
-                                const platform::answer_facts& facts);
+                                const adapter::answer_facts& facts);
     awaitable<void> pass_stream(answer_parser& parser);
     awaitable<void> pass_whole(answer_parser& parser);
     awaitable<void> pass_large(answer_parser& parser, std::string begun);
@@ -147,7 +147,7 @@
     std::optional<std::size_t> body_size;
     if (request.has_body)
         body_size = request.body.size();
-    outgoing_->head = platform::encode_request(
+    outgoing_->head = adapter::encode_request(
         request.method, request.path, request.fields, in_.order, body_size);
     outgoing_->body = request.body;
     outgoing_->connection = connection_;
@@ -220,13 +220,13 @@
     out.status = parser.get().result_int();
     const auto reason = parser.get().reason();
     out.reason = std::string(reason.data(), reason.size());
-    out.headers = platform::encode_answer_headers(parser.get().base());
+    out.headers = adapter::encode_answer_headers(parser.get().base());
     return out;
 }
 
 void attempt::give_back(const answer_parser& parser)
 {
-    const auto facts = platform::read_answer(parser.get().base());
+    const auto facts = adapter::read_answer(parser.get().base());
     const bool clean = parser.is_done() && !parser.need_eof() &&
                        parser.keep_alive() && !facts.closes &&
                        outgoing_->done && connection_->buf.size() == 0;
@@ -363,7 +363,7 @@
 }
 
 awaitable<void> attempt::take_answer(answer_parser& parser,
-                                     const platform::answer_facts& facts)
+                                     const adapter::answer_facts& facts)
 {
     constexpr unsigned misdirected = 421;
     const unsigned status = parser.get().result_int();
@@ -401,7 +401,7 @@
         const bool read = co_await read_head(parser);
         if (!read)
             co_return;
-        const auto facts = platform::read_answer(parser->get().base());
+        const auto facts = adapter::read_answer(parser->get().base());
         if (facts.request.empty() || facts.request == in_.request.facts.id) {
             co_await take_answer(*parser, facts);
             co_return;
--- a/libs/edge/caller_reply.cpp
+++ b/libs/edge/caller_reply.cpp
@@ -56,7 +56,7 @@
     const auto reason = http::obsolete_reason(http::int_to_status(head.status));
     head.reason = std::string(reason.data(), reason.size());
     head.headers =
-        platform::own_answer_headers(answer.request, answer.retry_after) +
+        adapter::own_answer_headers(answer.request, answer.retry_after) +
         "Content-Type: application/json\r\n";
     const bool sent = co_await send_whole(head, body);
     co_return sent;
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -45,7 +45,7 @@
 
 } // namespace
 
-caller_server_limits limits_for(const platform::host_settings& settings)
+caller_server_limits limits_for(const adapter::host_settings& settings)
 {
     caller_server_limits out;
     const std::size_t memory = std::size_t(settings.memory_mb) * 1'000'000;
@@ -198,7 +198,7 @@
     out.path = std::string(message.target());
     out.body = std::move(message.body());
     out.fields = std::move(message.base());
-    out.facts = platform::read_request(out.fields);
+    out.facts = adapter::read_request(out.fields);
     co_return true;
 }
 
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -29,7 +29,7 @@
     return std::uint64_t(source()) << 32 | source();
 }
 
-std::string peer_address(const platform::host_settings& settings)
+std::string peer_address(const adapter::host_settings& settings)
 {
     return settings.ip + ":" + std::to_string(settings.first_internal_port);
 }
@@ -45,8 +45,8 @@
 } // namespace
 
 edge_node::edge_node(asio::io_context& io, const clock& time,
-                     platform::host_settings settings,
-                     edge_node_options options, telemetry::line_writer& log)
+                     adapter::host_settings settings, edge_node_options options,
+                     telemetry::line_writer& log)
     : io_(io), options_(std::move(options)), log_(log),
       tables_(io, time, std::move(settings), random_seed()), client_(tables_),
       mesh_(tables_, peer_address(tables_.settings)),
@@ -158,7 +158,7 @@
     std::string text = read_file(options_.settings_path);
     if (text == settings_text_)
         return;
-    auto read = platform::read_host_settings(text, options_.settings_path);
+    auto read = adapter::read_host_settings(text, options_.settings_path);
     if (!read) {
         log_event(event::settings_unreadable,
                   {{"findings", read.error().to_text()}});
@@ -195,7 +195,7 @@
 
 simple_answer edge_node::answer_readiness(const simple_request& asked)
 {
-    if (asked.path != platform::readiness_path)
+    if (asked.path != adapter::readiness_path)
         return {404, "text/plain", "no such path\n"};
     if (tables_.ready())
         return {200, "text/plain", "ready\n"};
@@ -205,9 +205,9 @@
 
 simple_answer edge_node::answer_entry(const simple_request& asked)
 {
-    if (asked.path != platform::entry_path)
+    if (asked.path != adapter::entry_path)
         return {404, "text/plain", "no such path\n"};
-    const auto question = platform::read_entry_question(asked.query);
+    const auto question = adapter::read_entry_question(asked.query);
     std::vector<entry_node> nodes;
     if (tables_.ready())
         nodes.push_back(
@@ -221,7 +221,7 @@
     const duration validity = std::min(options_.entry_validity,
                                        tables_.settings.entry_validity_limit);
     return {200, "application/json",
-            platform::encode_entry_answer(addresses, validity)};
+            adapter::encode_entry_answer(addresses, validity)};
 }
 
 void edge_node::update_gauges()
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -331,7 +331,7 @@
     if (!reply.configuration.empty()) {
         const auto spec =
             nlohmann::json::parse(reply.configuration, nullptr, false);
-        auto parts = platform::decode_configuration(spec);
+        auto parts = adapter::decode_configuration(spec);
         if (parts)
             news |= tables_.take_configuration(std::move(*parts),
                                                reply.configuration);
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -14,7 +14,7 @@
 constexpr duration list_doubt = milliseconds(2500);
 
 dispatch::target_book_options
-book_options(const platform::host_settings& settings)
+book_options(const adapter::host_settings& settings)
 {
     dispatch::target_book_options out;
     out.own_data_center = settings.data_center;
@@ -22,7 +22,7 @@
 }
 
 dispatch::retry_window_options
-retry_options(const platform::host_settings& settings)
+retry_options(const adapter::host_settings& settings)
 {
     dispatch::retry_window_options out;
     out.share = settings.retry_share;
@@ -34,7 +34,7 @@
 } // namespace
 
 node_tables::node_tables(asio::io_context& context, const clock& clock_used,
-                         platform::host_settings given, std::uint64_t seed)
+                         adapter::host_settings given, std::uint64_t seed)
     : io(context), time(clock_used), random(seed), settings(std::move(given)),
       life(random.bits() >> 1), book(book_options(settings)),
       retries(retry_options(settings)), poison({}), nodes(settings.host, {}),
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-using platform::freshness;
-using platform::object_kind;
+using adapter::freshness;
+using adapter::object_kind;
 using telemetry::log_event;
 namespace event = telemetry::event;
 
@@ -80,11 +80,11 @@
 
 // Configuration.
 
-bool platform_feed::take_configuration(const platform::stored_object& object)
+bool platform_feed::take_configuration(const adapter::stored_object& object)
 {
-    if (object.name != platform::configuration_name)
+    if (object.name != adapter::configuration_name)
         return true;
-    auto parts = platform::decode_configuration(object.content);
+    auto parts = adapter::decode_configuration(object.content);
     if (!parts) {
         log_event(event::configuration_unreadable,
                   {{"source", "platform"},
@@ -100,19 +100,19 @@
 awaitable<bool> platform_feed::list_configuration(freshness wanted)
 {
     std::string target =
-        platform::list_target(object_kind::configuration, wanted, "");
+        adapter::list_target(object_kind::configuration, wanted, "");
     const auto got =
         co_await client_.call(http::verb::get, target, "", list_limit);
     note(got, "list configuration");
     if (got.outcome != call_outcome::done)
         co_return false;
-    const auto page = platform::decode_page(got.body);
+    const auto page = adapter::decode_page(got.body);
     if (!page) {
         log_event(event::configuration_unreadable,
                   {{"source", "platform"}, {"reason", page.error().message}});
         co_return false;
     }
-    for (const platform::stored_object& it : page->objects)
+    for (const adapter::stored_object& it : page->objects)
         take_configuration(it);
     configuration_as_of_ = page->as_of;
     configuration_listed_ = tables_.now();
@@ -121,7 +121,7 @@
 
 awaitable<bool> platform_feed::watch_configuration()
 {
-    std::string target = platform::watch_target(
+    std::string target = adapter::watch_target(
         object_kind::configuration, configuration_as_of_, watch_wait);
     const auto got =
         co_await client_.call(http::verb::get, target, "", watch_limit);
@@ -130,14 +130,14 @@
         configuration_as_of_ = catalog::revision();
         co_return false;
     }
-    const auto news = platform::decode_watch(got.body);
+    const auto news = adapter::decode_watch(got.body);
     if (!news) {
         log_event(event::configuration_unreadable,
                   {{"source", "platform"}, {"reason", news.error().message}});
         configuration_as_of_ = catalog::revision();
         co_return false;
     }
-    for (const platform::object_event& it : news->events)
+    for (const adapter::object_event& it : news->events)
         if (!it.gone)
             take_configuration(it.object);
     configuration_as_of_ = news->as_of;
@@ -179,21 +179,21 @@
     std::optional<catalog::revision> as_of;
     for (bool more = true; more;) {
         std::string target =
-            platform::list_target(object_kind::targets, wanted, after);
+            adapter::list_target(object_kind::targets, wanted, after);
         const auto got =
             co_await client_.call(http::verb::get, target, "", list_limit);
         note(got, "list targets");
         if (got.outcome != call_outcome::done)
             co_return false;
-        auto page = platform::decode_page(got.body);
+        auto page = adapter::decode_page(got.body);
         if (!page) {
             log_event(
                 event::configuration_unreadable,
                 {{"source", "platform"}, {"reason", page.error().message}});
             co_return false;
         }
-        for (const platform::stored_object& it : page->objects) {
-            auto entry = platform::decode_target(it.name, it.content);
+        for (const adapter::stored_object& it : page->objects) {
+            auto entry = adapter::decode_target(it.name, it.content);
             if (entry)
                 entries.push_back({entry->id, *entry, it.changed});
             else
@@ -222,27 +222,27 @@
 
 awaitable<bool> platform_feed::watch_targets()
 {
-    std::string target = platform::watch_target(
+    std::string target = adapter::watch_target(
         object_kind::targets, tables_.targets.as_of(), watch_wait);
     const auto got =
         co_await client_.call(http::verb::get, target, "", watch_limit);
     note(got, "watch targets");
     if (got.outcome != call_outcome::done)
         co_return false;
-    const auto news = platform::decode_watch(got.body);
+    const auto news = adapter::decode_watch(got.body);
     if (!news) {
         log_event(event::configuration_unreadable,
                   {{"source", "platform"}, {"reason", news.error().message}});
         co_return false;
     }
     std::vector<catalog::target_change> changes;
-    for (const platform::object_event& it : news->events) {
+    for (const adapter::object_event& it : news->events) {
         const target_id id(it.object.name);
         if (it.gone) {
             changes.push_back({id, std::nullopt, news->as_of});
             continue;
         }
-        auto entry = platform::decode_target(it.object.name, it.object.content);
+        auto entry = adapter::decode_target(it.object.name, it.object.content);
         if (entry)
             changes.push_back({id, *entry, it.object.changed});
         else
@@ -287,16 +287,16 @@
 awaitable<bool> platform_feed::list_nodes()
 {
     std::string target =
-        platform::list_target(object_kind::nodes, freshness::maybe_stale, "");
+        adapter::list_target(object_kind::nodes, freshness::maybe_stale, "");
     const auto got =
         co_await client_.call(http::verb::get, target, "", list_limit);
     if (got.outcome != call_outcome::done)
         co_return false;
-    const auto page = platform::decode_page(got.body);
+    const auto page = adapter::decode_page(got.body);
     if (!page)
         co_return false;
     std::vector<std::string> addresses;
-    for (const platform::stored_object& it : page->objects)
+    for (const adapter::stored_object& it : page->objects)
         if (it.content.is_object())
             addresses.push_back(it.content.value(address_field, ""));
     mesh_.introduce(addresses);
@@ -310,17 +310,17 @@
     const nlohmann::json content{{address_field, mesh_.address()}};
     int failures = 0;
     for (;;) {
-        std::string target = platform::create_target(object_kind::nodes);
+        std::string target = adapter::create_target(object_kind::nodes);
         std::string body =
-            platform::encode_object(name, catalog::revision(), content);
+            adapter::encode_object(name, catalog::revision(), content);
         auto got =
             co_await client_.call(http::verb::post, target, body, list_limit);
         if (got.outcome == call_outcome::conflict) {
-            const auto there = platform::decode_object(got.body);
+            const auto there = adapter::decode_object(got.body);
             if (there && there->content == content)
                 break;
-            target = platform::object_target(object_kind::nodes, name,
-                                             freshness::newest);
+            target = adapter::object_target(object_kind::nodes, name,
+                                            freshness::newest);
             got = co_await client_.call(http::verb::put, target, body,
                                         list_limit);
         }
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -94,7 +94,7 @@
     void settle();
     void log_end(int number, std::string_view outcome, std::string_view reason);
     dispatch::work_wish wish() const;
-    platform::passing_on order_for(const target_id& target) const;
+    adapter::passing_on order_for(const target_id& target) const;
     duration time_left() const;
     duration whole_time() const;
     const service_id& pick_service();
@@ -216,16 +216,16 @@
     out.on_engine = engine_ != nullptr;
     out.objective = way_->objective;
     out.avoid = tried_;
-    for (const platform::prompt_part& it : request_.facts.prompt)
+    for (const adapter::prompt_part& it : request_.facts.prompt)
         out.prompt.push_back({it.id, it.size});
     out.prompt_size = static_cast<std::uint32_t>(
         request_.facts.prompt_size.value_or(tokens(0)).count());
     return out;
 }
 
-platform::passing_on request_run::order_for(const target_id& target) const
+adapter::passing_on request_run::order_for(const target_id& target) const
 {
-    platform::passing_on out;
+    adapter::passing_on out;
     out.target = target;
     if (team_ != nullptr)
         out.team = team_->id;
--- a/libs/edge/simple_server.cpp
+++ b/libs/edge/simple_server.cpp
@@ -26,16 +26,14 @@
 {
     const auto endpoint = parse_endpoint(address);
     if (!endpoint)
-        return fail(error_code::invalid,
-                    "not an address: '" + address + "'");
+        return fail(error_code::invalid, "not an address: '" + address + "'");
     try {
         acceptor.open(endpoint->protocol());
         acceptor.set_option(tcp::acceptor::reuse_address(true));
         acceptor.bind(*endpoint);
         acceptor.listen();
     } catch (const std::exception& failure) {
-        return fail(error_code::unavailable,
-                    address + ": " + failure.what());
+        return fail(error_code::unavailable, address + ": " + failure.what());
     }
     return {};
 }
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -19,7 +19,7 @@
 
 using telemetry::log_event;
 namespace event = telemetry::event;
-using platform::object_kind;
+using adapter::object_kind;
 
 constexpr const char* record_name = "main";
 
@@ -351,7 +351,7 @@
     return out;
 }
 
-bool token_desk::adopt(const platform::stored_object& object)
+bool token_desk::adopt(const adapter::stored_object& object)
 {
     auto read = prepaid::allotment_from_json(object.content);
     if (!read) {
@@ -372,17 +372,17 @@
 awaitable<bool> token_desk::create_record()
 {
     const auto body =
-        platform::encode_object(record_name, catalog::revision(),
-                                prepaid::to_json(prepaid::allotment_record()));
+        adapter::encode_object(record_name, catalog::revision(),
+                               prepaid::to_json(prepaid::allotment_record()));
     const auto got = co_await client_.call(
-        http::verb::post, platform::create_target(object_kind::prepaid), body,
+        http::verb::post, adapter::create_target(object_kind::prepaid), body,
         call_limit);
     // Another node may have been first; both ways it's there to be read.
     const bool there = got.outcome == call_outcome::done ||
                        got.outcome == call_outcome::conflict;
     if (!there)
         co_return false;
-    const auto object = platform::decode_object(got.body);
+    const auto object = adapter::decode_object(got.body);
     co_return object&& adopt(*object);
 }
 
@@ -390,8 +390,8 @@
 {
     const auto got = co_await client_.call(
         http::verb::get,
-        platform::object_target(object_kind::prepaid, record_name,
-                                platform::freshness::newest),
+        adapter::object_target(object_kind::prepaid, record_name,
+                               adapter::freshness::newest),
         "", call_limit);
     tables_.note_contact(got.outcome != call_outcome::no_reply &&
                              got.outcome != call_outcome::turned_away,
@@ -402,7 +402,7 @@
     }
     if (got.outcome != call_outcome::done)
         co_return false;
-    const auto object = platform::decode_object(got.body);
+    const auto object = adapter::decode_object(got.body);
     if (!object) {
         log_event(event::allotment_unreadable,
                   {{"reason", object.error().message}});
@@ -426,12 +426,12 @@
 /// Writes; what the reply leaves open is in doubt_ afterwards.
 awaitable<bool> token_desk::write(const doubtful_write& wanted)
 {
-    const auto body = platform::encode_object(
+    const auto body = adapter::encode_object(
         record_name, wanted.expected, prepaid::to_json(wanted.draft.record));
     const auto got = co_await client_.call(
         http::verb::put,
-        platform::object_target(object_kind::prepaid, record_name,
-                                platform::freshness::newest),
+        adapter::object_target(object_kind::prepaid, record_name,
+                               adapter::freshness::newest),
         body, call_limit);
     if (got.outcome == call_outcome::turned_away && !doubt_)
         co_return false;
@@ -442,7 +442,7 @@
         doubt_ = wanted;
         co_return false;
     }
-    const auto object = platform::decode_object(got.body);
+    const auto object = adapter::decode_object(got.body);
     if (!object || !adopt(*object)) {
         doubt_ = wanted;
         co_return false;
