Plan the stock of tokens over the whole fleet

Change: beacons carry each node's free tokens and spending; a stockist takes out its part of what the fleet's stock lacks against 9 s of the fleet's spending; peers give what they have, also if it's less than was asked for; a request waits for an eighth of its objective and its caller is asked to come back after a third of its time.

--- a/include/fennelladder/edge/token_desk.hpp
+++ b/include/fennelladder/edge/token_desk.hpp
@@ -81,7 +81,7 @@
     struct peer_stock
     {
         std::string address;
-        std::map<team_id, tokens> free;
+        std::map<team_id, mesh::token_stock> stock;
         instant heard;
     };
 
@@ -114,8 +114,10 @@
     bool adopt(const adapter::stored_object& object);
     prepaid::token_amounts wishes() const;
     prepaid::token_amounts prepaid_totals() const;
-    std::optional<host_id> best_peer(const team_id& team, tokens least,
+    std::optional<host_id> best_peer(const team_id& team,
                                      const std::set<host_id>& tried) const;
+    bool is_fresh(const peer_stock& peer) const;
+    prepaid::stock_state state_of(const team_id& team, tokens total) const;
     void ask(const host_id& peer, const team_id& team, tokens amount);
     void forget_old();
     void changed();
@@ -140,8 +142,8 @@
     instant record_read_;
     std::optional<doubtful_write> doubt_;
     std::uint64_t writes_ = 0;
-    int failures_ = 0;         ///< Failed calls in a row.
-    std::set<team_id> wanted_; ///< Teams somebody waits for.
+    int failures_ = 0;                 ///< Failed calls in a row.
+    std::map<team_id, tokens> wanted_; ///< Missing for requests that wait.
 };
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -43,11 +43,12 @@
     leaving   ///< Finishes what it has.
 };
 
-/// Free tokens of a team at a node.
+/// What a node holds of a team's tokens, and how fast it spends them.
 struct token_stock
 {
     team_id team;
     tokens free;
+    tokens spent_per_second; ///< Lately.
 };
 
 /// What a node says of itself, a few times a second.
@@ -77,8 +78,7 @@
     node_life life;
     transfer_number number;
     team_id team;
-    tokens wanted;
-    tokens least; ///< Less is of no use.
+    tokens wanted; ///< The answer may be less.
 };
 
 /// The answer; the giver has already taken the amount out of its purse.
--- a/include/fennelladder/prepaid/purse.hpp
+++ b/include/fennelladder/prepaid/purse.hpp
@@ -29,10 +29,8 @@
     tokens free;
     tokens reserved;
     tokens spent;
-    tokens largest;    ///< Largest amount that was lately wanted at once.
-    double demand = 0; ///< Tokens a second wanted here, by this node's callers
-                       ///< and by peers; fades.
-    instant demand_at;
+    double spent_lately = 0; ///< Fades; see spending().
+    instant spent_at;
 };
 
 class purse
@@ -42,35 +40,33 @@
 
     /// Sets aside the most that a request can cost. False, and nothing set
     /// aside, if there is less. Precondition: amount >= 0.
-    bool reserve(const team_id& team, tokens amount, instant now);
+    bool reserve(const team_id& team, tokens amount);
 
     /// The request is over and cost `used`. Precondition: `reserved` was set
     /// aside; 0 <= used <= reserved.
-    void settle(const team_id& team, tokens reserved, tokens used);
+    void settle(const team_id& team, tokens reserved, tokens used, instant now);
 
     /// Tokens came from the platform's record or from a peer.
     void credit(const team_id& team, tokens amount);
 
-    /// Takes out up to `wanted` to give to a peer, nothing if less than
-    /// `least` is free.
-    tokens debit(const team_id& team, tokens wanted, tokens least, instant now);
+    /// Takes out up to `wanted` to give to a peer.
+    tokens debit(const team_id& team, tokens wanted);
 
     /// Takes out all that is free.
     tokens debit_all(const team_id& team);
 
     tokens free_of(const team_id& team) const;
 
-    /// Tokens a second wanted here lately.
-    double demand(const team_id& team, instant now) const;
+    /// Tokens a second spent here lately.
+    double spending(const team_id& team, instant now) const;
 
     const holding_map& holdings() const { return holdings_; }
 
-    /// In this time without requests the demand seen falls to 1/e.
-    static constexpr duration demand_memory = seconds(4);
+    /// In this time without requests the spending seen falls to 1/e. Short
+    /// enough to follow a team that begins to send several times as much.
+    static constexpr duration spending_memory = seconds(4);
 
 private:
-    void note_demand(holding& it, tokens amount, instant now);
-
     holding_map holdings_;
 };
 
--- a/include/fennelladder/prepaid/stock_plan.hpp
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -9,8 +9,8 @@
 // teams and not on the number of nodes.
 //
 // Stock is what callers are served from while the platform is out of reach,
-// and what is lost when a node dies. Hence it is sized by demand, and its
-// share of what is left shrinks as a team's tokens run low.
+// and what is lost when nodes die. Hence the stock of the whole fleet is sized
+// by what the whole fleet spends: a few seconds of it, wherever it lies.
 //
 // Pure; thread safe.
 
@@ -31,26 +31,25 @@
     /// Nodes that take out tokens of one team. Three, so that one of them
     /// may die and another be cut off.
     std::size_t stockists = 3;
-    /// Demand that the stock covers: the platform may be away for this long.
-    duration horizon = seconds(12);
-    /// Stock before any demand was seen, as a share of what was prepaid, over
-    /// all stockists.
-    double first_share = 0.08;
-    /// Of what is left in the record, one wish takes this share at most.
-    double most_of_rest = 0.25;
+    /// Spending that the fleet's stock covers. The platform is away for some
+    /// seconds at a time; what is stocked is lost if all nodes die at once.
+    duration horizon = seconds(9);
+    /// Stock before any spending was seen, as a share of what was prepaid.
+    double first_share = 0.06;
     /// The stock is filled up when it is below this share of its goal.
-    double refill_below = 0.6;
+    double refill_below = 0.8;
 };
 
-/// What is known when a node considers its stock of a team.
+/// What is known of a team when a node considers taking out tokens.
 struct stock_state
 {
     tokens prepaid;            ///< Total of the day.
     tokens left;               ///< Not handed out yet.
-    tokens free;               ///< Held here.
-    tokens largest;            ///< Largest single want lately.
-    double demand = 0;         ///< Tokens a second, here.
+    tokens fleet_free;         ///< Held by all living nodes together.
+    double fleet_spending = 0; ///< Tokens a second, all nodes together.
+    tokens waited_for;         ///< Missing for a request that waits here.
     std::size_t stockists = 1; ///< That are alive.
+    bool stockist = false;     ///< Whether this node is one.
 };
 
 /// Tokens to take out now; 0: none.
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -29,7 +29,7 @@
 /// Loads and stocks named in one beacon, so that it stays in one packet in
 /// the usual case.
 constexpr std::size_t load_limit = 32;
-constexpr std::size_t stock_limit = 16;
+constexpr std::size_t stock_limit = 32;
 
 constexpr duration accept_pause = milliseconds(50);
 
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -21,9 +21,14 @@
 /// A request that kills targets is not wanted back soon.
 constexpr duration come_back_poison = seconds(5);
 
-/// How long a request waits for tokens, at most this part of its objective.
-constexpr int token_wait_part = 2;
-constexpr duration longest_token_wait = milliseconds(400);
+/// How long a request waits for tokens, as a part of its objective: enough to
+/// ask a few peers and the platform once. A caller that is refused sooner can
+/// come back sooner.
+constexpr int token_wait_part = 8;
+constexpr duration least_token_wait = milliseconds(30);
+/// When tokens are short, callers are asked to come back after this part of
+/// the time they have: by then the platform may be back.
+constexpr int come_back_part = 3;
 
 /// What may be sent again uses kept connections that rested up to this long;
 /// what may run once only those on which the target can hardly have given up
@@ -112,6 +117,7 @@
     const catalog::engine_traits* engine_ = nullptr;
     dispatch::request_mark mark_;
     std::optional<tokens> set_aside_;
+    tokens used_;
     dispatch::course so_far_;
     event_splitter events_;
     std::vector<target_id> tried_;
@@ -181,7 +187,7 @@
     const tokens worst = *request_.facts.prompt_size +
                          request_.facts.longest_answer.value_or(tokens(0));
     const duration wait =
-        std::min(way_->objective / token_wait_part, longest_token_wait);
+        std::max(way_->objective / token_wait_part, least_token_wait);
     const instant until = tables_.now() + wait;
     const shortage got = co_await driver_.desk_.obtain(team_->id, worst, until);
     if (got == shortage::none) {
@@ -190,22 +196,21 @@
     }
     if (got == shortage::never_covered)
         co_return refusal{402, std::nullopt, "more than was prepaid"};
-    co_return refusal{503, come_back, "short of tokens"};
+    co_return refusal{503, time_left() / come_back_part, "short of tokens"};
 }
 
 void request_run::settle()
 {
     if (!set_aside_)
         return;
-    tokens used(0);
     if (prompt_was_read_) {
         const std::int64_t each = engine_ ? engine_->tokens_per_event : 1;
         const auto events = static_cast<std::int64_t>(events_.events());
         // One more than was seen: it may have been on its way.
-        used = std::min(*set_aside_, *request_.facts.prompt_size +
-                                         tokens((events + 1) * each));
+        used_ = std::min(*set_aside_, *request_.facts.prompt_size +
+                                          tokens((events + 1) * each));
     }
-    driver_.desk_.settle(team_->id, *set_aside_, used);
+    driver_.desk_.settle(team_->id, *set_aside_, used_);
     set_aside_.reset();
 }
 
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -40,13 +40,13 @@
 constexpr duration empty_record_age = seconds(5);
 
 /// A peer in the fleet answers in a few milliseconds; then the next is asked.
-constexpr duration peer_patience = milliseconds(40);
+constexpr duration peer_patience = milliseconds(15);
 
 /// Numbers of transfers are remembered for longer than any datagram lives.
 constexpr duration transfer_memory = seconds(30);
 
-/// Stock that a peer spoke of longer ago is no reason to ask it.
-constexpr duration stock_memory = seconds(5);
+/// What a peer said of its stock counts for this many periods of beacons.
+constexpr int stock_periods = 5;
 
 constexpr duration gift_repeat = milliseconds(60);
 
@@ -101,17 +101,18 @@
     if (payer == nullptr || !payer->prepaid || *payer->prepaid < amount)
         co_return shortage::never_covered;
     std::set<host_id> tried;
-    while (!tables_.purse.reserve(team, amount, tables_.now())) {
+    while (!tables_.purse.reserve(team, amount)) {
         if (tables_.now() >= until)
             co_return shortage::short_now;
-        wanted_.insert(team);
         const tokens missing = amount - tables_.purse.free_of(team);
-        const auto peer = best_peer(team, missing, tried);
+        const auto peer = best_peer(team, tried);
         if (peer) {
             tried.insert(*peer);
             ask(*peer, team, missing);
         } else {
             // Everybody was asked; the record is the last hope.
+            tokens& wanted = wanted_[team];
+            wanted = std::max(wanted, missing);
             wake_refill_.cancel();
         }
         const instant next = tables_.now() + peer_patience;
@@ -122,32 +123,35 @@
 
 void token_desk::settle(const team_id& team, tokens reserved, tokens used)
 {
-    tables_.purse.settle(team, reserved, used);
+    tables_.purse.settle(team, reserved, used, tables_.now());
     if (used < reserved)
         changed();
 }
 
 // Transfers between nodes.
 
+bool token_desk::is_fresh(const peer_stock& peer) const
+{
+    return tables_.now() - peer.heard < tables_.nodes.period() * stock_periods;
+}
+
 std::optional<host_id>
-token_desk::best_peer(const team_id& team, tokens least,
-                      const std::set<host_id>& tried) const
+token_desk::best_peer(const team_id& team, const std::set<host_id>& tried) const
 {
     std::optional<host_id> best;
     tokens most(0);
     for (const auto& [host, peer] : peers_) {
-        const auto it = peer.free.find(team);
-        const bool old = tables_.now() - peer.heard > stock_memory;
-        if (old || it == peer.free.end() || tried.contains(host))
+        const auto it = peer.stock.find(team);
+        if (it == peer.stock.end() || tried.contains(host) || !is_fresh(peer))
             continue;
-        if (it->second >= least && it->second > most) {
+        if (it->second.free > most) {
             best = host;
-            most = it->second;
+            most = it->second.free;
         }
     }
     if (best)
         return best;
-    // Nobody is known to have enough: a stockist may have got some since.
+    // Nobody is known to have any: a stockist may have got some since.
     const auto members = tables_.nodes.members(tables_.now());
     for (const host_id& it :
          prepaid::stockists_of(team, members, stock_options_))
@@ -162,9 +166,9 @@
     asked_[last_number_] = {team, peer, tables_.now()};
     auto& known = peers_[peer];
     mesh::datagram message;
-    message.ask = {tables_.life, last_number_, team, amount, amount};
+    message.ask = {tables_.life, last_number_, team, amount};
     // Until its next word, what was asked for counts as gone.
-    tokens& free = known.free[team];
+    tokens& free = known.stock[team].free;
     free = std::max(free - amount, tokens(0));
     send_(known.address, message);
 }
@@ -179,10 +183,10 @@
         send_(from, again);
         return;
     }
-    const tokens given =
-        tables_.purse.debit(ask.team, ask.wanted, ask.least, tables_.now());
-    if (given == tokens(0) && ask.least > tokens(0)) {
-        wanted_.insert(ask.team);
+    const tokens given = tables_.purse.debit(ask.team, ask.wanted);
+    if (given < ask.wanted) {
+        tokens& wanted = wanted_[ask.team];
+        wanted = std::max(wanted, ask.wanted - given);
         wake_refill_.cancel();
     }
     give(ask, from, given);
@@ -242,19 +246,23 @@
     peer_stock& it = peers_[from.host];
     it.address = from.peer_address;
     it.heard = tables_.now();
-    it.free.clear();
+    it.stock.clear();
     if (from.state == mesh::node_state::leaving)
         return;
     for (const mesh::token_stock& stock : from.stock)
-        it.free[stock.team] = stock.free;
+        it.stock[stock.team] = stock;
 }
 
 std::vector<mesh::token_stock> token_desk::own_stock() const
 {
     std::vector<mesh::token_stock> out;
-    for (const auto& [team, it] : tables_.purse.holdings())
-        if (it.free > tokens(0))
-            out.push_back({team, it.free});
+    const instant now = tables_.now();
+    for (const auto& [team, it] : tables_.purse.holdings()) {
+        const tokens spending(
+            static_cast<std::int64_t>(tables_.purse.spending(team, now)));
+        if (it.free > tokens(0) || spending > tokens(0))
+            out.push_back({team, it.free, spending});
+    }
     return out;
 }
 
@@ -263,6 +271,8 @@
     const instant until = tables_.now() + limit;
     const auto members = tables_.nodes.members(tables_.now());
     for (const mesh::token_stock& it : own_stock()) {
+        if (it.free == tokens(0))
+            continue;
         std::vector<std::string> takers;
         for (const host_id& host :
              prepaid::stockists_of(it.team, members, stock_options_))
@@ -322,28 +332,39 @@
     return out;
 }
 
+prepaid::stock_state token_desk::state_of(const team_id& team,
+                                          tokens total) const
+{
+    const auto members = tables_.nodes.members(tables_.now());
+    const auto stockists = prepaid::stockists_of(team, members, stock_options_);
+    prepaid::stock_state out;
+    out.prepaid = total;
+    out.stockists = stockists.size();
+    out.stockist =
+        std::ranges::find(stockists, tables_.settings.host) != stockists.end();
+    out.fleet_free = tables_.purse.free_of(team);
+    out.fleet_spending = tables_.purse.spending(team, tables_.now());
+    for (const auto& [host, peer] : peers_) {
+        const auto it = peer.stock.find(team);
+        if (it == peer.stock.end() || !is_fresh(peer))
+            continue;
+        out.fleet_free += it->second.free;
+        out.fleet_spending +=
+            static_cast<double>(it->second.spent_per_second.count());
+    }
+    const auto wanted = wanted_.find(team);
+    if (wanted != wanted_.end())
+        out.waited_for = wanted->second;
+    return out;
+}
+
 prepaid::token_amounts token_desk::wishes() const
 {
     prepaid::token_amounts out;
     const auto totals = prepaid_totals();
-    const auto members = tables_.nodes.members(tables_.now());
     for (const auto& [team, total] : totals) {
-        const auto stockists =
-            prepaid::stockists_of(team, members, stock_options_);
-        const bool ours = std::ranges::find(stockists, tables_.settings.host) !=
-                          stockists.end();
-        if (!ours && !wanted_.contains(team))
-            continue;
-        prepaid::stock_state state;
-        // Others take out what a waiting request needs, and no stock.
-        state.prepaid = ours ? total : tokens(0);
-        state.left = record_ ? prepaid::left_of(*record_, totals, team) : total;
-        state.free = tables_.purse.free_of(team);
-        const auto held = tables_.purse.holdings().find(team);
-        if (held != tables_.purse.holdings().end())
-            state.largest = held->second.largest;
-        state.demand = ours ? tables_.purse.demand(team, tables_.now()) : 0;
-        state.stockists = stockists.size();
+        prepaid::stock_state state = state_of(team, total);
+        state.left = prepaid::left_of(*record_, totals, team);
         const tokens wish = prepaid::stock_wish(state, stock_options_);
         if (wish > tokens(0))
             out[team] = wish;
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -15,6 +15,7 @@
 struct Stock {
   1: string team
   2: i64 free
+  3: i64 spent_per_second
 }
 
 struct Poison {
@@ -45,7 +46,6 @@
   2: i64 number
   3: string team
   4: i64 wanted
-  5: i64 least
 }
 
 struct TokenGive {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -46,6 +46,7 @@
         wire::Stock stock;
         stock.team = it.team.str();
         stock.free = it.free.count();
+        stock.spent_per_second = it.spent_per_second.count();
         out.stock.push_back(std::move(stock));
     }
     out.__isset.stock = !out.stock.empty();
@@ -88,7 +89,8 @@
                             static_cast<std::uint32_t>(it.running),
                             static_cast<std::uint32_t>(it.reading)});
     for (const wire::Stock& it : from.stock)
-        out.stock.push_back({team_id(it.team), tokens(it.free)});
+        out.stock.push_back(
+            {team_id(it.team), tokens(it.free), tokens(it.spent_per_second)});
     for (const wire::Poison& it : from.poison) {
         dispatch::poison_record record;
         record.mark = id_of<dispatch::request_mark>(it.mark);
@@ -113,10 +115,8 @@
         out.team = from.team.str();
     if constexpr (requires { from.amount; })
         out.amount = from.amount.count();
-    if constexpr (requires { from.wanted; }) {
+    if constexpr (requires { from.wanted; })
         out.wanted = from.wanted.count();
-        out.least = from.least.count();
-    }
     return out;
 }
 
@@ -130,10 +130,8 @@
         out.team = team_id(from.team);
     if constexpr (requires { out.amount; })
         out.amount = tokens(from.amount);
-    if constexpr (requires { out.wanted; }) {
+    if constexpr (requires { out.wanted; })
         out.wanted = tokens(from.wanted);
-        out.least = tokens(from.least);
-    }
     return out;
 }
 
@@ -141,7 +139,7 @@
 bool has_negative_amount(const datagram& it)
 {
     constexpr tokens none(0);
-    return (it.ask && (it.ask->wanted < none || it.ask->least < none)) ||
+    return (it.ask && it.ask->wanted < none) ||
            (it.give && it.give->amount < none) ||
            (it.gift && it.gift->amount < none);
 }
--- a/libs/prepaid/purse.cpp
+++ b/libs/prepaid/purse.cpp
@@ -1,5 +1,5 @@
-// Demand is a sum that decays with demand_memory; divided by that time it is
-// a rate.
+// Spending is a sum that decays with spending_memory; divided by that time it
+// is a rate.
 
 #include "fennelladder/prepaid/purse.hpp"
 
@@ -14,35 +14,25 @@
 double decayed(const holding& it, instant now)
 {
     const double spans =
-        to_seconds(now - it.demand_at) / to_seconds(purse::demand_memory);
-    return it.demand * std::exp(-std::max(spans, 0.0));
+        to_seconds(now - it.spent_at) / to_seconds(purse::spending_memory);
+    return it.spent_lately * std::exp(-std::max(spans, 0.0));
 }
 
 } // namespace
 
-void purse::note_demand(holding& it, tokens amount, instant now)
-{
-    it.demand = decayed(it, now) +
-                static_cast<double>(amount.count()) / to_seconds(demand_memory);
-    it.demand_at = now;
-    it.largest = std::max(it.largest, amount);
-}
-
-bool purse::reserve(const team_id& team, tokens amount, instant now)
+bool purse::reserve(const team_id& team, tokens amount)
 {
     assert(amount >= tokens(0));
     holding& it = holdings_[team];
-    if (it.free < amount) {
-        it.largest = std::max(it.largest, amount);
+    if (it.free < amount)
         return false;
-    }
-    note_demand(it, amount, now);
     it.free -= amount;
     it.reserved += amount;
     return true;
 }
 
-void purse::settle(const team_id& team, tokens reserved, tokens used)
+void purse::settle(const team_id& team, tokens reserved, tokens used,
+                   instant now)
 {
     assert(tokens(0) <= used && used <= reserved);
     holding& it = holdings_[team];
@@ -50,6 +40,8 @@
     it.reserved -= reserved;
     it.spent += used;
     it.free += reserved - used;
+    it.spent_lately = decayed(it, now) + static_cast<double>(used.count());
+    it.spent_at = now;
 }
 
 void purse::credit(const team_id& team, tokens amount)
@@ -58,13 +50,9 @@
     holdings_[team].free += amount;
 }
 
-tokens purse::debit(const team_id& team, tokens wanted, tokens least,
-                    instant now)
+tokens purse::debit(const team_id& team, tokens wanted)
 {
     holding& it = holdings_[team];
-    note_demand(it, wanted, now);
-    if (it.free < least)
-        return tokens(0);
     const tokens given = std::min(it.free, wanted);
     it.free -= given;
     return given;
@@ -72,10 +60,7 @@
 
 tokens purse::debit_all(const team_id& team)
 {
-    holding& it = holdings_[team];
-    const tokens given = it.free;
-    it.free = tokens(0);
-    return given;
+    return debit(team, free_of(team));
 }
 
 tokens purse::free_of(const team_id& team) const
@@ -84,10 +69,12 @@
     return it == holdings_.end() ? tokens(0) : it->second.free;
 }
 
-double purse::demand(const team_id& team, instant now) const
+double purse::spending(const team_id& team, instant now) const
 {
     const auto it = holdings_.find(team);
-    return it == holdings_.end() ? 0 : decayed(it->second, now);
+    if (it == holdings_.end())
+        return 0;
+    return decayed(it->second, now) / to_seconds(spending_memory);
 }
 
 } // namespace fennelladder::prepaid
--- a/libs/prepaid/stock_plan.cpp
+++ b/libs/prepaid/stock_plan.cpp
@@ -6,25 +6,32 @@
 
 namespace fennelladder::prepaid {
 
-tokens stock_wish(const stock_state& state, const stock_options& options)
+namespace {
+
+/// This node's part of what the fleet's stock lacks.
+double part_of_gap(const stock_state& state, const stock_options& options)
 {
-    if (state.left <= tokens(0))
-        return tokens(0);
-    const double stockists =
-        static_cast<double>(std::max<std::size_t>(state.stockists, 1));
-    const double first = static_cast<double>(state.prepaid.count()) *
-                         options.first_share / stockists;
-    const double by_demand = state.demand * to_seconds(options.horizon);
-    const double one_request = static_cast<double>(state.largest.count());
-    const double goal = std::max({first, by_demand, one_request});
-    const double free = static_cast<double>(state.free.count());
+    if (!state.stockist)
+        return 0;
+    const double first =
+        static_cast<double>(state.prepaid.count()) * options.first_share;
+    const double goal =
+        std::max(first, state.fleet_spending * to_seconds(options.horizon));
+    const double free = static_cast<double>(state.fleet_free.count());
     if (free >= goal * options.refill_below)
-        return tokens(0);
-    // The last tokens go out in pieces that still hold a whole request.
-    const double left = static_cast<double>(state.left.count());
-    const double most = std::max(left * options.most_of_rest, one_request);
-    const double wish = std::min({goal - free, most, left});
-    return tokens(static_cast<std::int64_t>(wish));
+        return 0;
+    return (goal - free) /
+           static_cast<double>(std::max<std::size_t>(state.stockists, 1));
+}
+
+} // namespace
+
+tokens stock_wish(const stock_state& state, const stock_options& options)
+{
+    const auto part =
+        tokens(static_cast<std::int64_t>(part_of_gap(state, options)));
+    return std::clamp(std::max(part, state.waited_for), tokens(0),
+                      std::max(state.left, tokens(0)));
 }
 
 std::vector<host_id> stockists_of(const team_id& team,
