--- a/include/fennelladder/prepaid/purse.hpp
+++ b/include/fennelladder/prepaid/purse.hpp
@@ -20,6 +20,7 @@
 #include "fennelladder/base/tokens.hpp"
 
 #include <map>
+#include <optional>
 
 namespace fennelladder::prepaid {
 
@@ -31,6 +32,7 @@
     tokens spent;
     double spent_lately = 0; ///< Fades; see spending().
     instant spent_at;
+    std::optional<instant> first_spent;
 };
 
 class purse
@@ -40,7 +42,7 @@
 
     /// Sets aside the most that a request can cost. False, and nothing set
     /// aside, if there is less. Precondition: amount >= 0.
-    bool reserve(const team_id& team, tokens amount);
+    bool reserve(const team_id& team, tokens amount, instant now);
 
     /// The request is over and cost `used`. Precondition: `reserved` was set
     /// aside; 0 <= used <= reserved.
@@ -57,7 +59,8 @@
 
     tokens free_of(const team_id& team) const;
 
-    /// Tokens a second spent here lately.
+    /// Tokens a second spent here lately. What is set aside counts as spent
+    /// until it is settled, so that a rise shows at once.
     double spending(const team_id& team, instant now) const;
 
     const holding_map& holdings() const { return holdings_; }
@@ -67,6 +70,8 @@
     static constexpr duration spending_memory = seconds(4);
 
 private:
+    void note_spending(holding& it, tokens amount, instant now);
+
     holding_map holdings_;
 };
 
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -373,6 +373,7 @@
          {"events", std::to_string(events_.events())},
          {"generation", version_text(tables_)},
          {"targets_as_of", std::to_string(tables_.targets.as_of().value())},
+         {"tokens_used", std::to_string(used_.count())},
          {"tokens_free",
           team_ ? std::to_string(tables_.purse.free_of(team_->id).count())
                 : ""},
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -101,7 +101,7 @@
     if (payer == nullptr || !payer->prepaid || *payer->prepaid < amount)
         co_return shortage::never_covered;
     std::set<host_id> tried;
-    while (!tables_.purse.reserve(team, amount)) {
+    while (!tables_.purse.reserve(team, amount, tables_.now())) {
         if (tables_.now() >= until)
             co_return shortage::short_now;
         const tokens missing = amount - tables_.purse.free_of(team);
--- a/libs/prepaid/purse.cpp
+++ b/libs/prepaid/purse.cpp
@@ -1,5 +1,6 @@
-// Spending is a sum that decays with spending_memory; divided by that time it
-// is a rate.
+// Spending is a sum that decays with spending_memory. Divided by the part of
+// the decaying past that was seen at all, it is a rate: without that, a team
+// that has just begun would seem to spend a fraction of what it does.
 
 #include "fennelladder/prepaid/purse.hpp"
 
@@ -11,6 +12,9 @@
 
 namespace {
 
+/// A rate over less time than this says nothing.
+constexpr double least_seen_seconds = 1;
+
 double decayed(const holding& it, instant now)
 {
     const double spans =
@@ -20,7 +24,16 @@
 
 } // namespace
 
-bool purse::reserve(const team_id& team, tokens amount)
+void purse::note_spending(holding& it, tokens amount, instant now)
+{
+    if (!it.first_spent)
+        it.first_spent = now;
+    const double sum = decayed(it, now) + static_cast<double>(amount.count());
+    it.spent_lately = std::max(sum, 0.0);
+    it.spent_at = now;
+}
+
+bool purse::reserve(const team_id& team, tokens amount, instant now)
 {
     assert(amount >= tokens(0));
     holding& it = holdings_[team];
@@ -28,6 +41,7 @@
         return false;
     it.free -= amount;
     it.reserved += amount;
+    note_spending(it, amount, now);
     return true;
 }
 
@@ -40,8 +54,7 @@
     it.reserved -= reserved;
     it.spent += used;
     it.free += reserved - used;
-    it.spent_lately = decayed(it, now) + static_cast<double>(used.count());
-    it.spent_at = now;
+    note_spending(it, used - reserved, now);
 }
 
 void purse::credit(const team_id& team, tokens amount)
@@ -72,9 +85,13 @@
 double purse::spending(const team_id& team, instant now) const
 {
     const auto it = holdings_.find(team);
-    if (it == holdings_.end())
+    if (it == holdings_.end() || !it->second.first_spent)
         return 0;
-    return decayed(it->second, now) / to_seconds(spending_memory);
+    const double memory = to_seconds(spending_memory);
+    const double seen = std::max(
+        to_seconds(now - *it->second.first_spent), least_seen_seconds);
+    const double part = 1 - std::exp(-seen / memory);
+    return decayed(it->second, now) / (memory * part);
 }
 
 } // namespace fennelladder::prepaid
--- a/libs/prepaid/stock_plan.cpp
+++ b/libs/prepaid/stock_plan.cpp
@@ -15,9 +15,12 @@
         return 0;
     const double first =
         static_cast<double>(state.prepaid.count()) * options.first_share;
-    const double goal =
-        std::max(first, state.fleet_spending * to_seconds(options.horizon));
     const double free = static_cast<double>(state.fleet_free.count());
+    const double unspent = free + static_cast<double>(state.left.count());
+    const double by_spending =
+        state.fleet_spending * to_seconds(options.horizon);
+    const double goal = std::min(std::max(first, by_spending),
+                                 unspent * options.most_of_unspent);
     if (free >= goal * options.refill_below)
         return 0;
     return (goal - free) /
