--- a/include/fennelladder/prepaid/stock_plan.hpp
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -33,12 +33,12 @@
     std::size_t stockists = 3;
     /// Spending that the fleet's stock covers. The platform is away for some
     /// seconds at a time; what is stocked is lost if all nodes die at once.
-    duration horizon = seconds(10);
+    duration horizon = seconds(8);
     /// Stock before any spending was seen, as a share of what was prepaid.
     double first_share = 0.10;
     /// The stock is at most this share of what is still unspent, so that a
     /// loss of all nodes at once leaves the rest for those that come after.
-    double most_of_unspent = 0.3;
+    double most_of_unspent = 0.2;
     /// The stock is filled up when it is below this share of its goal.
     double refill_below = 0.8;
 };
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -71,10 +71,14 @@
         return false;
     config = std::make_shared<const catalog::configuration>(std::move(parts));
     config_text = std::move(text);
+    tokens prepaid;
+    for (const catalog::team& it : config->parts().teams)
+        prepaid += it.prepaid.value_or(tokens(0));
     log_event(event::configuration_in_force,
               {{"generation", std::to_string(config->version().value())},
                {"routes", std::to_string(config->parts().routes.size())},
-               {"teams", std::to_string(config->parts().teams.size())}});
+               {"teams", std::to_string(config->parts().teams.size())},
+               {"prepaid", std::to_string(prepaid.count())}});
     return true;
 }
 
