Weigh shared prompt tokens threefold when choosing a target

Change: a shared token that a target has to read again counts as three, since the next requests for it gain as well if it stays in one place.

--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -118,6 +118,9 @@
     /// are linked at hundreds of gigabits a second, so some milliseconds for
     /// a part that takes a tenth of a second to read.
     double fetch_cost = 0.05;
+    /// A shared token that has to be read again counts as this many: the next
+    /// requests for it gain as well if it stays in one place.
+    double shared_weight = 3;
     /// Fetching less than this is not worth the detour, tokens.
     std::uint32_t least_fetch = 256;
     /// Time to the first byte that each request running on an engine adds.
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -32,6 +32,15 @@
     return hash64(target.str(), part);
 }
 
+/// Tokens of all parts but the request's own.
+std::uint32_t shared_size(const std::vector<shared_part>& prompt)
+{
+    std::uint32_t out = 0;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+        out += prompt[i].size;
+    return out;
+}
+
 } // namespace
 
 std::string_view to_string(target_evidence value)
@@ -269,9 +278,14 @@
         const std::uint32_t fetched =
             held_most > here + options_.least_fetch ? held_most - here : 0;
         // A holder may have lost the part, and a part that lies in two places
-        // is soon found in neither: the choice counts it as read in full.
+        // is soon found in neither: the choice counts it as read in full, and
+        // shared parts more than the request's own.
+        const std::uint32_t shared = shared_size(wish.prompt);
+        const double again = shared > here ? shared - here : 0;
+        const auto weighed = static_cast<std::uint32_t>(
+            reading + again * (options_.shared_weight - 1));
         const double price =
-            cost(*it, wish, predicted_seconds(*it, wish, reading), now);
+            cost(*it, wish, predicted_seconds(*it, wish, weighed), now);
         if (chosen != nullptr && price >= out.cost)
             continue;
         chosen = it;
