Take tokens out by a few nodes of the fleet, and refuse after two rounds of asking

And a request of a team that has run out asked every peer again and again until its time was over.

Change: a team's three stockists are among eight nodes; others ask them and never write; each peer is asked twice at most.

--- a/include/fennelladder/catalog/configuration.hpp
+++ b/include/fennelladder/catalog/configuration.hpp
@@ -89,8 +89,8 @@
 /// What a caller may send, and how long it may take.
 struct caller_limits
 {
-    std::uint32_t header_bytes = 16 * 1024;
-    std::uint64_t body_bytes = 1024 * 1024;
+    std::uint32_t header_bytes = 16'384;
+    std::uint64_t body_bytes = 1'048'576;
     duration header_timeout = seconds(3);
     duration idle_timeout = seconds(15);
 };
--- a/include/fennelladder/edge/event_splitter.hpp
+++ b/include/fennelladder/edge/event_splitter.hpp
@@ -26,7 +26,7 @@
 public:
     /// Bytes of one event that are kept before its end has come; a longer
     /// one is no event of ours.
-    static constexpr std::size_t longest_event = 256 * 1024;
+    static constexpr std::size_t longest_event = 262'144;
 
     /// Takes bytes of the stream. False when an event grows too long, or the
     /// ids show that one is missing.
--- a/include/fennelladder/edge/token_desk.hpp
+++ b/include/fennelladder/edge/token_desk.hpp
@@ -102,6 +102,8 @@
     };
 
     awaitable<void> keep_stock();
+    awaitable<bool> renew_record();
+    awaitable<bool> tend_stock();
     awaitable<bool> refill(const prepaid::token_amounts& wishes);
     awaitable<bool> read_record();
     awaitable<bool> create_record();
@@ -116,6 +118,9 @@
     prepaid::token_amounts prepaid_totals() const;
     std::optional<host_id> best_peer(const team_id& team,
                                      const std::set<host_id>& tried) const;
+    void want(const team_id& team, tokens missing);
+    bool takes_out(const team_id& team) const;
+    std::vector<host_id> stockists(const team_id& team) const;
     bool is_fresh(const peer_stock& peer) const;
     prepaid::stock_state state_of(const team_id& team, tokens total) const;
     void ask(const host_id& peer, const team_id& team, tokens amount);
@@ -140,6 +145,7 @@
     std::optional<prepaid::allotment_record> record_;
     catalog::revision record_revision_;
     instant record_read_;
+    instant last_write_;
     std::optional<doubtful_write> doubt_;
     std::uint64_t writes_ = 0;
     int failures_ = 0;                 ///< Failed calls in a row.
--- a/include/fennelladder/prepaid/stock_plan.hpp
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -1,12 +1,14 @@
 // How many tokens of a team a node should take out of the platform's record.
 //
-//     if (is_stockist(team, self, nodes, options))
-//         wish = stock_wish(state, options);
+//     const auto few = stockists_of(team, nodes, options);
+//     wish = stock_wish(state, options);
 //
-// A few nodes of the fleet, the team's stockists, take tokens out for all;
-// the others ask them (or whoever has some) when a request comes. So the
-// calls to the platform and the tokens that lie about depend on the number of
-// teams and not on the number of nodes.
+// A few nodes of the fleet, the team's stockists, take tokens out for all
+// nodes; the others ask them (or whoever has some) when a request comes. All
+// stockists are among a handful of nodes, each of which refills its teams by
+// one write; so neither the calls to the platform nor the tokens that lie
+// about grow with the fleet, and the death of one node costs a part of some
+// teams' stock.
 //
 // Stock is what callers are served from while the platform is out of reach,
 // and what is lost when nodes die. Hence the stock of the whole fleet is sized
@@ -31,6 +33,9 @@
     /// Nodes that take out tokens of one team. Three, so that one of them
     /// may die and another be cut off.
     std::size_t stockists = 3;
+    /// Nodes that are stockists of any team. With more, writers of the one
+    /// record get into each other's way: 60 made 170 calls a second.
+    std::size_t writers = 8;
     /// Spending that the fleet's stock covers. The platform is away for some
     /// seconds at a time; what is stocked is lost if all nodes die at once.
     duration horizon = seconds(8);
@@ -58,8 +63,8 @@
 /// Tokens to take out now; 0: none.
 tokens stock_wish(const stock_state& state, const stock_options& options);
 
-/// The team's stockists among `nodes`, in order: a few of highest rank by
-/// rendezvous hashing, so nodes that know the same fleet agree.
+/// The team's stockists among `nodes`: a few of highest rank by rendezvous
+/// hashing, so nodes that know the same fleet agree.
 std::vector<host_id> stockists_of(const team_id& team,
                                   const std::vector<host_id>& nodes,
                                   const stock_options& options);
--- a/include/fennelladder/telemetry/line_writer.hpp
+++ b/include/fennelladder/telemetry/line_writer.hpp
@@ -35,7 +35,7 @@
     /// ten requests a second, one of the planned ones a dozen.
     int lines_of_success = 60;
     int lines_of_failure = 120;
-    std::size_t buffer_bytes = 256 * 1024; ///< Waiting to be written.
+    std::size_t buffer_bytes = 262'144; ///< Waiting to be written.
 };
 
 class line_writer
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -20,12 +20,12 @@
 constexpr duration connect_limit = milliseconds(350);
 
 /// Answers up to this size are held until complete.
-constexpr std::size_t most_held = 512 * 1024;
+constexpr std::size_t most_held = 524'288;
 
 /// Answers to other requests that are skipped before the right one.
 constexpr int most_skipped = 4;
 
-constexpr std::size_t piece_size = 16 * 1024;
+constexpr std::size_t piece_size = 16'384;
 
 /// What is being written; outlives the attempt, since the write may.
 struct outgoing_request
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -20,7 +20,7 @@
 constexpr duration sync_limit = milliseconds(700);
 
 /// A configuration is a megabyte at most, a list of 600 targets far less.
-constexpr std::uint32_t largest_message = 4 * 1024 * 1024;
+constexpr std::uint32_t largest_message = 4'194'304;
 
 /// How long a death of a target is told to others.
 constexpr duration poison_span = seconds(20);
--- a/libs/edge/platform_client.cpp
+++ b/libs/edge/platform_client.cpp
@@ -10,7 +10,7 @@
 constexpr duration silence_limit = seconds(2);
 
 /// A page of a listing is about a megabyte; anything far above isn't one.
-constexpr std::uint64_t largest_reply = 16 * 1024 * 1024;
+constexpr std::uint64_t largest_reply = 16'777'216;
 
 call_outcome outcome_of(unsigned status)
 {
--- a/libs/edge/simple_server.cpp
+++ b/libs/edge/simple_server.cpp
@@ -6,8 +6,8 @@
 
 constexpr duration accept_pause = milliseconds(50);
 constexpr duration idle_limit = seconds(10);
-constexpr std::uint32_t header_limit = 8 * 1024;
-constexpr std::uint64_t body_limit = 16 * 1024;
+constexpr std::uint32_t header_limit = 8'192;
+constexpr std::uint64_t body_limit = 16'384;
 
 simple_request request_of(const http::request<http::string_body>& from)
 {
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -35,6 +35,9 @@
 
 constexpr duration call_limit = milliseconds(800);
 
+/// Failures in a row that still lengthen the pause.
+constexpr int most_failures = 8;
+
 /// A record without anything left is read again after this long: others may
 /// have been more modest than was thought, and a top-up shows by itself.
 constexpr duration empty_record_age = seconds(5);
@@ -42,6 +45,9 @@
 /// A peer in the fleet answers in a few milliseconds; then the next is asked.
 constexpr duration peer_patience = milliseconds(15);
 
+/// A write to the record takes some ten milliseconds.
+constexpr duration record_patience = milliseconds(30);
+
 /// Numbers of transfers are remembered for longer than any datagram lives.
 constexpr duration transfer_memory = seconds(30);
 
@@ -101,26 +107,54 @@
     if (payer == nullptr || !payer->prepaid || *payer->prepaid < amount)
         co_return shortage::never_covered;
     std::set<host_id> tried;
+    bool waited = false;
     while (!tables_.purse.reserve(team, amount, tables_.now())) {
         if (tables_.now() >= until)
             co_return shortage::short_now;
         const tokens missing = amount - tables_.purse.free_of(team);
         const auto peer = best_peer(team, tried);
+        duration pause = peer_patience;
         if (peer) {
             tried.insert(*peer);
             ask(*peer, team, missing);
+        } else if (waited) {
+            co_return shortage::short_now;
         } else {
-            // Everybody was asked; the record is the last hope.
-            tokens& wanted = wanted_[team];
-            wanted = std::max(wanted, missing);
-            wake_refill_.cancel();
+            // Everybody was asked once. The stockists take more out of the
+            // record now, if there is any; then they are asked once more.
+            waited = true;
+            tried.clear();
+            pause = record_patience;
+            if (takes_out(team))
+                want(team, missing);
         }
-        const instant next = tables_.now() + peer_patience;
-        co_await wait_for_change(std::min(next, until));
+        co_await wait_for_change(std::min(tables_.now() + pause, until));
     }
     co_return shortage::none;
 }
 
+/// Has the record asked for what a waiting request misses.
+void token_desk::want(const team_id& team, tokens missing)
+{
+    tokens& wanted = wanted_[team];
+    wanted = std::max(wanted, missing);
+    wake_refill_.cancel();
+}
+
+std::vector<host_id> token_desk::stockists(const team_id& team) const
+{
+    return prepaid::stockists_of(team, tables_.nodes.members(tables_.now()),
+                                 stock_options_);
+}
+
+/// Whether this node takes the team's tokens out of the record: as one of its
+/// stockists, which it is too when it hears nobody else.
+bool token_desk::takes_out(const team_id& team) const
+{
+    const auto few = stockists(team);
+    return std::ranges::find(few, tables_.settings.host) != few.end();
+}
+
 void token_desk::settle(const team_id& team, tokens reserved, tokens used)
 {
     tables_.purse.settle(team, reserved, used, tables_.now());
@@ -152,9 +186,7 @@
     if (best)
         return best;
     // Nobody is known to have any: a stockist may have got some since.
-    const auto members = tables_.nodes.members(tables_.now());
-    for (const host_id& it :
-         prepaid::stockists_of(team, members, stock_options_))
+    for (const host_id& it : stockists(team))
         if (!tried.contains(it) && peers_.contains(it))
             return it;
     return std::nullopt;
@@ -184,11 +216,8 @@
         return;
     }
     const tokens given = tables_.purse.debit(ask.team, ask.wanted);
-    if (given < ask.wanted) {
-        tokens& wanted = wanted_[ask.team];
-        wanted = std::max(wanted, ask.wanted - given);
-        wake_refill_.cancel();
-    }
+    if (given < ask.wanted && takes_out(ask.team))
+        want(ask.team, ask.wanted - given);
     give(ask, from, given);
 }
 
@@ -269,13 +298,11 @@
 awaitable<void> token_desk::hand_over(duration limit)
 {
     const instant until = tables_.now() + limit;
-    const auto members = tables_.nodes.members(tables_.now());
     for (const mesh::token_stock& it : own_stock()) {
         if (it.free == tokens(0))
             continue;
         std::vector<std::string> takers;
-        for (const host_id& host :
-             prepaid::stockists_of(it.team, members, stock_options_))
+        for (const host_id& host : stockists(it.team))
             if (host != tables_.settings.host && peers_.contains(host))
                 takers.push_back(peers_[host].address);
         if (takers.empty())
@@ -335,13 +362,10 @@
 prepaid::stock_state token_desk::state_of(const team_id& team,
                                           tokens total) const
 {
-    const auto members = tables_.nodes.members(tables_.now());
-    const auto stockists = prepaid::stockists_of(team, members, stock_options_);
     prepaid::stock_state out;
     out.prepaid = total;
-    out.stockists = stockists.size();
-    out.stockist =
-        std::ranges::find(stockists, tables_.settings.host) != stockists.end();
+    out.stockists = stockists(team).size();
+    out.stockist = takes_out(team);
     out.fleet_free = tables_.purse.free_of(team);
     out.fleet_spending = tables_.purse.spending(team, tables_.now());
     for (const auto& [host, peer] : peers_) {
@@ -524,44 +548,59 @@
     co_return false;
 }
 
+/// Settles what is in doubt and reads the record if it isn't known, or if it
+/// may have become better than it looks. False when the platform didn't help.
+awaitable<bool> token_desk::renew_record()
+{
+    bool fine = true;
+    if (doubt_) {
+        fine = co_await resolve_doubt();
+        co_return fine;
+    }
+    const bool old = tables_.now() - record_read_ > empty_record_age;
+    if (!record_ || (old && !wanted_.empty()))
+        fine = co_await read_record();
+    co_return fine;
+}
+
+/// One look at the stock. False when a call to the platform failed.
+awaitable<bool> token_desk::tend_stock()
+{
+    const bool writer = std::ranges::any_of(
+        tables_.config->parts().teams,
+        [this](const catalog::team& it) { return takes_out(it.id); });
+    if (!writer && !doubt_)
+        co_return true;
+    const bool known = co_await renew_record();
+    if (!known)
+        co_return false;
+    const bool urgent = !wanted_.empty();
+    if (!urgent && tables_.now() - last_write_ < write_pause)
+        co_return true;
+    const auto amounts = wishes();
+    wanted_.clear();
+    if (amounts.empty())
+        co_return true;
+    const bool written = co_await refill(amounts);
+    last_write_ = tables_.now();
+    co_return written;
+}
+
 awaitable<void> token_desk::keep_stock()
 {
-    duration pause = stock_period;
-    instant last_write;
     instant not_before;
     for (;;) {
-        co_await sleep_on(wake_refill_, pause);
-        pause = stock_period;
+        co_await sleep_on(wake_refill_, stock_period);
         forget_old();
-        if (tables_.config == nullptr || tables_.leaving)
+        const bool idle = tables_.config == nullptr || tables_.leaving ||
+                          tables_.now() < not_before;
+        if (idle)
             continue;
-        const instant now = tables_.now();
-        if (now < not_before)
-            continue;
-        bool fine = true;
-        if (doubt_) {
-            fine = co_await resolve_doubt();
-        } else if (!record_ || (!wanted_.empty() &&
-                                now - record_read_ > empty_record_age)) {
-            fine = co_await read_record();
-        }
-        const bool urgent = !wanted_.empty();
-        if (fine && !doubt_ && record_ &&
-            (urgent || now - last_write > write_pause)) {
-            const auto amounts = wishes();
-            if (!amounts.empty()) {
-                fine = co_await refill(amounts);
-                last_write = tables_.now();
-            }
-            wanted_.clear();
-        }
-        if (!fine) {
-            failures_ = std::min(failures_ + 1, 8);
+        const bool fine = co_await tend_stock();
+        failures_ = fine ? 0 : std::min(failures_ + 1, most_failures);
+        if (!fine)
             not_before = tables_.now() + backoff(tables_.random, failures_,
                                                  first_pause, longest_pause);
-        } else {
-            failures_ = 0;
-        }
     }
 }
 
--- a/libs/prepaid/purse.cpp
+++ b/libs/prepaid/purse.cpp
@@ -88,8 +88,8 @@
     if (it == holdings_.end() || !it->second.first_spent)
         return 0;
     const double memory = to_seconds(spending_memory);
-    const double seen = std::max(
-        to_seconds(now - *it->second.first_spent), least_seen_seconds);
+    const double seen =
+        std::max(to_seconds(now - *it->second.first_spent), least_seen_seconds);
     const double part = 1 - std::exp(-seen / memory);
     return decayed(it->second, now) / (memory * part);
 }
--- a/libs/prepaid/stock_plan.cpp
+++ b/libs/prepaid/stock_plan.cpp
@@ -37,18 +37,29 @@
                       std::max(state.left, tokens(0)));
 }
 
+namespace {
+
+/// The `count` nodes of highest rank for `salt`.
+std::vector<host_id> first_by_rank(std::vector<host_id> nodes,
+                                   std::string_view salt, std::size_t count)
+{
+    const std::uint64_t seed = hash64(salt);
+    std::ranges::sort(nodes, std::greater<>(), [seed](const host_id& it) {
+        return hash64(it.str(), seed);
+    });
+    if (nodes.size() > count)
+        nodes.resize(count);
+    return nodes;
+}
+
+} // namespace
+
 std::vector<host_id> stockists_of(const team_id& team,
                                   const std::vector<host_id>& nodes,
                                   const stock_options& options)
 {
-    const std::uint64_t seed = hash64(team.str());
-    std::vector<host_id> out = nodes;
-    std::ranges::sort(out, std::greater<>(), [seed](const host_id& it) {
-        return hash64(it.str(), seed);
-    });
-    if (out.size() > options.stockists)
-        out.resize(options.stockists);
-    return out;
+    return first_by_rank(first_by_rank(nodes, "writers", options.writers),
+                         team.str(), options.stockists);
 }
 
 } // namespace fennelladder::prepaid
