Ask callers back soon when tokens are on their way

Cause: a caller refused for want of tokens was always asked back after a third of its time (4 s for a repair guide), also when the record had tokens left and the platform answered, so that the refill was milliseconds away.

--- a/include/fennelladder/edge/token_desk.hpp
+++ b/include/fennelladder/edge/token_desk.hpp
@@ -38,8 +38,10 @@
     none,
     /// The team's whole prepaid amount doesn't cover the request.
     never_covered,
-    /// Not here and not now; others may hold some.
-    short_now
+    /// Not here, but the record has some and the platform answers: soon.
+    short_for_a_moment,
+    /// Not here, and nobody knows when.
+    short_for_long
 };
 
 class token_desk
@@ -113,11 +115,13 @@
     void give(const mesh::token_ask& ask, const std::string& from,
               tokens amount);
     void take(const prepaid::allotment_draft& draft);
+    void note_reply(const platform_reply& reply);
     bool adopt(const adapter::stored_object& object);
     prepaid::token_amounts wishes() const;
     prepaid::token_amounts prepaid_totals() const;
     std::optional<host_id> best_peer(const team_id& team,
                                      const std::set<host_id>& tried) const;
+    shortage shortage_of(const team_id& team) const;
     void want(const team_id& team, tokens missing);
     bool takes_out(const team_id& team) const;
     std::vector<host_id> stockists(const team_id& team) const;
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -26,8 +26,8 @@
 /// come back sooner.
 constexpr int token_wait_part = 8;
 constexpr duration least_token_wait = milliseconds(30);
-/// When tokens are short, callers are asked to come back after this part of
-/// the time they have: by then the platform may be back.
+/// When tokens are short for long, callers are asked to come back after this
+/// part of the time they have: by then the platform may be back.
 constexpr int come_back_part = 3;
 
 /// What may be sent again uses kept connections that rested up to this long;
@@ -196,7 +196,10 @@
     }
     if (got == shortage::never_covered)
         co_return refusal{402, std::nullopt, "more than was prepaid"};
-    co_return refusal{503, time_left() / come_back_part, "short of tokens"};
+    const duration later = got == shortage::short_for_a_moment
+                               ? come_back
+                               : time_left() / come_back_part;
+    co_return refusal{503, later, "short of tokens"};
 }
 
 void request_run::settle()
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -110,7 +110,7 @@
     bool waited = false;
     while (!tables_.purse.reserve(team, amount, tables_.now())) {
         if (tables_.now() >= until)
-            co_return shortage::short_now;
+            co_return shortage_of(team);
         const tokens missing = amount - tables_.purse.free_of(team);
         const auto peer = best_peer(team, tried);
         duration pause = peer_patience;
@@ -118,7 +118,7 @@
             tried.insert(*peer);
             ask(*peer, team, missing);
         } else if (waited) {
-            co_return shortage::short_now;
+            co_return shortage_of(team);
         } else {
             // Everybody was asked once. The stockists take more out of the
             // record now, if there is any; then they are asked once more.
@@ -133,6 +133,14 @@
     co_return shortage::none;
 }
 
+shortage token_desk::shortage_of(const team_id& team) const
+{
+    const bool coming =
+        tables_.contact.reached && record_ &&
+        prepaid::left_of(*record_, prepaid_totals(), team) > tokens(0);
+    return coming ? shortage::short_for_a_moment : shortage::short_for_long;
+}
+
 /// Has the record asked for what a waiting request misses.
 void token_desk::want(const team_id& team, tokens missing)
 {
@@ -414,6 +422,13 @@
     return true;
 }
 
+void token_desk::note_reply(const platform_reply& reply)
+{
+    const bool reached = reply.outcome != call_outcome::no_reply &&
+                         reply.outcome != call_outcome::turned_away;
+    tables_.note_contact(reached, "allotment record");
+}
+
 awaitable<bool> token_desk::create_record()
 {
     const auto body =
@@ -438,9 +453,7 @@
         adapter::object_target(object_kind::prepaid, record_name,
                                adapter::freshness::newest),
         "", call_limit);
-    tables_.note_contact(got.outcome != call_outcome::no_reply &&
-                             got.outcome != call_outcome::turned_away,
-                         "allotment record");
+    note_reply(got);
     if (got.outcome == call_outcome::missing) {
         const bool created = co_await create_record();
         co_return created;
@@ -478,6 +491,7 @@
         adapter::object_target(object_kind::prepaid, record_name,
                                adapter::freshness::newest),
         body, call_limit);
+    note_reply(got);
     if (got.outcome == call_outcome::turned_away && !doubt_)
         co_return false;
     if (got.outcome != call_outcome::done &&
