Send a request elsewhere when a kept connection ends under it; test transfers

Change: another target is taken if there is one.

Transfers of tokens between nodes are tested over a network that loses, doubles and reorders a third of all datagrams: none comes into being.

--- a/libs/edge/data_path_test.cpp
+++ b/libs/edge/data_path_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <mutex>
 #include <thread>
 
 using namespace fennelladder;
@@ -525,6 +526,32 @@
     CHECK(std::chrono::steady_clock::now() - begun < milliseconds(1500));
 }
 
+// Story: targets end kept connections at the moment at which they are used
+// again. A call that may be repeated goes to another target: one that has
+// just ended a connection may be about to fall silent.
+TEST(data_path, a_kept_connection_that_ends_sends_the_request_elsewhere)
+{
+    std::mutex mutex;
+    std::vector<std::pair<int, bool>> seen; // target, whether it hung up
+    const auto flaky = [&](int target) -> script {
+        return [&, target](scripted_call& call) {
+            const bool hangs_up = call.on_connection == 2;
+            {
+                const std::lock_guard lock(mutex);
+                seen.emplace_back(target, hangs_up);
+            }
+            return !hangs_up && answers(call);
+        };
+    };
+    world it({flaky(1), flaky(2), flaky(3)});
+    for (int i = 0; i < 30; ++i)
+        CHECK(is_status(it.ask("/again/"), 200));
+    const std::lock_guard lock(mutex);
+    for (std::size_t i = 0; i + 1 < seen.size(); ++i)
+        if (seen[i].second)
+            CHECK(seen[i].first != seen[i + 1].first);
+}
+
 struct bad_request
 {
     const char* name;
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -303,14 +303,14 @@
         first_byte_at_ = tables_.now();
     if (got.ended == attempt_end::broken && got.sent)
         driver_.prober_.broke(target.target, mark_);
-    // The same target again is right only if nothing reached it but an end
-    // of a kept connection.
+    // A target that ended a kept connection may be about to fall silent, so
+    // another is better; alone in its service it is dialled anew.
     const bool idle_race = got.ended == attempt_end::broken &&
                            got.kept_connection && !got.first_byte;
-    if (!idle_race)
-        tried_.push_back(target.target);
-    else
+    if (idle_race)
         tables_.pool.drop_idle(target.target);
+    if (!idle_race || target.candidates > 1)
+        tried_.push_back(target.target);
     so_far_.head_passed_on = reply_.begun();
     so_far_.time_left = time_left();
 }
--- /dev/null
+++ b/libs/edge/token_desk_test.cpp
@@ -0,0 +1,245 @@
+// Transfers of tokens between nodes over a network that loses, doubles and
+// reorders datagrams.
+
+#include "fennelladder/edge/token_desk.hpp"
+#include "fennelladder/telemetry/log.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <deque>
+
+using namespace fennelladder;
+using namespace fennelladder::edge;
+
+namespace {
+
+const team_id team("t");
+
+adapter::host_settings settings_of(int i)
+{
+    adapter::host_settings out;
+    out.host = host_id("n" + std::to_string(i));
+    out.ip = "127.0.0.1";
+    // Nothing listens there: the platform is out.
+    out.store_address = "127.0.0.1:1";
+    return out;
+}
+
+std::string address_of(int i)
+{
+    return "127.0.0.1:" + std::to_string(7000 + i);
+}
+
+class fleet
+{
+public:
+    fleet(std::uint64_t seed, double loss) : random_(seed), loss_(loss)
+    {
+        telemetry::set_log_sink([](auto&&...) {});
+        for (int i = 0; i < 3; ++i)
+            nodes_.push_back(std::make_unique<node>(*this, i, random_.bits()));
+    }
+
+    ~fleet() { telemetry::set_log_sink(nullptr); }
+
+    prepaid::purse& purse(int i) { return nodes_[i]->tables.purse; }
+    token_desk& desk(int i) { return nodes_[i]->desk; }
+    asio::io_context& io() { return io_; }
+    instant now() { return time_.now(); }
+
+    /// Everybody hears how much the others hold.
+    void tell_stock()
+    {
+        for (int from = 0; from < 3; ++from) {
+            mesh::beacon hello;
+            hello.host = host_id("n" + std::to_string(from));
+            hello.life = nodes_[from]->tables.life;
+            hello.sequence = ++sequence_;
+            hello.state = mesh::node_state::ready;
+            hello.peer_address = address_of(from);
+            hello.stock = desk(from).own_stock();
+            for (int to = 0; to < 3; ++to)
+                if (to != from) {
+                    nodes_[to]->tables.nodes.hear(hello, now());
+                    desk(to).on_stock(hello);
+                }
+        }
+    }
+
+    /// Lets time pass; datagrams arrive in any order, twice, or not at all.
+    void run_for(duration length)
+    {
+        const instant end = now() + length;
+        while (now() < end) {
+            io_.restart();
+            io_.run_for(milliseconds(1));
+            deliver();
+        }
+    }
+
+    tokens held()
+    {
+        tokens out;
+        for (const auto& it : nodes_)
+            for (const auto& [id, held] : it->tables.purse.holdings())
+                out += held.free + held.reserved + held.spent;
+        return out;
+    }
+
+private:
+    struct node
+    {
+        node(fleet& all, int i, std::uint64_t seed)
+            : tables(all.io_, all.time_, settings_of(i), seed), client(tables),
+              desk(tables, client,
+                   [&all, i](const std::string& to,
+                             const mesh::datagram& message) {
+                       all.send(i, to, message);
+                   })
+        {
+            catalog::configuration_parts parts;
+            parts.version = catalog::configuration_version(1);
+            catalog::team payer;
+            payer.id = team;
+            payer.prepaid = tokens(100'000);
+            parts.teams = {payer};
+            tables.take_configuration(std::move(parts), "");
+        }
+
+        node_tables tables;
+        platform_client client;
+        token_desk desk;
+    };
+
+    struct letter
+    {
+        int from;
+        int to;
+        std::string bytes;
+    };
+
+    void send(int from, const std::string& to, const mesh::datagram& message)
+    {
+        const int target = std::stoi(to.substr(to.rfind(':') + 1)) - 7000;
+        const int copies = random_.chance(loss_)   ? 0
+                           : random_.chance(loss_) ? 2
+                                                   : 1;
+        for (int k = 0; k < copies; ++k)
+            letters_.push_back({from, target, mesh::encode(message)});
+    }
+
+    void deliver()
+    {
+        while (!letters_.empty()) {
+            const std::size_t i = random_.below(letters_.size());
+            const letter it = letters_[i];
+            letters_.erase(letters_.begin() + static_cast<std::ptrdiff_t>(i));
+            const auto message = mesh::decode_datagram(it.bytes);
+            CHECK(message.has_value());
+            token_desk& desk = nodes_[it.to]->desk;
+            if (message->ask)
+                desk.on_ask(*message->ask, address_of(it.from));
+            if (message->give)
+                desk.on_give(*message->give);
+            if (message->gift)
+                desk.on_gift(*message->gift, address_of(it.from));
+            if (message->gift_taken)
+                desk.on_gift_taken(*message->gift_taken);
+        }
+    }
+
+    asio::io_context io_{1};
+    system_clock time_;
+    random_source random_;
+    double loss_;
+    std::uint64_t sequence_ = 0;
+    std::deque<letter> letters_;
+    std::vector<std::unique_ptr<node>> nodes_;
+};
+
+awaitable<void> obtain(fleet& all, int i, tokens amount, int& got)
+{
+    const instant until = all.now() + milliseconds(80);
+    const shortage lacks = co_await all.desk(i).obtain(team, amount, until);
+    if (lacks != shortage::none)
+        co_return;
+    ++got;
+    all.desk(i).settle(team, amount, amount);
+}
+
+} // namespace
+
+TEST_GROUP(token_desk){};
+
+TEST(token_desk, a_node_without_tokens_gets_them_from_a_peer)
+{
+    fleet all(1, 0);
+    all.purse(0).credit(team, tokens(1000));
+    all.tell_stock();
+    int got = 0;
+    spawn(all.io(), obtain(all, 1, tokens(300), got));
+    spawn(all.io(), obtain(all, 2, tokens(500), got));
+    all.run_for(milliseconds(100));
+    CHECK_EQUAL(2, got);
+    CHECK(all.purse(0).free_of(team) == tokens(200));
+    CHECK(all.held() == tokens(1000));
+}
+
+// What is left lies in pieces at several nodes; together it is enough.
+TEST(token_desk, pieces_are_put_together)
+{
+    fleet all(1, 0);
+    all.purse(0).credit(team, tokens(200));
+    all.purse(1).credit(team, tokens(200));
+    all.tell_stock();
+    int got = 0;
+    spawn(all.io(), obtain(all, 2, tokens(400), got));
+    all.run_for(milliseconds(100));
+    CHECK_EQUAL(1, got);
+}
+
+TEST(token_desk, a_request_that_nobody_can_cover_is_given_up)
+{
+    fleet all(1, 0);
+    all.purse(0).credit(team, tokens(200));
+    all.tell_stock();
+    int got = 0;
+    spawn(all.io(), obtain(all, 2, tokens(400), got));
+    all.run_for(milliseconds(150));
+    CHECK_EQUAL(0, got);
+    CHECK(all.held() == tokens(200));
+}
+
+// Story: a third of all datagrams are lost and a third come twice, in any
+// order. Tokens may get lost on the way; none may come into being.
+TEST(token_desk, a_bad_network_makes_no_tokens)
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        fleet all(seed, 0.33);
+        all.purse(0).credit(team, tokens(5000));
+        random_source random(seed);
+        int got = 0;
+        for (int i = 0; i < 30; ++i) {
+            all.tell_stock();
+            const tokens amount(
+                static_cast<std::int64_t>(1 + random.below(300)));
+            spawn(all.io(),
+                  obtain(all, static_cast<int>(random.below(3)), amount, got));
+            all.run_for(milliseconds(5));
+            CHECK(all.held() <= tokens(5000));
+        }
+        all.run_for(milliseconds(100));
+        CHECK(all.held() <= tokens(5000));
+        CHECK(got > 5);
+    }
+}
+
+TEST(token_desk, a_leaving_node_hands_its_tokens_on)
+{
+    fleet all(3, 0.33);
+    all.purse(0).credit(team, tokens(1000));
+    all.tell_stock();
+    spawn(all.io(), all.desk(0).hand_over(milliseconds(800)));
+    all.run_for(milliseconds(900));
+    CHECK(all.purse(0).free_of(team) == tokens(0));
+    CHECK(all.held() == tokens(1000));
+}
