--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := $(shell cat packages.txt)
 SUDO := $(shell [ $$(id -u) = 0 ] || echo sudo)
 
-.PHONY: setup build test demo asan tsan format format-check tidy mutants capacity bench clean
+.PHONY: setup build test soak demo asan tsan format format-check tidy mutants capacity bench clean
 
 setup:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
@@ -56,3 +56,10 @@
 
 clean:
 	rm -rf build build-asan build-tsan build-mutants out
+
+# Faults against real processes; the seeds are those that once failed, and
+# one more. `tools/soak/soak.py --seed N --seconds S` runs others.
+soak: build
+	set -e; for seed in $$(cat tools/soak/seeds.txt) 1; do \
+	  python3 tools/soak/soak.py --binary $(BUILD)/fennelladder \
+	    --seed $$seed --seconds 8; done
--- /dev/null
+++ b/tools/soak/soak.py
@@ -0,0 +1,532 @@
+#!/usr/bin/env python3
+"""Fault soak: runs real nodes as processes on loopback and breaks things.
+
+    tools/soak/soak.py --seed 7 --seconds 20 [--binary build/fennelladder]
+
+One process of each node, a store and targets of our own in this process, and
+callers that use them. Faults come from a seeded plan and overlap: nodes are
+killed, paused, told to leave and started again; the store is down, turns
+calls away, or carries out writes and loses the reply; targets reset, cut and
+delay answers.
+
+What is checked, from what callers and targets see:
+  - a call that may run once ran once at most;
+  - a call refused as "not run" (503 without the target's mark) never ran;
+  - a success bears the mark of a run of that very request, and its whole body;
+  - no team got more tokens than it had prepaid;
+  - at the end, with all faults over, calls are answered again.
+
+Exit status 0 when all held, 1 with the findings otherwise. It ends only the
+processes that it started.
+"""
+
+import argparse
+import collections
+import http.client
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlparse
+
+NODES = 3
+TARGETS = 3
+HOST = "h.example"
+PREPAID = 60000  # tokens of the team: about what 20 s of callers want
+PROMPT, MOST_OUT, PER_EVENT = 300, 42, 7
+KEY = "key-1"
+
+
+class Store:
+    """The platform's store, with the faults that it may have."""
+
+    def __init__(self):
+        self.lock = threading.Condition()
+        self.objects = collections.defaultdict(dict)
+        self.revision = 10
+        self.mode = "well"  # well, down, busy, lossy
+
+    def put(self, kind, name, spec):
+        with self.lock:
+            self.revision += 1
+            described = {"name": name, "revision": self.revision}
+            stored = {"metadata": described, "spec": spec}
+            self.objects[kind][name] = stored
+            self.lock.notify_all()
+            return stored
+
+    def read(self, kind, name, query):
+        if name:
+            found = self.objects[kind].get(name)
+            return (200, found) if found else (404, {})
+        if "watch" in query:
+            since = int(query["watch"][0])
+            end = time.time() + int(query["waitMs"][0]) / 1000
+
+            def news():
+                return [o for o in self.objects[kind].values()
+                        if o["metadata"]["revision"] > since]
+            while not news() and time.time() < end and self.mode == "well":
+                self.lock.wait(0.05)
+            events = [{"deleted": False, "object": o} for o in news()]
+            return 200, {"events": events, "asOf": self.revision}
+        items = list(self.objects[kind].values())
+        return 200, {"items": items, "morePages": False, "asOf": self.revision}
+
+    def write(self, method, kind, name, body):
+        described = body["metadata"]
+        present = self.objects[kind].get(described["name"])
+        if method == "POST" and present:
+            return 409, present
+        if method == "PUT" and not present:
+            return 404, {}
+        wanted = described.get("revision")
+        if present and wanted and wanted != present["metadata"]["revision"]:
+            return 409, present
+        return 200, self.put(kind, described["name"], body["spec"])
+
+    def handler(self):
+        store = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *_):
+                pass
+
+            def do_any(self):
+                url = urlparse(self.path)
+                parts = url.path.split("/")[3:] + [""]
+                size = int(self.headers.get("Content-Length") or 0)
+                body = json.loads(self.rfile.read(size)) if size else None
+                if store.mode == "down":
+                    self.close_connection = True
+                    return
+                if store.mode == "busy":
+                    self.answer(503, {})
+                    return
+                with store.lock:
+                    if self.command == "GET":
+                        got = store.read(parts[0], parts[1],
+                                         parse_qs(url.query))
+                    else:
+                        got = store.write(self.command, parts[0], parts[1],
+                                          body)
+                if (store.mode == "lossy" and self.command != "GET"
+                        and random.random() < 0.5):
+                    self.close_connection = True
+                    return
+                self.answer(*got)
+
+            def answer(self, status, content):
+                data = json.dumps(content).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            do_GET = do_PUT = do_POST = do_DELETE = do_any
+
+        return Handler
+
+
+class Runs:
+    """What targets ran, by request id."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.of = collections.defaultdict(list)
+        self.prompts = set()  # Requests whose prompt was read.
+        self.delivered = 0    # Events that callers got.
+
+    def begin(self, request, mark):
+        with self.lock:
+            self.of[request].append(mark)
+
+    def read_prompt(self, request):
+        with self.lock:
+            self.prompts.add(request)
+
+    def deliver(self, body):
+        with self.lock:
+            self.delivered += body.count(b"id: ")
+
+    @property
+    def tokens(self):
+        """A prompt counts once for its request, an event when it arrives."""
+        return len(self.prompts) * PROMPT + self.delivered * PER_EVENT
+
+
+def target_handler(name, runs, fault):
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def log_message(self, *_):
+            pass
+
+        def do_any(self):
+            size = int(self.headers.get("Content-Length") or 0)
+            self.rfile.read(size)
+            request = self.headers["X-Request-Id"]
+            if self.headers["X-Expect-Instance"] != name:
+                self.head(421, request, "", {"Content-Length": "0"})
+                return
+            mark = f"{name}.{random.getrandbits(48):x}"
+            odd = fault()
+            if odd == "reject":
+                self.head(503, request, "",
+                          {"X-Not-Executed": "1", "Content-Length": "0"})
+                return
+            runs.begin(request, mark)
+            if odd == "slow":
+                time.sleep(random.uniform(0.05, 0.4))
+            if odd == "lost":
+                self.close_connection = True
+                return
+            if self.path.startswith("/stream/"):
+                self.stream(request, mark, odd)
+                return
+            body = f"{request}:{mark}".encode()
+            self.head(200, request, mark, {"Content-Length": str(len(body))})
+            self.wfile.write(body[:5] if odd == "cut" else body)
+            self.close_connection = odd == "cut"
+
+        def head(self, status, request, mark, headers):
+            self.send_response_only(status)
+            self.send_header("X-Request-Id", request)
+            if mark:
+                self.send_header("X-Server-Signature", mark)
+            for key, value in headers.items():
+                self.send_header(key, value)
+            self.end_headers()
+
+        def stream(self, request, mark, odd):
+            first = int(self.headers.get("Last-Event-Id") or 0) + 1
+            runs.read_prompt(request)
+            self.head(200, request, mark, {
+                "Content-Type": "text/event-stream",
+                "Transfer-Encoding": "chunked"})
+            last = MOST_OUT // PER_EVENT
+            for i in range(first, last + 1):
+                if odd == "cut" and i == 3:
+                    self.close_connection = True
+                    return
+                time.sleep(0.01)
+                event = f"id: {i}\ndata: {request}\n\n".encode()
+                self.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            self.wfile.write(b"0\r\n\r\n")
+
+        do_GET = do_POST = do_any
+
+    return Handler
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def handle_error(self, *_):
+        pass  # A node that was killed took its connections with it.
+
+
+def serve(handler):
+    server = Server(("127.0.0.1", 0), handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server, "127.0.0.1:%d" % server.server_address[1]
+
+
+def free_ports(count):
+    held = [socket.socket() for _ in range(count)]
+    for it in held:
+        it.bind(("127.0.0.1", 0))
+    ports = [it.getsockname()[1] for it in held]
+    for it in held:
+        it.close()
+    return ports
+
+
+def route(name, kind, resume=False):
+    return {"name": name, "host": HOST, "pathPrefix": f"/{name}/",
+            "kind": kind, "timeoutMs": 3000, "targetLatencyMs": 400,
+            "priority": 1, "service": "s", "public": False,
+            "sticky": kind == "streaming", "canResume": resume,
+            "maxAttempts": 2 if resume or kind == "idempotent" else 1,
+            "gapAimMs": 300}
+
+
+def configuration(version):
+    return {"version": version,
+            "routes": [route("once", "non_idempotent"),
+                       route("again", "idempotent"),
+                       route("stream", "streaming", resume=True)],
+            "services": [{"name": "s", "healthPath": "/health",
+                          "maxConnections": 300,
+                          "engine": {"slots": 64, "kvCacheTokens": 400000,
+                                     "stride": PER_EVENT}}],
+            "tenants": [{"name": "t", "apiKeys": [KEY], "prepaid": PREPAID}]}
+
+
+class Node:
+    """One node's process and where it listens."""
+
+    def __init__(self, binary, folder, number, store, ip, seeds):
+        self.binary, self.number, self.ip = binary, number, ip
+        self.front, self.ready, self.entry = free_ports(3)
+        self.path = os.path.join(folder, f"n{number}.conf")
+        self.log = open(os.path.join(folder, f"n{number}.log"), "ab")
+        self.process, self.started = None, 0.0
+        with open(self.path, "w", encoding="utf-8") as out:
+            out.write(f"nodeName=n{number}\nzone=z\nregion=r\nip={ip}\n"
+                      f"listen.front={ip}:{self.front}\n"
+                      f"listen.readyAddress={ip}:{self.ready}\n"
+                      f"listen.directory={ip}:{self.entry}\n"
+                      f"internalPortRange=17340,17355\n"
+                      f"seedNodes={seeds}\nplatform.address={store}\n"
+                      f"bounds.graceS=5\n")
+
+    def start(self):
+        self.started = time.time()
+        self.process = subprocess.Popen(
+            [self.binary, "front", "--settings-file", self.path],
+            stdout=self.log, stderr=self.log)
+
+    def signal(self, number):
+        if self.process and self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self):
+        if self.process and self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        if self.process:
+            self.process.wait()
+
+
+class Soak:
+    def __init__(self, args):
+        self.random = random.Random(args.seed)
+        random.seed(args.seed)
+        self.seconds = args.seconds
+        self.store, self.runs = Store(), Runs()
+        self.found, self.lock = [], threading.Lock()
+        self.outcomes = collections.Counter()
+        self.fault_share = 0.0
+        self.stop = threading.Event()
+        self.folder = tempfile.mkdtemp(prefix="soak-")
+        self.closing = []
+        server, address = serve(self.store.handler())
+        self.closing.append(server)
+        self.store.put("config", "main", configuration(1))
+        for i in range(TARGETS):
+            name = f"i-{i}"
+            server, where = serve(target_handler(name, self.runs, self.fault))
+            self.closing.append(server)
+            self.store.put("servers", name, {
+                "service": "s", "address": where, "zone": "z", "slots": 64,
+                "state": "ready"})
+        # Addresses of their own, so that soaks can run beside each other.
+        ips = [f"127.7.{args.seed % 250}.{i + 1}" for i in range(NODES)]
+        seeds = ",".join(f"{ip}:1" for ip in ips[:2])
+        self.nodes = [Node(args.binary, self.folder, i, address, ip, seeds)
+                      for i, ip in enumerate(ips)]
+
+    def fault(self):
+        if random.random() >= self.fault_share:
+            return ""
+        return random.choice(["reject", "slow", "lost", "cut"])
+
+    def note(self, text):
+        with self.lock:
+            self.found.append(text)
+
+    def addresses(self):
+        """What a caller is told, by the first node that answers."""
+        for node in self.random.sample(self.nodes, len(self.nodes)):
+            try:
+                call = http.client.HTTPConnection(node.ip, node.entry,
+                                                  timeout=1)
+                call.request("GET", f"/api/resolve?name={HOST}&zone=z")
+                got = json.loads(call.getresponse().read())
+                return got["addresses"]
+            except (OSError, ValueError, KeyError, http.client.HTTPException):
+                continue
+        return []
+
+    def call_once(self, number, address):
+        kind = ("once", "again", "stream")[number % 3]
+        request = f"r{number:x}.{random.getrandbits(32):x}"
+        ip, port = address.split(":")
+        call = http.client.HTTPConnection(ip, int(port), timeout=5)
+        headers = {"Host": HOST, "X-Request-Id": request,
+                   "X-Request-Deadline-Ms": "4000",
+                   "Authorization": f"Bearer {KEY}"}
+        if kind == "stream":
+            headers["X-Token-Usage"] = f"{PROMPT},{MOST_OUT}"
+        try:
+            call.request("POST", f"/{kind}/x", body=b"x" * 50, headers=headers)
+            answer = call.getresponse()
+            body = answer.read()
+        except (OSError, http.client.HTTPException) as failure:
+            self.runs.deliver(getattr(failure, "partial", b""))
+            self.outcomes["no answer"] += 1
+            return request, kind, 0
+        finally:
+            call.close()
+        if kind == "stream":
+            self.runs.deliver(body)
+        self.outcomes[answer.status] += 1
+        mark = answer.getheader("X-Server-Signature")
+        if answer.status == 200:
+            self.check_success(request, kind, mark, body)
+        return request, kind, 0 if mark else answer.status
+
+    def check_success(self, request, kind, mark, body):
+        if mark not in self.runs.of[request]:
+            self.note(f"{request}: success without a run of it")
+        if kind == "stream":
+            events = [f"id: {i}\ndata: {request}"
+                      for i in range(1, MOST_OUT // PER_EVENT + 1)]
+            whole = "\n\n".join(events) + "\n\n"
+        else:
+            whole = f"{request}:{mark}"
+        if body.decode() != whole:
+            self.note(f"{request}: not the whole answer: {body!r}")
+
+    def caller(self, lane):
+        number, addresses, asked = lane, [], 0.0
+        refused = []
+        while not self.stop.is_set():
+            if time.time() - asked > 2 or not addresses:
+                addresses, asked = self.addresses(), time.time()
+            if not addresses:
+                time.sleep(0.1)
+                continue
+            number += 100
+            request, kind, status = self.call_once(number,
+                                                   random.choice(addresses))
+            if status == 503:
+                refused.append((request, kind))
+            time.sleep(random.uniform(0.01, 0.08))
+        time.sleep(1)  # What was refused must not run later either.
+        for request, kind in refused:
+            if self.runs.of.get(request):
+                self.note(f"{request} ({kind}): called not run, and ran")
+
+    def break_something(self):
+        node = self.random.choice(self.nodes)
+        what = self.random.choice(["kill", "pause", "term", "store", "targets",
+                                   "config"])
+        if what in ("kill", "term"):
+            node.signal(signal.SIGKILL if what == "kill" else signal.SIGTERM)
+        elif what == "pause":
+            node.signal(signal.SIGSTOP)
+            threading.Timer(self.random.uniform(0.3, 2), node.signal,
+                            [signal.SIGCONT]).start()
+        elif what == "store":
+            self.store.mode = self.random.choice(["down", "busy", "lossy"])
+            threading.Timer(self.random.uniform(0.5, 3), self.mend_store
+                            ).start()
+        elif what == "targets":
+            self.fault_share = self.random.choice([0.0, 0.1, 0.3])
+        else:
+            self.store.put("config", "main",
+                           configuration(self.store.revision + 1))
+
+    def mend_store(self):
+        self.store.mode = "well"
+
+    def restart_ended(self):
+        for node in self.nodes:
+            if node.process.poll() is not None:
+                code = node.process.returncode
+                # A process that is told to leave before it has begun has
+                # nothing to leave in order.
+                fresh = time.time() - node.started < 1
+                allowed = {0, -signal.SIGKILL}
+                if fresh:
+                    allowed.add(-signal.SIGTERM)
+                if code not in allowed:
+                    self.note(f"n{node.number} ended with {code}")
+                node.start()
+
+    def check_end(self):
+        for request, marks in self.runs.of.items():
+            number = int(request[1:].split(".")[0], 16)
+            if number % 3 == 0 and len(marks) > 1:
+                self.note(f"{request}: may run once, ran {len(marks)} times")
+        if self.runs.tokens > PREPAID:
+            self.note(f"{self.runs.tokens} tokens of {PREPAID} prepaid")
+
+    def check_recovery(self):
+        self.store.mode, self.fault_share = "well", 0.0
+        for node in self.nodes:
+            node.signal(signal.SIGCONT)
+        deadline = time.time() + 15
+        while time.time() < deadline:
+            self.restart_ended()
+            for address in self.addresses():
+                number = 3 * random.randrange(10 ** 6) + 1
+                before = self.outcomes[200]
+                self.call_once(number, address)
+                if self.outcomes[200] > before:
+                    return
+            time.sleep(0.2)
+        self.note("no call was answered after the faults were over")
+
+    def run(self):
+        for node in self.nodes:
+            node.start()
+        callers = [threading.Thread(target=self.caller, args=[i])
+                   for i in range(8)]
+        for it in callers:
+            it.start()
+        end = time.time() + self.seconds
+        time.sleep(min(3, self.seconds / 4))
+        while time.time() < end:
+            self.break_something()
+            for _ in range(self.random.randrange(2, 8)):
+                time.sleep(0.1)
+                self.restart_ended()
+        self.stop.set()
+        for it in callers:
+            it.join()
+        self.check_recovery()
+        for node in self.nodes:
+            node.end()
+        self.check_end()
+        for it in self.closing:
+            it.shutdown()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--binary", default="build/fennelladder")
+    args = parser.parse_args()
+    soak = Soak(args)
+    try:
+        soak.run()
+    finally:
+        for node in soak.nodes:
+            node.end()
+    answered = soak.outcomes[200]
+    print(f"seed {args.seed}: {sum(soak.outcomes.values())} calls, "
+          f"{dict(soak.outcomes)}, {soak.runs.tokens} of {PREPAID} tokens, "
+          f"logs in {soak.folder}")
+    if answered == 0:
+        soak.note("nothing was answered")
+    for text in soak.found:
+        print("  " + text)
+    return 1 if soak.found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
