--- a/include/fennelladder/edge/token_desk.hpp
+++ b/include/fennelladder/edge/token_desk.hpp
@@ -18,11 +18,9 @@
 #ifndef FENNELLADDER_EDGE_TOKEN_DESK_HPP
 #define FENNELLADDER_EDGE_TOKEN_DESK_HPP
 
+#include "fennelladder/edge/allotment_writer.hpp"
 #include "fennelladder/edge/node_tables.hpp"
-#include "fennelladder/edge/platform_client.hpp"
-#include "fennelladder/prepaid/allotment_record.hpp"
 #include "fennelladder/prepaid/stock_plan.hpp"
-#include "platform/object_codec.hpp"
 
 #include <functional>
 #include <map>
@@ -87,15 +85,6 @@
         instant heard;
     };
 
-    /// A write whose reply was lost: either its mark turns up in the record,
-    /// or another revision without it does.
-    struct doubtful_write
-    {
-        prepaid::allotment_draft draft;
-        prepaid::write_mark mark;
-        catalog::revision expected;
-    };
-
     struct asked
     {
         team_id team;
@@ -104,21 +93,12 @@
     };
 
     awaitable<void> keep_stock();
-    awaitable<bool> renew_record();
     awaitable<bool> tend_stock();
-    awaitable<bool> refill(const prepaid::token_amounts& wishes);
-    awaitable<bool> read_record();
-    awaitable<bool> create_record();
-    awaitable<bool> write(const doubtful_write& wanted);
-    awaitable<bool> resolve_doubt();
     awaitable<void> wait_for_change(instant until);
     void give(const mesh::token_ask& ask, const std::string& from,
               tokens amount);
-    void take(const prepaid::allotment_draft& draft);
-    void note_reply(const platform_reply& reply);
-    bool adopt(const adapter::stored_object& object);
+    void take(const prepaid::token_amounts& granted);
     prepaid::token_amounts wishes() const;
-    prepaid::token_amounts prepaid_totals() const;
     std::optional<host_id> best_peer(const team_id& team,
                                      const std::set<host_id>& tried) const;
     shortage shortage_of(const team_id& team) const;
@@ -132,8 +112,8 @@
     void changed();
 
     node_tables& tables_;
-    platform_client& client_;
     sender send_;
+    allotment_writer writer_;
     prepaid::stock_options stock_options_;
     asio::steady_timer wake_refill_;
     std::vector<std::weak_ptr<asio::steady_timer>> waiting_;
@@ -146,12 +126,7 @@
         gifts_taken_;
     std::map<mesh::transfer_number, mesh::token_gift> gifts_;
     mesh::transfer_number last_number_;
-    std::optional<prepaid::allotment_record> record_;
-    catalog::revision record_revision_;
-    instant record_read_;
     instant last_write_;
-    std::optional<doubtful_write> doubt_;
-    std::uint64_t writes_ = 0;
     int failures_ = 0;                 ///< Failed calls in a row.
     std::map<team_id, tokens> wanted_; ///< Missing for requests that wait.
 };
