--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -290,9 +290,8 @@
             continue;
         chosen = it;
         out.cost = price;
-        out.work.reading =
-            reading - static_cast<std::uint32_t>(fetched *
-                                                 (1 - options_.fetch_cost));
+        out.work.reading = reading - static_cast<std::uint32_t>(
+                                         fetched * (1 - options_.fetch_cost));
         out.predicted =
             from_seconds(predicted_seconds(*it, wish, out.work.reading));
         out.fetch_from = fetched > 0 ? holder->entry.address : std::string();
