Let only nodes that heard a change from the platform tell everybody

Change: only those that heard it from the platform announce it. A node that is told of something newer while it fetches asks again when it's done, so that it doesn't wait for the next beacon.

--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -47,6 +47,8 @@
     awaitable<void> accept();
     awaitable<void> serve_sync(std::shared_ptr<tcp::socket> socket);
     awaitable<void> sync_from(std::string address);
+    awaitable<void> sync_once(std::string address);
+    std::string better_informed(const std::string& except) const;
     awaitable<bool> ask_sync(tcp::socket& socket);
     void take(const mesh::datagram& message, const std::string& from);
     void take_beacon(const mesh::beacon& from);
@@ -66,7 +68,6 @@
     std::uint64_t sequence_ = 0;
     bool syncing_ = false;
     bool spreading_ = false;
-    std::string sync_again_; ///< Whom to ask next; empty: nobody.
 };
 
 } // namespace fennelladder::edge
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -19,6 +19,10 @@
 /// A whole exchange of configurations; a few kilobytes within the fleet.
 constexpr duration sync_limit = milliseconds(700);
 
+/// Exchanges in a row, so that nodes that can't be reached don't hold the
+/// next announcement up for long.
+constexpr int most_syncs = 4;
+
 /// A configuration is a megabyte at most, a list of 600 targets far less.
 constexpr std::uint32_t largest_message = 4'194'304;
 
@@ -279,24 +283,43 @@
 
 // Bringing the configuration and targets.
 
+/// A node that knows more than this one, other than `except`; empty if none.
+std::string mesh_node::better_informed(const std::string& except) const
+{
+    for (const mesh::node_row* it : tables_.nodes.alive(tables_.now()))
+        if (it->last.peer_address != except && knows_less_than(it->last))
+            return it->last.peer_address;
+    return {};
+}
+
+awaitable<void> mesh_node::sync_once(std::string address)
+{
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint)
+        co_return;
+    auto socket = std::make_shared<tcp::socket>(tables_.io);
+    asio::steady_timer timer(tables_.io, sync_limit);
+    timer.async_wait([socket](net_error ec) {
+        if (!ec)
+            socket->close(ec);
+    });
+    net_error ec;
+    co_await socket->async_connect(*endpoint, into(ec));
+    if (!ec)
+        (void)co_await ask_sync(*socket);
+    timer.cancel();
+}
+
+/// One exchange at a time. What was announced meanwhile is fetched after it:
+/// in a large fleet the next beacon is seconds away.
 awaitable<void> mesh_node::sync_from(std::string address)
 {
     if (syncing_)
         co_return;
     syncing_ = true;
-    const auto endpoint = parse_endpoint(address);
-    if (endpoint) {
-        auto socket = std::make_shared<tcp::socket>(tables_.io);
-        asio::steady_timer timer(tables_.io, sync_limit);
-        timer.async_wait([socket](net_error ec) {
-            if (!ec)
-                socket->close(ec);
-        });
-        net_error ec;
-        co_await socket->async_connect(*endpoint, into(ec));
-        if (!ec)
-            (void)co_await ask_sync(*socket);
-        timer.cancel();
+    for (int i = 0; i < most_syncs && !address.empty(); ++i) {
+        co_await sync_once(address);
+        address = better_informed(address);
     }
     syncing_ = false;
 }
@@ -327,14 +350,12 @@
 
 void mesh_node::take_sync(const mesh::sync_reply& reply)
 {
-    bool news = false;
     if (!reply.configuration.empty()) {
         const auto spec =
             nlohmann::json::parse(reply.configuration, nullptr, false);
         auto parts = adapter::decode_configuration(spec);
         if (parts)
-            news |= tables_.take_configuration(std::move(*parts),
-                                               reply.configuration);
+            tables_.take_configuration(std::move(*parts), reply.configuration);
         else
             log_event(event::configuration_unreadable,
                       {{"source", "peer"}, {"reason", parts.error().message}});
@@ -345,13 +366,13 @@
         tables_.targets.replace_all(reply.targets, reply.targets_as_of);
     else
         tables_.targets.apply(reply.targets, reply.targets_as_of);
-    if (first ? tables_.targets.known()
-              : tables_.targets.latest_change() != before) {
-        news = true;
+    const bool changed = first ? tables_.targets.known()
+                               : tables_.targets.latest_change() != before;
+    if (changed)
         tables_.list_changed();
-    }
-    if (news)
-        tables_.spread_news();
+    // Those that heard it from the platform tell everybody; if those that
+    // heard it from them did so too, each change would cost a message for
+    // every pair of nodes.
 }
 
 mesh::sync_reply mesh_node::sync_answer(const mesh::sync_ask& ask) const
