Dial anew for what is sent once more; don't keep a connection over an unread body

Cause: two tests of the data path failed beside a busy machine. A request that had met the end of one kept connection went out on another that had ended too, and was given up at its two targets. And a target that rejects a request before it has read its long body may end the connection over it; the next request, which may run once, met that end.

Change: retries use fresh connections; a connection on which a request with a body over 4 kB was rejected isn't kept. Also settles linter findings and takes out fields that nothing read.

--- a/include/fennelladder/edge/caller_server.hpp
+++ b/include/fennelladder/edge/caller_server.hpp
@@ -3,8 +3,9 @@
 //
 //     caller_server server(tables, driver, limits);
 //     server.start(address);
-//     server.stop_accepting();            // when the node leaves
-//     server.close_idle();
+//     server.announce_leaving();          // when the node leaves
+//     server.stop_accepting();
+//     server.refuse_new();
 //
 // Bounds that keep a flood from ending the process: connections, requests
 // under way, and bytes of bodies held; what exceeds them is answered 503 at
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -68,7 +68,6 @@
     std::vector<token_stock> stock;
     std::vector<dispatch::poison_record> poison;
     std::vector<std::string> introduced; ///< Addresses of further nodes.
-    std::vector<target_id> leaving;      ///< Targets first seen leaving here.
 };
 
 /// Asks a peer for tokens. Asking again with the same number gets the same
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -25,6 +25,9 @@
 /// Answers to other requests that are skipped before the right one.
 constexpr int most_skipped = 4;
 
+/// A body up to this size has come with its head.
+constexpr std::size_t sure_to_be_read = 4096;
+
 constexpr std::size_t piece_size = 16'384;
 
 /// What is being written; outlives the attempt, since the write may.
@@ -227,7 +230,11 @@
 void attempt::give_back(const answer_parser& parser)
 {
     const auto facts = adapter::read_answer(parser.get().base());
-    const bool clean = parser.is_done() && !parser.need_eof() &&
+    // A target that rejects a request may do so before it has read a long
+    // body, and end the connection over it.
+    const bool unread =
+        facts.not_run && outgoing_->body.size() > sure_to_be_read;
+    const bool clean = !unread && parser.is_done() && !parser.need_eof() &&
                        parser.keep_alive() && !facts.closes &&
                        outgoing_->done && connection_->buf.size() == 0;
     in_.course.release();
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -211,12 +211,11 @@
         if (!ec)
             buf_.commit(n);
     }
-    if (!ec && buf_.size() < most_ahead)
-        watch_caller(course);
-    else if (ec == asio::error::would_block)
-        watch_caller(course);
-    else if (ec)
+    const bool left = ec && ec != asio::error::would_block;
+    if (left)
         course->stop(stop_reason::caller_left);
+    else if (buf_.size() < most_ahead)
+        watch_caller(course);
 }
 
 void caller_session::watch_caller(exchange_ptr course)
--- a/libs/edge/io.cpp
+++ b/libs/edge/io.cpp
@@ -62,7 +62,7 @@
 
 void spawn(asio::io_context& io, awaitable<void> work)
 {
-    asio::co_spawn(io, std::move(work), [](std::exception_ptr failure) {
+    asio::co_spawn(io, std::move(work), [](const std::exception_ptr& failure) {
         if (failure)
             std::rethrow_exception(failure);
     });
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -268,6 +268,10 @@
                      .reply = reply_,
                      .events = events_};
     in.longest_rest = repeatable ? rest_if_repeatable : rest_if_once;
+    // Where one kept connection had ended, others may have: what is sent once
+    // more goes out on a fresh one.
+    if (so_far_.sent > 0)
+        in.longest_rest = duration(0);
     if (another_is_possible()) {
         in.first_byte_limit =
             std::max(way_->objective * patience_in_objectives, least_patience);
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -38,7 +38,6 @@
   12: optional list<Stock> stock
   13: optional list<Poison> poison
   14: optional list<string> introduced
-  15: optional list<string> leaving
 }
 
 struct TokenAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -60,9 +60,6 @@
     out.__isset.poison = !out.poison.empty();
     out.introduced = from.introduced;
     out.__isset.introduced = !out.introduced.empty();
-    for (const target_id& it : from.leaving)
-        out.leaving.push_back(it.str());
-    out.__isset.leaving = !out.leaving.empty();
     return out;
 }
 
@@ -99,8 +96,6 @@
         out.poison.push_back(std::move(record));
     }
     out.introduced = from.introduced;
-    for (const std::string& it : from.leaving)
-        out.leaving.emplace_back(it);
     return out;
 }
 
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -15,7 +15,6 @@
     out.stock.clear();
     out.poison.clear();
     out.introduced.clear();
-    out.leaving.clear();
     return out;
 }
 
