--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -84,7 +84,7 @@
     awaitable<bool> read_request(caller_request& out);
     awaitable<bool> reject(unsigned status, const char* reason);
     awaitable<void> serve(caller_request request);
-    void watch_caller(exchange_ptr course);
+    void watch_caller(const exchange_ptr& course);
     void on_readable(const exchange_ptr& course);
     void limit_time(duration length);
     void close();
@@ -218,7 +218,7 @@
         watch_caller(course);
 }
 
-void caller_session::watch_caller(exchange_ptr course)
+void caller_session::watch_caller(const exchange_ptr& course)
 {
     socket_.async_wait(tcp::socket::wait_read,
                        [weak = weak_from_this(),
