Say once what stood twice on the event-driven path

Found on reading the whole change again; behaviour stays as it is.

- A beacon was encoded anew for each node it went to, and the counter of datagrams looked up each time: encoded once, counters kept.
- Opening a listener, introducing the seeds, what counts as having reached the platform, what proves that a request didn't run, the end of a kept connection before an answer, and when a refused caller is asked back each stood in two places.
- Switches that always had one value are gone (introductions, freshness).

--- a/include/fennelladder/dispatch/attempt_policy.hpp
+++ b/include/fennelladder/dispatch/attempt_policy.hpp
@@ -39,6 +39,9 @@
 
 std::string_view to_string(attempt_end value);
 
+/// Whether such an end proves that the target didn't run the request.
+bool proved_not_run(attempt_end ended);
+
 /// A request's way so far.
 struct course
 {
--- a/include/fennelladder/edge/allotment_writer.hpp
+++ b/include/fennelladder/edge/allotment_writer.hpp
@@ -70,7 +70,6 @@
     awaitable<bool> write(const doubtful_write& wanted);
     awaitable<bool> resolve_doubt();
     void credit(const prepaid::token_amounts& granted);
-    void note_reply(const platform_reply& reply);
     bool adopt(const adapter::stored_object& object);
 
     node_tables& tables_;
--- a/include/fennelladder/edge/attempt.hpp
+++ b/include/fennelladder/edge/attempt.hpp
@@ -63,7 +63,10 @@
     bool sent = false;            ///< Bytes of the request went out.
     bool first_byte = false;      ///< An answer to it began.
     bool kept_connection = false; ///< Not dialled for this attempt.
-    answer_head head;             ///< Of a failure that may be passed on.
+    /// A kept connection ended before any answer: most likely before the
+    /// request came.
+    bool idle_race = false;
+    answer_head head; ///< Of a failure that may be passed on.
     std::string body;
     std::string detail; ///< For the log.
 };
--- a/include/fennelladder/edge/caller_reply.hpp
+++ b/include/fennelladder/edge/caller_reply.hpp
@@ -30,6 +30,10 @@
     std::string headers; ///< Lines for the caller, see encode_answer_headers.
 };
 
+/// A refused caller is asked to come back after this: long enough for a rest
+/// of a target or a transfer of tokens, short against any deadline.
+inline constexpr duration come_back = milliseconds(300);
+
 /// An answer of the node's own.
 struct own_answer
 {
--- a/include/fennelladder/edge/edge_node.hpp
+++ b/include/fennelladder/edge/edge_node.hpp
@@ -56,6 +56,7 @@
     awaitable<void> watch_signals();
     awaitable<void> leave();
     awaitable<void> housekeeping();
+    void introduce_seeds();
     void reload_settings();
     simple_answer answer_entry(const simple_request& asked);
     simple_answer answer_readiness(const simple_request& asked);
--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -56,7 +56,10 @@
     mesh::sync_reply sync_answer(const mesh::sync_ask& ask) const;
     bool knows_less_than(const mesh::beacon& from) const;
     mesh::beacon own_beacon();
-    void send_beacon(const std::string& address, bool introduce_others);
+    void send_to_all(const std::vector<std::string>& addresses,
+                     const mesh::datagram& message);
+    void send_beacon(const std::vector<std::string>& addresses);
+    void greet(const std::string& address);
     void spread();
 
     node_tables& tables_;
@@ -64,6 +67,8 @@
     token_desk* desk_ = nullptr;
     udp::socket socket_;
     tcp::acceptor acceptor_;
+    telemetry::counter& sent_;
+    telemetry::counter& failed_;
     std::array<char, 65536> datagram_{};
     std::uint64_t sequence_ = 0;
     bool syncing_ = false;
--- a/include/fennelladder/edge/platform_client.hpp
+++ b/include/fennelladder/edge/platform_client.hpp
@@ -37,6 +37,14 @@
 {
     call_outcome outcome = call_outcome::no_reply;
     std::string body;
+
+    /// The store took the call up: it neither turned this node away nor
+    /// stayed silent.
+    bool reached() const
+    {
+        return outcome != call_outcome::no_reply &&
+               outcome != call_outcome::turned_away;
+    }
 };
 
 class platform_client
--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -39,8 +39,8 @@
     awaitable<void> follow_targets();
     awaitable<void> register_node();
 
-    awaitable<bool> list_configuration(adapter::freshness wanted);
-    awaitable<bool> list_targets(adapter::freshness wanted);
+    awaitable<bool> list_configuration();
+    awaitable<bool> list_targets();
     awaitable<bool> list_nodes();
     awaitable<bool> watch_configuration();
     awaitable<bool> watch_targets();
--- a/libs/dispatch/attempt_policy.cpp
+++ b/libs/dispatch/attempt_policy.cpp
@@ -6,12 +6,6 @@
 
 namespace {
 
-bool proved_not_run(attempt_end ended)
-{
-    return ended == attempt_end::not_connected ||
-           ended == attempt_end::rejected || ended == attempt_end::other_life;
-}
-
 bool may_repeat(const course& so_far)
 {
     return so_far.way->repeats == catalog::repeat_rule::idempotent;
@@ -35,6 +29,12 @@
 
 } // namespace
 
+bool proved_not_run(attempt_end ended)
+{
+    return ended == attempt_end::not_connected ||
+           ended == attempt_end::rejected || ended == attempt_end::other_life;
+}
+
 std::string_view to_string(attempt_end value)
 {
     switch (value) {
--- a/libs/dispatch/attempt_policy_test.cpp
+++ b/libs/dispatch/attempt_policy_test.cpp
@@ -18,7 +18,7 @@
      attempt_end::broken, attempt_end::silent, attempt_end::garbled,
      attempt_end::caller_left, attempt_end::out_of_time});
 
-bool proved_not_run(attempt_end it)
+bool oracle_not_run(attempt_end it)
 {
     return it == attempt_end::not_connected || it == attempt_end::rejected ||
            it == attempt_end::other_life;
@@ -43,7 +43,7 @@
             ++now.sent;
         else
             ++now.failed_connects;
-        if (!proved_not_run(ended))
+        if (!oracle_not_run(ended))
             ++now.may_have_run;
         const next_step step = decide_next(now, ended, {});
         ++checked;
--- a/libs/edge/allotment_writer.cpp
+++ b/libs/edge/allotment_writer.cpp
@@ -63,13 +63,6 @@
     return true;
 }
 
-void allotment_writer::note_reply(const platform_reply& reply)
-{
-    const bool reached = reply.outcome != call_outcome::no_reply &&
-                         reply.outcome != call_outcome::turned_away;
-    tables_.note_contact(reached, "allotment record");
-}
-
 awaitable<bool> allotment_writer::create_record()
 {
     const auto body =
@@ -95,7 +88,7 @@
         adapter::object_target(object_kind::prepaid, record_name,
                                adapter::freshness::newest),
         "", call_limit);
-    note_reply(got);
+    tables_.note_contact(got.reached(), "allotment record");
     if (got.outcome == call_outcome::missing) {
         const bool created = co_await create_record();
         co_return created;
@@ -121,7 +114,7 @@
         adapter::object_target(object_kind::prepaid, record_name,
                                adapter::freshness::newest),
         body, call_limit);
-    note_reply(got);
+    tables_.note_contact(got.reached(), "allotment record");
     if (got.outcome == call_outcome::turned_away && !doubt_)
         co_return false;
     if (got.outcome != call_outcome::done &&
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -102,9 +102,9 @@
     }
     // A kept connection that ended before any answer most likely ended before
     // the request came: that says nothing of the target.
-    const bool idle_race = out_.kept_connection && !out_.first_byte;
+    out_.idle_race = out_.kept_connection && !out_.first_byte;
     end(attempt_end::broken,
-        idle_race ? target_evidence::nothing : target_evidence::broke,
+        out_.idle_race ? target_evidence::nothing : target_evidence::broke,
         std::string(where) + ": " + ec_.message());
 }
 
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -23,8 +23,6 @@
 /// What a caller may send ahead of its next answer.
 constexpr std::size_t most_ahead = 65'536;
 
-constexpr duration come_back = milliseconds(300);
-
 /// Bytes of memory a connection is counted with, buffers of the kernel
 /// included.
 constexpr std::size_t bytes_a_connection = 24'576;
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -99,10 +99,7 @@
         return ok;
     if (auto ok = start_servers(); !ok)
         return ok;
-    std::vector<std::string> seeds;
-    for (const std::string& it : tables_.settings.seeds)
-        seeds.push_back(with_port(it, tables_.settings.first_internal_port));
-    mesh_.introduce(seeds);
+    introduce_seeds();
     feed_.start();
     desk_.start();
     spawn(io_, watch_signals());
@@ -114,6 +111,16 @@
     return {};
 }
 
+/// Nodes reach each other at the first internal port, which is the same on all
+/// hosts.
+void edge_node::introduce_seeds()
+{
+    std::vector<std::string> seeds;
+    for (const std::string& it : tables_.settings.seeds)
+        seeds.push_back(with_port(it, tables_.settings.first_internal_port));
+    mesh_.introduce(seeds);
+}
+
 awaitable<void> edge_node::watch_signals()
 {
     for (;;) {
@@ -170,10 +177,7 @@
     tables_.settings.store_address = read->store_address;
     tables_.settings.seeds = read->seeds;
     tables_.settings.stop_grace = read->stop_grace;
-    std::vector<std::string> seeds;
-    for (const std::string& it : read->seeds)
-        seeds.push_back(with_port(it, tables_.settings.first_internal_port));
-    mesh_.introduce(seeds);
+    introduce_seeds();
     log_event(event::settings_reloaded, {{"path", options_.settings_path}});
 }
 
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -1,5 +1,7 @@
 #include "fennelladder/edge/mesh_node.hpp"
 
+#include "fennelladder/edge/simple_server.hpp"
+
 #include "fennelladder/telemetry/log.hpp"
 #include "platform/configuration_codec.hpp"
 
@@ -14,6 +16,8 @@
 using telemetry::log_event;
 namespace event = telemetry::event;
 
+constexpr const char* datagrams_metric = "fennelladder_mesh_datagrams_total";
+
 constexpr duration tick_period = milliseconds(50);
 
 /// A whole exchange of configurations; a few kilobytes within the fleet.
@@ -83,7 +87,10 @@
 
 mesh_node::mesh_node(node_tables& tables, std::string address)
     : tables_(tables), address_(std::move(address)), socket_(tables.io),
-      acceptor_(tables.io)
+      acceptor_(tables.io),
+      sent_(tables.metrics.counter_of(datagrams_metric, {{"result", "sent"}})),
+      failed_(
+          tables.metrics.counter_of(datagrams_metric, {{"result", "failed"}}))
 {}
 
 void mesh_node::connect_desk(token_desk& desk)
@@ -100,13 +107,11 @@
         socket_.open(udp::v4());
         socket_.bind(udp::endpoint(endpoint->address(), endpoint->port()));
         socket_.non_blocking(true);
-        acceptor_.open(tcp::v4());
-        acceptor_.set_option(tcp::acceptor::reuse_address(true));
-        acceptor_.bind(*endpoint);
-        acceptor_.listen();
     } catch (const std::exception& failure) {
         return fail(error_code::unavailable, address_ + ": " + failure.what());
     }
+    if (auto ok = listen_on(acceptor_, address_); !ok)
+        return ok;
     tables_.spread_news = [this] { spread(); };
     spawn(tables_.io, receive());
     spawn(tables_.io, tick());
@@ -127,19 +132,24 @@
 
 void mesh_node::send(const std::string& address, const mesh::datagram& message)
 {
-    const auto endpoint = parse_endpoint(address);
-    if (!endpoint)
-        return;
+    send_to_all({address}, message);
+}
+
+void mesh_node::send_to_all(const std::vector<std::string>& addresses,
+                            const mesh::datagram& message)
+{
     const std::string bytes = mesh::encode(message);
-    net_error ec;
-    socket_.send_to(asio::buffer(bytes),
-                    udp::endpoint(endpoint->address(), endpoint->port()), 0,
-                    ec);
-    // A datagram that can't be sent is lost like any other.
-    tables_.metrics
-        .counter_of("fennelladder_mesh_datagrams_total",
-                    {{"result", ec ? "failed" : "sent"}})
-        .add();
+    for (const std::string& address : addresses) {
+        const auto endpoint = parse_endpoint(address);
+        if (!endpoint)
+            continue;
+        net_error ec;
+        socket_.send_to(asio::buffer(bytes),
+                        udp::endpoint(endpoint->address(), endpoint->port()), 0,
+                        ec);
+        // A datagram that can't be sent is lost like any other.
+        (ec ? failed_ : sent_).add();
+    }
 }
 
 mesh::beacon mesh_node::own_beacon()
@@ -166,16 +176,25 @@
     return out;
 }
 
-void mesh_node::send_beacon(const std::string& address, bool introduce_others)
+/// A beacon to a node that is new here, with the others it may not know.
+void mesh_node::greet(const std::string& address)
 {
     mesh::datagram message;
     message.hello = own_beacon();
-    if (introduce_others)
-        message.hello->introduced =
-            tables_.nodes.introductions(host_id(), tables_.now());
+    message.hello->introduced =
+        tables_.nodes.introductions(host_id(), tables_.now());
     send(address, message);
 }
 
+void mesh_node::send_beacon(const std::vector<std::string>& addresses)
+{
+    if (addresses.empty())
+        return;
+    mesh::datagram message;
+    message.hello = own_beacon();
+    send_to_all(addresses, message);
+}
+
 /// Gathers what changes in one go into one round of beacons.
 void mesh_node::spread()
 {
@@ -184,10 +203,7 @@
     spreading_ = true;
     asio::post(tables_.io, [this] {
         spreading_ = false;
-        mesh::datagram message;
-        message.hello = own_beacon();
-        for (const std::string& it : tables_.nodes.all_addresses())
-            send(it, message);
+        send_beacon(tables_.nodes.all_addresses());
     });
 }
 
@@ -195,13 +211,7 @@
 {
     asio::steady_timer timer(tables_.io);
     for (;;) {
-        const auto due = tables_.nodes.due(tables_.now());
-        if (!due.empty()) {
-            mesh::datagram message;
-            message.hello = own_beacon();
-            for (const std::string& it : due)
-                send(it, message);
-        }
+        send_beacon(tables_.nodes.due(tables_.now()));
         tables_.nodes.forget_old(tables_.now());
         co_await sleep_on(timer, tick_period);
     }
@@ -262,7 +272,7 @@
     if (news.new_node) {
         log_event(event::node_heard,
                   {{"node", from.host.str()}, {"address", from.peer_address}});
-        send_beacon(from.peer_address, true);
+        greet(from.peer_address);
     }
     if (news.state_changed)
         log_event(event::node_state_changed,
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -53,10 +53,8 @@
 
 void platform_feed::note(const platform_reply& reply, const char* what)
 {
-    const bool reached = reply.outcome != call_outcome::no_reply &&
-                         reply.outcome != call_outcome::turned_away;
-    tables_.note_contact(reached, what);
-    if (!reached)
+    tables_.note_contact(reply.reached(), what);
+    if (!reply.reached())
         log_event(event::platform_call_failed,
                   {{"call", what},
                    {"outcome", std::string(to_string(reply.outcome))}});
@@ -97,10 +95,10 @@
     return true;
 }
 
-awaitable<bool> platform_feed::list_configuration(freshness wanted)
+awaitable<bool> platform_feed::list_configuration()
 {
     std::string target =
-        adapter::list_target(object_kind::configuration, wanted, "");
+        adapter::list_target(object_kind::configuration, freshness::newest, "");
     const auto got =
         co_await client_.call(http::verb::get, target, "", list_limit);
     note(got, "list configuration");
@@ -159,7 +157,7 @@
             tables_.now() - configuration_listed_ > relist_period;
         bool fine = false;
         if (relist)
-            fine = co_await list_configuration(freshness::newest);
+            fine = co_await list_configuration();
         else
             fine = co_await watch_configuration();
         // The operator may not have written the first one yet.
@@ -172,14 +170,14 @@
 
 // Targets.
 
-awaitable<bool> platform_feed::list_targets(freshness wanted)
+awaitable<bool> platform_feed::list_targets()
 {
     std::vector<catalog::target_change> entries;
     std::string after;
     std::optional<catalog::revision> as_of;
     for (bool more = true; more;) {
-        std::string target =
-            adapter::list_target(object_kind::targets, wanted, after);
+        std::string target = adapter::list_target(object_kind::targets,
+                                                  freshness::newest, after);
         const auto got =
             co_await client_.call(http::verb::get, target, "", list_limit);
         note(got, "list targets");
@@ -271,7 +269,7 @@
             !listed || tables_.now() - targets_listed_ > relist_period;
         bool fine = false;
         if (relist)
-            fine = co_await list_targets(freshness::newest);
+            fine = co_await list_targets();
         else
             fine = co_await watch_targets();
         listed = fine;
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -13,9 +13,6 @@
 using telemetry::log_event;
 namespace event = telemetry::event;
 
-/// A refused caller is asked to come back after this: long enough for a rest
-/// of a target or a transfer of tokens, short against any deadline.
-constexpr duration come_back = milliseconds(300);
 /// While a node knows no configuration yet.
 constexpr duration come_back_at_start = milliseconds(500);
 /// A request that kills targets is not wanted back soon.
@@ -290,12 +287,10 @@
                                const dispatch::choice& target)
 {
     last_target_ = target.target;
-    const bool proved_not_run = got.ended == attempt_end::not_connected ||
-                                got.ended == attempt_end::rejected ||
-                                got.ended == attempt_end::other_life;
+    const bool unharmed = dispatch::proved_not_run(got.ended);
     if (got.sent)
         ++so_far_.sent;
-    if (got.sent && !proved_not_run) {
+    if (got.sent && !unharmed) {
         ++so_far_.may_have_run;
         prompt_was_read_ = true;
     }
@@ -309,11 +304,9 @@
         driver_.prober_.broke(target.target, mark_);
     // A target that ended a kept connection may be about to fall silent, so
     // another is better; alone in its service it is dialled anew.
-    const bool idle_race = got.ended == attempt_end::broken &&
-                           got.kept_connection && !got.first_byte;
-    if (idle_race)
+    if (got.idle_race)
         tables_.pool.drop_idle(target.target);
-    if (!idle_race || target.candidates > 1)
+    if (!got.idle_race || target.candidates > 1)
         tried_.push_back(target.target);
     so_far_.head_passed_on = reply_.begun();
     so_far_.time_left = time_left();
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -346,8 +346,9 @@
 {
     prepaid::stock_state out;
     out.prepaid = total;
-    out.stockists = stockists(team).size();
-    out.stockist = takes_out(team);
+    const auto few = stockists(team);
+    out.stockists = few.size();
+    out.stockist = std::ranges::find(few, tables_.settings.host) != few.end();
     out.fleet_free = tables_.purse.free_of(team);
     out.fleet_spending = tables_.purse.spending(team, tables_.now());
     for (const auto& [host, peer] : peers_) {
