--- a/include/fennelladder/prepaid/purse.hpp
+++ b/include/fennelladder/prepaid/purse.hpp
@@ -15,12 +15,12 @@
 #ifndef FENNELLADDER_PREPAID_PURSE_HPP
 #define FENNELLADDER_PREPAID_PURSE_HPP
 
+#include "fennelladder/base/decaying_rate.hpp"
 #include "fennelladder/base/ids.hpp"
 #include "fennelladder/base/time.hpp"
 #include "fennelladder/base/tokens.hpp"
 
 #include <map>
-#include <optional>
 
 namespace fennelladder::prepaid {
 
@@ -30,9 +30,9 @@
     tokens free;
     tokens reserved;
     tokens spent;
-    double spent_lately = 0; ///< Fades; see spending().
-    instant spent_at;
-    std::optional<instant> first_spent;
+    /// Short enough to follow a team that begins to send several times as
+    /// much.
+    decaying_rate spending{seconds(4)};
 };
 
 class purse
@@ -65,13 +65,7 @@
 
     const holding_map& holdings() const { return holdings_; }
 
-    /// In this time without requests the spending seen falls to 1/e. Short
-    /// enough to follow a team that begins to send several times as much.
-    static constexpr duration spending_memory = seconds(4);
-
 private:
-    void note_spending(holding& it, tokens amount, instant now);
-
     holding_map holdings_;
 };
 
--- a/libs/prepaid/purse.cpp
+++ b/libs/prepaid/purse.cpp
@@ -1,38 +1,10 @@
-// Spending is a sum that decays with spending_memory. Divided by the part of
-// the decaying past that was seen at all, it is a rate: without that, a team
-// that has just begun would seem to spend a fraction of what it does.
-
 #include "fennelladder/prepaid/purse.hpp"
 
 #include <algorithm>
 #include <cassert>
-#include <cmath>
 
 namespace fennelladder::prepaid {
 
-namespace {
-
-/// A rate over less time than this says nothing.
-constexpr double least_seen_seconds = 1;
-
-double decayed(const holding& it, instant now)
-{
-    const double spans =
-        to_seconds(now - it.spent_at) / to_seconds(purse::spending_memory);
-    return it.spent_lately * std::exp(-std::max(spans, 0.0));
-}
-
-} // namespace
-
-void purse::note_spending(holding& it, tokens amount, instant now)
-{
-    if (!it.first_spent)
-        it.first_spent = now;
-    const double sum = decayed(it, now) + static_cast<double>(amount.count());
-    it.spent_lately = std::max(sum, 0.0);
-    it.spent_at = now;
-}
-
 bool purse::reserve(const team_id& team, tokens amount, instant now)
 {
     assert(amount >= tokens(0));
@@ -41,7 +13,7 @@
         return false;
     it.free -= amount;
     it.reserved += amount;
-    note_spending(it, amount, now);
+    it.spending.add(static_cast<double>(amount.count()), now);
     return true;
 }
 
@@ -54,7 +26,7 @@
     it.reserved -= reserved;
     it.spent += used;
     it.free += reserved - used;
-    note_spending(it, used - reserved, now);
+    it.spending.add(static_cast<double>((used - reserved).count()), now);
 }
 
 void purse::credit(const team_id& team, tokens amount)
@@ -85,13 +57,7 @@
 double purse::spending(const team_id& team, instant now) const
 {
     const auto it = holdings_.find(team);
-    if (it == holdings_.end() || !it->second.first_spent)
-        return 0;
-    const double memory = to_seconds(spending_memory);
-    const double seen =
-        std::max(to_seconds(now - *it->second.first_spent), least_seen_seconds);
-    const double part = 1 - std::exp(-seen / memory);
-    return decayed(it->second, now) / (memory * part);
+    return it == holdings_.end() ? 0 : it->second.spending.at(now);
 }
 
 } // namespace fennelladder::prepaid
