Let sessions of callers end after their server

Cause (by a profile): the server is destroyed before the io_context, whose coroutines hold what sessions are left; each took itself out of the server's list, which was gone. Ruled out: the loops of the token desk, by the stack.

The list is shared now.

--- a/include/fennelladder/edge/caller_server.hpp
+++ b/include/fennelladder/edge/caller_server.hpp
@@ -54,11 +54,15 @@
     /// Refuses new requests; connections without one under way are closed.
     void refuse_new();
 
+    /// Connections of callers.
+    std::size_t sessions() const { return sessions_->size(); }
+
     /// Requests under way.
     std::size_t under_way() const { return under_way_; }
 
 private:
     friend class caller_session;
+    using session_set = std::set<caller_session*>;
 
     awaitable<void> accept();
 
@@ -66,7 +70,7 @@
     request_driver& driver_;
     const caller_server_limits limits_;
     tcp::acceptor acceptor_;
-    std::set<caller_session*> sessions_;
+    std::shared_ptr<session_set> sessions_ = std::make_shared<session_set>();
     std::size_t under_way_ = 0;
     std::size_t body_bytes_ = 0;
     bool leaving_ = false;
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -58,13 +58,15 @@
 {
 public:
     caller_session(caller_server& server, tcp::socket socket)
-        : server_(server), tables_(server.tables_), socket_(std::move(socket)),
-          timer_(tables_.io), reply_(socket_)
+        : server_(server), all_(server.sessions_), tables_(server.tables_),
+          socket_(std::move(socket)), timer_(tables_.io), reply_(socket_)
     {
-        server_.sessions_.insert(this);
+        all_->insert(this);
     }
 
-    ~caller_session() { server_.sessions_.erase(this); }
+    /// May run after the server is gone: with the node's end, sessions that
+    /// are left end with the io_context that holds their coroutines.
+    ~caller_session() { all_->erase(this); }
 
     /// Holds the session for as long as it lasts.
     static awaitable<void> run(std::shared_ptr<caller_session> session);
@@ -88,6 +90,7 @@
     void close();
 
     caller_server& server_;
+    std::shared_ptr<caller_server::session_set> all_;
     node_tables& tables_;
     tcp::socket socket_;
     asio::steady_timer timer_;
@@ -333,7 +336,7 @@
 void caller_server::refuse_new()
 {
     refusing_ = true;
-    const auto all = sessions_;
+    const auto all = *sessions_;
     for (caller_session* it : all)
         it->close_if_idle();
 }
@@ -349,7 +352,7 @@
             co_await sleep_on(timer, accept_pause);
             continue;
         }
-        if (sessions_.size() >= limits_.connections) {
+        if (sessions_->size() >= limits_.connections) {
             socket.close(ec);
             continue;
         }
