Look for the caller before a request is sent on

Cause: a team that sends all it has to one small host; the node reads requests late, with the end of the connection right behind them, and sends them on in the same turn. Ruled out: its processor (0.07 cores at most).

The socket is read once more before anything is sent. A failed connect now says why in its log line: it was 'no connection' for all causes.

--- a/include/fennelladder/edge/exchange.hpp
+++ b/include/fennelladder/edge/exchange.hpp
@@ -51,6 +51,13 @@
     /// cut the caller off when it doesn't take its answer.
     void on_stop(std::function<void(stop_reason)> then);
 
+    /// How to find out whether the caller has left: on a busy node its end
+    /// may have arrived without having been read.
+    void on_look(std::function<void()> look);
+
+    /// Looks now. Stops the course if the caller has left.
+    void look_for_caller();
+
     void stop(stop_reason why);
     stop_reason stopped() const { return stopped_; }
 
@@ -71,6 +78,7 @@
     std::optional<instant> silence_limit_;
     connection_ptr held_;
     std::function<void(stop_reason)> then_;
+    std::function<void()> look_;
     stop_reason stopped_ = stop_reason::none;
     bool ended_ = false;
 };
--- a/include/fennelladder/edge/target_connection.hpp
+++ b/include/fennelladder/edge/target_connection.hpp
@@ -15,6 +15,7 @@
 #ifndef FENNELLADDER_EDGE_TARGET_CONNECTION_HPP
 #define FENNELLADDER_EDGE_TARGET_CONNECTION_HPP
 
+#include "fennelladder/base/error.hpp"
 #include "fennelladder/base/ids.hpp"
 #include "fennelladder/edge/io.hpp"
 
@@ -62,9 +63,9 @@
     /// Registers a connection that is about to be opened.
     connection_ptr make(const target_id& target);
 
-    /// Connects; false when refused, or not done in `limit`.
-    awaitable<bool> open(connection_ptr made, const std::string& address,
-                         duration limit);
+    /// Connects; fails when refused, or not done in `limit`, and says so.
+    awaitable<status> open(connection_ptr made, const std::string& address,
+                           duration limit);
 
     /// Keeps the connection for a later request. Precondition: its answer was
     /// complete, and nothing was read beyond it.
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -50,6 +50,7 @@
 
 private:
     awaitable<bool> connect();
+    bool is_wanted();
     void send();
     awaitable<void> read_answers();
     awaitable<bool> read_head(std::optional<answer_parser>& parser);
@@ -131,18 +132,29 @@
     }
     connection_ = in_.tables.pool.make(in_.target.target);
     in_.course.hold(connection_);
-    const bool made = co_await in_.tables.pool.open(
+    const status made = co_await in_.tables.pool.open(
         connection_, in_.target.address, connect_limit);
     if (made && in_.course.stopped() == stop_reason::none)
         co_return true;
     if (in_.course.stopped() == stop_reason::none)
         end(attempt_end::not_connected, target_evidence::unreachable,
-            "no connection");
+            made ? "stopped" : made.error().message);
     else
         end_by_error("connect");
     co_return false;
 }
 
+/// On a node that is behind with its work a caller may have left unnoticed;
+/// what is sent on then only burdens a target.
+bool attempt::is_wanted()
+{
+    in_.course.look_for_caller();
+    if (in_.course.stopped() == stop_reason::none)
+        return true;
+    end_by_error("before sending");
+    return false;
+}
+
 void attempt::send()
 {
     const caller_request& request = in_.request;
@@ -424,7 +436,7 @@
 awaitable<attempt_outcome> attempt::run()
 {
     const bool connected = co_await connect();
-    if (connected) {
+    if (connected && is_wanted()) {
         moved_on(in_.first_byte_limit);
         send();
         co_await read_answers();
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -85,6 +85,7 @@
     awaitable<bool> reject(unsigned status, const char* reason);
     awaitable<void> serve(caller_request request);
     void watch_caller(const exchange_ptr& course);
+    bool caller_is_there();
     void on_readable(const exchange_ptr& course);
     void limit_time(duration length);
     void close();
@@ -203,17 +204,22 @@
     co_return true;
 }
 
-void caller_session::on_readable(const exchange_ptr& course)
+/// Reads what the caller sent ahead; false if it closed its connection.
+bool caller_session::caller_is_there()
 {
+    if (buf_.size() >= most_ahead)
+        return true;
     net_error ec;
-    if (buf_.size() < most_ahead) {
-        const std::size_t n =
-            socket_.read_some(buf_.prepare(most_ahead - buf_.size()), ec);
-        if (!ec)
-            buf_.commit(n);
-    }
-    const bool left = ec && ec != asio::error::would_block;
-    if (left)
+    const std::size_t n =
+        socket_.read_some(buf_.prepare(most_ahead - buf_.size()), ec);
+    if (!ec)
+        buf_.commit(n);
+    return !ec || ec == asio::error::would_block;
+}
+
+void caller_session::on_readable(const exchange_ptr& course)
+{
+    if (!caller_is_there())
         course->stop(stop_reason::caller_left);
     else if (buf_.size() < most_ahead)
         watch_caller(course);
@@ -244,6 +250,11 @@
         if (self && why != stop_reason::silent && self->reply_.is_writing())
             self->close();
     });
+    course->on_look([this, weak = std::weak_ptr<exchange>(course)] {
+        const auto running = weak.lock();
+        if (running && !caller_is_there())
+            running->stop(stop_reason::caller_left);
+    });
     watch_caller(course);
     co_await server_.driver_.serve(request, reply_, course);
     course->end();
--- a/libs/edge/exchange.cpp
+++ b/libs/edge/exchange.cpp
@@ -69,6 +69,17 @@
     then_ = std::move(then);
 }
 
+void exchange::on_look(std::function<void()> look)
+{
+    look_ = std::move(look);
+}
+
+void exchange::look_for_caller()
+{
+    if (look_ && !ended_ && stopped_ == stop_reason::none)
+        look_();
+}
+
 void exchange::stop(stop_reason why)
 {
     if (ended_ || stopped_ != stop_reason::none)
@@ -94,6 +105,7 @@
 {
     ended_ = true;
     then_ = nullptr;
+    look_ = nullptr;
     held_.reset();
     timer_.cancel();
 }
--- a/libs/edge/target_connection.cpp
+++ b/libs/edge/target_connection.cpp
@@ -48,12 +48,12 @@
     return std::make_shared<target_connection>(io_, target);
 }
 
-awaitable<bool> target_pool::open(connection_ptr made,
-                                  const std::string& address, duration limit)
+awaitable<status> target_pool::open(connection_ptr made,
+                                    const std::string& address, duration limit)
 {
     const auto endpoint = parse_endpoint(address);
     if (!endpoint)
-        co_return false;
+        co_return fail(error_code::invalid, "not an address: " + address);
     asio::steady_timer timer(io_, limit);
     timer.async_wait([made](net_error ec) {
         if (!ec)
@@ -62,10 +62,12 @@
     net_error ec;
     co_await made->socket.async_connect(*endpoint, into(ec));
     timer.cancel();
-    if (ec || !made->socket.is_open())
-        co_return false;
+    if (!made->socket.is_open())
+        co_return fail(error_code::unavailable, "no connection in time");
+    if (ec)
+        co_return fail(error_code::unavailable, "connect: " + ec.message());
     guard_silence(made->socket, options_.silence_limit);
-    co_return true;
+    co_return status();
 }
 
 void target_pool::give_back(connection_ptr used,
--- a/libs/edge/target_prober.cpp
+++ b/libs/edge/target_prober.cpp
@@ -43,7 +43,9 @@
     if (address) {
         tables_.pool.drop_idle(target);
         connection_ptr made = tables_.pool.make(target);
-        alive = co_await tables_.pool.open(made, *address, probe_limit);
+        const status opened =
+            co_await tables_.pool.open(made, *address, probe_limit);
+        alive = opened.has_value();
         if (alive)
             tables_.pool.give_back(made, std::nullopt, tables_.now());
     }
