Name large hosts first in entry answers

Cause: callers pick at random among all nodes of their data centre, also where most hosts are a quarter as large as the others; a host with a link of 10 Mbit/s that a team falls upon answers a second late. Ruled out: leaving only strained nodes out, since a team would move from one small host to the next.

Teams that stick to one address still do.

--- a/include/fennelladder/edge/entry_planner.hpp
+++ b/include/fennelladder/edge/entry_planner.hpp
@@ -1,8 +1,11 @@
 // Which addresses a caller is told to use.
 //
-// All nodes that are ready and were heard lately, those of the caller's own
-// data centre alone if there are enough of them: its bytes then stay there.
-// Callers pick at random among what they are told.
+// Nodes that are ready and were heard lately, those of the caller's own data
+// centre alone if there are enough of them: its bytes then stay there. Callers
+// pick at random among what they are told, and some send all they have to one
+// address; so where hosts are unequal, the small ones are named only when the
+// large ones can't carry the load of all with room to spare. Fewer nodes also
+// keep their connections to targets busy, which saves most new ones.
 //
 // Pure; thread safe.
 
@@ -21,6 +24,8 @@
 {
     std::string address;
     data_center_id data_center;
+    double capacity = 0; ///< Requests a second it can carry.
+    double load = 0;     ///< Requests a second it carries now.
 };
 
 struct entry_options
@@ -29,8 +34,19 @@
     /// With as many nodes in the caller's data centre, no others are named:
     /// if one of them dies, the caller has another.
     std::size_t enough_near = 3;
+    /// At least so many nodes are named, if there are any.
+    std::size_t enough_capable = 2;
+    /// Nodes with this share of the capacity of the largest count as equal to
+    /// it and are named with it.
+    double equal_share = 0.5;
+    /// The nodes that are named can carry this many times the load seen. A
+    /// burst is twice the usual, and the load is known some seconds late.
+    double headroom = 2;
 };
 
+/// What a host can carry, by its processor and its link: requests a second.
+double request_capacity(double cores, double link_bits_per_second);
+
 std::vector<std::string> plan_entry(const std::vector<entry_node>& nodes,
                                     const data_center_id& caller,
                                     const entry_options& options);
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -7,6 +7,7 @@
 #ifndef FENNELLADDER_EDGE_NODE_TABLES_HPP
 #define FENNELLADDER_EDGE_NODE_TABLES_HPP
 
+#include "fennelladder/base/decaying_rate.hpp"
 #include "fennelladder/base/random.hpp"
 #include "fennelladder/catalog/configuration.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
@@ -44,6 +45,9 @@
 
     mesh::node_state state() const;
 
+    /// Requests a second that this host can carry.
+    double capacity() const;
+
     /// Lets the target book know what the list says.
     void list_changed();
 
@@ -73,6 +77,9 @@
     target_pool pool;
     telemetry::metrics metrics;
     platform_contact contact;
+    /// From callers. As long a memory as it takes callers to ask for entry
+    /// answers twice: their load then has followed the last answer.
+    decaying_rate requests_taken{seconds(4)};
     bool leaving = false;
 
     /// Tells the other nodes at once; set by the mesh.
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -64,6 +64,8 @@
     catalog::configuration_version configuration; ///< In force there.
     catalog::revision targets_changed; ///< Latest change it knows; 0: none.
     bool platform_reached = false;     ///< Lately, and it answered.
+    double requests_per_second = 0;    ///< Taken from callers lately.
+    double capacity = 0;               ///< Requests a second that it can carry.
     std::vector<dispatch::target_load> load;
     std::vector<token_stock> stock;
     std::vector<dispatch::poison_record> poison;
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -256,6 +256,7 @@
             running->stop(stop_reason::caller_left);
     });
     watch_caller(course);
+    tables_.requests_taken.add(1, tables_.now());
     co_await server_.driver_.serve(request, reply_, course);
     course->end();
     net_error ec;
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -213,12 +213,15 @@
         return {404, "text/plain", "no such path\n"};
     const auto question = adapter::read_entry_question(asked.query);
     std::vector<entry_node> nodes;
+    const instant now = tables_.now();
     if (tables_.ready())
-        nodes.push_back(
-            {tables_.settings.listen.callers, tables_.settings.data_center});
-    for (const mesh::node_row* it : tables_.nodes.alive(tables_.now()))
+        nodes.push_back({tables_.settings.listen.callers,
+                         tables_.settings.data_center, tables_.capacity(),
+                         tables_.requests_taken.at(now)});
+    for (const mesh::node_row* it : tables_.nodes.alive(now))
         if (it->last.state == mesh::node_state::ready)
-            nodes.push_back({it->last.caller_address, it->last.data_center});
+            nodes.push_back({it->last.caller_address, it->last.data_center,
+                             it->last.capacity, it->last.requests_per_second});
     const auto addresses = plan_entry(nodes, question.data_center, {});
     if (addresses.empty())
         return {503, "text/plain", "no node is ready\n"};
--- a/libs/edge/entry_planner.cpp
+++ b/libs/edge/entry_planner.cpp
@@ -1,25 +1,70 @@
 #include "fennelladder/edge/entry_planner.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace fennelladder::edge {
 
+namespace {
+
+/// Processor time of a request with its share of all upkeep: 0.011 cores at 9
+/// requests a second.
+constexpr double core_seconds_per_request = 0.0012;
+
+/// Bits on the busier direction of the link for a request: an answer of 40
+/// events comes from the target, and one like it goes to the caller.
+constexpr double link_bits_per_request = 80'000;
+
+/// Those of the largest nodes that carry the load of all with headroom.
+void keep_capable(std::vector<entry_node>& nodes, const entry_options& options)
+{
+    std::ranges::stable_sort(nodes, std::greater<>(), &entry_node::capacity);
+    const double load = std::accumulate(
+        nodes.begin(), nodes.end(), 0.0,
+        [](double sum, const entry_node& it) { return sum + it.load; });
+    double largest = 0;
+    double carried = 0;
+    std::size_t kept = 0;
+    for (const entry_node& it : nodes) {
+        const bool equal =
+            kept > 0 && it.capacity >= largest * options.equal_share;
+        const bool enough = kept >= options.enough_capable &&
+                            carried >= load * options.headroom;
+        if (enough && !equal)
+            break;
+        if (!equal)
+            largest = it.capacity;
+        carried += it.capacity;
+        ++kept;
+    }
+    nodes.resize(kept);
+}
+
+} // namespace
+
+double request_capacity(double cores, double link_bits_per_second)
+{
+    return std::min(cores / core_seconds_per_request,
+                    link_bits_per_second / link_bits_per_request);
+}
+
 std::vector<std::string> plan_entry(const std::vector<entry_node>& nodes,
                                     const data_center_id& caller,
                                     const entry_options& options)
 {
-    std::vector<std::string> near;
-    std::vector<std::string> all;
-    for (const entry_node& it : nodes) {
-        if (it.data_center == caller)
-            near.push_back(it.address);
-        all.push_back(it.address);
-    }
-    std::vector<std::string>& out =
-        near.size() >= options.enough_near ? near : all;
-    if (out.size() > options.most_addresses)
-        out.resize(options.most_addresses);
-    return std::move(out);
+    std::vector<entry_node> named;
+    std::ranges::copy_if(
+        nodes, std::back_inserter(named),
+        [&](const entry_node& it) { return it.data_center == caller; });
+    if (named.size() < options.enough_near)
+        named = nodes;
+    keep_capable(named, options);
+    if (named.size() > options.most_addresses)
+        named.resize(options.most_addresses);
+    std::vector<std::string> out;
+    for (entry_node& it : named)
+        out.push_back(std::move(it.address));
+    return out;
 }
 
 } // namespace fennelladder::edge
--- a/libs/edge/entry_planner_test.cpp
+++ b/libs/edge/entry_planner_test.cpp
@@ -11,9 +11,11 @@
 {
     std::vector<entry_node> out;
     for (int i = 0; i < near; ++i)
-        out.push_back({"near" + std::to_string(i), data_center_id("a")});
+        out.push_back(
+            {"near" + std::to_string(i), data_center_id("a"), 200, 10});
     for (int i = 0; i < far; ++i)
-        out.push_back({"far" + std::to_string(i), data_center_id("b")});
+        out.push_back(
+            {"far" + std::to_string(i), data_center_id("b"), 200, 10});
     return out;
 }
 
@@ -43,3 +45,31 @@
 {
     UNSIGNED_LONGS_EQUAL(64, count(100, 0));
 }
+
+// Story: hosts are unequal, and one caller sends all it has to one address. On
+// a small host its answers wait in the link for a second, connections to
+// targets time out, and requests are passed on after their callers left.
+TEST(entry_planner, small_nodes_are_spared_while_the_large_ones_suffice)
+{
+    const data_center_id here("a");
+    const auto count_with = [&](int large, double load) {
+        std::vector<entry_node> all;
+        for (int i = 0; i < 20; ++i)
+            all.push_back({"small", here, 100, load / 20});
+        for (int i = 0; i < large; ++i)
+            all.push_back({"large", here, 400 + 10.0 * i, 0});
+        return plan_entry(all, here, {}).size();
+    };
+    UNSIGNED_LONGS_EQUAL(2, count_with(2, 200));
+    UNSIGNED_LONGS_EQUAL(22, count_with(2, 420));
+    UNSIGNED_LONGS_EQUAL(3, count_with(3, 420));
+    // One alone isn't enough: if it dies, a caller has nobody.
+    UNSIGNED_LONGS_EQUAL(21, count_with(1, 10));
+    UNSIGNED_LONGS_EQUAL(20, count_with(0, 10));
+}
+
+TEST(entry_planner, capacity_is_that_of_the_scarcer_resource)
+{
+    DOUBLES_EQUAL(100, request_capacity(0.12, 10e9), 1e-6);
+    DOUBLES_EQUAL(125, request_capacity(0.5, 10e6), 1e-6);
+}
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -166,6 +166,8 @@
         out.configuration = tables_.config->version();
     out.targets_changed = tables_.targets.latest_change();
     out.platform_reached = tables_.contact.reached;
+    out.requests_per_second = tables_.requests_taken.at(tables_.now());
+    out.capacity = tables_.capacity();
     out.load = tables_.book.own_load();
     shorten(out.load, load_limit);
     if (desk_ != nullptr)
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -1,5 +1,6 @@
 #include "fennelladder/edge/node_tables.hpp"
 
+#include "fennelladder/edge/entry_planner.hpp"
 #include "fennelladder/telemetry/log.hpp"
 
 namespace fennelladder::edge {
@@ -53,6 +54,11 @@
     return ready() ? mesh::node_state::ready : mesh::node_state::starting;
 }
 
+double node_tables::capacity() const
+{
+    return request_capacity(settings.cores, settings.link_bits_per_second);
+}
+
 void node_tables::list_changed()
 {
     const bool in_doubt =
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -38,6 +38,8 @@
   12: optional list<Stock> stock
   13: optional list<Poison> poison
   14: optional list<string> introduced
+  15: double requests_per_second
+  16: double capacity
 }
 
 struct TokenAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -34,6 +34,8 @@
     out.configuration = number(from.configuration.value());
     out.targets_changed = number(from.targets_changed.value());
     out.platform_reached = from.platform_reached;
+    out.requests_per_second = from.requests_per_second;
+    out.capacity = from.capacity;
     for (const auto& it : from.load) {
         wire::Load load;
         load.target = it.target.str();
@@ -81,6 +83,8 @@
         id_of<catalog::configuration_version>(from.configuration);
     out.targets_changed = id_of<catalog::revision>(from.targets_changed);
     out.platform_reached = from.platform_reached;
+    out.requests_per_second = from.requests_per_second;
+    out.capacity = from.capacity;
     for (const wire::Load& it : from.load)
         out.load.push_back({target_id(it.target),
                             static_cast<std::uint32_t>(it.running),
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -21,6 +21,8 @@
     out.configuration = catalog::configuration_version(9);
     out.targets_changed = catalog::revision(12);
     out.platform_reached = true;
+    out.requests_per_second = 12.5;
+    out.capacity = 400;
     out.load = {{target_id("i-1"), 3, 400}};
     out.stock = {{team_id("t"), tokens(1000), tokens(20)}};
     out.poison = {{dispatch::request_mark(0xfedcba9876543210),
