Charge nothing for a prompt of which no token was made

Cause: a caller that leaves before the first token was charged for its whole prompt, since the connection was closed at once and nobody could say whether a token had been made.

When the caller leaves before anything was answered, only this side of the connection is closed at first. A target that ends its side without a byte has made no token; a reset, bytes, or silence of 100 ms are charged as before.

--- a/include/fennelladder/edge/attempt.hpp
+++ b/include/fennelladder/edge/attempt.hpp
@@ -66,6 +66,9 @@
     /// A kept connection ended before any answer: most likely before the
     /// request came.
     bool idle_race = false;
+    /// The target was told that the caller is gone, and ended the connection
+    /// without having sent anything: it made no token.
+    bool nothing_made = false;
     answer_head head; ///< Of a failure that may be passed on.
     std::string body;
     std::string detail; ///< For the log.
--- a/include/fennelladder/edge/exchange.hpp
+++ b/include/fennelladder/edge/exchange.hpp
@@ -43,7 +43,10 @@
     /// Stops the attempt at `at` unless it's moved on before.
     void set_silence_limit(std::optional<instant> at);
 
-    /// The connection to close when the course is stopped.
+    /// The connection to close when the course is stopped. If the caller left
+    /// before the target answered anything, only this node's side is closed
+    /// at first: what the target still sent, or that it sent nothing, tells
+    /// whether the team owes for its prompt.
     void hold(connection_ptr held);
     void release();
 
@@ -70,6 +73,7 @@
 private:
     void arm();
     void on_timer();
+    void close_in_order();
 
     const clock& time_;
     asio::steady_timer timer_;
--- a/include/fennelladder/edge/target_connection.hpp
+++ b/include/fennelladder/edge/target_connection.hpp
@@ -32,8 +32,9 @@
 
     target_id target;
     tcp::socket socket;
-    beast::flat_buffer buf; ///< Read from the target, not yet parsed.
-    bool used = false;      ///< Carried a request before.
+    beast::flat_buffer buf;  ///< Read from the target, not yet parsed.
+    bool used = false;       ///< Carried a request before.
+    bool unanswered = false; ///< A request is out, and nothing came yet.
     instant idle_since;
     duration idle_limit{0};
 };
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -167,6 +167,7 @@
     outgoing_->body = request.body;
     outgoing_->connection = connection_;
     out_.sent = true;
+    connection_->unanswered = true;
     sent_at_ = in_.tables.now();
     const std::array<asio::const_buffer, 2> bytes{
         asio::buffer(outgoing_->head), asio::buffer(outgoing_->body)};
@@ -184,7 +185,11 @@
         parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         co_await http::async_read_header(connection_->socket, connection_->buf,
                                          *parser, into(ec_));
-        if (ec_) {
+        connection_->unanswered = false;
+        if (ec_ || in_.course.stopped() != stop_reason::none) {
+            out_.nothing_made =
+                ec_ == http::error::end_of_stream && outgoing_->done &&
+                in_.course.stopped() == stop_reason::caller_left;
             end_by_error("answer's head");
             co_return false;
         }
--- a/libs/edge/exchange.cpp
+++ b/libs/edge/exchange.cpp
@@ -8,6 +8,15 @@
 
 namespace fennelladder::edge {
 
+namespace {
+
+/// A target notices within a round trip that its caller is gone, and ends the
+/// connection itself. One that doesn't is cut off after this long, well before
+/// the half second after which its work counts as wasted.
+constexpr duration farewell = milliseconds(100);
+
+} // namespace
+
 exchange::exchange(asio::io_context& io, const clock& time)
     : time_(time), timer_(io)
 {}
@@ -85,14 +94,28 @@
     if (ended_ || stopped_ != stop_reason::none)
         return;
     stopped_ = why;
-    if (held_) {
-        net_error ec;
+    net_error ec;
+    if (held_ && held_->unanswered && why == stop_reason::caller_left)
+        close_in_order();
+    else if (held_)
         held_->socket.close(ec);
-    }
     if (then_)
         then_(why);
 }
 
+void exchange::close_in_order()
+{
+    net_error ec;
+    held_->socket.shutdown(tcp::socket::shutdown_send, ec);
+    const auto timer = std::make_shared<asio::steady_timer>(
+        held_->socket.get_executor(), farewell);
+    timer->async_wait([timer, held = held_](net_error failed) {
+        net_error ignored;
+        if (!failed)
+            held->socket.close(ignored);
+    });
+}
+
 void exchange::clear_silence()
 {
     if (stopped_ == stop_reason::silent)
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -119,7 +119,7 @@
     event_splitter events_;
     std::vector<target_id> tried_;
     target_id last_target_;
-    bool prompt_was_read_ = false; ///< A target may have begun to read it.
+    bool prompt_was_read_ = false; ///< And a token made of it, perhaps.
     std::optional<instant> first_byte_at_;
 };
 
@@ -292,7 +292,7 @@
         ++so_far_.sent;
     if (got.sent && !unharmed) {
         ++so_far_.may_have_run;
-        prompt_was_read_ = true;
+        prompt_was_read_ |= !got.nothing_made;
     }
     if (got.ended == attempt_end::rejected)
         ++so_far_.rejections;
