--- a/apps/fennelladder/commands.hpp
+++ b/apps/fennelladder/commands.hpp
@@ -12,6 +12,7 @@
 int run_demo(int argc, char** argv);
 int run_serve(int argc, char** argv);
 int run_standin(int argc, char** argv);
+int run_explain(int argc, char** argv);
 int run_report(int argc, char** argv);
 int run_status(int argc, char** argv);
 int run_topup(int argc, char** argv);
--- a/apps/fennelladder/main.cpp
+++ b/apps/fennelladder/main.cpp
@@ -19,6 +19,7 @@
     {"demo", "both deployments in one process, with faults", run_demo},
     {"bench", "measurements, each beside its baselines", run_bench},
     {"standin", "platform, engine or service for trying out", run_standin},
+    {"explain", "what became of a request, by the nodes' logs", run_explain},
     {"report", "reports for operators", run_report},
     {"status", "how nodes, targets, budgets and platform are", run_status},
     {"topup", "prepay tokens of a budget, once by id", run_topup},
