--- a/include/fennelladder/prepaid/stock_plan.hpp
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -38,7 +38,7 @@
     std::size_t writers = 8;
     /// Spending that the fleet's stock covers. The platform is away for some
     /// seconds at a time; what is stocked is lost if all nodes die at once.
-    duration horizon = seconds(12);
+    duration horizon = seconds(8);
     /// Stock before any spending was seen, as a share of what was prepaid.
     double first_share = 0.10;
     /// The stock is at most this share of what is still unspent, so that a
