Find a large fleet within seconds of its start

Cause: addresses that never answered were tried one in 250 ms, and only the first page of the list of nodes was read. A hundred nodes that start at once needed half a minute to hear each other. Ruled out by the test: the addresses that come with greetings are always the same sixteen.

A tenth of them is tried at a time, and all pages are read.

--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -31,6 +31,9 @@
     /// Beacons a second that a node sends at most; a larger fleet hears each
     /// node less often.
     double beacon_rate = 40;
+    /// Addresses that never answered are all tried within so many periods of a
+    /// small fleet: a fleet that starts anew finds itself in 2.5 s.
+    std::size_t periods_to_try_all = 10;
     /// A node not heard for this many periods is taken for dead.
     double silent_periods = 4;
     /// A node silent for this long is forgotten.
@@ -66,7 +69,7 @@
     /// Addresses to send beacons to although nobody answered there yet.
     void add_addresses(const std::vector<std::string>& addresses);
 
-    /// Whom to send a beacon to now: every node once a period, and one of the
+    /// Whom to send a beacon to now: every node once a period, and some of the
     /// addresses that never answered.
     std::vector<std::string> due(instant now);
 
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -271,20 +271,23 @@
 
 awaitable<bool> platform_feed::list_nodes()
 {
-    std::string target =
-        adapter::list_target(object_kind::nodes, freshness::maybe_stale, "");
-    const auto got =
-        co_await client_.call(http::verb::get, target, "", list_limit);
-    if (got.outcome != call_outcome::done)
-        co_return false;
-    const auto page = adapter::decode_page(got.body);
-    if (!page)
-        co_return false;
-    std::vector<std::string> addresses;
-    for (const adapter::stored_object& it : page->objects)
-        if (it.content.is_object())
-            addresses.push_back(it.content.value(address_field, ""));
-    mesh_.introduce(addresses);
+    std::string after;
+    for (bool more = true; more;) {
+        std::string target = adapter::list_target(
+            object_kind::nodes, freshness::maybe_stale, after);
+        const auto page = co_await fetch("list nodes", target, list_limit,
+                                         adapter::decode_page);
+        if (!page)
+            co_return false;
+        std::vector<std::string> addresses;
+        for (const adapter::stored_object& it : page->objects) {
+            if (it.content.is_object())
+                addresses.push_back(it.content.value(address_field, ""));
+            after = it.name;
+        }
+        mesh_.introduce(addresses);
+        more = page->more && !page->objects.empty();
+    }
     co_return true;
 }
 
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -70,13 +70,15 @@
         next = now + period();
         out.push_back(row.last.peer_address);
     }
-    if (!unanswered_.empty()) {
-        instant& next = next_due_[""];
-        if (now >= next) {
-            next = now + options_.beacon_period;
-            out.push_back(unanswered_[turn_++ % unanswered_.size()]);
-        }
-    }
+    if (unanswered_.empty())
+        return out;
+    instant& next = next_due_[""];
+    if (now < next)
+        return out;
+    next = now + options_.beacon_period;
+    const std::size_t n = 1 + unanswered_.size() / options_.periods_to_try_all;
+    for (std::size_t i = 0; i < n; ++i)
+        out.push_back(unanswered_[turn_++ % unanswered_.size()]);
     return out;
 }
 
--- a/libs/mesh/roster_test.cpp
+++ b/libs/mesh/roster_test.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <set>
 
 using namespace fennelladder;
 using namespace fennelladder::mesh;
@@ -64,6 +65,23 @@
 
 // Story: the nodes that watch the platform are cut off from it. Others have
 // to take over, and all have to agree on who.
+// Story: all nodes of a large fleet are killed and start again. Each knows the
+// others' addresses from the platform and has heard nobody. With one of them
+// tried four times a second, a hundred nodes needed half a minute to find each
+// other; till then each believed to be nearly alone.
+TEST(roster, many_unanswered_addresses_are_all_tried_within_seconds)
+{
+    std::vector<std::string> all;
+    for (int i = 1; i <= 99; ++i)
+        all.push_back("10.0.0." + std::to_string(i) + ":7000");
+    nodes.add_addresses(all);
+    std::set<std::string> tried;
+    for (instant at = start; at < start + seconds(3); at += milliseconds(50))
+        for (const std::string& it : nodes.due(at))
+            tried.insert(it);
+    UNSIGNED_LONGS_EQUAL(99, tried.size());
+}
+
 TEST(roster, those_that_reach_the_platform_rank_first)
 {
     beacon cut = from(1);
