--- a/apps/fennelladder/command_report.cpp
+++ b/apps/fennelladder/command_report.cpp
@@ -6,6 +6,7 @@
 #include "commands.hpp"
 #include "manifest_file.hpp"
 
+#include "fennelladder/base/text.hpp"
 #include "fennelladder/budget/report.hpp"
 #include "fennelladder/history/event.hpp"
 #include "fennelladder/http/client.hpp"
@@ -66,10 +67,8 @@
 {
     http::client connections;
     telemetry::burn_snapshot seen;
-    std::istringstream nodes(list);
-    std::string node;
     std::size_t answered = 0;
-    while (std::getline(nodes, node, ',')) {
+    for (const std::string& node : split_list(list)) {
         http::request ask;
         ask.url = "http://" + node + "/metrics";
         const auto page = connections.fetch(ask, node_deadlines);
--- a/apps/fennelladder/command_serve.cpp
+++ b/apps/fennelladder/command_serve.cpp
@@ -3,6 +3,7 @@
 #include "command.hpp"
 #include "commands.hpp"
 #include "fennelladder/base/random.hpp"
+#include "fennelladder/base/text.hpp"
 #include "fennelladder/history/recorder.hpp"
 #include "fennelladder/node/node.hpp"
 #include "fennelladder/settings/settings.hpp"
@@ -63,18 +64,6 @@
     return wanted;
 }
 
-std::vector<peer::peer_address> split(const std::string& text)
-{
-    std::vector<peer::peer_address> all;
-    std::string::size_type from = 0;
-    while (from < text.size()) {
-        const auto to = std::min(text.find(',', from), text.size());
-        all.push_back(text.substr(from, to - from));
-        from = to + 1;
-    }
-    return all;
-}
-
 node::node_options options_of(const settings::settings& given)
 {
     node::node_options options;
@@ -84,7 +73,7 @@
     options.caller_listen = given.text_of("listen");
     options.peer_listen = given.text_of("peer-listen");
     options.platform_url = given.text_of("platform");
-    options.seeds = split(given.text_of("seeds"));
+    options.seeds = split_list(given.text_of("seeds"));
     options.threads = static_cast<int>(given.number_of("threads"));
     options.shards = static_cast<std::uint32_t>(given.number_of("shards"));
     options.flush_interval = given.duration_of("flush-interval");
--- a/apps/fennelladder/command_standin.cpp
+++ b/apps/fennelladder/command_standin.cpp
@@ -3,6 +3,7 @@
 
 #include "command_table.hpp"
 #include "commands.hpp"
+#include "fennelladder/base/text.hpp"
 #include "fennelladder/settings/settings.hpp"
 #include "fennelladder/standin/engine_server.hpp"
 #include "fennelladder/standin/platform_server.hpp"
@@ -58,19 +59,6 @@
     return out;
 }
 
-std::vector<std::string> split(const std::string& text)
-{
-    std::vector<std::string> out;
-    std::size_t from = 0;
-    while (from < text.size()) {
-        const auto to = std::min(text.find(',', from), text.size());
-        if (to > from)
-            out.push_back(text.substr(from, to - from));
-        from = to + 1;
-    }
-    return out;
-}
-
 // "MODEL", "MODEL@VERSION" or "MODEL@VERSION+ADAPTER".
 standin::engine_model_name parse_model(const std::string& text)
 {
@@ -165,7 +153,7 @@
     options.port = listen.port;
     options.threads = static_cast<int>(wanted.number_of("threads"));
     options.name = wanted.text_of("name");
-    for (const std::string& it : split(wanted.text_of("models")))
+    for (const std::string& it : split_list(wanted.text_of("models")))
         options.models.push_back(parse_model(it));
     options.engine.step = microseconds(wanted.number_of("step"));
     options.engine.slots =
@@ -196,7 +184,7 @@
     options.port = listen.port;
     options.threads = static_cast<int>(wanted.number_of("threads"));
     options.name = wanted.text_of("name");
-    for (const std::string& it : split(wanted.text_of("calls")))
+    for (const std::string& it : split_list(wanted.text_of("calls")))
         options.calls.push_back({it, wanted.duration_of("latency")});
     standin::service_server server(options);
     return serve(stop, server, "service");
