Let large hosts watch the platform and hand its news on

Cause: a configuration of 1,491 routes is fetched by 57 nodes from the three that watch; these were hosts with links of 10 Mbit/s, so copies took up to 8 s, and each try was ended after 0.7 s. Ruled out: the nodes' contact with the platform (logs: it was back 2 s before).

Rank puts large hosts first among those that reach the platform; who knows more is asked in order of capacity; a fetch may take 2 s. Test: large_hosts_rank_before_small_ones.

--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -4,7 +4,7 @@
 //     if (nodes.hear(beacon, now))
 //         ... news: spread it, refresh the entry answers ...
 //     nodes.ready(now)                // whom callers may be sent to
-//     nodes.rank(now) < 3             // this node watches the platform
+//     nodes.rank(...) < 3             // this node watches the platform
 //
 // A hint only: a silent node may live and a heard one may have died since.
 // Nothing that must never happen rests on it.
@@ -38,6 +38,8 @@
     double silent_periods = 4;
     /// A node silent for this long is forgotten.
     duration forget_after = seconds(60);
+    /// A host with this share of the largest one's capacity counts as large.
+    double large_share = 0.5;
     /// Addresses told in one beacon to a node that is new.
     std::size_t introductions = 16;
 };
@@ -83,9 +85,11 @@
     /// Hosts of this and all living nodes that aren't leaving, sorted.
     std::vector<host_id> members(instant now) const;
 
-    /// Position of this node among the living that reach the platform, in an
-    /// order all nodes agree on; `reached` says whether this one does.
-    std::size_t rank(std::string_view salt, bool reached, instant now) const;
+    /// Position of this node among the living in an order all nodes agree on:
+    /// those that reach the platform first, of these the large hosts first.
+    /// `reached` and `capacity` are this node's own.
+    std::size_t rank(std::string_view salt, bool reached, double capacity,
+                     instant now) const;
 
     /// Addresses to introduce to a node that is new here.
     std::vector<std::string> introductions(const host_id& to,
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -20,8 +20,9 @@
 
 constexpr duration tick_period = milliseconds(50);
 
-/// A whole exchange of configurations; a few kilobytes within the fleet.
-constexpr duration sync_limit = milliseconds(700);
+/// A whole exchange of configurations. A large one is some hundred kilobytes,
+/// and many nodes fetch it at once from the same few.
+constexpr duration sync_limit = milliseconds(2000);
 
 /// Exchanges in a row, so that nodes that can't be reached don't hold the
 /// next announcement up for long.
@@ -295,13 +296,18 @@
 
 // Bringing the configuration and targets.
 
-/// A node that knows more than this one, other than `except`; empty if none.
+/// The largest of the nodes that know more than this one, other than
+/// `except`; empty if there is none.
 std::string mesh_node::better_informed(const std::string& except) const
 {
-    for (const mesh::node_row* it : tables_.nodes.alive(tables_.now()))
-        if (it->last.peer_address != except && knows_less_than(it->last))
-            return it->last.peer_address;
-    return {};
+    const mesh::node_row* best = nullptr;
+    for (const mesh::node_row* it : tables_.nodes.alive(tables_.now())) {
+        if (it->last.peer_address == except || !knows_less_than(it->last))
+            continue;
+        if (best == nullptr || it->last.capacity > best->last.capacity)
+            best = it;
+    }
+    return best == nullptr ? std::string() : best->last.peer_address;
 }
 
 awaitable<void> mesh_node::sync_once(std::string address)
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -80,8 +80,8 @@
 
 bool platform_feed::is_watcher(std::string_view what)
 {
-    return tables_.nodes.rank(what, tables_.contact.reached, tables_.now()) <
-           watchers;
+    return tables_.nodes.rank(what, tables_.contact.reached, tables_.capacity(),
+                              tables_.now()) < watchers;
 }
 
 awaitable<void> platform_feed::pause_after(bool success, int& failures)
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -3,6 +3,7 @@
 #include "fennelladder/base/hash.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace fennelladder::mesh {
 
@@ -115,23 +116,26 @@
     return out;
 }
 
-std::size_t roster::rank(std::string_view salt, bool reached, instant now) const
+std::size_t roster::rank(std::string_view salt, bool reached, double capacity,
+                         instant now) const
 {
+    const auto living = alive(now);
+    double largest = capacity;
+    for (const node_row* it : living)
+        largest = std::max(largest, it->last.capacity);
     const std::uint64_t seed = hash64(salt);
-    const std::uint64_t own = hash64(self_.str(), seed);
-    std::size_t out = 0;
-    for (const node_row* it : alive(now)) {
-        if (it->last.state != node_state::ready)
-            continue;
-        if (it->last.platform_reached != reached) {
-            // Those that reach the platform come before those that don't.
-            out += it->last.platform_reached ? 1 : 0;
-            continue;
-        }
-        if (hash64(it->last.host.str(), seed) > own)
-            ++out;
-    }
-    return out;
+    const auto place = [&](bool it_reaches, double its_capacity,
+                           const host_id& host) {
+        const bool large = its_capacity >= largest * options_.large_share;
+        return std::make_tuple(it_reaches, large, hash64(host.str(), seed));
+    };
+    const auto own = place(reached, capacity, self_);
+    return static_cast<std::size_t>(
+        std::ranges::count_if(living, [&](const node_row* it) {
+            return it->last.state == node_state::ready &&
+                   place(it->last.platform_reached, it->last.capacity,
+                         it->last.host) > own;
+        }));
 }
 
 std::vector<std::string> roster::introductions(const host_id& to,
--- a/libs/mesh/roster_test.cpp
+++ b/libs/mesh/roster_test.cpp
@@ -89,8 +89,25 @@
     nodes.hear(cut, start);
     nodes.hear(from(2), start);
     nodes.hear(from(3), start);
-    CHECK(nodes.rank("x", true, start) <= 2);
-    CHECK(nodes.rank("x", false, start) >= 2);
+    CHECK(nodes.rank("x", true, 0, start) <= 2);
+    CHECK(nodes.rank("x", false, 0, start) >= 2);
+}
+
+// Story: a configuration of a thousand routes is sent to sixty nodes by the
+// three that watch the platform. They were small hosts; the copies took eight
+// seconds on their links, and callers were served by what was no longer in
+// force.
+TEST(roster, large_hosts_rank_before_small_ones)
+{
+    for (int i = 1; i <= 20; ++i) {
+        beacon it = from(i);
+        it.capacity = i <= 4 ? 400 : 100;
+        nodes.hear(it, start);
+    }
+    CHECK(nodes.rank("x", true, 100, start) >= 4);
+    CHECK(nodes.rank("x", true, 400, start) <= 4);
+    // One that is cut off ranks behind all that aren't, however large.
+    UNSIGNED_LONGS_EQUAL(20, nodes.rank("x", false, 400, start));
 }
 
 TEST(roster, ranks_are_agreed_on)
@@ -101,7 +118,7 @@
         mesh::roster it(host_id("n" + std::to_string(self)), {});
         for (int i = 0; i < n; ++i)
             it.hear(from(i), start);
-        ranks.push_back(it.rank("targets", true, start));
+        ranks.push_back(it.rank("targets", true, 0, start));
     }
     std::ranges::sort(ranks);
     for (std::size_t i = 0; i < n; ++i)
