Count as stock only what a team's stockists hold

Cause: the rests of requests that lie at many nodes (a few thousand tokens each at 80 nodes for 24 teams) counted as the fleet's stock, so stockists took nothing out until a request waited for it. Ruled out: a larger stock, which loses more with the power; what all nodes hold stays under a fifth of the unspent.

--- a/include/fennelladder/prepaid/stock_plan.hpp
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -51,9 +51,13 @@
 /// What is known of a team when a node considers taking out tokens.
 struct stock_state
 {
-    tokens prepaid;            ///< Total of the day.
-    tokens left;               ///< Not handed out yet.
-    tokens fleet_free;         ///< Held by all living nodes together.
+    tokens prepaid;    ///< Total of the day.
+    tokens left;       ///< Not handed out yet.
+    tokens fleet_free; ///< Held by all living nodes together.
+    /// Of that, held by the team's stockists. What lies at other nodes is the
+    /// rest of requests that cost less than their most: too little for the
+    /// next one, at many nodes, and hence no stock.
+    tokens stocked;
     double fleet_spending = 0; ///< Tokens a second, all nodes together.
     tokens waited_for;         ///< Missing for a request that waits here.
     std::size_t stockists = 1; ///< That are alive.
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -350,12 +350,16 @@
     out.stockists = few.size();
     out.stockist = std::ranges::find(few, tables_.settings.host) != few.end();
     out.fleet_free = tables_.purse.free_of(team);
+    if (out.stockist)
+        out.stocked = out.fleet_free;
     out.fleet_spending = tables_.purse.spending(team, tables_.now());
     for (const auto& [host, peer] : peers_) {
         const auto it = peer.stock.find(team);
         if (it == peer.stock.end() || !is_fresh(peer))
             continue;
         out.fleet_free += it->second.free;
+        if (std::ranges::find(few, host) != few.end())
+            out.stocked += it->second.free;
         out.fleet_spending +=
             static_cast<double>(it->second.spent_per_second.count());
     }
--- a/libs/prepaid/stock_plan.cpp
+++ b/libs/prepaid/stock_plan.cpp
@@ -16,15 +16,16 @@
     const double first =
         static_cast<double>(state.prepaid.count()) * options.first_share;
     const double free = static_cast<double>(state.fleet_free.count());
+    const double stocked = static_cast<double>(state.stocked.count());
     const double unspent = free + static_cast<double>(state.left.count());
     const double by_spending =
         state.fleet_spending * to_seconds(options.horizon);
-    const double goal = std::min(std::max(first, by_spending),
-                                 unspent * options.most_of_unspent);
-    if (free >= goal * options.refill_below)
+    const double most = unspent * options.most_of_unspent;
+    const double goal = std::min(std::max(first, by_spending), most);
+    if (stocked >= goal * options.refill_below)
         return 0;
-    return (goal - free) /
-           static_cast<double>(std::max<std::size_t>(state.stockists, 1));
+    const double gap = std::max(std::min(goal - stocked, most - free), 0.0);
+    return gap / static_cast<double>(std::max<std::size_t>(state.stockists, 1));
 }
 
 } // namespace
--- a/libs/prepaid/stock_plan_test.cpp
+++ b/libs/prepaid/stock_plan_test.cpp
@@ -33,6 +33,22 @@
     const tokens wish = stock_wish(it, options);
     DOUBLES_EQUAL(goal / 3, static_cast<double>(wish.count()), 2);
     it.fleet_free = tokens(static_cast<std::int64_t>(goal));
+    it.stocked = it.fleet_free;
+    CHECK(stock_wish(it, options) == tokens(0));
+}
+
+// Story: eighty nodes hold the rest of a request each, too little for the next
+// one. The stockists counted that as stock and took nothing out; so each
+// request that came waited for a write of its own to the platform.
+TEST(stock_plan, what_lies_at_other_nodes_is_no_stock)
+{
+    stock_state it = busy();
+    const auto goal =
+        static_cast<std::int64_t>(20'000 * to_seconds(options.horizon));
+    it.fleet_free = tokens(goal / 4);
+    const tokens wish = stock_wish(it, options);
+    CHECK(wish.count() > goal / 4 && wish.count() <= goal / 3);
+    it.left = tokens(it.fleet_free.count() / 2);
     CHECK(stock_wish(it, options) == tokens(0));
 }
 
@@ -56,6 +72,7 @@
     const tokens wish = stock_wish(it, options);
     CHECK(wish.count() <= 50'000 * options.most_of_unspent + 1);
     it.fleet_free = wish;
+    it.stocked = wish;
     it.left -= wish;
     CHECK(stock_wish(it, options) == tokens(0));
 }
