Give up a peer that can't be reached before the next is due

Read in the diff: with two seconds for a whole fetch, a peer behind a cut held up the news for as long as a configuration may take to be in force. Reaching it has 300 ms, the exchange 1.5 s.

--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -138,7 +138,7 @@
         co_return true;
     if (in_.course.stopped() == stop_reason::none)
         end(attempt_end::not_connected, target_evidence::unreachable,
-            made ? "stopped" : made.error().message);
+            made.error().message);
     else
         end_by_error("connect");
     co_return false;
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -20,9 +20,13 @@
 
 constexpr duration tick_period = milliseconds(50);
 
-/// A whole exchange of configurations. A large one is some hundred kilobytes,
-/// and many nodes fetch it at once from the same few.
-constexpr duration sync_limit = milliseconds(2000);
+/// A node within the fleet is reached in milliseconds. One that isn't must not
+/// hold up the next: what is to be fetched has to be in force within seconds.
+constexpr duration sync_connect_limit = milliseconds(300);
+
+/// The exchange itself. A large configuration is some hundred kilobytes, and
+/// many nodes fetch it at once from the same few.
+constexpr duration sync_limit = milliseconds(1500);
 
 /// Exchanges in a row, so that nodes that can't be reached don't hold the
 /// next announcement up for long.
@@ -316,12 +320,15 @@
     if (!endpoint)
         co_return;
     auto socket = std::make_shared<tcp::socket>(tables_.io);
-    asio::steady_timer timer(tables_.io, sync_limit);
+    asio::steady_timer timer(tables_.io, sync_connect_limit);
     close_on(timer, socket);
     net_error ec;
     co_await socket->async_connect(*endpoint, into(ec));
-    if (!ec)
-        (void)co_await ask_sync(*socket);
+    if (ec || !socket->is_open())
+        co_return;
+    timer.expires_after(sync_limit);
+    close_on(timer, socket);
+    (void)co_await ask_sync(*socket);
     timer.cancel();
 }
 
