Ask for targets before a configuration

Cause: both came in one message. Ruled out: small hosts as sources, since large ones watch now.

A node that is behind with targets asks for these alone, then for the rest. Test: targets_are_asked_for_before_a_configuration.

--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -5,6 +5,7 @@
 #include "fennelladder/telemetry/log.hpp"
 #include "platform/configuration_codec.hpp"
 
+#include <algorithm>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <nlohmann/json.hpp>
@@ -300,6 +301,14 @@
 
 // Bringing the configuration and targets.
 
+bool mesh_node::targets_are_behind() const
+{
+    return std::ranges::any_of(
+        tables_.nodes.alive(tables_.now()), [this](const mesh::node_row* it) {
+            return it->last.targets_changed > tables_.targets.as_of();
+        });
+}
+
 /// The largest of the nodes that know more than this one, other than
 /// `except`; empty if there is none.
 std::string mesh_node::better_informed(const std::string& except) const
@@ -314,22 +323,23 @@
     return best == nullptr ? std::string() : best->last.peer_address;
 }
 
-awaitable<void> mesh_node::sync_once(std::string address)
+awaitable<bool> mesh_node::sync_once(std::string address)
 {
     const auto endpoint = parse_endpoint(address);
     if (!endpoint)
-        co_return;
+        co_return false;
     auto socket = std::make_shared<tcp::socket>(tables_.io);
     asio::steady_timer timer(tables_.io, sync_connect_limit);
     close_on(timer, socket);
     net_error ec;
     co_await socket->async_connect(*endpoint, into(ec));
     if (ec || !socket->is_open())
-        co_return;
+        co_return false;
     timer.expires_after(sync_limit);
     close_on(timer, socket);
-    (void)co_await ask_sync(*socket);
+    const bool done = co_await ask_sync(*socket);
     timer.cancel();
+    co_return done;
 }
 
 /// One exchange at a time. What was announced meanwhile is fetched after it:
@@ -340,18 +350,19 @@
         co_return;
     syncing_ = true;
     for (int i = 0; i < most_syncs && !address.empty(); ++i) {
-        co_await sync_once(address);
-        address = better_informed(address);
+        const bool done = co_await sync_once(address);
+        address = better_informed(done ? std::string() : address);
     }
     syncing_ = false;
 }
 
 awaitable<bool> mesh_node::ask_sync(tcp::socket& socket)
 {
-    mesh::sync_ask ask;
+    mesh::sync_ask known;
     if (tables_.config != nullptr)
-        ask.configuration = tables_.config->version();
-    ask.targets_as_of = tables_.targets.as_of();
+        known.configuration = tables_.config->version();
+    known.targets_as_of = tables_.targets.as_of();
+    const auto ask = mesh::next_ask(known, targets_are_behind());
     const std::string question = mesh::encode(ask);
     const bool sent = co_await write_message(socket, question);
     std::string bytes;
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -2,6 +2,7 @@
 // by field.
 
 #include "fennelladder/mesh/messages.hpp"
+#include <limits>
 
 #include "fennelladder/base/thrift_codec.hpp"
 #include "mesh_types.h"
@@ -265,4 +266,14 @@
     return out;
 }
 
+sync_ask next_ask(const sync_ask& known, bool targets_behind)
+{
+    sync_ask out = known;
+    // A peer sends a configuration only if it is newer than this.
+    if (targets_behind)
+        out.configuration = catalog::configuration_version(
+            std::numeric_limits<std::int64_t>::max());
+    return out;
+}
+
 } // namespace fennelladder::mesh
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -109,3 +109,17 @@
         (void)decode_sync_reply(bytes);
     }
 }
+
+// Story: a target says that it leaves while a large configuration is on its
+// way to a small host. The news of both came in one message, three quarters of
+// a second after the target had to be left alone.
+TEST(mesh_messages, targets_are_asked_for_before_a_configuration)
+{
+    const sync_ask known{catalog::configuration_version(7),
+                         catalog::revision(90)};
+    const sync_ask first = next_ask(known, true);
+    CHECK(first.targets_as_of == known.targets_as_of);
+    CHECK(first.configuration > catalog::configuration_version(1'000'000));
+    const sync_ask then = next_ask(known, false);
+    CHECK(then.configuration == known.configuration);
+}
