--- a/libs/edge/entry_planner.cpp
+++ b/libs/edge/entry_planner.cpp
@@ -62,6 +62,7 @@
     if (named.size() > options.most_addresses)
         named.resize(options.most_addresses);
     std::vector<std::string> out;
+    out.reserve(named.size());
     for (entry_node& it : named)
         out.push_back(std::move(it.address));
     return out;
