Let the asked peer's own word decide what is asked first

Cause, by reading: the node asked for targets alone as long as anybody had announced newer ones; a peer that was gone had, nobody else could give them, and the configuration was put off.

The peer that is asked decides. Test: targets_are_asked_for_before_a_configuration has the case.

--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -49,12 +49,12 @@
     awaitable<void> sync_from(std::string address);
     awaitable<bool> sync_once(std::string address);
     std::string better_informed(const std::string& except) const;
-    awaitable<bool> ask_sync(tcp::socket& socket);
+    awaitable<bool> ask_sync(tcp::socket& socket, const std::string& address);
     void take(const mesh::datagram& message, const std::string& from);
     void take_beacon(const mesh::beacon& from);
     void take_sync(const mesh::sync_reply& reply);
     mesh::sync_reply sync_answer(const mesh::sync_ask& ask) const;
-    bool targets_are_behind() const;
+    catalog::revision targets_at(const std::string& address) const;
     bool knows_less_than(const mesh::beacon& from) const;
     mesh::beacon own_beacon();
     void send_to_all(const std::vector<std::string>& addresses,
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -124,10 +124,11 @@
     catalog::revision targets_as_of;
 };
 
-/// What to ask a peer for when one has all of `known`. Targets come before a
-/// configuration, which may be a thousand times as large and take seconds over
-/// a small link: what a target that leaves must not get waits for neither.
-sync_ask next_ask(const sync_ask& known, bool targets_behind);
+/// What to ask a peer for that knows targets up to `peer_has`, when one has all
+/// of `known`. Targets come before a configuration, which may be a thousand
+/// times as large and take seconds over a small link. A peer without newer
+/// targets is asked for the configuration, whatever others may know.
+sync_ask next_ask(const sync_ask& known, catalog::revision peer_has);
 
 struct sync_reply
 {
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -301,12 +301,13 @@
 
 // Bringing the configuration and targets.
 
-bool mesh_node::targets_are_behind() const
+/// The latest change of targets that the peer at `address` said it knows.
+catalog::revision mesh_node::targets_at(const std::string& address) const
 {
-    return std::ranges::any_of(
-        tables_.nodes.alive(tables_.now()), [this](const mesh::node_row* it) {
-            return it->last.targets_changed > tables_.targets.as_of();
-        });
+    for (const auto& [host, row] : tables_.nodes.rows())
+        if (row.last.peer_address == address)
+            return row.last.targets_changed;
+    return catalog::revision();
 }
 
 /// The largest of the nodes that know more than this one, other than
@@ -337,7 +338,7 @@
         co_return false;
     timer.expires_after(sync_limit);
     close_on(timer, socket);
-    const bool done = co_await ask_sync(*socket);
+    const bool done = co_await ask_sync(*socket, address);
     timer.cancel();
     co_return done;
 }
@@ -356,13 +357,14 @@
     syncing_ = false;
 }
 
-awaitable<bool> mesh_node::ask_sync(tcp::socket& socket)
+awaitable<bool> mesh_node::ask_sync(tcp::socket& socket,
+                                    const std::string& address)
 {
     mesh::sync_ask known;
     if (tables_.config != nullptr)
         known.configuration = tables_.config->version();
     known.targets_as_of = tables_.targets.as_of();
-    const auto ask = mesh::next_ask(known, targets_are_behind());
+    const auto ask = mesh::next_ask(known, targets_at(address));
     const std::string question = mesh::encode(ask);
     const bool sent = co_await write_message(socket, question);
     std::string bytes;
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -266,11 +266,11 @@
     return out;
 }
 
-sync_ask next_ask(const sync_ask& known, bool targets_behind)
+sync_ask next_ask(const sync_ask& known, catalog::revision peer_has)
 {
     sync_ask out = known;
     // A peer sends a configuration only if it is newer than this.
-    if (targets_behind)
+    if (peer_has > known.targets_as_of)
         out.configuration = catalog::configuration_version(
             std::numeric_limits<std::int64_t>::max());
     return out;
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -117,9 +117,12 @@
 {
     const sync_ask known{catalog::configuration_version(7),
                          catalog::revision(90)};
-    const sync_ask first = next_ask(known, true);
+    const sync_ask first = next_ask(known, catalog::revision(91));
     CHECK(first.targets_as_of == known.targets_as_of);
     CHECK(first.configuration > catalog::configuration_version(1'000'000));
-    const sync_ask then = next_ask(known, false);
+    const sync_ask then = next_ask(known, catalog::revision(90));
     CHECK(then.configuration == known.configuration);
+    // A node that died had said it knew more; the others never will.
+    const sync_ask of_another = next_ask(known, catalog::revision(40));
+    CHECK(of_another.configuration == known.configuration);
 }
