--- a/apps/fennelladder/command_front.cpp
+++ b/apps/fennelladder/command_front.cpp
@@ -101,6 +101,7 @@
     log_through(log, time, read->host.str());
     edge::edge_node_options options;
     options.settings_path = path;
+    options.settings_text = text.str();
     options.entry_validity = wanted.duration_of("entry-validity");
     if (const auto port = wanted.number_of("metrics-port"); port != 0)
         options.metrics_address = read->ip + ":" + std::to_string(port);
--- a/include/fennelladder/edge/edge_node.hpp
+++ b/include/fennelladder/edge/edge_node.hpp
@@ -32,6 +32,7 @@
 struct edge_node_options
 {
     std::string settings_path;   ///< Read again on SIGHUP and when it changed.
+    std::string settings_text;   ///< What `settings` was read from.
     std::string metrics_address; ///< IP:port; empty: none.
     std::string metrics_path = "/metrics";
     /// Validity of entry answers: callers hear of a dead node this late.
@@ -75,7 +76,7 @@
     caller_server callers_;
     std::vector<std::unique_ptr<simple_server>> servers_;
     asio::signal_set signals_;
-    std::string settings_text_;
+    std::string settings_text_; ///< Last read without a finding.
 };
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/edge/entry_planner.hpp
+++ b/include/fennelladder/edge/entry_planner.hpp
@@ -36,9 +36,6 @@
     std::size_t enough_near = 3;
     /// At least so many nodes are named, if there are any.
     std::size_t enough_capable = 2;
-    /// Nodes with this share of the capacity of the largest count as equal to
-    /// it and are named with it.
-    double equal_share = 0.5;
     /// The nodes that are named can carry this many times the load seen. A
     /// burst is twice the usual, and the load is known some seconds late.
     double headroom = 2;
--- a/include/fennelladder/edge/token_desk.hpp
+++ b/include/fennelladder/edge/token_desk.hpp
@@ -103,10 +103,16 @@
                                      const std::set<host_id>& tried) const;
     shortage shortage_of(const team_id& team) const;
     void want(const team_id& team, tokens missing);
-    bool takes_out(const team_id& team) const;
-    std::vector<host_id> stockists(const team_id& team) const;
+    /// Nodes that take tokens out now; the same for all teams, so a look over
+    /// the teams ranks the fleet once.
+    std::vector<host_id> writers() const;
+    bool takes_out(const team_id& team,
+                   const std::vector<host_id>& writers) const;
+    std::vector<host_id> stockists(const team_id& team,
+                                   const std::vector<host_id>& writers) const;
     bool is_fresh(const peer_stock& peer) const;
-    prepaid::stock_state state_of(const team_id& team, tokens total) const;
+    prepaid::stock_state state_of(const team_id& team, tokens total,
+                                  const std::vector<host_id>& writers) const;
     void ask(const host_id& peer, const team_id& team, tokens amount);
     void forget_old();
     void changed();
--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -38,12 +38,19 @@
     double silent_periods = 4;
     /// A node silent for this long is forgotten.
     duration forget_after = seconds(60);
-    /// A host with this share of the largest one's capacity counts as large.
-    double large_share = 0.5;
     /// Addresses told in one beacon to a node that is new.
     std::size_t introductions = 16;
 };
 
+/// A host with this share of the largest one's capacity counts as large.
+inline constexpr double large_share = 0.5;
+
+/// Whether a host of `capacity` counts as large where `largest` is the most.
+constexpr bool is_large(double capacity, double largest)
+{
+    return capacity >= largest * large_share;
+}
+
 /// Another node.
 struct node_row
 {
--- a/include/fennelladder/prepaid/stock_plan.hpp
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -1,6 +1,7 @@
 // How many tokens of a team a node should take out of the platform's record.
 //
-//     const auto few = stockists_of(team, nodes, options);
+//     const auto writers = writers_of(nodes, options);
+//     const auto few = stockists_of(team, writers, options);
 //     wish = stock_wish(state, options);
 //
 // A few nodes of the fleet, the team's stockists, take tokens out for all
@@ -67,10 +68,14 @@
 /// Tokens to take out now; 0: none.
 tokens stock_wish(const stock_state& state, const stock_options& options);
 
-/// The team's stockists among `nodes`: a few of highest rank by rendezvous
+/// Those of `nodes` that may be stockists: a few of highest rank by rendezvous
 /// hashing, so nodes that know the same fleet agree.
+std::vector<host_id> writers_of(const std::vector<host_id>& nodes,
+                                const stock_options& options);
+
+/// The team's stockists among the writers, ranked in the same way.
 std::vector<host_id> stockists_of(const team_id& team,
-                                  const std::vector<host_id>& nodes,
+                                  const std::vector<host_id>& writers,
                                   const stock_options& options);
 
 } // namespace fennelladder::prepaid
--- a/include/fennelladder/telemetry/event_catalog.hpp
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -103,7 +103,6 @@
 constexpr int configuration_unreadable = 1120;
 constexpr int targets_changed = 1121;
 constexpr int platform_call_failed = 1210;
-constexpr int platform_watch_ended = 1211;
 constexpr int tokens_allotted = 1410;
 constexpr int tokens_moved = 1411;
 constexpr int allotment_in_doubt = 1412;
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -56,7 +56,8 @@
             }),
       feed_(tables_, client_, mesh_), driver_(tables_, desk_),
       callers_(tables_, driver_, limits_for(tables_.settings)),
-      signals_(io, SIGTERM, SIGINT, SIGHUP)
+      signals_(io, SIGTERM, SIGINT, SIGHUP),
+      settings_text_(options_.settings_text)
 {}
 
 status edge_node::start_servers()
@@ -93,7 +94,6 @@
 
 status edge_node::start()
 {
-    settings_text_ = read_file(options_.settings_path);
     mesh_.connect_desk(desk_);
     if (auto ok = mesh_.start(); !ok)
         return ok;
--- a/libs/edge/entry_planner.cpp
+++ b/libs/edge/entry_planner.cpp
@@ -1,5 +1,7 @@
 #include "fennelladder/edge/entry_planner.hpp"
 
+#include "fennelladder/mesh/roster.hpp"
+
 #include <algorithm>
 #include <numeric>
 
@@ -26,8 +28,7 @@
     double carried = 0;
     std::size_t kept = 0;
     for (const entry_node& it : nodes) {
-        const bool equal =
-            kept > 0 && it.capacity >= largest * options.equal_share;
+        const bool equal = kept > 0 && mesh::is_large(it.capacity, largest);
         const bool enough = kept >= options.enough_capable &&
                             carried >= load * options.headroom;
         if (enough && !equal)
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -106,7 +106,7 @@
             waited = true;
             tried.clear();
             pause = record_patience;
-            if (takes_out(team))
+            if (takes_out(team, writers()))
                 want(team, missing);
         }
         co_await wait_for_change(std::min(tables_.now() + pause, until));
@@ -131,17 +131,25 @@
     wake_refill_.cancel();
 }
 
-std::vector<host_id> token_desk::stockists(const team_id& team) const
+std::vector<host_id> token_desk::writers() const
 {
-    return prepaid::stockists_of(team, tables_.nodes.members(tables_.now()),
-                                 stock_options_);
+    return prepaid::writers_of(tables_.nodes.members(tables_.now()),
+                               stock_options_);
+}
+
+std::vector<host_id>
+token_desk::stockists(const team_id& team,
+                      const std::vector<host_id>& writers) const
+{
+    return prepaid::stockists_of(team, writers, stock_options_);
 }
 
 /// Whether this node takes the team's tokens out of the record: as one of its
 /// stockists, which it is too when it hears nobody else.
-bool token_desk::takes_out(const team_id& team) const
+bool token_desk::takes_out(const team_id& team,
+                           const std::vector<host_id>& writers) const
 {
-    const auto few = stockists(team);
+    const auto few = stockists(team, writers);
     return std::ranges::find(few, tables_.settings.host) != few.end();
 }
 
@@ -176,7 +184,7 @@
     if (best)
         return best;
     // Nobody is known to have any: a stockist may have got some since.
-    for (const host_id& it : stockists(team))
+    for (const host_id& it : stockists(team, writers()))
         if (!tried.contains(it) && peers_.contains(it))
             return it;
     return std::nullopt;
@@ -206,7 +214,7 @@
         return;
     }
     const tokens given = tables_.purse.debit(ask.team, ask.wanted);
-    if (given < ask.wanted && takes_out(ask.team))
+    if (given < ask.wanted && takes_out(ask.team, writers()))
         want(ask.team, ask.wanted - given);
     give(ask, from, given);
 }
@@ -289,11 +297,12 @@
 awaitable<void> token_desk::hand_over(duration limit)
 {
     const instant until = tables_.now() + limit;
+    const auto all = writers();
     for (const mesh::token_stock& it : own_stock()) {
         if (it.free == tokens(0))
             continue;
         std::vector<std::string> takers;
-        for (const host_id& host : stockists(it.team))
+        for (const host_id& host : stockists(it.team, all))
             if (host != tables_.settings.host && peers_.contains(host))
                 takers.push_back(peers_[host].address);
         if (takers.empty())
@@ -341,12 +350,13 @@
 
 // The platform's record.
 
-prepaid::stock_state token_desk::state_of(const team_id& team,
-                                          tokens total) const
+prepaid::stock_state
+token_desk::state_of(const team_id& team, tokens total,
+                     const std::vector<host_id>& writers) const
 {
     prepaid::stock_state out;
     out.prepaid = total;
-    const auto few = stockists(team);
+    const auto few = stockists(team, writers);
     out.stockists = few.size();
     out.stockist = std::ranges::find(few, tables_.settings.host) != few.end();
     out.fleet_free = tables_.purse.free_of(team);
@@ -373,8 +383,9 @@
 {
     prepaid::token_amounts out;
     const auto totals = writer_.prepaid_totals();
+    const auto all = writers();
     for (const auto& [team, total] : totals) {
-        prepaid::stock_state state = state_of(team, total);
+        prepaid::stock_state state = state_of(team, total, all);
         state.left = prepaid::left_of(*writer_.record(), totals, team);
         const tokens wish = prepaid::stock_wish(state, stock_options_);
         if (wish > tokens(0))
@@ -395,9 +406,10 @@
 /// One look at the stock. False when a call to the platform failed.
 awaitable<bool> token_desk::tend_stock()
 {
+    const auto all = writers();
     const bool writer = std::ranges::any_of(
         tables_.config->parts().teams,
-        [this](const catalog::team& it) { return takes_out(it.id); });
+        [&](const catalog::team& it) { return takes_out(it.id, all); });
     if (!writer && !writer_.in_doubt())
         co_return true;
     // A record without anything left may have become better than it looks.
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -126,7 +126,7 @@
     const std::uint64_t seed = hash64(salt);
     const auto place = [&](bool it_reaches, double its_capacity,
                            const host_id& host) {
-        const bool large = its_capacity >= largest * options_.large_share;
+        const bool large = is_large(its_capacity, largest);
         return std::make_tuple(it_reaches, large, hash64(host.str(), seed));
     };
     const auto own = place(reached, capacity, self_);
--- a/libs/prepaid/stock_plan.cpp
+++ b/libs/prepaid/stock_plan.cpp
@@ -55,12 +55,17 @@
 
 } // namespace
 
+std::vector<host_id> writers_of(const std::vector<host_id>& nodes,
+                                const stock_options& options)
+{
+    return first_by_rank(nodes, "writers", options.writers);
+}
+
 std::vector<host_id> stockists_of(const team_id& team,
-                                  const std::vector<host_id>& nodes,
+                                  const std::vector<host_id>& writers,
                                   const stock_options& options)
 {
-    return first_by_rank(first_by_rank(nodes, "writers", options.writers),
-                         team.str(), options.stockists);
+    return first_by_rank(writers, team.str(), options.stockists);
 }
 
 } // namespace fennelladder::prepaid
--- a/libs/prepaid/stock_plan_test.cpp
+++ b/libs/prepaid/stock_plan_test.cpp
@@ -96,9 +96,11 @@
     std::map<host_id, int> load;
     for (int i = 0; i < 200; ++i) {
         const team_id team("t" + std::to_string(i));
-        const auto few = stockists_of(team, nodes, options);
+        const auto few =
+            stockists_of(team, writers_of(nodes, options), options);
         UNSIGNED_LONGS_EQUAL(3, few.size());
-        CHECK(stockists_of(team, reversed, options) == few);
+        CHECK(stockists_of(team, writers_of(reversed, options), options) ==
+              few);
         for (const host_id& it : few)
             ++load[it];
     }
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -154,9 +154,6 @@
      "The list of targets changed."},
     {event::platform_call_failed, severity::warning, "platform_call_failed",
      "A call to the platform failed; the message says how."},
-    {event::platform_watch_ended, severity::info, "platform_watch_ended",
-     "A watch of the platform ended and is opened again or replaced by a "
-     "listing."},
     {event::tokens_allotted, severity::info, "tokens_allotted",
      "Tokens were taken out of the platform's record for this node to spend."},
     {event::tokens_moved, severity::info, "tokens_moved",
