Say how old what a node knows is, and log each exchange between nodes

Three hypotheses on late configurations and late leaving couldn't be told apart from logs and metrics. Beacons now carry the age of what a node knows, ages are on the metrics, each exchange is a line with its peer, bytes and time, and configuration_in_force says who brought it and how long after it was first heard of. No decision changes. Tests: mesh, edge, adapter, telemetry, base.

--- a/include/fennelladder/base/time.hpp
+++ b/include/fennelladder/base/time.hpp
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstdint>
+#include <string>
 
 namespace fennelladder {
 
@@ -62,6 +63,9 @@
         std::chrono::duration<double>(count));
 }
 
+/// Whole milliseconds, as log lines carry them.
+std::string milliseconds_text(duration length);
+
 /// Source of the present time. Implementations are thread safe.
 class clock
 {
--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -49,10 +49,13 @@
     awaitable<void> sync_from(std::string address);
     awaitable<bool> sync_once(std::string address);
     std::string better_informed(const std::string& except) const;
-    awaitable<bool> ask_sync(tcp::socket& socket, const std::string& address);
+    awaitable<std::size_t> ask_sync(tcp::socket& socket,
+                                    const std::string& address);
+    std::string generation_text() const;
     void take(const mesh::datagram& message, const std::string& from);
     void take_beacon(const mesh::beacon& from);
-    void take_sync(const mesh::sync_reply& reply);
+    void take_freshness(const mesh::beacon& from, instant now);
+    void take_sync(const mesh::sync_reply& reply, const std::string& source);
     mesh::sync_reply sync_answer(const mesh::sync_ask& ask) const;
     catalog::revision targets_at(const std::string& address) const;
     bool knows_less_than(const mesh::beacon& from) const;
@@ -70,6 +73,9 @@
     tcp::acceptor acceptor_;
     telemetry::counter& sent_;
     telemetry::counter& failed_;
+    telemetry::counter& fetched_;
+    telemetry::counter& fetch_failed_;
+    telemetry::counter& fetched_bytes_;
     std::array<char, 65536> datagram_{};
     std::uint64_t sequence_ = 0;
     bool syncing_ = false;
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -15,6 +15,7 @@
 #include "fennelladder/dispatch/retry_window.hpp"
 #include "fennelladder/dispatch/target_book.hpp"
 #include "fennelladder/edge/target_connection.hpp"
+#include "fennelladder/mesh/freshness.hpp"
 #include "fennelladder/mesh/roster.hpp"
 #include "fennelladder/prepaid/purse.hpp"
 #include "fennelladder/telemetry/metrics.hpp"
@@ -22,6 +23,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace fennelladder::edge {
@@ -52,9 +54,18 @@
     void list_changed();
 
     /// Takes a newer configuration into force; older ones are passed over.
-    /// `text` is what to pass on to other nodes. True if it is in force now.
+    /// `text` is what to pass on to other nodes, `source` who brought it, for
+    /// the log. True if it is in force now.
     bool take_configuration(catalog::configuration_parts parts,
-                            std::string text);
+                            std::string text, const std::string& source);
+
+    /// A peer has a configuration or targets that this node hasn't.
+    void note_configuration_announced();
+
+    /// The platform, or a peer with the same, says that what this node has
+    /// was the newest at `at`.
+    void confirm_configuration(instant at);
+    void confirm_targets(instant at);
 
     /// Notes whether a call to the platform was answered.
     void note_contact(bool reached, const std::string& detail);
@@ -68,7 +79,11 @@
     /// Null until one is known.
     std::shared_ptr<const catalog::configuration> config;
     std::string config_text;
+    mesh::freshness configuration_freshness;
+    /// When a configuration was first heard of that isn't here yet.
+    std::optional<instant> configuration_announced;
     catalog::target_list targets;
+    mesh::freshness targets_freshness;
     dispatch::target_book book;
     dispatch::retry_window retries;
     dispatch::poison_list poison;
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -16,6 +16,7 @@
 
 #include "fennelladder/base/error.hpp"
 #include "fennelladder/base/ids.hpp"
+#include "fennelladder/base/time.hpp"
 #include "fennelladder/base/tokens.hpp"
 #include "fennelladder/catalog/configuration.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
@@ -66,6 +67,9 @@
     bool platform_reached = false;     ///< Lately, and it answered.
     double requests_per_second = 0;    ///< Taken from callers lately.
     double capacity = 0;               ///< Requests a second that it can carry.
+    /// Time since what it has was known to be the newest; unset: never.
+    std::optional<duration> configuration_age;
+    std::optional<duration> targets_age;
     std::vector<dispatch::target_load> load;
     std::vector<token_stock> stock;
     std::vector<dispatch::poison_record> poison;
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -245,6 +245,15 @@
         .set(tables_.config
                  ? static_cast<std::int64_t>(tables_.config->version().value())
                  : 0);
+    const auto age_of = [](std::optional<duration> age) {
+        return age ? std::chrono::duration_cast<milliseconds>(*age).count()
+                   : std::int64_t(-1);
+    };
+    const instant now = tables_.now();
+    metrics.gauge_of("fennelladder_configuration_age_milliseconds")
+        .set(age_of(tables_.configuration_freshness.age(now)));
+    metrics.gauge_of("fennelladder_targets_age_milliseconds")
+        .set(age_of(tables_.targets_freshness.age(now)));
     metrics.gauge_of("fennelladder_target_connections_opened")
         .set(static_cast<std::int64_t>(tables_.pool.opened()));
     metrics.gauge_of("fennelladder_log_lines_dropped")
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -18,6 +18,9 @@
 namespace event = telemetry::event;
 
 constexpr const char* datagrams_metric = "fennelladder_mesh_datagrams_total";
+constexpr const char* fetches_metric = "fennelladder_mesh_fetches_total";
+constexpr const char* fetched_bytes_metric =
+    "fennelladder_mesh_fetched_bytes_total";
 
 constexpr duration tick_period = milliseconds(50);
 
@@ -96,7 +99,11 @@
       acceptor_(tables.io),
       sent_(tables.metrics.counter_of(datagrams_metric, {{"result", "sent"}})),
       failed_(
-          tables.metrics.counter_of(datagrams_metric, {{"result", "failed"}}))
+          tables.metrics.counter_of(datagrams_metric, {{"result", "failed"}})),
+      fetched_(tables.metrics.counter_of(fetches_metric, {{"result", "done"}})),
+      fetch_failed_(
+          tables.metrics.counter_of(fetches_metric, {{"result", "failed"}})),
+      fetched_bytes_(tables.metrics.counter_of(fetched_bytes_metric))
 {}
 
 void mesh_node::connect_desk(token_desk& desk)
@@ -174,6 +181,8 @@
     out.platform_reached = tables_.contact.reached;
     out.requests_per_second = tables_.requests_taken.at(tables_.now());
     out.capacity = tables_.capacity();
+    out.configuration_age = tables_.configuration_freshness.age(tables_.now());
+    out.targets_age = tables_.targets_freshness.age(tables_.now());
     out.load = tables_.book.own_load();
     shorten(out.load, load_limit);
     if (desk_ != nullptr)
@@ -286,10 +295,26 @@
         log_event(event::node_state_changed,
                   {{"node", from.host.str()},
                    {"state", std::to_string(static_cast<int>(from.state))}});
+    take_freshness(from, now);
     if (knows_less_than(from))
         spawn(tables_.io, sync_from(from.peer_address));
 }
 
+/// A peer that has what this node has confirms it, as of the time at which the
+/// peer's was confirmed.
+void mesh_node::take_freshness(const mesh::beacon& from, instant now)
+{
+    const auto own = tables_.config ? tables_.config->version()
+                                    : catalog::configuration_version();
+    if (from.configuration > own)
+        tables_.note_configuration_announced();
+    if (from.configuration == own && from.configuration_age)
+        tables_.confirm_configuration(now - *from.configuration_age);
+    if (from.targets_changed == tables_.targets.latest_change() &&
+        from.targets_age)
+        tables_.confirm_targets(now - *from.targets_age);
+}
+
 bool mesh_node::knows_less_than(const mesh::beacon& from) const
 {
     const catalog::configuration_version own =
@@ -338,8 +363,19 @@
         co_return false;
     timer.expires_after(sync_limit);
     close_on(timer, socket);
-    const bool done = co_await ask_sync(*socket, address);
+    const instant begun = tables_.now();
+    const std::size_t bytes = co_await ask_sync(*socket, address);
     timer.cancel();
+    const bool done = bytes > 0;
+    (done ? fetched_ : fetch_failed_).add();
+    fetched_bytes_.add(bytes);
+    log_event(
+        done ? event::news_fetched : event::news_fetch_failed,
+        {{"from", address},
+         {"bytes", std::to_string(bytes)},
+         {"ms", milliseconds_text(tables_.now() - begun)},
+         {"targets_as_of", std::to_string(tables_.targets.as_of().value())},
+         {"generation", generation_text()}});
     co_return done;
 }
 
@@ -357,8 +393,15 @@
     syncing_ = false;
 }
 
-awaitable<bool> mesh_node::ask_sync(tcp::socket& socket,
-                                    const std::string& address)
+std::string mesh_node::generation_text() const
+{
+    return std::to_string(tables_.config ? tables_.config->version().value()
+                                         : 0);
+}
+
+/// Bytes of the answer; 0 if there was none that could be read.
+awaitable<std::size_t> mesh_node::ask_sync(tcp::socket& socket,
+                                           const std::string& address)
 {
     mesh::sync_ask known;
     if (tables_.config != nullptr)
@@ -369,28 +412,30 @@
     const bool sent = co_await write_message(socket, question);
     std::string bytes;
     if (!sent)
-        co_return false;
+        co_return 0;
     const bool read = co_await read_message(socket, bytes);
     if (!read)
-        co_return false;
+        co_return 0;
     const auto reply = mesh::decode_sync_reply(bytes);
     if (!reply) {
         log_event(event::configuration_unreadable,
                   {{"source", "peer"}, {"reason", reply.error().message}});
-        co_return false;
+        co_return 0;
     }
-    take_sync(*reply);
-    co_return true;
+    take_sync(*reply, address);
+    co_return bytes.size();
 }
 
-void mesh_node::take_sync(const mesh::sync_reply& reply)
+void mesh_node::take_sync(const mesh::sync_reply& reply,
+                          const std::string& source)
 {
     if (!reply.configuration.empty()) {
         const auto spec =
             nlohmann::json::parse(reply.configuration, nullptr, false);
         auto parts = adapter::decode_configuration(spec);
         if (parts)
-            tables_.take_configuration(std::move(*parts), reply.configuration);
+            tables_.take_configuration(std::move(*parts), reply.configuration,
+                                       source);
         else
             log_event(event::configuration_unreadable,
                       {{"source", "peer"}, {"reason", parts.error().message}});
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -71,10 +71,15 @@
 }
 
 bool node_tables::take_configuration(catalog::configuration_parts parts,
-                                     std::string text)
+                                     std::string text,
+                                     const std::string& source)
 {
     if (config != nullptr && parts.version <= config->version())
         return false;
+    const duration behind = configuration_announced
+                                ? now() - *configuration_announced
+                                : duration(0);
+    configuration_announced.reset();
     config = std::make_shared<const catalog::configuration>(std::move(parts));
     config_text = std::move(text);
     tokens prepaid;
@@ -84,10 +89,31 @@
               {{"generation", std::to_string(config->version().value())},
                {"routes", std::to_string(config->parts().routes.size())},
                {"teams", std::to_string(config->parts().teams.size())},
-               {"prepaid", std::to_string(prepaid.count())}});
+               {"prepaid", std::to_string(prepaid.count())},
+               {"source", source},
+               {"behind_ms", milliseconds_text(behind)},
+               {"bytes", std::to_string(config_text.size())}});
     return true;
 }
 
+void node_tables::note_configuration_announced()
+{
+    if (!configuration_announced)
+        configuration_announced = now();
+}
+
+void node_tables::confirm_configuration(instant at)
+{
+    if (config != nullptr)
+        configuration_freshness.confirm(at);
+}
+
+void node_tables::confirm_targets(instant at)
+{
+    if (targets.known())
+        targets_freshness.confirm(at);
+}
+
 void node_tables::note_contact(bool reached, const std::string& detail)
 {
     if (reached == contact.reached)
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -108,7 +108,8 @@
                    {"reason", parts.error().message}});
         return false;
     }
-    if (tables_.take_configuration(std::move(*parts), object.content.dump()))
+    if (tables_.take_configuration(std::move(*parts), object.content.dump(),
+                                   "platform"))
         tables_.spread_news();
     return true;
 }
@@ -125,6 +126,7 @@
         take_configuration(it);
     configuration_as_of_ = page->as_of;
     configuration_listed_ = tables_.now();
+    tables_.confirm_configuration(tables_.now());
     co_return true;
 }
 
@@ -142,6 +144,7 @@
         if (!it.gone)
             take_configuration(it.object);
     configuration_as_of_ = news->as_of;
+    tables_.confirm_configuration(tables_.now());
     co_return true;
 }
 
@@ -212,6 +215,7 @@
     if (!tables_.targets.replace_all(entries, *as_of))
         co_return true;
     targets_listed_ = tables_.now();
+    tables_.confirm_targets(tables_.now());
     if (!known || tables_.targets.latest_change() != before) {
         tables_.list_changed();
         tables_.spread_news();
@@ -235,7 +239,10 @@
         else
             add_target(it.object, it.object.changed, changes);
     }
-    if (tables_.targets.apply(changes, news->as_of) && !changes.empty()) {
+    if (!tables_.targets.apply(changes, news->as_of))
+        co_return true;
+    tables_.confirm_targets(tables_.now());
+    if (!changes.empty()) {
         tables_.list_changed();
         tables_.spread_news();
     }
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -53,12 +53,6 @@
     const char* reason = "";
 };
 
-std::string ms_text(duration length)
-{
-    return std::to_string(
-        std::chrono::duration_cast<milliseconds>(length).count());
-}
-
 std::string_view path_only(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -346,7 +340,7 @@
                        {"detail", got.detail},
                        {"running", std::to_string(target->running)},
                        {"candidates", std::to_string(target->candidates)},
-                       {"left_ms", ms_text(so_far_.time_left)},
+                       {"left_ms", milliseconds_text(so_far_.time_left)},
                        {"next", std::string(to_string(action))}});
         if (action != next_action::try_other) {
             co_await conclude(action, got);
@@ -367,7 +361,7 @@
          {"route", way_ ? way_->id.str() : ""},
          {"team", team_ ? team_->id.str() : ""},
          {"target", last_target_.str()},
-         {"ms", ms_text(took)},
+         {"ms", milliseconds_text(took)},
          {"sends", std::to_string(so_far_.sent)},
          {"may_have_run", std::to_string(so_far_.may_have_run)},
          {"rejections", std::to_string(so_far_.rejections)},
--- a/libs/edge/token_desk_test.cpp
+++ b/libs/edge/token_desk_test.cpp
@@ -102,7 +102,7 @@
             payer.id = team;
             payer.prepaid = tokens(100'000);
             parts.teams = {payer};
-            tables.take_configuration(std::move(parts), "");
+            tables.take_configuration(std::move(parts), "", "test");
         }
 
         node_tables tables;
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -40,6 +40,8 @@
   14: optional list<string> introduced
   15: double requests_per_second
   16: double capacity
+  17: optional i32 configuration_age_ms
+  18: optional i32 targets_age_ms
 }
 
 struct TokenAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -2,11 +2,13 @@
 // by field.
 
 #include "fennelladder/mesh/messages.hpp"
-#include <limits>
 
 #include "fennelladder/base/thrift_codec.hpp"
 #include "mesh_types.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace fennelladder::mesh {
 
 namespace {
@@ -22,6 +24,24 @@
     return Id(static_cast<std::uint64_t>(value));
 }
 
+/// An age of weeks says no more than one of hours.
+constexpr duration longest_age = seconds(3600);
+
+std::int32_t age_to_wire(duration age)
+{
+    const auto ms =
+        std::chrono::duration_cast<milliseconds>(std::min(age, longest_age));
+    return static_cast<std::int32_t>(ms.count());
+}
+
+/// An age below 0 would claim news from the future.
+std::optional<duration> age_of(bool known, std::int32_t ms)
+{
+    if (!known || ms < 0)
+        return std::nullopt;
+    return milliseconds(ms);
+}
+
 wire::Beacon to_wire(const beacon& from)
 {
     wire::Beacon out;
@@ -37,6 +57,10 @@
     out.platform_reached = from.platform_reached;
     out.requests_per_second = from.requests_per_second;
     out.capacity = from.capacity;
+    if (from.configuration_age)
+        out.__set_configuration_age_ms(age_to_wire(*from.configuration_age));
+    if (from.targets_age)
+        out.__set_targets_age_ms(age_to_wire(*from.targets_age));
     for (const auto& it : from.load) {
         wire::Load load;
         load.target = it.target.str();
@@ -86,6 +110,9 @@
     out.platform_reached = from.platform_reached;
     out.requests_per_second = from.requests_per_second;
     out.capacity = from.capacity;
+    out.configuration_age =
+        age_of(from.__isset.configuration_age_ms, from.configuration_age_ms);
+    out.targets_age = age_of(from.__isset.targets_age_ms, from.targets_age_ms);
     for (const wire::Load& it : from.load)
         out.load.push_back({target_id(it.target),
                             static_cast<std::uint32_t>(it.running),
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -23,6 +23,7 @@
     out.platform_reached = true;
     out.requests_per_second = 12.5;
     out.capacity = 400;
+    out.configuration_age = milliseconds(250);
     out.load = {{target_id("i-1"), 3, 400}};
     out.stock = {{team_id("t"), tokens(1000), tokens(20)}};
     out.poison = {{dispatch::request_mark(0xfedcba9876543210),
@@ -46,6 +47,8 @@
     CHECK(it.life == node_life(77));
     CHECK(it.state == node_state::ready);
     CHECK(it.configuration == catalog::configuration_version(9));
+    CHECK(it.configuration_age == milliseconds(250));
+    CHECK(!it.targets_age);
     CHECK(it.load.at(0).reading == 400);
     CHECK(it.stock.at(0).spent_per_second == tokens(20));
     CHECK(it.poison.at(0).mark == dispatch::request_mark(0xfedcba9876543210));
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -65,6 +65,11 @@
      "configuration_after_pause",
      "The node was paused and asks whether its configuration is still the "
      "newest before it takes new work."},
+    {event::news_fetched, severity::info, "news_fetched",
+     "Targets or a configuration came from a peer that knew more."},
+    {event::news_fetch_failed, severity::warning, "news_fetch_failed",
+     "A peer that announced targets or a configuration didn't bring them in "
+     "time; another is asked."},
     {event::platform_well, severity::info, "platform_well",
      "The platform answers again in good time."},
     {event::platform_slow, severity::warning, "platform_slow",
