Let beacons carry the latest changes of targets

Cause: a target's leaving was only announced; each node then fetched it over a connection, behind whatever the node or its link was busy with. Ruled out: more frequent beacons (the announcement came at once). Change: a beacon sent for news, and one to a peer whose own beacon shows that it missed them, holds the last eight changes and from which revision on they are complete. Whoever knows all up to there applies them, others fetch as before. The log of changes no longer goes back in revisions: a follower could take a removal without the return that came in the same answer.

--- a/include/fennelladder/catalog/target_entry.hpp
+++ b/include/fennelladder/catalog/target_entry.hpp
@@ -53,6 +53,15 @@
     revision at;
 };
 
+/// The latest changes of a list, complete after `since`: whoever has all up
+/// to there, or more, has all up to `as_of` with them.
+struct target_news
+{
+    revision since;
+    revision as_of;
+    std::vector<target_change> changes;
+};
+
 /// Not thread safe.
 class target_list
 {
@@ -67,6 +76,13 @@
     /// Precondition: `changes` is complete for that span.
     bool apply(const std::vector<target_change>& changes, revision as_of);
 
+    /// Takes news if they follow on what is known; false if they begin after
+    /// that, or hold nothing new.
+    bool take_news(const target_news& news);
+
+    /// The latest `most` changes. Precondition: known().
+    target_news latest_news(std::size_t most) const;
+
     /// The changes after `since`, or nothing when that is too long ago and
     /// only a full listing helps.
     std::optional<std::vector<target_change>>
--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -3,7 +3,8 @@
 // that know more.
 //
 // Beacons are datagrams to each node once a period, and to all at once when
-// there is news. What they only announce is fetched over a connection: four
+// there is news; these carry the latest changes of targets. What they only
+// announce is fetched over a connection: four
 // bytes of length (network order), then one message; one question, one
 // answer, as often as the asker likes.
 //
@@ -63,6 +64,9 @@
     void send_to_all(const std::vector<std::string>& addresses,
                      const mesh::datagram& message);
     void send_beacon(const std::vector<std::string>& addresses);
+    void send_news(const std::vector<std::string>& addresses);
+    bool missed_news(const mesh::node_row& peer) const;
+    void send_due_beacons();
     void greet(const std::string& address);
     void spread();
 
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -84,6 +84,7 @@
     std::optional<instant> configuration_announced;
     catalog::target_list targets;
     mesh::freshness targets_freshness;
+    instant targets_changed; ///< When the list last changed here.
     dispatch::target_book book;
     dispatch::retry_window retries;
     dispatch::poison_list poison;
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -70,6 +70,8 @@
     /// Time since what it has was known to be the newest; unset: never.
     std::optional<duration> configuration_age;
     std::optional<duration> targets_age;
+    /// Latest changes, for those that may not know them.
+    std::optional<catalog::target_news> target_news;
     std::vector<dispatch::target_load> load;
     std::vector<token_stock> stock;
     std::vector<dispatch::poison_record> poison;
--- a/libs/catalog/target_entry.cpp
+++ b/libs/catalog/target_entry.cpp
@@ -4,6 +4,7 @@
 #include "fennelladder/catalog/target_entry.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace fennelladder::catalog {
 
@@ -41,8 +42,36 @@
     return true;
 }
 
+bool target_list::take_news(const target_news& news)
+{
+    if (!known_ || as_of_ < news.since || news.as_of <= as_of_)
+        return false;
+    std::vector<target_change> unknown;
+    std::ranges::copy_if(
+        news.changes, std::back_inserter(unknown),
+        [&](const target_change& it) { return it.at > as_of_; });
+    return apply(unknown, news.as_of);
+}
+
+target_news target_list::latest_news(std::size_t most) const
+{
+    target_news out;
+    out.as_of = as_of_;
+    const std::size_t skipped = log_.size() - std::min(most, log_.size());
+    out.since = skipped == 0 ? log_from_ : log_[skipped - 1].at;
+    out.changes.assign(log_.begin() + static_cast<std::ptrdiff_t>(skipped),
+                       log_.end());
+    return out;
+}
+
+/// The log never goes back. A removal is known only to have happened before
+/// the answer that told it; if the target is back in the same answer, its
+/// entry has an earlier revision. Filtered by revision, a peer that knows the
+/// entry would get the removal alone and lose a target that serves.
 void target_list::note(target_change change)
 {
+    if (!log_.empty())
+        change.at = std::max(change.at, log_.back().at);
     if (change.entry)
         entries_[change.id] = *change.entry;
     else
--- a/libs/catalog/target_entry_test.cpp
+++ b/libs/catalog/target_entry_test.cpp
@@ -67,3 +67,60 @@
         list.apply({there("a", at, at % 2 == 0)}, revision(at));
     CHECK(!list.changes_since(revision(11)).has_value());
 }
+
+// A target is removed after a silence and comes back under its id, both told
+// by one answer of the platform. A follower that knew the entry by then got
+// the removal alone and sent the target nothing more, until the next listing.
+TEST(target_list, a_removal_does_not_overtake_a_return)
+{
+    target_list first;
+    first.replace_all({there("a", 3)}, revision(10));
+    target_list follower;
+    follower.replace_all({there("a", 24)}, revision(24));
+    first.apply({gone("a", 25), there("a", 24)}, revision(25));
+    const auto changes = first.changes_since(follower.as_of());
+    CHECK(changes.has_value());
+    CHECK(follower.apply(*changes, first.as_of()));
+    CHECK(follower.entries() == first.entries());
+}
+
+TEST(target_list, news_are_taken_only_if_they_follow_on_what_is_known)
+{
+    struct row
+    {
+        std::uint64_t known; ///< The follower's list is as of this.
+        std::size_t most;    ///< Changes told.
+        bool taken;
+    };
+    const row rows[] = {
+        {10, 3, true},  // All that happened since.
+        {10, 2, false}, // A change in between is missing.
+        {11, 2, true},  {12, 2, true}, {13, 2, false}, // Nothing new.
+        {14, 2, false}, // The follower knows more.
+        {12, 0, false}, // Told nothing, and not that nothing happened.
+    };
+    target_list first;
+    first.replace_all({there("a", 3), there("b", 4)}, revision(10));
+    first.apply({there("a", 11, true)}, revision(11));
+    first.apply({gone("b", 12)}, revision(12));
+    first.apply({there("c", 13)}, revision(13));
+    for (const row& it : rows) {
+        target_list follower;
+        follower.replace_all({there("a", 3), there("b", 4)}, revision(10));
+        if (it.known > 10)
+            follower.apply(*first.changes_since(revision(10)),
+                           revision(it.known));
+        CHECK_EQUAL(it.taken, follower.take_news(first.latest_news(it.most)));
+        if (it.taken)
+            CHECK(follower.entries() == first.entries());
+    }
+}
+
+TEST(target_list, a_node_without_a_listing_takes_no_news)
+{
+    target_list first;
+    first.replace_all({there("a", 3)}, revision(10));
+    target_list other;
+    CHECK(!other.take_news(first.latest_news(8)));
+    CHECK(!other.known());
+}
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace fennelladder::edge {
 
@@ -48,6 +49,10 @@
 constexpr std::size_t load_limit = 32;
 constexpr std::size_t stock_limit = 32;
 
+/// Changes of targets that travel inside a beacon, about 90 bytes each, so that
+/// it stays in one packet. More at once are fetched.
+constexpr std::size_t news_limit = 8;
+
 constexpr duration accept_pause = milliseconds(50);
 
 std::string framed(const std::string& message)
@@ -212,6 +217,48 @@
     send_to_all(addresses, message);
 }
 
+/// A beacon with the latest changes of targets: a target's leaving is known
+/// one packet later, without a connection that could be slow or busy.
+void mesh_node::send_news(const std::vector<std::string>& addresses)
+{
+    if (addresses.empty())
+        return;
+    mesh::datagram message;
+    message.hello = own_beacon();
+    if (tables_.targets.known())
+        message.hello->target_news = tables_.targets.latest_news(news_limit);
+    // What changes all the time anyway comes with the next beacon.
+    if (mesh::encode(message).size() > mesh::packet_size) {
+        message.hello->load.clear();
+        message.hello->stock.clear();
+    }
+    send_to_all(addresses, message);
+}
+
+/// Whether a peer's beacon shows that it missed what this node knows: it was
+/// sent after this node had heard of it.
+bool mesh_node::missed_news(const mesh::node_row& peer) const
+{
+    return peer.last.targets_changed < tables_.targets.latest_change() &&
+           peer.heard > tables_.targets_changed;
+}
+
+void mesh_node::send_due_beacons()
+{
+    std::vector<std::string> due = tables_.nodes.due(tables_.now());
+    std::set<std::string> behind;
+    for (const auto& [host, row] : tables_.nodes.rows())
+        if (missed_news(row))
+            behind.insert(row.last.peer_address);
+    const auto first_behind =
+        std::ranges::stable_partition(due, [&](const std::string& it) {
+            return !behind.contains(it);
+        }).begin();
+    send_news({first_behind, due.end()});
+    due.erase(first_behind, due.end());
+    send_beacon(due);
+}
+
 /// Gathers what changes in one go into one round of beacons.
 void mesh_node::spread()
 {
@@ -220,7 +267,7 @@
     spreading_ = true;
     asio::post(tables_.io, [this] {
         spreading_ = false;
-        send_beacon(tables_.nodes.all_addresses());
+        send_news(tables_.nodes.all_addresses());
     });
 }
 
@@ -228,7 +275,7 @@
 {
     asio::steady_timer timer(tables_.io);
     for (;;) {
-        send_beacon(tables_.nodes.due(tables_.now()));
+        send_due_beacons();
         tables_.nodes.forget_old(tables_.now());
         co_await sleep_on(timer, tick_period);
     }
@@ -295,6 +342,8 @@
         log_event(event::node_state_changed,
                   {{"node", from.host.str()},
                    {"state", std::to_string(static_cast<int>(from.state))}});
+    if (from.target_news && tables_.targets.take_news(*from.target_news))
+        tables_.list_changed();
     take_freshness(from, now);
     if (knows_less_than(from))
         spawn(tables_.io, sync_from(from.peer_address));
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -63,6 +63,7 @@
 {
     const bool in_doubt =
         !contact.reached || now() - contact.changed < list_doubt;
+    targets_changed = now();
     book.sync(targets.entries(), in_doubt, now());
     log_event(event::targets_changed,
               {{"targets", std::to_string(targets.entries().size())},
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -23,6 +23,24 @@
   2: list<string> deaths
 }
 
+struct TargetRow {
+  1: string id
+  2: bool gone
+  3: string service_name
+  4: string address
+  5: string data_center
+  6: i32 slots
+  7: bool leaving
+  8: i64 warm_up_ms
+  9: i64 changed_at
+}
+
+struct TargetNews {
+  1: i64 since
+  2: i64 as_of
+  3: list<TargetRow> changes
+}
+
 struct Beacon {
   1: string host
   2: i64 life
@@ -42,6 +60,7 @@
   16: double capacity
   17: optional i32 configuration_age_ms
   18: optional i32 targets_age_ms
+  19: optional TargetNews target_news
 }
 
 struct TokenAsk {
@@ -78,18 +97,6 @@
   5: optional TokenGiftTaken gift_taken
 }
 
-struct TargetRow {
-  1: string id
-  2: bool gone
-  3: string service_name
-  4: string address
-  5: string data_center
-  6: i32 slots
-  7: bool leaving
-  8: i64 warm_up_ms
-  9: i64 changed_at
-}
-
 struct SyncAsk {
   1: i64 configuration
   2: i64 targets_as_of
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -24,6 +24,64 @@
     return Id(static_cast<std::uint64_t>(value));
 }
 
+wire::TargetRow to_wire(const catalog::target_change& from)
+{
+    wire::TargetRow out;
+    out.id = from.id.str();
+    out.gone = !from.entry.has_value();
+    out.changed_at = number(from.at.value());
+    if (!from.entry)
+        return out;
+    out.service_name = from.entry->service.str();
+    out.address = from.entry->address;
+    out.data_center = from.entry->data_center.str();
+    out.slots = static_cast<std::int32_t>(from.entry->slots);
+    out.leaving = from.entry->leaving;
+    out.warm_up_ms =
+        std::chrono::duration_cast<milliseconds>(from.entry->warm_up_left)
+            .count();
+    return out;
+}
+
+catalog::target_change from_wire(const wire::TargetRow& from)
+{
+    catalog::target_change out;
+    out.id = target_id(from.id);
+    out.at = id_of<catalog::revision>(from.changed_at);
+    if (from.gone)
+        return out;
+    catalog::target_entry entry;
+    entry.id = out.id;
+    entry.service = service_id(from.service_name);
+    entry.address = from.address;
+    entry.data_center = data_center_id(from.data_center);
+    entry.slots = static_cast<std::uint32_t>(from.slots);
+    entry.leaving = from.leaving;
+    entry.warm_up_left = milliseconds(from.warm_up_ms);
+    out.entry = std::move(entry);
+    return out;
+}
+
+wire::TargetNews to_wire(const catalog::target_news& from)
+{
+    wire::TargetNews out;
+    out.since = number(from.since.value());
+    out.as_of = number(from.as_of.value());
+    for (const catalog::target_change& it : from.changes)
+        out.changes.push_back(to_wire(it));
+    return out;
+}
+
+catalog::target_news from_wire(const wire::TargetNews& from)
+{
+    catalog::target_news out;
+    out.since = id_of<catalog::revision>(from.since);
+    out.as_of = id_of<catalog::revision>(from.as_of);
+    for (const wire::TargetRow& it : from.changes)
+        out.changes.push_back(from_wire(it));
+    return out;
+}
+
 /// An age of weeks says no more than one of hours.
 constexpr duration longest_age = seconds(3600);
 
@@ -61,6 +119,8 @@
         out.__set_configuration_age_ms(age_to_wire(*from.configuration_age));
     if (from.targets_age)
         out.__set_targets_age_ms(age_to_wire(*from.targets_age));
+    if (from.target_news)
+        out.__set_target_news(to_wire(*from.target_news));
     for (const auto& it : from.load) {
         wire::Load load;
         load.target = it.target.str();
@@ -113,6 +173,8 @@
     out.configuration_age =
         age_of(from.__isset.configuration_age_ms, from.configuration_age_ms);
     out.targets_age = age_of(from.__isset.targets_age_ms, from.targets_age_ms);
+    if (from.__isset.target_news)
+        out.target_news = from_wire(from.target_news);
     for (const wire::Load& it : from.load)
         out.load.push_back({target_id(it.target),
                             static_cast<std::uint32_t>(it.running),
@@ -171,44 +233,6 @@
            (it.gift && it.gift->amount < none);
 }
 
-wire::TargetRow to_wire(const catalog::target_change& from)
-{
-    wire::TargetRow out;
-    out.id = from.id.str();
-    out.gone = !from.entry.has_value();
-    out.changed_at = number(from.at.value());
-    if (!from.entry)
-        return out;
-    out.service_name = from.entry->service.str();
-    out.address = from.entry->address;
-    out.data_center = from.entry->data_center.str();
-    out.slots = static_cast<std::int32_t>(from.entry->slots);
-    out.leaving = from.entry->leaving;
-    out.warm_up_ms =
-        std::chrono::duration_cast<milliseconds>(from.entry->warm_up_left)
-            .count();
-    return out;
-}
-
-catalog::target_change from_wire(const wire::TargetRow& from)
-{
-    catalog::target_change out;
-    out.id = target_id(from.id);
-    out.at = id_of<catalog::revision>(from.changed_at);
-    if (from.gone)
-        return out;
-    catalog::target_entry entry;
-    entry.id = out.id;
-    entry.service = service_id(from.service_name);
-    entry.address = from.address;
-    entry.data_center = data_center_id(from.data_center);
-    entry.slots = static_cast<std::uint32_t>(from.slots);
-    entry.leaving = from.leaving;
-    entry.warm_up_left = milliseconds(from.warm_up_ms);
-    out.entry = std::move(entry);
-    return out;
-}
-
 } // namespace
 
 std::string encode(const datagram& message)
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -24,6 +24,14 @@
     out.requests_per_second = 12.5;
     out.capacity = 400;
     out.configuration_age = milliseconds(250);
+    catalog::target_entry leaving;
+    leaving.id = target_id("i-1");
+    leaving.leaving = true;
+    out.target_news = {
+        catalog::revision(10),
+        catalog::revision(12),
+        {{leaving.id, leaving, catalog::revision(11)},
+         {target_id("i-2"), std::nullopt, catalog::revision(12)}}};
     out.load = {{target_id("i-1"), 3, 400}};
     out.stock = {{team_id("t"), tokens(1000), tokens(20)}};
     out.poison = {{dispatch::request_mark(0xfedcba9876543210),
@@ -49,6 +57,10 @@
     CHECK(it.configuration == catalog::configuration_version(9));
     CHECK(it.configuration_age == milliseconds(250));
     CHECK(!it.targets_age);
+    CHECK(it.target_news->since == catalog::revision(10));
+    CHECK(it.target_news->as_of == catalog::revision(12));
+    CHECK(it.target_news->changes.at(0).entry->leaving);
+    CHECK(!it.target_news->changes.at(1).entry);
     CHECK(it.load.at(0).reading == 400);
     CHECK(it.stock.at(0).spent_per_second == tokens(20));
     CHECK(it.poison.at(0).mark == dispatch::request_mark(0xfedcba9876543210));
