Notice a dead node by what others heard of it

Its part in watching the platform was nobody's, and entry answers named it. Ruled out: more beacons (their rate is the bound of a node's upkeep). Change: beacons name the eight nodes heard last, 14 bytes each; a mention counts as a sign of life. Beacons to different nodes are spread over the period. Test: roster a_dead_node_is_noticed_within_seconds_in_a_large_fleet.

--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -52,6 +52,13 @@
     tokens spent_per_second; ///< Lately.
 };
 
+/// That another node was alive a while ago.
+struct heard_node
+{
+    node_life life;
+    duration ago;
+};
+
 /// What a node says of itself, a few times a second.
 struct beacon
 {
@@ -76,6 +83,7 @@
     std::vector<token_stock> stock;
     std::vector<dispatch::poison_record> poison;
     std::vector<std::string> introduced; ///< Addresses of further nodes.
+    std::vector<heard_node> heard;       ///< Those heard last, directly.
 };
 
 /// Asks a peer for tokens. Asking again with the same number gets the same
--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -34,8 +34,14 @@
     /// Addresses that never answered are all tried within so many periods of a
     /// small fleet: a fleet that starts anew finds itself in 2.5 s.
     std::size_t periods_to_try_all = 10;
-    /// A node not heard for this many periods is taken for dead.
+    /// Nodes heard last that a beacon names, 14 bytes each. A node is heard of
+    /// by so many more beacons than its own.
+    std::size_t mentions = 8;
+    /// A node of a small fleet is taken for dead after so many periods.
     double silent_periods = 4;
+    /// In a large one, after so many times the mean time between two signs of
+    /// it: mentions come by chance, and e^-10 of the gaps are longer.
+    double silent_gaps = 10;
     /// A node silent for this long is forgotten.
     duration forget_after = seconds(60);
     /// Addresses told in one beacon to a node that is new.
@@ -54,8 +60,9 @@
 /// Another node.
 struct node_row
 {
-    beacon last; ///< Without what changes fast (load, stock, poison).
-    instant heard;
+    beacon last;   ///< Without what changes fast (load, stock, poison).
+    instant heard; ///< The last beacon.
+    instant seen;  ///< The last sign of life, a beacon or a mention.
 };
 
 /// What a beacon changed.
@@ -85,6 +92,12 @@
     /// Everybody known, for news that must not wait.
     std::vector<std::string> all_addresses() const;
 
+    /// Whom to mention in a beacon: those whose beacons came last.
+    std::vector<heard_node> heard_lately(instant now) const;
+
+    /// A node without a sign of life for this long is taken for dead.
+    duration silence_limit() const;
+
     /// Nodes heard lately, by host.
     std::vector<const node_row*> alive(instant now) const;
     bool is_alive(const node_row& row, instant now) const;
@@ -113,6 +126,9 @@
     void forget_old(instant now);
 
 private:
+    duration first_wait(const host_id& to) const;
+    void take_mentions(const beacon& from, instant now);
+
     host_id self_;
     roster_options options_;
     row_map rows_;
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -188,6 +188,7 @@
     out.capacity = tables_.capacity();
     out.configuration_age = tables_.configuration_freshness.age(tables_.now());
     out.targets_age = tables_.targets_freshness.age(tables_.now());
+    out.heard = tables_.nodes.heard_lately(tables_.now());
     out.load = tables_.book.own_load();
     shorten(out.load, load_limit);
     if (desk_ != nullptr)
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -41,6 +41,11 @@
   3: list<TargetRow> changes
 }
 
+struct HeardNode {
+  1: i64 life
+  2: i32 ago_ms
+}
+
 struct Beacon {
   1: string host
   2: i64 life
@@ -61,6 +66,7 @@
   17: optional i32 configuration_age_ms
   18: optional i32 targets_age_ms
   19: optional TargetNews target_news
+  20: optional list<HeardNode> heard
 }
 
 struct TokenAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -147,6 +147,13 @@
     out.__isset.poison = !out.poison.empty();
     out.introduced = from.introduced;
     out.__isset.introduced = !out.introduced.empty();
+    for (const heard_node& it : from.heard) {
+        wire::HeardNode heard;
+        heard.life = number(it.life.value());
+        heard.ago_ms = age_to_wire(it.ago);
+        out.heard.push_back(heard);
+    }
+    out.__isset.heard = !out.heard.empty();
     return out;
 }
 
@@ -190,6 +197,9 @@
         out.poison.push_back(std::move(record));
     }
     out.introduced = from.introduced;
+    for (const wire::HeardNode& it : from.heard)
+        if (const auto ago = age_of(true, it.ago_ms))
+            out.heard.push_back({id_of<node_life>(it.life), *ago});
     return out;
 }
 
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -37,6 +37,7 @@
     out.poison = {{dispatch::request_mark(0xfedcba9876543210),
                    {target_id("i-1"), target_id("i-2")}}};
     out.introduced = {"10.0.0.2:7000"};
+    out.heard = {{node_life(78), milliseconds(40)}};
     return out;
 }
 
@@ -61,6 +62,8 @@
     CHECK(it.target_news->as_of == catalog::revision(12));
     CHECK(it.target_news->changes.at(0).entry->leaving);
     CHECK(!it.target_news->changes.at(1).entry);
+    CHECK(it.heard.at(0).life == node_life(78));
+    CHECK(it.heard.at(0).ago == milliseconds(40));
     CHECK(it.load.at(0).reading == 400);
     CHECK(it.stock.at(0).spent_per_second == tokens(20));
     CHECK(it.poison.at(0).mark == dispatch::request_mark(0xfedcba9876543210));
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -3,6 +3,7 @@
 #include "fennelladder/base/hash.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <tuple>
 
 namespace fennelladder::mesh {
@@ -16,6 +17,8 @@
     out.stock.clear();
     out.poison.clear();
     out.introduced.clear();
+    out.heard.clear();
+    out.target_news.reset();
     return out;
 }
 
@@ -33,16 +36,66 @@
     const auto known = rows_.find(from.host);
     if (known == rows_.end() || known->second.last.life != from.life) {
         news.new_node = true;
+        next_due_[from.peer_address] = now + first_wait(from.host);
     } else {
         if (from.sequence <= known->second.last.sequence)
             return news;
         news.state_changed = known->second.last.state != from.state;
     }
-    rows_[from.host] = {without_details(from), now};
+    rows_[from.host] = {without_details(from), now, now};
+    take_mentions(from, now);
     std::erase(unanswered_, from.peer_address);
     return news;
 }
 
+/// Beacons to different nodes go out at different times of the period. All at
+/// once, the mentions of a node would come all at once too, and long gaps
+/// between them; and small hosts would get a fleet's beacons in one moment.
+duration roster::first_wait(const host_id& to) const
+{
+    const std::uint64_t spread = hash64(to.str(), hash64(self_.str()));
+    constexpr double all = 18'446'744'073'709'551'616.0; // 2^64
+    return from_seconds(to_seconds(period()) * static_cast<double>(spread) /
+                        all);
+}
+
+/// A mention never revives what it is too old for, and a new life is only
+/// believed of its own beacon.
+void roster::take_mentions(const beacon& from, instant now)
+{
+    for (auto& [host, row] : rows_) {
+        const auto it =
+            std::ranges::find(from.heard, row.last.life, &heard_node::life);
+        if (it != from.heard.end())
+            row.seen = std::max(row.seen, now - it->ago);
+    }
+}
+
+std::vector<heard_node> roster::heard_lately(instant now) const
+{
+    std::vector<const node_row*> rows;
+    rows.reserve(rows_.size());
+    for (const auto& [host, row] : rows_)
+        rows.push_back(&row);
+    const auto n =
+        static_cast<std::ptrdiff_t>(std::min(options_.mentions, rows.size()));
+    std::ranges::partial_sort(rows, rows.begin() + n, std::greater<>(),
+                              &node_row::heard);
+    std::vector<heard_node> out;
+    for (auto it = rows.begin(); it != rows.begin() + n; ++it)
+        out.push_back({(*it)->last.life, now - (*it)->heard});
+    return out;
+}
+
+duration roster::silence_limit() const
+{
+    const double shortest =
+        options_.silent_periods * to_seconds(options_.beacon_period);
+    const double gap =
+        to_seconds(period()) / (1 + static_cast<double>(options_.mentions));
+    return from_seconds(std::max(shortest, options_.silent_gaps * gap));
+}
+
 void roster::add_addresses(const std::vector<std::string>& addresses)
 {
     for (const std::string& it : addresses) {
@@ -93,8 +146,7 @@
 
 bool roster::is_alive(const node_row& row, instant now) const
 {
-    const double silent = to_seconds(now - row.heard);
-    return silent < options_.silent_periods * to_seconds(period());
+    return now - row.seen < silence_limit();
 }
 
 std::vector<const node_row*> roster::alive(instant now) const
@@ -151,7 +203,7 @@
 void roster::forget_old(instant now)
 {
     std::erase_if(rows_, [&](const auto& it) {
-        return now - it.second.heard > options_.forget_after;
+        return now - it.second.seen > options_.forget_after;
     });
     std::erase_if(next_due_, [&](const auto& it) {
         return now - it.second > options_.forget_after;
--- a/libs/mesh/roster_test.cpp
+++ b/libs/mesh/roster_test.cpp
@@ -1,3 +1,4 @@
+#include "fennelladder/base/random.hpp"
 #include "fennelladder/mesh/roster.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -125,6 +126,121 @@
         UNSIGNED_LONGS_EQUAL(i, ranks[i]);
 }
 
+namespace {
+
+/// Rosters of a whole fleet in virtual time, over a network that loses one
+/// datagram in twenty.
+class fleet
+{
+public:
+    explicit fleet(int n)
+    {
+        for (int i = 0; i < n; ++i)
+            rosters_.emplace_back(host_id(name(i)), roster_options{});
+        for (int i = 0; i < n; ++i)
+            for (int from = 0; from < n; ++from)
+                rosters_[i].hear(beacon_of(from), now_);
+    }
+
+    void kill(int i) { dead_.insert(i); }
+
+    /// Pairs of living nodes of which one takes the other for dead, as a share
+    /// of all looks while `length` passes.
+    double run(duration length)
+    {
+        std::size_t looks = 0;
+        std::size_t wrong = 0;
+        const instant end = now_ + length;
+        for (; now_ < end; now_ += milliseconds(50)) {
+            for (int from = 0; from < size(); ++from)
+                if (!dead_.contains(from))
+                    send(from);
+            if (now_.time_since_epoch() % milliseconds(250) != duration(0))
+                continue;
+            for (int at = 0; at < size(); ++at)
+                if (!dead_.contains(at)) {
+                    const std::size_t living = size() - dead_.size() - 1;
+                    const std::size_t seen = rosters_[at].alive(now_).size();
+                    looks += living;
+                    wrong += living - std::min(living, seen);
+                }
+        }
+        return static_cast<double>(wrong) / static_cast<double>(looks);
+    }
+
+    /// Nodes that take `i` for alive.
+    int believers(int i)
+    {
+        int out = 0;
+        for (int at = 0; at < size(); ++at)
+            for (const node_row* it : rosters_[at].alive(now_))
+                out += !dead_.contains(at) && it->last.host.str() == name(i);
+        return out;
+    }
+
+private:
+    static std::string name(int i) { return "n" + std::to_string(i); }
+    int size() const { return static_cast<int>(rosters_.size()); }
+
+    beacon beacon_of(int i)
+    {
+        beacon out;
+        out.host = host_id(name(i));
+        out.life = node_life(static_cast<std::uint64_t>(i) + 1);
+        out.sequence = ++sequence_;
+        out.state = node_state::ready;
+        out.peer_address = name(i);
+        out.heard = rosters_[i].heard_lately(now_);
+        return out;
+    }
+
+    void send(int from)
+    {
+        for (const std::string& to : rosters_[from].due(now_)) {
+            const int at = std::stoi(to.substr(1));
+            if (random_.below(20) != 0 && !dead_.contains(at))
+                rosters_[at].hear(beacon_of(from), now_);
+        }
+    }
+
+    std::vector<mesh::roster> rosters_;
+    std::set<int> dead_;
+    std::uint64_t sequence_ = 0;
+    random_source random_{7};
+    instant now_ = start;
+};
+
+} // namespace
+
+// Story: one of sixty nodes loses power. Each of the others hears it every 1.5
+// s and waited for four beacons: for 6 s callers were sent there, and its part
+// in watching the platform was nobody's. In a fleet of 200 it was 20 s.
+TEST(roster, a_dead_node_is_noticed_within_seconds_in_a_large_fleet)
+{
+    struct row
+    {
+        int nodes;
+        duration noticed;
+    };
+    for (const row& it : {row{8, milliseconds(1100)}, row{60, seconds(2)},
+                          row{200, seconds(6)}}) {
+        fleet all(it.nodes);
+        all.run(seconds(1));
+        all.kill(3);
+        all.run(it.noticed);
+        LONGS_EQUAL(0, all.believers(3));
+    }
+}
+
+TEST(roster, living_nodes_are_not_taken_for_dead_in_a_large_fleet)
+{
+    for (const int n : {8, 60, 100}) {
+        fleet all(n);
+        all.run(seconds(5));
+        CHECK(all.run(seconds(10)) < 0.001);
+    }
+}
+
 TEST(roster, a_large_fleet_sends_no_more_beacons)
 {
     for (int i = 1; i <= 200; ++i)
