Limit a call to the platform by its progress

Cause: a call ended after its limit, whatever had come. A configuration of a megabyte over a link of 10 Mbit/s takes 0.8 s alone; cut off half way it was read anew from the start. Connecting had no limit but the call's.

Change: a call waits until its limit for the answer, then as long as no 0.7 s pass without a byte, ten seconds at most. Connecting has 0.6 s. A connection that fell silent is closed with all that are kept, so that the next call dials. A reply says when it began to come.

Tests: platform_client_test.

--- a/include/fennelladder/edge/platform_client.hpp
+++ b/include/fennelladder/edge/platform_client.hpp
@@ -8,6 +8,11 @@
 // reply was lost answers nothing more; it is closed. The client repeats
 // nothing: a call without a reply may have been carried out, or may be later.
 //
+// A call ends when its connection is silent for too long, not when the whole
+// takes long: a megabyte over a link of 10 Mbit/s takes a second, and what is
+// given up half way has to be sent again. When one connection fell silent the
+// kept ones are closed too, since what cut it has probably cut them.
+//
 // Not thread safe.
 
 #ifndef FENNELLADDER_EDGE_PLATFORM_CLIENT_HPP
@@ -37,6 +42,7 @@
 {
     call_outcome outcome = call_outcome::no_reply;
     std::string body;
+    instant begun; ///< When the first bytes of the reply came.
 
     /// The store took the call up: it neither turned this node away nor
     /// stayed silent.
@@ -52,10 +58,15 @@
 public:
     explicit platform_client(node_tables& tables);
 
-    /// Ends after `limit` at the latest.
+    /// Waits until `limit` for the answer's head, and after that as long as
+    /// bytes come. Connecting has a limit of its own, and no call lasts longer
+    /// than ten seconds after `limit`.
     awaitable<platform_reply> call(http::verb method, std::string target,
                                    std::string body, duration limit);
 
+    /// Closes the connections kept: the next calls dial.
+    void drop_kept() { idle_.clear(); }
+
 private:
     struct connection
     {
@@ -64,15 +75,22 @@
         tcp::socket socket;
         beast::flat_buffer buf;
         bool used = false;
+        bool silent = false; ///< Closed since nothing came.
     };
 
     using connection_ptr = std::shared_ptr<connection>;
+    using reply_parser = http::response_parser<http::string_body>;
 
     awaitable<platform_reply> exchange_on(connection_ptr with,
                                           http::verb method,
                                           const std::string& target,
-                                          const std::string& body);
+                                          const std::string& body,
+                                          duration limit);
     awaitable<bool> connect(connection_ptr made);
+    awaitable<bool> read_reply(connection_ptr with, reply_parser& parser,
+                               asio::steady_timer& timer, instant until,
+                               instant& begun);
+    void close_at(asio::steady_timer& timer, connection_ptr with, instant at);
 
     node_tables& tables_;
     std::vector<connection_ptr> idle_;
--- a/libs/edge/platform_client.cpp
+++ b/libs/edge/platform_client.cpp
@@ -1,6 +1,6 @@
 #include "fennelladder/edge/platform_client.hpp"
 
-#include <limits>
+#include <algorithm>
 
 namespace fennelladder::edge {
 
@@ -9,6 +9,17 @@
 constexpr std::size_t most_idle = 4;
 constexpr duration silence_limit = seconds(2);
 
+/// The platform is some milliseconds away. A first packet that is lost is sent
+/// again by the kernel after a second; dialling anew is sooner.
+constexpr duration connect_limit = milliseconds(600);
+
+/// Without a byte of an answer that has begun. A lost packet is sent again
+/// after 0.2 s, and again after 0.4.
+constexpr duration progress_limit = milliseconds(700);
+
+/// After a call's own limit: a megabyte at a tenth of the slowest link known.
+constexpr duration longest_transfer = seconds(10);
+
 /// A page of a listing is about a megabyte; anything far above isn't one.
 constexpr std::uint64_t largest_reply = 16'777'216;
 
@@ -62,22 +73,61 @@
 platform_client::platform_client(node_tables& tables) : tables_(tables)
 {}
 
+/// Closes the connection at `at`, unless the timer is set anew before.
+void platform_client::close_at(asio::steady_timer& timer, connection_ptr with,
+                               instant at)
+{
+    timer.expires_after(std::max(at - tables_.now(), duration(0)));
+    timer.async_wait([with = std::move(with)](net_error ec) {
+        if (ec)
+            return;
+        with->silent = true;
+        with->socket.close(ec);
+    });
+}
+
 awaitable<bool> platform_client::connect(connection_ptr made)
 {
     const auto endpoint = parse_endpoint(tables_.settings.store_address);
     if (!endpoint)
         co_return false;
+    asio::steady_timer timer(tables_.io);
+    close_at(timer, made, tables_.now() + connect_limit);
     net_error ec;
     co_await made->socket.async_connect(*endpoint, into(ec));
+    timer.cancel();
     if (ec || !made->socket.is_open())
         co_return false;
     guard_silence(made->socket, silence_limit);
     co_return true;
 }
 
+/// Until `until` the platform may be silent; after that bytes must come.
+awaitable<bool> platform_client::read_reply(connection_ptr with,
+                                            reply_parser& parser,
+                                            asio::steady_timer& timer,
+                                            instant until, instant& begun)
+{
+    const instant end = until + longest_transfer;
+    net_error ec;
+    while (!parser.is_done()) {
+        co_await http::async_read_some(with->socket, with->buf, parser,
+                                       into(ec));
+        if (ec)
+            co_return false;
+        const instant now = tables_.now();
+        if (begun == instant())
+            begun = now;
+        const instant next = now + progress_limit;
+        close_at(timer, with, std::min(std::max(until, next), end));
+    }
+    co_return true;
+}
+
 awaitable<platform_reply>
 platform_client::exchange_on(connection_ptr with, http::verb method,
-                             const std::string& target, const std::string& body)
+                             const std::string& target, const std::string& body,
+                             duration limit)
 {
     platform_reply out;
     if (!with->used) {
@@ -87,6 +137,9 @@
             co_return out;
         }
     }
+    const instant until = tables_.now() + limit;
+    asio::steady_timer timer(tables_.io);
+    close_at(timer, with, until);
     http::request<http::string_body> request(method, target, 11);
     request.set(http::field::host, tables_.settings.store_address);
     if (!body.empty()) {
@@ -98,10 +151,12 @@
     co_await http::async_write(with->socket, request, into(ec));
     if (ec)
         co_return out;
-    http::response_parser<http::string_body> parser;
+    reply_parser parser;
     parser.body_limit(largest_reply);
-    co_await http::async_read(with->socket, with->buf, parser, into(ec));
-    if (ec)
+    const bool whole =
+        co_await read_reply(with, parser, timer, until, out.begun);
+    timer.cancel();
+    if (!whole)
         co_return out;
     out.outcome = outcome_of(parser.get().result_int());
     out.body = std::move(parser.get().body());
@@ -125,10 +180,10 @@
     }
     if (!with)
         with = std::make_shared<connection>(tables_.io);
-    asio::steady_timer timer(tables_.io, limit);
-    close_on(timer, socket_of(with));
-    platform_reply out = co_await exchange_on(with, method, target, body);
-    timer.cancel();
+    platform_reply out =
+        co_await exchange_on(with, method, target, body, limit);
+    if (with->silent)
+        drop_kept();
     tables_.metrics
         .counter_of("fennelladder_platform_calls_total",
                     {{"outcome", metric_outcome(out.outcome)}})
