Decide by the age of what is known who asks the platform

Cause: only the three nodes that rank first asked. The rank is made of what nodes last said, so nodes that had died, froze or were cut off came first for six seconds and more.

Change: mesh::watch_duty, pure. A node asks if it ranks among the first two, knows nothing, or knows something older than 0.6 of the bound (or has known for so long of a newer configuration), times its own factor of 1 to 1.25. Having asked it stands in as a watcher until it hears that others watch, then leaves with even chances at each watch. A node that is cut off and isn't needed makes a cheap call now and then if it would watch otherwise: nothing else made large hosts call again after a cut.

Two faults of ages showed while this was made: * Nodes that start together sent all beacons of a period in one go, so what they confirmed was up to a period (1.5 s at 60 nodes) older before the next. roster::due gives each pair a phase. * The time a message is under way counted for nothing, so a quick circle of nodes kept itself young. Each hop now counts 50 ms.

Ruled out: counting a claim to reach the platform only if it is fresh. Nodes that don't watch seldom call, so small hosts that once watched would stay before large ones.

--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -4,7 +4,7 @@
 //     if (nodes.hear(beacon, now))
 //         ... news: spread it, refresh the entry answers ...
 //     nodes.ready(now)                // whom callers may be sent to
-//     nodes.rank(...) < 3             // this node watches the platform
+//     nodes.rank(...) < watchers      // this node watches the platform
 //
 // A hint only: a silent node may live and a heard one may have died since.
 // Nothing that must never happen rests on it.
@@ -113,6 +113,8 @@
     void forget_old(instant now);
 
 private:
+    double phase_of(const host_id& other) const;
+
     host_id self_;
     roster_options options_;
     row_map rows_;
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -309,10 +309,11 @@
     if (from.configuration > own)
         tables_.note_configuration_announced();
     if (from.configuration == own && from.configuration_age)
-        tables_.confirm_configuration(now - *from.configuration_age);
+        tables_.confirm_configuration(now - *from.configuration_age -
+                                      mesh::hop_allowance);
     if (from.targets_changed == tables_.targets.latest_change() &&
         from.targets_age)
-        tables_.confirm_targets(now - *from.targets_age);
+        tables_.confirm_targets(now - *from.targets_age - mesh::hop_allowance);
 }
 
 bool mesh_node::knows_less_than(const mesh::beacon& from) const
--- a/libs/mesh/freshness_test.cpp
+++ b/libs/mesh/freshness_test.cpp
@@ -51,3 +51,21 @@
     CHECK(a.age(at(1000)) == seconds(1));
     CHECK(b.age(at(1000)) == seconds(1));
 }
+
+// Story: sixty nodes pass each other's ages on, a hundred hops a second on the
+// quickest way, and the time under way counts for nothing. Cut off from the
+// platform, all believed to know the newest.
+TEST(mesh_freshness, nodes_that_confirm_each_other_slowly_grow_old_too)
+{
+    constexpr int under_way = 10;
+    freshness a;
+    freshness b;
+    a.confirm(at(0));
+    for (int now = 0; now < 1000; now += 2 * under_way) {
+        const duration told = *a.age(at(now));
+        b.confirm(at(now + under_way) - told - mesh::hop_allowance);
+        const duration back = *b.age(at(now + under_way));
+        a.confirm(at(now + 2 * under_way) - back - mesh::hop_allowance);
+    }
+    CHECK(a.age(at(1000)) == seconds(1));
+}
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -61,15 +61,28 @@
     return std::max(options_.beacon_period, from_seconds(seconds_each));
 }
 
+/// Nodes that start together hear of each other at the same moment. Without a
+/// phase for each pair all beacons of a period would come at once, and what
+/// they confirm would be a period old before the next.
+double roster::phase_of(const host_id& other) const
+{
+    constexpr std::uint64_t steps = 1024;
+    const std::uint64_t seed = hash64(self_.str());
+    const auto step = hash64(other.str(), seed) % steps;
+    return static_cast<double>(step) / steps;
+}
+
 std::vector<std::string> roster::due(instant now)
 {
     std::vector<std::string> out;
     for (const auto& [host, row] : rows_) {
-        instant& next = next_due_[row.last.peer_address];
-        if (now < next)
+        const std::string& address = row.last.peer_address;
+        const auto [known, is_first] = next_due_.try_emplace(address);
+        if (now < known->second)
             continue;
-        next = now + period();
-        out.push_back(row.last.peer_address);
+        const double share = is_first ? phase_of(host) : 1;
+        known->second = now + from_seconds(to_seconds(period()) * share);
+        out.push_back(address);
     }
     if (unanswered_.empty())
         return out;
--- /dev/null
+++ b/libs/mesh/watch_duty.cpp
@@ -0,0 +1,94 @@
+#include "fennelladder/mesh/watch_duty.hpp"
+
+#include "fennelladder/mesh/freshness.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace fennelladder::mesh {
+
+namespace {
+
+/// Of the bound. A watch that falls silent is noticed half a second after its
+/// wait, and a third leaves time for a second try and the way to the others.
+constexpr double watch_share = 1.0 / 3;
+
+/// Of the bound. Times the largest spread that is three quarters; the rest is
+/// for the call and for what it brings. In a calm fleet news are as old as a
+/// watch's wait and the way of a beacon, about 0.4.
+constexpr double stale_share = 0.6;
+
+/// Doubled with each failure in a row. A call over a good connection takes
+/// some ten milliseconds.
+constexpr duration first_pause = milliseconds(100);
+constexpr duration longest_ranked_pause = seconds(1);
+constexpr duration longest_pause = milliseconds(1500);
+constexpr int most_doublings = 6;
+
+/// That a stand-in leaves when it hears of another watcher.
+constexpr double leave_chance = 0.5;
+
+duration share_of(duration bound, double share)
+{
+    return from_seconds(to_seconds(bound) * share);
+}
+
+} // namespace
+
+news_limits news_limits_for(duration bound)
+{
+    return {share_of(bound, watch_share), share_of(bound, stale_share)};
+}
+
+watch_duty::watch_duty(news_limits limits, double spread) : limits_(limits)
+{
+    limits_.stale_after =
+        share_of(limits.stale_after, std::clamp(spread, 1.0, largest_spread));
+}
+
+bool watch_duty::is_stale(const news_view& view) const
+{
+    const duration most = limits_.stale_after;
+    return view.age > most || view.announced_for > most;
+}
+
+watch_reason watch_duty::decide(const news_view& view)
+{
+    reason_ = watch_reason::none;
+    if (view.rank < watchers)
+        reason_ = watch_reason::ranked;
+    else if (!view.age)
+        reason_ = watch_reason::unknown;
+    else if (standing_in_ || is_stale(view))
+        reason_ = watch_reason::stale;
+    if (reason_ != watch_reason::stale)
+        standing_in_ = false;
+    return reason_;
+}
+
+void watch_duty::answered(duration elapsed, std::optional<duration> age,
+                          random_source& random)
+{
+    if (reason_ != watch_reason::stale)
+        return;
+    if (!standing_in_) {
+        standing_in_ = true;
+        return;
+    }
+    const bool others_answered = age && *age + hop_allowance < elapsed;
+    if (others_answered && random.chance(leave_chance))
+        standing_in_ = false;
+}
+
+duration pause_after_failures(random_source& random, int failures,
+                              watch_reason reason)
+{
+    const duration longest =
+        reason == watch_reason::ranked ? longest_ranked_pause : longest_pause;
+    const int doublings = std::clamp(failures - 1, 0, most_doublings);
+    const double grown = std::min(
+        std::ldexp(to_seconds(first_pause), doublings), to_seconds(longest));
+    return from_seconds(grown * (1 + random.unit()) / 2);
+}
+
+} // namespace fennelladder::mesh
--- /dev/null
+++ b/libs/mesh/watch_duty_test.cpp
@@ -0,0 +1,475 @@
+// Who asks the platform, first for one node, then for a fleet of sixty in
+// virtual time: rosters, ages and decisions are the product's, messages arrive
+// on the next step, and the platform answers whom it isn't cut off from.
+
+#include "fennelladder/mesh/watch_duty.hpp"
+
+#include "fennelladder/mesh/freshness.hpp"
+#include "fennelladder/mesh/roster.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <vector>
+
+using namespace fennelladder;
+using namespace fennelladder::mesh;
+
+namespace {
+
+constexpr duration bound = seconds(3);
+constexpr news_limits limits = {seconds(1), milliseconds(1800)};
+constexpr news_view calm{9, milliseconds(500), std::nullopt};
+
+/// Of the platform or a connection that is cut.
+constexpr duration call_time = milliseconds(10);
+constexpr duration dial_limit = milliseconds(600);
+constexpr duration silence = milliseconds(1500);
+
+enum class platform_link
+{
+    good,
+    cut,   ///< Can't be dialled.
+    silent ///< Takes calls and answers none.
+};
+
+struct sim_node
+{
+    sim_node(int i, double power, std::uint64_t seed)
+        : name("n" + std::to_string(i)), capacity(power),
+          nodes(host_id(name), {}), random(seed),
+          duty(news_limits_for(bound), 1 + random.unit() / 4)
+    {}
+
+    std::string name;
+    double capacity;
+    mesh::roster nodes;
+    random_source random;
+    watch_duty duty;
+    freshness known;
+    platform_link platform = platform_link::good;
+    bool reached = true;
+    bool frozen = false;
+    bool listed = false;
+    bool calling = false;
+    bool watching = false;
+    watch_reason reason = watch_reason::none;
+    instant begun;
+    instant call_ends;
+    instant next_try;
+    instant next_probe;
+    bool probing = false;
+    int failures = 0;
+    std::uint64_t sequence = 0;
+};
+
+/// What happened while the fleet ran.
+struct run_record
+{
+    int calls = 0;
+    duration oldest{};
+};
+
+class sim_fleet
+{
+public:
+    sim_fleet()
+    {
+        for (int i = 0; i < size; ++i)
+            all.push_back(std::make_unique<sim_node>(i, i < large ? 400 : 100,
+                                                     std::uint64_t(i) + 1));
+        // All hear of each other at once, as after a common start.
+        for (const auto& it : all)
+            tell_all(*it);
+        run(seconds(10));
+    }
+
+    run_record run(duration length)
+    {
+        run_record out;
+        record_ = &out;
+        for (const instant end = now + length; now < end; now += step)
+            take_step();
+        record_ = nullptr;
+        return out;
+    }
+
+    /// Order in which nodes watch, as `by` sees it.
+    std::vector<sim_node*> ranked()
+    {
+        std::vector<sim_node*> out;
+        for (const auto& it : all)
+            out.push_back(it.get());
+        std::ranges::sort(out, {}, [&](sim_node* it) { return rank(*it); });
+        return out;
+    }
+
+    std::size_t rank(const sim_node& it) const
+    {
+        return it.nodes.rank("targets", it.reached, it.capacity, now);
+    }
+
+    static constexpr int size = 60;
+    static constexpr int large = 10;
+
+    instant now = instant(seconds(1000));
+    std::vector<std::unique_ptr<sim_node>> all;
+
+private:
+    static constexpr duration step = milliseconds(10);
+
+    void take_step()
+    {
+        const auto number = (now - instant()) / step;
+        for (std::size_t i = 0; i < all.size(); ++i) {
+            sim_node& it = *all[i];
+            if (it.frozen)
+                continue;
+            if (it.calling && now >= it.call_ends)
+                end_call(it);
+            if ((number + static_cast<long>(i)) % 10 == 0)
+                look(it);
+            if ((number + static_cast<long>(i)) % 5 == 0)
+                send_due(it);
+            if (const auto age = it.known.age(now))
+                record_->oldest = std::max(record_->oldest, *age);
+        }
+    }
+
+    beacon beacon_of(sim_node& it) const
+    {
+        beacon out;
+        out.host = host_id(it.name);
+        out.life = node_life(1);
+        out.sequence = ++it.sequence;
+        out.state = node_state::ready;
+        out.peer_address = it.name;
+        out.platform_reached = it.reached;
+        out.capacity = it.capacity;
+        out.targets_age = it.known.age(now);
+        return out;
+    }
+
+    void hear(sim_node& to, const beacon& from)
+    {
+        if (to.frozen || to.name == from.host.str())
+            return;
+        to.nodes.hear(from, now);
+        if (from.targets_age)
+            to.known.confirm(now - *from.targets_age - hop_allowance);
+    }
+
+    void tell_all(sim_node& from)
+    {
+        const beacon message = beacon_of(from);
+        for (const auto& it : all)
+            hear(*it, message);
+    }
+
+    void send_due(sim_node& from)
+    {
+        const auto due = from.nodes.due(now);
+        if (due.empty())
+            return;
+        const beacon message = beacon_of(from);
+        for (const std::string& name : due)
+            hear(*all[std::stoul(name.substr(1))], message);
+    }
+
+    void note_contact(sim_node& it, bool reached)
+    {
+        if (it.reached == reached)
+            return;
+        it.reached = reached;
+        tell_all(it);
+    }
+
+    void look(sim_node& it)
+    {
+        if (it.calling)
+            return;
+        it.reason = it.duty.decide({rank(it), it.known.age(now), {}});
+        if (it.reason == watch_reason::none) {
+            it.listed = false;
+            probe(it);
+        } else if (now >= it.next_try) {
+            begin_call(it, false);
+        }
+    }
+
+    void probe(sim_node& it)
+    {
+        if (now < it.next_probe)
+            return;
+        it.next_probe = now + jitter(it.random, seconds(5));
+        const auto best = it.nodes.rank("targets", true, it.capacity, now);
+        if (should_probe(it.reached, best))
+            begin_call(it, true);
+    }
+
+    void begin_call(sim_node& it, bool probing)
+    {
+        ++record_->calls;
+        it.calling = true;
+        it.probing = probing;
+        it.watching = it.listed && !probing;
+        it.begun = now;
+        duration lasts =
+            it.watching ? news_limits_for(bound).watch_wait : call_time;
+        if (it.platform == platform_link::silent ||
+            (it.watching && it.platform != platform_link::good))
+            lasts = silence;
+        else if (it.platform == platform_link::cut)
+            lasts = dial_limit;
+        it.call_ends = now + lasts;
+    }
+
+    void end_call(sim_node& it)
+    {
+        it.calling = false;
+        if (it.platform == platform_link::good)
+            succeed(it);
+        else if (it.watching) {
+            // A new connection is tried before the platform counts as away.
+            it.listed = false;
+            begin_call(it, false);
+        } else
+            fail(it);
+    }
+
+    void succeed(sim_node& it)
+    {
+        it.failures = 0;
+        const auto before = it.known.age(now);
+        if (!it.probing) {
+            it.listed = true;
+            it.known.confirm(now);
+            it.duty.answered(now - it.begun, before, it.random);
+            if (before > news_limits_for(bound).stale_after)
+                tell_all(it);
+        }
+        note_contact(it, true);
+    }
+
+    void fail(sim_node& it)
+    {
+        it.duty.failed();
+        ++it.failures;
+        it.next_try =
+            now + pause_after_failures(it.random, it.failures, it.reason);
+        note_contact(it, false);
+    }
+
+    run_record* record_ = nullptr;
+};
+
+} // namespace
+
+TEST_GROUP(watch_duty)
+{
+    watch_duty duty{limits, 1};
+    random_source random{1};
+};
+
+TEST(watch_duty, limits_leave_a_part_of_the_bound_for_the_way_to_the_others)
+{
+    for (const duration it : {seconds(2), seconds(3)}) {
+        const news_limits got = news_limits_for(it);
+        CHECK(got.watch_wait < got.stale_after);
+        CHECK(to_seconds(got.stale_after) * largest_spread <
+              0.76 * to_seconds(it));
+    }
+}
+
+TEST(watch_duty, the_first_two_watch_whatever_the_age)
+{
+    const struct
+    {
+        std::size_t rank;
+        std::optional<duration> age;
+        std::optional<duration> announced;
+        watch_reason expected;
+    } rows[] = {
+        {0, milliseconds(0), {}, watch_reason::ranked},
+        {1, seconds(9), {}, watch_reason::ranked},
+        {0, {}, {}, watch_reason::ranked},
+        {2, milliseconds(0), {}, watch_reason::none},
+        {2, milliseconds(1800), {}, watch_reason::none},
+        {2, milliseconds(1801), {}, watch_reason::stale},
+        {2, milliseconds(0), milliseconds(1800), watch_reason::none},
+        {2, milliseconds(0), milliseconds(1801), watch_reason::stale},
+        {59, {}, {}, watch_reason::unknown},
+    };
+    for (const auto& it : rows) {
+        watch_duty one(limits, 1);
+        CHECK(one.decide({it.rank, it.age, it.announced}) == it.expected);
+    }
+}
+
+TEST(watch_duty, a_nodes_own_factor_lengthens_its_limit)
+{
+    watch_duty late(limits, largest_spread);
+    CHECK(late.decide({9, milliseconds(2200), {}}) == watch_reason::none);
+    CHECK(late.decide({9, milliseconds(2300), {}}) == watch_reason::stale);
+}
+
+TEST(watch_duty, one_that_asked_stays_while_nobody_else_does)
+{
+    CHECK(duty.decide({9, seconds(2), {}}) == watch_reason::stale);
+    duty.answered(call_time, seconds(2), random);
+    for (int i = 0; i < 50; ++i) {
+        CHECK(duty.decide(calm) == watch_reason::stale);
+        duty.answered(seconds(1), seconds(1), random);
+    }
+}
+
+TEST(watch_duty, one_that_hears_of_other_watchers_leaves)
+{
+    (void)duty.decide({9, seconds(2), {}});
+    duty.answered(call_time, seconds(2), random);
+    int watches = 0;
+    while (duty.decide(calm) == watch_reason::stale) {
+        duty.answered(seconds(1), milliseconds(300), random);
+        CHECK(++watches < 30);
+    }
+}
+
+TEST(watch_duty, one_that_fails_or_ranks_first_is_no_stand_in_any_more)
+{
+    (void)duty.decide({9, seconds(2), {}});
+    duty.answered(call_time, seconds(2), random);
+    duty.failed();
+    CHECK(duty.decide(calm) == watch_reason::none);
+    (void)duty.decide({9, seconds(2), {}});
+    duty.answered(call_time, seconds(2), random);
+    CHECK(duty.decide({1, seconds(1), {}}) == watch_reason::ranked);
+    CHECK(duty.decide(calm) == watch_reason::none);
+}
+
+TEST(watch_duty, pauses_grow_and_end_within_two_seconds_with_the_dial)
+{
+    for (int failures = 1; failures < 40; ++failures) {
+        const auto ranked =
+            pause_after_failures(random, failures, watch_reason::ranked);
+        const auto other =
+            pause_after_failures(random, failures, watch_reason::stale);
+        CHECK(ranked <= seconds(1));
+        CHECK(other <= milliseconds(1500));
+        if (failures > 5)
+            CHECK(other >= milliseconds(750));
+    }
+    CHECK(pause_after_failures(random, 1, watch_reason::stale) <=
+          milliseconds(100));
+}
+
+TEST(watch_duty, only_a_node_that_would_watch_probes)
+{
+    CHECK(should_probe(false, 1));
+    CHECK(!should_probe(false, 2));
+    CHECK(!should_probe(true, 0));
+}
+
+TEST_GROUP(watching_fleet)
+{
+    sim_fleet fleet;
+
+    void cut_all_but(int left, platform_link how)
+    {
+        for (int i = 0; i < sim_fleet::size; ++i)
+            if (i != left)
+                fleet.all[i]->platform = how;
+    }
+};
+
+TEST(watching_fleet, only_two_ask_while_all_is_well)
+{
+    const run_record got = fleet.run(seconds(20));
+    // Two that watch for a second each, and now and then a step of waiting.
+    CHECK(got.calls <= 40);
+    CHECK(got.oldest < limits.stale_after);
+}
+
+// Story: the hosts that watch are killed, or frozen, in the same moment. The
+// others count them as alive for six seconds, and nobody asked the platform
+// until then.
+TEST(watching_fleet, three_first_ranked_that_freeze_are_stood_in_for)
+{
+    const auto order = fleet.ranked();
+    for (int i = 0; i < 3; ++i)
+        order[i]->frozen = true;
+    const run_record got = fleet.run(seconds(10));
+    CHECK(got.oldest < bound);
+    CHECK(got.calls < 10 * 12);
+    // Later the next in order watch, and the stand-ins have left.
+    CHECK(fleet.run(seconds(10)).calls <= 10 * 3);
+}
+
+// Story: the platform goes silent for a third of the hosts, those that watch
+// among them. Their watches wait for answers that don't come.
+TEST(watching_fleet, a_platform_silent_for_a_third_is_asked_by_the_others)
+{
+    const auto order = fleet.ranked();
+    for (int i = 0; i < sim_fleet::size / 3; ++i)
+        order[i]->platform = platform_link::silent;
+    const run_record got = fleet.run(seconds(10));
+    CHECK(got.oldest < bound);
+    CHECK(got.calls < 10 * 20);
+}
+
+// Story: all hosts but one small one are cut off from the platform. Those
+// that had reached it once went on claiming so, and were tried three at a
+// time; the one that could have asked was behind all of them.
+TEST(watching_fleet, the_only_host_that_reaches_the_platform_asks)
+{
+    cut_all_but(sim_fleet::size - 1, platform_link::cut);
+    const run_record got = fleet.run(seconds(10));
+    CHECK(got.oldest < bound);
+    CHECK(got.calls < 10 * 20);
+    CHECK(fleet.all.back()->reason != watch_reason::none);
+}
+
+TEST(watching_fleet, the_large_ones_watch_again_after_a_cut)
+{
+    cut_all_but(sim_fleet::size - 1, platform_link::cut);
+    fleet.run(seconds(10));
+    for (const auto& it : fleet.all)
+        it->platform = platform_link::good;
+    fleet.run(seconds(10));
+    CHECK(fleet.rank(*fleet.all.back()) >= watchers);
+    CHECK(fleet.ranked()[0]->capacity > 100);
+    CHECK(fleet.run(seconds(10)).calls <= 10 * 4);
+}
+
+// Story: the platform is away for everybody. Each call costs, also a refused
+// one, and sixty hosts try.
+TEST(watching_fleet, tries_stay_bounded_while_the_platform_is_away)
+{
+    cut_all_but(-1, platform_link::cut);
+    fleet.run(seconds(5));
+    const run_record got = fleet.run(seconds(10));
+    CHECK(got.calls < 10 * 45);
+}
+
+// Story: a host is cut off, and the whole fleet after it. Its own link comes
+// back first. It reached the platform for its tokens and asked for nothing
+// else; for seven seconds it refused requests on routes that were there.
+TEST(watching_fleet, a_host_whose_link_returns_alone_asks_within_two_seconds)
+{
+    for (int i = 0; i < sim_fleet::size; i += 11) {
+        cut_all_but(-1, platform_link::cut);
+        fleet.run(seconds(6));
+        sim_node& back = *fleet.all[i];
+        back.platform = platform_link::good;
+        duration waited{};
+        while (back.known.age(fleet.now) > seconds(2) && waited < seconds(9)) {
+            fleet.run(milliseconds(10));
+            waited += milliseconds(10);
+        }
+        CHECK(waited <= milliseconds(2200));
+        // Its answer reaches the others at once.
+        fleet.run(milliseconds(100));
+        for (const auto& it : fleet.all)
+            CHECK(it->known.age(fleet.now) < limits.stale_after);
+    }
+}
