Ask the platform for news when nobody confirms what is known

Cause: a watch waited for 5 s and was given up after 6.2 s; a node that wasn't one of the three watchers asked for nothing, also when it reached the platform for its tokens and its knowledge was seconds old.

Change: platform_feed follows mesh::watch_duty for both kinds. Watches wait for a third of the bound and are given up 0.5 s later; a listing on a new connection follows at once, and only its failure counts as a platform that isn't reached. Pauses after failures end with any answer of the platform. While it doesn't answer one kind tries for both. An answer is as old as its first byte. Events 1117 and 1118 say when a node begins and ends asking by itself, fennelladder_news_stale_total counts it.

Ruled out: noting a watch's silence as a platform out of reach. The connection may be all that is broken, and the node would rank last.

--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -97,6 +97,9 @@
     decaying_rate requests_taken{seconds(4)};
     bool leaving = false;
 
+    /// Called whenever the platform answered any call; set by the feed.
+    std::function<void()> platform_answered = [] {};
+
     /// Tells the other nodes at once; set by the mesh.
     std::function<void()> spread_news = [] {};
 };
--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -1,15 +1,22 @@
 // Keeps a node's configuration and list of targets as new as the platform's.
 //
-// A few nodes of the fleet watch the platform and tell the others, which
-// fetch the change from them (see mesh_node). Who watches follows from the
-// roster: the first few in an order all nodes agree on, those that reach the
-// platform before those that don't. So the calls don't grow with the fleet,
-// and a watcher that dies or is cut off is replaced as soon as its silence is
-// noticed.
+//     platform_feed feed(tables, client, mesh);
+//     feed.start();
+//
+// Two nodes of the fleet watch the platform and tell the others, which fetch
+// the change from them (see mesh_node). Who watches follows from the roster:
+// the first in an order all nodes agree on, those that reach the platform
+// before those that don't. So the calls don't grow with the fleet. A node
+// whose knowledge nobody has confirmed for too long asks by itself, whoever
+// ought to watch (see mesh/watch_duty.hpp, which decides).
 //
 // A watch may fall silent without an error. Each is therefore short, and a
-// full listing is made now and then. A history that is gone is answered by a
-// listing as well.
+// full listing is made now and then. A watch that fails, because its history
+// is gone or its connection broke, is followed by a listing at once.
+//
+// A platform that doesn't answer is tried by one call at a time, with pauses
+// that grow. An answer to any call of the node, also to one for tokens, ends
+// the pause.
 //
 // Not thread safe.
 
@@ -19,6 +26,7 @@
 #include "fennelladder/edge/mesh_node.hpp"
 #include "fennelladder/edge/node_tables.hpp"
 #include "fennelladder/edge/platform_client.hpp"
+#include "fennelladder/mesh/watch_duty.hpp"
 #include "platform/object_codec.hpp"
 
 #include <optional>
@@ -35,6 +43,62 @@
     void start();
 
 private:
+    /// One of the two kinds of news that are followed.
+    struct news_kind
+    {
+        news_kind(const char* name, node_tables& tables,
+                  mesh::news_limits limits);
+
+        const char* what; ///< Salt of the rank, and name in the log.
+        mesh::watch_duty duty;
+        mesh::watch_reason reason = mesh::watch_reason::none;
+        bool stale = false;  ///< As logged.
+        bool listed = false; ///< So that it can be watched from there.
+        instant listed_at;
+        int failures = 0; ///< In a row.
+        instant next_try;
+        /// When the latest answer came, of what was known till then.
+        std::optional<duration> age_before;
+        asio::steady_timer pause;
+    };
+
+    enum class call_kind : std::uint8_t
+    {
+        listing,
+        watch
+    };
+
+    /// What the platform said, and when that began to come: a large answer
+    /// over a small link is as old as that.
+    template <class Answer>
+    struct dated
+    {
+        Answer value;
+        instant begun;
+    };
+
+    using call_function = awaitable<bool> (platform_feed::*)();
+    using view_function = mesh::news_view (platform_feed::*)();
+
+    std::size_t rank(const news_kind& kind, bool reached) const;
+    awaitable<void> follow(news_kind& kind, view_function look,
+                           call_function list, call_function watch);
+    awaitable<bool> ask(news_kind& kind, call_function list,
+                        call_function watch);
+    awaitable<void> rest(news_kind& kind);
+    awaitable<void> probe();
+    bool held_back(const news_kind& kind) const;
+    void hold_back(news_kind& kind, mesh::watch_reason reason);
+    void settle(news_kind& kind, duration elapsed);
+    void on_answer();
+    void note_reason(news_kind& kind, mesh::watch_reason reason,
+                     const mesh::news_view& view);
+
+    mesh::news_view view_configuration();
+    mesh::news_view view_targets();
+    void confirm_configuration(instant at);
+    void confirm_targets(instant at);
+
     awaitable<void> follow_configuration();
     awaitable<void> follow_targets();
     awaitable<void> register_node();
@@ -45,17 +109,15 @@
     awaitable<bool> watch_configuration();
     awaitable<bool> watch_targets();
 
-    /// Waits before the next try; longer after each failure in a row.
-    awaitable<void> pause_after(bool success, int& failures);
+    awaitable<void> pause_after_failure(int& failures);
 
-    bool is_watcher(std::string_view what);
     bool take_configuration(const adapter::stored_object& object);
-    void note(const platform_reply& reply, const char* what);
+    void note(const platform_reply& reply, const char* what, call_kind kind);
 
     /// Reads from the platform; no value if that failed, which is logged.
     template <class Answer>
-    awaitable<std::optional<Answer>>
-    fetch(const char* what, std::string target, duration limit,
+    awaitable<std::optional<dated<Answer>>>
+    fetch(const char* what, call_kind kind, std::string target,
           result<Answer> (*decode)(const std::string&));
 
     /// Adds what an object says of a target; one that can't be read is
@@ -67,9 +129,12 @@
     node_tables& tables_;
     platform_client& client_;
     mesh_node& mesh_;
+    mesh::news_limits limits_;
+    news_kind configuration_;
+    news_kind targets_;
     catalog::revision configuration_as_of_;
-    instant configuration_listed_;
-    instant targets_listed_;
+    bool trying_contact_ = false; ///< A kind tries for both.
+    bool cut_off_ = false;        ///< Pauses are due to that.
 };
 
 } // namespace fennelladder::edge
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -116,12 +116,14 @@
 
 void node_tables::note_contact(bool reached, const std::string& detail)
 {
-    if (reached == contact.reached)
-        return;
-    contact = {reached, now()};
-    log_event(reached ? event::platform_well : event::platform_out,
-              {{"detail", detail}});
-    spread_news();
+    if (reached != contact.reached) {
+        contact = {reached, now()};
+        log_event(reached ? event::platform_well : event::platform_out,
+                  {{"detail", detail}});
+        spread_news();
+    }
+    if (reached)
+        platform_answered();
 }
 
 } // namespace fennelladder::edge
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -16,44 +16,63 @@
 using telemetry::log_event;
 namespace event = telemetry::event;
 
-/// Nodes that watch each kind. Three, so that two may be lost at once and
-/// the change still arrives at once.
-constexpr std::size_t watchers = 3;
+/// After a watch's wait. The platform answers within milliseconds of it.
+constexpr duration silence_after_wait = milliseconds(500);
 
-/// A watch that fell silent costs this long at most.
-constexpr duration watch_wait = seconds(5);
-constexpr duration watch_limit = watch_wait + milliseconds(1200);
+/// Until the head of a listing.
 constexpr duration list_limit = milliseconds(1500);
 
-/// Between two looks whether this node has become a watcher.
-constexpr duration rank_period = milliseconds(200);
+/// Between two looks whether this node has to ask: a twelfth of the smallest
+/// limit on age in use.
+constexpr duration look_period = milliseconds(100);
 
 /// A watcher lists anew this often, in case its watch missed something.
 constexpr duration relist_period = seconds(20);
 
-/// Between tries: doubled up to the longest.
-constexpr duration first_pause = milliseconds(100);
-constexpr duration longest_pause = seconds(1);
+/// Failures in a row that still lengthen a pause.
+constexpr int most_failures = 8;
+
+/// Between two cheap calls of a node that is cut off and not needed.
+constexpr duration probe_period = seconds(5);
+
+constexpr const char* stale_metric = "fennelladder_news_stale_total";
 
 constexpr const char* address_field = "peer_address";
 
 } // namespace
 
+platform_feed::news_kind::news_kind(const char* name, node_tables& tables,
+                                    mesh::news_limits limits)
+    : what(name),
+      duty(limits, 1 + tables.random.unit() * (mesh::largest_spread - 1)),
+      pause(tables.io)
+{}
+
 platform_feed::platform_feed(node_tables& tables, platform_client& client,
                              mesh_node& mesh)
-    : tables_(tables), client_(client), mesh_(mesh)
+    : tables_(tables), client_(client), mesh_(mesh),
+      limits_(mesh::news_limits_for(std::min(
+          tables.settings.configuration_bound, tables.settings.leaving_bound))),
+      configuration_("configuration", tables, limits_),
+      targets_("targets", tables, limits_)
 {}
 
 void platform_feed::start()
 {
+    tables_.platform_answered = [this] { on_answer(); };
     spawn(tables_.io, follow_configuration());
     spawn(tables_.io, follow_targets());
     spawn(tables_.io, register_node());
+    spawn(tables_.io, probe());
 }
 
-void platform_feed::note(const platform_reply& reply, const char* what)
+/// A watch that isn't answered says little of the platform: the connection may
+/// be what is broken. The listing that follows it says more.
+void platform_feed::note(const platform_reply& reply, const char* what,
+                         call_kind kind)
 {
-    tables_.note_contact(reply.reached(), what);
+    if (reply.reached() || kind == call_kind::listing)
+        tables_.note_contact(reply.reached(), what);
     if (!reply.reached())
         log_event(event::platform_call_failed,
                   {{"call", what},
@@ -61,12 +80,15 @@
 }
 
 template <class Answer>
-awaitable<std::optional<Answer>>
-platform_feed::fetch(const char* what, std::string target, duration limit,
+awaitable<std::optional<platform_feed::dated<Answer>>>
+platform_feed::fetch(const char* what, call_kind kind, std::string target,
                      result<Answer> (*decode)(const std::string&))
 {
+    const duration limit = kind == call_kind::watch
+                               ? limits_.watch_wait + silence_after_wait
+                               : list_limit;
     const auto got = co_await client_.call(http::verb::get, target, "", limit);
-    note(got, what);
+    note(got, what, kind);
     if (got.outcome != call_outcome::done)
         co_return std::nullopt;
     auto read = decode(got.body);
@@ -75,27 +97,177 @@
                   {{"source", what}, {"reason", read.error().message}});
         co_return std::nullopt;
     }
-    co_return std::move(*read);
+    co_return dated<Answer>{std::move(*read), got.begun};
+}
+
+// When to ask.
+
+std::size_t platform_feed::rank(const news_kind& kind, bool reached) const
+{
+    return tables_.nodes.rank(kind.what, reached, tables_.capacity(),
+                              tables_.now());
+}
+
+/// Waits a look's length, or less if the platform answers before.
+awaitable<void> platform_feed::rest(news_kind& kind)
+{
+    co_await sleep_on(kind.pause, look_period);
+}
+
+/// A call of any part was answered, so nothing needs to be waited for. Guards
+/// against a node that reaches the platform for its tokens and goes on with
+/// old news until its pause is over.
+void platform_feed::on_answer()
+{
+    if (!cut_off_)
+        return;
+    cut_off_ = false;
+    for (news_kind* it : {&configuration_, &targets_}) {
+        it->failures = 0;
+        it->next_try = instant();
+        it->pause.cancel();
+    }
 }
 
-bool platform_feed::is_watcher(std::string_view what)
+/// While the platform doesn't answer, one kind tries for both.
+bool platform_feed::held_back(const news_kind& kind) const
 {
-    return tables_.nodes.rank(what, tables_.contact.reached, tables_.capacity(),
-                              tables_.now()) < watchers;
+    const bool other_tries = !tables_.contact.reached && trying_contact_;
+    return other_tries || tables_.now() < kind.next_try;
+}
+
+void platform_feed::hold_back(news_kind& kind, mesh::watch_reason reason)
+{
+    kind.duty.failed();
+    kind.failures = std::min(kind.failures + 1, most_failures);
+    kind.next_try = tables_.now() + mesh::pause_after_failures(
+                                        tables_.random, kind.failures, reason);
+    if (tables_.contact.reached)
+        return;
+    cut_off_ = true;
+    for (news_kind* it : {&configuration_, &targets_}) {
+        it->failures = kind.failures;
+        it->next_try = kind.next_try;
+    }
+}
+
+void platform_feed::note_reason(news_kind& kind, mesh::watch_reason reason,
+                                const mesh::news_view& view)
+{
+    const bool stale = reason == mesh::watch_reason::stale;
+    if (stale == kind.stale)
+        return;
+    kind.stale = stale;
+    if (!stale) {
+        log_event(event::news_stale_over, {{"kind", kind.what}});
+        return;
+    }
+    // A kept connection may be what is broken; a new one shows at once.
+    client_.drop_kept();
+    tables_.metrics.counter_of(stale_metric, {{"kind", kind.what}}).add();
+    const duration none(0);
+    log_event(
+        event::news_stale,
+        {{"kind", kind.what},
+         {"age_ms", milliseconds_text(view.age.value_or(none))},
+         {"announced_ms", milliseconds_text(view.announced_for.value_or(none))},
+         {"rank", std::to_string(view.rank)},
+         {"platform_reached", tables_.contact.reached ? "true" : "false"}});
+}
+
+/// Lists or watches, whichever is due.
+awaitable<bool> platform_feed::ask(news_kind& kind, call_function list,
+                                   call_function watch)
+{
+    if (kind.listed && tables_.now() - kind.listed_at < relist_period) {
+        const bool watched = co_await (this->*watch)();
+        if (watched)
+            co_return true;
+    }
+    // Also after a watch that failed: the history may be gone, or just the
+    // one connection. Only if this fails too the platform isn't reached.
+    kind.listed = co_await (this->*list)();
+    kind.listed_at = tables_.now();
+    co_return kind.listed;
+}
+
+awaitable<void> platform_feed::follow(news_kind& kind, view_function look,
+                                      call_function list, call_function watch)
+{
+    for (;;) {
+        const mesh::news_view view = (this->*look)();
+        const mesh::watch_reason reason = kind.duty.decide(view);
+        note_reason(kind, reason, view);
+        kind.reason = reason;
+        if (reason == mesh::watch_reason::none)
+            kind.listed = false;
+        if (reason == mesh::watch_reason::none || held_back(kind)) {
+            co_await rest(kind);
+            continue;
+        }
+        const instant begun = tables_.now();
+        const bool tries_contact = !tables_.contact.reached;
+        if (tries_contact)
+            trying_contact_ = true;
+        kind.age_before.reset();
+        const bool fine = co_await ask(kind, list, watch);
+        if (tries_contact)
+            trying_contact_ = false;
+        if (fine)
+            settle(kind, tables_.now() - begun);
+        else
+            hold_back(kind, reason);
+    }
+}
+
+/// After an answer.
+void platform_feed::settle(news_kind& kind, duration elapsed)
+{
+    kind.failures = 0;
+    kind.duty.answered(elapsed, kind.age_before, tables_.random);
+    // Others are about to ask as well; hearing of it spares them the call.
+    if (kind.age_before > limits_.stale_after)
+        tables_.spread_news();
 }
 
-awaitable<void> platform_feed::pause_after(bool success, int& failures)
+/// Makes a call that costs little where this node would watch if it reached
+/// the platform.
+awaitable<void> platform_feed::probe()
 {
-    failures = success ? 0 : std::min(failures + 1, 6);
     asio::steady_timer timer(tables_.io);
-    const duration wait =
-        success ? rank_period
-                : backoff(tables_.random, failures, first_pause, longest_pause);
-    co_await sleep_on(timer, wait);
+    for (;;) {
+        co_await sleep_on(timer, jitter(tables_.random, probe_period));
+        const bool tries_anyway =
+            configuration_.reason != mesh::watch_reason::none ||
+            targets_.reason != mesh::watch_reason::none;
+        const std::size_t best =
+            std::min(rank(configuration_, true), rank(targets_, true));
+        if (!tries_anyway && mesh::should_probe(tables_.contact.reached, best))
+            (void)co_await list_nodes();
+    }
+}
+
+/// Waits longer after each failure in a row.
+awaitable<void> platform_feed::pause_after_failure(int& failures)
+{
+    failures = std::min(failures + 1, most_failures);
+    asio::steady_timer timer(tables_.io);
+    co_await sleep_on(timer,
+                      mesh::pause_after_failures(tables_.random, failures,
+                                                 mesh::watch_reason::none));
 }
 
 // Configuration.
 
+void platform_feed::confirm_configuration(instant at)
+{
+    configuration_.age_before =
+        tables_.configuration_freshness.age(tables_.now());
+    tables_.confirm_configuration(at);
+    // Whatever was announced, the platform has nothing newer.
+    tables_.configuration_announced.reset();
+}
+
 bool platform_feed::take_configuration(const adapter::stored_object& object)
 {
     if (object.name != adapter::configuration_name)
@@ -118,64 +290,60 @@
 {
     std::string target =
         adapter::list_target(object_kind::configuration, freshness::newest, "");
-    const auto page = co_await fetch("list configuration", target, list_limit,
-                                     adapter::decode_page);
+    const auto page = co_await fetch("list configuration", call_kind::listing,
+                                     target, adapter::decode_page);
     if (!page)
         co_return false;
-    for (const adapter::stored_object& it : page->objects)
+    for (const adapter::stored_object& it : page->value.objects)
         take_configuration(it);
-    configuration_as_of_ = page->as_of;
-    configuration_listed_ = tables_.now();
-    tables_.confirm_configuration(tables_.now());
-    co_return true;
+    configuration_as_of_ = page->value.as_of;
+    confirm_configuration(page->begun);
+    // The operator may not have written the first one yet.
+    co_return tables_.config != nullptr;
 }
 
 awaitable<bool> platform_feed::watch_configuration()
 {
     std::string target = adapter::watch_target(
-        object_kind::configuration, configuration_as_of_, watch_wait);
-    const auto news = co_await fetch("watch configuration", target, watch_limit,
-                                     adapter::decode_watch);
-    if (!news) {
-        configuration_as_of_ = catalog::revision();
+        object_kind::configuration, configuration_as_of_, limits_.watch_wait);
+    const auto news = co_await fetch("watch configuration", call_kind::watch,
+                                     target, adapter::decode_watch);
+    if (!news)
         co_return false;
-    }
-    for (const adapter::object_event& it : news->events)
+    for (const adapter::object_event& it : news->value.events)
         if (!it.gone)
             take_configuration(it.object);
-    configuration_as_of_ = news->as_of;
-    tables_.confirm_configuration(tables_.now());
+    configuration_as_of_ = news->value.as_of;
+    confirm_configuration(news->begun);
     co_return true;
 }
 
+mesh::news_view platform_feed::view_configuration()
+{
+    const instant now = tables_.now();
+    mesh::news_view out;
+    out.rank = rank(configuration_, tables_.contact.reached);
+    out.age = tables_.configuration_freshness.age(now);
+    if (tables_.configuration_announced)
+        out.announced_for = now - *tables_.configuration_announced;
+    return out;
+}
+
 awaitable<void> platform_feed::follow_configuration()
 {
-    int failures = 0;
-    for (;;) {
-        const bool first = tables_.config == nullptr;
-        if (!first && !is_watcher("configuration")) {
-            configuration_as_of_ = catalog::revision();
-            co_await pause_after(true, failures);
-            continue;
-        }
-        const bool relist =
-            configuration_as_of_ == catalog::revision() ||
-            tables_.now() - configuration_listed_ > relist_period;
-        bool fine = false;
-        if (relist)
-            fine = co_await list_configuration();
-        else
-            fine = co_await watch_configuration();
-        // The operator may not have written the first one yet.
-        if (!fine || tables_.config == nullptr)
-            co_await pause_after(false, failures);
-        else
-            failures = 0;
-    }
+    co_await follow(configuration_, &platform_feed::view_configuration,
+                    &platform_feed::list_configuration,
+                    &platform_feed::watch_configuration);
 }
 
 // Targets.
 
+void platform_feed::confirm_targets(instant at)
+{
+    targets_.age_before = tables_.targets_freshness.age(tables_.now());
+    tables_.confirm_targets(at);
+}
+
 void platform_feed::add_target(const adapter::stored_object& object,
                                catalog::revision changed,
                                std::vector<catalog::target_change>& out)
@@ -193,29 +361,31 @@
     std::vector<catalog::target_change> entries;
     std::string after;
     std::optional<catalog::revision> as_of;
+    instant begun;
     for (bool more = true; more;) {
         std::string target = adapter::list_target(object_kind::targets,
                                                   freshness::newest, after);
-        const auto page = co_await fetch("list targets", target, list_limit,
-                                         adapter::decode_page);
+        const auto page = co_await fetch("list targets", call_kind::listing,
+                                         target, adapter::decode_page);
         if (!page)
             co_return false;
-        for (const adapter::stored_object& it : page->objects) {
+        for (const adapter::stored_object& it : page->value.objects) {
             add_target(it, it.changed, entries);
             after = it.name;
         }
         // Later pages may be newer; what changed since the first is watched
         // from there.
-        if (!as_of)
-            as_of = page->as_of;
-        more = page->more && !page->objects.empty();
+        if (!as_of) {
+            as_of = page->value.as_of;
+            begun = page->begun;
+        }
+        more = page->value.more && !page->value.objects.empty();
     }
     const catalog::revision before = tables_.targets.latest_change();
     const bool known = tables_.targets.known();
     if (!tables_.targets.replace_all(entries, *as_of))
         co_return true;
-    targets_listed_ = tables_.now();
-    tables_.confirm_targets(tables_.now());
+    confirm_targets(begun);
     if (!known || tables_.targets.latest_change() != before) {
         tables_.list_changed();
         tables_.spread_news();
@@ -226,22 +396,22 @@
 awaitable<bool> platform_feed::watch_targets()
 {
     std::string target = adapter::watch_target(
-        object_kind::targets, tables_.targets.as_of(), watch_wait);
-    const auto news = co_await fetch("watch targets", target, watch_limit,
+        object_kind::targets, tables_.targets.as_of(), limits_.watch_wait);
+    const auto news = co_await fetch("watch targets", call_kind::watch, target,
                                      adapter::decode_watch);
     if (!news)
         co_return false;
     std::vector<catalog::target_change> changes;
-    for (const adapter::object_event& it : news->events) {
+    for (const adapter::object_event& it : news->value.events) {
         if (it.gone)
             changes.push_back(
-                {target_id(it.object.name), std::nullopt, news->as_of});
+                {target_id(it.object.name), std::nullopt, news->value.as_of});
         else
             add_target(it.object, it.object.changed, changes);
     }
-    if (!tables_.targets.apply(changes, news->as_of))
+    if (!tables_.targets.apply(changes, news->value.as_of))
         co_return true;
-    tables_.confirm_targets(tables_.now());
+    confirm_targets(news->begun);
     if (!changes.empty()) {
         tables_.list_changed();
         tables_.spread_news();
@@ -249,29 +419,19 @@
     co_return true;
 }
 
+mesh::news_view platform_feed::view_targets()
+{
+    mesh::news_view out;
+    out.rank = rank(targets_, tables_.contact.reached);
+    out.age = tables_.targets_freshness.age(tables_.now());
+    return out;
+}
+
 awaitable<void> platform_feed::follow_targets()
 {
-    int failures = 0;
-    bool listed = false;
-    for (;;) {
-        if (tables_.targets.known() && !is_watcher("targets")) {
-            listed = false;
-            co_await pause_after(true, failures);
-            continue;
-        }
-        const bool relist =
-            !listed || tables_.now() - targets_listed_ > relist_period;
-        bool fine = false;
-        if (relist)
-            fine = co_await list_targets();
-        else
-            fine = co_await watch_targets();
-        listed = fine;
-        if (!fine)
-            co_await pause_after(false, failures);
-        else
-            failures = 0;
-    }
+    co_await follow(targets_, &platform_feed::view_targets,
+                    &platform_feed::list_targets,
+                    &platform_feed::watch_targets);
 }
 
 // Where the nodes are.
@@ -282,18 +442,18 @@
     for (bool more = true; more;) {
         std::string target = adapter::list_target(
             object_kind::nodes, freshness::maybe_stale, after);
-        const auto page = co_await fetch("list nodes", target, list_limit,
-                                         adapter::decode_page);
+        const auto page = co_await fetch("list nodes", call_kind::listing,
+                                         target, adapter::decode_page);
         if (!page)
             co_return false;
         std::vector<std::string> addresses;
-        for (const adapter::stored_object& it : page->objects) {
+        for (const adapter::stored_object& it : page->value.objects) {
             if (it.content.is_object())
                 addresses.push_back(it.content.value(address_field, ""));
             after = it.name;
         }
         mesh_.introduce(addresses);
-        more = page->more && !page->objects.empty();
+        more = page->value.more && !page->value.objects.empty();
     }
     co_return true;
 }
@@ -321,13 +481,13 @@
         }
         if (got.outcome == call_outcome::done)
             break;
-        co_await pause_after(false, failures);
+        co_await pause_after_failure(failures);
     }
     bool listed = false;
     while (!listed) {
         listed = co_await list_nodes();
         if (!listed)
-            co_await pause_after(false, failures);
+            co_await pause_after_failure(failures);
     }
 }
 
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -70,6 +70,11 @@
     {event::news_fetch_failed, severity::warning, "news_fetch_failed",
      "A peer that announced targets or a configuration didn't bring them in "
      "time; another is asked."},
+    {event::news_stale, severity::warning, "news_stale",
+     "What the node knows is old and nobody confirms it; it asks the platform "
+     "by itself from now on."},
+    {event::news_stale_over, severity::info, "news_stale_over",
+     "The node leaves asking the platform to others again."},
     {event::platform_well, severity::info, "platform_well",
      "The platform answers again in good time."},
     {event::platform_slow, severity::warning, "platform_slow",
