--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -4,7 +4,7 @@
 //     if (nodes.hear(beacon, now))
 //         ... news: spread it, refresh the entry answers ...
 //     nodes.ready(now)                // whom callers may be sent to
-//     nodes.rank(...) < 3             // this node watches the platform
+//     nodes.rank(...) < watchers      // this node watches the platform
 //
 // A hint only: a silent node may live and a heard one may have died since.
 // Nothing that must never happen rests on it.
@@ -126,8 +126,8 @@
     void forget_old(instant now);
 
 private:
-    duration first_wait(const host_id& to) const;
     void take_mentions(const beacon& from, instant now);
+    double phase_of(const host_id& other) const;
 
     host_id self_;
     roster_options options_;
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -36,7 +36,6 @@
     const auto known = rows_.find(from.host);
     if (known == rows_.end() || known->second.last.life != from.life) {
         news.new_node = true;
-        next_due_[from.peer_address] = now + first_wait(from.host);
     } else {
         if (from.sequence <= known->second.last.sequence)
             return news;
@@ -48,17 +47,6 @@
     return news;
 }
 
-/// Beacons to different nodes go out at different times of the period. All at
-/// once, the mentions of a node would come all at once too, and long gaps
-/// between them; and small hosts would get a fleet's beacons in one moment.
-duration roster::first_wait(const host_id& to) const
-{
-    const std::uint64_t spread = hash64(to.str(), hash64(self_.str()));
-    constexpr double all = 18'446'744'073'709'551'616.0; // 2^64
-    return from_seconds(to_seconds(period()) * static_cast<double>(spread) /
-                        all);
-}
-
 /// A mention never revives what it is too old for, and a new life is only
 /// believed of its own beacon.
 void roster::take_mentions(const beacon& from, instant now)
@@ -114,15 +102,28 @@
     return std::max(options_.beacon_period, from_seconds(seconds_each));
 }
 
+/// Nodes that start together hear of each other at the same moment. Without a
+/// phase for each pair all beacons of a period would come at once, and what
+/// they confirm and whom they mention would be a period old before the next.
+double roster::phase_of(const host_id& other) const
+{
+    constexpr std::uint64_t steps = 1024;
+    const std::uint64_t seed = hash64(self_.str());
+    const auto step = hash64(other.str(), seed) % steps;
+    return static_cast<double>(step) / steps;
+}
+
 std::vector<std::string> roster::due(instant now)
 {
     std::vector<std::string> out;
     for (const auto& [host, row] : rows_) {
-        instant& next = next_due_[row.last.peer_address];
-        if (now < next)
+        const std::string& address = row.last.peer_address;
+        const auto [known, is_first] = next_due_.try_emplace(address);
+        if (now < known->second)
             continue;
-        next = now + period();
-        out.push_back(row.last.peer_address);
+        const double share = is_first ? phase_of(host) : 1;
+        known->second = now + from_seconds(to_seconds(period()) * share);
+        out.push_back(address);
     }
     if (unanswered_.empty())
         return out;
