Decide who may send a configuration, how fast, and whom to ask

Cause: all nodes that hear of a configuration fetch it from the same node at once. Sixty transfers share a link, none ends within its limit, all begin anew, and the host's callers wait behind the bytes. Change: transfer_slots admits two transfers at a time on a link of 10 Mbit/s (eight from 200 on), paces them to half of the link, the first one first, and names those that were served. source_choice picks by capacity and data centre at random, lets what brought nothing rest, spaces questions, and lets large hosts ask first.

--- /dev/null
+++ b/include/fennelladder/mesh/transfer_slots.hpp
@@ -0,0 +1,94 @@
+// Whether a node may begin to send one more configuration to another node, how
+// fast, and whom to name to those that have to go elsewhere.
+//
+//     transfer_slots slots(link_bits_per_second);
+//     if (const auto slot = slots.begin(now)) {
+//         ... for each piece: while slots.wait_before(*slot, bytes, now)
+//             isn't 0, wait so long; send ...
+//         slots.end(*slot);
+//         slots.note_served(version, peer_address);
+//     } else {
+//         ... "busy", slots.served(version) ...
+//     }
+//
+// Failure it guards against: sixty nodes fetch a large configuration from one
+// small host at the same time. Each gets a sixtieth of the link, none is done
+// in time, and the host's callers wait for seconds behind the bytes. Here a
+// transfer that begins also ends, since few share the link; all transfers
+// together are paced to a part of it, so that callers keep the rest; and each
+// node that was served is named to the next, so that the sources multiply.
+//
+// Cost: some words a slot. Not thread safe.
+
+#ifndef FENNELLADDER_MESH_TRANSFER_SLOTS_HPP
+#define FENNELLADDER_MESH_TRANSFER_SLOTS_HPP
+
+#include "fennelladder/base/ids.hpp"
+#include "fennelladder/base/time.hpp"
+#include "fennelladder/catalog/configuration.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fennelladder::mesh {
+
+/// A transfer that has begun, until it ends.
+using transfer_id = number_id<struct transfer_id_tag>;
+
+/// A transfer takes no longer, whatever trickles in.
+inline constexpr duration longest_transfer = seconds(10);
+
+/// Nodes named to an asker that has to go elsewhere.
+inline constexpr std::size_t most_named = 8;
+
+class transfer_slots
+{
+public:
+    explicit transfer_slots(double link_bits_per_second);
+
+    /// Transfers at the same time: two over a link of 10 Mbit/s, eight over
+    /// one of 200.
+    std::size_t size() const { return size_; }
+
+    /// Takes a slot; none if all are taken. One that isn't given back is free
+    /// again after `longest_transfer`.
+    std::optional<transfer_id> begin(instant now);
+
+    void end(transfer_id id);
+
+    /// 0: the transfer sends `bytes` now, and they are counted. Otherwise how
+    /// long to wait before asking again. The transfer that began first goes
+    /// first: of two that take turns, both end as late as the second would.
+    duration wait_before(transfer_id id, std::size_t bytes, instant now);
+
+    /// `address` has got `version` from here.
+    void note_served(catalog::configuration_version version,
+                     const std::string& address);
+
+    /// Nodes that got `version` from here, the latest first.
+    std::vector<std::string>
+    served(catalog::configuration_version version) const;
+
+private:
+    struct transfer
+    {
+        instant begun;
+        bool waits = false; ///< Was told to wait the last time.
+    };
+
+    std::size_t size_;
+    double bytes_per_second_;               ///< Of all transfers together.
+    std::map<transfer_id, transfer> begun_; ///< Oldest first.
+    transfer_id last_id_;
+    instant next_send_;
+    catalog::configuration_version served_version_;
+    std::deque<std::string> served_; ///< Latest first.
+};
+
+} // namespace fennelladder::mesh
+
+#endif
--- /dev/null
+++ b/libs/mesh/source_choice_test.cpp
@@ -0,0 +1,155 @@
+#include "fennelladder/mesh/source_choice.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <limits>
+
+using namespace fennelladder;
+using namespace fennelladder::mesh;
+
+namespace {
+
+const data_center_id near("austin");
+const data_center_id far("boston");
+const instant start = from_nanoseconds(1'000'000'000);
+
+/// How often each is chosen in 10,000 choices.
+std::map<std::string, int> choices(const std::vector<news_source>& sources)
+{
+    random_source random(5);
+    std::map<std::string, int> out;
+    for (int i = 0; i < 10'000; ++i)
+        ++out[choose_source(sources, near, random)];
+    return out;
+}
+
+} // namespace
+
+TEST_GROUP(source_choice){};
+
+TEST(source_choice, follows_capacity_and_place)
+{
+    struct row
+    {
+        news_source a;
+        news_source b;
+        double share_of_a;
+    };
+    const double inf = std::numeric_limits<double>::infinity();
+    const double none = std::numeric_limits<double>::quiet_NaN();
+    const row rows[] = {
+        {{"a", near, 100}, {"b", near, 100}, 0.5},
+        {{"a", near, 300}, {"b", near, 100}, 0.75},
+        {{"a", near, 100}, {"b", far, 100}, 0.889},
+        {{"a", near, 100}, {"b", far, 800}, 0.5},
+        {{"a", near, 0}, {"b", near, 1}, 0.5},
+        {{"a", near, none}, {"b", near, 1}, 0.5},
+        {{"a", near, -5}, {"b", near, 3}, 0.25},
+        {{"a", near, inf}, {"b", near, 1e5}, 0.5},
+    };
+    for (const row& it : rows)
+        DOUBLES_EQUAL(it.share_of_a, choices({it.a, it.b})["a"] / 10'000.0,
+                      0.02);
+}
+
+TEST(source_choice, one_or_none)
+{
+    random_source random(5);
+    CHECK(choose_source({}, near, random).empty());
+    const std::string only = choose_source({{"a", far, 0}}, near, random);
+    STRCMP_EQUAL("a", only.c_str());
+}
+
+// Story: 59 nodes heard of a configuration from the same beacons and all asked
+// the largest of those that had it; its link carried none of the transfers to
+// the end.
+TEST(source_choice, nodes_that_know_the_same_ask_different_ones)
+{
+    std::vector<news_source> sources;
+    sources.reserve(5);
+    for (int i = 0; i < 5; ++i)
+        sources.push_back({std::to_string(i), near, 100});
+    std::map<std::string, int> asked;
+    for (std::uint64_t node = 0; node < 59; ++node) {
+        random_source random(node);
+        ++asked[choose_source(sources, near, random)];
+    }
+    for (const news_source& it : sources)
+        CHECK(asked[it.address] >= 4 && asked[it.address] <= 24);
+}
+
+TEST(source_choice, questions_to_one_source_stay_rare)
+{
+    CHECK(ask_pause(60, 1) == milliseconds(120));
+    CHECK(ask_pause(60, 3) == milliseconds(50));
+    CHECK(ask_pause(340, 1) == milliseconds(250));
+    CHECK(ask_pause(340, 8) == milliseconds(84));
+    CHECK(ask_pause(1, 1) == milliseconds(50));
+    CHECK(ask_pause(5, 0) == milliseconds(50));
+}
+
+TEST(source_choice, large_hosts_ask_first)
+{
+    random_source random(3);
+    duration last_large{0};
+    duration first_small = seconds(1);
+    duration last_small{0};
+    for (int i = 0; i < 1'000; ++i) {
+        const duration large = head_start(true, 0.1, 340, 1, random);
+        const duration small = head_start(false, 0.1, 340, 1, random);
+        last_large = std::max(last_large, large);
+        first_small = std::min(first_small, small);
+        last_small = std::max(last_small, small);
+    }
+    CHECK(last_large <= milliseconds(15));
+    CHECK(first_small >= milliseconds(15));
+    CHECK(last_small > milliseconds(140) && last_small <= milliseconds(150));
+    // Where all are large, they don't ask at once either.
+    duration last{0};
+    for (int i = 0; i < 1'000; ++i)
+        last = std::max(last, head_start(true, 1, 340, 1, random));
+    CHECK(last > milliseconds(140));
+}
+
+TEST(source_choice, one_that_brought_nothing_rests_longer_each_time)
+{
+    struct row
+    {
+        fetch_end end;
+        duration first; ///< Longest of all draws.
+        duration last;
+    };
+    const row rows[] = {
+        {fetch_end::done, duration(0), duration(0)},
+        {fetch_end::not_newer, milliseconds(150), milliseconds(600)},
+        {fetch_end::busy, milliseconds(150), milliseconds(600)},
+        {fetch_end::failed, milliseconds(750), milliseconds(3000)},
+    };
+    const std::vector<news_source> both{{"a", near, 1}, {"b", near, 1}};
+    for (const row& it : rows) {
+        random_source random(1);
+        source_rests rests;
+        rests.note("a", it.end, start, random);
+        CHECK_EQUAL(it.end == fetch_end::done ? 2U : 1U,
+                    rests.awake(both, start).size());
+        CHECK_EQUAL(2U, rests.awake(both, start + it.first).size());
+        for (int i = 0; i < 6; ++i)
+            rests.note("a", it.end, start, random);
+        CHECK_EQUAL(2U, rests.awake(both, start + it.last).size());
+        const instant early = start + it.last / 3 - milliseconds(1);
+        CHECK_EQUAL(it.end == fetch_end::done ? 2U : 1U,
+                    rests.awake(both, early).size());
+    }
+}
+
+TEST(source_choice, rests_are_forgotten)
+{
+    random_source random(1);
+    source_rests rests;
+    CHECK_EQUAL(1, rests.note("a", fetch_end::busy, start, random));
+    CHECK_EQUAL(2, rests.note("a", fetch_end::busy, start, random));
+    CHECK_EQUAL(0, rests.note("a", fetch_end::done, start, random));
+    CHECK_EQUAL(1, rests.note("a", fetch_end::busy, start, random));
+    CHECK_EQUAL(1,
+                rests.note("b", fetch_end::busy, start + seconds(60), random));
+    UNSIGNED_LONGS_EQUAL(1, rests.size());
+}
--- /dev/null
+++ b/libs/mesh/transfer_slots_test.cpp
@@ -0,0 +1,138 @@
+#include "fennelladder/mesh/transfer_slots.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fennelladder;
+using namespace fennelladder::mesh;
+
+namespace {
+
+constexpr double small_link = 10e6;
+constexpr std::size_t piece = 16'384;
+const instant start = from_nanoseconds(1'000'000'000);
+
+std::size_t taken(transfer_slots& slots, std::size_t tries, instant now)
+{
+    std::size_t out = 0;
+    for (std::size_t i = 0; i < tries; ++i)
+        out += slots.begin(now) ? 1 : 0;
+    return out;
+}
+
+} // namespace
+
+TEST_GROUP(transfer_slots){};
+
+TEST(transfer_slots, follow_the_link)
+{
+    struct row
+    {
+        double link;
+        std::size_t slots;
+    };
+    for (const row& it : {row{0, 2}, row{10e6, 2}, row{50e6, 2}, row{100e6, 4},
+                          row{200e6, 8}, row{1e9, 8}}) {
+        transfer_slots slots(it.link);
+        UNSIGNED_LONGS_EQUAL(it.slots, slots.size());
+        UNSIGNED_LONGS_EQUAL(it.slots, taken(slots, 20, start));
+    }
+}
+
+TEST(transfer_slots, one_that_ends_lets_the_next_begin)
+{
+    transfer_slots slots(small_link);
+    const auto first = slots.begin(start);
+    const auto second = slots.begin(start);
+    CHECK(first && second && *first != *second);
+    CHECK(!slots.begin(start));
+    slots.end(*first);
+    CHECK(slots.begin(start).has_value());
+    CHECK(!slots.begin(start));
+    // Ended twice, it frees nobody else's.
+    slots.end(*first);
+    CHECK(!slots.begin(start));
+}
+
+TEST(transfer_slots, one_that_is_never_given_back_runs_out)
+{
+    transfer_slots slots(small_link);
+    UNSIGNED_LONGS_EQUAL(2, taken(slots, 3, start));
+    CHECK(!slots.begin(start + longest_transfer - milliseconds(1)));
+    CHECK(slots.begin(start + longest_transfer).has_value());
+}
+
+// Story: sixty nodes fetched a configuration from a small host, whose callers
+// waited 3 s behind it. All transfers together get half of the link.
+TEST(transfer_slots, leave_callers_their_part_of_the_link)
+{
+    transfer_slots slots(small_link);
+    const transfer_id ids[] = {*slots.begin(start), *slots.begin(start)};
+    instant now = start;
+    std::size_t sent = 0;
+    for (std::size_t turn = 0; now < start + seconds(10); ++turn) {
+        const duration wait = slots.wait_before(ids[turn % 2], piece, now);
+        if (wait == duration(0))
+            sent += piece;
+        else
+            now += milliseconds(1);
+    }
+    const double share = static_cast<double>(sent) * 8 / 10 / small_link;
+    DOUBLES_EQUAL(0.5, share, 0.02);
+}
+
+// What was unused for long is made up for by 200 ms of it, no more.
+TEST(transfer_slots, an_idle_link_is_used_at_once)
+{
+    transfer_slots slots(small_link);
+    instant now = start;
+    for (int round = 0; round < 3; ++round) {
+        const auto id = slots.begin(now);
+        std::size_t at_once = 0;
+        while (slots.wait_before(*id, piece, now) == duration(0))
+            at_once += piece;
+        CHECK(at_once >= 125'000 && at_once < 125'000 + 2 * piece);
+        CHECK(slots.wait_before(*id, piece, now) < milliseconds(27));
+        slots.end(*id);
+        now += seconds(60);
+    }
+}
+
+TEST(transfer_slots, the_first_goes_first)
+{
+    transfer_slots slots(small_link);
+    const auto first = slots.begin(start);
+    const auto second = slots.begin(start);
+    instant now = start;
+    while (slots.wait_before(*first, piece, now) == duration(0))
+        continue;
+    // Both may send by then, but the first is about to.
+    now += milliseconds(100);
+    CHECK(slots.wait_before(*second, piece, now) > duration(0));
+    CHECK(slots.wait_before(*first, piece, now) == duration(0));
+    CHECK(slots.wait_before(*second, piece, now) == duration(0));
+    // One that ended holds up nobody.
+    while (slots.wait_before(*first, piece, now) == duration(0))
+        continue;
+    slots.end(*first);
+    now += milliseconds(100);
+    CHECK(slots.wait_before(*second, piece, now) == duration(0));
+}
+
+TEST(transfer_slots, the_latest_served_are_named_first)
+{
+    const catalog::configuration_version old(6);
+    const catalog::configuration_version version(7);
+    transfer_slots slots(small_link);
+    slots.note_served(old, "old");
+    for (int i = 0; i < 12; ++i)
+        slots.note_served(version, std::to_string(i));
+    slots.note_served(version, "7");
+    slots.note_served(old, "late");
+    const auto named = slots.served(version);
+    UNSIGNED_LONGS_EQUAL(most_named, named.size());
+    STRCMP_EQUAL("7", named.at(0).c_str());
+    STRCMP_EQUAL("11", named.at(1).c_str());
+    STRCMP_EQUAL("4", named.back().c_str());
+    CHECK(slots.served(old).empty());
+    CHECK(slots.served(catalog::configuration_version(8)).empty());
+}
