Fetch targets and configurations apart, from nodes that have room

Cause: one exchange at a time brought both, so a target's leaving waited for a configuration; each exchange ended after 1.5 s, under way or not; everybody asked the largest node that knew more. Of 59 nodes that fetched 293 kB from one small host, 57 exchanges ended by that limit in one second, and nothing arrived for 2.5 s. Change: news_exchange takes the exchange out of mesh_node. Targets and configurations are fetched each on its own. A configuration goes packed, once for all that ask, and as it came to the next. Nodes of an earlier release are served, and read, as before, plain. Test replaced: targets_are_asked_for_before_a_configuration tested next_ask, which is gone with the order it gave. In its place targets_arrive_while_a_configuration_is_under_way demands more: that a list arrives while a transfer stands open.

--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -121,27 +121,39 @@
     std::optional<token_gift_taken> gift_taken;
 };
 
+/// What is asked for. Targets and a configuration travel apart: one may be a
+/// thousand times as large as the other and take a second over a small link.
+enum class sync_part : std::uint8_t
+{
+    both, ///< What a node of an earlier release asks for.
+    targets,
+    configuration
+};
+
 /// Asks a node for what it knows beyond this.
 struct sync_ask
 {
     catalog::configuration_version configuration;
     catalog::revision targets_as_of;
+    sync_part part = sync_part::both;
+    std::string peer_address; ///< Of the asker, to be named to others.
 };
 
-/// What to ask a peer for that knows targets up to `peer_has`, when one has all
-/// of `known`. Targets come before a configuration, which may be a thousand
-/// times as large and take seconds over a small link. A peer without newer
-/// targets is asked for the configuration, whatever others may know.
-sync_ask next_ask(const sync_ask& known, catalog::revision peer_has);
-
 struct sync_reply
 {
-    /// The operator's configuration as the platform spells it; empty if the
-    /// asker's is as new.
+    /// The operator's configuration as the platform spells it, for a node of
+    /// an earlier release; empty if the asker's is as new.
     std::string configuration;
     catalog::revision targets_as_of;
     bool targets_full = false; ///< `targets` is the whole list.
     std::vector<catalog::target_change> targets;
+    /// The same configuration by pack(), see mesh/packed_text.hpp.
+    std::string packed_configuration;
+    /// There is a newer configuration, but no slot to send it: ask another, for
+    /// instance one of `served`, which got `served_configuration` from here.
+    bool busy = false;
+    std::vector<std::string> served;
+    catalog::configuration_version served_configuration;
 };
 
 /// Datagrams up to this size fit in one packet on every network we know of
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -1,14 +1,8 @@
 #include "fennelladder/edge/mesh_node.hpp"
 
-#include "fennelladder/edge/simple_server.hpp"
-
 #include "fennelladder/telemetry/log.hpp"
-#include "platform/configuration_codec.hpp"
 
 #include <algorithm>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
-#include <nlohmann/json.hpp>
 
 namespace fennelladder::edge {
 
@@ -18,27 +12,8 @@
 namespace event = telemetry::event;
 
 constexpr const char* datagrams_metric = "fennelladder_mesh_datagrams_total";
-constexpr const char* fetches_metric = "fennelladder_mesh_fetches_total";
-constexpr const char* fetched_bytes_metric =
-    "fennelladder_mesh_fetched_bytes_total";
-
 constexpr duration tick_period = milliseconds(50);
 
-/// A node within the fleet is reached in milliseconds. One that isn't must not
-/// hold up the next: what is to be fetched has to be in force within seconds.
-constexpr duration sync_connect_limit = milliseconds(300);
-
-/// The exchange itself. A large configuration is some hundred kilobytes, and
-/// many nodes fetch it at once from the same few.
-constexpr duration sync_limit = milliseconds(1500);
-
-/// Exchanges in a row, so that nodes that can't be reached don't hold the
-/// next announcement up for long.
-constexpr int most_syncs = 4;
-
-/// A configuration is a megabyte at most, a list of 600 targets far less.
-constexpr std::uint32_t largest_message = 4'194'304;
-
 /// How long a death of a target is told to others.
 constexpr duration poison_span = seconds(20);
 constexpr std::size_t poison_limit = 24;
@@ -48,43 +23,6 @@
 constexpr std::size_t load_limit = 32;
 constexpr std::size_t stock_limit = 32;
 
-constexpr duration accept_pause = milliseconds(50);
-
-std::string framed(const std::string& message)
-{
-    const auto n = static_cast<std::uint32_t>(message.size());
-    std::string out{static_cast<char>(n >> 24), static_cast<char>(n >> 16),
-                    static_cast<char>(n >> 8), static_cast<char>(n)};
-    return out + message;
-}
-
-std::uint32_t length_of(const std::array<unsigned char, 4>& head)
-{
-    return std::uint32_t(head[0]) << 24 | std::uint32_t(head[1]) << 16 |
-           std::uint32_t(head[2]) << 8 | std::uint32_t(head[3]);
-}
-
-/// Reads one message; false when the connection ended or misbehaved.
-awaitable<bool> read_message(tcp::socket& socket, std::string& out)
-{
-    std::array<unsigned char, 4> head{};
-    net_error ec;
-    co_await asio::async_read(socket, asio::buffer(head), into(ec));
-    if (ec || length_of(head) > largest_message)
-        co_return false;
-    out.resize(length_of(head));
-    co_await asio::async_read(socket, asio::buffer(out), into(ec));
-    co_return !ec;
-}
-
-awaitable<bool> write_message(tcp::socket& socket, const std::string& message)
-{
-    const std::string bytes = framed(message);
-    net_error ec;
-    co_await asio::async_write(socket, asio::buffer(bytes), into(ec));
-    co_return !ec;
-}
-
 template <class List>
 void shorten(List& list, std::size_t limit)
 {
@@ -96,14 +34,10 @@
 
 mesh_node::mesh_node(node_tables& tables, std::string address)
     : tables_(tables), address_(std::move(address)), socket_(tables.io),
-      acceptor_(tables.io),
+      news_(tables, address_),
       sent_(tables.metrics.counter_of(datagrams_metric, {{"result", "sent"}})),
       failed_(
-          tables.metrics.counter_of(datagrams_metric, {{"result", "failed"}})),
-      fetched_(tables.metrics.counter_of(fetches_metric, {{"result", "done"}})),
-      fetch_failed_(
-          tables.metrics.counter_of(fetches_metric, {{"result", "failed"}})),
-      fetched_bytes_(tables.metrics.counter_of(fetched_bytes_metric))
+          tables.metrics.counter_of(datagrams_metric, {{"result", "failed"}}))
 {}
 
 void mesh_node::connect_desk(token_desk& desk)
@@ -123,12 +57,11 @@
     } catch (const std::exception& failure) {
         return fail(error_code::unavailable, address_ + ": " + failure.what());
     }
-    if (auto ok = listen_on(acceptor_, address_); !ok)
+    if (auto ok = news_.start(); !ok)
         return ok;
     tables_.spread_news = [this] { spread(); };
     spawn(tables_.io, receive());
     spawn(tables_.io, tick());
-    spawn(tables_.io, accept());
     return {};
 }
 
@@ -296,8 +229,7 @@
                   {{"node", from.host.str()},
                    {"state", std::to_string(static_cast<int>(from.state))}});
     take_freshness(from, now);
-    if (knows_less_than(from))
-        spawn(tables_.io, sync_from(from.peer_address));
+    news_.hear(from);
 }
 
 /// A peer that has what this node has confirms it, as of the time at which the
@@ -315,196 +247,4 @@
         tables_.confirm_targets(now - *from.targets_age);
 }
 
-bool mesh_node::knows_less_than(const mesh::beacon& from) const
-{
-    const catalog::configuration_version own =
-        tables_.config ? tables_.config->version()
-                       : catalog::configuration_version();
-    return from.configuration > own ||
-           from.targets_changed > tables_.targets.as_of();
-}
-
-// Bringing the configuration and targets.
-
-/// The latest change of targets that the peer at `address` said it knows.
-catalog::revision mesh_node::targets_at(const std::string& address) const
-{
-    for (const auto& [host, row] : tables_.nodes.rows())
-        if (row.last.peer_address == address)
-            return row.last.targets_changed;
-    return catalog::revision();
-}
-
-/// The largest of the nodes that know more than this one, other than
-/// `except`; empty if there is none.
-std::string mesh_node::better_informed(const std::string& except) const
-{
-    const mesh::node_row* best = nullptr;
-    for (const mesh::node_row* it : tables_.nodes.alive(tables_.now())) {
-        if (it->last.peer_address == except || !knows_less_than(it->last))
-            continue;
-        if (best == nullptr || it->last.capacity > best->last.capacity)
-            best = it;
-    }
-    return best == nullptr ? std::string() : best->last.peer_address;
-}
-
-awaitable<bool> mesh_node::sync_once(std::string address)
-{
-    const auto endpoint = parse_endpoint(address);
-    if (!endpoint)
-        co_return false;
-    auto socket = std::make_shared<tcp::socket>(tables_.io);
-    asio::steady_timer timer(tables_.io, sync_connect_limit);
-    close_on(timer, socket);
-    net_error ec;
-    co_await socket->async_connect(*endpoint, into(ec));
-    if (ec || !socket->is_open())
-        co_return false;
-    timer.expires_after(sync_limit);
-    close_on(timer, socket);
-    const instant begun = tables_.now();
-    const std::size_t bytes = co_await ask_sync(*socket, address);
-    timer.cancel();
-    const bool done = bytes > 0;
-    (done ? fetched_ : fetch_failed_).add();
-    fetched_bytes_.add(bytes);
-    log_event(
-        done ? event::news_fetched : event::news_fetch_failed,
-        {{"from", address},
-         {"bytes", std::to_string(bytes)},
-         {"ms", milliseconds_text(tables_.now() - begun)},
-         {"targets_as_of", std::to_string(tables_.targets.as_of().value())},
-         {"generation", generation_text()}});
-    co_return done;
-}
-
-/// One exchange at a time. What was announced meanwhile is fetched after it:
-/// in a large fleet the next beacon is seconds away.
-awaitable<void> mesh_node::sync_from(std::string address)
-{
-    if (syncing_)
-        co_return;
-    syncing_ = true;
-    for (int i = 0; i < most_syncs && !address.empty(); ++i) {
-        const bool done = co_await sync_once(address);
-        address = better_informed(done ? std::string() : address);
-    }
-    syncing_ = false;
-}
-
-std::string mesh_node::generation_text() const
-{
-    return std::to_string(tables_.config ? tables_.config->version().value()
-                                         : 0);
-}
-
-/// Bytes of the answer; 0 if there was none that could be read.
-awaitable<std::size_t> mesh_node::ask_sync(tcp::socket& socket,
-                                           const std::string& address)
-{
-    mesh::sync_ask known;
-    if (tables_.config != nullptr)
-        known.configuration = tables_.config->version();
-    known.targets_as_of = tables_.targets.as_of();
-    const auto ask = mesh::next_ask(known, targets_at(address));
-    const std::string question = mesh::encode(ask);
-    const bool sent = co_await write_message(socket, question);
-    std::string bytes;
-    if (!sent)
-        co_return 0;
-    const bool read = co_await read_message(socket, bytes);
-    if (!read)
-        co_return 0;
-    const auto reply = mesh::decode_sync_reply(bytes);
-    if (!reply) {
-        log_event(event::configuration_unreadable,
-                  {{"source", "peer"}, {"reason", reply.error().message}});
-        co_return 0;
-    }
-    take_sync(*reply, address);
-    co_return bytes.size();
-}
-
-void mesh_node::take_sync(const mesh::sync_reply& reply,
-                          const std::string& source)
-{
-    if (!reply.configuration.empty()) {
-        const auto spec =
-            nlohmann::json::parse(reply.configuration, nullptr, false);
-        auto parts = adapter::decode_configuration(spec);
-        if (parts)
-            tables_.take_configuration(std::move(*parts), reply.configuration,
-                                       source);
-        else
-            log_event(event::configuration_unreadable,
-                      {{"source", "peer"}, {"reason", parts.error().message}});
-    }
-    const catalog::revision before = tables_.targets.latest_change();
-    const bool first = !tables_.targets.known();
-    if (reply.targets_full)
-        tables_.targets.replace_all(reply.targets, reply.targets_as_of);
-    else
-        tables_.targets.apply(reply.targets, reply.targets_as_of);
-    const bool changed = first ? tables_.targets.known()
-                               : tables_.targets.latest_change() != before;
-    if (changed)
-        tables_.list_changed();
-    // Those that heard it from the platform tell everybody; if those that
-    // heard it from them did so too, each change would cost a message for
-    // every pair of nodes.
-}
-
-mesh::sync_reply mesh_node::sync_answer(const mesh::sync_ask& ask) const
-{
-    mesh::sync_reply out;
-    if (tables_.config != nullptr &&
-        tables_.config->version() > ask.configuration)
-        out.configuration = tables_.config_text;
-    if (!tables_.targets.known())
-        return out;
-    out.targets_as_of = tables_.targets.as_of();
-    const auto changes = tables_.targets.changes_since(ask.targets_as_of);
-    if (changes) {
-        out.targets = *changes;
-        return out;
-    }
-    out.targets_full = true;
-    for (const auto& [id, entry] : tables_.targets.entries())
-        out.targets.push_back({id, entry, tables_.targets.latest_change()});
-    return out;
-}
-
-awaitable<void> mesh_node::accept()
-{
-    asio::steady_timer timer(tables_.io);
-    for (;;) {
-        auto socket = std::make_shared<tcp::socket>(tables_.io);
-        net_error ec;
-        co_await acceptor_.async_accept(*socket, into(ec));
-        if (ec) {
-            co_await sleep_on(timer, accept_pause);
-            continue;
-        }
-        spawn(tables_.io, serve_sync(socket));
-    }
-}
-
-awaitable<void> mesh_node::serve_sync(std::shared_ptr<tcp::socket> socket)
-{
-    asio::steady_timer timer(tables_.io, sync_limit);
-    close_on(timer, socket);
-    std::string bytes;
-    const bool read = co_await read_message(*socket, bytes);
-    if (!read)
-        co_return;
-    const auto ask = mesh::decode_sync_ask(bytes);
-    if (!ask) {
-        log_event(event::call_invalid, {{"reason", ask.error().message}});
-        co_return;
-    }
-    const std::string answer = mesh::encode(sync_answer(*ask));
-    (void)co_await write_message(*socket, answer);
-}
-
 } // namespace fennelladder::edge
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -93,6 +93,8 @@
 struct SyncAsk {
   1: i64 configuration
   2: i64 targets_as_of
+  3: optional i8 part
+  4: optional string peer_address
 }
 
 struct SyncReply {
@@ -100,4 +102,8 @@
   2: i64 targets_as_of
   3: bool targets_full
   4: optional list<TargetRow> targets
+  5: optional binary packed_configuration
+  6: optional bool busy
+  7: optional list<string> served
+  8: optional i64 served_configuration
 }
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -7,7 +7,6 @@
 #include "mesh_types.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace fennelladder::mesh {
 
@@ -209,6 +208,14 @@
     return out;
 }
 
+/// A part of a later release isn't known here; both hold it if anything does.
+sync_part part_of(std::int8_t value)
+{
+    const bool known =
+        value >= 0 && value <= static_cast<int>(sync_part::configuration);
+    return known ? static_cast<sync_part>(value) : sync_part::both;
+}
+
 } // namespace
 
 std::string encode(const datagram& message)
@@ -233,6 +240,8 @@
     wire::SyncAsk out;
     out.configuration = number(message.configuration.value());
     out.targets_as_of = number(message.targets_as_of.value());
+    out.__set_part(static_cast<std::int8_t>(message.part));
+    out.__set_peer_address(message.peer_address);
     return to_bytes(out);
 }
 
@@ -246,6 +255,14 @@
     for (const catalog::target_change& it : message.targets)
         out.targets.push_back(to_wire(it));
     out.__isset.targets = !out.targets.empty();
+    if (!message.packed_configuration.empty())
+        out.__set_packed_configuration(message.packed_configuration);
+    if (!message.busy)
+        return to_bytes(out);
+    out.__set_busy(true);
+    out.__set_served(message.served);
+    out.__set_served_configuration(
+        number(message.served_configuration.value()));
     return to_bytes(out);
 }
 
@@ -276,7 +293,8 @@
     if (!read)
         return tl::unexpected(read.error());
     return sync_ask{id_of<catalog::configuration_version>(read->configuration),
-                    id_of<catalog::revision>(read->targets_as_of)};
+                    id_of<catalog::revision>(read->targets_as_of),
+                    part_of(read->part), read->peer_address};
 }
 
 result<sync_reply> decode_sync_reply(std::string_view bytes)
@@ -285,21 +303,16 @@
     if (!read)
         return tl::unexpected(read.error());
     sync_reply out;
-    out.configuration = read->configuration;
+    out.configuration = std::move(read->configuration);
     out.targets_as_of = id_of<catalog::revision>(read->targets_as_of);
     out.targets_full = read->targets_full;
     for (const wire::TargetRow& it : read->targets)
         out.targets.push_back(from_wire(it));
-    return out;
-}
-
-sync_ask next_ask(const sync_ask& known, catalog::revision peer_has)
-{
-    sync_ask out = known;
-    // A peer sends a configuration only if it is newer than this.
-    if (peer_has > known.targets_as_of)
-        out.configuration = catalog::configuration_version(
-            std::numeric_limits<std::int64_t>::max());
+    out.packed_configuration = std::move(read->packed_configuration);
+    out.busy = read->__isset.busy && read->busy;
+    out.served = std::move(read->served);
+    out.served_configuration =
+        id_of<catalog::configuration_version>(read->served_configuration);
     return out;
 }
 
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -68,8 +68,8 @@
     {event::news_fetched, severity::info, "news_fetched",
      "Targets or a configuration came from a peer that knew more."},
     {event::news_fetch_failed, severity::warning, "news_fetch_failed",
-     "A peer that announced targets or a configuration didn't bring them in "
-     "time; another is asked."},
+     "A peer that announced targets or a configuration wasn't reached, fell "
+     "silent, or sent what can't be read; another is asked."},
     {event::platform_well, severity::info, "platform_well",
      "The platform answers again in good time."},
     {event::platform_slow, severity::warning, "platform_slow",
