--- a/include/fennelladder/base/time.hpp
+++ b/include/fennelladder/base/time.hpp
@@ -74,8 +74,9 @@
     virtual instant now() const = 0;
 };
 
-/// Wall time at start, advanced by the machine's steady clock, so that it
-/// never jumps while a process runs. Thread safe.
+/// Wall time at start, advanced by the machine's time since boot: it never
+/// jumps with the time of day, and counts the time that the machine was
+/// suspended, so that what was known before is as old as it is. Thread safe.
 class system_clock final : public clock
 {
 public:
@@ -83,7 +84,7 @@
     instant now() const override;
 
 private:
-    std::chrono::steady_clock::time_point started_;
+    duration started_;
     duration offset_;
 };
 
--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -44,6 +44,9 @@
     awaitable<void> tick();
     void take(const mesh::datagram& message, const std::string& from);
     void take_beacon(const mesh::beacon& from);
+    void take_holdings(const mesh::beacon& from);
+    duration way_allowance(instant now) const;
+    void note_tick(instant now);
     void take_freshness(const mesh::beacon& from, instant now);
     mesh::beacon own_beacon();
     void send_to_all(const std::vector<std::string>& addresses,
@@ -62,9 +65,13 @@
     news_exchange news_;
     telemetry::counter& sent_;
     telemetry::counter& failed_;
+    telemetry::gauge& lag_gauge_;
     std::array<char, 65536> datagram_{};
     std::uint64_t sequence_ = 0;
     bool spreading_ = false;
+    instant ticked_;
+    instant lagged_;  ///< When lag_ was seen.
+    duration lag_{0}; ///< The longest of late.
 };
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -53,6 +53,14 @@
     /// Lets the target book know what the list says.
     void list_changed();
 
+    /// Whether targets that are missing from the list may come back: nobody
+    /// heard from the platform for long, or not until a moment ago.
+    bool list_in_doubt() const;
+
+    /// Whether the list is older than news may be. Nodes ask the platform well
+    /// before that, so it is so only where none gets an answer.
+    bool targets_unconfirmed() const;
+
     /// Takes a newer configuration into force; older ones are passed over.
     /// `text` is what to pass on to other nodes, `source` who brought it, for
     /// the log. True if it is in force now.
@@ -85,6 +93,8 @@
     catalog::target_list targets;
     mesh::freshness targets_freshness;
     instant targets_changed; ///< When the list last changed here.
+    /// When a time ended in which nobody could say what the newest list was.
+    std::optional<instant> targets_gap_ended;
     dispatch::target_book book;
     dispatch::retry_window retries;
     dispatch::poison_list poison;
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -77,6 +77,10 @@
     /// Time since what it has was known to be the newest; unset: never.
     std::optional<duration> configuration_age;
     std::optional<duration> targets_age;
+    catalog::revision targets_as_of; ///< Of its list; 0: none.
+    /// Sent for news between two regular ones: without load and stock, of which
+    /// the last said holds.
+    bool is_brief = false;
     /// Latest changes, for those that may not know them.
     std::optional<catalog::target_news> target_news;
     std::vector<dispatch::target_load> load;
--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -70,6 +70,7 @@
 {
     bool new_node = false; ///< Or a new life of a known one.
     bool state_changed = false;
+    bool late = false; ///< An older one than the last; passed over.
 };
 
 class roster
--- a/include/fennelladder/telemetry/event_catalog.hpp
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -69,6 +69,7 @@
 constexpr int news_fetch_failed = 1116;
 constexpr int news_stale = 1117;
 constexpr int news_stale_over = 1118;
+constexpr int loop_lagged = 1119;
 constexpr int platform_well = 1200;
 constexpr int platform_slow = 1201;
 constexpr int platform_out = 1202;
--- a/libs/base/time.cpp
+++ b/libs/base/time.cpp
@@ -1,5 +1,7 @@
 #include "fennelladder/base/time.hpp"
 
+#include <ctime>
+
 namespace fennelladder {
 
 std::string milliseconds_text(duration length)
@@ -8,14 +10,28 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(length).count());
 }
 
+namespace {
+
+/// Time since the host started, with the time that it was suspended.
+duration since_boot()
+{
+    timespec it{};
+    // Fails only for a clock that the kernel doesn't have.
+    (void)::clock_gettime(CLOCK_BOOTTIME, &it);
+    return std::chrono::seconds(it.tv_sec) +
+           std::chrono::nanoseconds(it.tv_nsec);
+}
+
+} // namespace
+
 system_clock::system_clock()
-    : started_(std::chrono::steady_clock::now()),
+    : started_(since_boot()),
       offset_(std::chrono::system_clock::now().time_since_epoch())
 {}
 
 instant system_clock::now() const
 {
-    return instant(offset_ + (std::chrono::steady_clock::now() - started_));
+    return instant(offset_ + (since_boot() - started_));
 }
 
 } // namespace fennelladder
--- a/libs/catalog/target_entry.cpp
+++ b/libs/catalog/target_entry.cpp
@@ -1,5 +1,8 @@
 // A full listing is turned into changes against what was known, so that the
-// log stays complete whichever way the news came.
+// log stays complete whichever way the news came. A change that a watch had
+// missed may be older than the latest one known: it counts as of the listing,
+// else nobody, this node's users of the list included, would see that there
+// is something new.
 
 #include "fennelladder/catalog/target_entry.hpp"
 
@@ -25,7 +28,7 @@
     for (const auto& [id, change] : listed) {
         const auto old = entries_.find(id);
         if (old == entries_.end() || old->second != change->entry)
-            changes.push_back(*change);
+            changes.push_back({id, change->entry, known_ ? as_of : change->at});
     }
     known_ = true;
     return apply(changes, as_of);
--- a/libs/catalog/target_entry_test.cpp
+++ b/libs/catalog/target_entry_test.cpp
@@ -124,3 +124,20 @@
     CHECK(!other.take_news(first.latest_news(8)));
     CHECK(!other.known());
 }
+
+// A watch misses that a target leaves; another change is newer. The listing
+// that is made to heal this found it, but nobody was told: the list's latest
+// change was the same as before, and requests went to the target for good.
+TEST(target_list, what_only_a_listing_shows_is_a_change_as_of_the_listing)
+{
+    target_list list;
+    list.replace_all({there("a", 3), there("b", 4)}, revision(10));
+    list.apply({there("b", 110, true)}, revision(110));
+    const revision before = list.latest_change();
+    list.replace_all({there("a", 104, true), there("b", 110, true)},
+                     revision(120));
+    CHECK(list.latest_change() > before);
+    CHECK(list.entries().at(target_id("a")).leaving);
+    const auto changes = list.changes_since(revision(110));
+    UNSIGNED_LONGS_EQUAL(1, changes->size());
+}
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -145,13 +145,20 @@
 }
 
 /// On a node that is behind with its work a caller may have left unnoticed;
-/// what is sent on then only burdens a target.
+/// what is sent on then only burdens a target. While it connected, or the node
+/// was busy, the target may have said that it leaves.
 bool attempt::is_wanted()
 {
     in_.course.look_for_caller();
-    if (in_.course.stopped() == stop_reason::none)
+    if (in_.course.stopped() != stop_reason::none) {
+        end_by_error("before sending");
+        return false;
+    }
+    if (in_.tables.book.may_use(in_.target.target, in_.tables.now()))
         return true;
-    end_by_error("before sending");
+    // Nothing was sent: the request goes elsewhere as if no connection could
+    // be made, and the target isn't to blame.
+    end(attempt_end::not_connected, target_evidence::nothing, "it leaves");
     return false;
 }
 
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -13,8 +13,15 @@
 namespace event = telemetry::event;
 
 constexpr const char* datagrams_metric = "fennelladder_mesh_datagrams_total";
+constexpr const char* lag_metric = "fennelladder_loop_lag_milliseconds";
 constexpr duration tick_period = milliseconds(50);
 
+/// Datagrams that came while the loop stood still are read for so long after.
+constexpr duration lag_memory = seconds(1);
+
+/// A loop that stood still for longer is worth a line: callers felt it.
+constexpr duration lag_reported = milliseconds(250);
+
 /// How long a death of a target is told to others.
 constexpr duration poison_span = seconds(20);
 constexpr std::size_t poison_limit = 24;
@@ -35,6 +42,15 @@
         list.resize(limit);
 }
 
+/// What changes all the time anyway comes with the next regular beacon; without
+/// it the news fit one packet.
+void make_brief(mesh::beacon& it)
+{
+    it.is_brief = true;
+    it.load.clear();
+    it.stock.clear();
+}
+
 } // namespace
 
 mesh_node::mesh_node(node_tables& tables, std::string address)
@@ -42,7 +58,8 @@
       news_(tables, address_),
       sent_(tables.metrics.counter_of(datagrams_metric, {{"result", "sent"}})),
       failed_(
-          tables.metrics.counter_of(datagrams_metric, {{"result", "failed"}}))
+          tables.metrics.counter_of(datagrams_metric, {{"result", "failed"}})),
+      lag_gauge_(tables.metrics.gauge_of(lag_metric))
 {}
 
 void mesh_node::connect_desk(token_desk& desk)
@@ -119,6 +136,7 @@
     out.platform_reached = tables_.contact.reached;
     out.requests_per_second = tables_.requests_taken.at(tables_.now());
     out.capacity = tables_.capacity();
+    out.targets_as_of = tables_.targets.as_of();
     out.configuration_age = tables_.configuration_freshness.age(tables_.now());
     out.targets_age = tables_.targets_freshness.age(tables_.now());
     out.heard = tables_.nodes.heard_lately(tables_.now());
@@ -161,11 +179,8 @@
     message.hello = own_beacon();
     if (tables_.targets.known())
         message.hello->target_news = tables_.targets.latest_news(news_limit);
-    // What changes all the time anyway comes with the next beacon.
-    if (mesh::encode(message).size() > mesh::packet_size) {
-        message.hello->load.clear();
-        message.hello->stock.clear();
-    }
+    if (!tables_.leaving)
+        make_brief(*message.hello);
     send_to_all(addresses, message);
 }
 
@@ -173,7 +188,7 @@
 /// sent after this node had heard of it.
 bool mesh_node::missed_news(const mesh::node_row& peer) const
 {
-    return peer.last.targets_changed < tables_.targets.latest_change() &&
+    return peer.last.targets_as_of < tables_.targets.latest_change() &&
            peer.heard > tables_.targets_changed;
 }
 
@@ -209,6 +224,7 @@
 {
     asio::steady_timer timer(tables_.io);
     for (;;) {
+        note_tick(tables_.now());
         send_due_beacons();
         tables_.nodes.forget_old(tables_.now());
         co_await sleep_on(timer, tick_period);
@@ -262,9 +278,8 @@
     const instant now = tables_.now();
     const mesh::roster_news news = tables_.nodes.hear(from, now);
     introduce(from.introduced);
-    tables_.book.peer_load(from.host, from.load);
-    if (desk_ != nullptr)
-        desk_->on_stock(from);
+    if (!from.is_brief)
+        take_holdings(from);
     for (const dispatch::poison_record& it : from.poison)
         tables_.poison.merge(it, now);
     if (news.new_node) {
@@ -278,24 +293,58 @@
                    {"state", std::to_string(static_cast<int>(from.state))}});
     if (from.target_news && tables_.targets.take_news(*from.target_news))
         tables_.list_changed();
-    take_freshness(from, now);
+    if (!news.late)
+        take_freshness(from, now);
     news_.hear(from);
 }
 
-/// A peer that has what this node has confirms it, as of the time at which the
-/// peer's was confirmed.
+/// A beacon without load and stock says nothing of them; taken as empty, every
+/// change of a target made its targets look idle and its tokens gone.
+void mesh_node::take_holdings(const mesh::beacon& from)
+{
+    tables_.book.peer_load(from.host, from.load);
+    if (desk_ != nullptr)
+        desk_->on_stock(from);
+}
+
+/// A peer that was up to date at some time says what the newest was then. A
+/// node that has that, or more, was up to date then as well.
 void mesh_node::take_freshness(const mesh::beacon& from, instant now)
 {
     const auto own = tables_.config ? tables_.config->version()
                                     : catalog::configuration_version();
+    const duration way = way_allowance(now);
     if (from.configuration > own)
         tables_.note_configuration_announced();
-    if (from.configuration == own && from.configuration_age)
-        tables_.confirm_configuration(now - *from.configuration_age -
-                                      mesh::hop_allowance);
-    if (from.targets_changed == tables_.targets.latest_change() &&
-        from.targets_age)
-        tables_.confirm_targets(now - *from.targets_age - mesh::hop_allowance);
+    if (from.configuration <= own && from.configuration_age)
+        tables_.confirm_configuration(now - *from.configuration_age - way);
+    if (from.targets_changed <= tables_.targets.as_of() && from.targets_age)
+        tables_.confirm_targets(now - *from.targets_age - way);
+}
+
+/// How long a beacon may have been on its way: it lies in the socket while
+/// this node is busy with something long or doesn't run at all.
+duration mesh_node::way_allowance(instant now) const
+{
+    const duration lag = now - lagged_ < lag_memory ? lag_ : duration(0);
+    return std::max({mesh::hop_allowance, now - ticked_, lag});
+}
+
+/// The loop's lag: how much later than meant the last tick came.
+void mesh_node::note_tick(instant now)
+{
+    const duration late = now - ticked_ - tick_period;
+    const bool first = ticked_ == instant();
+    ticked_ = now;
+    if (first)
+        return;
+    lag_gauge_.set(std::chrono::duration_cast<milliseconds>(late).count());
+    if (late >= lag_ || now - lagged_ > lag_memory) {
+        lag_ = std::max(late, duration(0));
+        lagged_ = now;
+    }
+    if (late > lag_reported)
+        log_event(event::loop_lagged, {{"ms", milliseconds_text(late)}});
 }
 
 } // namespace fennelladder::edge
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -59,10 +59,28 @@
     return request_capacity(settings.cores, settings.link_bits_per_second);
 }
 
+/// This node's own contact says little: most nodes don't call the platform at
+/// all while others confirm their list, and one call may fail for many
+/// reasons. Entries lapse only while the platform itself is away, and then
+/// nobody's list is confirmed.
+bool node_tables::list_in_doubt() const
+{
+    const bool just_back =
+        targets_gap_ended && now() - *targets_gap_ended < list_doubt;
+    return just_back || targets_unconfirmed();
+}
+
+bool node_tables::targets_unconfirmed() const
+{
+    const duration limit =
+        std::min(settings.configuration_bound, settings.leaving_bound);
+    const auto age = targets_freshness.age(now());
+    return !age || *age > limit;
+}
+
 void node_tables::list_changed()
 {
-    const bool in_doubt =
-        !contact.reached || now() - contact.changed < list_doubt;
+    const bool in_doubt = list_in_doubt();
     targets_changed = now();
     book.sync(targets.entries(), in_doubt, now());
     log_event(event::targets_changed,
@@ -111,8 +129,12 @@
 
 void node_tables::confirm_targets(instant at)
 {
-    if (targets.known())
-        targets_freshness.confirm(at);
+    if (!targets.known())
+        return;
+    const bool was_old = targets_unconfirmed();
+    targets_freshness.confirm(at);
+    if (was_old && !targets_unconfirmed())
+        targets_gap_ended = now();
 }
 
 void node_tables::note_contact(bool reached, const std::string& detail)
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -67,6 +67,8 @@
   18: optional i32 targets_age_ms
   19: optional TargetNews target_news
   20: optional list<HeardNode> heard
+  21: optional bool is_brief
+  22: optional i64 targets_as_of
 }
 
 struct TokenAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -120,6 +120,8 @@
         out.__set_targets_age_ms(age_to_wire(*from.targets_age));
     if (from.target_news)
         out.__set_target_news(to_wire(*from.target_news));
+    out.__set_is_brief(from.is_brief);
+    out.__set_targets_as_of(number(from.targets_as_of.value()));
     for (const auto& it : from.load) {
         wire::Load load;
         load.target = it.target.str();
@@ -181,6 +183,9 @@
     out.targets_age = age_of(from.__isset.targets_age_ms, from.targets_age_ms);
     if (from.__isset.target_news)
         out.target_news = from_wire(from.target_news);
+    out.is_brief = from.__isset.is_brief && from.is_brief;
+    out.targets_as_of = id_of<catalog::revision>(
+        from.__isset.targets_as_of ? from.targets_as_of : from.targets_changed);
     for (const wire::Load& it : from.load)
         out.load.push_back({target_id(it.target),
                             static_cast<std::uint32_t>(it.running),
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -37,6 +37,8 @@
     out.poison = {{dispatch::request_mark(0xfedcba9876543210),
                    {target_id("i-1"), target_id("i-2")}}};
     out.introduced = {"10.0.0.2:7000"};
+    out.targets_as_of = catalog::revision(14);
+    out.is_brief = true;
     out.heard = {{node_life(78), milliseconds(40)}};
     return out;
 }
@@ -62,6 +64,8 @@
     CHECK(it.target_news->as_of == catalog::revision(12));
     CHECK(it.target_news->changes.at(0).entry->leaving);
     CHECK(!it.target_news->changes.at(1).entry);
+    CHECK(it.is_brief);
+    CHECK(it.targets_as_of == catalog::revision(14));
     CHECK(it.heard.at(0).life == node_life(78));
     CHECK(it.heard.at(0).ago == milliseconds(40));
     CHECK(it.load.at(0).reading == 400);
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -37,7 +37,8 @@
     if (known == rows_.end() || known->second.last.life != from.life) {
         news.new_node = true;
     } else {
-        if (from.sequence <= known->second.last.sequence)
+        news.late = from.sequence <= known->second.last.sequence;
+        if (news.late)
             return news;
         news.state_changed = known->second.last.state != from.state;
     }
--- a/libs/mesh/roster_test.cpp
+++ b/libs/mesh/roster_test.cpp
@@ -43,6 +43,7 @@
     nodes.hear(from(1, 5), start);
     beacon late = from(1, 4);
     late.state = node_state::leaving;
+    CHECK(nodes.hear(late, start).late);
     CHECK(!nodes.hear(late, start).state_changed);
     CHECK(nodes.alive(start).at(0)->last.state == node_state::ready);
 }
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -73,6 +73,9 @@
     {event::news_stale, severity::warning, "news_stale",
      "What the node knows is old and nobody confirms it; it asks the platform "
      "by itself from now on."},
+    {event::loop_lagged, severity::warning, "loop_lagged",
+     "The node's loop stood still: it read something large, or the host gave "
+     "it no processor time."},
     {event::news_stale_over, severity::info, "news_stale_over",
      "The node leaves asking the platform to others again."},
     {event::platform_well, severity::info, "platform_well",
