Know a target by its id and the start of its process

A target may start again under its id. The list knew ids alone, so an entry of the earlier process that came late (a stale listing, a slow peer, a write that was held up) replaced that of the later one, and nodes that had seen different starts never agreed: news were filtered by revision alone.

Ruled out: ordering by revision only (a held-up write has the higher one); dropping remembered starts with their entries (an earlier process's entry may come after the removal of the later).

The list keeps the later start at any revision, tells peers once that it kept one, and takes a later start also from old news.

--- a/include/fennelladder/catalog/target_entry.hpp
+++ b/include/fennelladder/catalog/target_entry.hpp
@@ -9,8 +9,11 @@
 // A node needs to ask another only if the other's latest_change() is after
 // its own as_of().
 //
-// The list mirrors one linear history: every state it holds is one that the
-// platform had at `as_of()`, and as_of() never goes back.
+// The list mirrors one linear history: what it holds is what the platform had
+// at `as_of()`, and as_of() never goes back. One thing goes before that: of an
+// id, the process that started last is the one that lives. An entry that names
+// an earlier start is passed over at any revision; a later start is taken from
+// a peer also when its news are old.
 
 #ifndef FENNELLADDER_CATALOG_TARGET_ENTRY_HPP
 #define FENNELLADDER_CATALOG_TARGET_ENTRY_HPP
@@ -30,10 +33,31 @@
 /// Revision of the platform's history; one counter for all objects.
 using revision = number_id<struct revision_tag>;
 
-/// One life of one target. Each start has an id of its own.
+/// When a target's process started: milliseconds since the Unix epoch by its
+/// own clock; 0: not said. Only starts of one id are compared.
+using target_start = number_id<struct target_start_tag>;
+
+constexpr bool is_said(target_start start)
+{
+    return start != target_start();
+}
+
+/// One process of a target. A target may start again under its id; what was
+/// learned of one process says nothing of the next.
+struct target_process
+{
+    target_id id;
+    target_start start;
+
+    friend auto operator<=>(const target_process&,
+                            const target_process&) = default;
+};
+
+/// What one process of a target says of itself.
 struct target_entry
 {
     target_id id;
+    target_start start;
     service_id service;
     std::string address; ///< IP:port.
     data_center_id data_center;
@@ -41,6 +65,8 @@
     bool leaving = false;
     duration warm_up_left{0}; ///< How much longer it stays slow.
 
+    target_process process() const { return {id, start}; }
+
     friend bool operator==(const target_entry&, const target_entry&) = default;
 };
 
@@ -68,16 +94,17 @@
 public:
     using entry_map = std::map<target_id, target_entry>;
 
-    /// Takes a full listing as of `as_of`. A listing older than the list is
-    /// passed over (false).
+    /// Takes a full listing as of `as_of`. Of a listing older than the list
+    /// only later starts are taken (false).
     bool replace_all(const std::vector<target_change>& entries, revision as_of);
 
-    /// Takes the changes between this list's as_of() and `as_of`.
+    /// Takes the changes between this list's as_of() and `as_of`. Of changes
+    /// older than the list only later starts are taken (false).
     /// Precondition: `changes` is complete for that span.
     bool apply(const std::vector<target_change>& changes, revision as_of);
 
-    /// Takes news if they follow on what is known; false if they begin after
-    /// that, or hold nothing new.
+    /// Takes news if they follow on what is known; of others only later
+    /// starts. True if something was taken.
     bool take_news(const target_news& news);
 
     /// The latest `most` changes. Precondition: known().
@@ -94,15 +121,34 @@
     /// Of the newest change in the list.
     revision latest_change() const { return latest_change_; }
 
+    /// Grows with each change taken, whatever its revision.
+    std::uint64_t changes_taken() const { return changes_taken_; }
+
     /// Whether a first listing was taken.
     bool known() const { return known_; }
 
 private:
+    /// What is kept of an id, also when its entry is gone.
+    struct latest_start
+    {
+        target_start start;
+        revision at; ///< Of the last change noted.
+    };
+
     void note(target_change change);
+    void log(target_change change);
+    void settle_start(target_change& change) const;
+    bool keeps_later_start(const target_change& change);
+    void remember_start(const target_change& change);
+    bool take_later_starts(const std::vector<target_change>& changes);
 
     static constexpr std::size_t log_limit = 1024; ///< Changes kept.
+    /// Ids whose start is remembered, when others than those listed are.
+    static constexpr std::size_t start_limit = 4096;
 
     entry_map entries_;
+    std::map<target_id, latest_start> starts_;
+    std::uint64_t changes_taken_ = 0;
     revision as_of_;
     revision log_from_; ///< log_ is complete after this revision.
     revision latest_change_;
--- a/libs/catalog/target_entry.cpp
+++ b/libs/catalog/target_entry.cpp
@@ -11,8 +11,10 @@
 bool target_list::replace_all(const std::vector<target_change>& entries,
                               revision as_of)
 {
-    if (known_ && as_of < as_of_)
+    if (known_ && as_of < as_of_) {
+        take_later_starts(entries);
         return false;
+    }
     if (!known_)
         log_from_ = as_of;
     std::map<target_id, const target_change*> listed;
@@ -22,10 +24,12 @@
     for (const auto& [id, entry] : entries_)
         if (!listed.contains(id))
             changes.push_back({id, std::nullopt, as_of});
-    for (const auto& [id, change] : listed) {
+    for (const auto& [id, listed_change] : listed) {
+        target_change change = *listed_change;
+        settle_start(change);
         const auto old = entries_.find(id);
-        if (old == entries_.end() || old->second != change->entry)
-            changes.push_back(*change);
+        if (old == entries_.end() || old->second != change.entry)
+            changes.push_back(std::move(change));
     }
     known_ = true;
     return apply(changes, as_of);
@@ -34,8 +38,12 @@
 bool target_list::apply(const std::vector<target_change>& changes,
                         revision as_of)
 {
-    if (!known_ || as_of < as_of_)
+    if (!known_)
+        return false;
+    if (as_of < as_of_) {
+        take_later_starts(changes);
         return false;
+    }
     for (const target_change& it : changes)
         note(it);
     as_of_ = as_of;
@@ -44,8 +52,11 @@
 
 bool target_list::take_news(const target_news& news)
 {
-    if (!known_ || as_of_ < news.since || news.as_of <= as_of_)
+    if (!known_)
         return false;
+    const bool later_start = take_later_starts(news.changes);
+    if (as_of_ < news.since || news.as_of <= as_of_)
+        return later_start;
     std::vector<target_change> unknown;
     std::ranges::copy_if(
         news.changes, std::back_inserter(unknown),
@@ -64,18 +75,86 @@
     return out;
 }
 
+void target_list::note(target_change change)
+{
+    settle_start(change);
+    if (keeps_later_start(change))
+        return;
+    if (change.entry)
+        entries_[change.id] = *change.entry;
+    else
+        entries_.erase(change.id);
+    remember_start(change);
+    log(std::move(change));
+}
+
+/// An entry that doesn't say when its process started (a node of an earlier
+/// release passed it on) is of the process that is known.
+void target_list::settle_start(target_change& change) const
+{
+    const auto known = starts_.find(change.id);
+    if (change.entry && !is_said(change.entry->start) && known != starts_.end())
+        change.entry->start = known->second.start;
+}
+
+/// Whether the change names an earlier process of its id than is known, which
+/// is therefore over. If the platform has it in place of the later one, nodes
+/// that never saw the later one send to a process that is gone: the entry that
+/// is kept counts as changed, once, and so is told to them.
+bool target_list::keeps_later_start(const target_change& change)
+{
+    const auto known = starts_.find(change.id);
+    if (!change.entry || known == starts_.end() ||
+        change.entry->start >= known->second.start)
+        return false;
+    const auto kept = entries_.find(change.id);
+    if (kept == entries_.end() || change.at <= known->second.at)
+        return true;
+    known->second.at = change.at;
+    log({change.id, kept->second, change.at});
+    return true;
+}
+
+/// Starts outlive their entries: an entry of an earlier process may arrive
+/// after the later one was removed.
+void target_list::remember_start(const target_change& change)
+{
+    latest_start& it = starts_[change.id];
+    it.at = std::max(it.at, change.at);
+    if (change.entry)
+        it.start = change.entry->start;
+    if (starts_.size() > std::max(start_limit, 2 * entries_.size()))
+        std::erase_if(starts_, [&](const auto& known) {
+            return !entries_.contains(known.first);
+        });
+}
+
+/// Takes starts later than those listed, whatever their revision: of two nodes
+/// that know different starts, that with the earlier one may have the later
+/// revision.
+bool target_list::take_later_starts(const std::vector<target_change>& changes)
+{
+    if (!known_)
+        return false;
+    const std::uint64_t before = changes_taken_;
+    for (const target_change& it : changes) {
+        const auto listed = entries_.find(it.id);
+        if (it.entry && listed != entries_.end() &&
+            it.entry->start > listed->second.start)
+            note(it);
+    }
+    return changes_taken_ != before;
+}
+
 /// The log never goes back. A removal is known only to have happened before
 /// the answer that told it; if the target is back in the same answer, its
 /// entry has an earlier revision. Filtered by revision, a peer that knows the
 /// entry would get the removal alone and lose a target that serves.
-void target_list::note(target_change change)
+void target_list::log(target_change change)
 {
+    ++changes_taken_;
     if (!log_.empty())
         change.at = std::max(change.at, log_.back().at);
-    if (change.entry)
-        entries_[change.id] = *change.entry;
-    else
-        entries_.erase(change.id);
     latest_change_ = std::max(latest_change_, change.at);
     log_.push_back(std::move(change));
     if (log_.size() > log_limit) {
--- a/libs/catalog/target_entry_test.cpp
+++ b/libs/catalog/target_entry_test.cpp
@@ -15,6 +15,23 @@
     return {entry.id, entry, revision(at)};
 }
 
+/// An entry of the process that started at `start`, which listens at
+/// `address`.
+target_change process(const char* id, std::uint64_t start, std::uint64_t at,
+                      const char* address = "10.0.0.1:80")
+{
+    target_change out = there(id, at);
+    out.entry->start = target_start(start);
+    out.entry->address = address;
+    return out;
+}
+
+std::uint64_t start_of(const target_list& list, const char* id)
+{
+    const auto it = list.entries().find(target_id(id));
+    return it == list.entries().end() ? 0 : it->second.start.value();
+}
+
 target_change gone(const char* id, std::uint64_t at)
 {
     return {target_id(id), std::nullopt, revision(at)};
@@ -124,3 +141,100 @@
     CHECK(!other.take_news(first.latest_news(8)));
     CHECK(!other.known());
 }
+
+// Story: a target died and started again under its id. A stale listing, a slow
+// peer or a write that was held up names the earlier process afterwards. If
+// that entry replaced the later one, requests went to a process that is gone,
+// and the living one was held to be the old.
+TEST(target_list, the_later_start_holds)
+{
+    struct row
+    {
+        const char* what;
+        target_change comes;
+        std::uint64_t start; ///< Held afterwards; 0: the id isn't listed.
+        const char* address;
+    };
+    const row rows[] = {
+        {"a later start", process("a", 300, 20), 300, "10.0.0.1:80"},
+        {"a later start elsewhere", process("a", 300, 20, "10.0.0.2:80"), 300,
+         "10.0.0.2:80"},
+        {"an earlier start", process("a", 100, 20), 200, "10.0.0.1:80"},
+        {"an earlier start elsewhere", process("a", 100, 20, "10.0.0.2:80"),
+         200, "10.0.0.1:80"},
+        {"the same process elsewhere", process("a", 200, 20, "10.0.0.2:80"),
+         200, "10.0.0.2:80"},
+        {"an entry that doesn't say", process("a", 0, 20, "10.0.0.2:80"), 200,
+         "10.0.0.2:80"},
+        {"another id at the address", process("b", 100, 20), 200,
+         "10.0.0.1:80"},
+        {"a removal", gone("a", 20), 0, ""},
+    };
+    for (const row& it : rows) {
+        target_list by_change;
+        by_change.replace_all({process("a", 200, 5)}, revision(10));
+        by_change.apply({it.comes}, revision(20));
+        target_list by_listing;
+        by_listing.replace_all({process("a", 200, 5)}, revision(10));
+        std::vector<target_change> listed;
+        if (it.comes.entry)
+            listed.push_back(it.comes);
+        if (it.comes.id != target_id("a"))
+            listed.push_back(process("a", 200, 5));
+        by_listing.replace_all(listed, revision(20));
+        for (const target_list* list : {&by_change, &by_listing}) {
+            LONGS_EQUAL_TEXT(it.start, start_of(*list, "a"), it.what);
+            if (it.start != 0)
+                STRCMP_EQUAL_TEXT(
+                    it.address,
+                    list->entries().at(target_id("a")).address.c_str(),
+                    it.what);
+            CHECK(list->as_of() == revision(20));
+        }
+    }
+}
+
+// Story: the entry of the later process was removed. A write of the earlier
+// one that was held up comes after that: its process is over all the same.
+TEST(target_list, a_start_outlives_its_entry)
+{
+    target_list list;
+    list.replace_all({process("a", 200, 5)}, revision(10));
+    list.apply({gone("a", 11)}, revision(11));
+    list.apply({process("a", 100, 12)}, revision(12));
+    UNSIGNED_LONGS_EQUAL(0, list.entries().size());
+    list.apply({process("a", 200, 13)}, revision(13));
+    UNSIGNED_LONGS_EQUAL(200, start_of(list, "a"));
+}
+
+// Story: a held-up write of the earlier process replaced the later one's entry
+// on the platform. A node that saw the later one keeps it; one that listed
+// afterwards knows only the earlier, at the higher revision. Filtered by
+// revision, the two never agreed.
+TEST(target_list, two_that_know_different_starts_settle_on_the_later)
+{
+    target_list saw_both;
+    saw_both.replace_all({process("a", 200, 5)}, revision(10));
+    saw_both.apply({process("a", 100, 12)}, revision(12));
+    target_list saw_last;
+    saw_last.replace_all({process("a", 100, 12)}, revision(13));
+    target_list other = saw_last;
+    saw_both.take_news(saw_last.latest_news(8));
+    CHECK(saw_last.take_news(saw_both.latest_news(8)));
+    CHECK(saw_last.as_of() == revision(13));
+    // Fetched over a connection, as of an earlier revision.
+    other.apply(*saw_both.changes_since(revision(11)), saw_both.as_of());
+    for (const target_list* list : {&saw_both, &saw_last, &other})
+        UNSIGNED_LONGS_EQUAL(200, start_of(*list, "a"));
+}
+
+// A start that is kept is told once, not at each listing.
+TEST(target_list, what_is_kept_does_not_fill_the_log)
+{
+    target_list list;
+    list.replace_all({process("a", 200, 5)}, revision(10));
+    for (std::uint64_t at = 20; at < 30; ++at)
+        list.replace_all({process("a", 100, 12)}, revision(at));
+    UNSIGNED_LONGS_EQUAL(2, list.latest_news(16).changes.size());
+    CHECK(list.latest_change() == revision(12));
+}
