Begin anew with each process of a target

A target that starts again under its id was taken for the process before: its rests, failures, slowness, counts, the loads of peers, its leaving and the prompt's parts went on, requests that ended late were taken off the counts of the next process, kept connections stayed in use, what had been tried at the id was not sent to the next process, and a request that crashed the target again and again counted one death.

Ruled out: resetting on a change of address (a restart may keep it, a process may move); dropping connections by id alone (one that is given back after the change would be taken for the next process); noting a death at once for all that runs when news of a restart come (an answer on its way may be whole): it is noted as the request ends without one.

The target book keeps a row a process; started(), first_byte(), finished() and learned() name the process by the choice, and others are passed over. Loads, deaths and entries carry the start between nodes (new field numbers; what an earlier release sends counts as not said). The pool keeps connections by process and address.

--- a/include/fennelladder/dispatch/poison_list.hpp
+++ b/include/fennelladder/dispatch/poison_list.hpp
@@ -15,6 +15,9 @@
 // harmless one is refused only if as many targets die under it, one after
 // the other, as a poisonous one kills.
 //
+// A target may start again under its id: deaths are counted by process, so that
+// two lives of one id count as two.
+//
 // Records merge commutatively and idempotently: losing, repeating or
 // reordering messages delays knowledge and does no more.
 
@@ -23,6 +26,7 @@
 
 #include "fennelladder/base/ids.hpp"
 #include "fennelladder/base/time.hpp"
+#include "fennelladder/catalog/target_entry.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -39,11 +43,11 @@
 request_mark mark_of(std::string_view method, std::string_view path,
                      const team_id& team, std::string_view body);
 
-/// Targets that died while the request ran there.
+/// Processes of targets that died while the request ran there.
 struct poison_record
 {
     request_mark mark;
-    std::vector<target_id> deaths; ///< Each once, in order of id.
+    std::vector<catalog::target_process> deaths; ///< Each once, in order.
 };
 
 struct poison_list_options
@@ -64,8 +68,11 @@
 
     bool is_poison(request_mark mark, instant now) const;
 
-    /// The target died while the request ran there. True if that is news.
-    bool note_death(request_mark mark, const target_id& target, instant now);
+    /// The process died while the request ran there. True if that is news. A
+    /// death that doesn't say its start (nodes of earlier releases tell such)
+    /// is any known death of the id.
+    bool note_death(request_mark mark, const catalog::target_process& target,
+                    instant now);
 
     /// Takes over what another node knows. True if that is news.
     bool merge(const poison_record& record, instant now);
@@ -77,7 +84,7 @@
 private:
     struct entry
     {
-        std::vector<target_id> deaths;
+        std::vector<catalog::target_process> deaths;
         instant last;
     };
 
--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -3,10 +3,10 @@
 //
 //     book.sync(list.entries(), now);                // the platform's list
 //     auto made = book.choose(wish, now, random);
-//     book.started(made->target, made->work, now);
+//     book.started(*made, wish, now);
 //     ...
-//     book.first_byte(made->target, *made, waited, now);
-//     book.finished(made->target, made->work, target_evidence::answered, now);
+//     book.first_byte(*made, waited, now);
+//     book.finished(*made, true, target_evidence::answered, now);
 //
 // A choice is the target with the least predicted time until the first byte:
 //
@@ -27,6 +27,10 @@
 // time. The list may lag: a target that says it is another life is dropped
 // at once.
 //
+// What is known is known of one process. When a target starts again under its
+// id, its row begins anew; what ends later at the process before, and loads
+// that peers have there, are passed over.
+//
 // Cost: choose() is linear in the targets of the service. Not thread safe.
 
 #ifndef FENNELLADDER_DISPATCH_TARGET_BOOK_HPP
@@ -60,7 +64,7 @@
     std::vector<shared_part> prompt; ///< In order; the last is its own.
     std::uint32_t prompt_size = 0;   ///< Tokens, all parts and the rest.
     duration objective{0};           ///< To the first byte.
-    std::vector<target_id> avoid;    ///< Tried already.
+    std::vector<catalog::target_process> avoid; ///< Tried already.
 };
 
 /// Work given to a target, to be taken back with the same value.
@@ -72,6 +76,7 @@
 struct choice
 {
     target_id target;
+    catalog::target_start start; ///< Of the process that was chosen.
     std::string address;
     data_center_id data_center;
     work_share work;
@@ -82,6 +87,8 @@
     /// Address of a target that holds more of the prompt's shared parts; empty
     /// if there is nothing to gain.
     std::string fetch_from;
+
+    catalog::target_process process() const { return {target, start}; }
 };
 
 /// What the end of a request says of its target.
@@ -105,6 +112,8 @@
     target_id target;
     std::uint32_t running = 0;
     std::uint32_t reading = 0; ///< Tokens still to be read before answers.
+    /// Of the process; not said by nodes of earlier releases.
+    catalog::target_start start;
 };
 
 struct target_book_options
@@ -155,29 +164,31 @@
     explicit target_book(target_book_options options);
 
     /// Takes the platform's list. `list_in_doubt`: the platform was unwell
-    /// lately, so missing entries may come back.
-    void sync(const catalog::target_list::entry_map& listed, bool list_in_doubt,
-              instant now);
+    /// lately, so missing entries may come back. Returns the earlier entries
+    /// of targets that started again or have another address: connections made
+    /// by these are of no use.
+    std::vector<catalog::target_entry>
+    sync(const catalog::target_list::entry_map& listed, bool list_in_doubt,
+         instant now);
 
     /// The best target, or nothing when the service has none to offer.
     std::optional<choice> choose(const work_wish& wish, instant now,
                                  random_source& random);
 
-    /// A request was sent. Every started() is followed by one finished().
-    void started(const target_id& target, work_share work, const work_wish& of,
-                 instant now);
+    /// A request was sent. Every started() is followed by one finished() with
+    /// the same choice.
+    void started(const choice& made, const work_wish& of, instant now);
 
     /// The first byte came `waited` after sending; its prompt is read.
-    void first_byte(const target_id& target, const choice& made,
-                    duration waited, instant now);
+    void first_byte(const choice& made, duration waited, instant now);
 
     /// The request is over; `read` says whether first_byte() was called.
-    void finished(const target_id& target, work_share work, bool read,
-                  target_evidence evidence, instant now);
+    void finished(const choice& made, bool read, target_evidence evidence,
+                  instant now);
 
     /// No request was started, but this was learned (a connection failed).
-    void learned(const target_id& target, target_evidence evidence,
-                 instant now);
+    void learned(const catalog::target_process& target,
+                 target_evidence evidence, instant now);
 
     /// Another node's load, replacing what it said before.
     void peer_load(const host_id& peer, std::vector<target_load> load);
@@ -189,8 +200,9 @@
     /// True if the target may take new work now.
     bool may_use(const target_id& target, instant now) const;
 
-    /// The address of a target that is still known.
-    std::optional<std::string> address_of(const target_id& target) const;
+    /// The entry of a target that is still known.
+    std::optional<catalog::target_entry>
+    entry_of(const target_id& target) const;
 
     std::size_t count(const service_id& service) const;
 
@@ -235,7 +247,11 @@
                 instant now) const;
     void rest(target_state& it, duration first, instant now);
     void forget_parts(target_state& it, instant now) const;
-    target_state* find(const target_id& target);
+    /// Null unless this process is the one that is known of its id.
+    target_state* find(const catalog::target_process& target);
+    target_state* find(const target_load& load);
+    static void take_entry(target_state& it, const catalog::target_entry& entry,
+                           std::vector<catalog::target_entry>& replaced);
     void recount_peers();
     void add_peer(const std::vector<target_load>& load, int sign);
 
--- a/include/fennelladder/edge/target_connection.hpp
+++ b/include/fennelladder/edge/target_connection.hpp
@@ -1,8 +1,10 @@
 // Connections to targets: opened, kept while idle, and checked before reuse.
 //
-//     connection_ptr held = pool.take_idle(target, address, least_sure, now);
-//     if (!held)
-//         held = co_await pool.open(target, address, limit);
+//     connection_ptr held = pool.take_idle(to, longest_rest, now);
+//     if (!held) {
+//         held = pool.make(to);
+//         const status made = co_await pool.open(held, limit);
+//     }
 //     ... one request ...
 //     pool.give_back(std::move(held), keep_alive, now);
 //
@@ -11,14 +13,19 @@
 // target closed it or sent bytes that belong to no request; either ends it.
 // The check can't see an end that is still under way, so work that must not
 // be sent twice takes only connections that rested for a very short time.
+//
+// Connections are kept by process and address: one that was made to a process
+// before, or by an address that its target has left, is never taken for the
+// process of today.
 
 #ifndef FENNELLADDER_EDGE_TARGET_CONNECTION_HPP
 #define FENNELLADDER_EDGE_TARGET_CONNECTION_HPP
 
 #include "fennelladder/base/error.hpp"
-#include "fennelladder/base/ids.hpp"
+#include "fennelladder/catalog/target_entry.hpp"
 #include "fennelladder/edge/io.hpp"
 
+#include <compare>
 #include <cstddef>
 #include <map>
 #include <memory>
@@ -26,11 +33,21 @@
 
 namespace fennelladder::edge {
 
+/// What a connection leads to.
+struct target_endpoint
+{
+    catalog::target_process process;
+    std::string address;
+
+    friend auto operator<=>(const target_endpoint&,
+                            const target_endpoint&) = default;
+};
+
 struct target_connection
 {
-    target_connection(asio::io_context& io, target_id to);
+    target_connection(asio::io_context& io, target_endpoint target);
 
-    target_id target;
+    target_endpoint to;
     tcp::socket socket;
     beast::flat_buffer buf;  ///< Read from the target, not yet parsed.
     bool used = false;       ///< Carried a request before.
@@ -56,25 +73,24 @@
 public:
     target_pool(asio::io_context& io, target_pool_options options);
 
-    /// An idle connection to the target that rested for at most `longest`,
-    /// the one used last; null if there is none.
-    connection_ptr take_idle(const target_id& target, duration longest,
+    /// An idle connection that rested for at most `longest`, the one used
+    /// last; null if there is none.
+    connection_ptr take_idle(const target_endpoint& to, duration longest,
                              instant now);
 
     /// Registers a connection that is about to be opened.
-    connection_ptr make(const target_id& target);
+    connection_ptr make(const target_endpoint& to);
 
     /// Connects; fails when refused, or not done in `limit`, and says so.
-    awaitable<status> open(connection_ptr made, const std::string& address,
-                           duration limit);
+    awaitable<status> open(connection_ptr made, duration limit);
 
     /// Keeps the connection for a later request. Precondition: its answer was
     /// complete, and nothing was read beyond it.
     void give_back(connection_ptr used, std::optional<duration> keep_alive,
                    instant now);
 
-    /// Closes all idle connections to a target.
-    void drop_idle(const target_id& target);
+    /// Closes all idle connections there.
+    void drop_idle(const target_endpoint& to);
 
     /// Closes what rested too long. For a timer.
     void drop_old(instant now);
@@ -84,7 +100,8 @@
 private:
     asio::io_context& io_;
     const target_pool_options options_;
-    std::map<target_id, std::vector<connection_ptr>> idle_; // last used last
+    // Of an endpoint, the one used last is the last.
+    std::map<target_endpoint, std::vector<connection_ptr>> idle_;
     std::uint64_t opened_ = 0;
 };
 
--- a/include/fennelladder/edge/target_prober.hpp
+++ b/include/fennelladder/edge/target_prober.hpp
@@ -1,7 +1,7 @@
 // Finds out whether a target that broke off an answer has died, and blames
 // the requests that ran there if it has.
 //
-//     prober.broke(target, mark, now);
+//     prober.broke(process, mark);
 //
 // A broken answer alone says little: answers get lost on targets that live.
 // The prober dials the target; a connection is kept for the next request, a
@@ -9,6 +9,10 @@
 // answer broke there at about that time is noted in the poison list, and the
 // other nodes are told.
 //
+// A target may start again under its id so soon that its new process takes the
+// dial. A process whose target is listed with a later start, before an answer
+// broke or within seconds after it, has died as well.
+//
 // Not thread safe.
 
 #ifndef FENNELLADDER_EDGE_TARGET_PROBER_HPP
@@ -27,15 +31,26 @@
     explicit target_prober(node_tables& tables) : tables_(tables) {}
 
     /// An answer of `target` to the request broke off.
-    void broke(const target_id& target, dispatch::request_mark mark);
+    void broke(const catalog::target_process& target,
+               dispatch::request_mark mark);
+
+    /// The request had no whole answer for another reason. It says something of
+    /// the request only if the process is known to be over.
+    void left_unfinished(const catalog::target_process& target,
+                         dispatch::request_mark mark);
 
 private:
-    awaitable<void> probe(target_id target);
-    void blame(const target_id& target);
+    using suspect_list = std::vector<dispatch::request_mark>;
+
+    awaitable<void> probe(catalog::target_process target);
+    awaitable<bool> is_unreachable(catalog::target_process target);
+    bool started_again(const catalog::target_process& target) const;
+    void blame(const catalog::target_process& target,
+               const suspect_list& suspects);
 
     node_tables& tables_;
     /// Requests whose answers broke, by target, while a probe is under way.
-    std::map<target_id, std::vector<dispatch::request_mark>> suspects_;
+    std::map<catalog::target_process, suspect_list> suspects_;
 };
 
 } // namespace fennelladder::edge
--- a/libs/dispatch/poison_list.cpp
+++ b/libs/dispatch/poison_list.cpp
@@ -27,10 +27,19 @@
            now - it->second.last < options_.memory;
 }
 
-bool poison_list::note_death(request_mark mark, const target_id& target,
-                             instant now)
+bool poison_list::note_death(request_mark mark,
+                             const catalog::target_process& target, instant now)
 {
     entry& it = entries_[mark];
+    const auto of_id =
+        std::ranges::find(it.deaths, target.id, &catalog::target_process::id);
+    const bool known_id = of_id != it.deaths.end();
+    if (known_id && !catalog::is_said(target.start))
+        return false;
+    if (known_id && !catalog::is_said(of_id->start)) {
+        of_id->start = target.start;
+        return false;
+    }
     const auto place = std::ranges::lower_bound(it.deaths, target);
     if (place != it.deaths.end() && *place == target)
         return false;
@@ -43,7 +52,7 @@
 bool poison_list::merge(const poison_record& record, instant now)
 {
     bool news = false;
-    for (const target_id& it : record.deaths)
+    for (const catalog::target_process& it : record.deaths)
         news |= note_death(record.mark, it, now);
     return news;
 }
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -77,9 +77,11 @@
     : options_(std::move(options))
 {}
 
-void target_book::sync(const catalog::target_list::entry_map& listed,
-                       bool list_in_doubt, instant now)
+std::vector<catalog::target_entry>
+target_book::sync(const catalog::target_list::entry_map& listed,
+                  bool list_in_doubt, instant now)
 {
+    std::vector<catalog::target_entry> replaced;
     for (auto& [id, state] : targets_) {
         if (listed.contains(id) || state.gone)
             continue;
@@ -88,11 +90,8 @@
         else if (!state.use_until)
             state.use_until = now + options_.lapsed_grace;
     }
-    for (const auto& [id, entry] : listed) {
-        target_state& state = targets_[id];
-        state.entry = entry;
-        state.use_until.reset();
-    }
+    for (const auto& [id, entry] : listed)
+        take_entry(targets_[id], entry, replaced);
     std::erase_if(targets_, [&](const auto& it) {
         return it.second.gone && it.second.running == 0 &&
                !listed.contains(it.first);
@@ -101,6 +100,27 @@
     for (const auto& [id, state] : targets_)
         by_service_[state.entry.service].push_back(id);
     recount_peers();
+    return replaced;
+}
+
+/// A later start empties the row: kept, the averages, rests and counts of a
+/// process that is over would shun the next one, and the prompt's parts would
+/// send requests to where nothing is held. An earlier start is passed over, so
+/// that no row gets the ends of requests that it didn't count as started.
+void target_book::take_entry(target_state& it,
+                             const catalog::target_entry& entry,
+                             std::vector<catalog::target_entry>& replaced)
+{
+    const bool fresh = it.entry.id.empty();
+    if (!fresh && entry.start < it.entry.start)
+        return;
+    const bool same_process = entry.start == it.entry.start;
+    if (!fresh && (!same_process || entry.address != it.entry.address))
+        replaced.push_back(it.entry);
+    if (!same_process)
+        it = target_state();
+    it.entry = entry;
+    it.use_until.reset();
 }
 
 /// Targets came and went: counts are taken from what peers said last.
@@ -117,7 +137,7 @@
 void target_book::add_peer(const std::vector<target_load>& load, int sign)
 {
     for (const target_load& it : load)
-        if (target_state* state = find(it.target)) {
+        if (target_state* state = find(it)) {
             state->peers_running += sign * static_cast<int>(it.running);
             state->peers_reading +=
                 sign * static_cast<std::int64_t>(it.reading);
@@ -156,13 +176,13 @@
     return it != targets_.end() && usable(it->second, now);
 }
 
-std::optional<std::string>
-target_book::address_of(const target_id& target) const
+std::optional<catalog::target_entry>
+target_book::entry_of(const target_id& target) const
 {
     const auto it = targets_.find(target);
     if (it == targets_.end())
         return std::nullopt;
-    return it->second.entry.address;
+    return it->second.entry;
 }
 
 std::size_t target_book::count(const service_id& service) const
@@ -246,8 +266,10 @@
     std::vector<target_state*> candidates;
     for (const target_id& id : known->second) {
         target_state& it = targets_[id];
-        if (usable(it, now) &&
-            std::ranges::find(wish.avoid, id) == wish.avoid.end())
+        const bool avoided =
+            std::ranges::find(wish.avoid, it.entry.process()) !=
+            wish.avoid.end();
+        if (usable(it, now) && !avoided)
             candidates.push_back(&it);
     }
     if (candidates.empty())
@@ -298,26 +320,38 @@
     }
     assert(chosen != nullptr);
     out.target = chosen->entry.id;
+    out.start = chosen->entry.start;
     out.address = chosen->entry.address;
     out.data_center = chosen->entry.data_center;
     out.running = chosen->running + chosen->peers_running;
     return out;
 }
 
-target_book::target_state* target_book::find(const target_id& target)
+target_book::target_state*
+target_book::find(const catalog::target_process& target)
 {
-    const auto it = targets_.find(target);
+    const auto it = targets_.find(target.id);
+    if (it == targets_.end() || it->second.entry.start != target.start)
+        return nullptr;
+    return &it->second;
+}
+
+/// A load without a start is of whichever process is known.
+target_book::target_state* target_book::find(const target_load& load)
+{
+    if (catalog::is_said(load.start))
+        return find(catalog::target_process{load.target, load.start});
+    const auto it = targets_.find(load.target);
     return it == targets_.end() ? nullptr : &it->second;
 }
 
-void target_book::started(const target_id& target, work_share work,
-                          const work_wish& of, instant now)
+void target_book::started(const choice& made, const work_wish& of, instant now)
 {
-    target_state* it = find(target);
+    target_state* it = find(made.process());
     if (it == nullptr)
         return;
     ++it->running;
-    it->reading += work.reading;
+    it->reading += made.work.reading;
     if (it->rests > 0)
         it->trying = true;
     for (const shared_part& part : of.prompt)
@@ -336,10 +370,9 @@
         it.parts.clear();
 }
 
-void target_book::first_byte(const target_id& target, const choice& made,
-                             duration waited, instant now)
+void target_book::first_byte(const choice& made, duration waited, instant now)
 {
-    target_state* it = find(target);
+    target_state* it = find(made.process());
     if (it == nullptr)
         return;
     it->reading -= made.work.reading;
@@ -350,17 +383,17 @@
     observe(it->log_slowness, std::log(slowness), now);
 }
 
-void target_book::finished(const target_id& target, work_share work, bool read,
+void target_book::finished(const choice& made, bool read,
                            target_evidence evidence, instant now)
 {
-    target_state* it = find(target);
+    target_state* it = find(made.process());
     if (it == nullptr)
         return;
     assert(it->running > 0);
     --it->running;
     if (!read)
-        it->reading -= work.reading;
-    learned(target, evidence, now);
+        it->reading -= made.work.reading;
+    learned(made.process(), evidence, now);
 }
 
 void target_book::rest(target_state& it, duration first, instant now)
@@ -373,8 +406,8 @@
     it.trying = false;
 }
 
-void target_book::learned(const target_id& target, target_evidence evidence,
-                          instant now)
+void target_book::learned(const catalog::target_process& target,
+                          target_evidence evidence, instant now)
 {
     target_state* it = find(target);
     if (it == nullptr)
@@ -437,7 +470,8 @@
         if (state.running > 0)
             out.push_back({id, static_cast<std::uint32_t>(state.running),
                            static_cast<std::uint32_t>(
-                               std::max<std::int64_t>(state.reading, 0))});
+                               std::max<std::int64_t>(state.reading, 0)),
+                           state.entry.start});
     return out;
 }
 
--- a/libs/dispatch/target_book_test.cpp
+++ b/libs/dispatch/target_book_test.cpp
@@ -84,7 +84,7 @@
     const auto wish = prompt(5);
     const auto first = book.choose(wish, start, random);
     for (int i = 0; i < 400; ++i)
-        book.started(first->target, {1000}, wish, start);
+        book.started(*first, wish, start);
     const auto next = book.choose(wish, start, random);
     CHECK(next->target != first->target);
     STRCMP_EQUAL(first->address.c_str(), next->fetch_from.c_str());
@@ -97,21 +97,22 @@
 {
     const auto wish = prompt(5);
     const target_id dead = chosen(wish);
-    book.learned(dead, target_evidence::unreachable, start);
+    book.learned({dead}, target_evidence::unreachable, start);
     for (int i = 0; i < 20; ++i)
         CHECK(chosen(wish) != dead);
     const instant later = start + seconds(30);
-    CHECK(chosen(wish, later) == dead);
-    book.started(dead, {0}, wish, later);
+    const auto made = book.choose(wish, later, random);
+    CHECK(made->target == dead);
+    book.started(*made, wish, later);
     CHECK(chosen(wish, later) != dead);
-    book.finished(dead, {0}, false, target_evidence::answered, later);
+    book.finished(*made, false, target_evidence::answered, later);
     CHECK(chosen(wish, later) == dead);
 }
 
 TEST(target_book, all_resting_targets_are_better_than_none)
 {
     for (int i = 0; i < 6; ++i)
-        book.learned(target_id("i-" + std::to_string(i)),
+        book.learned({target_id("i-" + std::to_string(i))},
                      target_evidence::unreachable, start);
     CHECK(!chosen(prompt(5)).empty());
 }
@@ -120,7 +121,7 @@
 {
     const auto wish = prompt(5);
     const target_id was = chosen(wish);
-    book.learned(was, target_evidence::other_life, start);
+    book.learned({was}, target_evidence::other_life, start);
     CHECK(!book.may_use(was, start));
     CHECK(chosen(wish) != was);
 }
@@ -158,10 +159,9 @@
     fresh.prompt.back().id = 99;
     const auto made = book.choose(wish, start, random);
     for (int i = 0; i < 5; ++i) {
-        book.started(made->target, made->work, wish, start);
-        book.first_byte(made->target, *made, made->predicted * 20, start);
-        book.finished(made->target, made->work, true, target_evidence::answered,
-                      start);
+        book.started(*made, wish, start);
+        book.first_byte(*made, made->predicted * 20, start);
+        book.finished(*made, true, target_evidence::answered, start);
     }
     CHECK(chosen(fresh) != made->target);
     CHECK(chosen(fresh, start + seconds(60)) == made->target);
@@ -181,3 +181,233 @@
     book.forget_peer(host_id("p"));
     CHECK(chosen(wish) == usual);
 }
+
+/// Six engines; `id` started at `started` and listens at `address`.
+entry_map restarted(const target_id& id, std::uint64_t started,
+                    const char* address)
+{
+    entry_map out = engines(6);
+    out[id].start = catalog::target_start(started);
+    out[id].address = address;
+    return out;
+}
+
+TEST_GROUP(target_restart)
+{
+    target_book book{{}};
+    random_source random{1};
+    const work_wish wish = prompt(5);
+    choice before; ///< Of the process that started at 100.
+
+    void setup() override
+    {
+        book.sync(engines(6), false, start);
+        const target_id usual = book.choose(wish, start, random)->target;
+        book.sync(restarted(usual, 100, "10.0.1.1:80"), false, start);
+        before = *book.choose(wish, start, random);
+        CHECK(before.target == usual);
+        CHECK(before.start == catalog::target_start(100));
+    }
+
+    /// Returns the entries that were replaced.
+    std::vector<catalog::target_entry> starts_again(
+        std::uint64_t at, const char* address = "10.0.1.1:80")
+    {
+        return book.sync(restarted(before.target, at, address), false, start);
+    }
+
+    choice chosen(const work_wish& wanted, instant now = start)
+    {
+        return *book.choose(wanted, now, random);
+    }
+};
+
+// Story: a process was shunned, for any reason, and its target started again
+// under its id. What was held against the process kept requests away from the
+// next, which had done nothing.
+TEST(target_restart, nothing_is_held_against_the_next_process)
+{
+    using step = void (*)(target_book&, const choice&, const work_wish&);
+    struct row
+    {
+        const char* what;
+        step shun;
+    };
+    const row rows[] = {
+        {"unreachable",
+         [](target_book& it, const choice& made, const work_wish&) {
+             it.learned(made.process(), target_evidence::unreachable, start);
+         }},
+        {"full",
+         [](target_book& it, const choice& made, const work_wish&) {
+             it.learned(made.process(), target_evidence::full, start);
+         }},
+        {"another life",
+         [](target_book& it, const choice& made, const work_wish&) {
+             it.learned(made.process(), target_evidence::other_life, start);
+         }},
+        {"failures",
+         [](target_book& it, const choice& made, const work_wish&) {
+             for (int i = 0; i < 9; ++i)
+                 it.learned(made.process(), target_evidence::broke, start);
+         }},
+        {"slow",
+         [](target_book& it, const choice& made, const work_wish&) {
+             for (int i = 0; i < 9; ++i) {
+                 it.started(made, work_wish(), start);
+                 it.first_byte(made, seconds(60), start);
+                 it.finished(made, true, target_evidence::answered, start);
+             }
+         }},
+        {"own load",
+         [](target_book& it, const choice& made, const work_wish& wanted) {
+             for (int i = 0; i < 500; ++i)
+                 it.started(made, wanted, start);
+         }},
+        {"load of a peer",
+         [](target_book& it, const choice& made, const work_wish&) {
+             it.peer_load(host_id("p"),
+                          {{made.target, 500, 200'000, made.start}});
+         }},
+        {"leaving",
+         [](target_book& it, const choice& made, const work_wish&) {
+             auto listed = restarted(made.target, 100, "10.0.1.1:80");
+             listed[made.target].leaving = true;
+             it.sync(listed, false, start);
+         }},
+    };
+    for (const row& it : rows) {
+        book = target_book{{}};
+        setup();
+        it.shun(book, before, wish);
+        CHECK_TEXT(chosen(wish).target != before.target, it.what);
+        starts_again(200);
+        CHECK_TEXT(chosen(wish).target == before.target, it.what);
+        CHECK_TEXT(chosen(wish).start == catalog::target_start(200), it.what);
+    }
+}
+
+// Story: a target had read a long prompt and started again. It was still
+// chosen, and named to others as the place to fetch the prompt from, though it
+// holds nothing.
+TEST(target_restart, what_was_read_before_is_not_expected)
+{
+    work_wish own = prompt(5);
+    own.prompt.erase(own.prompt.begin(), own.prompt.begin() + 2);
+    const choice made = chosen(own);
+    book.sync(restarted(made.target, 100, "10.0.1.1:80"), false, start);
+    const choice first = chosen(own);
+    CHECK(first.target == made.target);
+    book.started(first, prompt(5), start);
+    const std::uint32_t to_read = chosen(prompt(5)).work.reading;
+    CHECK(to_read < 500);
+    book.sync(restarted(made.target, 200, "10.0.1.1:80"), false, start);
+    CHECK(chosen(prompt(5)).work.reading > to_read);
+}
+
+// Story: requests were under way as the target started again, and end
+// afterwards. Taken off the counts of the next process, they made it look free
+// (or ended the node, whose counts must not fall below nothing).
+TEST(target_restart, what_ends_late_is_not_taken_off_the_next_process)
+{
+    for (int i = 0; i < 3; ++i)
+        book.started(before, wish, start);
+    starts_again(200);
+    CHECK(book.own_load().empty());
+    choice next = chosen(wish);
+    book.started(next, wish, start);
+    book.first_byte(before, seconds(60), start);
+    for (int i = 0; i < 3; ++i)
+        book.finished(before, i == 0, target_evidence::unreachable, start);
+    const auto load = book.own_load();
+    UNSIGNED_LONGS_EQUAL(1, load.size());
+    UNSIGNED_LONGS_EQUAL(1, load.at(0).running);
+    UNSIGNED_LONGS_EQUAL(next.work.reading, load.at(0).reading);
+    CHECK(load.at(0).start == catalog::target_start(200));
+    book.finished(next, false, target_evidence::answered, start);
+    CHECK(chosen(wish).target == next.target);
+    book.learned(before.process(), target_evidence::other_life, start);
+    CHECK(book.may_use(next.target, start));
+}
+
+// Story: a peer that hasn't heard of the restart tells what it has running at
+// the process before. Counted at the next one, that kept requests away from it.
+TEST(target_restart, a_peers_load_counts_for_its_process)
+{
+    struct row
+    {
+        std::uint64_t start; ///< 0: a peer of an earlier release.
+        bool counts;
+    };
+    const row rows[] = {{100, false}, {200, true}, {300, false}, {0, true}};
+    starts_again(200);
+    for (const row& it : rows) {
+        book.peer_load(host_id("p"), {{before.target, 500, 200'000,
+                                       catalog::target_start(it.start)}});
+        CHECK_EQUAL(it.counts, chosen(wish).target != before.target);
+    }
+    book.forget_peer(host_id("p"));
+    CHECK(chosen(wish).target == before.target);
+}
+
+// Story: a request was tried at a process. Its target started again, alone in
+// its service; a request that may be repeated is sent to the next process.
+TEST(target_restart, a_process_that_was_tried_is_avoided_and_the_next_is_not)
+{
+    work_wish again = wish;
+    again.avoid = {before.process()};
+    CHECK(chosen(again).target != before.target);
+    starts_again(200);
+    CHECK(chosen(again).target == before.target);
+}
+
+// Connections to what a target was are of no use: kept, they would carry
+// requests to a process that is gone, or to another at the address.
+TEST(target_restart, tells_what_was_replaced)
+{
+    struct row
+    {
+        const char* what;
+        std::uint64_t start;
+        const char* address;
+        bool replaced;
+        std::uint64_t start_after;
+    };
+    const row rows[] = {
+        {"nothing new", 100, "10.0.1.1:80", false, 100},
+        {"a later start", 200, "10.0.1.1:80", true, 200},
+        {"a later start elsewhere", 300, "10.0.1.2:80", true, 300},
+        {"the same process elsewhere", 300, "10.0.1.3:80", true, 300},
+        {"an earlier start", 200, "10.0.1.2:80", false, 300},
+    };
+    for (const row& it : rows) {
+        const auto known = book.entry_of(before.target);
+        const auto replaced = starts_again(it.start, it.address);
+        CHECK_EQUAL_TEXT(it.replaced, !replaced.empty(), it.what);
+        if (it.replaced)
+            CHECK_TEXT(replaced.at(0) == *known, it.what);
+        CHECK_TEXT(chosen(wish).start == catalog::target_start(it.start_after),
+                   it.what);
+    }
+}
+
+// The same address under another id is another target, of which nothing is
+// known.
+TEST(target_restart, another_id_at_the_address_begins_anew)
+{
+    book.learned(before.process(), target_evidence::unreachable, start);
+    entry_map listed = engines(6);
+    catalog::target_entry other = listed[before.target];
+    listed.erase(before.target);
+    other.id = target_id("i-new");
+    other.address = before.address;
+    listed[other.id] = other;
+    book.sync(listed, false, start);
+    CHECK(!book.may_use(before.target, start));
+    CHECK(book.may_use(other.id, start));
+    work_wish alone = wish;
+    for (const auto& [id, entry] : listed)
+        if (id != other.id)
+            alone.avoid.push_back(entry.process());
+    STRCMP_EQUAL(before.address.c_str(), chosen(alone).address.c_str());
+}
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -123,17 +123,18 @@
         end_by_error("before connecting");
         co_return false;
     }
-    connection_ = in_.tables.pool.take_idle(in_.target.target, in_.longest_rest,
-                                            in_.tables.now());
+    const target_endpoint to{in_.target.process(), in_.target.address};
+    connection_ =
+        in_.tables.pool.take_idle(to, in_.longest_rest, in_.tables.now());
     if (connection_) {
         out_.kept_connection = true;
         in_.course.hold(connection_);
         co_return true;
     }
-    connection_ = in_.tables.pool.make(in_.target.target);
+    connection_ = in_.tables.pool.make(to);
     in_.course.hold(connection_);
-    const status made = co_await in_.tables.pool.open(
-        connection_, in_.target.address, connect_limit);
+    const status made =
+        co_await in_.tables.pool.open(connection_, connect_limit);
     if (made && in_.course.stopped() == stop_reason::none)
         co_return true;
     if (in_.course.stopped() == stop_reason::none)
@@ -267,8 +268,7 @@
         return;
     out_.first_byte = true;
     const instant now = in_.tables.now();
-    in_.tables.book.first_byte(in_.target.target, in_.target, now - sent_at_,
-                               now);
+    in_.tables.book.first_byte(in_.target, now - sent_at_, now);
 }
 
 /// Passes on the whole events that are there. False if the caller is gone.
--- a/libs/edge/news_exchange.cpp
+++ b/libs/edge/news_exchange.cpp
@@ -312,14 +312,14 @@
 fetch_end news_exchange::take_targets(const mesh::sync_reply& reply)
 {
     const catalog::revision known_before = tables_.targets.as_of();
-    const catalog::revision before = tables_.targets.latest_change();
+    const std::uint64_t before = tables_.targets.changes_taken();
     const bool first = !tables_.targets.known();
     if (reply.targets_full)
         tables_.targets.replace_all(reply.targets, reply.targets_as_of);
     else
         tables_.targets.apply(reply.targets, reply.targets_as_of);
     const bool changed = first ? tables_.targets.known()
-                               : tables_.targets.latest_change() != before;
+                               : tables_.targets.changes_taken() != before;
     if (changed)
         tables_.list_changed();
     // Those that heard it from the platform tell everybody; if those that
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -64,7 +64,9 @@
     const bool in_doubt =
         !contact.reached || now() - contact.changed < list_doubt;
     targets_changed = now();
-    book.sync(targets.entries(), in_doubt, now());
+    const auto replaced = book.sync(targets.entries(), in_doubt, now());
+    for (const catalog::target_entry& it : replaced)
+        pool.drop_idle({it.process(), it.address});
     log_event(event::targets_changed,
               {{"targets", std::to_string(targets.entries().size())},
                {"as_of", std::to_string(targets.as_of().value())},
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -85,6 +85,7 @@
     awaitable<attempt_outcome> attempt_at(const dispatch::choice& target);
     void note_attempt(const attempt_outcome& got,
                       const dispatch::choice& target);
+    void suspect(const attempt_outcome& got, const dispatch::choice& target);
     awaitable<void> conclude(next_action action, const attempt_outcome& last);
     awaitable<void> refuse(const refusal& why);
     void settle();
@@ -111,7 +112,7 @@
     tokens used_;
     dispatch::course so_far_;
     event_splitter events_;
-    std::vector<target_id> tried_;
+    std::vector<catalog::target_process> tried_;
     target_id last_target_;
     bool prompt_was_read_ = false; ///< And a token made of it, perhaps.
     std::optional<instant> first_byte_at_;
@@ -270,13 +271,26 @@
             in.gap_limit = way_->pause_objective * patience_in_pauses;
     }
     const dispatch::work_wish wanted = wish();
-    tables_.book.started(target.target, target.work, wanted, tables_.now());
+    tables_.book.started(target, wanted, tables_.now());
     attempt_outcome got = co_await run_attempt(in);
-    tables_.book.finished(target.target, target.work, got.first_byte,
-                          got.evidence, tables_.now());
+    tables_.book.finished(target, got.first_byte, got.evidence, tables_.now());
     co_return got;
 }
 
+/// Whether the target died of the request is found out elsewhere.
+void request_run::suspect(const attempt_outcome& got,
+                          const dispatch::choice& target)
+{
+    const bool whole_answer = got.ended == attempt_end::answered ||
+                              got.ended == attempt_end::failed_there;
+    if (!got.sent || whole_answer || dispatch::proved_not_run(got.ended))
+        return;
+    if (got.ended == attempt_end::broken)
+        driver_.prober_.broke(target.process(), mark_);
+    else
+        driver_.prober_.left_unfinished(target.process(), mark_);
+}
+
 void request_run::note_attempt(const attempt_outcome& got,
                                const dispatch::choice& target)
 {
@@ -294,14 +308,13 @@
         ++so_far_.failed_connects;
     if (got.first_byte && !first_byte_at_)
         first_byte_at_ = tables_.now();
-    if (got.ended == attempt_end::broken && got.sent)
-        driver_.prober_.broke(target.target, mark_);
+    suspect(got, target);
     // A target that ended a kept connection may be about to fall silent, so
     // another is better; alone in its service it is dialled anew.
     if (got.idle_race)
-        tables_.pool.drop_idle(target.target);
+        tables_.pool.drop_idle({target.process(), target.address});
     if (!got.idle_race || target.candidates > 1)
-        tried_.push_back(target.target);
+        tried_.push_back(target.process());
     so_far_.head_passed_on = reply_.begun();
     so_far_.time_left = time_left();
 }
--- a/libs/edge/target_connection.cpp
+++ b/libs/edge/target_connection.cpp
@@ -6,8 +6,9 @@
 
 namespace fennelladder::edge {
 
-target_connection::target_connection(asio::io_context& io, target_id to)
-    : target(std::move(to)), socket(io)
+target_connection::target_connection(asio::io_context& io,
+                                     target_endpoint target)
+    : to(std::move(target)), socket(io)
 {}
 
 bool is_spent(tcp::socket& socket)
@@ -22,10 +23,10 @@
     : io_(io), options_(options)
 {}
 
-connection_ptr target_pool::take_idle(const target_id& target, duration longest,
-                                      instant now)
+connection_ptr target_pool::take_idle(const target_endpoint& to,
+                                      duration longest, instant now)
 {
-    const auto found = idle_.find(target);
+    const auto found = idle_.find(to);
     if (found == idle_.end())
         return nullptr;
     auto& idle = found->second;
@@ -42,18 +43,18 @@
     return nullptr;
 }
 
-connection_ptr target_pool::make(const target_id& target)
+connection_ptr target_pool::make(const target_endpoint& to)
 {
     ++opened_;
-    return std::make_shared<target_connection>(io_, target);
+    return std::make_shared<target_connection>(io_, to);
 }
 
-awaitable<status> target_pool::open(connection_ptr made,
-                                    const std::string& address, duration limit)
+awaitable<status> target_pool::open(connection_ptr made, duration limit)
 {
-    const auto endpoint = parse_endpoint(address);
+    const auto endpoint = parse_endpoint(made->to.address);
     if (!endpoint)
-        co_return fail(error_code::invalid, "not an address: " + address);
+        co_return fail(error_code::invalid,
+                       "not an address: " + made->to.address);
     asio::steady_timer timer(io_, limit);
     close_on(timer, socket_of(made));
     net_error ec;
@@ -70,7 +71,7 @@
 void target_pool::give_back(connection_ptr used,
                             std::optional<duration> keep_alive, instant now)
 {
-    auto& idle = idle_[used->target];
+    auto& idle = idle_[used->to];
     if (idle.size() >= options_.most_idle)
         return;
     used->used = true;
@@ -79,9 +80,9 @@
     idle.push_back(std::move(used));
 }
 
-void target_pool::drop_idle(const target_id& target)
+void target_pool::drop_idle(const target_endpoint& to)
 {
-    idle_.erase(target);
+    idle_.erase(to);
 }
 
 void target_pool::drop_old(instant now)
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -10,6 +10,7 @@
   1: string target
   2: i32 running
   3: i32 reading
+  4: optional i64 start_ms
 }
 
 struct Stock {
@@ -21,6 +22,7 @@
 struct Poison {
   1: i64 mark
   2: list<string> deaths
+  3: optional list<i64> starts_ms
 }
 
 struct TargetRow {
@@ -33,6 +35,7 @@
   7: bool leaving
   8: i64 warm_up_ms
   9: i64 changed_at
+  10: optional i64 start_ms
 }
 
 struct TargetNews {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -23,6 +23,12 @@
     return Id(static_cast<std::uint64_t>(value));
 }
 
+/// A start below 0 is none; taken as a number, it would be later than all.
+catalog::target_start start_of(std::int64_t ms)
+{
+    return ms < 0 ? catalog::target_start() : id_of<catalog::target_start>(ms);
+}
+
 wire::TargetRow to_wire(const catalog::target_change& from)
 {
     wire::TargetRow out;
@@ -39,6 +45,8 @@
     out.warm_up_ms =
         std::chrono::duration_cast<milliseconds>(from.entry->warm_up_left)
             .count();
+    if (catalog::is_said(from.entry->start))
+        out.__set_start_ms(number(from.entry->start.value()));
     return out;
 }
 
@@ -57,6 +65,7 @@
     entry.slots = static_cast<std::uint32_t>(from.slots);
     entry.leaving = from.leaving;
     entry.warm_up_left = milliseconds(from.warm_up_ms);
+    entry.start = start_of(from.start_ms);
     out.entry = std::move(entry);
     return out;
 }
@@ -81,6 +90,32 @@
     return out;
 }
 
+/// The starts are in the order of the deaths, and none if none is said.
+wire::Poison to_wire(const dispatch::poison_record& from)
+{
+    wire::Poison out;
+    out.mark = number(from.mark.value());
+    for (const catalog::target_process& it : from.deaths) {
+        out.deaths.push_back(it.id.str());
+        out.starts_ms.push_back(number(it.start.value()));
+        out.__isset.starts_ms |= catalog::is_said(it.start);
+    }
+    return out;
+}
+
+dispatch::poison_record from_wire(const wire::Poison& from)
+{
+    dispatch::poison_record out;
+    out.mark = id_of<dispatch::request_mark>(from.mark);
+    for (std::size_t i = 0; i < from.deaths.size(); ++i) {
+        const bool said = i < from.starts_ms.size();
+        out.deaths.push_back(
+            {target_id(from.deaths[i]),
+             said ? start_of(from.starts_ms[i]) : catalog::target_start()});
+    }
+    return out;
+}
+
 /// An age of weeks says no more than one of hours.
 constexpr duration longest_age = seconds(3600);
 
@@ -125,6 +160,8 @@
         load.target = it.target.str();
         load.running = static_cast<std::int32_t>(it.running);
         load.reading = static_cast<std::int32_t>(it.reading);
+        if (catalog::is_said(it.start))
+            load.__set_start_ms(number(it.start.value()));
         out.load.push_back(std::move(load));
     }
     out.__isset.load = !out.load.empty();
@@ -136,13 +173,8 @@
         out.stock.push_back(std::move(stock));
     }
     out.__isset.stock = !out.stock.empty();
-    for (const auto& it : from.poison) {
-        wire::Poison poison;
-        poison.mark = number(it.mark.value());
-        for (const target_id& death : it.deaths)
-            poison.deaths.push_back(death.str());
-        out.poison.push_back(std::move(poison));
-    }
+    for (const auto& it : from.poison)
+        out.poison.push_back(to_wire(it));
     out.__isset.poison = !out.poison.empty();
     out.introduced = from.introduced;
     out.__isset.introduced = !out.introduced.empty();
@@ -182,19 +214,14 @@
     if (from.__isset.target_news)
         out.target_news = from_wire(from.target_news);
     for (const wire::Load& it : from.load)
-        out.load.push_back({target_id(it.target),
-                            static_cast<std::uint32_t>(it.running),
-                            static_cast<std::uint32_t>(it.reading)});
+        out.load.push_back(
+            {target_id(it.target), static_cast<std::uint32_t>(it.running),
+             static_cast<std::uint32_t>(it.reading), start_of(it.start_ms)});
     for (const wire::Stock& it : from.stock)
         out.stock.push_back(
             {team_id(it.team), tokens(it.free), tokens(it.spent_per_second)});
-    for (const wire::Poison& it : from.poison) {
-        dispatch::poison_record record;
-        record.mark = id_of<dispatch::request_mark>(it.mark);
-        for (const std::string& death : it.deaths)
-            record.deaths.emplace_back(death);
-        out.poison.push_back(std::move(record));
-    }
+    for (const wire::Poison& it : from.poison)
+        out.poison.push_back(from_wire(it));
     out.introduced = from.introduced;
     for (const wire::HeardNode& it : from.heard)
         if (const auto ago = age_of(true, it.ago_ms))
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -32,10 +32,12 @@
         catalog::revision(12),
         {{leaving.id, leaving, catalog::revision(11)},
          {target_id("i-2"), std::nullopt, catalog::revision(12)}}};
-    out.load = {{target_id("i-1"), 3, 400}};
+    out.load = {{target_id("i-1"), 3, 400, catalog::target_start(42)}};
     out.stock = {{team_id("t"), tokens(1000), tokens(20)}};
     out.poison = {{dispatch::request_mark(0xfedcba9876543210),
-                   {target_id("i-1"), target_id("i-2")}}};
+                   {{target_id("i-1"), catalog::target_start(41)},
+                    {target_id("i-1"), catalog::target_start(42)},
+                    {target_id("i-2")}}}};
     out.introduced = {"10.0.0.2:7000"};
     out.heard = {{node_life(78), milliseconds(40)}};
     return out;
@@ -67,10 +69,28 @@
     CHECK(it.load.at(0).reading == 400);
     CHECK(it.stock.at(0).spent_per_second == tokens(20));
     CHECK(it.poison.at(0).mark == dispatch::request_mark(0xfedcba9876543210));
-    UNSIGNED_LONGS_EQUAL(2, it.poison.at(0).deaths.size());
+    CHECK(it.poison.at(0).deaths == sample().poison.at(0).deaths);
+    CHECK(it.load.at(0).start == catalog::target_start(42));
     STRCMP_EQUAL("10.0.0.2:7000", it.introduced.at(0).c_str());
 }
 
+// Story: a node of an earlier release, or a damaged datagram, tells a start
+// below 0. Taken as a number it would be later than any, and no process of that
+// target would be believed again.
+TEST(mesh_messages, a_start_below_0_is_none)
+{
+    datagram message;
+    message.hello = sample();
+    const catalog::target_start below(~std::uint64_t(0));
+    message.hello->load.at(0).start = below;
+    message.hello->target_news->changes.at(0).entry->start = below;
+    message.hello->poison.at(0).deaths.at(0).start = below;
+    const auto got = decode_datagram(encode(message));
+    CHECK(!is_said(got->hello->load.at(0).start));
+    CHECK(!is_said(got->hello->target_news->changes.at(0).entry->start));
+    CHECK(!is_said(got->hello->poison.at(0).deaths.at(0).start));
+}
+
 TEST(mesh_messages, transfers_survive_their_spelling)
 {
     datagram message;
@@ -100,6 +120,7 @@
     catalog::target_entry entry;
     entry.id = target_id("i-1");
     entry.address = "10.0.0.9:80";
+    entry.start = catalog::target_start(42);
     entry.leaving = true;
     reply.targets = {{entry.id, entry, catalog::revision(19)},
                      {target_id("i-2"), std::nullopt, catalog::revision(20)}};
