Use a target again whose entry comes back

A target whose entry was removed while a request of the node ran there stayed marked as gone when the entry came back, and got nothing more from that node: its row was neither erased (a request ran) nor unmarked. Leaving the list and being another life are now told apart; only the second outlasts a listing.

a_target_that_comes_back_is_used failed before.

--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -217,7 +217,8 @@
     {
         catalog::target_entry entry;
         std::optional<instant> use_until; ///< Left the list in doubt.
-        bool gone = false; ///< Is another life, or left for good.
+        bool gone = false;                ///< Left the list.
+        bool other_life = false;          ///< Its address is another's.
         int running = 0;
         std::int64_t reading = 0;
         int peers_running = 0;
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -93,7 +93,8 @@
     for (const auto& [id, entry] : listed)
         take_entry(targets_[id], entry, replaced);
     std::erase_if(targets_, [&](const auto& it) {
-        return it.second.gone && it.second.running == 0 &&
+        const target_state& state = it.second;
+        return (state.gone || state.other_life) && state.running == 0 &&
                !listed.contains(it.first);
     });
     by_service_.clear();
@@ -120,6 +121,7 @@
     if (!same_process)
         it = target_state();
     it.entry = entry;
+    it.gone = false;
     it.use_until.reset();
 }
 
@@ -160,7 +162,7 @@
 
 bool target_book::usable(const target_state& it, instant now) const
 {
-    if (it.gone || it.entry.leaving)
+    if (it.gone || it.other_life || it.entry.leaving)
         return false;
     return !it.use_until || now < *it.use_until;
 }
@@ -439,7 +441,7 @@
         it->rest_until = std::max(it->rest_until, now + options_.full_rest);
         return;
     case target_evidence::other_life:
-        it->gone = true;
+        it->other_life = true;
         return;
     case target_evidence::nothing:
         it->trying = false;
--- a/libs/dispatch/target_book_test.cpp
+++ b/libs/dispatch/target_book_test.cpp
@@ -151,6 +151,23 @@
     CHECK(chosen(prompt(5)).empty());
 }
 
+// Story: a target's entry was removed after a silence, while a request of this
+// node ran there, and came back: the target lives. As long as the node ran, it
+// sent nothing more there.
+TEST(target_book, a_target_that_comes_back_is_used)
+{
+    const auto wish = prompt(5);
+    const choice made = *book.choose(wish, start, random);
+    book.started(made, wish, start);
+    book.sync({}, false, start);
+    CHECK(!book.may_use(made.target, start));
+    book.sync(engines(6), false, start);
+    CHECK(book.may_use(made.target, start));
+    book.finished(made, false, target_evidence::other_life, start);
+    book.sync(engines(6), false, start);
+    CHECK(!book.may_use(made.target, start));
+}
+
 TEST(target_book, a_slow_target_is_left_and_found_again)
 {
     // Little is shared, so that nothing but its speed holds requests there.
