Forget what an address did when a process leaves it

A process that moved kept the rests and the mark of another life that were learned by its earlier address, and got no requests at the new one.

what_an_address_did_ends_with_it failed before.

--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -253,6 +253,7 @@
     target_state* find(const target_load& load);
     static void take_entry(target_state& it, const catalog::target_entry& entry,
                            std::vector<catalog::target_entry>& replaced);
+    static void forget_address(target_state& it);
     void recount_peers();
     void add_peer(const std::vector<target_load>& load, int sign);
 
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -104,6 +104,16 @@
     return replaced;
 }
 
+/// What was learned by an address that the process has left.
+void target_book::forget_address(target_state& it)
+{
+    it.other_life = false;
+    it.rests = 0;
+    it.trying = false;
+    it.rest_until = instant();
+    it.failures = {};
+}
+
 /// A later start empties the row: kept, the averages, rests and counts of a
 /// process that is over would shun the next one, and the prompt's parts would
 /// send requests to where nothing is held. An earlier start is passed over, so
@@ -116,10 +126,13 @@
     if (!fresh && entry.start < it.entry.start)
         return;
     const bool same_process = entry.start == it.entry.start;
-    if (!fresh && (!same_process || entry.address != it.entry.address))
+    const bool moved = entry.address != it.entry.address;
+    if (!fresh && (!same_process || moved))
         replaced.push_back(it.entry);
     if (!same_process)
         it = target_state();
+    if (moved)
+        forget_address(it);
     it.entry = entry;
     it.gone = false;
     it.use_until.reset();
--- a/libs/dispatch/target_book_test.cpp
+++ b/libs/dispatch/target_book_test.cpp
@@ -408,6 +408,22 @@
     }
 }
 
+// Story: requests failed at an address that its target had left, or got there
+// that another life has it. When the list tells the new address, the process
+// is the same and was never out of reach.
+TEST(target_restart, what_an_address_did_ends_with_it)
+{
+    for (const auto evidence :
+         {target_evidence::unreachable, target_evidence::other_life}) {
+        book = target_book{{}};
+        setup();
+        book.learned(before.process(), evidence, start);
+        CHECK(chosen(wish).target != before.target);
+        starts_again(100, "10.0.1.2:80");
+        CHECK(chosen(wish).target == before.target);
+    }
+}
+
 // The same address under another id is another target, of which nothing is
 // known.
 TEST(target_restart, another_id_at_the_address_begins_anew)
