Don't let a start taken early pass for a complete list

A later start taken from news that follow on a gap was logged at the news' revision, after as_of(): by latest_change() the list then passed for complete, was confirmed as fresh by peers, and named itself as a source of what it lacked. It now counts as a change as of as_of() at most.

a_start_taken_early_does_not_hide_what_was_missed failed before.

--- a/libs/catalog/target_entry.cpp
+++ b/libs/catalog/target_entry.cpp
@@ -131,17 +131,19 @@
 
 /// Takes starts later than those listed, whatever their revision: of two nodes
 /// that know different starts, that with the earlier one may have the later
-/// revision.
+/// revision. None counts as a change after as_of(): changes between may be
+/// missing, and by latest_change() the list would pass for complete.
 bool target_list::take_later_starts(const std::vector<target_change>& changes)
 {
     if (!known_)
         return false;
     const std::uint64_t before = changes_taken_;
-    for (const target_change& it : changes) {
+    for (target_change it : changes) {
         const auto listed = entries_.find(it.id);
+        it.at = std::min(it.at, as_of_);
         if (it.entry && listed != entries_.end() &&
             it.entry->start > listed->second.start)
-            note(it);
+            note(std::move(it));
     }
     return changes_taken_ != before;
 }
--- a/libs/catalog/target_entry_test.cpp
+++ b/libs/catalog/target_entry_test.cpp
@@ -228,6 +228,26 @@
         UNSIGNED_LONGS_EQUAL(200, start_of(*list, "a"));
 }
 
+// Story: news tell a later start, but a change before them was lost. The start
+// is taken; if the list then named the revision of the news as its latest
+// change, it would pass for complete up to there, and the lost change would be
+// asked for by nobody.
+TEST(target_list, a_start_taken_early_does_not_hide_what_was_missed)
+{
+    target_list first;
+    first.replace_all({process("a", 100, 5), there("b", 4)}, revision(10));
+    target_list other = first;
+    first.apply({gone("b", 11)}, revision(11));
+    first.apply({process("a", 200, 12)}, revision(12));
+    CHECK(other.take_news(first.latest_news(1)));
+    UNSIGNED_LONGS_EQUAL(200, start_of(other, "a"));
+    CHECK(other.as_of() == revision(10));
+    CHECK(other.latest_change() <= other.as_of());
+    CHECK(other.apply(*first.changes_since(other.as_of()), first.as_of()));
+    CHECK(other.entries() == first.entries());
+    CHECK(other.latest_change() == first.latest_change());
+}
+
 // A start that is kept is told once, not at each listing.
 TEST(target_list, what_is_kept_does_not_fill_the_log)
 {
