Let bytes that came during a stall of the loop keep a connection alive

A handler that closes a connection when it runs can't be taken back once it is queued. After a stall of the loop the bytes that came meanwhile and the expired timer are found in one round, so a connection that had just been read from was closed. edge/socket_deadline decides by the deadline as it is when the handler runs, and closes only at a second look. It replaces close_on, close_at and the timers of peer_stream, target_pool, simple_server, caller_session and the farewell of an exchange.

Seen to fail on the code before: stall.a_transfer_that_moves_outlives_it, stall.a_target_that_took_the_connection_up_is_reached and platform_client.an_answer_that_comes_while_the_node_stands_still_is_read. The tests of socket_deadline were seen to fail with the second look, and with the comparison with the deadline, taken out.

--- a/include/fennelladder/edge/exchange.hpp
+++ b/include/fennelladder/edge/exchange.hpp
@@ -15,6 +15,7 @@
 #ifndef FENNELLADDER_EDGE_EXCHANGE_HPP
 #define FENNELLADDER_EDGE_EXCHANGE_HPP
 
+#include "fennelladder/edge/socket_deadline.hpp"
 #include "fennelladder/edge/target_connection.hpp"
 
 #include <cstdint>
@@ -81,6 +82,7 @@
     std::optional<instant> deadline_;
     std::optional<instant> silence_limit_;
     connection_ptr held_;
+    std::optional<socket_deadline> farewell_; ///< After close_in_order().
     std::function<void(stop_reason)> then_;
     std::function<void()> look_;
     stop_reason stopped_ = stop_reason::none;
--- a/include/fennelladder/edge/io.hpp
+++ b/include/fennelladder/edge/io.hpp
@@ -62,10 +62,6 @@
 /// Waits; returns at once when the timer is cancelled.
 awaitable<void> sleep_on(asio::steady_timer& timer, duration length);
 
-/// Closes the socket when the timer expires; not if it is cancelled or set
-/// anew before. To limit a call on a connection, which has no limit itself.
-void close_on(asio::steady_timer& timer, std::shared_ptr<tcp::socket> socket);
-
 /// The socket of a connection, keeping the whole connection alive.
 template <class Connection>
 std::shared_ptr<tcp::socket> socket_of(std::shared_ptr<Connection> whole)
--- a/include/fennelladder/edge/peer_stream.hpp
+++ b/include/fennelladder/edge/peer_stream.hpp
@@ -17,7 +17,7 @@
 #ifndef FENNELLADDER_EDGE_PEER_STREAM_HPP
 #define FENNELLADDER_EDGE_PEER_STREAM_HPP
 
-#include "fennelladder/edge/io.hpp"
+#include "fennelladder/edge/socket_deadline.hpp"
 
 #include <cstddef>
 #include <memory>
@@ -65,8 +65,8 @@
     void limit_silence();
 
     std::shared_ptr<tcp::socket> socket_;
-    asio::steady_timer timer_;
-    asio::steady_timer::time_point end_;
+    socket_deadline limit_;
+    socket_deadline::time_point end_;
     std::size_t bytes_read_ = 0;
 };
 
--- a/include/fennelladder/edge/platform_client.hpp
+++ b/include/fennelladder/edge/platform_client.hpp
@@ -19,6 +19,7 @@
 #define FENNELLADDER_EDGE_PLATFORM_CLIENT_HPP
 
 #include "fennelladder/edge/node_tables.hpp"
+#include "fennelladder/edge/socket_deadline.hpp"
 
 #include <memory>
 #include <string>
@@ -88,9 +89,8 @@
                                           duration limit);
     awaitable<bool> connect(connection_ptr made);
     awaitable<bool> read_reply(connection_ptr with, reply_parser& parser,
-                               asio::steady_timer& timer, instant until,
+                               socket_deadline& limit, instant until,
                                instant& begun);
-    void close_at(asio::steady_timer& timer, connection_ptr with, instant at);
 
     node_tables& tables_;
     std::vector<connection_ptr> idle_;
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -5,6 +5,7 @@
 #include "fennelladder/edge/caller_server.hpp"
 
 #include "fennelladder/edge/simple_server.hpp"
+#include "fennelladder/edge/socket_deadline.hpp"
 #include "fennelladder/telemetry/log.hpp"
 
 #include <boost/asio/write.hpp>
@@ -59,7 +60,7 @@
 public:
     caller_session(caller_server& server, tcp::socket socket)
         : server_(server), all_(server.sessions_), tables_(server.tables_),
-          socket_(std::move(socket)), timer_(tables_.io), reply_(socket_)
+          socket_(std::move(socket)), reply_(socket_)
     {
         all_->insert(this);
     }
@@ -87,14 +88,13 @@
     void watch_caller(const exchange_ptr& course);
     bool caller_is_there();
     void on_readable(const exchange_ptr& course);
-    void limit_time(duration length);
     void close();
 
     caller_server& server_;
     std::shared_ptr<caller_server::session_set> all_;
     node_tables& tables_;
     tcp::socket socket_;
-    asio::steady_timer timer_;
+    std::optional<socket_deadline> limit_; ///< Of what is waited for.
     caller_reply reply_;
     beast::flat_buffer buf_;
     bool busy_ = false;
@@ -107,17 +107,6 @@
     socket_.close(ec);
 }
 
-/// Closes the connection when what follows takes longer.
-void caller_session::limit_time(duration length)
-{
-    timer_.expires_after(length);
-    timer_.async_wait([weak = weak_from_this()](net_error ec) {
-        const auto self = weak.lock();
-        if (!ec && self)
-            self->close();
-    });
-}
-
 awaitable<bool> caller_session::wait_for_request()
 {
     if (buf_.size() > 0)
@@ -125,8 +114,9 @@
     const auto config = tables_.config;
     const catalog::caller_limits limits =
         config ? config->parts().limits : catalog::caller_limits();
-    limit_time(first_ ? std::min(limits.header_timeout, limits.idle_timeout)
-                      : limits.idle_timeout);
+    limit_->close_after(
+        first_ ? std::min(limits.header_timeout, limits.idle_timeout)
+               : limits.idle_timeout);
     net_error ec;
     co_await socket_.async_wait(tcp::socket::wait_read, into(ec));
     co_return !ec && socket_.is_open();
@@ -151,7 +141,7 @@
     request_parser parser;
     parser.header_limit(limits.header_bytes);
     parser.body_limit(limits.body_bytes);
-    limit_time(limits.header_timeout);
+    limit_->close_after(limits.header_timeout);
     net_error ec;
     co_await http::async_read_header(socket_, buf_, parser, into(ec));
     if (ec == http::error::header_limit) {
@@ -183,9 +173,9 @@
         const std::string go_on = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(socket_, asio::buffer(go_on), into(ec));
     }
-    limit_time(body_limit_time);
+    limit_->close_after(body_limit_time);
     co_await http::async_read(socket_, buf_, parser, into(ec));
-    timer_.cancel();
+    limit_->clear();
     if (ec == http::error::body_limit) {
         const bool more = co_await reject(413, "body too large");
         co_return more;
@@ -274,6 +264,7 @@
 awaitable<void> caller_session::serve_requests()
 {
     guard_silence(socket_, silence_limit);
+    limit_.emplace(std::shared_ptr<tcp::socket>(shared_from_this(), &socket_));
     net_error ec;
     socket_.non_blocking(true, ec);
     for (;;) {
@@ -307,7 +298,7 @@
         if (!reply_.finished() || reply_.closes())
             break;
     }
-    timer_.cancel();
+    limit_->clear();
     // Unread bytes would turn the end into a reset, which may take the last
     // answer with it.
     socket_.shutdown(tcp::socket::shutdown_send, ec);
--- a/libs/edge/exchange.cpp
+++ b/libs/edge/exchange.cpp
@@ -109,8 +109,9 @@
     held_->socket.shutdown(tcp::socket::shutdown_send, ec);
     // Its limits are of no use to a course that is stopped.
     armed_for_.reset();
-    timer_.expires_after(farewell);
-    close_on(timer_, socket_of(held_));
+    timer_.cancel();
+    farewell_.emplace(socket_of(held_));
+    farewell_->close_after(farewell);
 }
 
 void exchange::clear_silence()
@@ -128,6 +129,7 @@
     look_ = nullptr;
     held_.reset();
     timer_.cancel();
+    farewell_.reset();
 }
 
 } // namespace fennelladder::edge
--- a/libs/edge/io.cpp
+++ b/libs/edge/io.cpp
@@ -60,14 +60,6 @@
     co_await timer.async_wait(into(ec));
 }
 
-void close_on(asio::steady_timer& timer, std::shared_ptr<tcp::socket> socket)
-{
-    timer.async_wait([socket = std::move(socket)](net_error ec) {
-        if (!ec)
-            socket->close(ec);
-    });
-}
-
 void spawn(asio::io_context& io, awaitable<void> work)
 {
     asio::co_spawn(io, std::move(work), [](const std::exception_ptr& failure) {
--- a/libs/edge/peer_stream.cpp
+++ b/libs/edge/peer_stream.cpp
@@ -1,5 +1,5 @@
-// One timer closes the socket; it is set anew before each step, so that a step
-// without a byte ends the connection.
+// The deadline is set anew before each step, so that a step without a byte ends
+// the connection.
 
 #include "fennelladder/edge/peer_stream.hpp"
 
@@ -50,7 +50,7 @@
 {}
 
 peer_stream::peer_stream(std::shared_ptr<tcp::socket> socket)
-    : socket_(std::move(socket)), timer_(socket_->get_executor()),
+    : socket_(std::move(socket)), limit_(socket_),
       end_(asio::steady_timer::clock_type::now() + mesh::longest_transfer)
 {
     net_error ec;
@@ -64,17 +64,15 @@
 void peer_stream::limit_silence()
 {
     const auto now = asio::steady_timer::clock_type::now();
-    timer_.expires_at(std::min(now + silence_limit, end_));
-    close_on(timer_, socket_);
+    limit_.close_at(std::min(now + silence_limit, end_));
 }
 
 awaitable<bool> peer_stream::connect(tcp::endpoint to, duration limit)
 {
-    timer_.expires_after(limit);
-    close_on(timer_, socket_);
+    limit_.close_after(limit);
     net_error ec;
     co_await socket_->async_connect(to, into(ec));
-    timer_.cancel();
+    limit_.clear();
     co_return !ec && socket_->is_open();
 }
 
@@ -98,7 +96,7 @@
         out.resize(before + got);
         bytes_read_ += got;
     }
-    timer_.cancel();
+    limit_.clear();
     co_return !ec;
 }
 
@@ -111,7 +109,7 @@
             asio::buffer(bytes.data(), bytes.size()), into(ec));
         bytes.remove_prefix(sent);
     }
-    timer_.cancel();
+    limit_.clear();
     co_return !ec;
 }
 
@@ -121,13 +119,13 @@
     net_error ec;
     limit_silence();
     co_await socket_->async_read_some(asio::buffer(&any, 1), into(ec));
-    timer_.cancel();
+    limit_.clear();
     co_return ec == asio::error::eof;
 }
 
 void peer_stream::close()
 {
-    timer_.cancel();
+    limit_.clear();
     net_error ec;
     socket_->close(ec);
 }
--- a/libs/edge/platform_client.cpp
+++ b/libs/edge/platform_client.cpp
@@ -73,29 +73,17 @@
 platform_client::platform_client(node_tables& tables) : tables_(tables)
 {}
 
-/// Closes the connection at `at`, unless the timer is set anew before.
-void platform_client::close_at(asio::steady_timer& timer, connection_ptr with,
-                               instant at)
-{
-    timer.expires_after(std::max(at - tables_.now(), duration(0)));
-    timer.async_wait([with = std::move(with)](net_error ec) {
-        if (ec)
-            return;
-        with->silent = true;
-        with->socket.close(ec);
-    });
-}
-
 awaitable<bool> platform_client::connect(connection_ptr made)
 {
     const auto endpoint = parse_endpoint(tables_.settings.store_address);
     if (!endpoint)
         co_return false;
-    asio::steady_timer timer(tables_.io);
-    close_at(timer, made, tables_.now() + connect_limit);
+    socket_deadline limit(socket_of(made));
+    limit.close_after(connect_limit);
     net_error ec;
     co_await made->socket.async_connect(*endpoint, into(ec));
-    timer.cancel();
+    limit.clear();
+    made->silent = limit.has_closed();
     if (ec || !made->socket.is_open())
         co_return false;
     guard_silence(made->socket, silence_limit);
@@ -105,7 +93,7 @@
 /// Until `until` the platform may be silent; after that bytes must come.
 awaitable<bool> platform_client::read_reply(connection_ptr with,
                                             reply_parser& parser,
-                                            asio::steady_timer& timer,
+                                            socket_deadline& limit,
                                             instant until, instant& begun)
 {
     const instant end = until + longest_transfer;
@@ -119,7 +107,7 @@
         if (begun == instant())
             begun = now;
         const instant next = now + progress_limit;
-        close_at(timer, with, std::min(std::max(until, next), end));
+        limit.close_after(std::min(std::max(until, next), end) - now);
     }
     co_return true;
 }
@@ -138,8 +126,8 @@
         }
     }
     const instant until = tables_.now() + limit;
-    asio::steady_timer timer(tables_.io);
-    close_at(timer, with, until);
+    socket_deadline silence(socket_of(with));
+    silence.close_after(limit);
     http::request<http::string_body> request(method, target, 11);
     request.set(http::field::host, tables_.settings.store_address);
     if (!body.empty()) {
@@ -149,13 +137,16 @@
     request.prepare_payload();
     net_error ec;
     co_await http::async_write(with->socket, request, into(ec));
-    if (ec)
+    if (ec) {
+        with->silent = silence.has_closed();
         co_return out;
+    }
     reply_parser parser;
     parser.body_limit(largest_reply);
     const bool whole =
-        co_await read_reply(with, parser, timer, until, out.begun);
-    timer.cancel();
+        co_await read_reply(with, parser, silence, until, out.begun);
+    silence.clear();
+    with->silent = silence.has_closed();
     if (!whole)
         co_return out;
     out.outcome = outcome_of(parser.get().result_int());
--- a/libs/edge/simple_server.cpp
+++ b/libs/edge/simple_server.cpp
@@ -1,5 +1,7 @@
 #include "fennelladder/edge/simple_server.hpp"
 
+#include "fennelladder/edge/socket_deadline.hpp"
+
 namespace fennelladder::edge {
 
 namespace {
@@ -76,10 +78,9 @@
 {
     guard_silence(*socket, idle_limit);
     beast::flat_buffer buf;
-    asio::steady_timer timer(io_);
+    socket_deadline limit(socket);
     for (;;) {
-        timer.expires_after(idle_limit);
-        close_on(timer, socket);
+        limit.close_after(idle_limit);
         http::request_parser<http::string_body> parser;
         parser.header_limit(header_limit);
         parser.body_limit(body_limit);
--- /dev/null
+++ b/libs/edge/socket_deadline.cpp
@@ -0,0 +1,106 @@
+#include "fennelladder/edge/socket_deadline.hpp"
+
+#include <optional>
+
+namespace fennelladder::edge {
+
+class socket_deadline::course : public std::enable_shared_from_this<course>
+{
+public:
+    explicit course(const std::shared_ptr<tcp::socket>& socket)
+        : socket_(socket), timer_(socket->get_executor())
+    {}
+
+    void set(time_point at);
+    void clear();
+    bool has_closed() const { return has_closed_; }
+
+private:
+    void wait_until(time_point at);
+    void on_timer();
+    void close();
+
+    std::weak_ptr<tcp::socket> socket_;
+    asio::steady_timer timer_;
+    std::optional<time_point> deadline_;
+    std::optional<time_point> armed_for_;
+    std::optional<time_point> second_look_; ///< After a first.
+    bool has_closed_ = false;
+};
+
+void socket_deadline::course::set(time_point at)
+{
+    deadline_ = at;
+    second_look_.reset();
+    // One that rings too early finds out and waits for the rest.
+    if (!armed_for_ || at < *armed_for_)
+        wait_until(at);
+}
+
+void socket_deadline::course::clear()
+{
+    deadline_.reset();
+    armed_for_.reset();
+    timer_.cancel();
+}
+
+void socket_deadline::course::wait_until(time_point at)
+{
+    armed_for_ = at;
+    timer_.expires_at(at);
+    timer_.async_wait([self = shared_from_this()](net_error ec) {
+        if (!ec)
+            self->on_timer();
+    });
+}
+
+/// May also run, once, for a wait that was replaced or cancelled.
+void socket_deadline::course::on_timer()
+{
+    armed_for_.reset();
+    if (!deadline_)
+        return;
+    const auto now = asio::steady_timer::clock_type::now();
+    if (now < *deadline_)
+        return wait_until(*deadline_);
+    if (!second_look_)
+        second_look_ = now + last_look;
+    if (now < *second_look_)
+        return wait_until(*second_look_);
+    close();
+}
+
+void socket_deadline::course::close()
+{
+    deadline_.reset();
+    has_closed_ = true;
+    net_error ec;
+    if (const auto socket = socket_.lock())
+        socket->close(ec);
+}
+
+socket_deadline::socket_deadline(const std::shared_ptr<tcp::socket>& socket)
+    : course_(std::make_shared<course>(socket))
+{}
+
+void socket_deadline::close_at(time_point at)
+{
+    course_->set(at);
+}
+
+void socket_deadline::close_after(duration length)
+{
+    course_->set(asio::steady_timer::clock_type::now() + length);
+}
+
+void socket_deadline::clear()
+{
+    course_->clear();
+}
+
+bool socket_deadline::has_closed() const
+{
+    return course_->has_closed();
+}
+
+} // namespace fennelladder::edge
--- a/libs/edge/target_connection.cpp
+++ b/libs/edge/target_connection.cpp
@@ -1,5 +1,7 @@
 #include "fennelladder/edge/target_connection.hpp"
 
+#include "fennelladder/edge/socket_deadline.hpp"
+
 #include <algorithm>
 #include <cerrno>
 #include <sys/socket.h>
@@ -54,11 +56,11 @@
     const auto endpoint = parse_endpoint(address);
     if (!endpoint)
         co_return fail(error_code::invalid, "not an address: " + address);
-    asio::steady_timer timer(io_, limit);
-    close_on(timer, socket_of(made));
+    socket_deadline until(socket_of(made));
+    until.close_after(limit);
     net_error ec;
     co_await made->socket.async_connect(*endpoint, into(ec));
-    timer.cancel();
+    until.clear();
     if (!made->socket.is_open())
         co_return fail(error_code::unavailable, "no connection in time");
     if (ec)
