Let a transfer that goes second send a piece now and then

While the older of two transfers was paced, the younger one sent nothing: over 10 Mbit/s, from about half a megabyte on, for longer than a silent connection is kept. It failed and began anew behind the next one. One that hasn't sent for 300 ms now goes first for a piece.

--- a/include/fennelladder/mesh/transfer_slots.hpp
+++ b/include/fennelladder/mesh/transfer_slots.hpp
@@ -18,6 +18,11 @@
 // together are paced to a part of it, so that callers keep the rest; and each
 // node that was served is named to the next, so that the sources multiply.
 //
+// Failure it guards against too: the older transfer has half a megabyte left,
+// and the younger one gets no byte for longer than a silent connection is kept;
+// it fails and begins anew, behind the next one. Here each sends a piece now
+// and then, however many go before it.
+//
 // Cost: some words a slot. Not thread safe.
 
 #ifndef FENNELLADDER_MESH_TRANSFER_SLOTS_HPP
@@ -42,6 +47,10 @@
 /// A transfer takes no longer, whatever trickles in.
 inline constexpr duration longest_transfer = seconds(10);
 
+/// Without a byte, a transfer has failed: a host of an eighth of a core may not
+/// run for some 100 ms, and a lost packet costs 200 to 400 ms.
+inline constexpr duration longest_silence = milliseconds(700);
+
 /// Nodes named to an asker that has to go elsewhere.
 inline constexpr std::size_t most_named = 8;
 
@@ -62,7 +71,8 @@
 
     /// 0: the transfer sends `bytes` now, and they are counted. Otherwise how
     /// long to wait before asking again. The transfer that began first goes
-    /// first: of two that take turns, both end as late as the second would.
+    /// first: of two that take turns, both end as late as the second would. One
+    /// that has to wait for it sends a piece each 300 ms all the same.
     duration wait_before(transfer_id id, std::size_t bytes, instant now);
 
     /// `address` has got `version` from here.
@@ -77,9 +87,13 @@
     struct transfer
     {
         instant begun;
+        instant sent;       ///< The last piece; when it began, if none.
         bool waits = false; ///< Was told to wait the last time.
     };
 
+    bool yields_now(transfer_id id, instant now) const;
+    static bool is_due(const transfer& it, instant now);
+
     std::size_t size_;
     double bytes_per_second_;               ///< Of all transfers together.
     std::map<transfer_id, transfer> begun_; ///< Oldest first.
--- a/libs/edge/news_exchange_test.cpp
+++ b/libs/edge/news_exchange_test.cpp
@@ -448,6 +448,35 @@
     CHECK(all.run_until([&] { return asker.version() == 7; }, seconds(3)));
 }
 
+// Story: two nodes of an earlier release fetched plain text from a small host.
+// The one that came second got no byte while the first was served, and gave
+// up, again and again.
+TEST(news_exchange, two_large_transfers_at_once_are_both_done)
+{
+    world all;
+    node& served = all.add_node();
+    served.take(configuration_text(7, 5'500));
+    std::size_t done = 0;
+    std::size_t ended = 0;
+    const auto ask = [&]() -> awaitable<void> {
+        peer_stream stream(all.io);
+        std::string answer;
+        const auto to = *parse_endpoint(served.address);
+        const bool connected = co_await stream.connect(to, seconds(1));
+        CHECK(connected);
+        const std::string question = framed(mesh::encode(mesh::sync_ask{}));
+        const bool sent = co_await stream.write(question);
+        CHECK(sent);
+        const bool read = co_await stream.read(answer, 4'000'000);
+        done += read ? 1 : 0;
+        ++ended;
+    };
+    spawn(all.io, ask());
+    spawn(all.io, ask());
+    CHECK(all.run_until([&] { return ended == 2; }, seconds(12)));
+    UNSIGNED_LONGS_EQUAL(2, done);
+}
+
 // A node of an earlier release asks for both at once and reads plain text.
 TEST(news_exchange, an_earlier_release_gets_what_it_can_read)
 {
--- a/libs/edge/peer_stream.cpp
+++ b/libs/edge/peer_stream.cpp
@@ -13,10 +13,6 @@
 
 namespace {
 
-/// Without a byte: a host of an eighth of a core may not run for some 100 ms,
-/// and a lost packet costs 200 to 400 ms.
-constexpr duration silence_limit = milliseconds(700);
-
 /// Read at a time; also what memory grows by.
 constexpr std::size_t read_step = 65'536;
 
@@ -64,7 +60,7 @@
 void peer_stream::limit_silence()
 {
     const auto now = asio::steady_timer::clock_type::now();
-    limit_.close_at(std::min(now + silence_limit, end_));
+    limit_.close_at(std::min(now + mesh::longest_silence, end_));
 }
 
 awaitable<bool> peer_stream::connect(tcp::endpoint to, duration limit)
--- a/libs/mesh/transfer_slots.cpp
+++ b/libs/mesh/transfer_slots.cpp
@@ -25,6 +25,12 @@
 /// What a younger transfer waits for an older one that is about to send.
 constexpr duration turn_wait = milliseconds(1);
 
+/// Without having sent for so long, a transfer goes before older ones. Less
+/// than half of `longest_silence`: a piece that is late or lost must not end
+/// the transfer. A shorter one would hold up the one that is to be done first.
+constexpr duration longest_yield = milliseconds(300);
+static_assert(2 * longest_yield < longest_silence);
+
 /// A settings file may say 0; waits must stay finite.
 constexpr double slowest_link = 1e5;
 
@@ -45,7 +51,7 @@
     if (begun_.size() >= size_)
         return std::nullopt;
     last_id_ = last_id_.next();
-    begun_[last_id_] = {now};
+    begun_[last_id_] = {now, now};
     return last_id_;
 }
 
@@ -58,21 +64,40 @@
                                      instant now)
 {
     const auto own = begun_.find(id);
-    const bool yields = std::any_of(begun_.begin(), own, [](const auto& older) {
-        return older.second.waits;
-    });
+    const bool yields = yields_now(id, now);
     next_send_ = std::max(next_send_, now - longest_burst);
     duration wait = std::max<duration>(next_send_ - now, duration(0));
     if (yields)
         wait = std::max<duration>(wait, turn_wait);
     if (own != begun_.end())
         own->second.waits = wait > duration(0);
-    if (wait == duration(0))
-        next_send_ +=
-            from_seconds(static_cast<double>(bytes) / bytes_per_second_);
+    if (wait > duration(0))
+        return wait;
+    if (own != begun_.end())
+        own->second.sent = now;
+    next_send_ += from_seconds(static_cast<double>(bytes) / bytes_per_second_);
     return wait;
 }
 
+/// Whether one that waits goes first: one that hasn't sent for long before the
+/// others, and of equals the one that began first.
+bool transfer_slots::yields_now(transfer_id id, instant now) const
+{
+    const auto own = begun_.find(id);
+    const bool own_due = own != begun_.end() && is_due(own->second, now);
+    return std::ranges::any_of(begun_, [&](const auto& other) {
+        if (other.first == id || !other.second.waits)
+            return false;
+        const bool due = is_due(other.second, now);
+        return due != own_due ? due : own == begun_.end() || other.first < id;
+    });
+}
+
+bool transfer_slots::is_due(const transfer& it, instant now)
+{
+    return now - it.sent >= longest_yield;
+}
+
 void transfer_slots::note_served(catalog::configuration_version version,
                                  const std::string& address)
 {
--- a/libs/mesh/transfer_slots_test.cpp
+++ b/libs/mesh/transfer_slots_test.cpp
@@ -1,6 +1,10 @@
 #include "fennelladder/mesh/transfer_slots.hpp"
 
+#include "fennelladder/testing/event_queue.hpp"
+
 #include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <list>
 
 using namespace fennelladder;
 using namespace fennelladder::mesh;
@@ -19,6 +23,81 @@
     return out;
 }
 
+/// Transfers over one link, in virtual time, and what their receivers see.
+class shared_link
+{
+public:
+    explicit shared_link(double link) : link_(link), slots_(link) {}
+
+    /// As many as there are slots, all at the same time.
+    void fill(std::size_t bytes)
+    {
+        while (const auto id = slots_.begin(queue_.now())) {
+            transfers_.push_back({*id, bytes, bytes, queue_.now()});
+            send(transfers_.back());
+        }
+    }
+
+    void run_for(duration length) { queue_.run_until(queue_.now() + length); }
+
+    std::size_t left() const
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            transfers_, [](const transfer& it) { return it.left > 0; }));
+    }
+
+    duration longest_silence_seen() const { return longest_silence_; }
+    instant first_done() const { return first_done_; }
+    instant now() const { return queue_.now(); }
+
+private:
+    struct transfer
+    {
+        transfer_id id;
+        std::size_t unsent;
+        std::size_t left; ///< Not yet arrived.
+        instant heard;
+    };
+
+    /// The system takes a piece at once; the link carries one after the other.
+    void send(transfer& it)
+    {
+        if (it.unsent == 0)
+            return;
+        const std::size_t bytes = std::min(it.unsent, piece);
+        const duration wait = slots_.wait_before(it.id, bytes, queue_.now());
+        if (wait > duration(0))
+            return queue_.after(wait, [this, &it] { send(it); });
+        it.unsent -= bytes;
+        const double seconds_on_link = static_cast<double>(bytes) * 8 / link_;
+        link_free_ =
+            std::max(link_free_, queue_.now()) + from_seconds(seconds_on_link);
+        queue_.at(link_free_, [this, &it, bytes] { arrived(it, bytes); });
+        queue_.after(duration(0), [this, &it] { send(it); });
+    }
+
+    void arrived(transfer& it, std::size_t bytes)
+    {
+        longest_silence_ =
+            std::max<duration>(longest_silence_, queue_.now() - it.heard);
+        it.heard = queue_.now();
+        it.left -= bytes;
+        if (it.left > 0)
+            return;
+        slots_.end(it.id);
+        if (first_done_ == instant())
+            first_done_ = queue_.now();
+    }
+
+    double link_;
+    transfer_slots slots_;
+    testing::event_queue queue_;
+    std::list<transfer> transfers_;
+    instant link_free_;
+    instant first_done_;
+    duration longest_silence_{0};
+};
+
 } // namespace
 
 TEST_GROUP(transfer_slots){};
@@ -118,6 +197,36 @@
     CHECK(slots.wait_before(*second, piece, now) == duration(0));
 }
 
+// Story: two nodes fetched half a megabyte from a small host. While the older
+// transfer was paced the younger one got no byte, for longer than a silent
+// connection is kept; it failed, rested, and began anew behind the next one.
+TEST(transfer_slots, a_younger_one_is_not_silent_for_long)
+{
+    for (const double link : {10e6, 50e6, 100e6, 200e6, 1e9}) {
+        for (const std::size_t bytes : {500'000, 1'100'000}) {
+            shared_link all(link);
+            all.fill(bytes);
+            all.run_for(longest_transfer);
+            UNSIGNED_LONGS_EQUAL(0, all.left());
+            CHECK(all.longest_silence_seen() < longest_silence * 2 / 3);
+        }
+    }
+}
+
+// The bytes that the younger one gets meanwhile, its part of what may be sent
+// at once included, must not make it two transfers that take turns: these would
+// take more than twice as long as one alone.
+TEST(transfer_slots, the_first_is_hardly_held_up)
+{
+    shared_link all(small_link);
+    const instant begun = all.now();
+    all.fill(500'000);
+    all.run_for(longest_transfer);
+    // Half of the link, less what may be sent at once.
+    const duration alone = from_seconds((500'000 - 125'000) * 8 / 5e6);
+    CHECK(all.first_done() - begun < alone * 4 / 3);
+}
+
 TEST(transfer_slots, the_latest_served_are_named_first)
 {
     const catalog::configuration_version old(6);
