Let the transfer that was silent for longest go first of those that are late

Where each piece takes longer than a transfer may go without one, all are late all the time, and the oldest went first of these as before.

Seen to fail on the code before: transfer_slots.a_younger_one_is_not_silent_for_long_on_a_slow_link.

--- a/libs/mesh/transfer_slots.cpp
+++ b/libs/mesh/transfer_slots.cpp
@@ -79,8 +79,8 @@
     return wait;
 }
 
-/// Whether one that waits goes first: one that hasn't sent for long before the
-/// others, and of equals the one that began first.
+/// Whether one that waits goes first: those that haven't sent for long before
+/// the others, the longest first, and of equals the one that began first.
 bool transfer_slots::yields_now(transfer_id id, instant now) const
 {
     const auto own = begun_.find(id);
@@ -89,7 +89,11 @@
         if (other.first == id || !other.second.waits)
             return false;
         const bool due = is_due(other.second, now);
-        return due != own_due ? due : own == begun_.end() || other.first < id;
+        if (due != own_due)
+            return due;
+        if (due && other.second.sent != own->second.sent)
+            return other.second.sent < own->second.sent;
+        return own == begun_.end() || other.first < id;
     });
 }
 
--- a/libs/mesh/transfer_slots_test.cpp
+++ b/libs/mesh/transfer_slots_test.cpp
@@ -213,6 +213,17 @@
     }
 }
 
+// A link so slow that each piece takes nearly as long as one may wait: both
+// are late all the time, and none may always be the first of these.
+TEST(transfer_slots, a_younger_one_is_not_silent_for_long_on_a_slow_link)
+{
+    shared_link all(8e5);
+    all.fill(100'000);
+    all.run_for(longest_transfer);
+    UNSIGNED_LONGS_EQUAL(0, all.left());
+    CHECK(all.longest_silence_seen() < longest_silence);
+}
+
 // The bytes that the younger one gets meanwhile, its part of what may be sent
 // at once included, must not make it two transfers that take turns: these would
 // take more than twice as long as one alone.
