Pause before listing again when watches fail at once

A store that answers listings and fails watches at once (history gone, a reset, watches alone turned away) made a watcher list without any pause: the listing counted as all is well. A watch that fails within a second of its listing counts as a failure now, and listings don't take that back.

--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -12,7 +12,8 @@
 //
 // A watch may fall silent without an error. Each is therefore short, and a
 // full listing is made now and then. A watch that fails, because its history
-// is gone or its connection broke, is followed by a listing at once.
+// is gone or its connection broke, is followed by a listing at once; where
+// watches fail soon after each listing, by pauses that grow to a second.
 //
 // A platform that doesn't answer is tried by one call at a time, with pauses
 // that grow. An answer to any call of the node, also to one for tokens, ends
@@ -56,6 +57,8 @@
         bool listed = false; ///< So that it can be watched from there.
         instant listed_at;
         int failures = 0; ///< In a row.
+        /// Watches in a row that failed soon after a listing.
+        int lost_watches = 0;
         instant next_try;
         /// When the latest answer came, of what was known till then.
         std::optional<duration> age_before;
@@ -85,6 +88,7 @@
                            call_function list, call_function watch);
     awaitable<bool> ask(news_kind& kind, call_function list,
                         call_function watch);
+    bool note_watch_end(news_kind& kind, bool watched);
     awaitable<void> rest(news_kind& kind);
     awaitable<void> probe();
     bool held_back(const news_kind& kind) const;
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -29,6 +29,11 @@
 /// A watcher lists anew this often, in case its watch missed something.
 constexpr duration relist_period = seconds(20);
 
+/// A watch that fails sooner after the listing it goes on from tells nothing
+/// that the listing didn't. Longer than any pause after it, so that a store
+/// that answers no watch is listed about once in this time.
+constexpr duration early_failure = seconds(1);
+
 /// Failures in a row that still lengthen a pause.
 constexpr int most_failures = 8;
 
@@ -175,17 +180,35 @@
          {"platform_reached", tables_.contact.reached ? "true" : "false"}});
 }
 
+/// True if a watch failed so soon after its listing that the next listing has
+/// to wait. Guards against a store that answers listings and fails watches at
+/// once: each listing would count as all is well, and a megabyte would be
+/// listed and read without a pause.
+bool platform_feed::note_watch_end(news_kind& kind, bool watched)
+{
+    const bool early = tables_.now() - kind.listed_at < early_failure;
+    if (!early)
+        kind.lost_watches = 0;
+    if (watched || !early)
+        return false;
+    kind.lost_watches = std::min(kind.lost_watches + 1, most_failures);
+    return true;
+}
+
 /// Lists or watches, whichever is due.
 awaitable<bool> platform_feed::ask(news_kind& kind, call_function list,
                                    call_function watch)
 {
     if (kind.listed && tables_.now() - kind.listed_at < relist_period) {
         const bool watched = co_await (this->*watch)();
+        kind.listed = watched;
+        if (note_watch_end(kind, watched))
+            co_return false;
         if (watched)
             co_return true;
     }
-    // Also after a watch that failed: the history may be gone, or just the
-    // one connection. Only if this fails too the platform isn't reached.
+    // Also after a watch that failed late: the history may be gone, or just
+    // the one connection. Only if this fails too the platform isn't reached.
     kind.listed = co_await (this->*list)();
     kind.listed_at = tables_.now();
     co_return kind.listed;
@@ -223,7 +246,8 @@
 /// After an answer.
 void platform_feed::settle(news_kind& kind, duration elapsed)
 {
-    kind.failures = 0;
+    // A listing doesn't show that watches work again.
+    kind.failures = kind.lost_watches;
     kind.duty.answered(elapsed, kind.age_before, tables_.random);
     // Others are about to ask as well; hearing of it spares them the call.
     if (kind.age_before > limits_.stale_after)
