Ask for targets before a configuration when cut off

While a node counted as cut off one kind of news tried for both, and a configuration of a megabyte went first: for a second and more nobody asked which targets leave. Targets wait for nothing but their own pause now, and the configuration waits for them, five seconds at most.

Seen to fail before: targets_dont_wait_for_a_large_configuration and targets_dont_wait_for_a_configuration_that_comes. The configuration where targets are refused is a guard on the new rule; it passed before.

--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -15,9 +15,9 @@
 // is gone or its connection broke, is followed by a listing at once; where
 // watches fail soon after each listing, by pauses that grow to a second.
 //
-// A platform that doesn't answer is tried by one call at a time, with pauses
-// that grow. An answer to any call of the node, also to one for tokens, ends
-// the pause.
+// A platform that doesn't answer is tried with pauses that grow, and for
+// targets before the configuration, which may take a small link seconds. An
+// answer to any call of the node, also to one for tokens, ends the pause.
 //
 // Not thread safe.
 
@@ -56,6 +56,7 @@
         bool stale = false;  ///< As logged.
         bool listed = false; ///< So that it can be watched from there.
         instant listed_at;
+        instant tried_at; ///< When the latest call began.
         int failures = 0; ///< In a row.
         /// Watches in a row that failed soon after a listing.
         int lost_watches = 0;
@@ -91,6 +92,7 @@
     bool note_watch_end(news_kind& kind, bool watched);
     awaitable<void> rest(news_kind& kind);
     awaitable<void> probe();
+    bool waits_for_targets(const news_kind& kind) const;
     bool held_back(const news_kind& kind) const;
     void hold_back(news_kind& kind, mesh::watch_reason reason);
     void settle(news_kind& kind, duration elapsed);
@@ -137,8 +139,7 @@
     news_kind configuration_;
     news_kind targets_;
     catalog::revision configuration_as_of_;
-    bool trying_contact_ = false; ///< A kind tries for both.
-    bool cut_off_ = false;        ///< Pauses are due to that.
+    bool cut_off_ = true; ///< Pauses are due to that.
 };
 
 } // namespace fennelladder::edge
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -40,6 +40,10 @@
 /// Between two cheap calls of a node that is cut off and not needed.
 constexpr duration probe_period = seconds(5);
 
+/// That a configuration waits for targets to be answered. A platform may
+/// answer everything but their listing; one call more in this time is cheap.
+constexpr duration longest_hold = seconds(5);
+
 constexpr const char* stale_metric = "fennelladder_news_stale_total";
 
 constexpr const char* address_field = "peer_address";
@@ -65,8 +69,9 @@
 void platform_feed::start()
 {
     tables_.platform_answered = [this] { on_answer(); };
-    spawn(tables_.io, follow_configuration());
+    configuration_.tried_at = tables_.now();
     spawn(tables_.io, follow_targets());
+    spawn(tables_.io, follow_configuration());
     spawn(tables_.io, register_node());
     spawn(tables_.io, probe());
 }
@@ -134,11 +139,20 @@
     }
 }
 
-/// While the platform doesn't answer, one kind tries for both.
+/// While the platform doesn't answer, the targets try for both kinds. Guards
+/// against a leaving that isn't heard of since a configuration of a megabyte
+/// comes: targets wait for nothing but their own pause.
+bool platform_feed::waits_for_targets(const news_kind& kind) const
+{
+    if (tables_.contact.reached || &kind == &targets_)
+        return false;
+    return targets_.reason != mesh::watch_reason::none &&
+           tables_.now() - kind.tried_at < longest_hold;
+}
+
 bool platform_feed::held_back(const news_kind& kind) const
 {
-    const bool other_tries = !tables_.contact.reached && trying_contact_;
-    return other_tries || tables_.now() < kind.next_try;
+    return tables_.now() < kind.next_try || waits_for_targets(kind);
 }
 
 void platform_feed::hold_back(news_kind& kind, mesh::watch_reason reason)
@@ -229,13 +243,9 @@
             continue;
         }
         const instant begun = tables_.now();
-        const bool tries_contact = !tables_.contact.reached;
-        if (tries_contact)
-            trying_contact_ = true;
+        kind.tried_at = begun;
         kind.age_before.reset();
         const bool fine = co_await ask(kind, list, watch);
-        if (tries_contact)
-            trying_contact_ = false;
         if (fine)
             settle(kind, tables_.now() - begun);
         else
