Let large hosts ask before small ones when news are old

All hosts asked within a quarter of their limit, which is less than a small host needs for a megabyte, so that none spared another. Factors of large hosts lie below those of small ones, and spread out where all are equal. What was announced and doesn't come is asked for after a third of the bound.

--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -100,6 +100,7 @@
     void note_reason(news_kind& kind, mesh::watch_reason reason,
                      const mesh::news_view& view);
 
+    mesh::news_view view_of(const news_kind& kind) const;
     mesh::news_view view_configuration();
     mesh::news_view view_targets();
     void confirm_configuration(instant at);
--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -65,6 +65,15 @@
     instant seen;  ///< The last sign of life, a beacon or a mention.
 };
 
+/// How a host compares in size with the living that reach the platform.
+struct size_place
+{
+    bool large = true;
+    /// Of all living hosts, this one among them, those that reach the platform
+    /// and are large: from 0 to 1.
+    double large_part = 1;
+};
+
 /// What a beacon changed.
 struct roster_news
 {
@@ -111,6 +120,10 @@
     std::size_t rank(std::string_view salt, bool reached, double capacity,
                      instant now) const;
 
+    /// Where this node stands by size; `capacity` is its own. Others that
+    /// don't reach the platform ask it nothing, so they aren't compared with.
+    size_place place_by_size(double capacity, instant now) const;
+
     /// Addresses to introduce to a node that is new here.
     std::vector<std::string> introductions(const host_id& to,
                                            instant now) const;
--- a/include/fennelladder/mesh/watch_duty.hpp
+++ b/include/fennelladder/mesh/watch_duty.hpp
@@ -1,6 +1,6 @@
 // Whether a node asks the platform itself for one kind of news.
 //
-//     watch_duty duty(news_limits_for(bound), 1 + random.unit() / 4);
+//     watch_duty duty(news_limits_for(bound), random.unit());
 //     switch (duty.decide({.rank = rank, .age = freshness.age(now)})) ...
 //     duty.answered(...);                      // or failed()
 //
@@ -22,6 +22,7 @@
 
 #include "fennelladder/base/random.hpp"
 #include "fennelladder/base/time.hpp"
+#include "fennelladder/mesh/roster.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -32,15 +33,23 @@
 /// Nodes that watch each kind while all is well.
 inline constexpr std::size_t watchers = 2;
 
-/// Each node multiplies its limit on age by its own factor from 1 to this, so
-/// that one asks first and the others hear its answer.
+/// Each node multiplies its limits by its own factor from 1 to this, so that
+/// one asks first and the others hear its answer.
 inline constexpr double largest_spread = 1.25;
 
+/// This node's factor; `draw` is its own, from 0 to 1. A large host has a
+/// megabyte in a tenth of a second, a small one in one, which is longer than
+/// all factors differ: so the large ones are done before a small one begins.
+/// The more of the fleet is large, the further their own factors lie apart.
+double limit_factor(const size_place& size, double draw);
+
 /// How long things may take where news have to be in force within a bound.
 struct news_limits
 {
     duration watch_wait;  ///< A watch without news is answered after this.
     duration stale_after; ///< What is older has to be asked for.
+    /// What was announced and didn't come has to be asked for.
+    duration overdue_after;
 };
 
 /// The limits that follow from the deployment's bound.
@@ -63,13 +72,14 @@
     std::optional<duration> age;
     /// Since a newer one was heard of that isn't here yet.
     std::optional<duration> announced_for;
+    size_place size;
 };
 
 class watch_duty
 {
 public:
-    /// `spread` is this node's factor, from 1 to `largest_spread`.
-    watch_duty(news_limits limits, double spread);
+    /// `draw` is this node's own for its factor, from 0 to 1.
+    watch_duty(news_limits limits, double draw);
 
     watch_reason decide(const news_view& view);
 
@@ -84,12 +94,11 @@
     /// A call failed: this node is no use as a watcher.
     void failed() { standing_in_ = false; }
 
-    const news_limits& limits() const { return limits_; }
-
 private:
     bool is_stale(const news_view& view) const;
 
     news_limits limits_;
+    double draw_;
     watch_reason reason_ = watch_reason::none;
     bool standing_in_ = false;
 };
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -52,9 +52,7 @@
 
 platform_feed::news_kind::news_kind(const char* name, node_tables& tables,
                                     mesh::news_limits limits)
-    : what(name),
-      duty(limits, 1 + tables.random.unit() * (mesh::largest_spread - 1)),
-      pause(tables.io)
+    : what(name), duty(limits, tables.random.unit()), pause(tables.io)
 {}
 
 platform_feed::platform_feed(node_tables& tables, platform_client& client,
@@ -352,11 +350,19 @@
     co_return true;
 }
 
+/// What both kinds' views have in common.
+mesh::news_view platform_feed::view_of(const news_kind& kind) const
+{
+    mesh::news_view out;
+    out.rank = rank(kind, tables_.contact.reached);
+    out.size = tables_.nodes.place_by_size(tables_.capacity(), tables_.now());
+    return out;
+}
+
 mesh::news_view platform_feed::view_configuration()
 {
     const instant now = tables_.now();
-    mesh::news_view out;
-    out.rank = rank(configuration_, tables_.contact.reached);
+    mesh::news_view out = view_of(configuration_);
     out.age = tables_.configuration_freshness.age(now);
     if (tables_.configuration_announced)
         out.announced_for = now - *tables_.configuration_announced;
@@ -455,8 +461,7 @@
 
 mesh::news_view platform_feed::view_targets()
 {
-    mesh::news_view out;
-    out.rank = rank(targets_, tables_.contact.reached);
+    mesh::news_view out = view_of(targets_);
     out.age = tables_.targets_freshness.age(tables_.now());
     return out;
 }
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -191,6 +191,21 @@
         }));
 }
 
+size_place roster::place_by_size(double capacity, instant now) const
+{
+    const auto living = alive(now);
+    std::vector<double> sizes{capacity};
+    for (const node_row* it : living)
+        if (it->last.platform_reached)
+            sizes.push_back(it->last.capacity);
+    const double largest = *std::ranges::max_element(sizes);
+    const auto large = std::ranges::count_if(
+        sizes, [&](double it) { return is_large(it, largest); });
+    return {is_large(capacity, largest),
+            static_cast<double>(large) /
+                static_cast<double>(living.size() + 1)};
+}
+
 std::vector<std::string> roster::introductions(const host_id& to,
                                                instant now) const
 {
--- a/libs/mesh/roster_test.cpp
+++ b/libs/mesh/roster_test.cpp
@@ -111,6 +111,29 @@
     UNSIGNED_LONGS_EQUAL(20, nodes.rank("x", false, 400, start));
 }
 
+TEST(roster, size_is_compared_with_those_that_reach_the_platform)
+{
+    CHECK(nodes.place_by_size(100, start).large);
+    DOUBLES_EQUAL(1, nodes.place_by_size(100, start).large_part, 1e-9);
+    for (int i = 1; i <= 9; ++i) {
+        beacon it = from(i);
+        it.capacity = i <= 2 ? 400 : 100;
+        nodes.hear(it, start);
+    }
+    CHECK(!nodes.place_by_size(100, start).large);
+    DOUBLES_EQUAL(0.2, nodes.place_by_size(100, start).large_part, 1e-9);
+    DOUBLES_EQUAL(0.3, nodes.place_by_size(400, start).large_part, 1e-9);
+    // The large ones are cut off: the small ones are the largest left.
+    for (int i = 1; i <= 2; ++i) {
+        beacon it = from(i, 2);
+        it.capacity = 400;
+        it.platform_reached = false;
+        nodes.hear(it, start);
+    }
+    CHECK(nodes.place_by_size(100, start).large);
+    DOUBLES_EQUAL(0.8, nodes.place_by_size(100, start).large_part, 1e-9);
+}
+
 TEST(roster, ranks_are_agreed_on)
 {
     constexpr int n = 6;
--- a/libs/mesh/watch_duty.cpp
+++ b/libs/mesh/watch_duty.cpp
@@ -18,6 +18,16 @@
 /// watch's wait and the way of a beacon, about 0.4.
 constexpr double stale_share = 0.6;
 
+/// Of the bound. A small host needs a second from its question to the
+/// configuration in force, of the two to three that the bound is.
+constexpr double overdue_share = 1.0 / 3;
+
+/// Where the factors of small hosts begin, and how far those of a few large
+/// ones lie apart. A tenth of a second between them, at the smallest limit in
+/// use, is what a large host needs for a listing of a megabyte.
+constexpr double small_from = 1.15;
+constexpr double large_width = 0.05;
+
 /// Doubled with each failure in a row. A call over a good connection takes
 /// some ten milliseconds.
 constexpr duration first_pause = milliseconds(100);
@@ -37,19 +47,28 @@
 
 news_limits news_limits_for(duration bound)
 {
-    return {share_of(bound, watch_share), share_of(bound, stale_share)};
+    return {share_of(bound, watch_share), share_of(bound, stale_share),
+            share_of(bound, overdue_share)};
 }
 
-watch_duty::watch_duty(news_limits limits, double spread) : limits_(limits)
+double limit_factor(const size_place& size, double draw)
 {
-    limits_.stale_after =
-        share_of(limits.stale_after, std::clamp(spread, 1.0, largest_spread));
+    if (!size.large)
+        return small_from + draw * (largest_spread - small_from);
+    const double width =
+        std::max(large_width, size.large_part * (largest_spread - 1));
+    return 1 + draw * width;
 }
 
+watch_duty::watch_duty(news_limits limits, double draw)
+    : limits_(limits), draw_(std::clamp(draw, 0.0, 1.0))
+{}
+
 bool watch_duty::is_stale(const news_view& view) const
 {
-    const duration most = limits_.stale_after;
-    return view.age > most || view.announced_for > most;
+    const double factor = limit_factor(view.size, draw_);
+    return view.age > share_of(limits_.stale_after, factor) ||
+           view.announced_for > share_of(limits_.overdue_after, factor);
 }
 
 watch_reason watch_duty::decide(const news_view& view)
