Look at a configuration's version before the rest of it

A listing that says again what is in force was decoded and written out in full before its version was compared.

--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -118,6 +118,7 @@
 
     awaitable<void> pause_after_failure(int& failures);
 
+    bool is_in_force(const adapter::stored_object& object) const;
     bool take_configuration(const adapter::stored_object& object);
     void note(const platform_reply& reply, const char* what, call_kind kind);
 
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -300,9 +300,18 @@
     tables_.configuration_announced.reset();
 }
 
+/// Guards against a small host that reads a megabyte, and keeps its callers
+/// waiting, to find what it has.
+bool platform_feed::is_in_force(const adapter::stored_object& object) const
+{
+    const auto version = adapter::decode_configuration_version(object.content);
+    return version && tables_.config != nullptr &&
+           *version <= tables_.config->version();
+}
+
 bool platform_feed::take_configuration(const adapter::stored_object& object)
 {
-    if (object.name != adapter::configuration_name)
+    if (object.name != adapter::configuration_name || is_in_force(object))
         return true;
     auto parts = adapter::decode_configuration(object.content);
     if (!parts) {
