Ask for a configuration at half of the bound where that is three

A small host that is the only one to reach the platform had a listing of a megabyte in force 3.15 to 3.33 s after its last news, in virtual time, where 3 s is the bound. The limit on the age of a configuration is half of the bound now, but no less than a watch's wait and half a second. In a calm fleet nobody lists for that; for a bound of 2 s the limit hardly changes.

--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -51,6 +51,7 @@
                   mesh::news_limits limits);
 
         const char* what; ///< Salt of the rank, and name in the log.
+        duration stale_after;
         mesh::watch_duty duty;
         mesh::watch_reason reason = mesh::watch_reason::none;
         bool stale = false;  ///< As logged.
--- a/include/fennelladder/mesh/watch_duty.hpp
+++ b/include/fennelladder/mesh/watch_duty.hpp
@@ -1,6 +1,6 @@
 // Whether a node asks the platform itself for one kind of news.
 //
-//     watch_duty duty(news_limits_for(bound), random.unit());
+//     watch_duty duty(news_limits_for(bound, news_size::bulk), random.unit());
 //     switch (duty.decide({.rank = rank, .age = freshness.age(now)})) ...
 //     duty.answered(...);                      // or failed()
 //
@@ -52,8 +52,15 @@
     duration overdue_after;
 };
 
+/// How much an answer about everything brings.
+enum class news_size : std::uint8_t
+{
+    packets, ///< Targets: there at once.
+    bulk     ///< Configuration: a small host needs a second for it.
+};
+
 /// The limits that follow from the deployment's bound.
-news_limits news_limits_for(duration bound);
+news_limits news_limits_for(duration bound, news_size size);
 
 /// Why a node asks.
 enum class watch_reason : std::uint8_t
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -46,6 +46,13 @@
 
 constexpr const char* stale_metric = "fennelladder_news_stale_total";
 
+mesh::news_limits limits_of(const node_tables& tables, mesh::news_size size)
+{
+    const duration bound = std::min(tables.settings.configuration_bound,
+                                    tables.settings.leaving_bound);
+    return mesh::news_limits_for(bound, size);
+}
+
 constexpr const char* address_field = "peer_address";
 
 } // namespace
@@ -58,9 +65,9 @@
 platform_feed::platform_feed(node_tables& tables, platform_client& client,
                              mesh_node& mesh)
     : tables_(tables), client_(client), mesh_(mesh),
-      limits_(mesh::news_limits_for(std::min(
-          tables.settings.configuration_bound, tables.settings.leaving_bound))),
-      configuration_("configuration", tables, limits_),
+      limits_(limits_of(tables, mesh::news_size::packets)),
+      configuration_("configuration", tables,
+                     limits_of(tables, mesh::news_size::bulk)),
       targets_("targets", tables, limits_)
 {}
 
@@ -258,7 +265,7 @@
     kind.failures = kind.lost_watches;
     kind.duty.answered(elapsed, kind.age_before, tables_.random);
     // Others are about to ask as well; hearing of it spares them the call.
-    if (kind.age_before > limits_.stale_after)
+    if (kind.age_before > kind.stale_after)
         tables_.spread_news();
 }
 
--- a/libs/mesh/watch_duty.cpp
+++ b/libs/mesh/watch_duty.cpp
@@ -18,6 +18,12 @@
 /// watch's wait and the way of a beacon, about 0.4.
 constexpr double stale_share = 0.6;
 
+/// The same for bulk: half, times the largest spread, leaves a small host the
+/// second that it needs, where the bound is three. But no less than the age in
+/// a calm fleet: a watch's wait, and 0.2 to 0.35 s from beacon to beacon.
+constexpr double stale_bulk_share = 0.5;
+constexpr duration way_of_beacons = milliseconds(500);
+
 /// Of the bound. A small host needs a second from its question to the
 /// configuration in force, of the two to three that the bound is.
 constexpr double overdue_share = 1.0 / 3;
@@ -45,10 +51,16 @@
 
 } // namespace
 
-news_limits news_limits_for(duration bound)
+news_limits news_limits_for(duration bound, news_size size)
 {
-    return {share_of(bound, watch_share), share_of(bound, stale_share),
-            share_of(bound, overdue_share)};
+    news_limits out;
+    out.watch_wait = share_of(bound, watch_share);
+    out.stale_after = share_of(bound, stale_share);
+    out.overdue_after = share_of(bound, overdue_share);
+    if (size == news_size::bulk)
+        out.stale_after = std::max(share_of(bound, stale_bulk_share),
+                                   out.watch_wait + way_of_beacons);
+    return out;
 }
 
 double limit_factor(const size_place& size, double draw)
--- a/libs/mesh/watch_duty_test.cpp
+++ b/libs/mesh/watch_duty_test.cpp
@@ -44,26 +44,19 @@
     silent ///< Takes calls and answers none.
 };
 
-/// What a listing brings.
-enum class listed_kind : std::uint8_t
-{
-    targets, ///< Some packets.
-    configuration
-};
-
 struct sim_setup
 {
     int size = 60;
     int large = 10;
-    listed_kind kind = listed_kind::targets;
+    news_size kind = news_size::packets;
 };
 
 struct sim_node
 {
-    sim_node(int i, double power, std::uint64_t seed)
+    sim_node(int i, double power, std::uint64_t seed, news_limits its_limits)
         : name("n" + std::to_string(i)), capacity(power),
           nodes(host_id(name), {}), random(seed),
-          duty(news_limits_for(bound), random.unit())
+          duty(its_limits, random.unit())
     {}
 
     bool is_large() const { return capacity >= large_capacity; }
@@ -104,12 +97,13 @@
 class sim_fleet
 {
 public:
-    explicit sim_fleet(const sim_setup& setup = {}) : kind_(setup.kind)
+    explicit sim_fleet(const sim_setup& setup = {})
+        : kind_(setup.kind), limits_(news_limits_for(bound, setup.kind))
     {
         for (int i = 0; i < setup.size; ++i)
             all.push_back(std::make_unique<sim_node>(
                 i, i < setup.large ? large_capacity : small_capacity,
-                std::uint64_t(i) + 1));
+                std::uint64_t(i) + 1, limits_));
         // All hear of each other at once, as after a common start.
         for (const auto& it : all)
             tell_all(*it);
@@ -246,8 +240,7 @@
         it.probing = probing;
         it.watching = it.listed && !probing;
         it.begun = now;
-        duration lasts =
-            it.watching ? news_limits_for(bound).watch_wait : call_time;
+        duration lasts = it.watching ? limits_.watch_wait : call_time;
         if (!it.watching && !probing) {
             ++record_->listings;
             record_->small_listings += it.is_large() ? 0 : 1;
@@ -264,7 +257,7 @@
     /// After the first byte, until what is listed is read.
     duration listing_time(const sim_node& it) const
     {
-        if (kind_ == listed_kind::targets)
+        if (kind_ == news_size::packets)
             return duration(0);
         const double bits = 8 * configuration_bytes;
         return it.is_large()
@@ -294,7 +287,7 @@
             // What is listed is as old as the first byte of it.
             it.known.confirm(it.watching ? now : it.begun + call_time);
             it.duty.answered(now - it.begun, before, it.random);
-            if (before > news_limits_for(bound).stale_after)
+            if (before > limits_.stale_after)
                 tell_all(it);
         }
         note_contact(it, true);
@@ -309,7 +302,8 @@
         note_contact(it, false);
     }
 
-    listed_kind kind_;
+    news_size kind_;
+    news_limits limits_;
     run_record* record_ = nullptr;
 };
 
@@ -324,10 +318,12 @@
 TEST(watch_duty, limits_leave_a_part_of_the_bound_for_the_way_to_the_others)
 {
     for (const duration it : {seconds(2), seconds(3)}) {
-        const news_limits got = news_limits_for(it);
-        CHECK(got.watch_wait < got.stale_after);
-        CHECK(to_seconds(got.stale_after) * largest_spread <
-              0.76 * to_seconds(it));
+        for (const news_size size : {news_size::packets, news_size::bulk}) {
+            const news_limits got = news_limits_for(it, size);
+            CHECK(got.watch_wait < got.stale_after);
+            CHECK(to_seconds(got.stale_after) * largest_spread <
+                  0.76 * to_seconds(it));
+        }
     }
 }
 
@@ -386,7 +382,8 @@
     const duration transfer =
         from_seconds(8 * configuration_bytes / small_link);
     for (const duration it : {seconds(2), seconds(3)}) {
-        const duration overdue = news_limits_for(it).overdue_after;
+        const duration overdue =
+            news_limits_for(it, news_size::bulk).overdue_after;
         CHECK(to_seconds(overdue) * largest_spread +
                   to_seconds(transfer + small_time_to_read) <
               to_seconds(it));
@@ -570,8 +567,7 @@
 // each to be told that, since all of them began before the first was done.
 TEST(listing_fleet, large_hosts_spare_the_small_ones_the_configuration)
 {
-    const run_record got =
-        after_watches_fell_silent({60, 8, listed_kind::configuration});
+    const run_record got = after_watches_fell_silent({60, 8, news_size::bulk});
     CHECK(got.oldest <= bound);
     // Eight large ones, of which two tried again on a new connection.
     CHECK_COMPARE(got.bytes(), <=, 10 * configuration_bytes);
@@ -580,8 +576,27 @@
 
 TEST(listing_fleet, equal_hosts_spare_some_of_themselves)
 {
-    const run_record got =
-        after_watches_fell_silent({8, 8, listed_kind::configuration});
+    const run_record got = after_watches_fell_silent({8, 8, news_size::bulk});
     CHECK(got.oldest <= bound);
     CHECK_COMPARE(got.bytes(), <=, 5 * configuration_bytes);
 }
+
+TEST(listing_fleet, nobody_lists_while_all_is_well)
+{
+    sim_fleet fleet({60, 8, news_size::bulk});
+    LONGS_EQUAL(0, fleet.run(seconds(60)).listings);
+}
+
+// Story: all hosts but one small one are cut off from the platform. It has to
+// be done within the bound though it needs a second for the listing.
+TEST(listing_fleet, a_small_host_alone_is_done_within_the_bound)
+{
+    for (std::size_t i = 10; i < sim_fleet::size; i += 7) {
+        sim_fleet fleet({60, 8, news_size::bulk});
+        for (const auto& it : fleet.all)
+            it->platform = platform_link::cut;
+        fleet.all[i]->platform = platform_link::good;
+        const run_record got = fleet.run(seconds(10));
+        CHECK_COMPARE(to_seconds(got.oldest), <=, to_seconds(bound));
+    }
+}
