--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -12,11 +12,12 @@
 //
 // A watch may fall silent without an error. Each is therefore short, and a
 // full listing is made now and then. A watch that fails, because its history
-// is gone or its connection broke, is followed by a listing at once.
+// is gone or its connection broke, is followed by a listing at once; where
+// watches fail soon after each listing, by pauses that grow to a second.
 //
-// A platform that doesn't answer is tried by one call at a time, with pauses
-// that grow. An answer to any call of the node, also to one for tokens, ends
-// the pause.
+// A platform that doesn't answer is tried with pauses that grow, and for
+// targets before the configuration, which may take a small link seconds. An
+// answer to any call of the node, also to one for tokens, ends the pause.
 //
 // Not thread safe.
 
@@ -50,12 +51,16 @@
                   mesh::news_limits limits);
 
         const char* what; ///< Salt of the rank, and name in the log.
+        duration stale_after;
         mesh::watch_duty duty;
         mesh::watch_reason reason = mesh::watch_reason::none;
         bool stale = false;  ///< As logged.
         bool listed = false; ///< So that it can be watched from there.
         instant listed_at;
+        instant tried_at; ///< When the latest call began.
         int failures = 0; ///< In a row.
+        /// Watches in a row that failed soon after a listing.
+        int lost_watches = 0;
         instant next_try;
         /// When the latest answer came, of what was known till then.
         std::optional<duration> age_before;
@@ -85,8 +90,10 @@
                            call_function list, call_function watch);
     awaitable<bool> ask(news_kind& kind, call_function list,
                         call_function watch);
+    bool note_watch_end(news_kind& kind, bool watched);
     awaitable<void> rest(news_kind& kind);
     awaitable<void> probe();
+    bool waits_for_targets(const news_kind& kind) const;
     bool held_back(const news_kind& kind) const;
     void hold_back(news_kind& kind, mesh::watch_reason reason);
     void settle(news_kind& kind, duration elapsed);
@@ -94,6 +101,7 @@
     void note_reason(news_kind& kind, mesh::watch_reason reason,
                      const mesh::news_view& view);
 
+    mesh::news_view view_of(const news_kind& kind) const;
     mesh::news_view view_configuration();
     mesh::news_view view_targets();
     void confirm_configuration(instant at);
@@ -111,6 +119,7 @@
 
     awaitable<void> pause_after_failure(int& failures);
 
+    bool is_in_force(const adapter::stored_object& object) const;
     bool take_configuration(const adapter::stored_object& object);
     void note(const platform_reply& reply, const char* what, call_kind kind);
 
@@ -133,8 +142,7 @@
     news_kind configuration_;
     news_kind targets_;
     catalog::revision configuration_as_of_;
-    bool trying_contact_ = false; ///< A kind tries for both.
-    bool cut_off_ = false;        ///< Pauses are due to that.
+    bool cut_off_ = true; ///< Pauses are due to that.
 };
 
 } // namespace fennelladder::edge
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -29,39 +29,54 @@
 /// A watcher lists anew this often, in case its watch missed something.
 constexpr duration relist_period = seconds(20);
 
+/// A watch that fails sooner after the listing it goes on from tells nothing
+/// that the listing didn't. Longer than any pause after it, so that a store
+/// that answers no watch is listed about once in this time.
+constexpr duration early_failure = seconds(1);
+
 /// Failures in a row that still lengthen a pause.
 constexpr int most_failures = 8;
 
 /// Between two cheap calls of a node that is cut off and not needed.
 constexpr duration probe_period = seconds(5);
 
+/// That a configuration waits for targets to be answered. A platform may
+/// answer everything but their listing; one call more in this time is cheap.
+constexpr duration longest_hold = seconds(5);
+
 constexpr const char* stale_metric = "fennelladder_news_stale_total";
 
+mesh::news_limits limits_of(const node_tables& tables, mesh::news_size size)
+{
+    const duration bound = std::min(tables.settings.configuration_bound,
+                                    tables.settings.leaving_bound);
+    return mesh::news_limits_for(bound, size);
+}
+
 constexpr const char* address_field = "peer_address";
 
 } // namespace
 
 platform_feed::news_kind::news_kind(const char* name, node_tables& tables,
                                     mesh::news_limits limits)
-    : what(name),
-      duty(limits, 1 + tables.random.unit() * (mesh::largest_spread - 1)),
-      pause(tables.io)
+    : what(name), duty(limits, tables.random.unit()), pause(tables.io)
 {}
 
 platform_feed::platform_feed(node_tables& tables, platform_client& client,
                              mesh_node& mesh)
     : tables_(tables), client_(client), mesh_(mesh),
-      limits_(mesh::news_limits_for(std::min(
-          tables.settings.configuration_bound, tables.settings.leaving_bound))),
-      configuration_("configuration", tables, limits_),
+      limits_(limits_of(tables, mesh::news_size::packets)),
+      configuration_("configuration", tables,
+                     limits_of(tables, mesh::news_size::bulk)),
       targets_("targets", tables, limits_)
 {}
 
 void platform_feed::start()
 {
     tables_.platform_answered = [this] { on_answer(); };
-    spawn(tables_.io, follow_configuration());
+    configuration_.tried_at = tables_.now();
     spawn(tables_.io, follow_targets());
+    spawn(tables_.io, follow_configuration());
     spawn(tables_.io, register_node());
     spawn(tables_.io, probe());
 }
@@ -129,11 +144,20 @@
     }
 }
 
-/// While the platform doesn't answer, one kind tries for both.
+/// While the platform doesn't answer, the targets try for both kinds. Guards
+/// against a leaving that isn't heard of since a configuration of a megabyte
+/// comes: targets wait for nothing but their own pause.
+bool platform_feed::waits_for_targets(const news_kind& kind) const
+{
+    if (tables_.contact.reached || &kind == &targets_)
+        return false;
+    return targets_.reason != mesh::watch_reason::none &&
+           tables_.now() - kind.tried_at < longest_hold;
+}
+
 bool platform_feed::held_back(const news_kind& kind) const
 {
-    const bool other_tries = !tables_.contact.reached && trying_contact_;
-    return other_tries || tables_.now() < kind.next_try;
+    return tables_.now() < kind.next_try || waits_for_targets(kind);
 }
 
 void platform_feed::hold_back(news_kind& kind, mesh::watch_reason reason)
@@ -175,17 +199,35 @@
          {"platform_reached", tables_.contact.reached ? "true" : "false"}});
 }
 
+/// True if a watch failed so soon after its listing that the next listing has
+/// to wait. Guards against a store that answers listings and fails watches at
+/// once: each listing would count as all is well, and a megabyte would be
+/// listed and read without a pause.
+bool platform_feed::note_watch_end(news_kind& kind, bool watched)
+{
+    const bool early = tables_.now() - kind.listed_at < early_failure;
+    if (!early)
+        kind.lost_watches = 0;
+    if (watched || !early)
+        return false;
+    kind.lost_watches = std::min(kind.lost_watches + 1, most_failures);
+    return true;
+}
+
 /// Lists or watches, whichever is due.
 awaitable<bool> platform_feed::ask(news_kind& kind, call_function list,
                                    call_function watch)
 {
     if (kind.listed && tables_.now() - kind.listed_at < relist_period) {
         const bool watched = co_await (this->*watch)();
+        kind.listed = watched;
+        if (note_watch_end(kind, watched))
+            co_return false;
         if (watched)
             co_return true;
     }
-    // Also after a watch that failed: the history may be gone, or just the
-    // one connection. Only if this fails too the platform isn't reached.
+    // Also after a watch that failed late: the history may be gone, or just
+    // the one connection. Only if this fails too the platform isn't reached.
     kind.listed = co_await (this->*list)();
     kind.listed_at = tables_.now();
     co_return kind.listed;
@@ -206,13 +248,9 @@
             continue;
         }
         const instant begun = tables_.now();
-        const bool tries_contact = !tables_.contact.reached;
-        if (tries_contact)
-            trying_contact_ = true;
+        kind.tried_at = begun;
         kind.age_before.reset();
         const bool fine = co_await ask(kind, list, watch);
-        if (tries_contact)
-            trying_contact_ = false;
         if (fine)
             settle(kind, tables_.now() - begun);
         else
@@ -223,10 +261,11 @@
 /// After an answer.
 void platform_feed::settle(news_kind& kind, duration elapsed)
 {
-    kind.failures = 0;
+    // A listing doesn't show that watches work again.
+    kind.failures = kind.lost_watches;
     kind.duty.answered(elapsed, kind.age_before, tables_.random);
     // Others are about to ask as well; hearing of it spares them the call.
-    if (kind.age_before > limits_.stale_after)
+    if (kind.age_before > kind.stale_after)
         tables_.spread_news();
 }
 
@@ -268,9 +307,18 @@
     tables_.configuration_announced.reset();
 }
 
+/// Guards against a small host that reads a megabyte, and keeps its callers
+/// waiting, to find what it has.
+bool platform_feed::is_in_force(const adapter::stored_object& object) const
+{
+    const auto version = adapter::decode_configuration_version(object.content);
+    return version && tables_.config != nullptr &&
+           *version <= tables_.config->version();
+}
+
 bool platform_feed::take_configuration(const adapter::stored_object& object)
 {
-    if (object.name != adapter::configuration_name)
+    if (object.name != adapter::configuration_name || is_in_force(object))
         return true;
     auto parts = adapter::decode_configuration(object.content);
     if (!parts) {
@@ -318,11 +366,19 @@
     co_return true;
 }
 
+/// What both kinds' views have in common.
+mesh::news_view platform_feed::view_of(const news_kind& kind) const
+{
+    mesh::news_view out;
+    out.rank = rank(kind, tables_.contact.reached);
+    out.size = tables_.nodes.place_by_size(tables_.capacity(), tables_.now());
+    return out;
+}
+
 mesh::news_view platform_feed::view_configuration()
 {
     const instant now = tables_.now();
-    mesh::news_view out;
-    out.rank = rank(configuration_, tables_.contact.reached);
+    mesh::news_view out = view_of(configuration_);
     out.age = tables_.configuration_freshness.age(now);
     if (tables_.configuration_announced)
         out.announced_for = now - *tables_.configuration_announced;
@@ -421,8 +477,7 @@
 
 mesh::news_view platform_feed::view_targets()
 {
-    mesh::news_view out;
-    out.rank = rank(targets_, tables_.contact.reached);
+    mesh::news_view out = view_of(targets_);
     out.age = tables_.targets_freshness.age(tables_.now());
     return out;
 }
