--- a/libs/edge/stall_test.cpp
+++ b/libs/edge/stall_test.cpp
@@ -124,11 +124,11 @@
     constexpr duration limit = milliseconds(350);
     world all;
     target_pool pool(all.io, {});
-    const connection_ptr made = pool.make(target_id("i-1"));
-    const std::string address = all.address();
+    const connection_ptr made =
+        pool.make({{target_id("i-1"), {}}, all.address()});
     std::optional<bool> opened;
     const auto open = [&]() -> awaitable<void> {
-        const status got = co_await pool.open(made, address, limit);
+        const status got = co_await pool.open(made, limit);
         opened = got.has_value();
     };
     spawn(all.io, open());
