Leave out what can't be of a message between nodes

Cause: what nodes tell each other was believed field by field. A target without an address or with -1 slots came into the list; a version or revision below 0 became the largest there is, and peers would have asked for it for good; a rate that is no number got into the order of nodes; amounts near the limit overflow where they are summed; a list of four million empty rows in four megabytes would have taken a gigabyte.

Ruled out: refusing the whole message for a row (the platform's other changes would be late on each node that hears it from there); passing over a target's row (an older entry would stay in force).

Change: a target's row that doesn't pass catalog::check_target() is a removal; loads, stock, deaths and addresses that can't be are left out; a beacon that doesn't say who sent it or what that node has is no message. Lists are bounded before memory is taken for them. left_out counts; mesh_node and news_exchange note it under fennelladder_unreadable_objects_total{kind="message"}, and log once a sender and cause, in place of a line a datagram.

Two samples in messages_test.cpp lacked service and address, which no entry of a target does; they have them now, and every check on them stays.

--- a/include/fennelladder/base/thrift_codec.hpp
+++ b/include/fennelladder/base/thrift_codec.hpp
@@ -10,6 +10,7 @@
 
 #include "fennelladder/base/error.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -30,10 +31,13 @@
     return buf->getBufferAsString();
 }
 
-/// Reads `value`. Fails with `corrupt` on bytes that are no such structure.
-/// Thread safe.
+/// Reads `value`. Fails with `corrupt` on bytes that are no such structure, or
+/// hold a list of more than `most_elements`: memory for all is taken before the
+/// first is read, and an empty structure of a hundred bytes takes one byte on
+/// the wire. Thread safe.
 template <class Struct>
-status from_bytes(std::string_view bytes, Struct& value)
+status from_bytes(std::string_view bytes, Struct& value,
+                  std::int32_t most_elements = INT32_MAX)
 {
     using namespace apache::thrift;
     std::string copy(bytes);
@@ -42,7 +46,8 @@
         data, static_cast<std::uint32_t>(copy.size()));
     // A garbled length must not make us allocate more than there can be.
     const auto limit = static_cast<std::int32_t>(copy.size());
-    protocol::TCompactProtocolT<transport::TMemoryBuffer> in(buf, limit, limit);
+    protocol::TCompactProtocolT<transport::TMemoryBuffer> in(
+        buf, limit, std::min(limit, most_elements));
     try {
         value.read(&in);
     } catch (const std::exception& failure) {
@@ -53,10 +58,11 @@
 
 /// The same, as a value.
 template <class Struct>
-result<Struct> from_bytes(std::string_view bytes)
+result<Struct> from_bytes(std::string_view bytes,
+                          std::int32_t most_elements = INT32_MAX)
 {
     Struct value;
-    if (auto ok = from_bytes(bytes, value); !ok)
+    if (auto ok = from_bytes(bytes, value, most_elements); !ok)
         return tl::unexpected(ok.error());
     return value;
 }
--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -44,6 +44,7 @@
     awaitable<void> tick();
     void take(const mesh::datagram& message, const std::string& from);
     void take_beacon(const mesh::beacon& from);
+    void note_unreadable(const std::string& sender, const error& cause);
     void take_freshness(const mesh::beacon& from, instant now);
     mesh::beacon own_beacon();
     void send_to_all(const std::vector<std::string>& addresses,
--- a/include/fennelladder/edge/news_exchange.hpp
+++ b/include/fennelladder/edge/news_exchange.hpp
@@ -91,6 +91,7 @@
     mesh::fetch_end take_configuration(mesh::sync_reply reply,
                                        const std::string& source);
     void take_named(const mesh::sync_reply& reply);
+    void note_unreadable(const std::string& source, const error& cause);
 
     awaitable<void> accept();
     awaitable<void> serve(std::shared_ptr<tcp::socket> socket);
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -8,8 +8,11 @@
 //     std::string bytes = encode(datagram{.beacon = mine});
 //     result<datagram> got = decode_datagram(bytes);
 //
-// Thrift's compact protocol on the wire; decoding never trusts a length. All
-// functions are thread safe.
+// Thrift's compact protocol on the wire; decoding never trusts a length. A part
+// of a message that can't be (a target without an address, a negative load) is
+// left out and counted, the rest holds: a peer may run another release, and
+// may have believed what another writer put on the platform. All functions are
+// thread safe.
 
 #ifndef FENNELLADDER_MESH_MESSAGES_HPP
 #define FENNELLADDER_MESH_MESSAGES_HPP
@@ -67,7 +70,7 @@
     std::uint64_t sequence = 0; ///< Grows with each beacon of a life.
     node_state state = node_state::starting;
     data_center_id data_center;
-    std::string caller_address;
+    std::string caller_address; ///< Empty if it takes none.
     std::string peer_address;
     catalog::configuration_version configuration; ///< In force there.
     catalog::revision targets_changed; ///< Latest change it knows; 0: none.
@@ -129,6 +132,7 @@
     std::optional<token_give> give;
     std::optional<token_gift> gift;
     std::optional<token_gift_taken> gift_taken;
+    std::size_t left_out = 0; ///< Parts that couldn't be, as decoded.
 };
 
 /// What is asked for. Targets and a configuration travel apart: one may be a
@@ -164,8 +168,17 @@
     bool busy = false;
     std::vector<std::string> served;
     catalog::configuration_version served_configuration;
+    std::size_t left_out = 0; ///< Parts that couldn't be, as decoded.
 };
 
+/// Limits of what is decoded. Wider than any fleet needs; beyond them sums
+/// overflow, or what one peer says costs the others memory without end.
+inline constexpr std::int32_t most_elements = 16'384; ///< Of a list.
+inline constexpr std::size_t longest_text = 256;      ///< Of ids, in bytes.
+inline constexpr std::size_t most_introduced = 256;   ///< Of one beacon.
+inline constexpr tokens most_tokens(1'000'000'000'000'000);
+inline constexpr double most_requests = 1e9; ///< A second.
+
 /// Datagrams up to this size fit in one packet on every network we know of
 /// (IPv4 and UDP headers within an Ethernet frame); larger ones go out in
 /// fragments and are lost more often.
@@ -175,7 +188,10 @@
 std::string encode(const sync_ask& message);
 std::string encode(const sync_reply& message);
 
-/// Fail with `corrupt` on bytes that are no such message.
+/// Fail with `corrupt` on bytes that are no such message, or one whose sender,
+/// numbers of configurations and revisions, or amounts can't be. Of what comes
+/// out, entries of targets pass catalog::check_target(); a target whose entry
+/// doesn't is told as gone.
 result<datagram> decode_datagram(std::string_view bytes);
 result<sync_ask> decode_sync_ask(std::string_view bytes);
 result<sync_reply> decode_sync_reply(std::string_view bytes);
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -219,7 +219,8 @@
                          tables_.settings.data_center, tables_.capacity(),
                          tables_.requests_taken.at(now)});
     for (const mesh::node_row* it : tables_.nodes.alive(now))
-        if (it->last.state == mesh::node_state::ready)
+        if (it->last.state == mesh::node_state::ready &&
+            !it->last.caller_address.empty())
             nodes.push_back({it->last.caller_address, it->last.data_center,
                              it->last.capacity, it->last.requests_per_second});
     const auto addresses = plan_entry(nodes, question.data_center, {});
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -230,17 +230,24 @@
             co_await sleep_on(timer, milliseconds(1));
             continue;
         }
+        const std::string sender = from.address().to_string();
         const auto got = mesh::decode_datagram({datagram_.data(), n});
-        if (got)
-            take(*got, from.address().to_string() + ":" +
-                           std::to_string(from.port()));
-        else
-            log_event(event::call_invalid,
-                      {{"from", from.address().to_string()},
-                       {"reason", got.error().message}});
+        if (!got) {
+            note_unreadable(sender, got.error());
+            continue;
+        }
+        if (got->left_out > 0)
+            note_unreadable(sender, {error_code::corrupt, "parts left out"});
+        take(*got, sender + ":" + std::to_string(from.port()));
     }
 }
 
+void mesh_node::note_unreadable(const std::string& sender, const error& cause)
+{
+    tables_.unreadable.note(unreadable_kind::message, sender,
+                            catalog::revision(), cause);
+}
+
 void mesh_node::take(const mesh::datagram& message, const std::string& from)
 {
     if (message.hello)
--- a/libs/edge/news_exchange.cpp
+++ b/libs/edge/news_exchange.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <array>
-#include <nlohmann/json.hpp>
 
 namespace fennelladder::edge {
 
@@ -57,20 +56,6 @@
     return {from.peer_address, from.data_center, from.capacity};
 }
 
-/// The document is freed on return: it takes several times the text's memory.
-result<catalog::configuration_parts> read_configuration(const std::string& text)
-{
-    const auto spec = nlohmann::json::parse(text, nullptr, false);
-    return adapter::decode_configuration(spec);
-}
-
-void log_unreadable(const std::string& source, const error& reason)
-{
-    log_event(
-        event::configuration_unreadable,
-        {{"source", "peer"}, {"from", source}, {"reason", reason.message}});
-}
-
 } // namespace
 
 news_exchange::fetching::fetching(telemetry::metrics& metrics, sync_part wanted)
@@ -291,15 +276,24 @@
         named_.erase(address);
 }
 
+void news_exchange::note_unreadable(const std::string& source,
+                                    const error& cause)
+{
+    tables_.unreadable.note(unreadable_kind::message, source,
+                            catalog::revision(), cause);
+}
+
 fetch_end news_exchange::take_answer(const fetching& what,
                                      const std::string& bytes,
                                      const std::string& source)
 {
     auto reply = mesh::decode_sync_reply(bytes);
     if (!reply) {
-        log_unreadable(source, reply.error());
+        note_unreadable(source, reply.error());
         return fetch_end::failed;
     }
+    if (reply->left_out > 0)
+        note_unreadable(source, {error_code::corrupt, "parts left out"});
     if (what.part == sync_part::targets)
         return take_targets(*reply);
     if (reply->busy) {
@@ -337,16 +331,16 @@
         auto unpacked =
             mesh::unpack(reply.packed_configuration, largest_answer);
         if (!unpacked) {
-            log_unreadable(source, unpacked.error());
+            note_unreadable(source, unpacked.error());
             return fetch_end::failed;
         }
         text = std::move(*unpacked);
     }
     if (text.empty())
         return fetch_end::not_newer;
-    auto parts = read_configuration(text);
+    auto parts = adapter::decode_configuration_text(text);
     if (!parts) {
-        log_unreadable(source, parts.error());
+        note_unreadable(source, parts.error());
         return fetch_end::failed;
     }
     const bool taken =
@@ -395,7 +389,7 @@
         co_return;
     const auto ask = mesh::decode_sync_ask(bytes);
     if (!ask) {
-        log_event(event::call_invalid, {{"reason", ask.error().message}});
+        note_unreadable("a question", ask.error());
         co_return;
     }
     co_await answer(stream, *ask);
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -3,10 +3,12 @@
 
 #include "fennelladder/mesh/messages.hpp"
 
+#include "fennelladder/base/address.hpp"
 #include "fennelladder/base/thrift_codec.hpp"
 #include "mesh_types.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fennelladder::mesh {
 
@@ -42,22 +44,52 @@
     return out;
 }
 
-catalog::target_change from_wire(const wire::TargetRow& from)
+catalog::target_entry entry_of(const wire::TargetRow& from)
 {
-    catalog::target_change out;
-    out.id = target_id(from.id);
-    out.at = id_of<catalog::revision>(from.changed_at);
-    if (from.gone)
-        return out;
     catalog::target_entry entry;
-    entry.id = out.id;
+    entry.id = target_id(from.id);
     entry.service = service_id(from.service_name);
     entry.address = from.address;
     entry.data_center = data_center_id(from.data_center);
+    // Those below 0 become far too many, as many as too many are.
     entry.slots = static_cast<std::uint32_t>(from.slots);
     entry.leaving = from.leaving;
-    entry.warm_up_left = milliseconds(from.warm_up_ms);
-    out.entry = std::move(entry);
+    // Clamped, since more milliseconds than fit would overflow.
+    constexpr std::int64_t too_long =
+        std::chrono::duration_cast<milliseconds>(catalog::longest_warm_up)
+            .count() +
+        1;
+    entry.warm_up_left =
+        milliseconds(std::clamp(from.warm_up_ms, std::int64_t(-1), too_long));
+    return entry;
+}
+
+/// Rows without an id name nothing and are left out. A row whose entry can't
+/// be used is a removal, as if the platform had shown it: passed over, it
+/// would leave an older entry in force.
+std::vector<catalog::target_change>
+changes_from(const std::vector<wire::TargetRow>& rows, catalog::revision as_of,
+             std::size_t& left_out)
+{
+    std::vector<catalog::target_change> out;
+    out.reserve(rows.size());
+    for (const wire::TargetRow& it : rows) {
+        if (it.id.empty() || it.id.size() > longest_text) {
+            ++left_out;
+            continue;
+        }
+        const bool dated = it.changed_at >= 0;
+        const auto at = dated ? id_of<catalog::revision>(it.changed_at) : as_of;
+        catalog::target_change change{target_id(it.id), std::nullopt, at};
+        if (!it.gone) {
+            change.entry = entry_of(it);
+            if (!dated || !catalog::check_target(*change.entry)) {
+                change.entry.reset();
+                ++left_out;
+            }
+        }
+        out.push_back(std::move(change));
+    }
     return out;
 }
 
@@ -71,13 +103,17 @@
     return out;
 }
 
-catalog::target_news from_wire(const wire::TargetNews& from)
+std::optional<catalog::target_news> from_wire(const wire::TargetNews& from,
+                                              std::size_t& left_out)
 {
+    if (from.since < 0 || from.as_of < 0) {
+        ++left_out;
+        return std::nullopt;
+    }
     catalog::target_news out;
     out.since = id_of<catalog::revision>(from.since);
     out.as_of = id_of<catalog::revision>(from.as_of);
-    for (const wire::TargetRow& it : from.changes)
-        out.changes.push_back(from_wire(it));
+    out.changes = changes_from(from.changes, out.as_of, left_out);
     return out;
 }
 
@@ -156,7 +192,97 @@
     return out;
 }
 
-beacon from_wire(const wire::Beacon& from)
+bool is_id(const std::string& text)
+{
+    return !text.empty() && text.size() <= longest_text;
+}
+
+/// Whether the beacon says who sent it and what that node has. Revisions and
+/// versions below 0 would turn into the largest there are, and every node that
+/// believed them would wait for news that nobody has.
+bool is_proper(const wire::Beacon& from)
+{
+    return is_id(from.host) && is_ip_and_port(from.peer_address) &&
+           from.configuration >= 0 && from.targets_changed >= 0 &&
+           from.sequence >= 0 && from.data_center.size() <= longest_text;
+}
+
+/// A rate that isn't a number has no place in an order of nodes.
+double rate_of(double value)
+{
+    return std::isfinite(value) ? std::clamp(value, 0.0, most_requests) : 0;
+}
+
+std::vector<dispatch::target_load>
+loads_from(const std::vector<wire::Load>& all, std::size_t& left_out)
+{
+    std::vector<dispatch::target_load> out;
+    for (const wire::Load& it : all) {
+        if (!is_id(it.target) || it.running < 0 || it.reading < 0) {
+            ++left_out;
+            continue;
+        }
+        out.push_back({target_id(it.target),
+                       static_cast<std::uint32_t>(it.running),
+                       static_cast<std::uint32_t>(it.reading)});
+    }
+    return out;
+}
+
+bool is_amount(std::int64_t count)
+{
+    return count >= 0 && tokens(count) <= most_tokens;
+}
+
+std::vector<token_stock> stock_from(const std::vector<wire::Stock>& all,
+                                    std::size_t& left_out)
+{
+    std::vector<token_stock> out;
+    for (const wire::Stock& it : all) {
+        if (!is_id(it.team) || !is_amount(it.free) ||
+            !is_amount(it.spent_per_second)) {
+            ++left_out;
+            continue;
+        }
+        out.push_back(
+            {team_id(it.team), tokens(it.free), tokens(it.spent_per_second)});
+    }
+    return out;
+}
+
+std::vector<dispatch::poison_record>
+poison_from(const std::vector<wire::Poison>& all, std::size_t& left_out)
+{
+    std::vector<dispatch::poison_record> out;
+    for (const wire::Poison& it : all) {
+        if (it.deaths.empty() || !std::ranges::all_of(it.deaths, is_id)) {
+            ++left_out;
+            continue;
+        }
+        dispatch::poison_record record;
+        record.mark = id_of<dispatch::request_mark>(it.mark);
+        for (const std::string& death : it.deaths)
+            record.deaths.emplace_back(death);
+        out.push_back(std::move(record));
+    }
+    return out;
+}
+
+std::vector<std::string> addresses_from(const std::vector<std::string>& all,
+                                        std::size_t& left_out)
+{
+    std::vector<std::string> out;
+    for (const std::string& it : all) {
+        if (out.size() < most_introduced && is_ip_and_port(it))
+            out.push_back(it);
+        else
+            ++left_out;
+    }
+    return out;
+}
+
+/// Precondition: is_proper().
+beacon from_wire(const wire::Beacon& from, std::size_t& left_out)
 {
     beacon out;
     out.host = host_id(from.host);
@@ -169,33 +295,25 @@
         known ? static_cast<node_state>(from.state) : node_state::leaving;
     out.data_center = data_center_id(from.data_center);
     out.caller_address = from.caller_address;
+    // Callers would be told to go there.
+    if (!is_ip_and_port(out.caller_address))
+        out.caller_address.clear();
     out.peer_address = from.peer_address;
     out.configuration =
         id_of<catalog::configuration_version>(from.configuration);
     out.targets_changed = id_of<catalog::revision>(from.targets_changed);
     out.platform_reached = from.platform_reached;
-    out.requests_per_second = from.requests_per_second;
-    out.capacity = from.capacity;
+    out.requests_per_second = rate_of(from.requests_per_second);
+    out.capacity = rate_of(from.capacity);
     out.configuration_age =
         age_of(from.__isset.configuration_age_ms, from.configuration_age_ms);
     out.targets_age = age_of(from.__isset.targets_age_ms, from.targets_age_ms);
     if (from.__isset.target_news)
-        out.target_news = from_wire(from.target_news);
-    for (const wire::Load& it : from.load)
-        out.load.push_back({target_id(it.target),
-                            static_cast<std::uint32_t>(it.running),
-                            static_cast<std::uint32_t>(it.reading)});
-    for (const wire::Stock& it : from.stock)
-        out.stock.push_back(
-            {team_id(it.team), tokens(it.free), tokens(it.spent_per_second)});
-    for (const wire::Poison& it : from.poison) {
-        dispatch::poison_record record;
-        record.mark = id_of<dispatch::request_mark>(it.mark);
-        for (const std::string& death : it.deaths)
-            record.deaths.emplace_back(death);
-        out.poison.push_back(std::move(record));
-    }
-    out.introduced = from.introduced;
+        out.target_news = from_wire(from.target_news, left_out);
+    out.load = loads_from(from.load, left_out);
+    out.stock = stock_from(from.stock, left_out);
+    out.poison = poison_from(from.poison, left_out);
+    out.introduced = addresses_from(from.introduced, left_out);
     for (const wire::HeardNode& it : from.heard)
         if (const auto ago = age_of(true, it.ago_ms))
             out.heard.push_back({id_of<node_life>(it.life), *ago});
@@ -234,12 +352,19 @@
 }
 
 /// Amounts that can't be: from another release, or no message of ours.
-bool has_negative_amount(const datagram& it)
+bool has_wrong_amount(const datagram& it)
+{
+    return (it.ask && !is_amount(it.ask->wanted.count())) ||
+           (it.give && !is_amount(it.give->amount.count())) ||
+           (it.gift && !is_amount(it.gift->amount.count()));
+}
+
+/// Tokens of a team without a name are nobody's.
+bool has_nameless_team(const datagram& it)
 {
-    constexpr tokens none(0);
-    return (it.ask && it.ask->wanted < none) ||
-           (it.give && it.give->amount < none) ||
-           (it.gift && it.gift->amount < none);
+    return (it.ask && !is_id(it.ask->team.str())) ||
+           (it.give && !is_id(it.give->team.str())) ||
+           (it.gift && !is_id(it.gift->team.str()));
 }
 
 /// A part of a later release isn't known here; both hold it if anything does.
@@ -302,12 +427,14 @@
 
 result<datagram> decode_datagram(std::string_view bytes)
 {
-    auto read = from_bytes<wire::Datagram>(bytes);
+    auto read = from_bytes<wire::Datagram>(bytes, most_elements);
     if (!read)
         return tl::unexpected(read.error());
+    if (read->__isset.beacon && !is_proper(read->beacon))
+        return fail(error_code::corrupt, "beacon of nobody, or from nowhere");
     datagram out;
     if (read->__isset.beacon)
-        out.hello = from_wire(read->beacon);
+        out.hello = from_wire(read->beacon, out.left_out);
     if (read->__isset.ask)
         out.ask = transfer_from_wire<token_ask>(read->ask);
     if (read->__isset.give)
@@ -316,16 +443,20 @@
         out.gift = transfer_from_wire<token_gift>(read->gift);
     if (read->__isset.gift_taken)
         out.gift_taken = transfer_from_wire<token_gift_taken>(read->gift_taken);
-    if (has_negative_amount(out))
-        return fail(error_code::corrupt, "negative amount of tokens");
+    if (has_wrong_amount(out))
+        return fail(error_code::corrupt, "no amount of tokens");
+    if (has_nameless_team(out))
+        return fail(error_code::corrupt, "tokens of no team");
     return out;
 }
 
 result<sync_ask> decode_sync_ask(std::string_view bytes)
 {
-    auto read = from_bytes<wire::SyncAsk>(bytes);
+    auto read = from_bytes<wire::SyncAsk>(bytes, most_elements);
     if (!read)
         return tl::unexpected(read.error());
+    if (read->configuration < 0 || read->targets_as_of < 0)
+        return fail(error_code::corrupt, "question with numbers below 0");
     return sync_ask{id_of<catalog::configuration_version>(read->configuration),
                     id_of<catalog::revision>(read->targets_as_of),
                     part_of(read->part), read->peer_address};
@@ -333,18 +464,19 @@
 
 result<sync_reply> decode_sync_reply(std::string_view bytes)
 {
-    auto read = from_bytes<wire::SyncReply>(bytes);
+    auto read = from_bytes<wire::SyncReply>(bytes, most_elements);
     if (!read)
         return tl::unexpected(read.error());
+    if (read->targets_as_of < 0 || read->served_configuration < 0)
+        return fail(error_code::corrupt, "reply with numbers below 0");
     sync_reply out;
     out.configuration = std::move(read->configuration);
     out.targets_as_of = id_of<catalog::revision>(read->targets_as_of);
     out.targets_full = read->targets_full;
-    for (const wire::TargetRow& it : read->targets)
-        out.targets.push_back(from_wire(it));
+    out.targets = changes_from(read->targets, out.targets_as_of, out.left_out);
     out.packed_configuration = std::move(read->packed_configuration);
     out.busy = read->__isset.busy && read->busy;
-    out.served = std::move(read->served);
+    out.served = addresses_from(read->served, out.left_out);
     out.served_configuration =
         id_of<catalog::configuration_version>(read->served_configuration);
     return out;
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -2,6 +2,8 @@
 #include "fennelladder/mesh/messages.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <cmath>
+#include <functional>
 
 using namespace fennelladder;
 using namespace fennelladder::mesh;
@@ -26,6 +28,8 @@
     out.configuration_age = milliseconds(250);
     catalog::target_entry leaving;
     leaving.id = target_id("i-1");
+    leaving.service = service_id("s");
+    leaving.address = "10.0.0.9:80";
     leaving.leaving = true;
     out.target_news = {
         catalog::revision(10),
@@ -41,6 +45,54 @@
     return out;
 }
 
+catalog::target_change usable(const char* id, std::uint64_t at)
+{
+    catalog::target_entry out;
+    out.id = target_id(id);
+    out.service = service_id("s");
+    out.address = "10.0.0.9:80";
+    out.slots = 4;
+    return {out.id, out, catalog::revision(at)};
+}
+
+/// Entries that no target can have written.
+std::vector<catalog::target_change> senseless()
+{
+    using catalog::target_entry;
+    const std::vector<std::function<void(target_entry&)>> faults = {
+        [](target_entry& it) { it.service = service_id(); },
+        [](target_entry& it) { it.address = "nowhere"; },
+        [](target_entry& it) { it.address = ""; },
+        [](target_entry& it) { it.address = "10.0.0.9:0"; },
+        [](target_entry& it) { it.slots = 0; },
+        [](target_entry& it) { it.slots = 0xffffffff; },
+        [](target_entry& it) { it.warm_up_left = seconds(-1); },
+        [](target_entry& it) { it.warm_up_left = hours(24 * 365 * 200); }};
+    std::vector<catalog::target_change> out;
+    for (const auto& spoil : faults) {
+        out.push_back(usable(("x" + std::to_string(out.size())).c_str(), 11));
+        spoil(*out.back().entry);
+    }
+    return out;
+}
+
+/// All rows between two usable ones are removals, and no row is missing.
+void check_between_usable(const std::vector<catalog::target_change>& got)
+{
+    UNSIGNED_LONGS_EQUAL(senseless().size() + 2, got.size());
+    CHECK(got.front().entry && got.back().entry);
+    for (std::size_t i = 1; i + 1 < got.size(); ++i)
+        CHECK(!got[i].entry);
+}
+
+std::vector<catalog::target_change> between_usable()
+{
+    auto out = senseless();
+    out.insert(out.begin(), usable("i-1", 11));
+    out.push_back(usable("i-2", 12));
+    return out;
+}
+
 } // namespace
 
 TEST_GROUP(mesh_messages){};
@@ -99,6 +151,7 @@
     reply.targets_as_of = catalog::revision(20);
     catalog::target_entry entry;
     entry.id = target_id("i-1");
+    entry.service = service_id("s");
     entry.address = "10.0.0.9:80";
     entry.leaving = true;
     reply.targets = {{entry.id, entry, catalog::revision(19)},
@@ -182,3 +235,112 @@
     for (std::size_t n = 0; n < reply.size(); ++n)
         CHECK(!decode_sync_reply(reply.substr(0, n)));
 }
+
+// Story: a node of another release believes an entry that this one wouldn't,
+// and tells it. The row says that the target isn't as it was known; passed
+// over, the older entry would stay in force here.
+TEST(mesh_messages, a_target_that_cannot_be_is_told_as_gone)
+{
+    datagram message;
+    message.hello = sample();
+    message.hello->target_news->changes = between_usable();
+    const auto got = decode_datagram(encode(message));
+    CHECK(got && got->hello && got->hello->target_news);
+    check_between_usable(got->hello->target_news->changes);
+    UNSIGNED_LONGS_EQUAL(senseless().size(), got->left_out);
+    sync_reply reply;
+    reply.targets_as_of = catalog::revision(20);
+    reply.targets = between_usable();
+    const auto listed = decode_sync_reply(encode(reply));
+    CHECK(listed.has_value());
+    check_between_usable(listed->targets);
+    UNSIGNED_LONGS_EQUAL(senseless().size(), listed->left_out);
+}
+
+TEST(mesh_messages, a_row_of_nothing_is_left_out)
+{
+    datagram message;
+    message.hello = sample();
+    message.hello->target_news->changes.push_back(usable("", 11));
+    message.hello->load = {{target_id(), 1, 1},
+                           {target_id("a"), 0x80000000, 1},
+                           {target_id("b"), 1, 0x80000000},
+                           {target_id("c"), 1, 1}};
+    message.hello->stock = {{team_id(), tokens(1), tokens(1)},
+                            {team_id("a"), tokens(-1), tokens(1)},
+                            {team_id("b"), tokens(1), tokens(-1)},
+                            {team_id("c"), tokens(INT64_MAX), tokens(1)},
+                            {team_id("d"), tokens(1), tokens(1)}};
+    message.hello->poison.push_back({dispatch::request_mark(1), {}});
+    message.hello->poison.push_back({dispatch::request_mark(2), {target_id()}});
+    message.hello->introduced = {"nowhere", "10.0.0.2:7000", ""};
+    const auto got = decode_datagram(encode(message));
+    CHECK(got && got->hello);
+    const beacon& it = *got->hello;
+    UNSIGNED_LONGS_EQUAL(2, it.target_news->changes.size());
+    UNSIGNED_LONGS_EQUAL(1, it.load.size());
+    CHECK(it.load.at(0).target == target_id("c"));
+    UNSIGNED_LONGS_EQUAL(1, it.stock.size());
+    CHECK(it.stock.at(0).team == team_id("d"));
+    UNSIGNED_LONGS_EQUAL(1, it.poison.size());
+    UNSIGNED_LONGS_EQUAL(1, it.introduced.size());
+    UNSIGNED_LONGS_EQUAL(12, got->left_out);
+}
+
+// Story: one beacon claims a configuration of version -1. Read as the largest
+// number there is, every node would ask that peer for it from then on.
+TEST(mesh_messages, a_beacon_that_claims_what_cannot_be_is_no_message)
+{
+    const std::vector<std::function<void(beacon&)>> faults = {
+        [](beacon& it) { it.host = host_id(); },
+        [](beacon& it) { it.peer_address = "nowhere"; },
+        [](beacon& it) { it.sequence = UINT64_MAX; },
+        [](beacon& it) {
+            it.configuration = catalog::configuration_version(UINT64_MAX);
+        },
+        [](beacon& it) { it.targets_changed = catalog::revision(UINT64_MAX); }};
+    for (const auto& spoil : faults) {
+        datagram message;
+        message.hello = sample();
+        spoil(*message.hello);
+        CHECK(!decode_datagram(encode(message)));
+    }
+}
+
+// What isn't a number has no place in an order of nodes.
+TEST(mesh_messages, rates_are_numbers_from_zero_on)
+{
+    for (const double rate : {std::nan(""), HUGE_VAL, -HUGE_VAL, -1.0, 1e300}) {
+        datagram message;
+        message.hello = sample();
+        message.hello->capacity = rate;
+        message.hello->requests_per_second = rate;
+        const auto got = decode_datagram(encode(message));
+        CHECK(got && got->hello);
+        for (const double it :
+             {got->hello->capacity, got->hello->requests_per_second})
+            CHECK(it >= 0 && it <= most_requests);
+    }
+}
+
+// A caller would be sent there.
+TEST(mesh_messages, a_callers_address_that_is_none_is_left_out)
+{
+    datagram message;
+    message.hello = sample();
+    message.hello->caller_address = "front:80";
+    const auto got = decode_datagram(encode(message));
+    CHECK(got && got->hello->caller_address.empty());
+}
+
+// Story: an empty row takes a byte on the wire and hundreds in memory. Four
+// megabytes of them, as many as an answer may have, would take a gigabyte.
+TEST(mesh_messages, a_list_longer_than_any_fleet_is_no_message)
+{
+    sync_reply reply;
+    reply.targets_as_of = catalog::revision(20);
+    reply.targets.resize(most_elements, usable("i-1", 20));
+    CHECK(decode_sync_reply(encode(reply)).has_value());
+    reply.targets.push_back(usable("i-2", 20));
+    CHECK(!decode_sync_reply(encode(reply)));
+}
