Bound the rows of a beacon

Cause: a datagram of 64 kB may hold thousands of deaths, loads, hosts heard or addresses. Each row is looked up among all that are known, and deaths are inserted in order, so the time grows with the square of what one peer sends.

Ruled out: a limit on the whole datagram's size (news in fragments are rare but proper).

Change: 256 rows of each list, eight times what nodes send, the rest is left out and counted; changes of targets beyond it make the news incomplete, so these are left out as a whole and fetched. The test of it was written with the change and not run without it.

--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -175,7 +175,7 @@
 /// overflow, or what one peer says costs the others memory without end.
 inline constexpr std::int32_t most_elements = 16'384; ///< Of a list.
 inline constexpr std::size_t longest_text = 256;      ///< Of ids, in bytes.
-inline constexpr std::size_t most_introduced = 256;   ///< Of one beacon.
+inline constexpr std::size_t most_rows = 256; ///< Of a list in a beacon.
 inline constexpr tokens most_tokens(1'000'000'000'000'000);
 inline constexpr double most_requests = 1e9; ///< A second.
 
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -184,10 +184,9 @@
     for (const auto& [host, row] : tables_.nodes.rows())
         if (missed_news(row))
             behind.insert(row.last.peer_address);
-    const auto first_behind =
-        std::ranges::stable_partition(due, [&](const std::string& it) {
-            return !behind.contains(it);
-        }).begin();
+    const auto first_behind = std::stable_partition(
+        due.begin(), due.end(),
+        [&](const std::string& it) { return !behind.contains(it); });
     send_news({first_behind, due.end()});
     due.erase(first_behind, due.end());
     send_beacon(due);
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 
 namespace fennelladder::mesh {
 
@@ -106,7 +107,8 @@
 std::optional<catalog::target_news> from_wire(const wire::TargetNews& from,
                                               std::size_t& left_out)
 {
-    if (from.since < 0 || from.as_of < 0) {
+    // News of which a part is left out would be taken for complete.
+    if (from.since < 0 || from.as_of < 0 || from.changes.size() > most_rows) {
         ++left_out;
         return std::nullopt;
     }
@@ -213,11 +215,23 @@
     return std::isfinite(value) ? std::clamp(value, 0.0, most_requests) : 0;
 }
 
+/// As much of a list as a beacon may have. What comes of a row is looked up
+/// among all that is known, so that the time grows with the square of a list
+/// that a peer makes as long as a datagram holds.
+template <class Row>
+std::span<const Row> first_rows(const std::vector<Row>& all,
+                                std::size_t& left_out)
+{
+    const std::size_t n = std::min(all.size(), most_rows);
+    left_out += all.size() - n;
+    return std::span(all).first(n);
+}
+
 std::vector<dispatch::target_load>
 loads_from(const std::vector<wire::Load>& all, std::size_t& left_out)
 {
     std::vector<dispatch::target_load> out;
-    for (const wire::Load& it : all) {
+    for (const wire::Load& it : first_rows(all, left_out)) {
         if (!is_id(it.target) || it.running < 0 || it.reading < 0) {
             ++left_out;
             continue;
@@ -238,7 +252,7 @@
                                     std::size_t& left_out)
 {
     std::vector<token_stock> out;
-    for (const wire::Stock& it : all) {
+    for (const wire::Stock& it : first_rows(all, left_out)) {
         if (!is_id(it.team) || !is_amount(it.free) ||
             !is_amount(it.spent_per_second)) {
             ++left_out;
@@ -254,14 +268,14 @@
 poison_from(const std::vector<wire::Poison>& all, std::size_t& left_out)
 {
     std::vector<dispatch::poison_record> out;
-    for (const wire::Poison& it : all) {
+    for (const wire::Poison& it : first_rows(all, left_out)) {
         if (it.deaths.empty() || !std::ranges::all_of(it.deaths, is_id)) {
             ++left_out;
             continue;
         }
         dispatch::poison_record record;
         record.mark = id_of<dispatch::request_mark>(it.mark);
-        for (const std::string& death : it.deaths)
+        for (const std::string& death : first_rows(it.deaths, left_out))
             record.deaths.emplace_back(death);
         out.push_back(std::move(record));
     }
@@ -272,8 +286,8 @@
                                         std::size_t& left_out)
 {
     std::vector<std::string> out;
-    for (const std::string& it : all) {
-        if (out.size() < most_introduced && is_ip_and_port(it))
+    for (const std::string& it : first_rows(all, left_out)) {
+        if (is_ip_and_port(it))
             out.push_back(it);
         else
             ++left_out;
@@ -314,7 +328,7 @@
     out.stock = stock_from(from.stock, left_out);
     out.poison = poison_from(from.poison, left_out);
     out.introduced = addresses_from(from.introduced, left_out);
-    for (const wire::HeardNode& it : from.heard)
+    for (const wire::HeardNode& it : first_rows(from.heard, left_out))
         if (const auto ago = age_of(true, it.ago_ms))
             out.heard.push_back({id_of<node_life>(it.life), *ago});
     return out;
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -334,7 +334,7 @@
 }
 
 // Story: an empty row takes a byte on the wire and hundreds in memory. Four
-// megabytes of them, as many as an answer may have, would take a gigabyte.
+// megabytes of them, as many as an answer may have, take hundreds.
 TEST(mesh_messages, a_list_longer_than_any_fleet_is_no_message)
 {
     sync_reply reply;
@@ -344,3 +344,31 @@
     reply.targets.push_back(usable("i-2", 20));
     CHECK(!decode_sync_reply(encode(reply)));
 }
+
+// Story: one datagram names thousands of deaths, hosts and addresses. Each is
+// looked up among all that are known, and callers wait meanwhile.
+TEST(mesh_messages, a_beacon_has_no_more_rows_than_a_fleet_needs)
+{
+    datagram message;
+    message.hello = sample();
+    beacon& it = *message.hello;
+    constexpr std::size_t many = most_rows + 10;
+    it.load.assign(many, {target_id("i-1"), 1, 1});
+    it.stock.assign(many, {team_id("t"), tokens(1), tokens(1)});
+    it.poison.assign(
+        many, {dispatch::request_mark(1), std::vector(many, target_id("i-1"))});
+    it.introduced.assign(many, "10.0.0.2:7000");
+    it.heard.assign(many, {node_life(78), milliseconds(40)});
+    // A part of these wouldn't be news that are complete.
+    it.target_news->changes.assign(many, usable("i-1", 11));
+    const auto got = decode_datagram(encode(message));
+    CHECK(got && got->hello);
+    UNSIGNED_LONGS_EQUAL(most_rows, got->hello->load.size());
+    UNSIGNED_LONGS_EQUAL(most_rows, got->hello->stock.size());
+    UNSIGNED_LONGS_EQUAL(most_rows, got->hello->poison.size());
+    UNSIGNED_LONGS_EQUAL(most_rows, got->hello->poison.at(0).deaths.size());
+    UNSIGNED_LONGS_EQUAL(most_rows, got->hello->introduced.size());
+    UNSIGNED_LONGS_EQUAL(most_rows, got->hello->heard.size());
+    CHECK(!got->hello->target_news);
+    CHECK(got->left_out > 0);
+}
