--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -330,7 +330,8 @@
             self.closing.append(server)
             self.store.put("servers", name, {
                 "service": "s", "address": where, "zone": "z", "slots": 64,
-                "state": "ready"})
+                "state": "ready", "version": "v1", "coldRemainingMs": 0,
+                "sequence": 1})
         # Addresses of their own, so that soaks can run beside each other.
         ips = [f"127.7.{args.seed % 250}.{i + 1}" for i in range(NODES)]
         seeds = ",".join(f"{ip}:1" for ip in ips[:2])
