--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -31,8 +31,8 @@
 constexpr std::size_t load_limit = 32;
 constexpr std::size_t stock_limit = 32;
 
-/// Changes of targets that travel inside a beacon, about 90 bytes each, so that
-/// it stays in one packet. More at once are fetched.
+/// Changes of targets that travel inside a beacon, of about 100 bytes each, so
+/// that it stays in one packet. More at once are fetched.
 constexpr std::size_t news_limit = 8;
 
 template <class List>
