--- a/include/fennelladder/edge/news_exchange.hpp
+++ b/include/fennelladder/edge/news_exchange.hpp
@@ -72,7 +72,6 @@
         std::shared_ptr<const std::string> bytes; ///< Null: none yet.
     };
 
-    catalog::configuration_version own_version() const;
     bool is_ahead(const mesh::beacon& from, mesh::sync_part part) const;
 
     void begin(fetching& what);
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -68,7 +68,10 @@
     bool take_configuration(catalog::configuration_parts parts,
                             std::string text, const std::string& source);
 
-    /// A peer has a configuration or targets that this node hasn't.
+    /// Of the configuration in force; 0 while none is known.
+    catalog::configuration_version version() const;
+
+    /// A peer has a configuration that this node hasn't.
     void note_configuration_announced();
 
     /// The platform, or a peer with the same, says that what this node has
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -130,8 +130,7 @@
     out.data_center = tables_.settings.data_center;
     out.caller_address = tables_.settings.listen.callers;
     out.peer_address = address_;
-    if (tables_.config != nullptr)
-        out.configuration = tables_.config->version();
+    out.configuration = tables_.version();
     out.targets_changed = tables_.targets.latest_change();
     out.platform_reached = tables_.contact.reached;
     out.requests_per_second = tables_.requests_taken.at(tables_.now());
@@ -317,8 +316,7 @@
 /// node that has that, or more, was up to date then as well.
 void mesh_node::take_freshness(const mesh::beacon& from, instant now)
 {
-    const auto own = tables_.config ? tables_.config->version()
-                                    : catalog::configuration_version();
+    const auto own = tables_.version();
     const duration way = way_allowance(now);
     if (from.configuration > own)
         tables_.note_configuration_announced();
--- a/libs/edge/news_exchange.cpp
+++ b/libs/edge/news_exchange.cpp
@@ -114,17 +114,11 @@
         begin(configuration_);
 }
 
-catalog::configuration_version news_exchange::own_version() const
-{
-    return tables_.config ? tables_.config->version()
-                          : catalog::configuration_version();
-}
-
 bool news_exchange::is_ahead(const mesh::beacon& from, sync_part part) const
 {
     if (part == sync_part::targets)
         return from.targets_changed > tables_.targets.as_of();
-    return from.configuration > own_version();
+    return from.configuration > tables_.version();
 }
 
 // Fetching.
@@ -195,8 +189,8 @@
 
 void news_exchange::add_named(std::vector<mesh::news_source>& to)
 {
-    std::erase_if(named_,
-                  [&](const auto& it) { return it.second <= own_version(); });
+    std::erase_if(
+        named_, [&](const auto& it) { return it.second <= tables_.version(); });
     if (named_.empty())
         return;
     std::map<std::string, mesh::news_source> heard;
@@ -238,7 +232,7 @@
          {"bytes", std::to_string(stream.bytes_read())},
          {"ms", milliseconds_text(took)},
          {"targets_as_of", std::to_string(tables_.targets.as_of().value())},
-         {"generation", std::to_string(own_version().value())}});
+         {"generation", std::to_string(tables_.version().value())}});
     co_return end;
 }
 
@@ -253,8 +247,8 @@
     const bool connected = co_await stream.connect(*endpoint, connect_limit);
     if (!connected)
         co_return false;
-    const mesh::sync_ask ask{own_version(), tables_.targets.as_of(), what.part,
-                             address_};
+    const mesh::sync_ask ask{tables_.version(), tables_.targets.as_of(),
+                             what.part, address_};
     const std::string question = framed(mesh::encode(ask));
     const bool sent = co_await stream.write(question);
     if (!sent)
@@ -401,7 +395,7 @@
     mesh::sync_reply small;
     if (ask.part != sync_part::configuration)
         small = targets_for(ask);
-    const bool newer = own_version() > ask.configuration;
+    const bool newer = tables_.version() > ask.configuration;
     if (ask.part != sync_part::targets && newer) {
         const auto slot = slots_.begin(tables_.now());
         if (slot) {
@@ -428,7 +422,7 @@
 {
     if (bytes == nullptr)
         co_return false;
-    const auto version = own_version();
+    const auto version = tables_.version();
     const bool sent = co_await send_paced(stream, *bytes, slot);
     if (!sent)
         co_return false;
@@ -480,8 +474,8 @@
 {
     mesh::sync_reply out;
     out.busy = true;
-    out.served_configuration = own_version();
-    out.served = slots_.served(own_version());
+    out.served_configuration = tables_.version();
+    out.served = slots_.served(tables_.version());
     return out;
 }
 
@@ -495,7 +489,7 @@
         plain.configuration = tables_.config_text;
         return std::make_shared<const std::string>(framed(mesh::encode(plain)));
     }
-    if (wire_form_.bytes != nullptr && wire_form_.version == own_version())
+    if (wire_form_.bytes != nullptr && wire_form_.version == tables_.version())
         return wire_form_.bytes;
     auto packed = mesh::pack(tables_.config_text);
     if (!packed) {
@@ -511,8 +505,8 @@
 {
     mesh::sync_reply reply;
     reply.packed_configuration = std::move(packed);
-    wire_form_ = {own_version(), std::make_shared<const std::string>(
-                                     framed(mesh::encode(reply)))};
+    wire_form_ = {tables_.version(), std::make_shared<const std::string>(
+                                         framed(mesh::encode(reply)))};
 }
 
 } // namespace fennelladder::edge
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -72,10 +72,8 @@
 
 bool node_tables::targets_unconfirmed() const
 {
-    const duration limit =
-        std::min(settings.configuration_bound, settings.leaving_bound);
     const auto age = targets_freshness.age(now());
-    return !age || *age > limit;
+    return !age || *age > settings.news_bound();
 }
 
 void node_tables::list_changed()
@@ -117,6 +115,11 @@
     return true;
 }
 
+catalog::configuration_version node_tables::version() const
+{
+    return config ? config->version() : catalog::configuration_version();
+}
+
 void node_tables::note_configuration_announced()
 {
     if (!configuration_announced)
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -52,9 +52,7 @@
 
 mesh::news_limits limits_of(const node_tables& tables, mesh::news_size size)
 {
-    const duration bound = std::min(tables.settings.configuration_bound,
-                                    tables.settings.leaving_bound);
-    return mesh::news_limits_for(bound, size);
+    return mesh::news_limits_for(tables.settings.news_bound(), size);
 }
 
 constexpr const char* address_field = "peer_address";
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -74,6 +74,11 @@
     return entry;
 }
 
+bool is_id(const std::string& text)
+{
+    return !text.empty() && text.size() <= longest_text;
+}
+
 /// Rows without an id name nothing and are left out. A row whose entry can't
 /// be used is a removal, as if the platform had shown it: passed over, it
 /// would leave an older entry in force.
@@ -84,7 +89,7 @@
     std::vector<catalog::target_change> out;
     out.reserve(rows.size());
     for (const wire::TargetRow& it : rows) {
-        if (it.id.empty() || it.id.size() > longest_text) {
+        if (!is_id(it.id)) {
             ++left_out;
             continue;
         }
@@ -228,11 +233,6 @@
     return out;
 }
 
-bool is_id(const std::string& text)
-{
-    return !text.empty() && text.size() <= longest_text;
-}
-
 /// Whether the beacon says who sent it and what that node has. Revisions and
 /// versions below 0 would turn into the largest there are, and every node that
 /// believed them would wait for news that nobody has.
