Know how long news were under way, and take no callers while they are late

Ruled out earlier: a stalled loop, a list never asked for. Change: a beacon says when it was sent; the receiver takes the least difference of the clocks per peer for the shortest way and adds what is beyond it to the age of the news. A host whose news are too old because of the way (not since the platform is away, not when it hears nothing) takes no new work, answers not run, and leaves the entry answers until they are in time.

--- a/include/fennelladder/edge/caller_server.hpp
+++ b/include/fennelladder/edge/caller_server.hpp
@@ -65,6 +65,7 @@
     using session_set = std::set<caller_session*>;
 
     awaitable<void> accept();
+    const char* reason_to_refuse(const caller_request& request) const;
 
     node_tables& tables_;
     request_driver& driver_;
--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -47,8 +47,9 @@
     void take_holdings(const mesh::beacon& from);
     duration way_allowance(instant now) const;
     void note_tick(instant now);
+    void note_lateness();
     void note_unreadable(const std::string& sender, const error& cause);
-    void take_freshness(const mesh::beacon& from, instant now);
+    void take_freshness(const mesh::beacon& from, duration delay, instant now);
     mesh::beacon own_beacon();
     void send_to_all(const std::vector<std::string>& addresses,
                      const mesh::datagram& message);
@@ -70,6 +71,7 @@
     std::array<char, 65536> datagram_{};
     std::uint64_t sequence_ = 0;
     bool spreading_ = false;
+    bool was_late_ = false;
     instant ticked_;
     instant lagged_;  ///< When lag_ was seen.
     duration lag_{0}; ///< The longest of late.
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -17,6 +17,7 @@
 #include "fennelladder/edge/target_connection.hpp"
 #include "fennelladder/edge/unreadable_objects.hpp"
 #include "fennelladder/mesh/freshness.hpp"
+#include "fennelladder/mesh/news_lateness.hpp"
 #include "fennelladder/mesh/roster.hpp"
 #include "fennelladder/prepaid/purse.hpp"
 #include "fennelladder/telemetry/metrics.hpp"
@@ -62,6 +63,10 @@
     /// before that, so it is so only where none gets an answer.
     bool targets_unconfirmed() const;
 
+    /// Whether changes reach this node too late for it to give out work; see
+    /// mesh/news_lateness.hpp.
+    bool news_are_late() const;
+
     /// Takes a newer configuration into force; older ones are passed over.
     /// `text` is what to pass on to other nodes, `source` who brought it, for
     /// the log. True if it is in force now.
@@ -96,6 +101,7 @@
     std::optional<instant> configuration_announced;
     catalog::target_list targets;
     mesh::freshness targets_freshness;
+    mesh::news_lateness lateness;
     instant targets_changed; ///< When the list last changed here.
     /// When a time ended in which nobody could say what the newest list was.
     std::optional<instant> targets_gap_ended;
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -44,7 +44,8 @@
 {
     starting, ///< Knows no configuration yet.
     ready,    ///< Takes callers.
-    leaving   ///< Finishes what it has.
+    leaving,  ///< Finishes what it has.
+    late      ///< Hears of changes too late to take callers.
 };
 
 /// What a node holds of a team's tokens, and how fast it spends them.
@@ -68,6 +69,8 @@
     host_id host;
     node_life life;
     std::uint64_t sequence = 0; ///< Grows with each beacon of a life.
+    /// By the sender's clock; not said by nodes of earlier releases.
+    std::optional<instant> sent;
     node_state state = node_state::starting;
     data_center_id data_center;
     std::string caller_address; ///< Empty if it takes none.
--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -16,6 +16,7 @@
 #define FENNELLADDER_MESH_ROSTER_HPP
 
 #include "fennelladder/mesh/messages.hpp"
+#include "fennelladder/mesh/way_delay.hpp"
 
 #include <cstddef>
 #include <map>
@@ -63,6 +64,7 @@
     beacon last;   ///< Without what changes fast (load, stock, poison).
     instant heard; ///< The last beacon.
     instant seen;  ///< The last sign of life, a beacon or a mention.
+    way_delay way; ///< Of its beacons.
 };
 
 /// How a host compares in size with the living that reach the platform.
@@ -80,6 +82,9 @@
     bool new_node = false; ///< Or a new life of a known one.
     bool state_changed = false;
     bool late = false; ///< An older one than the last; passed over.
+    /// How much longer than usual it was under way; unset where its sender
+    /// doesn't say when it was sent.
+    std::optional<duration> delay;
 };
 
 class roster
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -147,7 +147,8 @@
 
 /// On a node that is behind with its work a caller may have left unnoticed;
 /// what is sent on then only burdens a target. While it connected, or the node
-/// was busy, the target may have said that it leaves.
+/// was busy, the target may have said that it leaves, or this node's news may
+/// have become too old to know.
 bool attempt::is_wanted()
 {
     in_.course.look_for_caller();
@@ -155,11 +156,13 @@
         end_by_error("before sending");
         return false;
     }
-    if (in_.tables.book.may_use(in_.target.target, in_.tables.now()))
+    const bool late = in_.tables.news_are_late();
+    if (!late && in_.tables.book.may_use(in_.target.target, in_.tables.now()))
         return true;
     // Nothing was sent: the request goes elsewhere as if no connection could
     // be made, and the target isn't to blame.
-    end(attempt_end::not_connected, target_evidence::nothing, "it leaves");
+    end(attempt_end::not_connected, target_evidence::nothing,
+        late ? "news are late" : "it leaves");
     return false;
 }
 
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -279,13 +279,7 @@
         first_ = false;
         if (server_.leaving_)
             reply_.close_after();
-        const bool full = server_.refusing_ ||
-                          server_.under_way_ >= server_.limits_.requests ||
-                          server_.body_bytes_ + request.body.size() >
-                              server_.limits_.body_bytes;
-        if (full) {
-            const char* reason =
-                server_.refusing_ ? "the node leaves" : "too much at once";
+        if (const char* reason = server_.reason_to_refuse(request)) {
             telemetry::log_event(telemetry::event::request_refused,
                                  {{"id", request.facts.id},
                                   {"outcome", "503"},
@@ -325,6 +319,18 @@
     return {};
 }
 
+/// Null if the request may be taken.
+const char* caller_server::reason_to_refuse(const caller_request& request) const
+{
+    if (refusing_)
+        return "the node leaves";
+    if (tables_.news_are_late())
+        return "news are late";
+    const bool full = under_way_ >= limits_.requests ||
+                      body_bytes_ + request.body.size() > limits_.body_bytes;
+    return full ? "too much at once" : nullptr;
+}
+
 void caller_server::stop_accepting()
 {
     net_error ec;
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -214,7 +214,7 @@
     const auto question = adapter::read_entry_question(asked.query);
     std::vector<entry_node> nodes;
     const instant now = tables_.now();
-    if (tables_.ready())
+    if (tables_.state() == mesh::node_state::ready)
         nodes.push_back({tables_.settings.listen.callers,
                          tables_.settings.data_center, tables_.capacity(),
                          tables_.requests_taken.at(now)});
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -126,6 +126,7 @@
     out.host = tables_.settings.host;
     out.life = tables_.life;
     out.sequence = ++sequence_;
+    out.sent = tables_.now();
     out.state = tables_.state();
     out.data_center = tables_.settings.data_center;
     out.caller_address = tables_.settings.listen.callers;
@@ -218,11 +219,27 @@
     });
 }
 
+/// Peers stop naming a late node to callers, and name it again afterwards, as
+/// soon as they hear.
+void mesh_node::note_lateness()
+{
+    const bool late = tables_.news_are_late();
+    if (late == was_late_)
+        return;
+    was_late_ = late;
+    log_event(late ? event::news_late : event::news_late_over,
+              {{"targets_age_ms",
+                milliseconds_text(tables_.targets_freshness.age(tables_.now())
+                                      .value_or(duration(0)))}});
+    spread();
+}
+
 awaitable<void> mesh_node::tick()
 {
     asio::steady_timer timer(tables_.io);
     for (;;) {
         note_tick(tables_.now());
+        note_lateness();
         send_due_beacons();
         tables_.nodes.forget_old(tables_.now());
         co_await sleep_on(timer, tick_period);
@@ -299,7 +316,7 @@
     if (from.target_news && tables_.targets.take_news(*from.target_news))
         tables_.list_changed();
     if (!news.late)
-        take_freshness(from, now);
+        take_freshness(from, news.delay.value_or(duration(0)), now);
     news_.hear(from);
 }
 
@@ -314,10 +331,13 @@
 
 /// A peer that was up to date at some time says what the newest was then. A
 /// node that has that, or more, was up to date then as well.
-void mesh_node::take_freshness(const mesh::beacon& from, instant now)
+void mesh_node::take_freshness(const mesh::beacon& from, duration delay,
+                               instant now)
 {
+    tables_.lateness.note(delay, now);
     const auto own = tables_.version();
-    const duration way = way_allowance(now);
+    const duration way =
+        std::max(way_allowance(now), mesh::hop_allowance + delay);
     if (from.configuration > own)
         tables_.note_configuration_announced();
     if (from.configuration <= own && from.configuration_age)
@@ -326,8 +346,9 @@
         tables_.confirm_targets(now - *from.targets_age - way);
 }
 
-/// How long a beacon may have been on its way: it lies in the socket while
-/// this node is busy with something long or doesn't run at all.
+/// How long a beacon may have been on its way whatever its sender says: it lies
+/// in the socket while this node is busy with something long or doesn't run at
+/// all.
 duration mesh_node::way_allowance(instant now) const
 {
     const duration lag = now - lagged_ < lag_memory ? lag_ : duration(0);
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -37,9 +37,9 @@
 node_tables::node_tables(asio::io_context& context, const clock& clock_used,
                          adapter::host_settings given, std::uint64_t seed)
     : io(context), time(clock_used), random(seed), settings(std::move(given)),
-      life(random.bits() >> 1), book(book_options(settings)),
-      retries(retry_options(settings)), poison({}), nodes(settings.host, {}),
-      pool(context, {})
+      life(random.bits() >> 1), lateness(settings.news_bound()),
+      book(book_options(settings)), retries(retry_options(settings)),
+      poison({}), nodes(settings.host, {}), pool(context, {})
 {}
 
 bool node_tables::ready() const
@@ -51,7 +51,15 @@
 {
     if (leaving)
         return mesh::node_state::leaving;
-    return ready() ? mesh::node_state::ready : mesh::node_state::starting;
+    if (!ready())
+        return mesh::node_state::starting;
+    return news_are_late() ? mesh::node_state::late : mesh::node_state::ready;
+}
+
+bool node_tables::news_are_late() const
+{
+    return lateness.is_late(targets_freshness.age(now()), now()) ||
+           lateness.is_late(configuration_freshness.age(now()), now());
 }
 
 double node_tables::capacity() const
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -329,7 +329,9 @@
     for (;;) {
         const dispatch::work_wish wanted = wish();
         const auto target =
-            tables_.book.choose(wanted, tables_.now(), tables_.random);
+            tables_.news_are_late()
+                ? std::nullopt
+                : tables_.book.choose(wanted, tables_.now(), tables_.random);
         if (!target) {
             co_await conclude(dispatch::give_up(so_far_, got.ended), got);
             co_return;
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -72,6 +72,7 @@
   20: optional list<HeardNode> heard
   21: optional bool is_brief
   22: optional i64 targets_as_of
+  23: optional i64 sent_ms
 }
 
 struct TokenAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -177,6 +177,22 @@
     return milliseconds(ms);
 }
 
+std::int64_t milliseconds_of(instant at)
+{
+    return std::chrono::duration_cast<milliseconds>(at.time_since_epoch())
+        .count();
+}
+
+/// A time that doesn't fit an instant is none.
+std::optional<instant> instant_of(bool known, std::int64_t ms)
+{
+    constexpr std::int64_t most =
+        std::chrono::duration_cast<milliseconds>(duration::max()).count();
+    if (!known || ms < 0 || ms > most)
+        return std::nullopt;
+    return instant(milliseconds(ms));
+}
+
 wire::Beacon to_wire(const beacon& from)
 {
     wire::Beacon out;
@@ -200,6 +216,8 @@
         out.__set_target_news(to_wire(*from.target_news));
     out.__set_is_brief(from.is_brief);
     out.__set_targets_as_of(number(from.targets_as_of.value()));
+    if (from.sent)
+        out.__set_sent_ms(milliseconds_of(*from.sent));
     for (const auto& it : from.load) {
         wire::Load load;
         load.target = it.target.str();
@@ -338,7 +356,7 @@
     out.sequence = static_cast<std::uint64_t>(from.sequence);
     // A state of a later release counts as one that takes no callers.
     const bool known =
-        from.state >= 0 && from.state <= static_cast<int>(node_state::leaving);
+        from.state >= 0 && from.state <= static_cast<int>(node_state::late);
     out.state =
         known ? static_cast<node_state>(from.state) : node_state::leaving;
     out.data_center = data_center_id(from.data_center);
@@ -361,6 +379,7 @@
     out.is_brief = from.__isset.is_brief && from.is_brief;
     out.targets_as_of = id_of<catalog::revision>(
         from.__isset.targets_as_of ? from.targets_as_of : from.targets_changed);
+    out.sent = instant_of(from.__isset.sent_ms, from.sent_ms);
     out.load = loads_from(from.load, left_out);
     out.stock = stock_from(from.stock, left_out);
     out.poison = poison_from(from.poison, left_out);
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -42,7 +42,12 @@
             return news;
         news.state_changed = known->second.last.state != from.state;
     }
-    rows_[from.host] = {without_details(from), now, now};
+    way_delay way;
+    if (!news.new_node)
+        way = known->second.way;
+    if (from.sent)
+        news.delay = way.take(*from.sent, now);
+    rows_[from.host] = {without_details(from), now, now, way};
     take_mentions(from, now);
     std::erase(unanswered_, from.peer_address);
     return news;
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -165,6 +165,11 @@
     {event::object_unreadable, severity::warning, "object_unreadable",
      "A target's or node's entry, an answer or a message can't be read; it "
      "counts as not there, the others hold."},
+    {event::news_late, severity::warning, "news_late",
+     "Changes reach the node too late, as on a full link: it takes no callers "
+     "until they are in time again."},
+    {event::news_late_over, severity::info, "news_late_over",
+     "Changes reach the node in time again; it takes callers."},
     {event::targets_changed, severity::info, "targets_changed",
      "The list of targets changed."},
     {event::platform_call_failed, severity::warning, "platform_call_failed",
