Stock tokens by how long a team's last, and remember outages

One share for all teams serves neither.

Change: the stock covers 16 s, or 1.5 times the longest outage seen lately; at most 0.4 of the unspent (0.5 after an outage), less in proportion for teams with under 60 s left. All figures of decisions are settings of front (--decide), so that each can be tried and switched off.

--- a/apps/fennelladder/command_front.cpp
+++ b/apps/fennelladder/command_front.cpp
@@ -37,9 +37,26 @@
                    .help = "for GET /metrics at the host's address; 0: none"});
     wanted.milliseconds("entry-validity", 2000,
                         "how long callers may keep an entry answer");
+    wanted.text("decide", "",
+                "how the node decides, as name=value separated by commas; "
+                "\"list\" prints all names with their values");
     return wanted;
 }
 
+/// Reads --decide; false, with the reason on standard error, if it is wrong.
+bool read_decisions(const std::string& text, edge::decision_options& out)
+{
+    std::istringstream all(text);
+    bool fine = true;
+    for (std::string one; std::getline(all, one, ',');) {
+        const auto ok = edge::set_decision(out, one);
+        if (!ok)
+            std::cerr << "--decide: " << ok.error().message << '\n';
+        fine = fine && ok;
+    }
+    return fine;
+}
+
 std::string timestamp()
 {
     const auto now = std::chrono::system_clock::now();
@@ -78,6 +95,14 @@
     const auto parsed = wanted.parse(argc, argv);
     if (parsed.stop)
         return parsed.exit_code;
+    edge::edge_node_options options;
+    if (wanted.text_of("decide") == "list") {
+        for (const std::string& it : edge::list_decisions(options.decide))
+            std::cout << it << '\n';
+        return exit_success;
+    }
+    if (!read_decisions(wanted.text_of("decide"), options.decide))
+        return exit_bad_input;
     std::string path = wanted.text_of("settings-file");
     if (path.empty())
         path = adapter::host_settings_path();
@@ -99,7 +124,6 @@
     const system_clock time;
     telemetry::line_writer log(STDOUT_FILENO, {});
     log_through(log, time, read->host.str());
-    edge::edge_node_options options;
     options.settings_path = path;
     options.settings_text = text.str();
     options.entry_validity = wanted.duration_of("entry-validity");
--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -134,6 +134,13 @@
     std::uint32_t least_fetch = 256;
     /// Time to the first byte that each request running on an engine adds.
     duration per_running = milliseconds(2);
+    /// Whether all nodes expect a shared part at the same target before one of
+    /// them has sent it there.
+    bool expects_parts = true;
+    /// Whether what other nodes have running counts.
+    bool counts_peers = true;
+    /// A target that fails all its requests costs this many objectives more.
+    double failure_cost = 3;
     /// Service time assumed of a plain service's target.
     duration plain_time = milliseconds(50);
     /// Added for a target in another data centre: a round trip and the price
--- a/include/fennelladder/edge/edge_node.hpp
+++ b/include/fennelladder/edge/edge_node.hpp
@@ -35,6 +35,7 @@
     std::string settings_text;   ///< What `settings` was read from.
     std::string metrics_address; ///< IP:port; empty: none.
     std::string metrics_path = "/metrics";
+    decision_options decide;
     /// Validity of entry answers: callers hear of a dead node this late.
     duration entry_validity = seconds(2);
     /// After SIGTERM callers are still served for this long; their entry
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -14,6 +14,7 @@
 #include "fennelladder/dispatch/poison_list.hpp"
 #include "fennelladder/dispatch/retry_window.hpp"
 #include "fennelladder/dispatch/target_book.hpp"
+#include "fennelladder/edge/decision_options.hpp"
 #include "fennelladder/edge/target_connection.hpp"
 #include "fennelladder/edge/unreadable_objects.hpp"
 #include "fennelladder/mesh/freshness.hpp"
@@ -40,7 +41,8 @@
 struct node_tables
 {
     node_tables(asio::io_context& context, const clock& clock_used,
-                adapter::host_settings given, std::uint64_t seed);
+                adapter::host_settings given, std::uint64_t seed,
+                decision_options decide = {});
 
     instant now() const { return time.now(); }
 
@@ -91,6 +93,7 @@
     const clock& time;
     random_source random;
     adapter::host_settings settings;
+    const decision_options options;
     mesh::node_life life; ///< Of this process.
 
     /// Null until one is known.
--- a/include/fennelladder/edge/request_driver.hpp
+++ b/include/fennelladder/edge/request_driver.hpp
@@ -35,7 +35,6 @@
     node_tables& tables_;
     token_desk& desk_;
     target_prober prober_;
-    dispatch::attempt_policy_options policy_;
 };
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/edge/token_desk.hpp
+++ b/include/fennelladder/edge/token_desk.hpp
@@ -120,7 +120,6 @@
     node_tables& tables_;
     sender send_;
     allotment_writer writer_;
-    prepaid::stock_options stock_options_;
     asio::steady_timer wake_refill_;
     std::vector<std::weak_ptr<asio::steady_timer>> waiting_;
     std::map<host_id, peer_stock> peers_;
--- a/include/fennelladder/prepaid/stock_plan.hpp
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -39,12 +39,26 @@
     std::size_t writers = 8;
     /// Spending that the fleet's stock covers. The platform is away for some
     /// seconds at a time; what is stocked is lost if all nodes die at once.
-    duration horizon = seconds(8);
+    /// With 8 s the days with trouble of three fleets of 8 nodes are worth
+    /// 0.03, 0.02 and 0.01 less, together with the limits below.
+    duration horizon = seconds(16);
     /// Stock before any spending was seen, as a share of what was prepaid.
     double first_share = 0.10;
     /// The stock is at most this share of what is still unspent, so that a
     /// loss of all nodes at once leaves the rest for those that come after.
-    double most_of_unspent = 0.2;
+    double most_of_unspent = 0.4;
+    /// The same share where the platform was away lately and may be again.
+    double most_after_outage = 0.5;
+    /// A team whose unspent tokens last for less than this at its present
+    /// spending may stock less than that share, in proportion: what is lost of
+    /// its stock it misses soon. One far from its end doesn't. 0: any team may
+    /// stock the same share; with a fifth for all, teams that run out lost 4 to
+    /// 10 in 100 of what they prepaid with a loss of all nodes.
+    duration long_runway = seconds(60);
+    /// The stock covers this many times the longest outage seen lately.
+    double outage_margin = 1.5;
+    /// Between two writes of a node that nobody waits for.
+    duration write_pause = seconds(1);
     /// The stock is filled up when it is below this share of its goal.
     double refill_below = 0.8;
 };
@@ -60,6 +74,8 @@
     /// next one, at many nodes, and hence no stock.
     tokens stocked;
     double fleet_spending = 0; ///< Tokens a second, all nodes together.
+    /// The longest time lately in which no node reached the platform.
+    duration outage{0};
     tokens waited_for;         ///< Missing for a request that waits here.
     std::size_t stockists = 1; ///< That are alive.
     bool stockist = false;     ///< Whether this node is one.
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -14,9 +14,6 @@
 
 namespace {
 
-/// A failure counts as this many objectives of waiting.
-constexpr double failure_cost = 3;
-
 /// Bounds of one slowness observation; a single odd wait must not condemn a
 /// target for long.
 constexpr double least_slowness = 0.5;
@@ -232,7 +229,7 @@
     const auto part = meeting_part(wish.prompt);
     const target_state* out = nullptr;
     std::uint64_t best = 0;
-    if (!part)
+    if (!part || !options_.expects_parts)
         return out;
     for (const target_state* it : candidates) {
         const std::uint64_t rank = weight(*part, it->entry.id);
@@ -266,7 +263,7 @@
     const double slowness = std::exp(faded(it.log_slowness, now));
     const double objective = std::max(to_seconds(wish.objective), 0.05);
     double out = predicted * slowness +
-                 faded(it.failures, now) * failure_cost * objective;
+                 faded(it.failures, now) * options_.failure_cost * objective;
     if (it.entry.data_center != options_.own_data_center)
         out += to_seconds(options_.distance);
     return out;
@@ -464,6 +461,8 @@
 
 void target_book::peer_load(const host_id& peer, std::vector<target_load> load)
 {
+    if (!options_.counts_peers)
+        return;
     forget_peer(peer);
     add_peer(load, 1);
     peer_loads_[peer] = std::move(load);
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -48,8 +48,8 @@
                      adapter::host_settings settings, edge_node_options options,
                      telemetry::line_writer& log)
     : io_(io), options_(std::move(options)), log_(log),
-      tables_(io, time, std::move(settings), random_seed()), client_(tables_),
-      mesh_(tables_, peer_address(tables_.settings)),
+      tables_(io, time, std::move(settings), random_seed(), options_.decide),
+      client_(tables_), mesh_(tables_, peer_address(tables_.settings)),
       desk_(tables_, client_,
             [this](const std::string& address, const mesh::datagram& message) {
                 mesh_.send(address, message);
@@ -223,7 +223,8 @@
             !it->last.caller_address.empty())
             nodes.push_back({it->last.caller_address, it->last.data_center,
                              it->last.capacity, it->last.requests_per_second});
-    const auto addresses = plan_entry(nodes, question.data_center, {});
+    const auto addresses =
+        plan_entry(nodes, question.data_center, tables_.options.entry);
     if (addresses.empty())
         return {503, "text/plain", "no node is ready\n"};
     const duration validity = std::min(options_.entry_validity,
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -15,17 +15,17 @@
 constexpr duration list_doubt = milliseconds(2500);
 
 dispatch::target_book_options
-book_options(const adapter::host_settings& settings)
+book_options(const adapter::host_settings& settings,
+             dispatch::target_book_options out)
 {
-    dispatch::target_book_options out;
     out.own_data_center = settings.data_center;
     return out;
 }
 
 dispatch::retry_window_options
-retry_options(const adapter::host_settings& settings)
+retry_options(const adapter::host_settings& settings,
+              dispatch::retry_window_options out)
 {
-    dispatch::retry_window_options out;
     out.share = settings.retry_share;
     out.slack = settings.retry_slack;
     out.window = settings.retry_window;
@@ -35,11 +35,14 @@
 } // namespace
 
 node_tables::node_tables(asio::io_context& context, const clock& clock_used,
-                         adapter::host_settings given, std::uint64_t seed)
+                         adapter::host_settings given, std::uint64_t seed,
+                         decision_options decide)
     : io(context), time(clock_used), random(seed), settings(std::move(given)),
-      life(random.bits() >> 1), lateness(settings.news_bound()),
-      book(book_options(settings)), retries(retry_options(settings)),
-      poison({}), nodes(settings.host, {}), pool(context, {})
+      options(std::move(decide)), life(random.bits() >> 1),
+      lateness(settings.news_bound()),
+      book(book_options(settings, options.book)),
+      retries(retry_options(settings, options.retries)), poison({}),
+      nodes(settings.host, {}), pool(context, options.pool)
 {}
 
 bool node_tables::ready() const
@@ -58,6 +61,8 @@
 
 bool node_tables::news_are_late() const
 {
+    if (!options.minds_lateness)
+        return false;
     return lateness.is_late(targets_freshness.age(now()), now()) ||
            lateness.is_late(configuration_freshness.age(now()), now());
 }
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -18,14 +18,8 @@
 /// A request that kills targets is not wanted back soon.
 constexpr duration come_back_poison = seconds(5);
 
-/// How long a request waits for tokens, as a part of its objective: enough to
-/// ask a few peers and the platform once. A caller that is refused sooner can
-/// come back sooner.
-constexpr int token_wait_part = 8;
+/// A request waits at least this long for tokens: two rounds among peers.
 constexpr duration least_token_wait = milliseconds(30);
-/// When tokens are short for long, callers are asked to come back after this
-/// part of the time they have: by then the platform may be back.
-constexpr int come_back_part = 3;
 
 /// What may be sent again uses kept connections that rested up to this long;
 /// what may run once only those on which the target can hardly have given up
@@ -37,12 +31,8 @@
 /// for this long.
 constexpr duration last_word = milliseconds(60);
 
-/// Waiting for the first byte is given up after this many objectives, if the
-/// request may go elsewhere.
-constexpr int patience_in_objectives = 2;
+/// A first byte is waited for at least this long, however short an objective.
 constexpr duration least_patience = milliseconds(250);
-/// The same for a pause in a stream.
-constexpr int patience_in_pauses = 2;
 
 constexpr int least_urgent = 9;
 
@@ -53,6 +43,11 @@
     const char* reason = "";
 };
 
+duration part_of(duration whole, double share)
+{
+    return from_seconds(to_seconds(whole) * share);
+}
+
 std::string_view path_only(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -179,7 +174,8 @@
     const tokens worst = *request_.facts.prompt_size +
                          request_.facts.longest_answer.value_or(tokens(0));
     const duration wait =
-        std::max(way_->objective / token_wait_part, least_token_wait);
+        std::max(part_of(way_->objective, tables_.options.requests.token_wait),
+                 least_token_wait);
     const instant until = tables_.now() + wait;
     const shortage got = co_await driver_.desk_.obtain(team_->id, worst, until);
     if (got == shortage::none) {
@@ -188,9 +184,10 @@
     }
     if (got == shortage::never_covered)
         co_return refusal{402, std::nullopt, "more than was prepaid"};
-    const duration later = got == shortage::short_for_a_moment
-                               ? come_back
-                               : time_left() / come_back_part;
+    const duration later =
+        got == shortage::short_for_a_moment
+            ? come_back
+            : part_of(time_left(), tables_.options.requests.come_back);
     co_return refusal{503, later, "short of tokens"};
 }
 
@@ -265,10 +262,12 @@
     if (so_far_.sent > 0)
         in.longest_rest = duration(0);
     if (another_is_possible()) {
-        in.first_byte_limit =
-            std::max(way_->objective * patience_in_objectives, least_patience);
+        in.first_byte_limit = std::max(
+            part_of(way_->objective, tables_.options.requests.patience),
+            least_patience);
         if (way_->streams)
-            in.gap_limit = way_->pause_objective * patience_in_pauses;
+            in.gap_limit = part_of(way_->pause_objective,
+                                   tables_.options.requests.pause_patience);
     }
     const dispatch::work_wish wanted = wish();
     tables_.book.started(target, wanted, tables_.now());
@@ -339,7 +338,7 @@
         got = co_await attempt_at(*target);
         note_attempt(got, *target);
         const dispatch::next_step step =
-            dispatch::decide_next(so_far_, got.ended, driver_.policy_);
+            dispatch::decide_next(so_far_, got.ended, tables_.options.attempts);
         next_action action = step.action;
         if (action == next_action::try_other && step.uses_retry &&
             !tables_.retries.take_retry(service_, tables_.nodes.size(),
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -18,9 +18,6 @@
 /// Between two looks at the stock.
 constexpr duration stock_period = milliseconds(250);
 
-/// Between two writes of this node, unless somebody waits for tokens.
-constexpr duration write_pause = seconds(1);
-
 /// Retry after a failed call, doubled up to the longest.
 constexpr duration first_pause = milliseconds(200);
 constexpr duration longest_pause = seconds(2);
@@ -134,14 +131,14 @@
 std::vector<host_id> token_desk::writers() const
 {
     return prepaid::writers_of(tables_.nodes.members(tables_.now()),
-                               stock_options_);
+                               tables_.options.stock);
 }
 
 std::vector<host_id>
 token_desk::stockists(const team_id& team,
                       const std::vector<host_id>& writers) const
 {
-    return prepaid::stockists_of(team, writers, stock_options_);
+    return prepaid::stockists_of(team, writers, tables_.options.stock);
 }
 
 /// Whether this node takes the team's tokens out of the record: as one of its
@@ -170,6 +167,8 @@
 std::optional<host_id>
 token_desk::best_peer(const team_id& team, const std::set<host_id>& tried) const
 {
+    if (!tables_.options.lends_tokens)
+        return std::nullopt;
     std::optional<host_id> best;
     tokens most(0);
     for (const auto& [host, peer] : peers_) {
@@ -362,6 +361,7 @@
     out.fleet_free = tables_.purse.free_of(team);
     if (out.stockist)
         out.stocked = out.fleet_free;
+    out.outage = tables_.targets_freshness.longest_gap(tables_.now());
     out.fleet_spending = tables_.purse.spending(team, tables_.now());
     for (const auto& [host, peer] : peers_) {
         const auto it = peer.stock.find(team);
@@ -387,7 +387,7 @@
     for (const auto& [team, total] : totals) {
         prepaid::stock_state state = state_of(team, total, all);
         state.left = prepaid::left_of(*writer_.record(), totals, team);
-        const tokens wish = prepaid::stock_wish(state, stock_options_);
+        const tokens wish = prepaid::stock_wish(state, tables_.options.stock);
         if (wish > tokens(0))
             out[team] = wish;
     }
@@ -419,7 +419,8 @@
     if (!known)
         co_return false;
     const bool urgent = !wanted_.empty();
-    if (!urgent && tables_.now() - last_write_ < write_pause)
+    if (!urgent &&
+        tables_.now() - last_write_ < tables_.options.stock.write_pause)
         co_return true;
     const auto amounts = wishes();
     wanted_.clear();
--- a/libs/prepaid/stock_plan_test.cpp
+++ b/libs/prepaid/stock_plan_test.cpp
@@ -29,6 +29,7 @@
 TEST(stock_plan, the_stockists_fill_the_gap_together)
 {
     stock_state it = busy();
+    it.left = tokens(2'400'000); // For two minutes: no share is in the way.
     const double goal = 20'000 * to_seconds(options.horizon);
     const tokens wish = stock_wish(it, options);
     DOUBLES_EQUAL(goal / 3, static_cast<double>(wish.count()), 2);
@@ -108,3 +109,40 @@
     for (const auto& [host, teams] : load)
         CHECK(teams > 30 && teams < 130);
 }
+
+// Story: all nodes lose power while a team nears its end. A fifth of its
+// unspent tokens lay in their stocks: its callers were refused for the rest of
+// the day, though the team had prepaid for them. A team with tokens for a long
+// time may stock a larger share, and is served longer while the platform is
+// away.
+TEST(stock_plan, a_team_close_to_its_end_stocks_little)
+{
+    stock_state it = busy();
+    it.stockists = 1;
+    const auto share = [&](std::int64_t runway_s) {
+        it.left = tokens(20'000 * runway_s);
+        return static_cast<double>(stock_wish(it, options).count()) /
+               static_cast<double>(it.left.count());
+    };
+    DOUBLES_EQUAL(options.most_of_unspent / 6, share(10), 0.001);
+    DOUBLES_EQUAL(options.most_of_unspent / 2, share(30), 0.001);
+    CHECK(20'000 * 40 * share(40) >= 20'000 * 10);
+}
+
+// Story: the platform was away for nine seconds, and stocks lasted for six.
+// Minutes later it is away again, for as long.
+TEST(stock_plan, an_outage_makes_stocks_last_longer)
+{
+    stock_state it = busy();
+    it.stockists = 1;
+    it.left = tokens(20'000 * 45);
+    const tokens before = stock_wish(it, options);
+    it.outage = seconds(9);
+    const tokens after = stock_wish(it, options);
+    CHECK(after > before);
+    CHECK(after.count() >= 20'000 * 13);
+    // A long one doesn't take everything.
+    it.outage = hours(1);
+    CHECK(stock_wish(it, options).count() <=
+          it.left.count() * options.most_after_outage + 1);
+}
