--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -1,5 +1,6 @@
 #include "fennelladder/edge/request_driver.hpp"
 
+#include "fennelladder/base/part_of.hpp"
 #include "fennelladder/telemetry/log.hpp"
 
 #include <algorithm>
@@ -43,11 +44,6 @@
     const char* reason = "";
 };
 
-duration part_of(duration whole, double share)
-{
-    return from_seconds(to_seconds(whole) * share);
-}
-
 std::string_view path_only(std::string_view target)
 {
     return target.substr(0, target.find('?'));
--- a/libs/mesh/news_lateness.cpp
+++ b/libs/mesh/news_lateness.cpp
@@ -1,5 +1,7 @@
 #include "fennelladder/mesh/news_lateness.hpp"
 
+#include "fennelladder/base/part_of.hpp"
+
 #include <algorithm>
 
 namespace fennelladder::mesh {
@@ -17,11 +19,6 @@
 /// Of the bound. A shorter way is no link that is full.
 constexpr double least_delay_part = 0.25;
 
-duration part(duration of, double share)
-{
-    return from_seconds(to_seconds(of) * share);
-}
-
 } // namespace
 
 void news_lateness::note(duration delay, instant now)
@@ -46,15 +43,15 @@
 
 bool news_lateness::is_overdue(std::optional<duration> age) const
 {
-    return age && *age > part(bound_, usable_part);
+    return age && *age > part_of(bound_, usable_part);
 }
 
 bool news_lateness::is_late(std::optional<duration> age, instant now) const
 {
     const auto way = delay(now);
-    if (!age || !way || *way < part(bound_, least_delay_part))
+    if (!age || !way || *way < part_of(bound_, least_delay_part))
         return false;
-    const duration limit = part(bound_, usable_part);
+    const duration limit = part_of(bound_, usable_part);
     return *age > limit && *age - *way <= limit;
 }
 
--- a/libs/mesh/watch_duty.cpp
+++ b/libs/mesh/watch_duty.cpp
@@ -1,5 +1,7 @@
 #include "fennelladder/mesh/watch_duty.hpp"
 
+#include "fennelladder/base/part_of.hpp"
+
 #include "fennelladder/mesh/freshness.hpp"
 
 #include <algorithm>
@@ -44,21 +46,16 @@
 /// That a stand-in leaves when it hears of another watcher.
 constexpr double leave_chance = 0.5;
 
-duration share_of(duration bound, double share)
-{
-    return from_seconds(to_seconds(bound) * share);
-}
-
 } // namespace
 
 news_limits news_limits_for(duration bound, news_size size)
 {
     news_limits out;
-    out.watch_wait = share_of(bound, watch_share);
-    out.stale_after = share_of(bound, stale_share);
-    out.overdue_after = share_of(bound, overdue_share);
+    out.watch_wait = part_of(bound, watch_share);
+    out.stale_after = part_of(bound, stale_share);
+    out.overdue_after = part_of(bound, overdue_share);
     if (size == news_size::bulk)
-        out.stale_after = std::max(share_of(bound, stale_bulk_share),
+        out.stale_after = std::max(part_of(bound, stale_bulk_share),
                                    out.watch_wait + way_of_beacons);
     return out;
 }
@@ -79,8 +76,8 @@
 bool watch_duty::is_stale(const news_view& view) const
 {
     const double factor = limit_factor(view.size, draw_);
-    return view.age > share_of(limits_.stale_after, factor) ||
-           view.announced_for > share_of(limits_.overdue_after, factor);
+    return view.age > part_of(limits_.stale_after, factor) ||
+           view.announced_for > part_of(limits_.overdue_after, factor);
 }
 
 watch_reason watch_duty::decide(const news_view& view)
