Tell each other of further nodes in every beacon

Nodes that start together list copies of the store in which half of them are missing, and only a node that is new was told of others, always the same 16.

Change: each regular beacon names two living nodes, others each time, and so do the 16 told to a new one.

--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -47,6 +47,9 @@
     duration forget_after = seconds(60);
     /// Addresses told in one beacon to a node that is new.
     std::size_t introductions = 16;
+    /// Addresses told in every other beacon, 18 bytes each. A node of a fleet
+    /// of 95 hears of 80 a second, so of all others within seconds.
+    std::size_t introductions_each = 2;
 };
 
 /// A host with this share of the largest one's capacity counts as large.
@@ -130,9 +133,12 @@
     /// don't reach the platform ask it nothing, so they aren't compared with.
     size_place place_by_size(double capacity, instant now) const;
 
-    /// Addresses to introduce to a node that is new here.
-    std::vector<std::string> introductions(const host_id& to,
-                                           instant now) const;
+    /// Addresses of up to `most` living nodes to tell another, others each
+    /// time. Guards against two nodes that never hear of each other: they
+    /// registered at the same moment and each listed a copy of the store
+    /// without the other; to them the fleet is smaller than it is, and they
+    /// disagree with others on who holds stock and who watches.
+    std::vector<std::string> introductions(std::size_t most, instant now);
 
     /// How long a period is in a fleet of this size.
     duration period() const;
@@ -144,6 +150,8 @@
 
     void forget_old(instant now);
 
+    const roster_options& options() const { return options_; }
+
 private:
     void take_mentions(const beacon& from, instant now);
     double phase_of(const host_id& other) const;
@@ -153,7 +161,8 @@
     row_map rows_;
     std::vector<std::string> unanswered_; ///< Addresses without a row.
     std::map<std::string, instant> next_due_;
-    std::size_t turn_ = 0; ///< Which unanswered address is next.
+    std::size_t turn_ = 0;       ///< Which unanswered address is next.
+    std::size_t introduced_ = 0; ///< Living nodes introduced so far.
 };
 
 } // namespace fennelladder::mesh
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -154,9 +154,10 @@
 void mesh_node::greet(const std::string& address)
 {
     mesh::datagram message;
+    mesh::roster& nodes = tables_.nodes;
     message.hello = own_beacon();
     message.hello->introduced =
-        tables_.nodes.introductions(host_id(), tables_.now());
+        nodes.introductions(nodes.options().introductions, tables_.now());
     send(address, message);
 }
 
@@ -165,7 +166,10 @@
     if (addresses.empty())
         return;
     mesh::datagram message;
+    mesh::roster& nodes = tables_.nodes;
     message.hello = own_beacon();
+    message.hello->introduced =
+        nodes.introductions(nodes.options().introductions_each, tables_.now());
     send_to_all(addresses, message);
 }
 
--- /dev/null
+++ b/libs/mesh/discovery_test.cpp
@@ -0,0 +1,118 @@
+// How the nodes of a fleet that starts anew find each other, in virtual time.
+//
+// A node begins with the addresses that its settings name and those that the
+// store listed when it registered. The list may be a copy some seconds old, so
+// nodes that start together miss each other in it.
+
+#include "fennelladder/base/random.hpp"
+#include "fennelladder/mesh/roster.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace fennelladder;
+using namespace fennelladder::mesh;
+
+namespace {
+
+constexpr instant start = instant(seconds(100));
+constexpr duration tick = milliseconds(50);
+
+/// Nodes with their rosters, over a network that loses one datagram in fifty
+/// and otherwise delivers at once.
+class starting_fleet
+{
+public:
+    explicit starting_fleet(int n)
+    {
+        for (int i = 0; i < n; ++i)
+            rosters_.emplace_back(host_id(name(i)), roster_options{});
+    }
+
+    void learn(int at, int other) { rosters_[at].add_addresses({name(other)}); }
+
+    void run(duration length)
+    {
+        for (const instant end = now_ + length; now_ < end; now_ += tick)
+            for (int from = 0; from < size(); ++from)
+                for (const std::string& to : rosters_[from].due(now_))
+                    send(from, to, options().introductions_each);
+    }
+
+    /// The fewest other nodes that any node takes for alive.
+    std::size_t fewest_known() const
+    {
+        std::size_t out = rosters_.size();
+        for (const mesh::roster& it : rosters_)
+            out = std::min(out, it.alive(now_).size());
+        return out;
+    }
+
+    int size() const { return static_cast<int>(rosters_.size()); }
+
+private:
+    static std::string name(int i) { return "n" + std::to_string(i); }
+
+    const roster_options& options() const { return rosters_[0].options(); }
+
+    beacon beacon_of(int i, std::size_t introductions)
+    {
+        beacon out;
+        out.host = host_id(name(i));
+        out.life = node_life(static_cast<std::uint64_t>(i) + 1);
+        out.sequence = ++sequence_;
+        out.state = node_state::ready;
+        out.peer_address = name(i);
+        out.heard = rosters_[i].heard_lately(now_);
+        out.introduced = rosters_[i].introductions(introductions, now_);
+        return out;
+    }
+
+    /// A node that hears of a new one answers with a beacon of its own.
+    void send(int from, const std::string& to, std::size_t introductions)
+    {
+        const int at = std::stoi(to.substr(1));
+        if (random_.below(50) == 0)
+            return;
+        const beacon hello = beacon_of(from, introductions);
+        const bool is_new = rosters_[at].hear(hello, now_).new_node;
+        std::vector<std::string> others = hello.introduced;
+        std::erase(others, name(at));
+        rosters_[at].add_addresses(others);
+        if (is_new)
+            send(at, name(from), options().introductions);
+    }
+
+    std::vector<mesh::roster> rosters_;
+    std::uint64_t sequence_ = 0;
+    random_source random_{11};
+    instant now_ = start;
+};
+
+} // namespace
+
+TEST_GROUP(discovery){};
+
+// Story: ninety-five hosts start within a moment. Each lists the store's copy
+// from before the last half of them had registered, and its settings name three
+// more. Of the 94 others a node heard 46 all day: callers were refused for want
+// of tokens that nodes held which their own had never heard of, and sixteen
+// nodes took themselves for one of the eight that write.
+TEST(discovery, nodes_that_start_together_all_find_each_other)
+{
+    for (const int n : {8, 30, 95, 200}) {
+        starting_fleet all(n);
+        for (int at = 0; at < n; ++at) {
+            for (int other = 0; other < 3; ++other)
+                if (other != at)
+                    all.learn(at, other);
+            for (int other = 3; other < at - n / 2; ++other)
+                all.learn(at, other);
+        }
+        // A store is given ten seconds before callers come.
+        all.run(seconds(8));
+        LONGS_EQUAL(n - 1, all.fewest_known());
+    }
+}
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -212,13 +212,16 @@
                 static_cast<double>(living.size() + 1)};
 }
 
-std::vector<std::string> roster::introductions(const host_id& to,
-                                               instant now) const
+std::vector<std::string> roster::introductions(std::size_t most, instant now)
 {
+    const auto living = alive(now);
+    const std::size_t n = std::min(most, living.size());
     std::vector<std::string> out;
-    for (const node_row* it : alive(now))
-        if (it->last.host != to && out.size() < options_.introductions)
-            out.push_back(it->last.peer_address);
+    out.reserve(n);
+    for (std::size_t i = 0; i < n; ++i) {
+        const node_row* it = living[introduced_++ % living.size()];
+        out.push_back(it->last.peer_address);
+    }
     return out;
 }
 
