--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -39,7 +39,26 @@
 
     const std::string& address() const { return address_; }
 
+    /// Writes a line with what was sent since the last one, as
+    /// "datagrams/bytes" of each kind.
+    void log_traffic();
+
 private:
+    /// What a datagram is sent for.
+    enum class traffic : std::uint8_t
+    {
+        beacons,   ///< Regular ones.
+        news,      ///< Brief ones, for a change.
+        greetings, ///< To nodes that are new here.
+        tokens     ///< Transfers.
+    };
+
+    struct traffic_count
+    {
+        std::uint64_t datagrams = 0;
+        std::uint64_t bytes = 0;
+    };
+
     awaitable<void> receive();
     awaitable<void> tick();
     void take(const mesh::datagram& message, const std::string& from);
@@ -52,7 +71,7 @@
     void take_freshness(const mesh::beacon& from, duration delay, instant now);
     mesh::beacon own_beacon();
     void send_to_all(const std::vector<std::string>& addresses,
-                     const mesh::datagram& message);
+                     const mesh::datagram& message, traffic kind);
     void send_beacon(const std::vector<std::string>& addresses);
     void send_news(const std::vector<std::string>& addresses);
     bool missed_news(const mesh::node_row& peer) const;
@@ -68,6 +87,7 @@
     telemetry::counter& sent_;
     telemetry::counter& failed_;
     telemetry::gauge& lag_gauge_;
+    std::array<traffic_count, 4> traffic_{}; ///< Since the last line.
     std::array<char, 65536> datagram_{};
     std::uint64_t sequence_ = 0;
     bool spreading_ = false;
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -78,6 +78,9 @@
     bool take_configuration(catalog::configuration_parts parts,
                             std::string text, const std::string& source);
 
+    /// For how long a peer's word on its stock counts: a few beacons.
+    duration stock_word_lasts() const;
+
     /// Of the configuration in force; 0 while none is known.
     catalog::configuration_version version() const;
 
--- a/include/fennelladder/edge/platform_client.hpp
+++ b/include/fennelladder/edge/platform_client.hpp
@@ -1,7 +1,7 @@
 // Calls the platform's store.
 //
-//     platform_reply got = co_await client.call(http::verb::get, target, "",
-//                                               limit);
+//     platform_reply got = co_await client.call(
+//         call_name::list_targets, http::verb::get, target, "", limit);
 //     switch (got.outcome) ...
 //
 // Each call takes a kept connection or dials one. A connection on which a
@@ -21,6 +21,7 @@
 #include "fennelladder/edge/node_tables.hpp"
 #include "fennelladder/edge/socket_deadline.hpp"
 
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
@@ -39,6 +40,23 @@
 
 std::string_view to_string(call_outcome value);
 
+/// What a call is for; each is counted, and paid for, by itself.
+enum class call_name : std::uint8_t
+{
+    list_configuration,
+    watch_configuration,
+    list_targets,
+    watch_targets,
+    list_nodes,
+    register_node,
+    read_allotments,
+    write_allotments
+};
+
+inline constexpr std::size_t call_names = 8;
+
+std::string_view to_string(call_name value);
+
 struct platform_reply
 {
     call_outcome outcome = call_outcome::no_reply;
@@ -62,8 +80,13 @@
     /// Waits until `limit` for the answer's head, and after that as long as
     /// bytes come. Connecting has a limit of its own, and no call lasts longer
     /// than ten seconds after `limit`.
-    awaitable<platform_reply> call(http::verb method, std::string target,
-                                   std::string body, duration limit);
+    awaitable<platform_reply> call(call_name name, http::verb method,
+                                   std::string target, std::string body,
+                                   duration limit);
+
+    /// Writes a line with the calls made since the last one, if there were
+    /// any: what the fleet asks of the platform can be summed from logs.
+    void log_calls();
 
     /// Closes the connections kept: the next calls dial.
     void drop_kept() { idle_.clear(); }
@@ -87,6 +110,7 @@
                                           const std::string& target,
                                           const std::string& body,
                                           duration limit);
+    void count(call_name name, const platform_reply& reply);
     awaitable<bool> connect(connection_ptr made);
     awaitable<bool> read_reply(connection_ptr with, reply_parser& parser,
                                socket_deadline& limit, instant until,
@@ -94,6 +118,9 @@
 
     node_tables& tables_;
     std::vector<connection_ptr> idle_;
+    std::array<std::uint32_t, call_names> made_{}; ///< Since the last line.
+    std::uint32_t conflicts_ = 0;
+    std::uint32_t unanswered_ = 0;
 };
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -127,12 +127,12 @@
 
     bool is_in_force(const adapter::stored_object& object) const;
     bool take_configuration(const adapter::stored_object& object);
-    void note(const platform_reply& reply, const char* what, call_kind kind);
+    void note(const platform_reply& reply, call_name name, call_kind kind);
 
     /// Reads from the platform; no value if that failed, which is logged.
     template <class Answer>
     awaitable<std::optional<dated<Answer>>>
-    fetch(const char* what, call_kind kind, std::string target,
+    fetch(call_name name, call_kind kind, std::string target,
           result<Answer> (*decode)(const std::string&));
 
     void note_unreadable(unreadable_kind kind,
--- a/include/fennelladder/edge/token_desk.hpp
+++ b/include/fennelladder/edge/token_desk.hpp
@@ -6,8 +6,9 @@
 //     desk.settle(team, worst, used);
 //
 // The purse is tried first, without a message. Then the node with the largest
-// stock that is known is asked, and the next; meanwhile, if this node is one
-// of the team's stockists, more is taken out of the record.
+// stock that is known is asked, and the next, and at last the one that writes
+// the record (edge/stock_keeper.hpp), which answers when it has taken out what
+// is missing.
 //
 // What is credited was deducted elsewhere before: by a conditional write that
 // is proved to have taken effect, or by a peer that answers each number once.
@@ -18,9 +19,9 @@
 #ifndef FENNELLADDER_EDGE_TOKEN_DESK_HPP
 #define FENNELLADDER_EDGE_TOKEN_DESK_HPP
 
-#include "fennelladder/edge/allotment_writer.hpp"
 #include "fennelladder/edge/node_tables.hpp"
-#include "fennelladder/prepaid/stock_plan.hpp"
+#include "fennelladder/edge/stock_keeper.hpp"
+#include "fennelladder/mesh/stock_book.hpp"
 
 #include <functional>
 #include <map>
@@ -78,62 +79,66 @@
     awaitable<void> hand_over(duration limit);
 
 private:
-    struct peer_stock
-    {
-        std::string address;
-        std::map<team_id, mesh::token_stock> stock;
-        instant heard;
-    };
-
     struct asked
     {
         team_id team;
         host_id peer;
         instant at;
+        bool patient = false;
+    };
+
+    /// A question that is answered when tokens have been taken out for it.
+    struct pending_ask
+    {
+        mesh::token_ask ask;
+        std::string from;
+        instant at;
+    };
+
+    /// A question for tokens out of the record: the number of one that went to
+    /// another node, or the round of writes that takes it up here.
+    struct record_question
+    {
+        std::optional<mesh::transfer_number> number;
+        std::optional<std::uint64_t> round;
     };
 
-    awaitable<void> keep_stock();
-    awaitable<bool> tend_stock();
+    class waiting_request;
+
+    using transfer_key = std::pair<mesh::node_life, mesh::transfer_number>;
+
     awaitable<void> wait_for_change(instant until);
+    awaitable<void> repeat_gift(mesh::token_gift gift, std::string to,
+                                instant until);
+    record_question ask_for_more(const team_id& team, tokens missing);
+    bool is_over(const record_question& question) const;
+    tokens missing_of(const team_id& team, tokens amount) const;
+    mesh::transfer_number ask(const host_id& peer, const team_id& team,
+                              tokens amount, bool patient);
     void give(const mesh::token_ask& ask, const std::string& from,
               tokens amount);
-    void take(const prepaid::token_amounts& granted);
-    prepaid::token_amounts wishes() const;
+    void answer_pending(instant begun);
     std::optional<host_id> best_peer(const team_id& team,
                                      const std::set<host_id>& tried) const;
     shortage shortage_of(const team_id& team) const;
-    void want(const team_id& team, tokens missing);
-    /// Nodes that take tokens out now; the same for all teams, so a look over
-    /// the teams ranks the fleet once.
-    std::vector<host_id> writers() const;
-    bool takes_out(const team_id& team,
-                   const std::vector<host_id>& writers) const;
-    std::vector<host_id> stockists(const team_id& team,
-                                   const std::vector<host_id>& writers) const;
-    bool is_fresh(const peer_stock& peer) const;
-    prepaid::stock_state state_of(const team_id& team, tokens total,
-                                  const std::vector<host_id>& writers) const;
-    void ask(const host_id& peer, const team_id& team, tokens amount);
+    std::string address_of(const host_id& host) const;
+    void note_silent_writer();
     void forget_old();
     void changed();
 
     node_tables& tables_;
     sender send_;
-    allotment_writer writer_;
-    asio::steady_timer wake_refill_;
+    mesh::stock_book peers_;
+    stock_keeper keeper_;
     std::vector<std::weak_ptr<asio::steady_timer>> waiting_;
-    std::map<host_id, peer_stock> peers_;
+    std::map<team_id, int> waiting_by_team_;
     std::map<mesh::transfer_number, asked> asked_;
-    std::map<std::pair<mesh::node_life, mesh::transfer_number>,
-             std::pair<mesh::token_give, instant>>
-        answered_;
-    std::map<std::pair<mesh::node_life, mesh::transfer_number>, instant>
-        gifts_taken_;
+    std::map<host_id, instant> answered_by_; ///< When a node last answered.
+    std::vector<pending_ask> pending_;
+    std::map<transfer_key, std::pair<mesh::token_give, instant>> answered_;
+    std::map<transfer_key, instant> gifts_taken_;
     std::map<mesh::transfer_number, mesh::token_gift> gifts_;
     mesh::transfer_number last_number_;
-    instant last_write_;
-    int failures_ = 0;                 ///< Failed calls in a row.
-    std::map<team_id, tokens> wanted_; ///< Missing for requests that wait.
 };
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -104,6 +104,9 @@
     transfer_number number;
     team_id team;
     tokens wanted; ///< The answer may be less.
+    /// For stock: no request waits, and a node that writes the record may
+    /// answer with its next regular write.
+    bool patient = false;
 };
 
 /// The answer; the giver has already taken the amount out of its purse.
@@ -113,6 +116,9 @@
     transfer_number number;
     team_id team;
     tokens amount;
+    /// What the record has handed out of the team's tokens, as the giver knows;
+    /// unset if it knows nothing, or is of an earlier release.
+    std::optional<tokens> allotted;
 };
 
 /// Tokens that a node hands on unasked, since it leaves. Repeated until it is
--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -21,6 +21,8 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace fennelladder::mesh {
@@ -129,6 +131,10 @@
     std::size_t rank(std::string_view salt, bool reached, double capacity,
                      instant now) const;
 
+    /// The node that comes first in that order, unless it is this one.
+    const node_row* leader(std::string_view salt, bool reached, double capacity,
+                           instant now) const;
+
     /// Where this node stands by size; `capacity` is its own. Others that
     /// don't reach the platform ask it nothing, so they aren't compared with.
     size_place place_by_size(double capacity, instant now) const;
@@ -153,6 +159,12 @@
     const roster_options& options() const { return options_; }
 
 private:
+    /// A place in an order that all nodes agree on; the greatest comes first.
+    using place = std::tuple<bool, bool, std::uint64_t>;
+
+    std::vector<std::pair<place, const node_row*>>
+    ahead_of(std::string_view salt, bool reached, double capacity,
+             instant now) const;
     void take_mentions(const beacon& from, instant now);
     double phase_of(const host_id& other) const;
 
--- a/include/fennelladder/prepaid/stock_plan.hpp
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -1,7 +1,7 @@
 // How many tokens of a team a node should take out of the platform's record.
 //
-//     const auto writers = writers_of(nodes, options);
-//     const auto few = stockists_of(team, writers, options);
+//     const auto holders = holders_of(nodes, options);
+//     const auto few = stockists_of(team, holders, options);
 //     wish = stock_wish(state, options);
 //
 // A few nodes of the fleet, the team's stockists, take tokens out for all
@@ -34,9 +34,9 @@
     /// Nodes that take out tokens of one team. Three, so that one of them
     /// may die and another be cut off.
     std::size_t stockists = 3;
-    /// Nodes that are stockists of any team. With more, writers of the one
+    /// Nodes that are stockists of any team. With more, holders of the one
     /// record get into each other's way: 60 made 170 calls a second.
-    std::size_t writers = 8;
+    std::size_t holders = 8;
     /// Spending that the fleet's stock covers. The platform is away for some
     /// seconds at a time; what is stocked is lost if all nodes die at once.
     /// With 8 s the days with trouble of three fleets of 8 nodes are worth
@@ -77,7 +77,7 @@
     /// next one, at many nodes, and hence no stock.
     tokens stocked;
     double fleet_spending = 0; ///< Tokens a second, all nodes together.
-    tokens waited_for;         ///< Missing for a request that waits here.
+    tokens waited_for; ///< Missing for requests that wait, or for other nodes.
     std::size_t stockists = 1; ///< That are alive.
     bool stockist = false;     ///< Whether this node is one.
 };
@@ -87,12 +87,12 @@
 
 /// Those of `nodes` that may be stockists: a few of highest rank by rendezvous
 /// hashing, so nodes that know the same fleet agree.
-std::vector<host_id> writers_of(const std::vector<host_id>& nodes,
+std::vector<host_id> holders_of(const std::vector<host_id>& nodes,
                                 const stock_options& options);
 
-/// The team's stockists among the writers, ranked in the same way.
+/// The team's stockists among the holders, ranked in the same way.
 std::vector<host_id> stockists_of(const team_id& team,
-                                  const std::vector<host_id>& writers,
+                                  const std::vector<host_id>& holders,
                                   const stock_options& options);
 
 } // namespace fennelladder::prepaid
--- a/libs/edge/allotment_writer.cpp
+++ b/libs/edge/allotment_writer.cpp
@@ -90,8 +90,8 @@
         adapter::encode_object(record_name, catalog::revision(),
                                prepaid::to_json(prepaid::allotment_record()));
     const auto got = co_await client_.call(
-        http::verb::post, adapter::create_target(object_kind::prepaid), body,
-        call_limit);
+        call_name::write_allotments, http::verb::post,
+        adapter::create_target(object_kind::prepaid), body, call_limit);
     // Another node may have been first; both ways it's there to be read.
     const bool there = got.outcome == call_outcome::done ||
                        got.outcome == call_outcome::conflict;
@@ -105,7 +105,7 @@
 awaitable<bool> allotment_writer::read_record()
 {
     const auto got = co_await client_.call(
-        http::verb::get,
+        call_name::read_allotments, http::verb::get,
         adapter::object_target(object_kind::prepaid, record_name,
                                adapter::freshness::newest),
         "", call_limit);
@@ -135,7 +135,7 @@
     const auto body = adapter::encode_object(
         record_name, wanted.expected, prepaid::to_json(wanted.draft.record));
     const auto got = co_await client_.call(
-        http::verb::put,
+        call_name::write_allotments, http::verb::put,
         adapter::object_target(object_kind::prepaid, record_name,
                                adapter::freshness::newest),
         body, call_limit);
--- a/libs/edge/decision_options.cpp
+++ b/libs/edge/decision_options.cpp
@@ -72,7 +72,7 @@
     using request = request_options;
     static const std::vector<decision> all{
         of("stock.stockists", &options::stock, &stock::stockists),
-        of("stock.writers", &options::stock, &stock::writers),
+        of("stock.holders", &options::stock, &stock::holders),
         of("stock.horizon", &options::stock, &stock::horizon),
         of("stock.first-share", &options::stock, &stock::first_share),
         of("stock.most-of-unspent", &options::stock, &stock::most_of_unspent),
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -17,6 +17,9 @@
 
 constexpr duration log_period = milliseconds(100);
 constexpr duration upkeep_period = seconds(1);
+
+/// Between two lines that sum up calls and traffic: 0.2 lines a second.
+constexpr duration summary_period = seconds(10);
 constexpr duration drain_check = milliseconds(20);
 constexpr duration hand_over_limit = milliseconds(500);
 
@@ -185,6 +188,7 @@
 {
     asio::steady_timer timer(io_);
     instant next_upkeep;
+    instant next_summary = tables_.now() + summary_period;
     for (;;) {
         const instant now = tables_.now();
         log_.flush(now);
@@ -193,6 +197,11 @@
             tables_.pool.drop_old(now);
             reload_settings();
         }
+        if (now >= next_summary) {
+            next_summary = now + summary_period;
+            client_.log_calls();
+            mesh_.log_traffic();
+        }
         co_await sleep_on(timer, log_period);
     }
 }
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -35,11 +35,20 @@
 /// that it stays in one packet. More at once are fetched.
 constexpr std::size_t news_limit = 8;
 
-template <class List>
-void shorten(List& list, std::size_t limit)
+/// IPv4 and UDP headers, which a link carries as well.
+constexpr std::size_t datagram_head = 28;
+
+/// Keeps the rows with the most of `member`. Cut off by name, as they come, it
+/// would be the same teams each time of whose stock no other node ever hears,
+/// and the same targets that look idle to all.
+template <class List, class Member>
+void keep_largest(List& list, std::size_t limit, Member member)
 {
-    if (list.size() > limit)
-        list.resize(limit);
+    if (list.size() <= limit)
+        return;
+    const auto end = list.begin() + static_cast<std::ptrdiff_t>(limit);
+    std::ranges::nth_element(list, end, std::greater<>(), member);
+    list.erase(end, list.end());
 }
 
 /// What changes all the time anyway comes with the next regular beacon; without
@@ -100,13 +109,14 @@
 
 void mesh_node::send(const std::string& address, const mesh::datagram& message)
 {
-    send_to_all({address}, message);
+    send_to_all({address}, message, traffic::tokens);
 }
 
 void mesh_node::send_to_all(const std::vector<std::string>& addresses,
-                            const mesh::datagram& message)
+                            const mesh::datagram& message, traffic kind)
 {
     const std::string bytes = mesh::encode(message);
+    traffic_count& count = traffic_[static_cast<std::size_t>(kind)];
     for (const std::string& address : addresses) {
         const auto endpoint = parse_endpoint(address);
         if (!endpoint)
@@ -117,6 +127,8 @@
                         ec);
         // A datagram that can't be sent is lost like any other.
         (ec ? failed_ : sent_).add();
+        ++count.datagrams;
+        count.bytes += bytes.size() + datagram_head;
     }
 }
 
@@ -141,10 +153,10 @@
     out.targets_age = tables_.targets_freshness.age(tables_.now());
     out.heard = tables_.nodes.heard_lately(tables_.now());
     out.load = tables_.book.own_load();
-    shorten(out.load, load_limit);
+    keep_largest(out.load, load_limit, &dispatch::target_load::running);
     if (desk_ != nullptr)
         out.stock = desk_->own_stock();
-    shorten(out.stock, stock_limit);
+    keep_largest(out.stock, stock_limit, &mesh::token_stock::free);
     out.poison =
         tables_.poison.recent(poison_span, poison_limit, tables_.now());
     return out;
@@ -158,7 +170,7 @@
     message.hello = own_beacon();
     message.hello->introduced =
         nodes.introductions(nodes.options().introductions, tables_.now());
-    send(address, message);
+    send_to_all({address}, message, traffic::greetings);
 }
 
 void mesh_node::send_beacon(const std::vector<std::string>& addresses)
@@ -170,7 +182,7 @@
     message.hello = own_beacon();
     message.hello->introduced =
         nodes.introductions(nodes.options().introductions_each, tables_.now());
-    send_to_all(addresses, message);
+    send_to_all(addresses, message, traffic::beacons);
 }
 
 /// A beacon with the latest changes of targets: a target's leaving is known
@@ -185,7 +197,7 @@
         message.hello->target_news = tables_.targets.latest_news(news_limit);
     if (!tables_.leaving)
         make_brief(*message.hello);
-    send_to_all(addresses, message);
+    send_to_all(addresses, message, traffic::news);
 }
 
 /// Whether a peer's beacon shows that it missed what this node knows: it was
@@ -223,6 +235,20 @@
     });
 }
 
+void mesh_node::log_traffic()
+{
+    const auto text = [this](traffic kind) {
+        const traffic_count& it = traffic_[static_cast<std::size_t>(kind)];
+        return std::to_string(it.datagrams) + "/" + std::to_string(it.bytes);
+    };
+    telemetry::log_event(event::mesh_sent,
+                         {{"beacons", text(traffic::beacons)},
+                          {"news", text(traffic::news)},
+                          {"greetings", text(traffic::greetings)},
+                          {"tokens", text(traffic::tokens)}});
+    traffic_ = {};
+}
+
 /// Peers stop naming a late node to callers, and name it again afterwards, as
 /// soon as they hear.
 void mesh_node::note_lateness()
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -138,6 +138,12 @@
     return true;
 }
 
+duration node_tables::stock_word_lasts() const
+{
+    constexpr int beacons = 5;
+    return nodes.period() * beacons;
+}
+
 catalog::configuration_version node_tables::version() const
 {
     return config ? config->version() : catalog::configuration_version();
--- a/libs/edge/platform_client.cpp
+++ b/libs/edge/platform_client.cpp
@@ -1,5 +1,7 @@
 #include "fennelladder/edge/platform_client.hpp"
 
+#include "fennelladder/telemetry/log.hpp"
+
 #include <algorithm>
 
 namespace fennelladder::edge {
@@ -44,10 +46,10 @@
     }
 }
 
-const char* metric_outcome(call_outcome value)
-{
-    return to_string(value).data();
-}
+constexpr std::array<std::string_view, call_names> names{
+    "list_configuration", "watch_configuration", "list_targets",
+    "watch_targets",      "list_nodes",          "register_node",
+    "read_allotments",    "write_allotments"};
 
 } // namespace
 
@@ -70,6 +72,11 @@
     return "unknown";
 }
 
+std::string_view to_string(call_name value)
+{
+    return names[static_cast<std::size_t>(value)];
+}
+
 platform_client::platform_client(node_tables& tables) : tables_(tables)
 {}
 
@@ -158,10 +165,45 @@
     co_return out;
 }
 
-awaitable<platform_reply> platform_client::call(http::verb method,
-                                                std::string target,
-                                                std::string body,
-                                                duration limit)
+void platform_client::count(call_name name, const platform_reply& reply)
+{
+    ++made_[static_cast<std::size_t>(name)];
+    conflicts_ += reply.outcome == call_outcome::conflict ? 1 : 0;
+    unanswered_ += reply.reached() ? 0 : 1;
+    tables_.metrics
+        .counter_of("fennelladder_platform_calls_total",
+                    {{"call", std::string(to_string(name))},
+                     {"outcome", std::string(to_string(reply.outcome))}})
+        .add();
+}
+
+void platform_client::log_calls()
+{
+    const auto made = [this](call_name name) {
+        return std::to_string(made_[static_cast<std::size_t>(name)]);
+    };
+    if (std::ranges::all_of(made_, [](std::uint32_t n) { return n == 0; }))
+        return;
+    telemetry::log_event(
+        telemetry::event::platform_calls,
+        {{"list_configuration", made(call_name::list_configuration)},
+         {"watch_configuration", made(call_name::watch_configuration)},
+         {"list_targets", made(call_name::list_targets)},
+         {"watch_targets", made(call_name::watch_targets)},
+         {"list_nodes", made(call_name::list_nodes)},
+         {"register_node", made(call_name::register_node)},
+         {"read_allotments", made(call_name::read_allotments)},
+         {"write_allotments", made(call_name::write_allotments)},
+         {"conflicts", std::to_string(conflicts_)},
+         {"unanswered", std::to_string(unanswered_)}});
+    made_ = {};
+    conflicts_ = 0;
+    unanswered_ = 0;
+}
+
+awaitable<platform_reply>
+platform_client::call(call_name name, http::verb method, std::string target,
+                      std::string body, duration limit)
 {
     connection_ptr with;
     while (!with && !idle_.empty()) {
@@ -175,10 +217,7 @@
         co_await exchange_on(with, method, target, body, limit);
     if (with->silent)
         drop_kept();
-    tables_.metrics
-        .counter_of("fennelladder_platform_calls_total",
-                    {{"outcome", metric_outcome(out.outcome)}})
-        .add();
+    count(name, out);
     co_return out;
 }
 
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -85,9 +85,10 @@
 
 /// A watch that isn't answered says little of the platform: the connection may
 /// be what is broken. The listing that follows it says more.
-void platform_feed::note(const platform_reply& reply, const char* what,
+void platform_feed::note(const platform_reply& reply, call_name name,
                          call_kind kind)
 {
+    const std::string what(to_string(name));
     if (reply.reached() || kind == call_kind::listing)
         tables_.note_contact(reply.reached(), what);
     if (!reply.reached())
@@ -98,19 +99,21 @@
 
 template <class Answer>
 awaitable<std::optional<platform_feed::dated<Answer>>>
-platform_feed::fetch(const char* what, call_kind kind, std::string target,
+platform_feed::fetch(call_name name, call_kind kind, std::string target,
                      result<Answer> (*decode)(const std::string&))
 {
     const duration limit = kind == call_kind::watch
                                ? limits_.watch_wait + silence_after_wait
                                : list_limit;
-    const auto got = co_await client_.call(http::verb::get, target, "", limit);
-    note(got, what, kind);
+    const auto got =
+        co_await client_.call(name, http::verb::get, target, "", limit);
+    note(got, name, kind);
     if (got.outcome != call_outcome::done)
         co_return std::nullopt;
     auto read = decode(got.body);
     if (!read) {
-        tables_.unreadable.note(unreadable_kind::answer, what,
+        tables_.unreadable.note(unreadable_kind::answer,
+                                std::string(to_string(name)),
                                 catalog::revision(), read.error());
         co_return std::nullopt;
     }
@@ -348,8 +351,9 @@
 {
     std::string target =
         adapter::list_target(object_kind::configuration, freshness::newest, "");
-    const auto page = co_await fetch("list configuration", call_kind::listing,
-                                     target, adapter::decode_page);
+    const auto page =
+        co_await fetch(call_name::list_configuration, call_kind::listing,
+                       target, adapter::decode_page);
     if (!page)
         co_return false;
     for (const adapter::stored_object& it : page->value.objects)
@@ -364,8 +368,9 @@
 {
     std::string target = adapter::watch_target(
         object_kind::configuration, configuration_as_of_, limits_.watch_wait);
-    const auto news = co_await fetch("watch configuration", call_kind::watch,
-                                     target, adapter::decode_watch);
+    const auto news =
+        co_await fetch(call_name::watch_configuration, call_kind::watch, target,
+                       adapter::decode_watch);
     if (!news)
         co_return false;
     for (const adapter::object_event& it : news->value.events)
@@ -466,8 +471,9 @@
         const std::string before = after;
         std::string target = adapter::list_target(object_kind::targets,
                                                   freshness::newest, after);
-        const auto page = co_await fetch("list targets", call_kind::listing,
-                                         target, adapter::decode_page);
+        const auto page =
+            co_await fetch(call_name::list_targets, call_kind::listing, target,
+                           adapter::decode_page);
         if (!page)
             co_return false;
         for (const adapter::stored_object& it : page->value.objects) {
@@ -503,8 +509,8 @@
 {
     std::string target = adapter::watch_target(
         object_kind::targets, tables_.targets.as_of(), limits_.watch_wait);
-    const auto news = co_await fetch("watch targets", call_kind::watch, target,
-                                     adapter::decode_watch);
+    const auto news = co_await fetch(call_name::watch_targets, call_kind::watch,
+                                     target, adapter::decode_watch);
     if (!news)
         co_return false;
     const auto changes = changes_of(news->value);
@@ -559,8 +565,9 @@
     for (bool more = true; more;) {
         std::string target = adapter::list_target(
             object_kind::nodes, freshness::maybe_stale, after);
-        const auto page = co_await fetch("list nodes", call_kind::listing,
-                                         target, adapter::decode_page);
+        const auto page =
+            co_await fetch(call_name::list_nodes, call_kind::listing, target,
+                           adapter::decode_page);
         if (!page)
             co_return false;
         const std::string before = after;
@@ -588,15 +595,17 @@
         std::string body =
             adapter::encode_object(name, catalog::revision(), content);
         auto got =
-            co_await client_.call(http::verb::post, target, body, list_limit);
+            co_await client_.call(call_name::register_node, http::verb::post,
+                                  target, body, list_limit);
         if (got.outcome == call_outcome::conflict) {
             const auto there = adapter::decode_object(got.body);
             if (there && there->content && *there->content == content)
                 break;
             target = adapter::object_target(object_kind::nodes, name,
                                             freshness::newest);
-            got = co_await client_.call(http::verb::put, target, body,
-                                        list_limit);
+            got =
+                co_await client_.call(call_name::register_node, http::verb::put,
+                                      target, body, list_limit);
         }
         if (got.outcome == call_outcome::done)
             break;
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -7,6 +7,7 @@
 #include "fennelladder/telemetry/log.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace fennelladder::edge {
 
@@ -15,20 +16,6 @@
 using telemetry::log_event;
 namespace event = telemetry::event;
 
-/// Between two looks at the stock.
-constexpr duration stock_period = milliseconds(250);
-
-/// Retry after a failed call, doubled up to the longest.
-constexpr duration first_pause = milliseconds(200);
-constexpr duration longest_pause = seconds(2);
-
-/// Failures in a row that still lengthen the pause.
-constexpr int most_failures = 8;
-
-/// A record without anything left is read again after this long: others may
-/// have been more modest than was thought, and a top-up shows by itself.
-constexpr duration empty_record_age = seconds(5);
-
 /// A peer in the fleet answers in a few milliseconds; then the next is asked.
 constexpr duration peer_patience = milliseconds(15);
 
@@ -38,24 +25,58 @@
 /// Numbers of transfers are remembered for longer than any datagram lives.
 constexpr duration transfer_memory = seconds(30);
 
-/// What a peer said of its stock counts for this many periods of beacons.
-constexpr int stock_periods = 5;
+/// The writer answers a request's question within two writes, and one for
+/// stock after its next regular write, unless it is dead or cut off.
+constexpr duration writer_patience = milliseconds(500);
+constexpr duration writer_stock_patience = milliseconds(2500);
 
 constexpr duration gift_repeat = milliseconds(60);
 
 } // namespace
 
+/// Counts a request as waiting for as long as it lives.
+class token_desk::waiting_request
+{
+public:
+    waiting_request(std::map<team_id, int>& counts, const team_id& team)
+        : counts_(counts), team_(team)
+    {
+        ++counts_[team_];
+    }
+
+    waiting_request(const waiting_request&) = delete;
+    waiting_request& operator=(const waiting_request&) = delete;
+
+    ~waiting_request()
+    {
+        if (--counts_[team_] == 0)
+            counts_.erase(team_);
+    }
+
+private:
+    std::map<team_id, int>& counts_;
+    team_id team_;
+};
+
 token_desk::token_desk(node_tables& tables, platform_client& client,
                        sender send)
     : tables_(tables), send_(std::move(send)),
-      writer_(tables, client,
-              [this](const prepaid::token_amounts& granted) { take(granted); }),
-      wake_refill_(tables.io)
+      keeper_(
+          tables, client, peers_,
+          {.credited = [this] { answer_pending(instant()); },
+           .round_over =
+               [this](instant begun) {
+                   answer_pending(begun);
+                   note_silent_writer();
+                   forget_old();
+               },
+           .ask = [this](const host_id& writer, const team_id& team,
+                         tokens amount) { ask(writer, team, amount, true); }})
 {}
 
 void token_desk::start()
 {
-    spawn(tables_.io, keep_stock());
+    keeper_.start();
 }
 
 void token_desk::changed()
@@ -84,70 +105,68 @@
     const auto* payer = tables_.config->find_team(team);
     if (payer == nullptr || !payer->prepaid || *payer->prepaid < amount)
         co_return shortage::never_covered;
+    const waiting_request here(waiting_by_team_, team);
     std::set<host_id> tried;
-    bool waited = false;
+    std::optional<record_question> asked;
     while (!tables_.purse.reserve(team, amount, tables_.now())) {
         if (tables_.now() >= until)
             co_return shortage_of(team);
-        const tokens missing = amount - tables_.purse.free_of(team);
         const auto peer = best_peer(team, tried);
+        const tokens missing = missing_of(team, amount);
         duration pause = peer_patience;
         if (peer) {
             tried.insert(*peer);
-            ask(*peer, team, missing);
-        } else if (waited) {
-            co_return shortage_of(team);
-        } else {
-            // Everybody was asked once. The stockists take more out of the
-            // record now, if there is any; then they are asked once more.
-            waited = true;
+            ask(*peer, team, missing, false);
+        } else if (asked && !is_over(*asked)) {
+            pause = until - tables_.now();
+        } else if (!asked || keeper_.left_of(team) >= missing) {
+            // What others have by then is asked for once more.
             tried.clear();
+            asked = ask_for_more(team, missing);
             pause = record_patience;
-            if (takes_out(team, writers()))
-                want(team, missing);
+        } else {
+            co_return shortage_of(team);
         }
         co_await wait_for_change(std::min(tables_.now() + pause, until));
     }
     co_return shortage::none;
 }
 
-shortage token_desk::shortage_of(const team_id& team) const
-{
-    const auto& record = writer_.record();
-    const bool coming =
-        tables_.contact.reached && record &&
-        prepaid::left_of(*record, writer_.prepaid_totals(), team) > tokens(0);
-    return coming ? shortage::short_for_a_moment : shortage::short_for_long;
-}
-
-/// Has the record asked for what a waiting request misses.
-void token_desk::want(const team_id& team, tokens missing)
+/// What to ask others for. Where several requests of the team wait, each would
+/// count the same free tokens as its own, and together they would ask for too
+/// little.
+tokens token_desk::missing_of(const team_id& team, tokens amount) const
 {
-    tokens& wanted = wanted_[team];
-    wanted = std::max(wanted, missing);
-    wake_refill_.cancel();
+    const auto waiting = waiting_by_team_.find(team);
+    const bool alone =
+        waiting == waiting_by_team_.end() || waiting->second <= 1;
+    return alone ? amount - tables_.purse.free_of(team) : amount;
 }
 
-std::vector<host_id> token_desk::writers() const
+/// Has tokens taken out of the record, here or where it is written.
+token_desk::record_question token_desk::ask_for_more(const team_id& team,
+                                                     tokens missing)
 {
-    return prepaid::writers_of(tables_.nodes.members(tables_.now()),
-                               tables_.options.stock);
+    const mesh::node_row* writer = keeper_.writer_elsewhere();
+    if (writer == nullptr)
+        return {.round = keeper_.want(team, missing, false)};
+    if (!tables_.options.lends_tokens)
+        return {};
+    return {.number = ask(writer->last.host, team, missing, false)};
 }
 
-std::vector<host_id>
-token_desk::stockists(const team_id& team,
-                      const std::vector<host_id>& writers) const
+bool token_desk::is_over(const record_question& question) const
 {
-    return prepaid::stockists_of(team, writers, tables_.options.stock);
+    if (question.number)
+        return !asked_.contains(*question.number);
+    return !question.round || keeper_.is_over(*question.round);
 }
 
-/// Whether this node takes the team's tokens out of the record: as one of its
-/// stockists, which it is too when it hears nobody else.
-bool token_desk::takes_out(const team_id& team,
-                           const std::vector<host_id>& writers) const
+shortage token_desk::shortage_of(const team_id& team) const
 {
-    const auto few = stockists(team, writers);
-    return std::ranges::find(few, tables_.settings.host) != few.end();
+    const bool coming =
+        keeper_.reaches_platform() && keeper_.left_of(team) > tokens(0);
+    return coming ? shortage::short_for_a_moment : shortage::short_for_long;
 }
 
 void token_desk::settle(const team_id& team, tokens reserved, tokens used)
@@ -159,52 +178,43 @@
 
 // Transfers between nodes.
 
-bool token_desk::is_fresh(const peer_stock& peer) const
-{
-    return tables_.now() - peer.heard < tables_.nodes.period() * stock_periods;
-}
-
 std::optional<host_id>
 token_desk::best_peer(const team_id& team, const std::set<host_id>& tried) const
 {
     if (!tables_.options.lends_tokens)
         return std::nullopt;
-    std::optional<host_id> best;
-    tokens most(0);
-    for (const auto& [host, peer] : peers_) {
-        const auto it = peer.stock.find(team);
-        if (it == peer.stock.end() || tried.contains(host) || !is_fresh(peer))
-            continue;
-        if (it->second.free > most) {
-            best = host;
-            most = it->second.free;
-        }
-    }
-    if (best)
+    const instant since = tables_.now() - tables_.stock_word_lasts();
+    if (auto best = peers_.richest(team, tried, since))
         return best;
     // Nobody is known to have any: a stockist may have got some since.
-    for (const host_id& it : stockists(team, writers()))
-        if (!tried.contains(it) && peers_.contains(it))
+    for (const host_id& it : keeper_.stockists(team))
+        if (!tried.contains(it) && tables_.nodes.rows().contains(it))
             return it;
     return std::nullopt;
 }
 
-void token_desk::ask(const host_id& peer, const team_id& team, tokens amount)
+std::string token_desk::address_of(const host_id& host) const
+{
+    const auto it = tables_.nodes.rows().find(host);
+    return it == tables_.nodes.rows().end() ? std::string()
+                                            : it->second.last.peer_address;
+}
+
+mesh::transfer_number token_desk::ask(const host_id& peer, const team_id& team,
+                                      tokens amount, bool patient)
 {
     last_number_ = last_number_.next();
-    asked_[last_number_] = {team, peer, tables_.now()};
-    auto& known = peers_[peer];
+    asked_[last_number_] = {team, peer, tables_.now(), patient};
+    peers_.deduct(peer, team, amount);
     mesh::datagram message;
-    message.ask = {tables_.life, last_number_, team, amount};
-    // Until its next word, what was asked for counts as gone.
-    tokens& free = known.stock[team].free;
-    free = std::max(free - amount, tokens(0));
-    send_(known.address, message);
+    message.ask = {tables_.life, last_number_, team, amount, patient};
+    send_(address_of(peer), message);
+    return last_number_;
 }
 
 void token_desk::on_ask(const mesh::token_ask& ask, const std::string& from)
 {
-    const auto key = std::make_pair(ask.life, ask.number);
+    const transfer_key key{ask.life, ask.number};
     const auto known = answered_.find(key);
     if (known != answered_.end()) {
         mesh::datagram again;
@@ -212,17 +222,66 @@
         send_(from, again);
         return;
     }
-    const tokens given = tables_.purse.debit(ask.team, ask.wanted);
-    if (given < ask.wanted && takes_out(ask.team, writers()))
-        want(ask.team, ask.wanted - given);
-    give(ask, from, given);
+    const bool waits =
+        std::ranges::any_of(pending_, [&](const pending_ask& it) {
+            return it.ask.life == ask.life && it.ask.number == ask.number;
+        });
+    if (waits)
+        return;
+    const tokens free = tables_.purse.free_of(ask.team);
+    if (free < ask.wanted && keeper_.may_take_out(ask.team)) {
+        pending_.push_back({ask, from, tables_.now()});
+        keeper_.want(ask.team, ask.wanted - free, ask.patient);
+        return;
+    }
+    give(ask, from, tables_.purse.debit(ask.team, ask.wanted));
+    if (free < ask.wanted)
+        keeper_.look_soon();
+}
+
+/// Answers those that wait and can have all they want now, and those that wait
+/// since before `begun` with what there is.
+void token_desk::answer_pending(instant begun)
+{
+    std::vector<pending_ask> left;
+    for (pending_ask& it : std::exchange(pending_, {})) {
+        const tokens free = tables_.purse.free_of(it.ask.team);
+        if (free >= it.ask.wanted || it.at <= begun)
+            give(it.ask, it.from,
+                 tables_.purse.debit(it.ask.team, it.ask.wanted));
+        else
+            left.push_back(std::move(it));
+    }
+    pending_ = std::move(left);
+    changed();
+}
+
+/// A writer that doesn't answer is dead, or cut off from here, and others may
+/// need longer to notice.
+void token_desk::note_silent_writer()
+{
+    const mesh::node_row* writer = keeper_.writer_elsewhere();
+    if (writer == nullptr)
+        return;
+    const instant now = tables_.now();
+    const instant heard = answered_by_[writer->last.host];
+    const bool silent = std::ranges::any_of(asked_, [&](const auto& it) {
+        const asked& what = it.second;
+        const duration patience =
+            what.patient ? writer_stock_patience : writer_patience;
+        return what.peer == writer->last.host && what.at > heard &&
+               now - what.at > patience;
+    });
+    if (silent)
+        keeper_.writer_is_silent();
 }
 
 void token_desk::give(const mesh::token_ask& ask, const std::string& from,
                       tokens amount)
 {
     mesh::datagram message;
-    message.give = {ask.life, ask.number, ask.team, amount};
+    message.give = {ask.life, ask.number, ask.team, amount,
+                    keeper_.allotted_of(ask.team)};
     answered_[{ask.life, ask.number}] = {*message.give, tables_.now()};
     send_(from, message);
     if (amount > tokens(0))
@@ -241,7 +300,10 @@
                       it->second.team == give.team;
     if (!ours)
         return;
+    answered_by_[it->second.peer] = tables_.now();
     asked_.erase(it);
+    if (give.allotted)
+        keeper_.learn_allotted(give.team, *give.allotted);
     tables_.purse.credit(give.team, give.amount);
     changed();
 }
@@ -270,14 +332,7 @@
 
 void token_desk::on_stock(const mesh::beacon& from)
 {
-    peer_stock& it = peers_[from.host];
-    it.address = from.peer_address;
-    it.heard = tables_.now();
-    it.stock.clear();
-    if (from.state == mesh::node_state::leaving)
-        return;
-    for (const mesh::token_stock& stock : from.stock)
-        it.stock[stock.team] = stock;
+    peers_.hear(from, tables_.now());
 }
 
 std::vector<mesh::token_stock> token_desk::own_stock() const
@@ -293,36 +348,36 @@
     return out;
 }
 
+/// One taker a gift: two could both credit it.
+awaitable<void> token_desk::repeat_gift(mesh::token_gift gift, std::string to,
+                                        instant until)
+{
+    asio::steady_timer timer(tables_.io);
+    while (gifts_.contains(gift.number) && tables_.now() < until) {
+        mesh::datagram message;
+        message.gift = gift;
+        send_(to, message);
+        co_await sleep_on(timer, gift_repeat);
+    }
+}
+
 awaitable<void> token_desk::hand_over(duration limit)
 {
     const instant until = tables_.now() + limit;
-    const auto all = writers();
     for (const mesh::token_stock& it : own_stock()) {
         if (it.free == tokens(0))
             continue;
-        std::vector<std::string> takers;
-        for (const host_id& host : stockists(it.team, all))
-            if (host != tables_.settings.host && peers_.contains(host))
-                takers.push_back(peers_[host].address);
-        if (takers.empty())
+        std::string taker;
+        for (const host_id& host : keeper_.stockists(it.team))
+            if (taker.empty() && host != tables_.settings.host)
+                taker = address_of(host);
+        if (taker.empty())
             continue;
         last_number_ = last_number_.next();
-        mesh::token_gift gift{tables_.life, last_number_, it.team,
-                              tables_.purse.debit_all(it.team)};
+        const mesh::token_gift gift{tables_.life, last_number_, it.team,
+                                    tables_.purse.debit_all(it.team)};
         gifts_[last_number_] = gift;
-        // One taker a gift: two could both credit it.
-        spawn(tables_.io,
-              [](token_desk& desk, mesh::token_gift what, std::string to,
-                 instant end) -> awaitable<void> {
-                  asio::steady_timer timer(desk.tables_.io);
-                  while (desk.gifts_.contains(what.number) &&
-                         desk.tables_.now() < end) {
-                      mesh::datagram message;
-                      message.gift = what;
-                      desk.send_(to, message);
-                      co_await sleep_on(timer, gift_repeat);
-                  }
-              }(*this, gift, takers.front(), until));
+        spawn(tables_.io, repeat_gift(gift, taker, until));
     }
     asio::steady_timer timer(tables_.io);
     while (!gifts_.empty() && tables_.now() < until)
@@ -347,111 +402,4 @@
     });
 }
 
-// The platform's record.
-
-prepaid::stock_state
-token_desk::state_of(const team_id& team, tokens total,
-                     const std::vector<host_id>& writers) const
-{
-    prepaid::stock_state out;
-    out.prepaid = total;
-    const auto few = stockists(team, writers);
-    out.stockists = few.size();
-    out.stockist = std::ranges::find(few, tables_.settings.host) != few.end();
-    out.fleet_free = tables_.purse.free_of(team);
-    if (out.stockist)
-        out.stocked = out.fleet_free;
-    out.fleet_spending = tables_.purse.spending(team, tables_.now());
-    for (const auto& [host, peer] : peers_) {
-        const auto it = peer.stock.find(team);
-        if (it == peer.stock.end() || !is_fresh(peer))
-            continue;
-        out.fleet_free += it->second.free;
-        if (std::ranges::find(few, host) != few.end())
-            out.stocked += it->second.free;
-        out.fleet_spending +=
-            static_cast<double>(it->second.spent_per_second.count());
-    }
-    const auto wanted = wanted_.find(team);
-    if (wanted != wanted_.end())
-        out.waited_for = wanted->second;
-    return out;
-}
-
-prepaid::token_amounts token_desk::wishes() const
-{
-    prepaid::token_amounts out;
-    const auto totals = writer_.prepaid_totals();
-    const auto all = writers();
-    for (const auto& [team, total] : totals) {
-        prepaid::stock_state state = state_of(team, total, all);
-        state.left = prepaid::left_of(*writer_.record(), totals, team);
-        const tokens wish = prepaid::stock_wish(state, tables_.options.stock);
-        if (wish > tokens(0))
-            out[team] = wish;
-    }
-    return out;
-}
-
-void token_desk::take(const prepaid::token_amounts& granted)
-{
-    for (const auto& [team, amount] : granted) {
-        tables_.purse.credit(team, amount);
-        wanted_.erase(team);
-    }
-    changed();
-}
-
-/// One look at the stock. False when a call to the platform failed.
-awaitable<bool> token_desk::tend_stock()
-{
-    const auto all = writers();
-    const bool writer = std::ranges::any_of(
-        tables_.config->parts().teams,
-        [&](const catalog::team& it) { return takes_out(it.id, all); });
-    if (!writer && !writer_.in_doubt())
-        co_return true;
-    // A record without anything left may have become better than it looks.
-    const duration most_age =
-        wanted_.empty() ? duration::max() : empty_record_age;
-    const bool known = co_await writer_.renew(most_age);
-    if (!known)
-        co_return false;
-    const bool urgent = !wanted_.empty();
-    const prepaid::stock_options& options = tables_.options.stock;
-    const duration rested = tables_.now() - last_write_;
-    if (!urgent && rested < options.write_pause)
-        co_return true;
-    if (rested < options.urgent_pause) {
-        // What others come to want meanwhile goes into the same write.
-        asio::steady_timer timer(tables_.io);
-        co_await sleep_on(timer, options.urgent_pause - rested);
-    }
-    const auto amounts = wishes();
-    wanted_.clear();
-    if (amounts.empty())
-        co_return true;
-    const bool written = co_await writer_.take_out(amounts);
-    last_write_ = tables_.now();
-    co_return written;
-}
-
-awaitable<void> token_desk::keep_stock()
-{
-    instant not_before;
-    for (;;) {
-        co_await sleep_on(wake_refill_, stock_period);
-        forget_old();
-        const bool idle = tables_.config == nullptr || tables_.leaving ||
-                          tables_.now() < not_before;
-        if (idle)
-            continue;
-        const bool fine = co_await tend_stock();
-        failures_ = fine ? 0 : std::min(failures_ + 1, most_failures);
-        if (!fine)
-            not_before = tables_.now() + backoff(tables_.random, failures_,
-                                                 first_pause, longest_pause);
-    }
-}
-
 } // namespace fennelladder::edge
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -80,6 +80,7 @@
   2: i64 number
   3: string team
   4: i64 wanted
+  5: optional bool patient
 }
 
 struct TokenGive {
@@ -87,6 +88,7 @@
   2: i64 number
   3: string team
   4: i64 amount
+  5: optional i64 allotted
 }
 
 struct TokenGift {
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -175,26 +175,45 @@
     return out;
 }
 
-std::size_t roster::rank(std::string_view salt, bool reached, double capacity,
-                         instant now) const
+/// The nodes that come before this one, with their places.
+std::vector<std::pair<roster::place, const node_row*>>
+roster::ahead_of(std::string_view salt, bool reached, double capacity,
+                 instant now) const
 {
     const auto living = alive(now);
     double largest = capacity;
     for (const node_row* it : living)
         largest = std::max(largest, it->last.capacity);
     const std::uint64_t seed = hash64(salt);
-    const auto place = [&](bool it_reaches, double its_capacity,
-                           const host_id& host) {
+    const auto place_of = [&](bool it_reaches, double its_capacity,
+                              const host_id& host) {
         const bool large = is_large(its_capacity, largest);
-        return std::make_tuple(it_reaches, large, hash64(host.str(), seed));
+        return place(it_reaches, large, hash64(host.str(), seed));
     };
-    const auto own = place(reached, capacity, self_);
-    return static_cast<std::size_t>(
-        std::ranges::count_if(living, [&](const node_row* it) {
-            return it->last.state == node_state::ready &&
-                   place(it->last.platform_reached, it->last.capacity,
-                         it->last.host) > own;
-        }));
+    const place own = place_of(reached, capacity, self_);
+    std::vector<std::pair<place, const node_row*>> out;
+    for (const node_row* it : living) {
+        const beacon& said = it->last;
+        const place its =
+            place_of(said.platform_reached, said.capacity, said.host);
+        if (said.state == node_state::ready && its > own)
+            out.emplace_back(its, it);
+    }
+    return out;
+}
+
+std::size_t roster::rank(std::string_view salt, bool reached, double capacity,
+                         instant now) const
+{
+    return ahead_of(salt, reached, capacity, now).size();
+}
+
+const node_row* roster::leader(std::string_view salt, bool reached,
+                               double capacity, instant now) const
+{
+    const auto ahead = ahead_of(salt, reached, capacity, now);
+    const auto first = std::ranges::max_element(ahead);
+    return first == ahead.end() ? nullptr : first->second;
 }
 
 size_place roster::place_by_size(double capacity, instant now) const
--- a/libs/mesh/roster_test.cpp
+++ b/libs/mesh/roster_test.cpp
@@ -150,6 +150,33 @@
         UNSIGNED_LONGS_EQUAL(i, ranks[i]);
 }
 
+TEST(roster, one_leader_is_agreed_on_and_follows_the_platform)
+{
+    constexpr int n = 6;
+    // All reach the platform but node 2, and then all but those that led.
+    std::set<int> cut{2};
+    for (int round = 0; round < 3; ++round) {
+        std::set<host_id> leaders;
+        for (int self = 0; self < n; ++self) {
+            mesh::roster it(host_id("n" + std::to_string(self)), {});
+            for (int i = 0; i < n; ++i) {
+                beacon said = from(i);
+                said.platform_reached = !cut.contains(i);
+                it.hear(said, start);
+            }
+            const bool reached = !cut.contains(self);
+            const node_row* first = it.leader("x", reached, 0, start);
+            leaders.insert(first != nullptr
+                               ? first->last.host
+                               : host_id("n" + std::to_string(self)));
+        }
+        UNSIGNED_LONGS_EQUAL(1, leaders.size());
+        const int leader = std::stoi(leaders.begin()->str().substr(1));
+        CHECK(!cut.contains(leader));
+        cut.insert(leader);
+    }
+}
+
 namespace {
 
 /// Rosters of a whole fleet in virtual time, over a network that loses one
--- /dev/null
+++ b/libs/mesh/stock_book.cpp
@@ -0,0 +1,62 @@
+#include "fennelladder/mesh/stock_book.hpp"
+
+#include <algorithm>
+
+namespace fennelladder::mesh {
+
+void stock_book::hear(const beacon& from, instant now)
+{
+    row& it = rows_[from.host];
+    it.heard = now;
+    it.stock.clear();
+    if (from.state == node_state::leaving)
+        return;
+    for (const token_stock& stock : from.stock)
+        it.stock[stock.team] = stock;
+}
+
+std::optional<host_id> stock_book::richest(const team_id& team,
+                                           const std::set<host_id>& but,
+                                           instant since) const
+{
+    std::optional<host_id> best;
+    tokens most(0);
+    for (const auto& [host, peer] : rows_) {
+        const auto it = peer.stock.find(team);
+        const bool counts = it != peer.stock.end() && peer.heard >= since &&
+                            !but.contains(host);
+        if (!counts || it->second.free <= most)
+            continue;
+        best = host;
+        most = it->second.free;
+    }
+    return best;
+}
+
+void stock_book::deduct(const host_id& host, const team_id& team, tokens amount)
+{
+    const auto peer = rows_.find(host);
+    if (peer == rows_.end())
+        return;
+    const auto it = peer->second.stock.find(team);
+    if (it != peer->second.stock.end())
+        it->second.free = std::max(it->second.free - amount, tokens(0));
+}
+
+known_stock stock_book::sum(const team_id& team, std::span<const host_id> some,
+                            instant since) const
+{
+    known_stock out;
+    for (const auto& [host, peer] : rows_) {
+        const auto it = peer.stock.find(team);
+        if (it == peer.stock.end() || peer.heard < since)
+            continue;
+        out.free += it->second.free;
+        if (std::ranges::find(some, host) != some.end())
+            out.free_of_some += it->second.free;
+        out.spent_per_second += it->second.spent_per_second;
+    }
+    return out;
+}
+
+} // namespace fennelladder::mesh
--- a/libs/prepaid/stock_plan.cpp
+++ b/libs/prepaid/stock_plan.cpp
@@ -45,7 +45,7 @@
 {
     const auto part =
         tokens(static_cast<std::int64_t>(part_of_gap(state, options)));
-    return std::clamp(std::max(part, state.waited_for), tokens(0),
+    return std::clamp(part + state.waited_for, tokens(0),
                       std::max(state.left, tokens(0)));
 }
 
@@ -66,17 +66,17 @@
 
 } // namespace
 
-std::vector<host_id> writers_of(const std::vector<host_id>& nodes,
+std::vector<host_id> holders_of(const std::vector<host_id>& nodes,
                                 const stock_options& options)
 {
-    return first_by_rank(nodes, "writers", options.writers);
+    return first_by_rank(nodes, "holders", options.holders);
 }
 
 std::vector<host_id> stockists_of(const team_id& team,
-                                  const std::vector<host_id>& writers,
+                                  const std::vector<host_id>& holders,
                                   const stock_options& options)
 {
-    return first_by_rank(writers, team.str(), options.stockists);
+    return first_by_rank(holders, team.str(), options.stockists);
 }
 
 } // namespace fennelladder::prepaid
--- a/libs/prepaid/stock_plan_test.cpp
+++ b/libs/prepaid/stock_plan_test.cpp
@@ -98,14 +98,14 @@
     for (int i = 0; i < 200; ++i) {
         const team_id team("t" + std::to_string(i));
         const auto few =
-            stockists_of(team, writers_of(nodes, options), options);
+            stockists_of(team, holders_of(nodes, options), options);
         UNSIGNED_LONGS_EQUAL(3, few.size());
-        CHECK(stockists_of(team, writers_of(reversed, options), options) ==
+        CHECK(stockists_of(team, holders_of(reversed, options), options) ==
               few);
         for (const host_id& it : few)
             ++load[it];
     }
-    UNSIGNED_LONGS_EQUAL(options.writers, load.size());
+    UNSIGNED_LONGS_EQUAL(options.holders, load.size());
     for (const auto& [host, teams] : load)
         CHECK(teams > 30 && teams < 130);
 }
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -174,6 +174,8 @@
      "The list of targets changed."},
     {event::platform_call_failed, severity::warning, "platform_call_failed",
      "A call to the platform failed; the message says how."},
+    {event::platform_calls, severity::info, "platform_calls",
+     "Calls that the node made of the platform since the last such line."},
     {event::tokens_allotted, severity::info, "tokens_allotted",
      "Tokens were taken out of the platform's record for this node to spend."},
     {event::tokens_moved, severity::info, "tokens_moved",
@@ -208,6 +210,9 @@
     {event::node_state_changed, severity::info, "node_state_changed",
      "Another node became ready or began to leave, or its configuration moved "
      "on."},
+    {event::mesh_sent, severity::info, "mesh_sent",
+     "Bytes and datagrams that the node sent to others since the last such "
+     "line."},
     {event::call_invalid, severity::info, "call_invalid",
      "A caller's request can't be read; nothing ran and nothing is charged."},
     {event::history_unreadable, severity::error, "history_unreadable",
