Keep tokens back for the urgent while none come

Cause: in a cut of all nodes from the platform a team's stock lasts for some seconds and was spent as requests came.

Change: while the platform is away or has nothing left of a team, what more urgent requests will want in 8 s is kept back, up to a quarter of the team's demand, in the purse of each node and from what peers ask for. Nodes that are short don't hand the same tokens to and fro.

losses sums calls and traffic.

--- a/include/fennelladder/edge/decision_options.hpp
+++ b/include/fennelladder/edge/decision_options.hpp
@@ -16,6 +16,7 @@
 #include "fennelladder/dispatch/target_book.hpp"
 #include "fennelladder/edge/entry_planner.hpp"
 #include "fennelladder/edge/target_connection.hpp"
+#include "fennelladder/prepaid/ration.hpp"
 #include "fennelladder/prepaid/stock_plan.hpp"
 
 #include <string>
@@ -44,6 +45,7 @@
 struct decision_options
 {
     prepaid::stock_options stock;
+    prepaid::ration_options ration;
     dispatch::target_book_options book;
     dispatch::attempt_policy_options attempts;
     dispatch::retry_window_options retries;
--- a/include/fennelladder/edge/stock_keeper.hpp
+++ b/include/fennelladder/edge/stock_keeper.hpp
@@ -88,8 +88,16 @@
     /// What the record has left of the team, as far as it is known.
     tokens left_of(const team_id& team) const;
 
-    /// Whether the platform is reached by the node that writes.
-    bool reaches_platform() const;
+    /// Whether the platform was reached at the last look by the node that
+    /// writes.
+    bool reaches_platform() const { return reached_; }
+
+    /// Whether no tokens of the team come: the platform is away, or its record
+    /// has nothing left.
+    bool is_scarce(const team_id& team) const
+    {
+        return !reached_ || left_of(team) <= tokens(0);
+    }
 
     /// The team's stockists, the first by rank first.
     std::vector<host_id> stockists(const team_id& team) const;
@@ -114,6 +122,7 @@
     std::vector<host_id> holders() const;
     bool is_stockist() const;
     bool has_urgent() const;
+    void note_reach();
 
     node_tables& tables_;
     const mesh::stock_book& peers_;
@@ -127,6 +136,7 @@
     std::map<team_id, instant> asked_at_; ///< The writer, for stock.
     instant last_write_;
     instant alone_until_;
+    bool reached_ = true;
     int failures_ = 0; ///< Failed calls in a row.
 };
 
--- a/include/fennelladder/edge/token_desk.hpp
+++ b/include/fennelladder/edge/token_desk.hpp
@@ -1,7 +1,7 @@
 // Gets a node the prepaid tokens that its requests need: from its purse, from
 // other nodes, and from the platform's record.
 //
-//     if (!co_await desk.obtain(team, worst, until))
+//     if (!co_await desk.obtain(team, worst, urgency, until))
 //         ... refuse: not run, come back ...
 //     desk.settle(team, worst, used);
 //
@@ -22,6 +22,7 @@
 #include "fennelladder/edge/node_tables.hpp"
 #include "fennelladder/edge/stock_keeper.hpp"
 #include "fennelladder/mesh/stock_book.hpp"
+#include "fennelladder/prepaid/ration.hpp"
 
 #include <functional>
 #include <map>
@@ -56,7 +57,9 @@
     void start();
 
     /// Sets aside the most a request can cost, waiting until `until` at most.
-    awaitable<shortage> obtain(const team_id& team, tokens amount,
+    /// `urgency`: 0 is the most urgent; while no tokens come, those that more
+    /// urgent requests will want are kept back.
+    awaitable<shortage> obtain(const team_id& team, tokens amount, int urgency,
                                instant until);
 
     /// The request is over and cost `used`.
@@ -110,11 +113,15 @@
     awaitable<void> wait_for_change(instant until);
     awaitable<void> repeat_gift(mesh::token_gift gift, std::string to,
                                 instant until);
-    record_question ask_for_more(const team_id& team, tokens missing);
+    record_question ask_for_more(const team_id& team, tokens missing,
+                                 int urgency);
     bool is_over(const record_question& question) const;
-    tokens missing_of(const team_id& team, tokens amount) const;
-    mesh::transfer_number ask(const host_id& peer, const team_id& team,
-                              tokens amount, bool patient);
+    bool is_hopeless(const team_id& team, tokens missing) const;
+    tokens missing_of(const team_id& team, tokens amount, int urgency) const;
+    mesh::transfer_number ask(const host_id& peer, mesh::token_ask what);
+    bool reserve(const team_id& team, tokens amount, int urgency);
+    tokens kept_back(const team_id& team, int urgency) const;
+    tokens debit(const mesh::token_ask& ask);
     void give(const mesh::token_ask& ask, const std::string& from,
               tokens amount);
     void answer_pending(instant begun);
@@ -129,6 +136,7 @@
     node_tables& tables_;
     sender send_;
     mesh::stock_book peers_;
+    prepaid::ration shares_;
     stock_keeper keeper_;
     std::vector<std::weak_ptr<asio::steady_timer>> waiting_;
     std::map<team_id, int> waiting_by_team_;
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -104,6 +104,9 @@
     transfer_number number;
     team_id team;
     tokens wanted; ///< The answer may be less.
+    /// Of the request that waits, 0 being the most urgent; also what a node of
+    /// an earlier release means. Part of a team's last tokens is for these.
+    int urgency = 0;
     /// For stock: no request waits, and a node that writes the record may
     /// answer with its next regular write.
     bool patient = false;
--- a/libs/edge/decision_options.cpp
+++ b/libs/edge/decision_options.cpp
@@ -81,6 +81,8 @@
         of("stock.write-pause", &options::stock, &stock::write_pause),
         of("stock.urgent-pause", &options::stock, &stock::urgent_pause),
         of("stock.conflict-pause", &options::stock, &stock::conflict_pause),
+        of("tokens.keep-back", &options::ration,
+           &prepaid::ration_options::span),
         of("tokens.lend", &options::lends_tokens),
         of("tokens.wait", &options::requests, &request::token_wait),
         of("tokens.come-back", &options::requests, &request::come_back),
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -85,6 +85,7 @@
     adapter::passing_on order_for(const dispatch::choice& target) const;
     duration time_left() const;
     duration whole_time() const;
+    int urgency() const;
     const service_id& pick_service();
     bool another_is_possible() const;
     bool may_send() const;
@@ -124,6 +125,13 @@
     return request_.arrived + whole_time() - tables_.now();
 }
 
+/// A team's own goes before its route's; 0 is the most urgent.
+int request_run::urgency() const
+{
+    const int out = team_ && team_->urgency ? *team_->urgency : way_->urgency;
+    return std::clamp(out, 0, least_urgent);
+}
+
 const service_id& request_run::pick_service()
 {
     double total = 0;
@@ -181,7 +189,8 @@
         std::max(part_of(way_->objective, tables_.options.requests.token_wait),
                  least_token_wait);
     const instant until = tables_.now() + wait;
-    const shortage got = co_await driver_.desk_.obtain(team_->id, worst, until);
+    const shortage got =
+        co_await driver_.desk_.obtain(team_->id, worst, urgency(), until);
     if (got == shortage::none) {
         set_aside_ = worst;
         co_return std::nullopt;
@@ -232,9 +241,7 @@
     if (team_ != nullptr)
         out.team = team_->id;
     out.time_left = std::max(time_left(), duration(0));
-    const int urgency =
-        team_ && team_->urgency ? *team_->urgency : way_->urgency;
-    out.urgency = std::clamp(urgency, 0, least_urgent);
+    out.urgency = urgency();
     out.resume_after = events_.last_id().empty() ? request_.facts.resume_after
                                                  : events_.last_id();
     return out;
--- a/libs/edge/stock_keeper.cpp
+++ b/libs/edge/stock_keeper.cpp
@@ -58,11 +58,11 @@
     look_soon();
 }
 
-bool stock_keeper::reaches_platform() const
+void stock_keeper::note_reach()
 {
     const mesh::node_row* other = writer_elsewhere();
-    return other != nullptr ? other->last.platform_reached
-                            : tables_.contact.reached;
+    reached_ = other != nullptr ? other->last.platform_reached
+                                : tables_.contact.reached;
 }
 
 std::vector<host_id> stock_keeper::holders() const
@@ -266,6 +266,7 @@
     instant not_before;
     for (;;) {
         co_await sleep_on(wake_, look_period);
+        note_reach();
         const bool idle = tables_.config == nullptr || tables_.leaving ||
                           tables_.now() < not_before;
         if (idle) {
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -22,6 +22,11 @@
 /// A write to the record takes some ten milliseconds.
 constexpr duration record_patience = milliseconds(30);
 
+/// What a request asks of the record in all: by its first question it may get
+/// less than it needs, since others wait as well. A limit, because each end of
+/// a round of writes wakes those that wait, and a question begins a round.
+constexpr int most_questions = 3;
+
 /// Numbers of transfers are remembered for longer than any datagram lives.
 constexpr duration transfer_memory = seconds(30);
 
@@ -60,18 +65,21 @@
 
 token_desk::token_desk(node_tables& tables, platform_client& client,
                        sender send)
-    : tables_(tables), send_(std::move(send)),
-      keeper_(
-          tables, client, peers_,
-          {.credited = [this] { answer_pending(instant()); },
-           .round_over =
-               [this](instant begun) {
-                   answer_pending(begun);
-                   note_silent_writer();
-                   forget_old();
-               },
-           .ask = [this](const host_id& writer, const team_id& team,
-                         tokens amount) { ask(writer, team, amount, true); }})
+    : tables_(tables), send_(std::move(send)), shares_(tables.options.ration),
+      keeper_(tables, client, peers_,
+              {.credited = [this] { answer_pending(instant()); },
+               .round_over =
+                   [this](instant begun) {
+                       answer_pending(begun);
+                       note_silent_writer();
+                       forget_old();
+                   },
+               .ask =
+                   [this](const host_id& writer, const team_id& team,
+                          tokens amount) {
+                       ask(writer,
+                           {.team = team, .wanted = amount, .patient = true});
+                   }})
 {}
 
 void token_desk::start()
@@ -100,29 +108,33 @@
 // Spending.
 
 awaitable<shortage> token_desk::obtain(const team_id& team, tokens amount,
-                                       instant until)
+                                       int urgency, instant until)
 {
     const auto* payer = tables_.config->find_team(team);
     if (payer == nullptr || !payer->prepaid || *payer->prepaid < amount)
         co_return shortage::never_covered;
+    shares_.note(team, urgency, amount, tables_.now());
     const waiting_request here(waiting_by_team_, team);
     std::set<host_id> tried;
     std::optional<record_question> asked;
-    while (!tables_.purse.reserve(team, amount, tables_.now())) {
+    int questions = 0;
+    while (!reserve(team, amount, urgency)) {
         if (tables_.now() >= until)
             co_return shortage_of(team);
         const auto peer = best_peer(team, tried);
-        const tokens missing = missing_of(team, amount);
+        const tokens missing = missing_of(team, amount, urgency);
         duration pause = peer_patience;
         if (peer) {
             tried.insert(*peer);
-            ask(*peer, team, missing, false);
+            ask(*peer, {.team = team, .wanted = missing, .urgency = urgency});
         } else if (asked && !is_over(*asked)) {
             pause = until - tables_.now();
-        } else if (!asked || keeper_.left_of(team) >= missing) {
+        } else if (questions == 0 || (questions < most_questions &&
+                                      !is_hopeless(team, missing))) {
             // What others have by then is asked for once more.
+            ++questions;
             tried.clear();
-            asked = ask_for_more(team, missing);
+            asked = ask_for_more(team, missing, urgency);
             pause = record_patience;
         } else {
             co_return shortage_of(team);
@@ -132,27 +144,56 @@
     co_return shortage::none;
 }
 
+/// While no tokens come, what is left has to last. The platform is away, or
+/// has nothing left of the team's.
+tokens token_desk::kept_back(const team_id& team, int urgency) const
+{
+    return keeper_.is_scarce(team)
+               ? shares_.kept_back(team, urgency, tables_.now())
+               : tokens(0);
+}
+
+bool token_desk::reserve(const team_id& team, tokens amount, int urgency)
+{
+    if (tables_.purse.free_of(team) - amount < kept_back(team, urgency))
+        return false;
+    return tables_.purse.reserve(team, amount, tables_.now());
+}
+
+/// Takes out of the purse what a peer may have of what it asks for.
+tokens token_desk::debit(const mesh::token_ask& ask)
+{
+    const tokens free = tables_.purse.free_of(ask.team);
+    const tokens spare = free - kept_back(ask.team, ask.urgency);
+    return tables_.purse.debit(ask.team,
+                               std::clamp(spare, tokens(0), ask.wanted));
+}
+
 /// What to ask others for. Where several requests of the team wait, each would
 /// count the same free tokens as its own, and together they would ask for too
 /// little.
-tokens token_desk::missing_of(const team_id& team, tokens amount) const
+tokens token_desk::missing_of(const team_id& team, tokens amount,
+                              int urgency) const
 {
     const auto waiting = waiting_by_team_.find(team);
     const bool alone =
         waiting == waiting_by_team_.end() || waiting->second <= 1;
-    return alone ? amount - tables_.purse.free_of(team) : amount;
+    const tokens spare = tables_.purse.free_of(team) - kept_back(team, urgency);
+    return alone ? amount - std::max(spare, tokens(0)) : amount;
 }
 
 /// Has tokens taken out of the record, here or where it is written.
-token_desk::record_question token_desk::ask_for_more(const team_id& team,
-                                                     tokens missing)
+token_desk::record_question
+token_desk::ask_for_more(const team_id& team, tokens missing, int urgency)
 {
     const mesh::node_row* writer = keeper_.writer_elsewhere();
     if (writer == nullptr)
         return {.round = keeper_.want(team, missing, false)};
     if (!tables_.options.lends_tokens)
         return {};
-    return {.number = ask(writer->last.host, team, missing, false)};
+    return {.number =
+                ask(writer->last.host,
+                    {.team = team, .wanted = missing, .urgency = urgency})};
 }
 
 bool token_desk::is_over(const record_question& question) const
@@ -162,6 +203,12 @@
     return !question.round || keeper_.is_over(*question.round);
 }
 
+/// Whether the record can't be what brings them.
+bool token_desk::is_hopeless(const team_id& team, tokens missing) const
+{
+    return !keeper_.reaches_platform() || keeper_.left_of(team) < missing;
+}
+
 shortage token_desk::shortage_of(const team_id& team) const
 {
     const bool coming =
@@ -200,14 +247,16 @@
                                             : it->second.last.peer_address;
 }
 
-mesh::transfer_number token_desk::ask(const host_id& peer, const team_id& team,
-                                      tokens amount, bool patient)
+/// Asks with the next number; `what` says the rest.
+mesh::transfer_number token_desk::ask(const host_id& peer, mesh::token_ask what)
 {
     last_number_ = last_number_.next();
-    asked_[last_number_] = {team, peer, tables_.now(), patient};
-    peers_.deduct(peer, team, amount);
+    what.life = tables_.life;
+    what.number = last_number_;
+    asked_[last_number_] = {what.team, peer, tables_.now(), what.patient};
+    peers_.deduct(peer, what.team, what.wanted);
     mesh::datagram message;
-    message.ask = {tables_.life, last_number_, team, amount, patient};
+    message.ask = std::move(what);
     send_(address_of(peer), message);
     return last_number_;
 }
@@ -228,15 +277,18 @@
         });
     if (waits)
         return;
+    if (!ask.patient)
+        shares_.note(ask.team, ask.urgency, ask.wanted, tables_.now());
     const tokens free = tables_.purse.free_of(ask.team);
     if (free < ask.wanted && keeper_.may_take_out(ask.team)) {
         pending_.push_back({ask, from, tables_.now()});
         keeper_.want(ask.team, ask.wanted - free, ask.patient);
         return;
     }
-    give(ask, from, tables_.purse.debit(ask.team, ask.wanted));
-    if (free < ask.wanted)
-        keeper_.look_soon();
+    // Two nodes that are short would hand the same tokens to and fro.
+    const bool none_to_spare = waiting_by_team_.contains(ask.team) &&
+                               keeper_.writer_elsewhere() != nullptr;
+    give(ask, from, none_to_spare ? tokens(0) : debit(ask));
 }
 
 /// Answers those that wait and can have all they want now, and those that wait
@@ -247,8 +299,7 @@
     for (pending_ask& it : std::exchange(pending_, {})) {
         const tokens free = tables_.purse.free_of(it.ask.team);
         if (free >= it.ask.wanted || it.at <= begun)
-            give(it.ask, it.from,
-                 tables_.purse.debit(it.ask.team, it.ask.wanted));
+            give(it.ask, it.from, debit(it.ask));
         else
             left.push_back(std::move(it));
     }
--- a/libs/edge/token_desk_test.cpp
+++ b/libs/edge/token_desk_test.cpp
@@ -71,11 +71,14 @@
         const instant end = now() + length;
         while (now() < end) {
             io_.restart();
-            io_.run_for(milliseconds(1));
+            handlers_ += io_.run_for(milliseconds(1));
             deliver();
         }
     }
 
+    /// Handlers that the loop has run.
+    std::size_t handlers() const { return handlers_; }
+
     tokens held()
     {
         tokens out;
@@ -152,14 +155,17 @@
     random_source random_;
     double loss_;
     std::uint64_t sequence_ = 0;
+    std::size_t handlers_ = 0;
     std::deque<letter> letters_;
     std::vector<std::unique_ptr<node>> nodes_;
 };
 
-awaitable<void> obtain(fleet& all, int i, tokens amount, int& got)
+awaitable<void> obtain(fleet& all, int i, tokens amount, int& got,
+                       int urgency = 0)
 {
     const instant until = all.now() + milliseconds(80);
-    const shortage lacks = co_await all.desk(i).obtain(team, amount, until);
+    const shortage lacks =
+        co_await all.desk(i).obtain(team, amount, urgency, until);
     if (lacks != shortage::none)
         co_return;
     ++got;
@@ -243,3 +249,50 @@
     CHECK(all.purse(0).free_of(team) == tokens(0));
     CHECK(all.held() == tokens(1000));
 }
+
+// Story: the platform is away. A node holds tokens that urgent requests will
+// want; a large request of less urgency leaves these where they are, also at
+// the nodes that it asks.
+TEST(token_desk, the_last_tokens_wait_for_more_urgent_requests)
+{
+    fleet all(4, 0);
+    for (int i = 0; i < 2; ++i)
+        all.purse(i).credit(team, tokens(20'000));
+    all.desk(0).start(); // Finds that the platform is away.
+    all.run_for(milliseconds(900));
+    int urgent = 0;
+    for (int i = 0; i < 8; ++i) {
+        spawn(all.io(), obtain(all, 0, tokens(1'000), urgent));
+        all.tell_stock();
+        all.run_for(milliseconds(100));
+    }
+    CHECK_EQUAL(8, urgent);
+    int others = 0;
+    for (int i = 0; i < 8; ++i)
+        spawn(all.io(), obtain(all, 0, tokens(4'000), others, 5));
+    all.run_for(milliseconds(150));
+    CHECK(others < 8);
+    CHECK(all.held() == tokens(40'000));
+    int more = 0;
+    spawn(all.io(), obtain(all, 0, tokens(1'000), more));
+    all.run_for(milliseconds(100));
+    CHECK_EQUAL(1, more);
+}
+
+// Story: the platform is away and a team has tokens left there. Each request
+// that waited for them asked the record anew as soon as it was told that
+// nothing came; being told woke all that wait. The node did nothing else.
+TEST(token_desk, requests_that_wait_in_an_outage_do_not_wake_each_other)
+{
+    fleet all(5, 0);
+    all.desk(0).start();
+    all.run_for(milliseconds(900));
+    const std::size_t before = all.handlers();
+    int got = 0;
+    for (int i = 0; i < 10; ++i)
+        spawn(all.io(), obtain(all, 0, tokens(1'000), got));
+    all.run_for(milliseconds(200));
+    CHECK_EQUAL(0, got);
+    // A few questions each, and the loop's own upkeep.
+    CHECK(all.handlers() - before < 2'000);
+}
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -81,6 +81,7 @@
   3: string team
   4: i64 wanted
   5: optional bool patient
+  6: optional i8 urgency
 }
 
 struct TokenGive {
--- /dev/null
+++ b/libs/prepaid/ration.cpp
@@ -0,0 +1,31 @@
+#include "fennelladder/prepaid/ration.hpp"
+
+namespace fennelladder::prepaid {
+
+void ration::note(const team_id& team, int urgency, tokens wanted, instant now)
+{
+    auto& rate =
+        demand_[team].try_emplace(urgency, options_.memory).first->second;
+    rate.add(static_cast<double>(wanted.count()), now);
+}
+
+tokens ration::kept_back(const team_id& team, int urgency, instant now) const
+{
+    const auto of_team = demand_.find(team);
+    if (of_team == demand_.end())
+        return tokens(0);
+    double all = 0;
+    for (const auto& [other, rate] : of_team->second)
+        all += rate.at(now);
+    double a_second = 0;
+    for (const auto& [other, rate] : of_team->second) {
+        const double with_it = a_second + rate.at(now);
+        if (other >= urgency || with_it > all * options_.most_share)
+            break;
+        a_second = with_it;
+    }
+    return tokens(
+        static_cast<std::int64_t>(a_second * to_seconds(options_.span)));
+}
+
+} // namespace fennelladder::prepaid
--- a/tools/losses/losses.py
+++ b/tools/losses/losses.py
@@ -7,7 +7,8 @@
 Prints three tables: requests that ended without an answer by reason, by span
 of time, and by route; and for each refusal for want of tokens where tokens of
 the team lay at that moment: in one node's stock, spread over several, in the
-platform's record, or nowhere. The plot shows answers, late ones, refusals and
+platform's record, or nowhere. Besides, the calls of the platform by what they
+were for, and what the nodes sent to each other by kind. The plot shows answers, late ones, refusals and
 failures by second, with the faults that the nodes noticed beneath.
 
 Lines need not be in order; text in front of a line's JSON is passed over.
@@ -29,6 +30,7 @@
 FAULTS = {"platform_out": "platform away", "node_started": "node starts",
           "target_died": "target dies", "news_late": "news late"}
 SHORT = "short of tokens"
+HEAD = {"time", "host", "event", "name", "level", "at"}
 
 
 def read_events(lines):
@@ -119,6 +121,29 @@
     return by_reason, by_span, by_route, by_place
 
 
+def calls(events):
+    """Calls of the platform by what they were for, with those that lost
+    against another write or had no answer."""
+    out = collections.Counter()
+    for event in events:
+        if event.get("name") == "platform_calls":
+            out.update({field: int(n) for field, n in event.items()
+                        if field not in HEAD})
+    return out
+
+
+def traffic(events):
+    """Datagrams and bytes between nodes by kind."""
+    out = collections.defaultdict(lambda: (0, 0))
+    for event in events:
+        if event.get("name") != "mesh_sent":
+            continue
+        for kind in set(event) - HEAD:
+            datagrams, size = (int(it) for it in event[kind].split("/"))
+            out[kind] = (out[kind][0] + datagrams, out[kind][1] + size)
+    return dict(out)
+
+
 def print_rows(title, rows):
     print(title)
     for name, counts in rows:
@@ -187,6 +212,12 @@
         print("no event in these logs", file=sys.stderr)
         return 1
     print_tables(losses(events))
+    print("calls of the platform")
+    for name, n in calls(events).most_common():
+        print(f"  {n:6d} {name}")
+    print("between nodes: datagrams, bytes")
+    for kind, (n, size) in sorted(traffic(events).items()):
+        print(f"  {n:8d} {size:10d} {kind}")
     if options.plot:
         plot(events, options.late_ms, options.plot)
     return 0
--- a/tools/losses/losses_test.py
+++ b/tools/losses/losses_test.py
@@ -22,6 +22,22 @@
     return [place for counts in by_place.values() for place in counts]
 
 
+class SumsTest(unittest.TestCase):
+    def test_calls_of_all_nodes_are_added(self):
+        events = losses.read_events(
+            [line(1, "platform_calls", write_allotments="3", conflicts="1"),
+             line(2, "platform_calls", write_allotments="4", conflicts="0")])
+        self.assertEqual({"write_allotments": 7, "conflicts": 1},
+                         losses.calls(events))
+
+    def test_traffic_is_added_by_kind(self):
+        events = losses.read_events(
+            [line(1, "mesh_sent", news="2/900", beacons="1/300"),
+             line(2, "mesh_sent", news="1/500", beacons="0/0")])
+        self.assertEqual({"news": (3, 1400), "beacons": (1, 300)},
+                         losses.traffic(events))
+
+
 class LossesTest(unittest.TestCase):
     def test_lines_are_put_in_order(self):
         events = losses.read_events([line(5, "b"), "no event", line(3, "a")])
