--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -68,7 +68,8 @@
     void note_tick(instant now);
     void note_lateness();
     void note_unreadable(const std::string& sender, const error& cause);
-    void take_freshness(const mesh::beacon& from, duration delay, instant now);
+    void take_freshness(const mesh::beacon& from, std::optional<duration> delay,
+                        instant now);
     mesh::beacon own_beacon();
     void send_to_all(const std::vector<std::string>& addresses,
                      const mesh::datagram& message, traffic kind);
--- a/libs/edge/allotment_writer.cpp
+++ b/libs/edge/allotment_writer.cpp
@@ -206,7 +206,8 @@
             co_return true;
         if (doubt_)
             co_return false;
-        co_await pause_after_conflict(i);
+        if (i + 1 < most_conflicts)
+            co_await pause_after_conflict(i);
     }
     co_return false;
 }
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -362,7 +362,7 @@
     if (from.target_news && tables_.targets.take_news(*from.target_news))
         tables_.list_changed();
     if (!news.late)
-        take_freshness(from, news.delay.value_or(duration(0)), now);
+        take_freshness(from, news.delay, now);
     news_.hear(from);
 }
 
@@ -377,13 +377,16 @@
 
 /// A peer that was up to date at some time says what the newest was then. A
 /// node that has that, or more, was up to date then as well.
-void mesh_node::take_freshness(const mesh::beacon& from, duration delay,
-                               instant now)
+void mesh_node::take_freshness(const mesh::beacon& from,
+                               std::optional<duration> delay, instant now)
 {
-    tables_.lateness.note(delay, now);
+    // One that doesn't say when it was sent says nothing of its way: counted
+    // as undelayed, it would hide a full link.
+    if (delay)
+        tables_.lateness.note(*delay, now);
     const auto own = tables_.version();
-    const duration way =
-        std::max(way_allowance(now), mesh::hop_allowance + delay);
+    const duration way = std::max(
+        way_allowance(now), mesh::hop_allowance + delay.value_or(duration(0)));
     tables_.targets_announced =
         std::max(tables_.targets_announced, from.targets_changed);
     if (from.configuration > own)
