Answer peers that ask for tokens before a configuration is known

Cause: what the record has left was looked up in the configuration, of which a node that has just started has none. The test ended with a fault on the code before.

--- a/libs/edge/stock_keeper.cpp
+++ b/libs/edge/stock_keeper.cpp
@@ -106,6 +106,9 @@
 
 tokens stock_keeper::left_of(const team_id& team) const
 {
+    // Peers may ask a node that has just started.
+    if (tables_.config == nullptr)
+        return tokens(0);
     const auto* payer = tables_.config->find_team(team);
     if (payer == nullptr || !payer->prepaid)
         return tokens(0);
--- a/libs/edge/token_desk_test.cpp
+++ b/libs/edge/token_desk_test.cpp
@@ -296,3 +296,31 @@
     // A few questions each, and the loop's own upkeep.
     CHECK(all.handlers() - before < 2'000);
 }
+
+// Story: all processes are killed and start again. One that knows no
+// configuration yet is asked for tokens by another, as one of the team's
+// stockists, and ended with a fault.
+TEST(token_desk, a_node_without_a_configuration_says_that_it_has_nothing)
+{
+    telemetry::set_log_sink([](auto&&...) {});
+    asio::io_context io{1};
+    system_clock time;
+    node_tables tables(io, time, settings_of(0), 1);
+    platform_client client(tables);
+    std::vector<mesh::datagram> sent;
+    token_desk desk(tables, client,
+                    [&](const std::string&, const mesh::datagram& it) {
+                        sent.push_back(it);
+                    });
+    desk.start();
+    desk.on_ask({.life = mesh::node_life(7),
+                 .number = mesh::transfer_number(1),
+                 .team = team,
+                 .wanted = tokens(500),
+                 .urgency = 3},
+                address_of(1));
+    io.run_for(milliseconds(300));
+    CHECK_EQUAL(1, sent.size());
+    CHECK(sent[0].give && sent[0].give->amount == tokens(0));
+    telemetry::set_log_sink(nullptr);
+}
