--- a/include/fennelladder/prepaid/stock_plan.hpp
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -1,15 +1,15 @@
-// How many tokens of a team a node should take out of the platform's record.
+// How many tokens of a team a node should have taken out of the platform's
+// record.
 //
 //     const auto holders = holders_of(nodes, options);
 //     const auto few = stockists_of(team, holders, options);
 //     wish = stock_wish(state, options);
 //
-// A few nodes of the fleet, the team's stockists, take tokens out for all
-// nodes; the others ask them (or whoever has some) when a request comes. All
-// stockists are among a handful of nodes, each of which refills its teams by
-// one write; so neither the calls to the platform nor the tokens that lie
-// about grow with the fleet, and the death of one node costs a part of some
-// teams' stock.
+// A few nodes of the fleet, the team's stockists, hold stock for all nodes; the
+// others ask them (or whoever has some) when a request comes. All stockists are
+// among a handful of nodes, so the tokens that lie about don't grow with the
+// fleet, and the death of one node costs a part of some teams' stock. Which
+// node writes the record for them is for edge/stock_keeper.hpp to say.
 //
 // Stock is what callers are served from while the platform is out of reach,
 // and what is lost when nodes die. Hence the stock of the whole fleet is sized
@@ -31,11 +31,11 @@
 
 struct stock_options
 {
-    /// Nodes that take out tokens of one team. Three, so that one of them
-    /// may die and another be cut off.
+    /// Nodes that hold stock of one team. Three, so that one of them may die
+    /// and another be cut off.
     std::size_t stockists = 3;
-    /// Nodes that are stockists of any team. With more, holders of the one
-    /// record get into each other's way: 60 made 170 calls a second.
+    /// Nodes that are stockists of any team. Each has to be told what others
+    /// miss; more spread the loss of a death thinner.
     std::size_t holders = 8;
     /// Spending that the fleet's stock covers. The platform is away for some
     /// seconds at a time; what is stocked is lost if all nodes die at once.
@@ -53,14 +53,15 @@
     /// stock the same share; with a fifth for all, teams that run out lost 4 to
     /// 10 in 100 of what they prepaid with a loss of all nodes.
     duration long_runway = seconds(60);
-    /// Between two writes of a node that nobody waits for.
+    /// Between two writes that no request waits for, and between two questions
+    /// of a stockist to the writer.
     duration write_pause = seconds(1);
     /// The same if requests wait for tokens, which they do for as long at
     /// least: what others come to want meanwhile goes into one write.
     duration urgent_pause = milliseconds(30);
     /// After a write that another one came before: up to so long, doubled with
-    /// each in a row. Writers that try anew at once meet again. Both pauses
-    /// together save a fourth of the calls to the platform at 83 nodes.
+    /// each in a row. Nodes that both take themselves for the writer would meet
+    /// again if they tried at once.
     duration conflict_pause = milliseconds(10);
     /// The stock is filled up when it is below this share of its goal.
     double refill_below = 0.8;
