Spare nodes without stock the look over all teams, and say shortage once

From reading the change again. Two comments said what isn't so: that stockists write the record, and that news were two thirds of all bytes, which was worked out and not counted; the measured figure stands there now. Behaviour is as it was.

--- a/include/fennelladder/edge/stock_keeper.hpp
+++ b/include/fennelladder/edge/stock_keeper.hpp
@@ -69,9 +69,6 @@
     /// Whether that round is over, or this node doesn't write any more.
     bool is_over(std::uint64_t round) const;
 
-    /// Looks at the stock now, in place of at the next period.
-    void look_soon() { wake_.cancel(); }
-
     /// Whether a write by this node could bring tokens of the team.
     bool may_take_out(const team_id& team) const;
 
@@ -109,6 +106,9 @@
         bool urgent = false;
     };
 
+    /// Looks at the stock now, in place of at the next period.
+    void look_soon() { wake_.cancel(); }
+
     awaitable<void> keep();
     awaitable<bool> tend();
     awaitable<bool> write_round();
--- a/libs/edge/allotment_writer.cpp
+++ b/libs/edge/allotment_writer.cpp
@@ -212,7 +212,7 @@
     co_return false;
 }
 
-/// The writers of a team that runs short all write at the same moment, and
+/// Nodes that both take themselves for the writer wrote at the same moment, and
 /// would again.
 awaitable<void> allotment_writer::pause_after_conflict(int conflicts)
 {
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -36,9 +36,10 @@
 constexpr std::size_t news_limit = 12;
 
 /// Between two rounds of news by one node. What changes within it goes out
-/// together: of 3,000 targets thirty change in a second, and a round to 300
-/// nodes for each was two thirds of all bytes. Small beside the seconds within
-/// which changes have to be in force; the first of several isn't held up.
+/// together, in place of a round to everybody for each change: with 300 nodes
+/// and 3,000 targets the middle node has 81 kB/s for 96 kB/s, measured with the
+/// whole fleet. Small beside the seconds within which changes have to be in
+/// force; the first of several isn't held up.
 constexpr duration news_pause = milliseconds(200);
 
 /// IPv4 and UDP headers, which a link carries as well.
--- a/libs/edge/stock_keeper.cpp
+++ b/libs/edge/stock_keeper.cpp
@@ -206,9 +206,12 @@
 }
 
 /// Has the writer fill up what this node is to hold. Each team is asked for
-/// once in the time of a regular write.
+/// once in the time of a regular write. Most nodes of a large fleet hold no
+/// stock; to them a look over all teams and nodes says nothing.
 void stock_keeper::ask_writer(const host_id& writer)
 {
+    if (!is_stockist())
+        return;
     const instant now = tables_.now();
     for (const auto& [team, wish] : wishes()) {
         instant& last = asked_at_[team];
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -211,9 +211,8 @@
 
 shortage token_desk::shortage_of(const team_id& team) const
 {
-    const bool coming =
-        keeper_.reaches_platform() && keeper_.left_of(team) > tokens(0);
-    return coming ? shortage::short_for_a_moment : shortage::short_for_long;
+    return keeper_.is_scarce(team) ? shortage::short_for_long
+                                   : shortage::short_for_a_moment;
 }
 
 void token_desk::settle(const team_id& team, tokens reserved, tokens used)
