Let the log tell how a caller's connection ended

An incident with a request that was cut could not be traced: `caller_left` didn't tell an end by the caller from a read error, nor which error; a failed write of an answer was swallowed; an exception that left a coroutine ended the process without a line; and no line said when a request had been sent on.

No decision changes. A member that was only ever written goes (`first_byte_at_`).

--- a/apps/fennelladder/command_front.cpp
+++ b/apps/fennelladder/command_front.cpp
@@ -87,6 +87,22 @@
         });
 }
 
+/// An exception that leaves a coroutine ends the process, which cuts every
+/// request under way; without a line in the log that looks like a power cut.
+int run_to_the_end(edge::asio::io_context& io, telemetry::line_writer& log,
+                   const clock& time)
+{
+    try {
+        io.run();
+        return exit_success;
+    } catch (const std::exception& failure) {
+        telemetry::log_event(telemetry::event::node_failed,
+                             {{"error", failure.what()}});
+        log.flush(time.now());
+        return exit_failure;
+    }
+}
+
 } // namespace
 
 int run_front(int argc, char** argv)
@@ -135,8 +151,7 @@
         std::cerr << "fennelladder front: " << ok.error().message << '\n';
         return exit_failure;
     }
-    io.run();
-    return exit_success;
+    return run_to_the_end(io, log, time);
 }
 
 } // namespace fennelladder::app
--- a/include/fennelladder/edge/attempt.hpp
+++ b/include/fennelladder/edge/attempt.hpp
@@ -60,9 +60,9 @@
 {
     dispatch::attempt_end ended = dispatch::attempt_end::broken;
     dispatch::target_evidence evidence = dispatch::target_evidence::nothing;
-    bool sent = false;            ///< Bytes of the request went out.
-    bool first_byte = false;      ///< An answer to it began.
-    bool kept_connection = false; ///< Not dialled for this attempt.
+    std::optional<instant> sent_at; ///< When bytes of the request went out.
+    bool first_byte = false;        ///< An answer to it began.
+    bool kept_connection = false;   ///< Not dialled for this attempt.
     /// A kept connection ended before any answer: most likely before the
     /// request came.
     bool idle_race = false;
--- a/include/fennelladder/edge/caller_reply.hpp
+++ b/include/fennelladder/edge/caller_reply.hpp
@@ -64,6 +64,9 @@
     bool finished() const { return finished_; }
     bool is_writing() const { return writing_; }
 
+    /// Why the last write failed; no error if it didn't.
+    const net_error& failure() const { return failure_; }
+
     /// For the next request of the connection.
     void reset();
 
@@ -76,6 +79,7 @@
     bool begun_ = false;
     bool finished_ = false;
     bool writing_ = false;
+    net_error failure_;
 };
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/edge/exchange.hpp
+++ b/include/fennelladder/edge/exchange.hpp
@@ -65,6 +65,13 @@
     void stop(stop_reason why);
     stop_reason stopped() const { return stopped_; }
 
+    /// Stops the course since the caller's connection ended: `how` is what
+    /// reading from it gave.
+    void stop_without_caller(net_error how);
+
+    /// What stop_without_caller() was told; no error before it.
+    const net_error& caller_end() const { return caller_end_; }
+
     /// After a silent attempt.
     void clear_silence();
 
@@ -86,6 +93,7 @@
     std::function<void(stop_reason)> then_;
     std::function<void()> look_;
     stop_reason stopped_ = stop_reason::none;
+    net_error caller_end_;
     bool ended_ = false;
 };
 
--- a/include/fennelladder/edge/io.hpp
+++ b/include/fennelladder/edge/io.hpp
@@ -49,6 +49,10 @@
 /// "10.1.0.40:8227"; nothing if it isn't an IP address with a port.
 std::optional<tcp::endpoint> parse_endpoint(const std::string& address);
 
+/// How a connection ended, for the log: "closed" by the other side, "reset",
+/// or the error; empty if there was none.
+std::string end_text(const net_error& ec);
+
 /// Replaces the port of an IP:port.
 std::string with_port(const std::string& address, std::uint16_t port);
 
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -74,7 +74,6 @@
     attempt_outcome out_;
     connection_ptr connection_;
     std::shared_ptr<outgoing_request> outgoing_;
-    instant sent_at_;
     net_error ec_;
 };
 
@@ -177,9 +176,8 @@
         request.method, request.path, request.fields, in_.order, body_size);
     outgoing_->body = request.body;
     outgoing_->connection = connection_;
-    out_.sent = true;
     connection_->unanswered = true;
-    sent_at_ = in_.tables.now();
+    out_.sent_at = in_.tables.now();
     const std::array<asio::const_buffer, 2> bytes{
         asio::buffer(outgoing_->head), asio::buffer(outgoing_->body)};
     asio::async_write(connection_->socket, bytes,
@@ -278,7 +276,7 @@
         return;
     out_.first_byte = true;
     const instant now = in_.tables.now();
-    in_.tables.book.first_byte(in_.target, now - sent_at_, now);
+    in_.tables.book.first_byte(in_.target, now - *out_.sent_at, now);
 }
 
 /// Passes on the whole events that are there. False if the caller is gone.
--- a/libs/edge/caller_reply.cpp
+++ b/libs/edge/caller_reply.cpp
@@ -27,15 +27,15 @@
 {
     begun_ = false;
     finished_ = false;
+    failure_ = {};
 }
 
 awaitable<bool> caller_reply::write(std::string bytes)
 {
     writing_ = true;
-    net_error ec;
-    co_await asio::async_write(socket_, asio::buffer(bytes), into(ec));
+    co_await asio::async_write(socket_, asio::buffer(bytes), into(failure_));
     writing_ = false;
-    co_return !ec;
+    co_return !failure_;
 }
 
 std::string caller_reply::head_text(const answer_head& head) const
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -86,8 +86,9 @@
     awaitable<bool> reject(unsigned status, const char* reason);
     awaitable<void> serve(caller_request request);
     void watch_caller(const exchange_ptr& course);
-    bool caller_is_there();
+    net_error look_at_caller();
     void on_readable(const exchange_ptr& course);
+    void note_end(const caller_request& request, const exchange& course) const;
     void close();
 
     caller_server& server_;
@@ -194,23 +195,24 @@
     co_return true;
 }
 
-/// Reads what the caller sent ahead; false if it closed its connection.
-bool caller_session::caller_is_there()
+/// Reads what the caller sent ahead. An error if its connection has ended:
+/// end of file if the caller closed it.
+net_error caller_session::look_at_caller()
 {
     if (buf_.size() >= most_ahead)
-        return true;
+        return {};
     net_error ec;
     const std::size_t n =
         socket_.read_some(buf_.prepare(most_ahead - buf_.size()), ec);
     if (!ec)
         buf_.commit(n);
-    return !ec || ec == asio::error::would_block;
+    return ec == asio::error::would_block ? net_error() : ec;
 }
 
 void caller_session::on_readable(const exchange_ptr& course)
 {
-    if (!caller_is_there())
-        course->stop(stop_reason::caller_left);
+    if (const net_error ended = look_at_caller())
+        course->stop_without_caller(ended);
     else if (buf_.size() < most_ahead)
         watch_caller(course);
 }
@@ -227,6 +229,22 @@
                        });
 }
 
+/// An answer that wasn't delivered though the caller wasn't seen to leave is
+/// a failure of this node or of the way to the caller.
+void caller_session::note_end(const caller_request& request,
+                              const exchange& course) const
+{
+    if (reply_.finished() || course.caller_end())
+        return;
+    const duration took = tables_.now() - request.arrived;
+    telemetry::log_event(telemetry::event::answer_undelivered,
+                         {{"id", request.facts.id},
+                          {"answer", reply_.begun() ? "begun" : "none"},
+                          {"open", socket_.is_open() ? "yes" : "no"},
+                          {"error", end_text(reply_.failure())},
+                          {"ms", milliseconds_text(took)}});
+}
+
 awaitable<void> caller_session::serve(caller_request request)
 {
     const auto course = std::make_shared<exchange>(tables_.io, tables_.time);
@@ -242,12 +260,14 @@
     });
     course->on_look([this, weak = std::weak_ptr<exchange>(course)] {
         const auto running = weak.lock();
-        if (running && !caller_is_there())
-            running->stop(stop_reason::caller_left);
+        const net_error ended = running ? look_at_caller() : net_error();
+        if (ended)
+            running->stop_without_caller(ended);
     });
     watch_caller(course);
     tables_.requests_taken.add(1, tables_.now());
     co_await server_.driver_.serve(request, reply_, course);
+    note_end(request, *course);
     course->end();
     net_error ec;
     socket_.cancel(ec);
--- a/libs/edge/exchange.cpp
+++ b/libs/edge/exchange.cpp
@@ -103,6 +103,13 @@
         then_(why);
 }
 
+void exchange::stop_without_caller(net_error how)
+{
+    if (!ended_ && !caller_end_)
+        caller_end_ = how;
+    stop(stop_reason::caller_left);
+}
+
 void exchange::close_in_order()
 {
     net_error ec;
--- a/libs/edge/io.cpp
+++ b/libs/edge/io.cpp
@@ -34,6 +34,17 @@
     return tcp::endpoint(ip, port);
 }
 
+std::string end_text(const net_error& ec)
+{
+    if (!ec)
+        return {};
+    if (ec == asio::error::eof)
+        return "closed";
+    if (ec == asio::error::connection_reset)
+        return "reset";
+    return ec.message();
+}
+
 std::string with_port(const std::string& address, std::uint16_t port)
 {
     return address.substr(0, address.rfind(':')) + ":" + std::to_string(port);
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -109,7 +109,7 @@
     std::vector<catalog::target_process> tried_;
     target_id last_target_;
     bool prompt_was_read_ = false; ///< And a token made of it, perhaps.
-    std::optional<instant> first_byte_at_;
+    std::optional<instant> last_sent_at_;
 };
 
 duration request_run::whole_time() const
@@ -293,7 +293,7 @@
 {
     const bool whole_answer = got.ended == attempt_end::answered ||
                               got.ended == attempt_end::failed_there;
-    if (!got.sent || whole_answer || dispatch::proved_not_run(got.ended))
+    if (!got.sent_at || whole_answer || dispatch::proved_not_run(got.ended))
         return;
     if (got.ended == attempt_end::broken)
         driver_.prober_.broke(target.process(), mark_);
@@ -306,9 +306,11 @@
 {
     last_target_ = target.target;
     const bool unharmed = dispatch::proved_not_run(got.ended);
-    if (got.sent)
+    if (got.sent_at) {
         ++so_far_.sent;
-    if (got.sent && !unharmed) {
+        last_sent_at_ = got.sent_at;
+    }
+    if (got.sent_at && !unharmed) {
         ++so_far_.may_have_run;
         prompt_was_read_ |= !got.nothing_made;
     }
@@ -316,8 +318,6 @@
         ++so_far_.rejections;
     if (got.ended == attempt_end::not_connected)
         ++so_far_.failed_connects;
-    if (got.first_byte && !first_byte_at_)
-        first_byte_at_ = tables_.now();
     suspect(got, target);
     // A target that ended a kept connection may be about to fall silent, so
     // another is better; alone in its service it is dialled anew.
@@ -395,6 +395,10 @@
          {"team", team_ ? team_->id.str() : ""},
          {"target", last_target_.str()},
          {"ms", milliseconds_text(took)},
+         {"sent_ms", last_sent_at_
+                         ? milliseconds_text(*last_sent_at_ - request_.arrived)
+                         : ""},
+         {"caller_end", end_text(course_->caller_end())},
          {"sends", std::to_string(so_far_.sent)},
          {"may_have_run", std::to_string(so_far_.may_have_run)},
          {"rejections", std::to_string(so_far_.rejections)},
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -25,6 +25,9 @@
      "The node takes no work yet; the message says what it waits for."},
     {event::node_left_unclean, severity::error, "node_left_unclean",
      "The node left before all was returned; the message says what was not."},
+    {event::node_failed, severity::error, "node_failed",
+     "A fault left the node's work half done; its process ends and is started "
+     "anew."},
     {event::wish_not_applied, severity::debug, "wish_not_applied",
      "The books did not apply a record of this node; the verdict says why."},
     {event::manifest_syntax, severity::error, "manifest_syntax",
@@ -199,6 +202,9 @@
     {event::attempt_ended, severity::info, "attempt_ended",
      "One attempt at a target ended without a whole answer; the line says what "
      "follows."},
+    {event::answer_undelivered, severity::warning, "answer_undelivered",
+     "A request's connection ended before its whole answer was delivered, and "
+     "not by its caller as far as the node saw; the line says how."},
     {event::call_rejected, severity::info, "call_rejected",
      "A request was turned away for what it is: no such route, no valid key, "
      "or no proper request."},
