Answer each request that a leaving node has read

Callers saw a connection end without a word if their request was being read when the node began to refuse new work: the session counted as idle until the request was served. What may run once can't be repeated then. Ruled out as the incident's cause: such a request is refused, not passed on.

A session is idle only while it waits and nothing has come, looked up in the kernel as well, since a busy node reads late; requests that are being read count as under way, so the node doesn't end before they're answered.

--- a/include/fennelladder/edge/caller_server.hpp
+++ b/include/fennelladder/edge/caller_server.hpp
@@ -51,14 +51,14 @@
     /// From now on each answer ends its connection.
     void announce_leaving();
 
-    /// Refuses new requests; connections without one under way are closed.
+    /// Refuses new requests; connections on which none has come are closed.
     void refuse_new();
 
     /// Connections of callers.
     std::size_t sessions() const { return sessions_->size(); }
 
-    /// Requests under way.
-    std::size_t under_way() const { return under_way_; }
+    /// Requests that are being read, served or answered.
+    std::size_t under_way() const;
 
 private:
     friend class caller_session;
@@ -72,7 +72,7 @@
     const caller_server_limits limits_;
     tcp::acceptor acceptor_;
     std::shared_ptr<session_set> sessions_ = std::make_shared<session_set>();
-    std::size_t under_way_ = 0;
+    std::size_t served_now_ = 0;
     std::size_t body_bytes_ = 0;
     bool leaving_ = false;
     bool refusing_ = false;
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -8,6 +8,7 @@
 #include "fennelladder/edge/socket_deadline.hpp"
 #include "fennelladder/telemetry/log.hpp"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <sys/socket.h>
 
@@ -72,12 +73,10 @@
     /// Holds the session for as long as it lasts.
     static awaitable<void> run(std::shared_ptr<caller_session> session);
 
-    /// Closes the connection unless a request is under way.
-    void close_if_idle()
-    {
-        if (!busy_)
-            close();
-    }
+    /// No request is being read or served.
+    bool is_idle() const { return waiting_ && buf_.size() == 0; }
+
+    void close_if_unused();
 
 private:
     awaitable<void> serve_requests();
@@ -98,7 +97,8 @@
     std::optional<socket_deadline> limit_; ///< Of what is waited for.
     caller_reply reply_;
     beast::flat_buffer buf_;
-    bool busy_ = false;
+    bool waiting_ = false; ///< For the first byte of a request.
+    bool serving_ = false;
     bool first_ = true;
 };
 
@@ -108,6 +108,18 @@
     socket_.close(ec);
 }
 
+/// Closes the connection of a node that leaves unless a request has come.
+/// Failure it guards against: a caller whose request was read, and whose
+/// connection then closes without a word, can't know whether it ran, and may
+/// not repeat what may run once. A request counts from its first byte in the
+/// kernel, as a busy node comes to read it late; it is refused in words.
+void caller_session::close_if_unused()
+{
+    net_error ec;
+    if (is_idle() && socket_.available(ec) == 0)
+        close();
+}
+
 awaitable<bool> caller_session::wait_for_request()
 {
     if (buf_.size() > 0)
@@ -119,7 +131,9 @@
         first_ ? std::min(limits.header_timeout, limits.idle_timeout)
                : limits.idle_timeout);
     net_error ec;
+    waiting_ = true;
     co_await socket_.async_wait(tcp::socket::wait_read, into(ec));
+    waiting_ = false;
     co_return !ec && socket_.is_open();
 }
 
@@ -224,7 +238,7 @@
                         of = std::weak_ptr<exchange>(course)](net_error ec) {
                            const auto self = weak.lock();
                            const auto running = of.lock();
-                           if (!ec && self && running && self->busy_)
+                           if (!ec && self && running && self->serving_)
                                self->on_readable(running);
                        });
 }
@@ -248,8 +262,8 @@
 awaitable<void> caller_session::serve(caller_request request)
 {
     const auto course = std::make_shared<exchange>(tables_.io, tables_.time);
-    busy_ = true;
-    ++server_.under_way_;
+    serving_ = true;
+    ++server_.served_now_;
     server_.body_bytes_ += request.body.size();
     // A caller that doesn't take its answer holds a write up; giving the
     // request up ends that too.
@@ -272,8 +286,8 @@
     net_error ec;
     socket_.cancel(ec);
     server_.body_bytes_ -= request.body.size();
-    --server_.under_way_;
-    busy_ = false;
+    --server_.served_now_;
+    serving_ = false;
 }
 
 awaitable<void> caller_session::run(std::shared_ptr<caller_session> session)
@@ -346,11 +360,17 @@
         return "the node leaves";
     if (tables_.news_are_late())
         return "news are late";
-    const bool full = under_way_ >= limits_.requests ||
+    const bool full = served_now_ >= limits_.requests ||
                       body_bytes_ + request.body.size() > limits_.body_bytes;
     return full ? "too much at once" : nullptr;
 }
 
+std::size_t caller_server::under_way() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        *sessions_, [](const caller_session* it) { return !it->is_idle(); }));
+}
+
 void caller_server::stop_accepting()
 {
     net_error ec;
@@ -367,7 +387,7 @@
     refusing_ = true;
     const auto all = *sessions_;
     for (caller_session* it : all)
-        it->close_if_idle();
+        it->close_if_unused();
 }
 
 awaitable<void> caller_server::accept()
