Let the log tell of stalls, unread requests and connections not taken

A loop that stands still reads requests late and then counts them as just arrived, so no line showed the time in which a caller waited unread; a request whose reading failed, and a connection that was closed at once since the host holds as many as it may, left no line at all.

Added: `lag_ms` on the last line of a request (the longest stall of late; the mesh's own measure, now `edge/loop_lag` with a test of its own), 1517 `request_unread`, 1518 `connection_not_taken`. No decision changes.

--- a/include/fennelladder/edge/caller_server.hpp
+++ b/include/fennelladder/edge/caller_server.hpp
@@ -65,6 +65,7 @@
     using session_set = std::set<caller_session*>;
 
     awaitable<void> accept();
+    void note_not_taken(const std::string& reason) const;
     const char* reason_to_refuse(const caller_request& request) const;
 
     node_tables& tables_;
--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -95,9 +95,6 @@
     bool spreading_ = false;
     instant last_spread_;
     bool was_late_ = false;
-    instant ticked_;
-    instant lagged_;  ///< When lag_ was seen.
-    duration lag_{0}; ///< The longest of late.
 };
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -15,6 +15,7 @@
 #include "fennelladder/dispatch/retry_window.hpp"
 #include "fennelladder/dispatch/target_book.hpp"
 #include "fennelladder/edge/decision_options.hpp"
+#include "fennelladder/edge/loop_lag.hpp"
 #include "fennelladder/edge/target_connection.hpp"
 #include "fennelladder/edge/unreadable_objects.hpp"
 #include "fennelladder/mesh/freshness.hpp"
@@ -31,6 +32,9 @@
 
 namespace fennelladder::edge {
 
+/// Between two looks of the node at what is due, and at its loop's lag.
+inline constexpr duration tick_period = milliseconds(50);
+
 /// Whether the platform answers this node.
 struct platform_contact
 {
@@ -128,6 +132,7 @@
     /// From callers. As long a memory as it takes callers to ask for entry
     /// answers twice: their load then has followed the last answer.
     decaying_rate requests_taken{seconds(4)};
+    loop_lag lag{tick_period};
     bool leaving = false;
 
     /// Called whenever the platform answered any call; set by the feed.
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -83,6 +83,7 @@
     awaitable<bool> wait_for_request();
     awaitable<bool> read_request(caller_request& out);
     awaitable<bool> reject(unsigned status, const char* reason);
+    void note_unread(const char* part, const net_error& ec) const;
     awaitable<void> serve(caller_request request);
     void watch_caller(const exchange_ptr& course);
     net_error look_at_caller();
@@ -148,6 +149,18 @@
     co_return false;
 }
 
+/// A connection that ends between two requests is nothing to tell of.
+void caller_session::note_unread(const char* part, const net_error& ec) const
+{
+    if (ec != http::error::end_of_stream)
+        telemetry::log_event(
+            telemetry::event::request_unread,
+            {{"part", part},
+             {"error", end_text(ec)},
+             {"closed_here", socket_.is_open() ? "no" : "yes"},
+             {"lag_ms", milliseconds_text(tables_.lag.at(tables_.now()))}});
+}
+
 awaitable<bool> caller_session::read_request(caller_request& out)
 {
     const auto config = tables_.config;
@@ -174,8 +187,10 @@
             ec == http::error::end_of_stream ||
             ec.category() !=
                 make_error_code(http::error::bad_method).category();
-        if (nobody)
+        if (nobody) {
+            note_unread("head", ec);
             co_return false;
+        }
         const bool more = co_await reject(400, "no proper request");
         co_return more;
     }
@@ -195,8 +210,10 @@
         const bool more = co_await reject(413, "body too large");
         co_return more;
     }
-    if (ec)
+    if (ec) {
+        note_unread("body", ec);
         co_return false;
+    }
     if (!parser.keep_alive())
         reply_.close_after();
     out.has_body = parser.get().has_content_length() || parser.chunked();
@@ -251,12 +268,14 @@
     if (reply_.finished() || course.caller_end())
         return;
     const duration took = tables_.now() - request.arrived;
-    telemetry::log_event(telemetry::event::answer_undelivered,
-                         {{"id", request.facts.id},
-                          {"answer", reply_.begun() ? "begun" : "none"},
-                          {"open", socket_.is_open() ? "yes" : "no"},
-                          {"error", end_text(reply_.failure())},
-                          {"ms", milliseconds_text(took)}});
+    telemetry::log_event(
+        telemetry::event::answer_undelivered,
+        {{"id", request.facts.id},
+         {"answer", reply_.begun() ? "begun" : "none"},
+         {"open", socket_.is_open() ? "yes" : "no"},
+         {"error", end_text(reply_.failure())},
+         {"lag_ms", milliseconds_text(tables_.lag.at(tables_.now()))},
+         {"ms", milliseconds_text(took)}});
 }
 
 awaitable<void> caller_session::serve(caller_request request)
@@ -390,6 +409,15 @@
         it->close_if_unused();
 }
 
+void caller_server::note_not_taken(const std::string& reason) const
+{
+    if (!acceptor_.is_open())
+        return;
+    telemetry::log_event(telemetry::event::connection_not_taken,
+                         {{"reason", reason},
+                          {"connections", std::to_string(sessions_->size())}});
+}
+
 awaitable<void> caller_server::accept()
 {
     asio::steady_timer timer(tables_.io);
@@ -398,10 +426,12 @@
         net_error ec;
         co_await acceptor_.async_accept(socket, into(ec));
         if (ec) {
+            note_not_taken(end_text(ec));
             co_await sleep_on(timer, accept_pause);
             continue;
         }
         if (sessions_->size() >= limits_.connections) {
+            note_not_taken("as many as the host holds");
             socket.close(ec);
             continue;
         }
--- /dev/null
+++ b/libs/edge/loop_lag_test.cpp
@@ -0,0 +1,44 @@
+#include "fennelladder/edge/loop_lag.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fennelladder;
+using namespace fennelladder::edge;
+
+namespace {
+
+constexpr duration period = milliseconds(50);
+const instant begin = instant() + seconds(100);
+
+} // namespace
+
+TEST_GROUP(loop_lag){};
+
+TEST(loop_lag, a_loop_that_runs_has_none)
+{
+    loop_lag lag(period);
+    CHECK(lag.at(begin) == duration(0));
+    CHECK(lag.note_tick(begin) == duration(0));
+    CHECK(lag.note_tick(begin + period) == duration(0));
+    CHECK(lag.at(begin + period) == duration(0));
+}
+
+TEST(loop_lag, the_longest_stall_is_told_of_for_a_while)
+{
+    loop_lag lag(period);
+    lag.note_tick(begin);
+    const instant late = begin + milliseconds(130);
+    CHECK(lag.note_tick(late) == milliseconds(80));
+    lag.note_tick(late + period);
+    CHECK(lag.at(late + period) == milliseconds(80));
+    for (instant it = late; it <= late + loop_lag::memory; it += period)
+        lag.note_tick(it);
+    CHECK(lag.at(late + loop_lag::memory) < milliseconds(80));
+}
+
+TEST(loop_lag, a_stall_that_lasts_counts)
+{
+    loop_lag lag(period);
+    lag.note_tick(begin);
+    CHECK(lag.at(begin + seconds(2)) == seconds(2));
+}
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -14,10 +14,6 @@
 
 constexpr const char* datagrams_metric = "fennelladder_mesh_datagrams_total";
 constexpr const char* lag_metric = "fennelladder_loop_lag_milliseconds";
-constexpr duration tick_period = milliseconds(50);
-
-/// Datagrams that came while the loop stood still are read for so long after.
-constexpr duration lag_memory = seconds(1);
 
 /// A loop that stood still for longer is worth a line: callers felt it.
 constexpr duration lag_reported = milliseconds(250);
@@ -403,23 +399,13 @@
 /// all.
 duration mesh_node::way_allowance(instant now) const
 {
-    const duration lag = now - lagged_ < lag_memory ? lag_ : duration(0);
-    return std::max({mesh::hop_allowance, now - ticked_, lag});
+    return std::max(mesh::hop_allowance, tables_.lag.at(now));
 }
 
-/// The loop's lag: how much later than meant the last tick came.
 void mesh_node::note_tick(instant now)
 {
-    const duration late = now - ticked_ - tick_period;
-    const bool first = ticked_ == instant();
-    ticked_ = now;
-    if (first)
-        return;
+    const duration late = tables_.lag.note_tick(now);
     lag_gauge_.set(std::chrono::duration_cast<milliseconds>(late).count());
-    if (late >= lag_ || now - lagged_ > lag_memory) {
-        lag_ = std::max(late, duration(0));
-        lagged_ = now;
-    }
     if (late > lag_reported)
         log_event(event::loop_lagged, {{"ms", milliseconds_text(late)}});
 }
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -398,6 +398,7 @@
          {"sent_ms", last_sent_at_
                          ? milliseconds_text(*last_sent_at_ - request_.arrived)
                          : ""},
+         {"lag_ms", milliseconds_text(tables_.lag.at(tables_.now()))},
          {"caller_end", end_text(course_->caller_end())},
          {"sends", std::to_string(so_far_.sent)},
          {"may_have_run", std::to_string(so_far_.may_have_run)},
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -205,6 +205,11 @@
     {event::answer_undelivered, severity::warning, "answer_undelivered",
      "A request's connection ended before its whole answer was delivered, and "
      "not by its caller as far as the node saw; the line says how."},
+    {event::request_unread, severity::info, "request_unread",
+     "A caller's connection ended before its request was read whole."},
+    {event::connection_not_taken, severity::warning, "connection_not_taken",
+     "A caller's connection was not taken up: the host holds as many as it "
+     "may, or the system gave no more."},
     {event::call_rejected, severity::info, "call_rejected",
      "A request was turned away for what it is: no such route, no valid key, "
      "or no proper request."},
