Take an interrupted look at a caller for no news of it

A look that was interrupted by a signal, or told to try again, passed for a caller that had left: its target's work was stopped and its connection closed without an answer. One function says now what tells of the other side, also for kept connections to targets. io_test fails on the earlier rule; data_path 37 of 37.

--- a/include/fennelladder/edge/io.hpp
+++ b/include/fennelladder/edge/io.hpp
@@ -49,6 +49,10 @@
 /// "10.1.0.40:8227"; nothing if it isn't an IP address with a port.
 std::optional<tcp::endpoint> parse_endpoint(const std::string& address);
 
+/// Whether a read that doesn't wait failed only since nothing is there, or it
+/// was interrupted: it says nothing of the other side.
+bool is_nothing_yet(const net_error& ec);
+
 /// How a connection ended, for the log: "closed" by the other side, "reset",
 /// or the error; empty if there was none.
 std::string end_text(const net_error& ec);
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -237,7 +237,7 @@
         socket_.read_some(buf_.prepare(most_ahead - buf_.size()), ec);
     if (!ec)
         buf_.commit(n);
-    return ec == asio::error::would_block ? net_error() : ec;
+    return is_nothing_yet(ec) ? net_error() : ec;
 }
 
 void caller_session::on_readable(const exchange_ptr& course)
--- a/libs/edge/io.cpp
+++ b/libs/edge/io.cpp
@@ -34,6 +34,12 @@
     return tcp::endpoint(ip, port);
 }
 
+bool is_nothing_yet(const net_error& ec)
+{
+    return ec == asio::error::would_block || ec == asio::error::try_again ||
+           ec == asio::error::interrupted;
+}
+
 std::string end_text(const net_error& ec)
 {
     if (!ec)
--- a/libs/edge/target_connection.cpp
+++ b/libs/edge/target_connection.cpp
@@ -18,7 +18,8 @@
     char byte = 0;
     const ssize_t n =
         ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return !(n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+    const net_error ec(n < 0 ? errno : 0, boost::system::system_category());
+    return !is_nothing_yet(ec);
 }
 
 target_pool::target_pool(asio::io_context& io, target_pool_options options)
