--- a/libs/report/request_course.cpp
+++ b/libs/report/request_course.cpp
@@ -166,11 +166,27 @@
            target_of(it);
 }
 
+/// How the connection ended, where that isn't the caller's closing it, and
+/// what may have kept the request waiting before it was read.
+std::string end_of_connection(const ending& it)
+{
+    std::string out;
+    const auto end = it.last.get("caller_end");
+    if (!end.empty() && end != "closed")
+        out += " Its connection ended by: " + std::string(end) + ".";
+    const auto lag = it.last.get("lag_ms");
+    if (!lag.empty() && lag != "0")
+        out += " The node's loop had stood still for up to " +
+               std::string(lag) + " ms within the second before.";
+    return out;
+}
+
 std::string left(const ending& it)
 {
     return "The caller left after " + std::string(it.last.get("ms")) +
            " ms, while this was awaited: " +
-           std::string(it.last.get("reason")) + "." + target_of(it);
+           std::string(it.last.get("reason")) + "." + end_of_connection(it) +
+           target_of(it);
 }
 
 std::string other_refusal(const ending& it)
--- a/libs/report/request_course_test.cpp
+++ b/libs/report/request_course_test.cpp
@@ -102,3 +102,22 @@
         parse_log_line("  12.1 host-a " + line("12.089", "a", 1510, ""));
     CHECK(got && got->event == 1510 && got->host == "a");
 }
+
+// Story: a caller got no answer, and on-call asks whether it left by itself or
+// was cut. The node had stood still, and the network reset the connection.
+TEST(request_course, a_caller_that_left_is_told_from_a_connection_that_broke)
+{
+    request_course closed("r1");
+    closed.add(line("01.000", "a", 1513,
+                    R"(,"id":"r1","ms":"52","reason":"answer's head",)"
+                    R"("caller_end":"closed","lag_ms":"0")"));
+    CHECK(says(closed, "left after 52 ms"));
+    CHECK(!says(closed, "connection ended by"));
+    CHECK(!says(closed, "stood still"));
+    request_course broken("r2");
+    broken.add(line("01.000", "a", 1513,
+                    R"(,"id":"r2","ms":"3","reason":"answer's head",)"
+                    R"("caller_end":"reset","lag_ms":"48")"));
+    CHECK(says(broken, "connection ended by: reset"));
+    CHECK(says(broken, "stood still for up to 48 ms"));
+}
