Don't count the time between two ticks as lag of the loop

The first play with the new field showed 20 to 60 ms of lag on idle hosts: the 50 ms until the next tick were in it.

--- a/include/fennelladder/edge/loop_lag.hpp
+++ b/include/fennelladder/edge/loop_lag.hpp
@@ -42,11 +42,17 @@
         return late;
     }
 
-    /// The longest stall of late, that which may last at `now` included.
+    /// The longest stall of late, one that lasts at `now` included.
     duration at(instant now) const
     {
         const duration before = now - seen_ < memory ? longest_ : duration(0);
-        return last_ ? std::max(before, now - *last_) : before;
+        return std::max(before, since_tick(now) - period_);
+    }
+
+    /// Since the last tick; 0 before the first.
+    duration since_tick(instant now) const
+    {
+        return last_ ? now - *last_ : duration(0);
     }
 
 private:
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -399,7 +399,8 @@
 /// all.
 duration mesh_node::way_allowance(instant now) const
 {
-    return std::max(mesh::hop_allowance, tables_.lag.at(now));
+    return std::max({mesh::hop_allowance, tables_.lag.since_tick(now),
+                     tables_.lag.at(now)});
 }
 
 void mesh_node::note_tick(instant now)
