Let an answer count that came while a node's loop stood still

Callers got a 504, or their request ran at two targets, though the first had answered in milliseconds: the node's loop had stood still over the patience for a first byte, or over the route's timeout. When it went on, it found the answer and the expired timer in one round. Head and body are read in handlers of their own; the second was queued behind the timer's, which stopped the course and closed the connection on an answer that was there. Ruled out: the connection's own limit (socket_deadline looks twice), and limits that moved on before the timer's handler ran, which it sees.

The second look of socket_deadline is a class now, second_look, and the exchange uses it for deadline and silence. A limit that has passed stops the course only 20 ms after a first look at it, so handlers that were ready at the first run before, and end the course or move the limit on. Each limit has its own, so that a course past both is out of time, not silent. An answer that needs more than 20 ms of the loop after the stall is still given up.

--- a/include/fennelladder/edge/exchange.hpp
+++ b/include/fennelladder/edge/exchange.hpp
@@ -10,11 +10,16 @@
 // reason and closes the connection to the target, which ends the wait and
 // stops the target's work.
 //
+// A limit that passed while the node's loop stood still stops nothing that came
+// meanwhile: see second_look.hpp. A target that says nothing is given up
+// `last_look` later than its limit.
+//
 // Not thread safe.
 
 #ifndef FENNELLADDER_EDGE_EXCHANGE_HPP
 #define FENNELLADDER_EDGE_EXCHANGE_HPP
 
+#include "fennelladder/edge/second_look.hpp"
 #include "fennelladder/edge/socket_deadline.hpp"
 #include "fennelladder/edge/target_connection.hpp"
 
@@ -38,10 +43,10 @@
 public:
     exchange(asio::io_context& io, const clock& time);
 
-    /// Stops the course at `at`.
+    /// Stops the course at `at`, unless it has ended by `last_look` after.
     void set_deadline(instant at);
 
-    /// Stops the attempt at `at` unless it's moved on before.
+    /// Stops the attempt at `at` unless it's moved on before `last_look` after.
     void set_silence_limit(std::optional<instant> at);
 
     /// The connection to close when the course is stopped. If the caller left
@@ -79,6 +84,7 @@
     void end();
 
 private:
+    std::optional<instant> next_look() const;
     void arm();
     void on_timer();
     void close_in_order();
@@ -88,6 +94,8 @@
     std::optional<instant> armed_for_;
     std::optional<instant> deadline_;
     std::optional<instant> silence_limit_;
+    second_look<instant> deadline_look_;
+    second_look<instant> silence_look_;
     connection_ptr held_;
     std::optional<socket_deadline> farewell_; ///< After close_in_order().
     std::function<void(stop_reason)> then_;
--- a/include/fennelladder/edge/socket_deadline.hpp
+++ b/include/fennelladder/edge/socket_deadline.hpp
@@ -8,20 +8,9 @@
 //     ... read the rest ...
 //     limit.clear();                     // nothing is waited for
 //
-// Failure it guards against: the node's loop stands still for longer than the
-// limit, since a megabyte is parsed on an eighth of a core or the machine gets
-// no share of its own. When it goes on, the bytes that came meanwhile and the
-// expired timer are found in one round. Setting a timer anew doesn't take back
-// its handler once that is queued, so a handler that closes when it runs closes
-// a connection that was just read from: a transfer begins anew, and a sound
-// peer counts as silent.
-//
-// Why it holds: the handler decides by the deadline as it is when the handler
-// runs, not by having been called. A deadline that has passed closes only at a
-// second look, `last_look` later: what waited in the kernel at the first was
-// ready before the timer of the second, so it's handled before, and whoever
-// handles it moves the deadline on. A silent connection is closed `last_look`
-// late.
+// A loop that stood still for longer than the limit closes no connection on
+// which bytes came meanwhile: see second_look.hpp. A silent connection is
+// closed `last_look` late.
 //
 // Cost: one timer. Moving the deadline to a later time sets no timer anew.
 // Not thread safe.
@@ -30,15 +19,12 @@
 #define FENNELLADDER_EDGE_SOCKET_DEADLINE_HPP
 
 #include "fennelladder/edge/io.hpp"
+#include "fennelladder/edge/second_look.hpp"
 
 #include <memory>
 
 namespace fennelladder::edge {
 
-/// From a deadline that has passed to closing. What waits needs one round of
-/// the loop; more would only keep silent connections for longer.
-inline constexpr duration last_look = milliseconds(20);
-
 class socket_deadline
 {
 public:
--- a/libs/edge/exchange.cpp
+++ b/libs/edge/exchange.cpp
@@ -33,11 +33,20 @@
     arm();
 }
 
+std::optional<instant> exchange::next_look() const
+{
+    std::optional<instant> next;
+    if (deadline_)
+        next = deadline_look_.due(*deadline_);
+    if (!silence_limit_)
+        return next;
+    const instant at = silence_look_.due(*silence_limit_);
+    return next ? std::min(*next, at) : at;
+}
+
 void exchange::arm()
 {
-    std::optional<instant> next = deadline_;
-    if (silence_limit_ && (!next || *silence_limit_ < *next))
-        next = silence_limit_;
+    const std::optional<instant> next = next_look();
     if (ended_ || !next || (armed_for_ && *armed_for_ <= *next))
         return;
     armed_for_ = next;
@@ -55,9 +64,15 @@
     if (ended_)
         return;
     const instant now = time_.now();
-    if (deadline_ && *deadline_ <= now)
+    // Each limit has its own second look: an answer's head and body are worked
+    // off in handlers of their own, and after a stall this one may run between
+    // them, with the body there and the answer as good as whole.
+    const bool late = deadline_ && deadline_look_.has_passed(*deadline_, now);
+    const bool silent =
+        silence_limit_ && silence_look_.has_passed(*silence_limit_, now);
+    if (late)
         stop(stop_reason::out_of_time);
-    else if (silence_limit_ && *silence_limit_ <= now)
+    else if (silent)
         stop(stop_reason::silent);
     else
         arm();
--- a/libs/edge/socket_deadline.cpp
+++ b/libs/edge/socket_deadline.cpp
@@ -24,14 +24,14 @@
     asio::steady_timer timer_;
     std::optional<time_point> deadline_;
     std::optional<time_point> armed_for_;
-    std::optional<time_point> second_look_; ///< After a first.
+    second_look<time_point> look_;
     bool has_closed_ = false;
 };
 
 void socket_deadline::course::set(time_point at)
 {
     deadline_ = at;
-    second_look_.reset();
+    look_.begin_anew();
     // One that rings too early finds out and waits for the rest.
     if (!armed_for_ || at < *armed_for_)
         wait_until(at);
@@ -61,12 +61,8 @@
     if (!deadline_)
         return;
     const auto now = asio::steady_timer::clock_type::now();
-    if (now < *deadline_)
-        return wait_until(*deadline_);
-    if (!second_look_)
-        second_look_ = now + last_look;
-    if (now < *second_look_)
-        return wait_until(*second_look_);
+    if (!look_.has_passed(*deadline_, now))
+        return wait_until(look_.due(*deadline_));
     close();
 }
 
