Deliver an answer that comes after its caller ended its sending side

Callers that send a request and end their sending side, and wait, got no answer: the node saw an end, told the target and, when the answer came within the 100 ms that the target has to react, threw it away, since the course was stopped. Nothing on the wire tells such a caller from one that left. Ruled out: waiting longer for it, which would keep targets at work for callers that left; the target's connection is ended as before, at the same time.

What comes whole before the target is cut off is passed on, a target's own failure too; a stream's events are held until its end. No other target is tried, the connection isn't kept, and what a target does once it was told to stop says nothing against it. A caller that doesn't take its answer is let go after 300 ms, since its deadline stops nothing any more. Not mended: an end seen between an answer's head and its body, or while the answer is written, still ends the request at once.

--- a/include/fennelladder/edge/exchange.hpp
+++ b/include/fennelladder/edge/exchange.hpp
@@ -52,7 +52,8 @@
     /// The connection to close when the course is stopped. If the caller left
     /// before the target answered anything, only this node's side is closed
     /// at first: what the target still sent, or that it sent nothing, tells
-    /// whether the team owes for its prompt.
+    /// whether the team owes for its prompt, and an answer that comes whole in
+    /// that time is passed on to a caller that only ended its sending side.
     void hold(connection_ptr held);
     void release();
 
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -51,6 +51,8 @@
 private:
     awaitable<bool> connect();
     bool is_wanted();
+    bool only_read_on() const;
+    bool goes_on() const;
     void send();
     awaitable<void> read_answers();
     awaitable<bool> read_head(std::optional<answer_parser>& parser);
@@ -62,7 +64,7 @@
     awaitable<void> pass_whole(answer_parser& parser);
     awaitable<void> pass_large(answer_parser& parser, std::string begun);
     awaitable<void> hold_failure(answer_parser& parser);
-    awaitable<bool> pass_events();
+    awaitable<bool> pass_events(const answer_parser& parser);
     answer_head head_of(const answer_parser& parser) const;
     void end(attempt_end how, target_evidence evidence, std::string detail);
     void end_by_error(const char* where);
@@ -79,8 +81,12 @@
 
 void attempt::end(attempt_end how, target_evidence evidence, std::string detail)
 {
-    out_.ended = how;
-    out_.evidence = evidence;
+    // What a target does once it was told to stop says nothing against it.
+    const bool told = only_read_on();
+    const bool answered = evidence == target_evidence::answered;
+    out_.ended =
+        told && how == attempt_end::garbled ? attempt_end::caller_left : how;
+    out_.evidence = told && !answered ? target_evidence::nothing : evidence;
     out_.detail = std::move(detail);
 }
 
@@ -108,6 +114,22 @@
         std::string(where) + ": " + ec_.message());
 }
 
+/// The caller's end was seen after the request went out, and the target was
+/// told. Failure it guards against: a caller that only ended its sending side,
+/// which looks the same, waits for an answer that is thrown away when it comes.
+/// What comes whole before the exchange cuts the target off is passed on; a
+/// caller that left doesn't take it.
+bool attempt::only_read_on() const
+{
+    return in_.course.stopped() == stop_reason::caller_left;
+}
+
+/// Whether what was read counts.
+bool attempt::goes_on() const
+{
+    return in_.course.stopped() == stop_reason::none || only_read_on();
+}
+
 void attempt::moved_on(std::optional<duration> limit)
 {
     if (limit)
@@ -195,7 +217,7 @@
         co_await http::async_read_header(connection_->socket, connection_->buf,
                                          *parser, into(ec_));
         connection_->unanswered = false;
-        if (ec_ || in_.course.stopped() != stop_reason::none) {
+        if (ec_ || !goes_on()) {
             out_.nothing_made =
                 ec_ == http::error::end_of_stream && outgoing_->done &&
                 in_.course.stopped() == stop_reason::caller_left;
@@ -220,7 +242,7 @@
     if (ec_ == http::error::need_buffer)
         ec_ = {};
     out.resize(before + piece_size - parser.get().body().size);
-    if (!ec_ && in_.course.stopped() == stop_reason::none)
+    if (!ec_ && goes_on())
         co_return true;
     end_by_error("answer's body");
     co_return false;
@@ -260,9 +282,11 @@
     // body, and end the connection over it.
     const bool unread =
         facts.not_run && outgoing_->body.size() > sure_to_be_read;
-    const bool clean = !unread && parser.is_done() && !parser.need_eof() &&
-                       parser.keep_alive() && !facts.closes &&
-                       outgoing_->done && connection_->buf.size() == 0;
+    // Where the sending side was ended, no other request can follow.
+    const bool clean = !only_read_on() && !unread && parser.is_done() &&
+                       !parser.need_eof() && parser.keep_alive() &&
+                       !facts.closes && outgoing_->done &&
+                       connection_->buf.size() == 0;
     in_.course.release();
     if (!clean)
         return;
@@ -279,11 +303,18 @@
     in_.tables.book.first_byte(in_.target, now - *out_.sent_at, now);
 }
 
-/// Passes on the whole events that are there. False if the caller is gone.
-awaitable<bool> attempt::pass_events()
+/// Passes on the whole events that are there, behind the answer's head. False
+/// if the caller is gone.
+awaitable<bool> attempt::pass_events(const answer_parser& parser)
 {
+    bool sent = true;
+    if (!in_.reply.begun()) {
+        const answer_head head = head_of(parser);
+        sent = co_await in_.reply.begin(head);
+    }
     const std::string whole = in_.events.take();
-    const bool sent = co_await in_.reply.send_piece(whole);
+    if (sent)
+        sent = co_await in_.reply.send_piece(whole);
     if (!sent)
         end(attempt_end::caller_left, target_evidence::nothing, "caller");
     co_return sent;
@@ -309,24 +340,17 @@
         passed = in_.events.events();
         moved_on(in_.gap_limit);
         note_first_byte();
-        if (!in_.reply.begun()) {
-            const answer_head head = head_of(parser);
-            const bool begun = co_await in_.reply.begin(head);
-            if (!begun) {
-                end(attempt_end::caller_left, target_evidence::nothing,
-                    "caller");
-                co_return;
-            }
-        }
-        const bool passed_on = co_await pass_events();
+        // The target is about to be cut off: a part would be of no use.
+        if (only_read_on())
+            continue;
+        const bool passed_on = co_await pass_events(parser);
         if (!passed_on)
             co_return;
     }
     give_back(parser);
-    if (!in_.reply.begun()) {
-        const answer_head head = head_of(parser);
-        (void)co_await in_.reply.begin(head);
-    }
+    const bool passed_on = co_await pass_events(parser);
+    if (!passed_on)
+        co_return;
     // Bytes behind the last event belong to the target's whole answer.
     const std::string rest = in_.events.rest();
     (void)co_await in_.reply.send_piece(rest);
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -22,6 +22,10 @@
 /// A whole body has to be there within this time.
 constexpr duration body_limit_time = seconds(15);
 
+/// A caller whose end was seen may still take an answer, up to this long: the
+/// target is cut off earlier, and its deadline ends nothing any more.
+constexpr duration last_delivery = milliseconds(300);
+
 /// What a caller may send ahead of its next answer.
 constexpr std::size_t most_ahead = 65'536;
 
@@ -269,8 +273,12 @@
     // request up ends that too.
     course->on_stop([weak = weak_from_this()](stop_reason why) {
         const auto self = weak.lock();
-        if (self && why != stop_reason::silent && self->reply_.is_writing())
+        if (!self || why == stop_reason::silent)
+            return;
+        if (self->reply_.is_writing())
             self->close();
+        else if (why == stop_reason::caller_left)
+            self->limit_->close_after(last_delivery);
     });
     course->on_look([this, weak = std::weak_ptr<exchange>(course)] {
         const auto running = weak.lock();
--- a/libs/edge/exchange.cpp
+++ b/libs/edge/exchange.cpp
@@ -11,8 +11,9 @@
 namespace {
 
 /// A target notices within a round trip that its caller is gone, and ends the
-/// connection itself. One that doesn't is cut off after this long, well before
-/// the half second after which its work counts as wasted.
+/// connection itself, or answers if it was about to. One that doesn't is cut
+/// off after this long, well before the half second after which its work counts
+/// as wasted.
 constexpr duration farewell = milliseconds(100);
 
 } // namespace
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -359,6 +359,11 @@
         const dispatch::next_step step =
             dispatch::decide_next(so_far_, got.ended, tables_.options.attempts);
         next_action action = step.action;
+        // For a caller that may have left, nothing is begun; what there is goes
+        // to it, as it may have ended only its sending side.
+        if (action == next_action::try_other &&
+            course_->stopped() == stop_reason::caller_left)
+            action = dispatch::give_up(so_far_, got.ended);
         if (action == next_action::try_other && step.uses_retry &&
             !tables_.retries.take_retry(service_, tables_.nodes.size(),
                                         tables_.now()))
