Answer HEAD requests

Callers that ask by HEAD got a 504 after their route's timeout, though the target had answered at once: its head states the length of the body that GET would give, and the node waited for that body, which never comes. Ruled out: the target (its answer was read, and its connection kept open) and the deadline, which was right to end a wait without end.

The parser is told that no body follows an answer to HEAD. The caller gets the target's head with the length that it states, none if it states none, also for a failure and for a stream's head. The node's own answers to HEAD lose their body as well: it would be read as the beginning of the next answer on a kept connection. Headers of one connection (Transfer-Encoding) aren't passed on, as before.

--- a/include/fennelladder/edge/caller_reply.hpp
+++ b/include/fennelladder/edge/caller_reply.hpp
@@ -28,6 +28,9 @@
     unsigned status = 0;
     std::string reason;
     std::string headers; ///< Lines for the caller, see encode_answer_headers.
+    /// Content-Length as the target wrote it; empty: not stated. Counts only
+    /// where no body is sent, since else the body's size is known.
+    std::string stated_length;
 };
 
 /// A refused caller is asked to come back after this: long enough for a rest
@@ -56,6 +59,12 @@
     awaitable<bool> send_piece(const std::string& bytes);
     awaitable<bool> finish();
 
+    /// The request's method is HEAD: its answer is a head alone, which states
+    /// the length of the body that another method would give. Holds until
+    /// reset(). Precondition: nothing was sent for this request, and begin()
+    /// isn't used for it.
+    void send_no_body() { no_body_ = true; }
+
     /// Says in every later head that the connection ends with the answer.
     void close_after() { closes_ = true; }
     bool closes() const { return closes_; }
@@ -73,9 +82,12 @@
 private:
     awaitable<bool> write(std::string bytes);
     std::string head_text(const answer_head& head) const;
+    std::string length_line(const answer_head& head,
+                            const std::string& body) const;
 
     tcp::socket& socket_;
     bool closes_ = false;
+    bool no_body_ = false;
     bool begun_ = false;
     bool finished_ = false;
     bool writing_ = false;
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -53,6 +53,7 @@
     bool is_wanted();
     bool only_read_on() const;
     bool goes_on() const;
+    bool is_head_request() const;
     void send();
     awaitable<void> read_answers();
     awaitable<bool> read_head(std::optional<answer_parser>& parser);
@@ -130,6 +131,11 @@
     return in_.course.stopped() == stop_reason::none || only_read_on();
 }
 
+bool attempt::is_head_request() const
+{
+    return in_.request.method == "HEAD";
+}
+
 void attempt::moved_on(std::optional<duration> limit)
 {
     if (limit)
@@ -214,6 +220,9 @@
     for (;;) {
         parser.emplace();
         parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+        // No body follows, whatever length its head states: waiting for one
+        // would last until the deadline.
+        parser->skip(is_head_request());
         co_await http::async_read_header(connection_->socket, connection_->buf,
                                          *parser, into(ec_));
         connection_->unanswered = false;
@@ -272,6 +281,8 @@
     const auto reason = parser.get().reason();
     out.reason = std::string(reason.data(), reason.size());
     out.headers = adapter::encode_answer_headers(parser.get().base());
+    const auto length = parser.get()[http::field::content_length];
+    out.stated_length = std::string(length.data(), length.size());
     return out;
 }
 
@@ -443,7 +454,8 @@
         co_return;
     }
     const auto type = parser.get()[http::field::content_type];
-    if (in_.way.streams && type.starts_with("text/event-stream")) {
+    if (in_.way.streams && !is_head_request() &&
+        type.starts_with("text/event-stream")) {
         co_await pass_stream(parser);
         co_return;
     }
--- a/libs/edge/caller_reply.cpp
+++ b/libs/edge/caller_reply.cpp
@@ -25,6 +25,7 @@
 
 void caller_reply::reset()
 {
+    no_body_ = false;
     begun_ = false;
     finished_ = false;
     failure_ = {};
@@ -47,6 +48,18 @@
     return out;
 }
 
+std::string caller_reply::length_line(const answer_head& head,
+                                      const std::string& body) const
+{
+    // These statuses have no body and no length.
+    if (head.status == 204 || head.status == 304)
+        return {};
+    const std::string length =
+        no_body_ ? head.stated_length : std::to_string(body.size());
+    return length.empty() ? std::string()
+                          : "Content-Length: " + length + "\r\n";
+}
+
 awaitable<bool> caller_reply::send_own(const own_answer& answer)
 {
     const std::string body = nlohmann::json{{"error", answer.message}}.dump(
@@ -58,6 +71,7 @@
     head.headers =
         adapter::own_answer_headers(answer.request, answer.retry_after) +
         "Content-Type: application/json\r\n";
+    head.stated_length = std::to_string(body.size());
     const bool sent = co_await send_whole(head, body);
     co_return sent;
 }
@@ -66,11 +80,10 @@
                                          const std::string& body)
 {
     begun_ = true;
-    std::string out = head_text(head);
-    // These statuses have no body and no length.
-    if (head.status != 204 && head.status != 304)
-        out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
-    out += "\r\n" + body;
+    std::string out = head_text(head) + length_line(head, body) + "\r\n";
+    // A body behind an answer to HEAD would be read as the next answer.
+    if (!no_body_)
+        out += body;
     const bool sent = co_await write(std::move(out));
     finished_ = sent;
     co_return sent;
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -206,6 +206,8 @@
     out.has_body = parser.get().has_content_length() || parser.chunked();
     auto& message = parser.get();
     out.method = std::string(message.method_string());
+    if (message.method() == http::verb::head)
+        reply_.send_no_body();
     out.path = std::string(message.target());
     out.body = std::move(message.body());
     out.fields = std::move(message.base());
