Let no assertion of the HTTP parser about what comes from outside end a node

Callers saw all their connections to a node end at one moment, whatever they had under way, when any caller or target sent an empty chunked body whose last chunk came in pieces ("0\r\n", then "\r" alone). The platform's answers and the small servers are read by the same parser.

Cause: Beast 1.74 asserts n >= 5 where it reads the last chunk again (impl/basic_parser.ipp:688), though only n >= 3 holds there without a chunk before it, and only that is needed. Assertions are on in all builds.

Boost's assertions now go to a handler of the project's (BOOST_ENABLE_ASSERT_HANDLER), which passes over those of the parser's two files and aborts on all others. Ruled out: BOOST_DISABLE_ASSERTS, which takes away the checks of our own use of Asio, containers and pointers as well; reading the end of a body ahead of the parser, which mends one call of four; throwing from the handler, which refuses a proper message.

Why it holds: read through, each access after the assertion is bounded by the line end that was found before, or by the end of what was read; the length is used for n - 3 only, and n >= 3 there. Of the parser's other assertions those on bytes can't be reached, and the rest are on our calls' order.

--- a/cmake/fennelladder.cmake
+++ b/cmake/fennelladder.cmake
@@ -21,6 +21,9 @@
 endif()
 # Assertions state invariants; they stay on in every build.
 add_compile_options(-UNDEBUG)
+# Those of Boost go to libs/base/boost_assertion.cpp, which passes over what
+# its parser of HTTP asserts about bytes from outside.
+add_compile_definitions(BOOST_ENABLE_ASSERT_HANDLER)
 
 function(fennelladder_library name)
   cmake_parse_arguments(arg "" "" "DEPENDS;LINK;TEST_DEPENDS" ${ARGN})
