Share the counts of waiting requests with the requests that wait

A node that ended while a request waited for tokens died of a double free at its exit, after all was served and handed over, so that its end looked like a crash and its exit status said so.

Cause: the coroutine of a request that still waits is destroyed with the io_context, after the token desk; the waiting request then took itself out of the desk's counts, which were gone. Ruled out: other destructors of the data path that touch what dies before the io_context. Of the four others in libs/edge one is a session's, which shares its set already, and the others touch what they own.

The request holds the counts by shared_ptr now, so they last as long as it; its frame needs nothing else of the desk when it is destroyed.

--- a/include/fennelladder/edge/token_desk.hpp
+++ b/include/fennelladder/edge/token_desk.hpp
@@ -26,6 +26,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -108,6 +109,7 @@
 
     class waiting_request;
 
+    using waiting_counts = std::map<team_id, int>;
     using transfer_key = std::pair<mesh::node_life, mesh::transfer_number>;
 
     awaitable<void> wait_for_change(instant until);
@@ -139,7 +141,9 @@
     prepaid::ration shares_;
     stock_keeper keeper_;
     std::vector<std::weak_ptr<asio::steady_timer>> waiting_;
-    std::map<team_id, int> waiting_by_team_;
+    /// Shared with the requests that wait, which may outlive the desk.
+    std::shared_ptr<waiting_counts> waiting_by_team_ =
+        std::make_shared<waiting_counts>();
     std::map<mesh::transfer_number, asked> asked_;
     std::map<host_id, instant> answered_by_; ///< When a node last answered.
     std::vector<pending_ask> pending_;
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -39,14 +39,17 @@
 
 } // namespace
 
-/// Counts a request as waiting for as long as it lives.
+/// Counts a request as waiting for as long as it lives. It shares the counts:
+/// requests that still wait as a node ends are destroyed with the io_context
+/// that holds their coroutines, after the desk. Counts of the desk's own would
+/// be gone by then, and taking a request out of them frees them twice.
 class token_desk::waiting_request
 {
 public:
-    waiting_request(std::map<team_id, int>& counts, const team_id& team)
-        : counts_(counts), team_(team)
+    waiting_request(std::shared_ptr<waiting_counts> counts, const team_id& team)
+        : counts_(std::move(counts)), team_(team)
     {
-        ++counts_[team_];
+        ++(*counts_)[team_];
     }
 
     waiting_request(const waiting_request&) = delete;
@@ -54,12 +57,13 @@
 
     ~waiting_request()
     {
-        if (--counts_[team_] == 0)
-            counts_.erase(team_);
+        const auto it = counts_->find(team_);
+        if (--it->second == 0)
+            counts_->erase(it);
     }
 
 private:
-    std::map<team_id, int>& counts_;
+    std::shared_ptr<waiting_counts> counts_;
     team_id team_;
 };
 
@@ -175,9 +179,9 @@
 tokens token_desk::missing_of(const team_id& team, tokens amount,
                               int urgency) const
 {
-    const auto waiting = waiting_by_team_.find(team);
+    const auto waiting = waiting_by_team_->find(team);
     const bool alone =
-        waiting == waiting_by_team_.end() || waiting->second <= 1;
+        waiting == waiting_by_team_->end() || waiting->second <= 1;
     const tokens spare = tables_.purse.free_of(team) - kept_back(team, urgency);
     return alone ? amount - std::max(spare, tokens(0)) : amount;
 }
@@ -285,7 +289,7 @@
         return;
     }
     // Two nodes that are short would hand the same tokens to and fro.
-    const bool none_to_spare = waiting_by_team_.contains(ask.team) &&
+    const bool none_to_spare = waiting_by_team_->contains(ask.team) &&
                                keeper_.writer_elsewhere() != nullptr;
     give(ask, from, none_to_spare ? tokens(0) : debit(ask));
 }
