Have a node that a signal ends say so in its log

All callers at a node lose their connections when an assertion fails or memory that isn't there is touched, and the node's log ended in the middle of what went well: nobody could tell that from a host that lost its power.

Before SIGABRT, SIGSEGV, SIGBUS or SIGFPE ends `fennelladder front`, it now writes event 1007 node_failed with its host and the signal's number. The lines are made at start, as a signal may come in the middle of an allocation; the handler only polls, writes and raises, which POSIX allows there. SA_RESETHAND has put the default action back by then, so that the process ends with the same status and core file as before. Ruled out: flushing the lines that wait in the line_writer, which may be half written at that moment. They are lost as before, and the line bears no time, so that tools/losses passes it over.

telemetry, crash_line: with an empty write_crash_line() two of the four tests failed, which read the line of a child that raises each signal or fails an assertion; the four pass now, 10 of 10 runs. `fennelladder front` sent ABRT and SEGV wrote its line and ended with 134 and 139. adapter, edge, prepaid and process_end pass.

--- a/apps/fennelladder/command_front.cpp
+++ b/apps/fennelladder/command_front.cpp
@@ -5,6 +5,7 @@
 #include "commands.hpp"
 #include "fennelladder/edge/edge_node.hpp"
 #include "fennelladder/settings/settings.hpp"
+#include "fennelladder/telemetry/crash_line.hpp"
 #include "fennelladder/telemetry/line_writer.hpp"
 #include "fennelladder/telemetry/log.hpp"
 #include "platform/host_settings.hpp"
@@ -140,6 +141,7 @@
     const system_clock time;
     telemetry::line_writer log(STDOUT_FILENO, {});
     log_through(log, time, read->host.str());
+    telemetry::write_crash_line(STDOUT_FILENO, read->host.str());
     options.settings_path = path;
     options.settings_text = text.str();
     options.entry_validity = wanted.duration_of("entry-validity");
