Cut no stream for a silence that leaves nowhere to go

Callers saw their answer end in the middle though its target would have gone on: a pause of the target ended the attempt, and only then it showed that no retry was left, or no other target took the rest. The silence limit was set by what might be possible; what the next attempt needs was asked for after the first was given up.

Ruled out: longer limits, which only move the moment; and waiting for answers that haven't begun as well, whose callers are told at once and may ask again.

The exchange now asks before it stops a silent attempt, and the request says yes only when the attempt policy allows another one, a target takes it, and its retry has been taken. Until then the silence is looked at again each tenth of a second; the request's own deadline holds as before.

--- a/include/fennelladder/edge/exchange.hpp
+++ b/include/fennelladder/edge/exchange.hpp
@@ -61,6 +61,11 @@
     /// cut the caller off when it doesn't take its answer.
     void on_stop(std::function<void(stop_reason)> then);
 
+    /// Asked when an attempt has been silent for as long as it may. `false`
+    /// lets it go on; it is asked again while the silence lasts. Not asked
+    /// without one: the attempt is stopped.
+    void on_silence(std::function<bool()> may_stop);
+
     /// How to find out whether the caller has left: on a busy node its end
     /// may have arrived without having been read.
     void on_look(std::function<void()> look);
@@ -100,6 +105,7 @@
     connection_ptr held_;
     std::optional<socket_deadline> farewell_; ///< After close_in_order().
     std::function<void(stop_reason)> then_;
+    std::function<bool()> may_stop_silent_;
     std::function<void()> look_;
     stop_reason stopped_ = stop_reason::none;
     net_error caller_end_;
--- a/libs/edge/exchange.cpp
+++ b/libs/edge/exchange.cpp
@@ -16,6 +16,10 @@
 /// as wasted.
 constexpr duration farewell = milliseconds(100);
 
+/// A silent attempt that had to go on is asked about again after this long:
+/// retries come back, and targets, within tenths of a second.
+constexpr duration silence_pause = milliseconds(100);
+
 } // namespace
 
 exchange::exchange(asio::io_context& io, const clock& time)
@@ -73,10 +77,12 @@
         silence_limit_ && silence_look_.has_passed(*silence_limit_, now);
     if (late)
         stop(stop_reason::out_of_time);
-    else if (silent)
+    else if (!silent)
+        arm();
+    else if (!may_stop_silent_ || may_stop_silent_())
         stop(stop_reason::silent);
     else
-        arm();
+        set_silence_limit(now + silence_pause);
 }
 
 void exchange::hold(connection_ptr held)
@@ -94,6 +100,11 @@
     then_ = std::move(then);
 }
 
+void exchange::on_silence(std::function<bool()> may_stop)
+{
+    may_stop_silent_ = std::move(may_stop);
+}
+
 void exchange::on_look(std::function<void()> look)
 {
     look_ = std::move(look);
@@ -149,6 +160,7 @@
 {
     ended_ = true;
     then_ = nullptr;
+    may_stop_silent_ = nullptr;
     look_ = nullptr;
     held_.reset();
     timer_.cancel();
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -88,6 +88,7 @@
     int urgency() const;
     const service_id& pick_service();
     bool another_is_possible() const;
+    bool goes_on_elsewhere(const dispatch::choice& silent);
     bool may_send() const;
     tokens worst_case() const;
 
@@ -108,6 +109,7 @@
     event_splitter events_;
     std::vector<catalog::target_process> tried_;
     target_id last_target_;
+    bool retry_taken_ = false;     ///< For what follows a silent attempt.
     bool prompt_was_read_ = false; ///< And a token made of it, perhaps.
     std::optional<instant> last_sent_at_;
 };
@@ -255,6 +257,34 @@
            tables_.book.count(service_) > tried_.size() + 1;
 }
 
+/// Whether a silent attempt is given up. Failure it guards against: a target
+/// pauses in its stream, the attempt is given up, and only then it shows that
+/// no retry is left or no other target takes the rest: the caller's answer is
+/// cut though its target would have gone on. So what the next attempt needs is
+/// made sure of, and its retry taken, before. An answer that hasn't begun is
+/// another matter: its caller is told at once that it may ask again.
+bool request_run::goes_on_elsewhere(const dispatch::choice& silent)
+{
+    if (!reply_.begun())
+        return true;
+    dispatch::course after = so_far_;
+    ++after.sent;
+    ++after.may_have_run;
+    after.head_passed_on = true;
+    after.time_left = time_left();
+    const auto step = dispatch::decide_next(after, attempt_end::silent,
+                                            tables_.options.attempts);
+    if (step.action != next_action::try_other || !may_send())
+        return false;
+    dispatch::work_wish other = wish();
+    other.avoid.push_back(silent.process());
+    const instant now = tables_.now();
+    retry_taken_ =
+        tables_.book.choose(other, now, tables_.random).has_value() &&
+        tables_.retries.take_retry(service_, tables_.nodes.size(), now);
+    return retry_taken_;
+}
+
 awaitable<attempt_outcome>
 request_run::attempt_at(const dispatch::choice& target)
 {
@@ -282,7 +312,10 @@
     }
     const dispatch::work_wish wanted = wish();
     tables_.book.started(target, wanted, tables_.now());
+    retry_taken_ = false;
+    course_->on_silence([&] { return goes_on_elsewhere(target); });
     attempt_outcome got = co_await run_attempt(in);
+    course_->on_silence(nullptr);
     tables_.book.finished(target, got.first_byte, got.evidence, tables_.now());
     co_return got;
 }
@@ -365,6 +398,7 @@
             course_->stopped() == stop_reason::caller_left)
             action = dispatch::give_up(so_far_, got.ended);
         if (action == next_action::try_other && step.uses_retry &&
+            !retry_taken_ &&
             !tables_.retries.take_retry(service_, tables_.nodes.size(),
                                         tables_.now()))
             action = dispatch::give_up(so_far_, got.ended);
