Don't close a connection over a request that came during a stall

A caller's next request on a connection that had rested for as long as it may lay unread while the node stood still; the second look at the limit, queued before the stall, ran ahead of it and closed the connection. Callers repeat what was never read, so it costs them a round trip and a dial; nothing was run.

The limit looks once more where bytes wait.

--- a/libs/edge/socket_deadline.cpp
+++ b/libs/edge/socket_deadline.cpp
@@ -18,6 +18,7 @@
 private:
     void wait_until(time_point at);
     void on_timer();
+    bool has_unread() const;
     void close();
 
     std::weak_ptr<tcp::socket> socket_;
@@ -25,6 +26,7 @@
     std::optional<time_point> deadline_;
     std::optional<time_point> armed_for_;
     second_look<time_point> look_;
+    bool waited_for_unread_ = false;
     bool has_closed_ = false;
 };
 
@@ -32,6 +34,7 @@
 {
     deadline_ = at;
     look_.begin_anew();
+    waited_for_unread_ = false;
     // One that rings too early finds out and waits for the rest.
     if (!armed_for_ || at < *armed_for_)
         wait_until(at);
@@ -63,9 +66,22 @@
     const auto now = asio::steady_timer::clock_type::now();
     if (!look_.has_passed(*deadline_, now))
         return wait_until(look_.due(*deadline_));
+    // A second look that was queued before a stall may run ahead of what came
+    // during it. Once only: what nobody reads is no reason to stay open.
+    if (!waited_for_unread_ && has_unread()) {
+        waited_for_unread_ = true;
+        return wait_until(now + last_look);
+    }
     close();
 }
 
+bool socket_deadline::course::has_unread() const
+{
+    net_error ec;
+    const auto socket = socket_.lock();
+    return socket && socket->available(ec) > 0;
+}
+
 void socket_deadline::course::close()
 {
     deadline_.reset();
--- a/libs/edge/socket_deadline_test.cpp
+++ b/libs/edge/socket_deadline_test.cpp
@@ -112,6 +112,41 @@
     CHECK(both.near_end->is_open());
 }
 
+// Story: a caller sent its next request on a connection that had rested for as
+// long as it may. The node stood still between its two looks; the second was
+// queued when the request came, and closed the connection over it, unread.
+TEST(socket_deadline, bytes_that_come_before_the_second_look_count)
+{
+    ends both;
+    bool got = false;
+    both.deadline.close_after(limit);
+    both.read([&] {
+        got = true;
+        both.deadline.clear();
+    });
+    asio::steady_timer before(both.io, limit + last_look / 4);
+    before.async_wait([&](net_error) {
+        // Both timers' handlers are queued after this.
+        asio::post(both.io, [] { std::this_thread::sleep_for(2 * last_look); });
+    });
+    asio::steady_timer between(both.io, limit + last_look / 2);
+    between.async_wait(
+        [&](net_error) { both.far_end.send(asio::buffer("x", 1)); });
+    both.io.run_for(seconds(2));
+    CHECK(got);
+    CHECK(both.near_end->is_open());
+}
+
+// A connection that nobody reads from doesn't stay for what lies in it.
+TEST(socket_deadline, bytes_that_are_never_read_are_no_excuse)
+{
+    ends both;
+    both.deadline.close_after(limit);
+    both.far_end.send(asio::buffer("x", 1));
+    both.io.run_for(seconds(2));
+    CHECK(both.deadline.has_closed());
+}
+
 TEST(socket_deadline, a_stall_without_bytes_is_no_excuse)
 {
     ends both;
