Let nothing follow a part of an answer but its own rest

Callers got two answers in one that looked whole: a large answer that came steadily on a resumable route counted as silent (its limit was never moved on), or broke off, and the request was begun anew behind the part they had; a stream went on with an answer that was none. And a caller that took its stream slowly counted as a silent target; after that neither the deadline nor its end stopped the request, and a retry was taken that nothing used.

The silence limit now stands only while a target is waited for; an answer that is no stream is resumed by nothing; what goes on has to be a stream; and after a silence the deadline and the caller's end still count. Ruled out: a longer limit for large answers, whose pieces may come at any pace.

--- a/include/fennelladder/dispatch/attempt_policy.hpp
+++ b/include/fennelladder/dispatch/attempt_policy.hpp
@@ -51,6 +51,8 @@
     int rejections = 0;
     int failed_connects = 0;
     bool head_passed_on = false; ///< The caller has the answer's beginning.
+    /// What it has is no stream: nothing else can follow it.
+    bool part_stands_alone = false;
     duration time_left{0};
 };
 
--- a/include/fennelladder/edge/attempt.hpp
+++ b/include/fennelladder/edge/attempt.hpp
@@ -69,6 +69,9 @@
     /// The target was told that the caller is gone, and ended the connection
     /// without having sent anything: it made no token.
     bool nothing_made = false;
+    /// A part of an answer that is no stream was passed on: nothing else can
+    /// follow it.
+    bool part_stands_alone = false;
     answer_head head; ///< Of a failure that may be passed on.
     std::string body;
     std::string detail; ///< For the log.
--- a/include/fennelladder/edge/exchange.hpp
+++ b/include/fennelladder/edge/exchange.hpp
@@ -73,6 +73,7 @@
     /// Looks now. Stops the course if the caller has left.
     void look_for_caller();
 
+    /// Once for good; only a silence may be followed by another reason.
     void stop(stop_reason why);
     stop_reason stopped() const { return stopped_; }
 
@@ -93,6 +94,7 @@
     std::optional<instant> next_look() const;
     void arm();
     void on_timer();
+    void stop_silent();
     void close_in_order();
 
     const clock& time_;
--- a/libs/dispatch/attempt_policy.cpp
+++ b/libs/dispatch/attempt_policy.cpp
@@ -14,7 +14,8 @@
 /// A stream of which the caller has a part goes on only where it may.
 bool may_go_on(const course& so_far)
 {
-    return !so_far.head_passed_on || so_far.way->resumable;
+    return !so_far.head_passed_on ||
+           (so_far.way->resumable && !so_far.part_stands_alone);
 }
 
 bool has_room(const course& so_far, attempt_end ended,
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -315,9 +315,11 @@
 }
 
 /// Passes on the whole events that are there, behind the answer's head. False
-/// if the caller is gone.
+/// if the caller is gone. A caller that takes them slowly is no silence of the
+/// target; the request's deadline bounds it.
 awaitable<bool> attempt::pass_events(const answer_parser& parser)
 {
+    moved_on(std::nullopt);
     bool sent = true;
     if (!in_.reply.begun()) {
         const answer_head head = head_of(parser);
@@ -349,14 +351,15 @@
         if (in_.events.events() == passed)
             continue;
         passed = in_.events.events();
-        moved_on(in_.gap_limit);
         note_first_byte();
+        moved_on(in_.gap_limit);
         // The target is about to be cut off: a part would be of no use.
         if (only_read_on())
             continue;
         const bool passed_on = co_await pass_events(parser);
         if (!passed_on)
             co_return;
+        moved_on(in_.gap_limit);
     }
     give_back(parser);
     const bool passed_on = co_await pass_events(parser);
@@ -372,8 +375,12 @@
         end(attempt_end::caller_left, target_evidence::nothing, "caller");
 }
 
+/// What can't be resumed isn't given up for a silence, and nothing may follow
+/// the part that the caller has: two answers in one would look whole.
 awaitable<void> attempt::pass_large(answer_parser& parser, std::string piece)
 {
+    moved_on(std::nullopt);
+    out_.part_stands_alone = true;
     const answer_head head = head_of(parser);
     bool taken = co_await in_.reply.begin(head);
     while (taken) {
@@ -408,6 +415,7 @@
             co_return;
         }
     }
+    moved_on(std::nullopt);
     give_back(parser);
     const answer_head head = head_of(parser);
     const bool sent = co_await in_.reply.send_whole(head, body);
@@ -459,6 +467,11 @@
         co_await pass_stream(parser);
         co_return;
     }
+    if (in_.reply.begun()) {
+        end(attempt_end::garbled, target_evidence::broke,
+            "no stream where one was to go on");
+        co_return;
+    }
     note_first_byte();
     co_await pass_whole(parser);
 }
--- a/libs/edge/exchange.cpp
+++ b/libs/edge/exchange.cpp
@@ -80,7 +80,7 @@
     else if (!silent)
         arm();
     else if (!may_stop_silent_ || may_stop_silent_())
-        stop(stop_reason::silent);
+        stop_silent();
     else
         set_silence_limit(now + silence_pause);
 }
@@ -116,9 +116,19 @@
         look_();
 }
 
+/// A silent attempt is over, its request isn't: the deadline holds on.
+void exchange::stop_silent()
+{
+    silence_limit_.reset();
+    stop(stop_reason::silent);
+    arm();
+}
+
 void exchange::stop(stop_reason why)
 {
-    if (ended_ || stopped_ != stop_reason::none)
+    const bool over = stopped_ == stop_reason::caller_left ||
+                      stopped_ == stop_reason::out_of_time;
+    if (ended_ || over || stopped_ == why)
         return;
     stopped_ = why;
     net_error ec;
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -359,6 +359,7 @@
     if (!got.idle_race || target.candidates > 1)
         tried_.push_back(target.process());
     so_far_.head_passed_on = reply_.begun();
+    so_far_.part_stands_alone |= got.part_stands_alone;
     so_far_.time_left = time_left();
 }
 
