Don't let a leaving node wait for a request that doesn't come whole

Since requests that are being read count as under way, a caller that had sent half of one held the leaving node up until its grace was over (15 s for a body), and with it the handing on of its tokens. What a node that refuses still reads has half a second now.

--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -22,6 +22,10 @@
 /// A whole body has to be there within this time.
 constexpr duration body_limit_time = seconds(15);
 
+/// The same for what a node that refuses new requests still reads: it has come
+/// by then, or its caller has stopped sending.
+constexpr duration last_reading = milliseconds(500);
+
 /// A caller whose end was seen may still take an answer, up to this long: the
 /// target is cut off earlier, and its deadline ends nothing any more.
 constexpr duration last_delivery = milliseconds(300);
@@ -86,6 +90,7 @@
     awaitable<void> serve_requests();
     awaitable<bool> wait_for_request();
     awaitable<bool> read_request(caller_request& out);
+    void limit_reading(duration length);
     awaitable<bool> reject(unsigned status, const char* reason);
     void note_unread(const char* part, const net_error& ec) const;
     awaitable<void> serve(caller_request request);
@@ -123,6 +128,15 @@
     net_error ec;
     if (is_idle() && socket_.available(ec) == 0)
         close();
+    else if (!serving_ && limit_)
+        limit_->close_after(last_reading);
+}
+
+/// Closes the connection unless what is read is there after `length`.
+void caller_session::limit_reading(duration length)
+{
+    limit_->close_after(server_.refusing_ ? std::min(length, last_reading)
+                                          : length);
 }
 
 awaitable<bool> caller_session::wait_for_request()
@@ -173,7 +187,7 @@
     request_parser parser;
     parser.header_limit(limits.header_bytes);
     parser.body_limit(limits.body_bytes);
-    limit_->close_after(limits.header_timeout);
+    limit_reading(limits.header_timeout);
     net_error ec;
     co_await http::async_read_header(socket_, buf_, parser, into(ec));
     if (ec == http::error::header_limit) {
@@ -207,7 +221,7 @@
         const std::string go_on = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(socket_, asio::buffer(go_on), into(ec));
     }
-    limit_->close_after(body_limit_time);
+    limit_reading(body_limit_time);
     co_await http::async_read(socket_, buf_, parser, into(ec));
     limit_->clear();
     if (ec == http::error::body_limit) {
