Say of an answer after its caller's end that it may not have arrived

Since an answer that comes within the farewell is delivered, the last line of a request whose caller has gone says answered, and explain said no more. It reads caller_end now. An idle connection that its caller resets leaves no 1517 line any more.

--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -167,16 +167,14 @@
     co_return false;
 }
 
-/// A connection that ends between two requests is nothing to tell of.
 void caller_session::note_unread(const char* part, const net_error& ec) const
 {
-    if (ec != http::error::end_of_stream)
-        telemetry::log_event(
-            telemetry::event::request_unread,
-            {{"part", part},
-             {"error", end_text(ec)},
-             {"closed_here", socket_.is_open() ? "no" : "yes"},
-             {"lag_ms", milliseconds_text(tables_.lag.at(tables_.now()))}});
+    telemetry::log_event(
+        telemetry::event::request_unread,
+        {{"part", part},
+         {"error", end_text(ec)},
+         {"closed_here", socket_.is_open() ? "no" : "yes"},
+         {"lag_ms", milliseconds_text(tables_.lag.at(tables_.now()))}});
 }
 
 awaitable<bool> caller_session::read_request(caller_request& out)
@@ -205,10 +203,11 @@
             ec == http::error::end_of_stream ||
             ec.category() !=
                 make_error_code(http::error::bad_method).category();
-        if (nobody) {
+        // An end between two requests is nothing to tell of.
+        if (nobody && parser.got_some())
             note_unread("head", ec);
+        if (nobody)
             co_return false;
-        }
         const bool more = co_await reject(400, "no proper request");
         co_return more;
     }
--- a/libs/report/request_course.cpp
+++ b/libs/report/request_course.cpp
@@ -130,7 +130,12 @@
 
 std::string answered(const ending& it)
 {
-    return "Answered, after " + std::string(it.last.get("ms")) + " ms.";
+    const std::string out =
+        "Answered, after " + std::string(it.last.get("ms")) + " ms.";
+    if (it.last.get("caller_end").empty())
+        return out;
+    return out + " The caller had ended its connection, or its sending side, "
+                 "before; it may not have taken the answer.";
 }
 
 std::string late(const ending& it)
--- a/libs/report/request_course_test.cpp
+++ b/libs/report/request_course_test.cpp
@@ -121,3 +121,19 @@
     CHECK(says(broken, "connection ended by: reset"));
     CHECK(says(broken, "stood still for up to 48 ms"));
 }
+
+// Story: a caller's connection ended just after its request was sent on. The
+// target's answer still came and was written, so the last line says answered;
+// the caller got nothing.
+TEST(request_course, an_answer_after_its_callers_end_may_not_have_arrived)
+{
+    request_course course("r1");
+    course.add(line("01.000", "a", 1510,
+                    R"(,"id":"r1","ms":"16","caller_end":"closed")"));
+    CHECK(says(course, "Answered, after 16 ms"));
+    CHECK(says(course, "may not have taken the answer"));
+    request_course plain("r2");
+    plain.add(
+        line("01.000", "a", 1510, R"(,"id":"r2","ms":"16","caller_end":"")"));
+    CHECK(!says(plain, "may not have taken"));
+}
