--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -51,8 +51,8 @@
 private:
     awaitable<bool> connect();
     bool is_wanted();
-    bool only_read_on() const;
-    bool goes_on() const;
+    bool caller_has_ended() const;
+    bool answer_counts() const;
     bool is_head_request() const;
     void send();
     awaitable<void> read_answers();
@@ -83,11 +83,13 @@
 void attempt::end(attempt_end how, target_evidence evidence, std::string detail)
 {
     // What a target does once it was told to stop says nothing against it.
-    const bool told = only_read_on();
+    const bool target_was_told = caller_has_ended();
     const bool answered = evidence == target_evidence::answered;
-    out_.ended =
-        told && how == attempt_end::garbled ? attempt_end::caller_left : how;
-    out_.evidence = told && !answered ? target_evidence::nothing : evidence;
+    out_.ended = target_was_told && how == attempt_end::garbled
+                     ? attempt_end::caller_left
+                     : how;
+    out_.evidence =
+        target_was_told && !answered ? target_evidence::nothing : evidence;
     out_.detail = std::move(detail);
 }
 
@@ -120,15 +122,15 @@
 /// which looks the same, waits for an answer that is thrown away when it comes.
 /// What comes whole before the exchange cuts the target off is passed on; a
 /// caller that left doesn't take it.
-bool attempt::only_read_on() const
+bool attempt::caller_has_ended() const
 {
     return in_.course.stopped() == stop_reason::caller_left;
 }
 
 /// Whether what was read counts.
-bool attempt::goes_on() const
+bool attempt::answer_counts() const
 {
-    return in_.course.stopped() == stop_reason::none || only_read_on();
+    return in_.course.stopped() == stop_reason::none || caller_has_ended();
 }
 
 bool attempt::is_head_request() const
@@ -226,7 +228,7 @@
         co_await http::async_read_header(connection_->socket, connection_->buf,
                                          *parser, into(ec_));
         connection_->unanswered = false;
-        if (ec_ || !goes_on()) {
+        if (ec_ || !answer_counts()) {
             out_.nothing_made =
                 ec_ == http::error::end_of_stream && outgoing_->done &&
                 in_.course.stopped() == stop_reason::caller_left;
@@ -251,7 +253,7 @@
     if (ec_ == http::error::need_buffer)
         ec_ = {};
     out.resize(before + piece_size - parser.get().body().size);
-    if (!ec_ && goes_on())
+    if (!ec_ && answer_counts())
         co_return true;
     end_by_error("answer's body");
     co_return false;
@@ -294,7 +296,7 @@
     const bool unread =
         facts.not_run && outgoing_->body.size() > sure_to_be_read;
     // Where the sending side was ended, no other request can follow.
-    const bool clean = !only_read_on() && !unread && parser.is_done() &&
+    const bool clean = !caller_has_ended() && !unread && parser.is_done() &&
                        !parser.need_eof() && parser.keep_alive() &&
                        !facts.closes && outgoing_->done &&
                        connection_->buf.size() == 0;
@@ -354,7 +356,7 @@
         note_first_byte();
         moved_on(in_.gap_limit);
         // The target is about to be cut off: a part would be of no use.
-        if (only_read_on())
+        if (caller_has_ended())
             continue;
         const bool passed_on = co_await pass_events(parser);
         if (!passed_on)
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -88,7 +88,7 @@
     int urgency() const;
     const service_id& pick_service();
     bool another_is_possible() const;
-    bool goes_on_elsewhere(const dispatch::choice& silent);
+    bool may_give_up_silent(const dispatch::choice& silent);
     bool may_send() const;
     tokens worst_case() const;
 
@@ -263,7 +263,7 @@
 /// cut though its target would have gone on. So what the next attempt needs is
 /// made sure of, and its retry taken, before. An answer that hasn't begun is
 /// another matter: its caller is told at once that it may ask again.
-bool request_run::goes_on_elsewhere(const dispatch::choice& silent)
+bool request_run::may_give_up_silent(const dispatch::choice& silent)
 {
     if (!reply_.begun())
         return true;
@@ -313,7 +313,7 @@
     const dispatch::work_wish wanted = wish();
     tables_.book.started(target, wanted, tables_.now());
     retry_taken_ = false;
-    course_->on_silence([&] { return goes_on_elsewhere(target); });
+    course_->on_silence([&] { return may_give_up_silent(target); });
     attempt_outcome got = co_await run_attempt(in);
     course_->on_silence(nullptr);
     tables_.book.finished(target, got.first_byte, got.evidence, tables_.now());
