--- a/libs/report/request_course.cpp
+++ b/libs/report/request_course.cpp
@@ -130,7 +130,7 @@
 
 std::string answered(const ending& it)
 {
-    const std::string out =
+    std::string out =
         "Answered, after " + std::string(it.last.get("ms")) + " ms.";
     if (it.last.get("caller_end").empty())
         return out;
