Build without the libraries for tests

Cause: libs/testing looked for RapidCheck whatever FENNELLADDER_TESTS said, so that the build which deploy/system.toml describes failed to configure on a machine with the packages named there alone.

Ruled out: a further package in deploy/system.toml; the build must not need the tests.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 PASS_OVER := $(if $(KNOWN_RED),-E '^($(KNOWN_RED))$$')
 SUDO := $(shell [ $$(id -u) = 0 ] || echo sudo)
 
-.PHONY: setup build test soak demo asan tsan format format-check tidy mutants capacity bench clean
+.PHONY: setup build configure-without-tests test soak demo asan tsan format \
+  format-check tidy mutants capacity bench clean
 
 setup:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
@@ -20,6 +21,12 @@
 build: setup $(BUILD)/build.ninja
 	ninja -C $(BUILD) -j $(JOBS)
 
+# As on the platform's machines, which have no libraries for tests.
+configure-without-tests: setup
+	cmake -S . -B build-without-tests -G Ninja -DFENNELLADDER_TESTS=OFF \
+	  -DCMAKE_DISABLE_FIND_PACKAGE_rapidcheck=TRUE >/dev/null
+	! grep -q -i -e rapidcheck -e CppUTest build-without-tests/build.ninja
+
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4 $(PASS_OVER)
 	cd tools/losses && python3 losses_test.py
@@ -59,7 +66,7 @@
 	python3 tools/capacity/capacity.py
 
 clean:
-	rm -rf build build-asan build-tsan build-mutants out
+	rm -rf build build-asan build-tsan build-mutants build-without-tests out
 
 # Faults against real processes; the seeds are those that once failed, and
 # one more. `tools/soak/soak.py --seed N --seconds S` runs others.
