--- a/include/fennelladder/catalog/configuration.hpp
+++ b/include/fennelladder/catalog/configuration.hpp
@@ -59,6 +59,8 @@
     duration pause_objective{0}; ///< Between two events of a stream.
     int urgency = 0;             ///< 0 is the most urgent.
     int max_targets = 1;         ///< Targets that may run one request.
+    /// Where its requests may be run; empty: anywhere.
+    std::vector<region_id> regions;
     std::vector<weighted_service> services;
 };
 
@@ -75,6 +77,8 @@
     service_id id;
     std::string health_path;
     std::uint32_t max_connections = 0; ///< Per target, from all nodes.
+    duration cold_start{0}; ///< A target is cold for so long after its start.
+    double cold_rate = 0;   ///< Requests a second that it bears then; 0: any.
     std::optional<engine_traits> engine;
 };
 
@@ -82,8 +86,9 @@
 {
     team_id id;
     std::vector<std::string> keys;
-    std::optional<int> urgency;    ///< Instead of the route's.
-    std::optional<tokens> prepaid; ///< Total for the day; unset: unmetered.
+    std::optional<int> urgency;     ///< Instead of the route's.
+    std::optional<tokens> prepaid;  ///< Total for the day; unset: unmetered.
+    std::vector<region_id> regions; ///< As a route's.
 };
 
 /// What a caller may send, and how long it may take.
@@ -106,6 +111,13 @@
     caller_limits limits;
 };
 
+/// Regions in which a request may be run; unset: anywhere. Where both the route
+/// and the team name some, both bind, and none may be left.
+using allowed_regions = std::optional<std::vector<region_id>>;
+
+/// `payer` may be null. Thread safe.
+allowed_regions regions_for(const route& way, const team* payer);
+
 /// Thread safe, since it never changes.
 class configuration
 {
@@ -119,6 +131,10 @@
     const route* find_route(std::string_view host_name,
                             std::string_view path) const;
 
+    /// Regions that all routes of the host name allow; unset: any. For callers
+    /// that ask where to connect before they say on which route.
+    allowed_regions regions_of_host(std::string_view host_name) const;
+
     const team* find_team_by_key(std::string_view key) const;
     const team* find_team(const team_id& id) const;
     const service* find_service(const service_id& id) const;
--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -27,6 +27,13 @@
 // time. The list may lag: a target that says it is another life is dropped
 // at once.
 //
+// Targets of an evacuated data centre, and those outside of the regions that a
+// request names, are no choice. A cold target is one only for the nodes that
+// carry its requests (dispatch/cold_ramp.hpp), and for them as often as it
+// bears. It is known to be cold by its own word or since its data centre's
+// evacuation ended; a target that answers again after it couldn't be reached
+// may have started anew, and gets one request a second until that is known.
+//
 // What is known is known of one process. When a target starts again under its
 // id, its row begins anew; what ends later at the process before, and loads
 // that peers have there, are passed over.
@@ -37,7 +44,9 @@
 #define FENNELLADDER_DISPATCH_TARGET_BOOK_HPP
 
 #include "fennelladder/base/random.hpp"
+#include "fennelladder/catalog/configuration.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
+#include "fennelladder/dispatch/cold_ramp.hpp"
 
 #include <cstdint>
 #include <map>
@@ -61,9 +70,10 @@
 {
     service_id service;
     bool on_engine = false;
-    std::vector<shared_part> prompt; ///< In order; the last is its own.
-    std::uint32_t prompt_size = 0;   ///< Tokens, all parts and the rest.
-    duration objective{0};           ///< To the first byte.
+    std::vector<shared_part> prompt;  ///< In order; the last is its own.
+    std::uint32_t prompt_size = 0;    ///< Tokens, all parts and the rest.
+    duration objective{0};            ///< To the first byte.
+    catalog::allowed_regions regions; ///< Where it may run.
     std::vector<catalog::target_process> avoid; ///< Tried already.
 };
 
@@ -106,6 +116,24 @@
 
 std::string_view to_string(target_evidence value);
 
+/// Why no target can be chosen, the later the nearer it was to be one.
+enum class absence : std::uint8_t
+{
+    none_usable, ///< None is listed, or all left, or were tried.
+    outside,     ///< Those left are outside of the regions allowed.
+    evacuated,   ///< Data centres of those left are evacuated.
+    cold         ///< Those left are cold and have got what they bear.
+};
+
+std::string_view to_string(absence value);
+
+/// What a service's targets bear while they are cold.
+struct cold_traits
+{
+    duration lasts{0};       ///< From a target's start.
+    std::uint32_t limit = 0; ///< Requests in any one second, from all nodes.
+};
+
 /// How many requests a node has running at a target.
 struct target_load
 {
@@ -118,7 +146,10 @@
 
 struct target_book_options
 {
+    host_id self;
     data_center_id own_data_center;
+    std::map<data_center_id, region_id> regions; ///< Of all data centres.
+    cold_ramp_options ramp;
     /// Reading speed assumed of an engine, tokens a second; what a target
     /// really does shows in its slowness. Of the engines measured so far,
     /// 48 to 55 thousand.
@@ -183,10 +214,30 @@
     sync(const catalog::target_list::entry_map& listed, bool list_in_doubt,
          instant now);
 
+    /// Evacuates these data centres, and no others. Targets of one that was
+    /// evacuated count as cold from now: they may have started meanwhile, and
+    /// their entries needn't say so yet. Returns their number.
+    std::size_t set_evacuated(std::vector<data_center_id> data_centers,
+                              instant now);
+
+    /// Services that aren't among these have no cold targets.
+    void set_cold_traits(std::unordered_map<service_id, cold_traits> traits);
+
+    /// The hosts that may carry requests of cold targets, see cold_ramp.
+    void set_ramp_hosts(std::vector<host_id> hosts);
+
+    /// The target says that it stays cold for `left`.
+    void note_cold(const catalog::target_process& target, duration left,
+                   instant now);
+
     /// The best target, or nothing when the service has none to offer.
     std::optional<choice> choose(const work_wish& wish, instant now,
                                  random_source& random);
 
+    /// Why choose() finds nothing for this wish, by the target that was nearest
+    /// to be chosen.
+    absence why_none(const work_wish& wish, instant now) const;
+
     /// A request was sent. Every started() is followed by one finished() with
     /// the same choice.
     void started(const choice& made, const work_wish& of, instant now);
@@ -246,6 +297,9 @@
         int rests = 0;       ///< In a row.
         bool trying = false; ///< One request finds out whether it works.
         std::unordered_map<std::uint64_t, instant> parts; ///< Last use.
+        instant cold_until;
+        instant suspect_until; ///< It may have started anew, unannounced.
+        recent_sends sends;    ///< While it is cold or suspected to be.
     };
 
     using state_map = std::map<target_id, target_state>;
@@ -253,6 +307,13 @@
     double faded(const fading_average& of, instant now) const;
     void observe(fading_average& of, double value, instant now) const;
     bool usable(const target_state& it, instant now) const;
+    const cold_traits* traits_of(const target_state& it) const;
+    std::optional<std::uint32_t> cold_share(const target_state& it,
+                                            instant now) const;
+    bool is_cold_to_us(const target_state& it, instant now) const;
+    bool is_outside(const target_state& it, const work_wish& wish) const;
+    bool was_tried(const target_state& it, const work_wish& wish) const;
+    void suspect_start(target_state& it, instant now) const;
     bool resting(const target_state& it, instant now) const;
     bool is_quiet(const target_state& it, instant now) const;
     std::uint32_t held(const target_state& it, const work_wish& wish,
@@ -271,12 +332,16 @@
     target_state* find(const catalog::target_process& target);
     target_state* find(const target_load& load);
     static void take_entry(target_state& it, const catalog::target_entry& entry,
+                           instant now,
                            std::vector<catalog::target_entry>& replaced);
     static void forget_address(target_state& it);
     void recount_peers();
     void add_peer(const std::vector<target_load>& load, int sign);
 
     target_book_options options_;
+    cold_ramp ramp_;
+    std::vector<data_center_id> evacuated_; ///< Sorted.
+    std::unordered_map<service_id, cold_traits> cold_traits_;
     state_map targets_;
     std::unordered_map<service_id, std::vector<target_id>> by_service_;
     std::map<host_id, std::vector<target_load>> peer_loads_;
--- a/include/fennelladder/edge/entry_planner.hpp
+++ b/include/fennelladder/edge/entry_planner.hpp
@@ -1,7 +1,9 @@
 // Which addresses a caller is told to use.
 //
 // Nodes that are ready and were heard lately, those of the caller's own data
-// centre alone if there are enough of them: its bytes then stay there. Callers
+// centre alone if there are enough of them: its bytes then stay there. Else
+// those of its region, and if there are none, those of the regions in which the
+// requests for the host name may be run. Callers
 // pick at random among what they are told, and some send all they have to one
 // address; so where hosts are unequal, the small ones are named only when the
 // large ones can't carry the load of all with room to spare. Fewer nodes also
@@ -13,6 +15,7 @@
 #define FENNELLADDER_EDGE_ENTRY_PLANNER_HPP
 
 #include "fennelladder/base/ids.hpp"
+#include "fennelladder/catalog/configuration.hpp"
 
 #include <cstddef>
 #include <string>
@@ -24,6 +27,7 @@
 {
     std::string address;
     data_center_id data_center;
+    region_id region;
     double capacity = 0; ///< Requests a second it can carry.
     double load = 0;     ///< Requests a second it carries now.
 };
@@ -44,8 +48,16 @@
 /// What a host can carry, by its processor and its link: requests a second.
 double request_capacity(double cores, double link_bits_per_second);
 
+/// Who asks, and where its requests may be run.
+struct entry_asker
+{
+    data_center_id data_center;
+    region_id region;
+    catalog::allowed_regions regions;
+};
+
 std::vector<std::string> plan_entry(const std::vector<entry_node>& nodes,
-                                    const data_center_id& caller,
+                                    const entry_asker& asker,
                                     const entry_options& options);
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -10,6 +10,7 @@
 #include "fennelladder/base/decaying_rate.hpp"
 #include "fennelladder/base/random.hpp"
 #include "fennelladder/catalog/configuration.hpp"
+#include "fennelladder/catalog/evacuation_list.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
 #include "fennelladder/dispatch/poison_list.hpp"
 #include "fennelladder/dispatch/retry_window.hpp"
@@ -82,6 +83,14 @@
     bool take_configuration(catalog::configuration_parts parts,
                             std::string text, const std::string& source);
 
+    /// Takes a newer state of evacuations into force, `source` being who
+    /// brought it, for the log. True if other data centres are evacuated now.
+    bool take_evacuations(catalog::evacuation_state state,
+                          const std::string& source);
+
+    /// Lets the target book know which hosts carry requests of cold targets.
+    void update_ramp();
+
     /// For how long a peer's word on its stock counts: a few beacons.
     duration stock_word_lasts() const;
 
@@ -95,6 +104,7 @@
     /// was the newest at `at`.
     void confirm_configuration(instant at);
     void confirm_targets(instant at);
+    void confirm_evacuations(instant at);
 
     /// Notes whether a call to the platform was answered.
     void note_contact(bool reached, const std::string& detail);
@@ -114,6 +124,8 @@
     std::optional<instant> configuration_announced;
     catalog::target_list targets;
     mesh::freshness targets_freshness;
+    catalog::evacuation_list evacuations;
+    mesh::freshness evacuations_freshness;
     /// The latest change of targets that a peer spoke of.
     catalog::revision targets_announced;
     mesh::news_lateness lateness;
@@ -133,6 +145,7 @@
     /// answers twice: their load then has followed the last answer.
     decaying_rate requests_taken{seconds(4)};
     loop_lag lag{tick_period};
+    instant started; ///< When this process began to hear of others.
     bool leaving = false;
 
     /// Called whenever the platform answered any call; set by the feed.
--- a/include/fennelladder/edge/platform_client.hpp
+++ b/include/fennelladder/edge/platform_client.hpp
@@ -47,13 +47,15 @@
     watch_configuration,
     list_targets,
     watch_targets,
+    list_evacuations,
+    watch_evacuations,
     list_nodes,
     register_node,
     read_allotments,
     write_allotments
 };
 
-inline constexpr std::size_t call_names = 8;
+inline constexpr std::size_t call_names = 10;
 
 std::string_view to_string(call_name value);
 
--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -1,4 +1,5 @@
-// Keeps a node's configuration and list of targets as new as the platform's.
+// Keeps a node's configuration, list of targets and evacuations as new as the
+// platform's.
 //
 //     platform_feed feed(tables, client, mesh);
 //     feed.start();
@@ -50,7 +51,7 @@
     void start();
 
 private:
-    /// One of the two kinds of news that are followed.
+    /// One of the kinds of news that are followed.
     struct news_kind
     {
         news_kind(const char* name, node_tables& tables,
@@ -110,18 +111,24 @@
     mesh::news_view view_of(const news_kind& kind) const;
     mesh::news_view view_configuration();
     mesh::news_view view_targets();
+    mesh::news_view view_evacuations();
     void confirm_configuration(instant at);
     void confirm_targets(instant at);
+    void confirm_evacuations(instant at);
+    void take_evacuations(catalog::evacuation_state state, instant begun);
 
     awaitable<void> follow_configuration();
     awaitable<void> follow_targets();
+    awaitable<void> follow_evacuations();
     awaitable<void> register_node();
 
     awaitable<bool> list_configuration();
     awaitable<bool> list_targets();
+    awaitable<bool> list_evacuations();
     awaitable<bool> list_nodes();
     awaitable<bool> watch_configuration();
     awaitable<bool> watch_targets();
+    awaitable<bool> watch_evacuations();
 
     awaitable<void> pause_after_failure(int& failures);
 
@@ -146,7 +153,7 @@
     std::vector<catalog::target_change>
     changes_of(const adapter::watch_answer& news);
     std::optional<std::string> address_of(const adapter::stored_object& object);
-    void list_targets_soon();
+    void list_soon(news_kind& kind);
 
     node_tables& tables_;
     platform_client& client_;
@@ -154,6 +161,7 @@
     mesh::news_limits limits_;
     news_kind configuration_;
     news_kind targets_;
+    news_kind evacuations_;
     catalog::revision configuration_as_of_;
     bool cut_off_ = true; ///< Pauses are due to that.
 };
--- a/include/fennelladder/edge/unreadable_objects.hpp
+++ b/include/fennelladder/edge/unreadable_objects.hpp
@@ -28,6 +28,7 @@
 {
     configuration, ///< The last good one stays in force.
     target,        ///< Counts as gone.
+    evacuation,    ///< Has no name, so says nothing of any data centre.
     node,          ///< Its address isn't used.
     allotment,     ///< The last good record stays; none is written.
     answer,        ///< A whole answer of the platform; it is asked again.
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -22,6 +22,7 @@
 #include "fennelladder/base/time.hpp"
 #include "fennelladder/base/tokens.hpp"
 #include "fennelladder/catalog/configuration.hpp"
+#include "fennelladder/catalog/evacuation_list.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
 #include "fennelladder/dispatch/poison_list.hpp"
 #include "fennelladder/dispatch/target_book.hpp"
@@ -84,6 +85,10 @@
     std::optional<duration> configuration_age;
     std::optional<duration> targets_age;
     catalog::revision targets_as_of; ///< Of its list; 0: none.
+    /// All data centres that it knows to be evacuated; unset: it doesn't know,
+    /// or is of an earlier release.
+    std::optional<catalog::evacuation_state> evacuations;
+    std::optional<duration> evacuations_age;
     /// Sent for news between two regular ones: without load and stock, of which
     /// the last said holds.
     bool is_brief = false;
--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -139,6 +139,10 @@
     /// don't reach the platform ask it nothing, so they aren't compared with.
     size_place place_by_size(double capacity, instant now) const;
 
+    /// The large ones of this host, of `capacity`, and all that aren't
+    /// forgotten, living or not.
+    std::vector<host_id> large_hosts(double capacity) const;
+
     /// Addresses of up to `most` living nodes to tell another, others each
     /// time. Guards against two nodes that never hear of each other: they
     /// registered at the same moment and each listed a copy of the store
--- a/libs/catalog/configuration.cpp
+++ b/libs/catalog/configuration.cpp
@@ -21,6 +21,33 @@
     return out;
 }
 
+namespace {
+
+/// Keeps the regions that `other` names too, where it names any.
+void narrow(allowed_regions& to, const std::vector<region_id>& other)
+{
+    if (other.empty())
+        return;
+    if (!to) {
+        to = other;
+        return;
+    }
+    std::erase_if(*to, [&](const region_id& it) {
+        return std::ranges::find(other, it) == other.end();
+    });
+}
+
+} // namespace
+
+allowed_regions regions_for(const route& way, const team* payer)
+{
+    allowed_regions out;
+    narrow(out, way.regions);
+    if (payer != nullptr)
+        narrow(out, payer->regions);
+    return out;
+}
+
 configuration::configuration(configuration_parts parts)
     : parts_(std::move(parts))
 {
@@ -54,6 +81,17 @@
     return nullptr;
 }
 
+allowed_regions configuration::regions_of_host(std::string_view host_name) const
+{
+    allowed_regions out;
+    const auto it = by_host_.find(normal_host_name(host_name));
+    if (it == by_host_.end())
+        return out;
+    for (const std::size_t i : it->second)
+        narrow(out, parts_.routes[i].regions);
+    return out;
+}
+
 const team* configuration::find_team_by_key(std::string_view key) const
 {
     const auto it = by_key_.find(std::string(key));
--- a/libs/catalog/configuration_test.cpp
+++ b/libs/catalog/configuration_test.cpp
@@ -63,3 +63,33 @@
     CHECK(config.find_team_by_key("k3") == nullptr);
     CHECK(config.find_team_by_key("") == nullptr);
 }
+
+TEST(configuration, regions_of_route_and_team_both_bind)
+{
+    const region_id a("a");
+    const region_id b("b");
+    route way_in = way("r", "h", "/");
+    team payer;
+    CHECK(!regions_for(way_in, nullptr));
+    CHECK(!regions_for(way_in, &payer));
+    way_in.regions = {a, b};
+    CHECK(regions_for(way_in, &payer) == std::vector({a, b}));
+    payer.regions = {b};
+    CHECK(regions_for(way_in, &payer) == std::vector{b});
+    way_in.regions = {a};
+    CHECK(regions_for(way_in, &payer)->empty());
+    way_in.regions = {};
+    CHECK(regions_for(way_in, &payer) == std::vector{b});
+}
+
+TEST(configuration, regions_of_a_host_name_are_those_of_all_its_routes)
+{
+    configuration_parts parts;
+    parts.routes = {way("1", "h", "/"), way("2", "h", "/x/"),
+                    way("3", "g", "/")};
+    parts.routes[1].regions = {region_id("a")};
+    const configuration config(std::move(parts));
+    CHECK(config.regions_of_host("H:80") == std::vector{region_id("a")});
+    CHECK(!config.regions_of_host("g"));
+    CHECK(!config.regions_of_host("unknown"));
+}
--- /dev/null
+++ b/libs/catalog/evacuation_list.cpp
@@ -0,0 +1,42 @@
+#include "fennelladder/catalog/evacuation_list.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace fennelladder::catalog {
+
+bool evacuation_list::replace_all(evacuation_state state)
+{
+    if (known_ && state.as_of < state_.as_of)
+        return false;
+    auto& names = state.data_centers;
+    std::ranges::sort(names);
+    const auto repeated = std::ranges::unique(names);
+    names.erase(repeated.begin(), repeated.end());
+    if (names.size() > most_evacuations)
+        names.resize(most_evacuations);
+    const bool changed = !known_ || names != state_.data_centers;
+    state_ = std::move(state);
+    known_ = true;
+    return changed;
+}
+
+bool evacuation_list::apply(const std::vector<evacuation_change>& changes,
+                            revision as_of)
+{
+    assert(known_);
+    evacuation_state next{state_.data_centers, as_of};
+    for (const evacuation_change& it : changes) {
+        std::erase(next.data_centers, it.data_center);
+        if (it.evacuated)
+            next.data_centers.push_back(it.data_center);
+    }
+    return replace_all(std::move(next));
+}
+
+bool evacuation_list::contains(const data_center_id& data_center) const
+{
+    return std::ranges::binary_search(state_.data_centers, data_center);
+}
+
+} // namespace fennelladder::catalog
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -4,8 +4,6 @@
 
 #include "fennelladder/dispatch/target_book.hpp"
 
-#include "fennelladder/base/hash.hpp"
-
 #include <algorithm>
 #include <cassert>
 #include <cmath>
@@ -22,22 +20,6 @@
 /// Waits shorter than this say more of the network than of the target.
 constexpr double shortest_wait = 0.005;
 
-/// Ranks for rendezvous hashing: the target with the highest weight for a
-/// part is where all nodes expect it.
-std::uint64_t weight(std::uint64_t part, const target_id& target)
-{
-    return hash64(target.str(), part);
-}
-
-/// Tokens of all parts but the request's own.
-std::uint32_t shared_size(const std::vector<shared_part>& prompt)
-{
-    std::uint32_t out = 0;
-    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
-        out += prompt[i].size;
-    return out;
-}
-
 } // namespace
 
 std::string_view to_string(target_evidence value)
@@ -63,15 +45,23 @@
     return "unknown";
 }
 
-std::optional<std::uint64_t> meeting_part(std::span<const shared_part> prompt)
+std::string_view to_string(absence value)
 {
-    if (prompt.empty())
-        return std::nullopt;
-    return prompt.size() > 1 ? prompt[prompt.size() - 2].id : prompt[0].id;
+    switch (value) {
+    case absence::none_usable:
+        return "no usable target";
+    case absence::evacuated:
+        return "its data centres are evacuated";
+    case absence::cold:
+        return "its targets are cold";
+    case absence::outside:
+        return "no target in the regions allowed";
+    }
+    return "unknown";
 }
 
 target_book::target_book(target_book_options options)
-    : options_(std::move(options))
+    : options_(std::move(options)), ramp_(options_.self, options_.ramp)
 {}
 
 std::vector<catalog::target_entry>
@@ -88,7 +78,7 @@
             state.use_until = now + options_.lapsed_grace;
     }
     for (const auto& [id, entry] : listed)
-        take_entry(targets_[id], entry, replaced);
+        take_entry(targets_[id], entry, now, replaced);
     std::erase_if(targets_, [&](const auto& it) {
         const target_state& state = it.second;
         return (state.gone || state.other_life) && state.running == 0 &&
@@ -116,7 +106,7 @@
 /// send requests to where nothing is held. An earlier start is passed over, so
 /// that no row gets the ends of requests that it didn't count as started.
 void target_book::take_entry(target_state& it,
-                             const catalog::target_entry& entry,
+                             const catalog::target_entry& entry, instant now,
                              std::vector<catalog::target_entry>& replaced)
 {
     const bool fresh = it.entry.id.empty();
@@ -126,8 +116,13 @@
     const bool moved = entry.address != it.entry.address;
     if (!fresh && (!same_process || moved))
         replaced.push_back(it.entry);
+    // An entry that comes again says nothing new of when its target is warm.
+    const bool cold_anew =
+        !same_process || entry.warm_up_left != it.entry.warm_up_left;
     if (!same_process)
         it = target_state();
+    if (cold_anew && entry.warm_up_left > duration(0))
+        it.cold_until = std::max(it.cold_until, now + entry.warm_up_left);
     if (moved)
         forget_address(it);
     it.entry = entry;
@@ -174,9 +169,85 @@
 {
     if (it.gone || it.other_life || it.entry.leaving)
         return false;
+    if (std::ranges::binary_search(evacuated_, it.entry.data_center))
+        return false;
     return !it.use_until || now < *it.use_until;
 }
 
+std::size_t target_book::set_evacuated(std::vector<data_center_id> data_centers,
+                                       instant now)
+{
+    std::ranges::sort(data_centers);
+    std::size_t ended = 0;
+    for (auto& [id, state] : targets_) {
+        const data_center_id& place = state.entry.data_center;
+        const bool ends = std::ranges::binary_search(evacuated_, place) &&
+                          !std::ranges::binary_search(data_centers, place);
+        if (!ends)
+            continue;
+        ++ended;
+        if (const cold_traits* traits = traits_of(state))
+            state.cold_until = std::max(state.cold_until, now + traits->lasts);
+    }
+    evacuated_ = std::move(data_centers);
+    return ended;
+}
+
+void target_book::set_cold_traits(
+    std::unordered_map<service_id, cold_traits> traits)
+{
+    cold_traits_ = std::move(traits);
+}
+
+void target_book::set_ramp_hosts(std::vector<host_id> hosts)
+{
+    ramp_.set_hosts(std::move(hosts));
+}
+
+void target_book::note_cold(const catalog::target_process& target,
+                            duration left, instant now)
+{
+    if (target_state* it = find(target))
+        it->cold_until = std::max(it->cold_until, now + left);
+}
+
+/// Null if the service's targets bear any load while they are cold.
+const cold_traits* target_book::traits_of(const target_state& it) const
+{
+    const auto found = cold_traits_.find(it.entry.service);
+    return found == cold_traits_.end() ? nullptr : &found->second;
+}
+
+/// Requests in any one second that this node may send to a target that is cold
+/// or may be; unset for all others.
+std::optional<std::uint32_t> target_book::cold_share(const target_state& it,
+                                                     instant now) const
+{
+    const bool cold = now < it.cold_until;
+    const cold_traits* traits =
+        cold || now < it.suspect_until ? traits_of(it) : nullptr;
+    if (traits == nullptr)
+        return std::nullopt;
+    return cold ? ramp_.share(it.entry.id, traits->limit) : 1;
+}
+
+/// Whether this node has sent the target all that it may while it is cold.
+bool target_book::is_cold_to_us(const target_state& it, instant now) const
+{
+    const auto share = cold_share(it, now);
+    return share && it.sends.count(now) >= *share;
+}
+
+/// A target that couldn't be reached answers. Guards against a target that
+/// crashed and is back under its id: it looks idle, so that all nodes would
+/// choose it before its entry says that it is cold.
+void target_book::suspect_start(target_state& it, instant now) const
+{
+    const cold_traits* traits = traits_of(it);
+    if (it.rests > 0 && traits != nullptr)
+        it.suspect_until = now + traits->lasts;
+}
+
 bool target_book::resting(const target_state& it, instant now) const
 {
     return now < it.rest_until || (it.rests > 0 && it.trying) ||
@@ -226,142 +297,6 @@
     return it == by_service_.end() ? 0 : it->second.size();
 }
 
-/// Tokens of the prompt that the target holds. A part counts only if all parts
-/// before it are held.
-std::uint32_t target_book::held(const target_state& it, const work_wish& wish,
-                                bool expected_here, instant now) const
-{
-    std::uint32_t out = 0;
-    for (std::size_t i = 0; i < wish.prompt.size(); ++i) {
-        const bool own = i + 1 == wish.prompt.size() && i > 0;
-        const auto known = it.parts.find(wish.prompt[i].id);
-        const bool used = known != it.parts.end() &&
-                          now - known->second < options_.part_memory;
-        if (!used && (own || !expected_here))
-            break;
-        out += wish.prompt[i].size;
-    }
-    return std::min(out, wish.prompt_size);
-}
-
-/// Where all nodes expect the shared parts of the prompt.
-const target_book::target_state*
-target_book::expected_holder(const std::vector<target_state*>& candidates,
-                             const work_wish& wish, instant now) const
-{
-    const auto part = meeting_part(wish.prompt);
-    const target_state* out = nullptr;
-    std::uint64_t best = 0;
-    if (!part || !options_.expects_parts)
-        return out;
-    for (const target_state* it : candidates) {
-        const std::uint64_t rank = weight(*part, it->entry.id);
-        if (!resting(*it, now) && (out == nullptr || rank > best)) {
-            out = it;
-            best = rank;
-        }
-    }
-    return out;
-}
-
-double target_book::predicted_seconds(const target_state& it,
-                                      const work_wish& wish,
-                                      std::uint32_t reading) const
-{
-    const int running = it.running + it.peers_running;
-    if (!wish.on_engine) {
-        const double queue =
-            static_cast<double>(running) / std::max(it.entry.slots, 1U);
-        return to_seconds(options_.plain_time) * (1 + queue);
-    }
-    const double tokens_first =
-        static_cast<double>(it.reading + it.peers_reading) + reading;
-    return tokens_first / options_.reading_speed +
-           to_seconds(options_.per_running) * (running + 1);
-}
-
-double target_book::cost(const target_state& it, const work_wish& wish,
-                         double predicted, instant now) const
-{
-    const double slowness = std::exp(faded(it.log_slowness, now));
-    const double objective = std::max(to_seconds(wish.objective), 0.05);
-    double out = predicted * slowness +
-                 faded(it.failures, now) * options_.failure_cost * objective;
-    if (it.entry.data_center != options_.own_data_center)
-        out += to_seconds(options_.distance);
-    return out;
-}
-
-std::optional<choice> target_book::choose(const work_wish& wish, instant now,
-                                          random_source& random)
-{
-    const auto known = by_service_.find(wish.service);
-    if (known == by_service_.end())
-        return std::nullopt;
-    std::vector<target_state*> candidates;
-    for (const target_id& id : known->second) {
-        target_state& it = targets_[id];
-        const bool avoided =
-            std::ranges::find(wish.avoid, it.entry.process()) !=
-            wish.avoid.end();
-        if (usable(it, now) && !avoided)
-            candidates.push_back(&it);
-    }
-    if (candidates.empty())
-        return std::nullopt;
-    // Resting targets are used only when all others are ruled out.
-    const bool all_rest = std::ranges::all_of(
-        candidates, [&](const target_state* it) { return resting(*it, now); });
-    const target_state* expected = expected_holder(candidates, wish, now);
-    const target_state* holder = nullptr;
-    std::uint32_t held_most = 0;
-    for (const target_state* it : candidates) {
-        const std::uint32_t there = held(*it, wish, it == expected, now);
-        if (there > held_most && !resting(*it, now)) {
-            holder = it;
-            held_most = there;
-        }
-    }
-    choice out;
-    out.candidates = candidates.size();
-    const target_state* chosen = nullptr;
-    const std::size_t first = random.below(candidates.size());
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const target_state* it = candidates[(first + i) % candidates.size()];
-        if (!all_rest && resting(*it, now))
-            continue;
-        const std::uint32_t here = held(*it, wish, it == expected, now);
-        const std::uint32_t reading = wish.prompt_size - here;
-        const std::uint32_t fetched =
-            held_most > here + options_.least_fetch ? held_most - here : 0;
-        // A holder may have lost the part, and a part that lies in two places
-        // is soon found in neither: the choice counts it as read in full, and
-        // shared parts more than the request's own.
-        const std::uint32_t shared = shared_size(wish.prompt);
-        const double again = shared > here ? shared - here : 0;
-        const auto weighed = static_cast<std::uint32_t>(
-            reading + again * (options_.shared_weight - 1));
-        const double price =
-            cost(*it, wish, predicted_seconds(*it, wish, weighed), now);
-        if (chosen != nullptr && price >= out.cost)
-            continue;
-        chosen = it;
-        out.cost = price;
-        out.work.reading = reading - static_cast<std::uint32_t>(
-                                         fetched * (1 - options_.fetch_cost));
-        out.predicted =
-            from_seconds(predicted_seconds(*it, wish, out.work.reading));
-        out.fetch_from = fetched > 0 ? holder->entry.address : std::string();
-    }
-    assert(chosen != nullptr);
-    out.target = chosen->entry.id;
-    out.start = chosen->entry.start;
-    out.address = chosen->entry.address;
-    out.data_center = chosen->entry.data_center;
-    out.running = chosen->running + chosen->peers_running;
-    return out;
-}
-
 target_book::target_state*
 target_book::find(const catalog::target_process& target)
 {
@@ -391,6 +326,8 @@
     it->reading += made.work.reading;
     if (it->rests > 0)
         it->trying = true;
+    if (cold_share(*it, now))
+        it->sends.note(now);
     for (const shared_part& part : of.prompt)
         it->parts[part.id] = now;
     forget_parts(*it, now);
@@ -460,11 +397,13 @@
         return;
     switch (evidence) {
     case target_evidence::answered:
+        suspect_start(*it, now);
         it->rests = 0;
         it->trying = false;
         observe(it->failures, 0, now);
         return;
     case target_evidence::failed:
+        suspect_start(*it, now);
         it->rests = 0;
         it->trying = false;
         observe(it->failures, 0.5, now);
--- /dev/null
+++ b/libs/dispatch/target_choice.cpp
@@ -0,0 +1,213 @@
+// The part of target_book that compares targets for one request.
+
+#include "fennelladder/dispatch/target_book.hpp"
+
+#include "fennelladder/base/hash.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace fennelladder::dispatch {
+
+namespace {
+
+/// Ranks for rendezvous hashing: the target with the highest weight for a
+/// part is where all nodes expect it.
+std::uint64_t weight(std::uint64_t part, const target_id& target)
+{
+    return hash64(target.str(), part);
+}
+
+/// Tokens of all parts but the request's own.
+std::uint32_t shared_size(const std::vector<shared_part>& prompt)
+{
+    std::uint32_t out = 0;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
+        out += prompt[i].size;
+    return out;
+}
+
+} // namespace
+
+std::optional<std::uint64_t> meeting_part(std::span<const shared_part> prompt)
+{
+    if (prompt.empty())
+        return std::nullopt;
+    return prompt.size() > 1 ? prompt[prompt.size() - 2].id : prompt[0].id;
+}
+
+/// Tokens of the prompt that the target holds. A part counts only if all parts
+/// before it are held.
+std::uint32_t target_book::held(const target_state& it, const work_wish& wish,
+                                bool expected_here, instant now) const
+{
+    std::uint32_t out = 0;
+    for (std::size_t i = 0; i < wish.prompt.size(); ++i) {
+        const bool own = i + 1 == wish.prompt.size() && i > 0;
+        const auto known = it.parts.find(wish.prompt[i].id);
+        const bool used = known != it.parts.end() &&
+                          now - known->second < options_.part_memory;
+        if (!used && (own || !expected_here))
+            break;
+        out += wish.prompt[i].size;
+    }
+    return std::min(out, wish.prompt_size);
+}
+
+/// Where all nodes expect the shared parts of the prompt.
+const target_book::target_state*
+target_book::expected_holder(const std::vector<target_state*>& candidates,
+                             const work_wish& wish, instant now) const
+{
+    const auto part = meeting_part(wish.prompt);
+    const target_state* out = nullptr;
+    std::uint64_t best = 0;
+    if (!part || !options_.expects_parts)
+        return out;
+    for (const target_state* it : candidates) {
+        const std::uint64_t rank = weight(*part, it->entry.id);
+        if (!resting(*it, now) && (out == nullptr || rank > best)) {
+            out = it;
+            best = rank;
+        }
+    }
+    return out;
+}
+
+double target_book::predicted_seconds(const target_state& it,
+                                      const work_wish& wish,
+                                      std::uint32_t reading) const
+{
+    const int running = it.running + it.peers_running;
+    if (!wish.on_engine) {
+        const double queue =
+            static_cast<double>(running) / std::max(it.entry.slots, 1U);
+        return to_seconds(options_.plain_time) * (1 + queue);
+    }
+    const double tokens_first =
+        static_cast<double>(it.reading + it.peers_reading) + reading;
+    return tokens_first / options_.reading_speed +
+           to_seconds(options_.per_running) * (running + 1);
+}
+
+double target_book::cost(const target_state& it, const work_wish& wish,
+                         double predicted, instant now) const
+{
+    const double slowness = std::exp(faded(it.log_slowness, now));
+    const double objective = std::max(to_seconds(wish.objective), 0.05);
+    double out = predicted * slowness +
+                 faded(it.failures, now) * options_.failure_cost * objective;
+    if (it.entry.data_center != options_.own_data_center)
+        out += to_seconds(options_.distance);
+    return out;
+}
+
+bool target_book::was_tried(const target_state& it, const work_wish& wish) const
+{
+    return std::ranges::find(wish.avoid, it.entry.process()) !=
+           wish.avoid.end();
+}
+
+/// A data centre of which no region is known is in none of those allowed.
+bool target_book::is_outside(const target_state& it,
+                             const work_wish& wish) const
+{
+    if (!wish.regions)
+        return false;
+    const auto region = options_.regions.find(it.entry.data_center);
+    return region == options_.regions.end() ||
+           std::ranges::find(*wish.regions, region->second) ==
+               wish.regions->end();
+}
+
+absence target_book::why_none(const work_wish& wish, instant now) const
+{
+    absence out = absence::none_usable;
+    const auto known = by_service_.find(wish.service);
+    if (known == by_service_.end())
+        return out;
+    for (const target_id& id : known->second) {
+        const target_state& it = targets_.at(id);
+        const bool left = it.gone || it.other_life || it.entry.leaving;
+        if (left || was_tried(it, wish))
+            continue;
+        if (is_outside(it, wish))
+            out = std::max(out, absence::outside);
+        else if (!usable(it, now))
+            out = std::max(out, absence::evacuated);
+        else if (is_cold_to_us(it, now))
+            out = absence::cold;
+    }
+    return out;
+}
+
+std::optional<choice> target_book::choose(const work_wish& wish, instant now,
+                                          random_source& random)
+{
+    const auto known = by_service_.find(wish.service);
+    if (known == by_service_.end())
+        return std::nullopt;
+    std::vector<target_state*> candidates;
+    for (const target_id& id : known->second) {
+        target_state& it = targets_[id];
+        if (usable(it, now) && !was_tried(it, wish) && !is_outside(it, wish) &&
+            !is_cold_to_us(it, now))
+            candidates.push_back(&it);
+    }
+    if (candidates.empty())
+        return std::nullopt;
+    // Resting targets are used only when all others are ruled out.
+    const bool all_rest = std::ranges::all_of(
+        candidates, [&](const target_state* it) { return resting(*it, now); });
+    const target_state* expected = expected_holder(candidates, wish, now);
+    const target_state* holder = nullptr;
+    std::uint32_t held_most = 0;
+    for (const target_state* it : candidates) {
+        const std::uint32_t there = held(*it, wish, it == expected, now);
+        if (there > held_most && !resting(*it, now)) {
+            holder = it;
+            held_most = there;
+        }
+    }
+    choice out;
+    out.candidates = candidates.size();
+    const target_state* chosen = nullptr;
+    const std::size_t first = random.below(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const target_state* it = candidates[(first + i) % candidates.size()];
+        if (!all_rest && resting(*it, now))
+            continue;
+        const std::uint32_t here = held(*it, wish, it == expected, now);
+        const std::uint32_t reading = wish.prompt_size - here;
+        const std::uint32_t fetched =
+            held_most > here + options_.least_fetch ? held_most - here : 0;
+        // A holder may have lost the part, and a part that lies in two places
+        // is soon found in neither: the choice counts it as read in full, and
+        // shared parts more than the request's own.
+        const std::uint32_t shared = shared_size(wish.prompt);
+        const double again = shared > here ? shared - here : 0;
+        const auto weighed = static_cast<std::uint32_t>(
+            reading + again * (options_.shared_weight - 1));
+        const double price =
+            cost(*it, wish, predicted_seconds(*it, wish, weighed), now);
+        if (chosen != nullptr && price >= out.cost)
+            continue;
+        chosen = it;
+        out.cost = price;
+        out.work.reading = reading - static_cast<std::uint32_t>(
+                                         fetched * (1 - options_.fetch_cost));
+        out.predicted =
+            from_seconds(predicted_seconds(*it, wish, out.work.reading));
+        out.fetch_from = fetched > 0 ? holder->entry.address : std::string();
+    }
+    assert(chosen != nullptr);
+    out.target = chosen->entry.id;
+    out.start = chosen->entry.start;
+    out.address = chosen->entry.address;
+    out.data_center = chosen->entry.data_center;
+    out.running = chosen->running + chosen->peers_running;
+    return out;
+}
+
+} // namespace fennelladder::dispatch
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -486,6 +486,9 @@
         if (!read)
             co_return;
         const auto facts = adapter::read_answer(parser->get().base());
+        if (facts.cold_left)
+            in_.tables.book.note_cold(in_.target.process(), *facts.cold_left,
+                                      in_.tables.now());
         if (facts.request.empty() || facts.request == in_.request.facts.id) {
             co_await take_answer(*parser, facts);
             co_return;
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -195,6 +195,7 @@
         if (now >= next_upkeep) {
             next_upkeep = now + upkeep_period;
             tables_.pool.drop_old(now);
+            tables_.update_ramp();
             reload_settings();
         }
         if (now >= next_summary) {
@@ -216,24 +217,37 @@
             tables_.leaving ? "leaving\n" : "no configuration yet\n"};
 }
 
+/// All nodes that callers may be told to use.
+std::vector<entry_node> edge_node::entry_nodes() const
+{
+    std::vector<entry_node> out;
+    const instant now = tables_.now();
+    const auto& settings = tables_.settings;
+    if (tables_.state() == mesh::node_state::ready)
+        out.push_back({settings.listen.callers, settings.data_center,
+                       settings.region, tables_.capacity(),
+                       tables_.requests_taken.at(now)});
+    for (const mesh::node_row* it : tables_.nodes.alive(now)) {
+        const mesh::beacon& last = it->last;
+        if (last.state == mesh::node_state::ready &&
+            !last.caller_address.empty())
+            out.push_back({last.caller_address, last.data_center,
+                           settings.region_of(last.data_center), last.capacity,
+                           last.requests_per_second});
+    }
+    return out;
+}
+
 simple_answer edge_node::answer_entry(const simple_request& asked)
 {
     if (asked.path != adapter::entry_path)
         return {404, "text/plain", "no such path\n"};
     const auto question = adapter::read_entry_question(asked.query);
-    std::vector<entry_node> nodes;
-    const instant now = tables_.now();
-    if (tables_.state() == mesh::node_state::ready)
-        nodes.push_back({tables_.settings.listen.callers,
-                         tables_.settings.data_center, tables_.capacity(),
-                         tables_.requests_taken.at(now)});
-    for (const mesh::node_row* it : tables_.nodes.alive(now))
-        if (it->last.state == mesh::node_state::ready &&
-            !it->last.caller_address.empty())
-            nodes.push_back({it->last.caller_address, it->last.data_center,
-                             it->last.capacity, it->last.requests_per_second});
+    entry_asker asker{question.data_center, question.region, {}};
+    if (tables_.config)
+        asker.regions = tables_.config->regions_of_host(question.host_name);
     const auto addresses =
-        plan_entry(nodes, question.data_center, tables_.options.entry);
+        plan_entry(entry_nodes(), asker, tables_.options.entry);
     if (addresses.empty())
         return {503, "text/plain", "no node is ready\n"};
     const duration validity = std::min(options_.entry_validity,
@@ -265,6 +279,8 @@
         .set(age_of(tables_.configuration_freshness.age(now)));
     metrics.gauge_of("fennelladder_targets_age_milliseconds")
         .set(age_of(tables_.targets_freshness.age(now)));
+    metrics.gauge_of("fennelladder_evacuations_age_milliseconds")
+        .set(age_of(tables_.evacuations_freshness.age(now)));
     metrics.gauge_of("fennelladder_target_connections_opened")
         .set(static_cast<std::int64_t>(tables_.pool.opened()));
     metrics.gauge_of("fennelladder_log_lines_dropped")
--- a/libs/edge/entry_planner.cpp
+++ b/libs/edge/entry_planner.cpp
@@ -41,6 +41,34 @@
     nodes.resize(kept);
 }
 
+template <class Condition>
+std::vector<entry_node> those_that(const std::vector<entry_node>& nodes,
+                                   Condition holds)
+{
+    std::vector<entry_node> out;
+    std::ranges::copy_if(nodes, std::back_inserter(out), holds);
+    return out;
+}
+
+std::vector<entry_node> nearest(const std::vector<entry_node>& nodes,
+                                const entry_asker& asker,
+                                const entry_options& options)
+{
+    std::vector<entry_node> out = those_that(nodes, [&](const auto& it) {
+        return it.data_center == asker.data_center;
+    });
+    if (out.size() >= options.enough_near)
+        return out;
+    out = those_that(nodes,
+                     [&](const auto& it) { return it.region == asker.region; });
+    if (out.empty() && asker.regions)
+        out = those_that(nodes, [&](const auto& it) {
+            return std::ranges::find(*asker.regions, it.region) !=
+                   asker.regions->end();
+        });
+    return out.empty() ? nodes : out;
+}
+
 } // namespace
 
 double request_capacity(double cores, double link_bits_per_second)
@@ -50,15 +78,10 @@
 }
 
 std::vector<std::string> plan_entry(const std::vector<entry_node>& nodes,
-                                    const data_center_id& caller,
+                                    const entry_asker& asker,
                                     const entry_options& options)
 {
-    std::vector<entry_node> named;
-    std::ranges::copy_if(
-        nodes, std::back_inserter(named),
-        [&](const entry_node& it) { return it.data_center == caller; });
-    if (named.size() < options.enough_near)
-        named = nodes;
+    std::vector<entry_node> named = nearest(nodes, asker, options);
     keep_capable(named, options);
     if (named.size() > options.most_addresses)
         named.resize(options.most_addresses);
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -152,6 +152,9 @@
     out.requests_per_second = tables_.requests_taken.at(tables_.now());
     out.capacity = tables_.capacity();
     out.targets_as_of = tables_.targets.as_of();
+    if (tables_.evacuations.known())
+        out.evacuations = tables_.evacuations.state();
+    out.evacuations_age = tables_.evacuations_freshness.age(tables_.now());
     out.configuration_age = tables_.configuration_freshness.age(tables_.now());
     out.targets_age = tables_.targets_freshness.age(tables_.now());
     out.heard = tables_.nodes.heard_lately(tables_.now());
@@ -358,6 +361,8 @@
                    {"state", std::to_string(static_cast<int>(from.state))}});
     if (from.target_news && tables_.targets.take_news(*from.target_news))
         tables_.list_changed();
+    if (from.evacuations)
+        tables_.take_evacuations(*from.evacuations, from.host.str());
     if (!news.late)
         take_freshness(from, news.delay, now);
     news_.hear(from);
@@ -392,6 +397,9 @@
         tables_.confirm_configuration(now - *from.configuration_age - way);
     if (from.targets_changed <= tables_.targets.as_of() && from.targets_age)
         tables_.confirm_targets(now - *from.targets_age - way);
+    // What the sender knows was taken before.
+    if (from.evacuations && from.evacuations_age)
+        tables_.confirm_evacuations(now - *from.evacuations_age - way);
 }
 
 /// How long a beacon may have been on its way whatever its sender says: it lies
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -14,14 +14,35 @@
 /// its list may still return: targets write anew within two seconds.
 constexpr duration list_doubt = milliseconds(2500);
 
+/// Until a node counts itself among those that carry requests of cold targets:
+/// by then it has heard of the others.
+constexpr duration acquaintance = seconds(3);
+
 dispatch::target_book_options
 book_options(const adapter::host_settings& settings,
              dispatch::target_book_options out)
 {
+    out.self = settings.host;
+    out.regions = settings.regions;
     out.own_data_center = settings.data_center;
     return out;
 }
 
+/// Of a service without a rate nothing needs to be known.
+std::unordered_map<service_id, dispatch::cold_traits>
+cold_traits_of(const catalog::configuration& config,
+               const adapter::host_settings& settings)
+{
+    std::unordered_map<service_id, dispatch::cold_traits> out;
+    for (const catalog::service& it : config.parts().services) {
+        const double limit =
+            it.cold_rate * settings.cold_overage + settings.cold_slack;
+        if (it.cold_rate > 0)
+            out[it.id] = {it.cold_start, static_cast<std::uint32_t>(limit)};
+    }
+    return out;
+}
+
 dispatch::retry_window_options
 retry_options(const adapter::host_settings& settings,
               dispatch::retry_window_options out)
@@ -42,12 +63,16 @@
       lateness(settings.news_bound()),
       book(book_options(settings, options.book)),
       retries(retry_options(settings, options.retries)), poison({}),
-      nodes(settings.host, {}), pool(context, options.pool)
+      nodes(settings.host, {}), pool(context, options.pool),
+      started(clock_used.now())
 {}
 
 bool node_tables::ready() const
 {
-    return config != nullptr && targets.known() && !leaving;
+    const bool knows_evacuations =
+        evacuations.known() || !settings.evacuation_bound;
+    return config != nullptr && targets.known() && knows_evacuations &&
+           !leaving;
 }
 
 mesh::node_state node_tables::state() const
@@ -124,6 +149,7 @@
     configuration_announced.reset();
     config = std::make_shared<const catalog::configuration>(std::move(parts));
     config_text = std::move(text);
+    book.set_cold_traits(cold_traits_of(*config, settings));
     tokens prepaid;
     for (const catalog::team& it : config->parts().teams)
         prepaid += it.prepaid.value_or(tokens(0));
@@ -138,6 +164,34 @@
     return true;
 }
 
+bool node_tables::take_evacuations(catalog::evacuation_state state,
+                                   const std::string& source)
+{
+    if (!evacuations.replace_all(std::move(state)))
+        return false;
+    const auto& places = evacuations.state().data_centers;
+    const std::size_t back = book.set_evacuated(places, now());
+    std::string names;
+    for (const data_center_id& it : places)
+        names += (names.empty() ? "" : " ") + it.str();
+    log_event(event::evacuations_changed,
+              {{"data_centers", names},
+               {"as_of", std::to_string(evacuations.as_of().value())},
+               {"targets_back", std::to_string(back)},
+               {"source", source}});
+    return true;
+}
+
+/// A node that hears nobody, though there are others, would count itself first
+/// for every target.
+void node_tables::update_ramp()
+{
+    const bool is_acquainted = now() - started >= acquaintance &&
+                               (!nodes.rows().empty() || settings.is_alone());
+    book.set_ramp_hosts(is_acquainted ? nodes.large_hosts(capacity())
+                                      : std::vector<host_id>());
+}
+
 duration node_tables::stock_word_lasts() const
 {
     constexpr int beacons = 5;
@@ -171,6 +225,12 @@
         targets_gap_ended = now();
 }
 
+void node_tables::confirm_evacuations(instant at)
+{
+    if (evacuations.known())
+        evacuations_freshness.confirm(at);
+}
+
 void node_tables::note_contact(bool reached, const std::string& detail)
 {
     if (reached != contact.reached) {
--- a/libs/edge/platform_client.cpp
+++ b/libs/edge/platform_client.cpp
@@ -48,8 +48,9 @@
 
 constexpr std::array<std::string_view, call_names> names{
     "list_configuration", "watch_configuration", "list_targets",
-    "watch_targets",      "list_nodes",          "register_node",
-    "read_allotments",    "write_allotments"};
+    "watch_targets",      "list_evacuations",    "watch_evacuations",
+    "list_nodes",         "register_node",       "read_allotments",
+    "write_allotments"};
 
 } // namespace
 
@@ -190,6 +191,8 @@
          {"watch_configuration", made(call_name::watch_configuration)},
          {"list_targets", made(call_name::list_targets)},
          {"watch_targets", made(call_name::watch_targets)},
+         {"list_evacuations", made(call_name::list_evacuations)},
+         {"watch_evacuations", made(call_name::watch_evacuations)},
          {"list_nodes", made(call_name::list_nodes)},
          {"register_node", made(call_name::register_node)},
          {"read_allotments", made(call_name::read_allotments)},
--- /dev/null
+++ b/libs/edge/platform_feed_nodes.cpp
@@ -0,0 +1,99 @@
+// The part of platform_feed by which the nodes of a fleet find each other.
+
+#include "platform_feed_fetch.hpp"
+
+#include "fennelladder/base/address.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace fennelladder::edge {
+
+namespace {
+
+using adapter::freshness;
+using adapter::object_kind;
+
+constexpr const char* address_field = "peer_address";
+
+} // namespace
+
+std::optional<std::string>
+platform_feed::address_of(const adapter::stored_object& object)
+{
+    const auto address = object.content.and_then(
+        [](const nlohmann::json& it) -> result<std::string> {
+            const auto found = it.find(address_field);
+            const bool is_text = found != it.end() && found->is_string();
+            std::string text = is_text ? found->get<std::string>() : "";
+            if (!is_ip_and_port(text))
+                return fail(error_code::corrupt, "not an address");
+            return text;
+        });
+    if (!address) {
+        note_unreadable(unreadable_kind::node, object, address.error());
+        return std::nullopt;
+    }
+    return *address;
+}
+
+awaitable<bool> platform_feed::list_nodes()
+{
+    std::string after;
+    for (bool more = true; more;) {
+        std::string target = adapter::list_target(
+            object_kind::nodes, freshness::maybe_stale, after);
+        const auto page =
+            co_await fetch(call_name::list_nodes, call_kind::listing, target,
+                           adapter::decode_page);
+        if (!page)
+            co_return false;
+        const std::string before = after;
+        std::vector<std::string> addresses;
+        for (const adapter::stored_object& it : page->value.objects) {
+            if (const auto address = address_of(it))
+                addresses.push_back(*address);
+            if (!it.name.empty())
+                after = it.name;
+        }
+        mesh_.introduce(addresses);
+        more = page->value.more && after != before;
+    }
+    co_return true;
+}
+
+/// Seeds may be stale or down: then nodes find each other here.
+awaitable<void> platform_feed::register_node()
+{
+    const std::string& name = tables_.settings.host.str();
+    const nlohmann::json content{{address_field, mesh_.address()}};
+    int failures = 0;
+    for (;;) {
+        std::string target = adapter::create_target(object_kind::nodes);
+        std::string body =
+            adapter::encode_object(name, catalog::revision(), content);
+        auto got =
+            co_await client_.call(call_name::register_node, http::verb::post,
+                                  target, body, list_limit);
+        if (got.outcome == call_outcome::conflict) {
+            const auto there = adapter::decode_object(got.body);
+            if (there && there->content && *there->content == content)
+                break;
+            target = adapter::object_target(object_kind::nodes, name,
+                                            freshness::newest);
+            got =
+                co_await client_.call(call_name::register_node, http::verb::put,
+                                      target, body, list_limit);
+        }
+        if (got.outcome == call_outcome::done)
+            break;
+        co_await pause_after_failure(failures);
+    }
+    bool listed = false;
+    while (!listed) {
+        listed = co_await list_nodes();
+        if (!listed)
+            co_await pause_after_failure(failures);
+    }
+}
+
+} // namespace fennelladder::edge
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -49,6 +49,13 @@
     return target.substr(0, target.find('?'));
 }
 
+/// How the last attempt ended, or why there was none.
+std::string reason_of(const attempt_outcome& last)
+{
+    const std::string ended(to_string(last.ended));
+    return last.detail.empty() ? ended : ended + ": " + last.detail;
+}
+
 std::string version_text(const node_tables& tables)
 {
     return tables.config ? std::to_string(tables.config->version().value())
@@ -87,9 +94,11 @@
     duration whole_time() const;
     int urgency() const;
     const service_id& pick_service();
+    std::optional<dispatch::choice> choose_target();
     bool another_is_possible() const;
     bool may_give_up_silent(const dispatch::choice& silent);
     bool may_send() const;
+    std::string_view why_no_target() const;
     tokens worst_case() const;
 
     request_driver& driver_;
@@ -228,6 +237,7 @@
     out.on_engine = engine_ != nullptr;
     out.objective = way_->objective;
     out.avoid = tried_;
+    out.regions = catalog::regions_for(*way_, team_);
     for (const adapter::prompt_part& it : request_.facts.prompt)
         out.prompt.push_back({it.id, it.size});
     out.prompt_size = static_cast<std::uint32_t>(
@@ -371,6 +381,22 @@
     return !tables_.news_are_late() && time_left() > tables_.queueing();
 }
 
+std::optional<dispatch::choice> request_run::choose_target()
+{
+    if (!may_send())
+        return std::nullopt;
+    return tables_.book.choose(wish(), tables_.now(), tables_.random);
+}
+
+std::string_view request_run::why_no_target() const
+{
+    if (tables_.news_are_late())
+        return "news are late";
+    if (!may_send())
+        return "its link is full";
+    return to_string(tables_.book.why_none(wish(), tables_.now()));
+}
+
 awaitable<void> request_run::attempt_until_done()
 {
     so_far_.way = way_;
@@ -379,12 +405,9 @@
     attempt_outcome got;
     got.ended = attempt_end::not_connected;
     for (;;) {
-        const dispatch::work_wish wanted = wish();
-        const auto target =
-            may_send()
-                ? tables_.book.choose(wanted, tables_.now(), tables_.random)
-                : std::nullopt;
+        const auto target = choose_target();
         if (!target) {
+            got.detail = why_no_target();
             co_await conclude(dispatch::give_up(so_far_, got.ended), got);
             co_return;
         }
@@ -491,8 +514,8 @@
     case next_action::say_not_run:
         answer.status = 503;
         answer.retry_after = come_back;
-        answer.message = "not run: no target took it";
-        log_end(event::request_refused, "not_run", ended);
+        answer.message = "not run: " + reason_of(last);
+        log_end(event::request_refused, "not_run", reason_of(last));
         break;
     case next_action::say_late:
         answer.status = 504;
--- a/libs/edge/unreadable_objects.cpp
+++ b/libs/edge/unreadable_objects.cpp
@@ -26,6 +26,8 @@
         return "configuration";
     case unreadable_kind::target:
         return "target";
+    case unreadable_kind::evacuation:
+        return "evacuation";
     case unreadable_kind::node:
         return "node";
     case unreadable_kind::allotment:
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -49,6 +49,11 @@
   2: i32 ago_ms
 }
 
+struct Evacuations {
+  1: i64 as_of
+  2: list<string> data_centers
+}
+
 struct Beacon {
   1: string host
   2: i64 life
@@ -73,6 +78,8 @@
   21: optional bool is_brief
   22: optional i64 targets_as_of
   23: optional i64 sent_ms
+  24: optional Evacuations evacuations
+  25: optional i32 evacuations_age_ms
 }
 
 struct TokenAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -159,6 +159,34 @@
     return out;
 }
 
+wire::Evacuations to_wire(const catalog::evacuation_state& from)
+{
+    wire::Evacuations out;
+    out.as_of = number(from.as_of.value());
+    for (const data_center_id& it : from.data_centers)
+        out.data_centers.push_back(it.str());
+    return out;
+}
+
+/// A state of which a part is left out would end evacuations.
+std::optional<catalog::evacuation_state>
+from_wire(const wire::Evacuations& from, std::size_t& left_out)
+{
+    const bool is_whole =
+        from.as_of > 0 &&
+        from.data_centers.size() <= catalog::most_evacuations &&
+        std::ranges::all_of(from.data_centers, is_id);
+    if (!is_whole) {
+        ++left_out;
+        return std::nullopt;
+    }
+    catalog::evacuation_state out;
+    out.as_of = id_of<catalog::revision>(from.as_of);
+    for (const std::string& it : from.data_centers)
+        out.data_centers.emplace_back(it);
+    return out;
+}
+
 /// An age of weeks says no more than one of hours.
 constexpr duration longest_age = seconds(3600);
 
@@ -212,6 +240,10 @@
         out.__set_configuration_age_ms(age_to_wire(*from.configuration_age));
     if (from.targets_age)
         out.__set_targets_age_ms(age_to_wire(*from.targets_age));
+    if (from.evacuations)
+        out.__set_evacuations(to_wire(*from.evacuations));
+    if (from.evacuations_age)
+        out.__set_evacuations_age_ms(age_to_wire(*from.evacuations_age));
     if (from.target_news)
         out.__set_target_news(to_wire(*from.target_news));
     out.__set_is_brief(from.is_brief);
@@ -374,6 +406,10 @@
     out.configuration_age =
         age_of(from.__isset.configuration_age_ms, from.configuration_age_ms);
     out.targets_age = age_of(from.__isset.targets_age_ms, from.targets_age_ms);
+    if (from.__isset.evacuations)
+        out.evacuations = from_wire(from.evacuations, left_out);
+    out.evacuations_age =
+        age_of(from.__isset.evacuations_age_ms, from.evacuations_age_ms);
     if (from.__isset.target_news)
         out.target_news = from_wire(from.target_news, left_out);
     out.is_brief = from.__isset.is_brief && from.is_brief;
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -44,6 +44,9 @@
                     {target_id("i-2")}}}};
     out.introduced = {"10.0.0.2:7000"};
     out.targets_as_of = catalog::revision(14);
+    out.evacuations = {{data_center_id("austin"), data_center_id("houston")},
+                       catalog::revision(13)};
+    out.evacuations_age = milliseconds(80);
     out.is_brief = true;
     out.heard = {{node_life(78), milliseconds(40)}};
     return out;
@@ -118,6 +121,8 @@
     CHECK(it.target_news->as_of == catalog::revision(12));
     CHECK(it.target_news->changes.at(0).entry->leaving);
     CHECK(!it.target_news->changes.at(1).entry);
+    CHECK(it.evacuations == sample().evacuations);
+    CHECK(it.evacuations_age == milliseconds(80));
     CHECK(it.is_brief);
     CHECK(it.targets_as_of == catalog::revision(14));
     CHECK(it.heard.at(0).life == node_life(78));
@@ -130,6 +135,29 @@
     STRCMP_EQUAL("10.0.0.2:7000", it.introduced.at(0).c_str());
 }
 
+// Guards against evacuations that end since a part of their list can't be read.
+TEST(mesh_messages, evacuations_of_which_a_part_cannot_be_are_unsaid)
+{
+    const std::vector<std::function<void(catalog::evacuation_state&)>> faults =
+        {[](auto& it) { it.as_of = catalog::revision(); },
+         [](auto& it) { it.as_of = catalog::revision(UINT64_MAX); },
+         [](auto& it) { it.data_centers.emplace_back(""); },
+         [](auto& it) { it.data_centers.emplace_back(std::string(300, 'x')); },
+         [](auto& it) {
+             it.data_centers.resize(catalog::most_evacuations + 1,
+                                    data_center_id("d"));
+         }};
+    for (const auto& spoil : faults) {
+        datagram message;
+        message.hello = sample();
+        spoil(*message.hello->evacuations);
+        const auto got = decode_datagram(encode(message));
+        CHECK(got && got->hello);
+        CHECK(!got->hello->evacuations);
+        CHECK(got->left_out > 0);
+    }
+}
+
 // Story: a node of an earlier release, or a damaged datagram, tells a start
 // below 0. Taken as a number it would be later than any, and no process of that
 // target would be believed again.
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -19,6 +19,7 @@
     out.introduced.clear();
     out.heard.clear();
     out.target_news.reset();
+    out.evacuations.reset();
     return out;
 }
 
@@ -202,6 +203,21 @@
     return out;
 }
 
+/// Sizes are settings of hosts, so nodes agree on who is large.
+std::vector<host_id> roster::large_hosts(double capacity) const
+{
+    double largest = capacity;
+    for (const auto& [host, row] : rows_)
+        largest = std::max(largest, row.last.capacity);
+    std::vector<host_id> out;
+    if (is_large(capacity, largest))
+        out.push_back(self_);
+    for (const auto& [host, row] : rows_)
+        if (is_large(row.last.capacity, largest))
+            out.push_back(host);
+    return out;
+}
+
 std::size_t roster::rank(std::string_view salt, bool reached, double capacity,
                          instant now) const
 {
--- a/libs/report/request_course.cpp
+++ b/libs/report/request_course.cpp
@@ -166,7 +166,8 @@
 
 std::string not_run(const ending& it)
 {
-    return "Refused, and not run: no target took it. " +
+    return "Refused, and not run: no target took it (" +
+           std::string(it.last.get("reason")) + "). " +
            std::string(it.last.get("rejections")) + " rejected it." +
            target_of(it);
 }
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -173,6 +173,8 @@
      "until they are in time again."},
     {event::news_late_over, severity::info, "news_late_over",
      "Changes reach the node in time again; it takes callers."},
+    {event::evacuations_changed, severity::info, "evacuations_changed",
+     "Other data centres are evacuated: targets there get no new work."},
     {event::targets_changed, severity::info, "targets_changed",
      "The list of targets changed."},
     {event::platform_call_failed, severity::warning, "platform_call_failed",
