Stock tokens where callers are, for outages seen before, and ask ahead

And a host to which all callers of a busy team keep asks other nodes for each request; behind the callers' bytes on a link of 10 Mbit/s the answer comes too late.

Ruled out: a readiness answer that follows the plan of entry answers.

Change, each by itself a setting: the stock covers 1.2 times the longest outage that the fleet remembers, up to 0.55 of the unspent (stock.outage-cover); stock lies at large hosts if there are enough (stock.large-holders); a node that is short asks for 1.5 s of its own spending as well, unless tokens are scarce (tokens.ahead).

Tests of the loads in prepaid: stock_plan, outage_memory; roster.

--- a/include/fennelladder/edge/token_desk.hpp
+++ b/include/fennelladder/edge/token_desk.hpp
@@ -120,6 +120,7 @@
     bool is_over(const record_question& question) const;
     bool is_hopeless(const team_id& team, tokens missing) const;
     tokens missing_of(const team_id& team, tokens amount, int urgency) const;
+    tokens wanted_beyond(const team_id& team) const;
     mesh::transfer_number ask(const host_id& peer, mesh::token_ask what);
     bool reserve(const team_id& team, tokens amount, int urgency);
     tokens kept_back(const team_id& team, int urgency) const;
--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -143,6 +143,9 @@
     /// forgotten, living or not.
     std::vector<host_id> large_hosts(double capacity) const;
 
+    /// Those of members() that are large.
+    std::vector<host_id> large_members(double capacity, instant now) const;
+
     /// Addresses of up to `most` living nodes to tell another, others each
     /// time. Guards against two nodes that never hear of each other: they
     /// registered at the same moment and each listed a copy of the store
--- a/include/fennelladder/prepaid/stock_plan.hpp
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -53,6 +53,19 @@
     /// stock the same share; with a fifth for all, teams that run out lost 4 to
     /// 10 in 100 of what they prepaid with a loss of all nodes.
     duration long_runway = seconds(60);
+    /// Where the platform was away before, the stock covers this many times the
+    /// longest outage remembered, also of a team close to its end: its callers
+    /// are refused throughout the next one otherwise. 0: outages don't count.
+    double outage_cover = 1.2;
+    /// For that no more than this share of the unspent is stocked.
+    double most_for_outage = 0.55;
+    /// Whether stock lies at large hosts alone, if there are enough of them.
+    /// Most callers are there, so that most tokens needn't travel; and they
+    /// answer sooner.
+    bool large_holders = true;
+    /// A node that is short asks others for this much of its own spending
+    /// beyond what is missing. 0: for each request alone.
+    duration ahead = milliseconds(1500);
     /// Between two writes that no request waits for, and between two questions
     /// of a stockist to the writer.
     duration write_pause = seconds(1);
@@ -78,7 +91,8 @@
     /// next one, at many nodes, and hence no stock.
     tokens stocked;
     double fleet_spending = 0; ///< Tokens a second, all nodes together.
-    tokens waited_for; ///< Missing for requests that wait, or for other nodes.
+    duration outage{0}; ///< The longest lately, see prepaid/outage_memory.hpp.
+    tokens waited_for;  ///< Missing for requests that wait, or for other nodes.
     std::size_t stockists = 1; ///< That are alive.
     bool stockist = false;     ///< Whether this node is one.
 };
@@ -86,6 +100,12 @@
 /// Tokens to take out now; 0: none.
 tokens stock_wish(const stock_state& state, const stock_options& options);
 
+/// What a node that is short asks for beyond what is missing, by what it spends
+/// a second itself: the next requests needn't wait for other nodes then.
+/// Nothing while tokens are scarce, since they may be missed elsewhere.
+tokens ask_beyond(double own_spending, bool scarce,
+                  const stock_options& options);
+
 /// Those of `nodes` that may be stockists: a few of highest rank by rendezvous
 /// hashing, so nodes that know the same fleet agree.
 std::vector<host_id> holders_of(const std::vector<host_id>& nodes,
--- a/libs/edge/stock_keeper.cpp
+++ b/libs/edge/stock_keeper.cpp
@@ -63,12 +63,19 @@
     const mesh::node_row* other = writer_elsewhere();
     reached_ = other != nullptr ? other->last.platform_reached
                                 : tables_.contact.reached;
+    outages_.note(reached_, tables_.now());
 }
 
 std::vector<host_id> stock_keeper::holders() const
 {
-    return prepaid::holders_of(tables_.nodes.members(tables_.now()),
-                               tables_.options.stock);
+    const prepaid::stock_options& options = tables_.options.stock;
+    const instant now = tables_.now();
+    if (options.large_holders) {
+        const auto large = tables_.nodes.large_members(tables_.capacity(), now);
+        if (large.size() >= options.stockists)
+            return prepaid::holders_of(large, options);
+    }
+    return prepaid::holders_of(tables_.nodes.members(now), options);
 }
 
 std::vector<host_id> stock_keeper::stockists(const team_id& team) const
@@ -176,6 +183,7 @@
     out.stockists = few.size();
     out.stockist = std::ranges::find(few, tables_.settings.host) != few.end();
     out.fleet_free = own + others.free;
+    out.outage = outages_.longest(now);
     out.stocked = others.free_of_some + (out.stockist ? own : tokens(0));
     out.fleet_spending = tables_.purse.spending(team, now) +
                          static_cast<double>(others.spent_per_second.count());
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -127,10 +127,11 @@
             co_return shortage_of(team);
         const auto peer = best_peer(team, tried);
         const tokens missing = missing_of(team, amount, urgency);
+        const tokens wanted = missing + wanted_beyond(team);
         duration pause = peer_patience;
         if (peer) {
             tried.insert(*peer);
-            ask(*peer, {.team = team, .wanted = missing, .urgency = urgency});
+            ask(*peer, {.team = team, .wanted = wanted, .urgency = urgency});
         } else if (asked && !is_over(*asked)) {
             pause = until - tables_.now();
         } else if (questions == 0 || (questions < most_questions &&
@@ -138,7 +139,7 @@
             // What others have by then is asked for once more.
             ++questions;
             tried.clear();
-            asked = ask_for_more(team, missing, urgency);
+            asked = ask_for_more(team, wanted, urgency);
             pause = record_patience;
         } else {
             co_return shortage_of(team);
@@ -186,6 +187,12 @@
     return alone ? amount - std::max(spare, tokens(0)) : amount;
 }
 
+tokens token_desk::wanted_beyond(const team_id& team) const
+{
+    return prepaid::ask_beyond(tables_.purse.spending(team, tables_.now()),
+                               keeper_.is_scarce(team), tables_.options.stock);
+}
+
 /// Has tokens taken out of the record, here or where it is written.
 token_desk::record_question
 token_desk::ask_for_more(const team_id& team, tokens missing, int urgency)
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -203,7 +203,8 @@
     return out;
 }
 
-/// Sizes are settings of hosts, so nodes agree on who is large.
+/// Sizes are settings of hosts, so nodes that know the same ones agree on who
+/// is large.
 std::vector<host_id> roster::large_hosts(double capacity) const
 {
     double largest = capacity;
@@ -218,6 +219,16 @@
     return out;
 }
 
+std::vector<host_id> roster::large_members(double capacity, instant now) const
+{
+    std::vector<host_id> out = large_hosts(capacity);
+    const auto here = members(now);
+    std::erase_if(out, [&](const host_id& it) {
+        return !std::ranges::binary_search(here, it);
+    });
+    return out;
+}
+
 std::size_t roster::rank(std::string_view salt, bool reached, double capacity,
                          instant now) const
 {
--- a/libs/mesh/roster_test.cpp
+++ b/libs/mesh/roster_test.cpp
@@ -292,6 +292,25 @@
     }
 }
 
+// Guards against nodes that agree on less than they could: what large hosts are
+// chosen for mustn't hang on whom a node heard just now.
+TEST(roster, large_hosts_are_known_for_long_and_large_members_live)
+{
+    for (int i = 1; i <= 4; ++i) {
+        beacon it = from(i);
+        it.capacity = i <= 2 ? 400 : 100;
+        nodes.hear(it, start);
+    }
+    using hosts = std::vector<host_id>;
+    const hosts large{host_id("n1"), host_id("n2")};
+    CHECK(nodes.large_hosts(100) == large);
+    CHECK(nodes.large_members(100, start) == large);
+    UNSIGNED_LONGS_EQUAL(3, nodes.large_members(300, start).size());
+    const instant later = start + seconds(10);
+    CHECK(nodes.large_hosts(100) == large);
+    CHECK(nodes.large_members(100, later).empty());
+}
+
 TEST(roster, a_large_fleet_sends_no_more_beacons)
 {
     for (int i = 1; i <= 200; ++i)
--- /dev/null
+++ b/libs/prepaid/outage_memory_test.cpp
@@ -0,0 +1,62 @@
+#include "fennelladder/prepaid/outage_memory.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace fennelladder;
+using namespace fennelladder::prepaid;
+
+namespace {
+
+constexpr instant start = instant(seconds(100));
+
+} // namespace
+
+TEST_GROUP(outage_memory)
+{
+    outage_memory outages;
+
+    /// From `from` to `to`, in seconds.
+    void away(int from, int to)
+    {
+        outages.note(true, start + seconds(from) - milliseconds(1));
+        for (int at = from; at < to; ++at)
+            outages.note(false, start + seconds(at));
+        outages.note(true, start + seconds(to));
+    }
+
+    long longest_at(int at)
+    {
+        return std::chrono::duration_cast<std::chrono::seconds>(
+                   outages.longest(start + seconds(at)))
+            .count();
+    }
+};
+
+TEST(outage_memory, the_longest_counts)
+{
+    LONGS_EQUAL(0, longest_at(0));
+    away(5, 13);
+    away(20, 23);
+    LONGS_EQUAL(8, longest_at(30));
+}
+
+TEST(outage_memory, one_that_lasts_counts_as_it_grows)
+{
+    outages.note(false, start);
+    LONGS_EQUAL(0, longest_at(0));
+    LONGS_EQUAL(6, longest_at(6));
+}
+
+TEST(outage_memory, a_failed_call_is_no_outage)
+{
+    outages.note(false, start);
+    outages.note(true, start + milliseconds(900));
+    LONGS_EQUAL(0, longest_at(1));
+}
+
+TEST(outage_memory, what_is_long_ago_is_forgotten)
+{
+    away(0, 8);
+    LONGS_EQUAL(8, longest_at(600));
+    LONGS_EQUAL(0, longest_at(700));
+}
--- a/libs/prepaid/stock_plan.cpp
+++ b/libs/prepaid/stock_plan.cpp
@@ -31,7 +31,11 @@
     const double unspent = free + static_cast<double>(state.left.count());
     const double by_spending =
         state.fleet_spending * to_seconds(options.horizon);
-    const double most = unspent * share_to_stock(state, unspent, options);
+    const double for_outage = std::min(
+        state.fleet_spending * to_seconds(state.outage) * options.outage_cover,
+        unspent * options.most_for_outage);
+    const double most =
+        std::max(unspent * share_to_stock(state, unspent, options), for_outage);
     const double goal = std::min(std::max(first, by_spending), most);
     if (stocked >= goal * options.refill_below)
         return 0;
@@ -49,6 +53,15 @@
                       std::max(state.left, tokens(0)));
 }
 
+tokens ask_beyond(double own_spending, bool scarce,
+                  const stock_options& options)
+{
+    if (scarce)
+        return tokens(0);
+    return tokens(
+        static_cast<std::int64_t>(own_spending * to_seconds(options.ahead)));
+}
+
 namespace {
 
 /// The `count` nodes of highest rank for `salt`.
--- a/libs/prepaid/stock_plan_test.cpp
+++ b/libs/prepaid/stock_plan_test.cpp
@@ -128,3 +128,63 @@
     DOUBLES_EQUAL(options.most_of_unspent / 2, share(30), 0.001);
     CHECK(20'000 * 40 * share(40) >= 20'000 * 10);
 }
+
+/// A fleet is cut off from its platform for eight seconds, and later again when
+/// its teams near their ends. Guards against stocks for two or three seconds
+/// that leave the callers of the second cut with refusals.
+TEST(stock_plan, an_outage_seen_before_is_stocked_for)
+{
+    stock_state it = busy();
+    it.stockists = 1;
+    it.left = tokens(20'000 * 20);
+    const auto seconds_stocked = [&] {
+        return static_cast<double>(stock_wish(it, options).count()) / 20'000;
+    };
+    CHECK(seconds_stocked() < 3);
+    it.outage = seconds(8);
+    CHECK(seconds_stocked() >= 9);
+    // Not all of what is left: whoever starts after a loss of all nodes finds
+    // some.
+    it.left = tokens(20'000 * 8);
+    DOUBLES_EQUAL(8 * options.most_for_outage, seconds_stocked(), 0.01);
+}
+
+TEST(stock_plan, an_outage_adds_nothing_where_more_is_stocked_anyway)
+{
+    stock_state it = busy();
+    it.left = tokens(2'400'000);
+    const tokens before = stock_wish(it, options);
+    it.outage = seconds(4);
+    CHECK(stock_wish(it, options) == before);
+}
+
+/// All callers of a busy team keep to one host that holds no stock: 90 requests
+/// a second. Guards against a question to other nodes for each of them, which
+/// waits behind the callers' bytes on a narrow link until it is too late.
+TEST(stock_plan, a_host_that_a_busy_team_keeps_to_asks_seldom)
+{
+    constexpr int each_second = 90;
+    constexpr std::int64_t size = 3'000;
+    const auto questions = [&](const stock_options& by) {
+        std::int64_t held = 0;
+        int out = 0;
+        for (int i = 0; i < 10 * each_second; ++i) {
+            if (held < size) {
+                ++out;
+                held += size - held +
+                        ask_beyond(each_second * size, false, by).count();
+            }
+            held -= size;
+        }
+        return out;
+    };
+    stock_options each_alone;
+    each_alone.ahead = duration(0);
+    LONGS_EQUAL(10 * each_second, questions(each_alone));
+    CHECK(questions(options) <= 10);
+}
+
+TEST(stock_plan, while_tokens_are_scarce_nobody_asks_beyond_its_need)
+{
+    CHECK(ask_beyond(1e6, true, options) == tokens(0));
+}
