Count the time that a request waits on a full link

Cause: the time-out of a request began when it was read.

Change: what waits on the host's link, as beacons show it, is taken off the time of a request twice, for its way here and its answer's way back; a dial may take that much longer. Besides, a line every ten seconds says what a node holds of all tokens, to be added up over the fleet.

Test: attempt_policy, a_final_answer_over_a_full_link_arrives_in_time.

--- a/include/fennelladder/dispatch/attempt_policy.hpp
+++ b/include/fennelladder/dispatch/attempt_policy.hpp
@@ -56,6 +56,15 @@
     duration time_left{0};
 };
 
+/// How long a request may take at this node, from its reading to its final
+/// answer. `patience` counts from its sending; `queueing` is what waits on the
+/// host's link, which the request has passed and its answer has yet to pass.
+/// Not above 0: no answer arrives in time.
+constexpr duration time_at_node(duration patience, duration queueing)
+{
+    return patience - 2 * queueing;
+}
+
 enum class next_action : std::uint8_t
 {
     finish,      ///< The caller has what it gets.
--- a/include/fennelladder/edge/edge_node.hpp
+++ b/include/fennelladder/edge/edge_node.hpp
@@ -60,6 +60,7 @@
     awaitable<void> housekeeping();
     void introduce_seeds();
     void reload_settings();
+    void log_tokens();
     std::vector<entry_node> entry_nodes() const;
     simple_answer answer_entry(const simple_request& asked);
     simple_answer answer_readiness(const simple_request& asked);
--- a/libs/dispatch/attempt_policy_test.cpp
+++ b/libs/dispatch/attempt_policy_test.cpp
@@ -135,3 +135,19 @@
     CHECK(decide_next(so_far, attempt_end::broken, {}).action ==
           next_action::say_unknown);
 }
+
+/// The callers of one team fill a host's link, on which everything waits.
+/// Guards against final answers that come long after the route's timeout, as
+/// the time that a request waits unread counts for nobody.
+TEST(attempt_policy, a_final_answer_over_a_full_link_arrives_in_time)
+{
+    const duration timeout = milliseconds(1200);
+    for (const int ms : {0, 5, 100, 300, 500}) {
+        const duration waits = milliseconds(ms);
+        const duration read_at = waits;
+        const duration answered_at = read_at + time_at_node(timeout, waits);
+        CHECK(answered_at + waits <= timeout);
+        CHECK(time_at_node(timeout, waits) > duration(0));
+    }
+    CHECK(time_at_node(timeout, milliseconds(600)) <= duration(0));
+}
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -16,7 +16,8 @@
 using dispatch::target_evidence;
 
 /// A connection within the fleet's networks is made in milliseconds; one that
-/// takes longer lost a packet or goes nowhere, and another target is sooner.
+/// takes longer lost a packet or goes nowhere, and another target is sooner. On
+/// a link that is full it takes as long as bytes wait there, at any target.
 constexpr duration connect_limit = milliseconds(350);
 
 /// Answers up to this size are held until complete.
@@ -162,8 +163,9 @@
     }
     connection_ = in_.tables.pool.make(to);
     in_.course.hold(connection_);
-    const status made =
-        co_await in_.tables.pool.open(connection_, connect_limit);
+    // What the target answers waits like everything else on a full link.
+    const duration limit = connect_limit + 2 * in_.tables.queueing();
+    const status made = co_await in_.tables.pool.open(connection_, limit);
     if (made && in_.course.stopped() == stop_reason::none)
         co_return true;
     if (in_.course.stopped() == stop_reason::none)
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -202,6 +202,7 @@
             next_summary = now + summary_period;
             client_.log_calls();
             mesh_.log_traffic();
+            log_tokens();
         }
         co_await sleep_on(timer, log_period);
     }
@@ -217,6 +218,23 @@
             tables_.leaving ? "leaving\n" : "no configuration yet\n"};
 }
 
+/// Added up over a fleet: what would be lost with all nodes.
+void edge_node::log_tokens()
+{
+    tokens free;
+    tokens reserved;
+    tokens spent;
+    for (const auto& [team, it] : tables_.purse.holdings()) {
+        free += it.free;
+        reserved += it.reserved;
+        spent += it.spent;
+    }
+    log_event(event::tokens_held,
+              {{"free", std::to_string(free.count())},
+               {"reserved", std::to_string(reserved.count())},
+               {"spent", std::to_string(spent.count())}});
+}
+
 /// All nodes that callers may be told to use.
 std::vector<entry_node> edge_node::entry_nodes() const
 {
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -71,7 +71,8 @@
     request_run(request_driver& driver, const caller_request& request,
                 caller_reply& reply, exchange_ptr course)
         : driver_(driver), tables_(driver.tables_), request_(request),
-          reply_(reply), course_(std::move(course)), config_(tables_.config)
+          reply_(reply), course_(std::move(course)), config_(tables_.config),
+          queued_(tables_.queueing())
     {}
 
     awaitable<void> run();
@@ -107,6 +108,7 @@
     caller_reply& reply_;
     exchange_ptr course_;
     std::shared_ptr<const catalog::configuration> config_;
+    const duration queued_; ///< What waited on the link as it was read.
     const catalog::route* way_ = nullptr;
     const catalog::team* team_ = nullptr;
     service_id service_;
@@ -128,7 +130,7 @@
     duration out = way_->timeout;
     if (request_.facts.patience)
         out = std::min(out, *request_.facts.patience);
-    return out;
+    return dispatch::time_at_node(out, queued_);
 }
 
 duration request_run::time_left() const
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -192,6 +192,8 @@
      "The allotment record can't be decoded; nothing is taken out of it."},
     {event::tokens_stranded, severity::warning, "tokens_stranded",
      "Tokens are lost to their team: the node couldn't hand them on."},
+    {event::tokens_held, severity::info, "tokens_held",
+     "What the node holds of all teams' tokens, every ten seconds."},
     {event::request_answered, severity::info, "request_answered",
      "A request got its whole answer."},
     {event::request_refused, severity::warning, "request_refused",
