Go by the worse of two windows for what waits on a link; ask ahead within limits

The wait on the link was taken from the shorter of two windows of half a second, which a growing queue outruns. And asking ahead near a team's end would spread its last tokens over nodes.

Change: time of requests goes by the longer wait; a node asks ahead for no more than 0.02 of what the record has left.

Tests: news_lateness, stock_plan.

--- a/include/fennelladder/mesh/news_lateness.hpp
+++ b/include/fennelladder/mesh/news_lateness.hpp
@@ -49,6 +49,10 @@
     /// within the bound.
     std::optional<duration> delay(instant now) const;
 
+    /// The same, for who has to be sure that something arrives in time: what is
+    /// waited while the queue grows or falls.
+    std::optional<duration> longest_delay(instant now) const;
+
 private:
     /// Of the latest messages the one that waited least: one that was held up
     /// by itself says nothing of the link.
--- a/include/fennelladder/prepaid/stock_plan.hpp
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -66,6 +66,9 @@
     /// A node that is short asks others for this much of its own spending
     /// beyond what is missing. 0: for each request alone.
     duration ahead = milliseconds(1500);
+    /// Of what the record has left, at most. Nodes that spend a team's tokens
+    /// are a dozen or less; together they hold no more than a quarter.
+    double most_ahead = 0.02;
     /// Between two writes that no request waits for, and between two questions
     /// of a stockist to the writer.
     duration write_pause = seconds(1);
@@ -101,9 +104,10 @@
 tokens stock_wish(const stock_state& state, const stock_options& options);
 
 /// What a node that is short asks for beyond what is missing, by what it spends
-/// a second itself: the next requests needn't wait for other nodes then.
-/// Nothing while tokens are scarce, since they may be missed elsewhere.
-tokens ask_beyond(double own_spending, bool scarce,
+/// a second itself: the next requests needn't wait for other nodes then. No
+/// more than a small part of what the record has `left`: near a team's end all
+/// would be spread over nodes, each with too little for its next request.
+tokens ask_beyond(double own_spending, tokens left,
                   const stock_options& options);
 
 /// Those of `nodes` that may be stockists: a few of highest rank by rendezvous
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -121,7 +121,7 @@
 
 duration node_tables::queueing() const
 {
-    return lateness.delay(now()).value_or(duration(0));
+    return lateness.longest_delay(now()).value_or(duration(0));
 }
 
 void node_tables::list_changed()
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -189,8 +189,10 @@
 
 tokens token_desk::wanted_beyond(const team_id& team) const
 {
+    const tokens left =
+        keeper_.is_scarce(team) ? tokens(0) : keeper_.left_of(team);
     return prepaid::ask_beyond(tables_.purse.spending(team, tables_.now()),
-                               keeper_.is_scarce(team), tables_.options.stock);
+                               left, tables_.options.stock);
 }
 
 /// Has tokens taken out of the record, here or where it is written.
--- a/libs/mesh/news_lateness.cpp
+++ b/libs/mesh/news_lateness.cpp
@@ -41,6 +41,15 @@
     return out;
 }
 
+std::optional<duration> news_lateness::longest_delay(instant now) const
+{
+    std::optional<duration> out;
+    for (const window& it : {before_, now_})
+        if (it.least && now - it.began < bound_)
+            out = std::max(out.value_or(*it.least), *it.least);
+    return out;
+}
+
 bool news_lateness::is_overdue(std::optional<duration> age) const
 {
     return age && *age > part_of(bound_, usable_part);
--- a/libs/mesh/news_lateness_test.cpp
+++ b/libs/mesh/news_lateness_test.cpp
@@ -118,3 +118,17 @@
     CHECK(!it.is_overdue(milliseconds(2'200)));
     CHECK(it.is_overdue(milliseconds(2'300)));
 }
+
+// Guards against a queue that grows faster than its shortest wait shows.
+TEST(news_lateness, the_longest_delay_is_that_of_the_worse_of_two_windows)
+{
+    mesh::news_lateness lateness(seconds(3));
+    const instant at(seconds(200));
+    CHECK(!lateness.longest_delay(at));
+    lateness.note(milliseconds(40), at);
+    lateness.note(milliseconds(700), at + milliseconds(600));
+    lateness.note(milliseconds(800), at + milliseconds(700));
+    const instant later = at + milliseconds(800);
+    CHECK(lateness.delay(later) == duration(milliseconds(40)));
+    CHECK(lateness.longest_delay(later) == duration(milliseconds(700)));
+}
--- a/libs/prepaid/stock_plan.cpp
+++ b/libs/prepaid/stock_plan.cpp
@@ -53,13 +53,12 @@
                       std::max(state.left, tokens(0)));
 }
 
-tokens ask_beyond(double own_spending, bool scarce,
+tokens ask_beyond(double own_spending, tokens left,
                   const stock_options& options)
 {
-    if (scarce)
-        return tokens(0);
-    return tokens(
-        static_cast<std::int64_t>(own_spending * to_seconds(options.ahead)));
+    const double most = static_cast<double>(left.count()) * options.most_ahead;
+    const double wanted = own_spending * to_seconds(options.ahead);
+    return tokens(static_cast<std::int64_t>(std::min(wanted, most)));
 }
 
 namespace {
--- a/libs/prepaid/stock_plan_test.cpp
+++ b/libs/prepaid/stock_plan_test.cpp
@@ -166,13 +166,14 @@
     constexpr int each_second = 90;
     constexpr std::int64_t size = 3'000;
     const auto questions = [&](const stock_options& by) {
+        const tokens left(each_second * size * 100);
         std::int64_t held = 0;
         int out = 0;
         for (int i = 0; i < 10 * each_second; ++i) {
             if (held < size) {
                 ++out;
                 held += size - held +
-                        ask_beyond(each_second * size, false, by).count();
+                        ask_beyond(each_second * size, left, by).count();
             }
             held -= size;
         }
@@ -186,5 +187,17 @@
 
 TEST(stock_plan, while_tokens_are_scarce_nobody_asks_beyond_its_need)
 {
-    CHECK(ask_beyond(1e6, true, options) == tokens(0));
+    CHECK(ask_beyond(1e6, tokens(0), options) == tokens(0));
+}
+
+/// Eight nodes spend what is left of a team within seconds. Guards against the
+/// last tokens lying at all of them, too few at each for a request.
+TEST(stock_plan, the_last_tokens_are_not_spread_over_nodes)
+{
+    constexpr std::int64_t left = 600'000;
+    constexpr int nodes = 8;
+    std::int64_t ahead = 0;
+    for (int i = 0; i < nodes; ++i)
+        ahead += ask_beyond(200'000, tokens(left), options).count();
+    CHECK(ahead <= left / 5);
 }
