--- a/libs/catalog/evacuation_list.cpp
+++ b/libs/catalog/evacuation_list.cpp
@@ -11,8 +11,7 @@
         return false;
     auto& names = state.data_centers;
     std::ranges::sort(names);
-    const auto repeated = std::ranges::unique(names);
-    names.erase(repeated.begin(), repeated.end());
+    names.erase(std::unique(names.begin(), names.end()), names.end());
     if (names.size() > most_evacuations)
         names.resize(most_evacuations);
     const bool changed = !known_ || names != state_.data_centers;
