Say when no retry is left, and what tokens died with a process

The two reports on retries and recovery leave open whether a request was held back by the retries that all nodes share, and what teams lost with nodes that died. retries_exhausted (1505) existed and was never written on the data path; it is now, with a counter of retries taken and refused by service. tokens_lost (1416) gives what a process last said to hold when the next one of its host is heard. No decision changes.

--- a/include/fennelladder/mesh/stock_book.hpp
+++ b/include/fennelladder/mesh/stock_book.hpp
@@ -35,8 +35,9 @@
 {
 public:
     /// Takes a regular beacon in; of a leaving node nothing is kept, since it
-    /// hands its tokens on.
-    void hear(const beacon& from, instant now);
+    /// hands its tokens on. Returns what died with the host's earlier process,
+    /// by that one's last word; empty if it is the same process.
+    std::vector<token_stock> hear(const beacon& from, instant now);
 
     /// The node with most of the team's tokens, of those heard since `since`
     /// that aren't in `but`. Nothing if none is known to have any.
@@ -54,6 +55,7 @@
 private:
     struct row
     {
+        node_life life;
         std::map<team_id, token_stock> stock;
         instant heard;
     };
--- a/include/fennelladder/telemetry/event_catalog.hpp
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -120,6 +120,7 @@
 constexpr int allotment_unreadable = 1413;
 constexpr int tokens_stranded = 1414;
 constexpr int tokens_held = 1415;
+constexpr int tokens_lost = 1416;
 constexpr int request_answered = 1510;
 constexpr int request_refused = 1511;
 constexpr int request_failed = 1512;
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -99,6 +99,7 @@
     bool another_is_possible() const;
     bool may_give_up_silent(const dispatch::choice& silent);
     bool may_send() const;
+    bool take_retry();
     std::string_view why_no_target() const;
     tokens worst_case() const;
 
@@ -293,10 +294,28 @@
     const instant now = tables_.now();
     retry_taken_ =
         tables_.book.choose(other, now, tables_.random).has_value() &&
-        tables_.retries.take_retry(service_, tables_.nodes.size(), now);
+        take_retry();
     return retry_taken_;
 }
 
+/// One of the retries that all nodes share, for the next attempt.
+bool request_run::take_retry()
+{
+    const std::size_t nodes = tables_.nodes.size();
+    const bool taken =
+        tables_.retries.take_retry(service_, nodes, tables_.now());
+    tables_.metrics
+        .counter_of("fennelladder_retries_total",
+                    {{"service", service_.str()},
+                     {"result", taken ? "taken" : "refused"}})
+        .add();
+    if (!taken)
+        log_event(event::retries_exhausted, {{"id", request_.facts.id},
+                                             {"service", service_.str()},
+                                             {"nodes", std::to_string(nodes)}});
+    return taken;
+}
+
 awaitable<attempt_outcome>
 request_run::attempt_at(const dispatch::choice& target)
 {
@@ -424,9 +443,7 @@
             course_->stopped() == stop_reason::caller_left)
             action = dispatch::give_up(so_far_, got.ended);
         if (action == next_action::try_other && step.uses_retry &&
-            !retry_taken_ &&
-            !tables_.retries.take_retry(service_, tables_.nodes.size(),
-                                        tables_.now()))
+            !retry_taken_ && !take_retry())
             action = dispatch::give_up(so_far_, got.ended);
         if (got.ended != attempt_end::answered &&
             got.ended != attempt_end::caller_left)
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -395,7 +395,15 @@
 
 void token_desk::on_stock(const mesh::beacon& from)
 {
-    peers_.hear(from, tables_.now());
+    const auto lost = peers_.hear(from, tables_.now());
+    if (lost.empty())
+        return;
+    tokens total;
+    for (const mesh::token_stock& it : lost)
+        total += it.free;
+    log_event(event::tokens_lost, {{"node", from.host.str()},
+                                   {"teams", std::to_string(lost.size())},
+                                   {"amount", std::to_string(total.count())}});
 }
 
 std::vector<mesh::token_stock> token_desk::own_stock() const
--- a/libs/mesh/stock_book.cpp
+++ b/libs/mesh/stock_book.cpp
@@ -4,15 +4,22 @@
 
 namespace fennelladder::mesh {
 
-void stock_book::hear(const beacon& from, instant now)
+std::vector<token_stock> stock_book::hear(const beacon& from, instant now)
 {
+    std::vector<token_stock> lost;
     row& it = rows_[from.host];
+    if (it.life != from.life)
+        for (const auto& [team, stock] : it.stock)
+            if (stock.free > tokens(0))
+                lost.push_back(stock);
+    it.life = from.life;
     it.heard = now;
     it.stock.clear();
     if (from.state == node_state::leaving)
-        return;
+        return lost;
     for (const token_stock& stock : from.stock)
         it.stock[stock.team] = stock;
+    return lost;
 }
 
 std::optional<host_id> stock_book::richest(const team_id& team,
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -194,6 +194,9 @@
      "Tokens are lost to their team: the node couldn't hand them on."},
     {event::tokens_held, severity::info, "tokens_held",
      "What the node holds of all teams' tokens, every ten seconds."},
+    {event::tokens_lost, severity::warning, "tokens_lost",
+     "Another node's process ended without handing its tokens on; the amount "
+     "is what it last said to hold."},
     {event::request_answered, severity::info, "request_answered",
      "A request got its whole answer."},
     {event::request_refused, severity::warning, "request_refused",
