--- a/cmake/fennelladder.cmake
+++ b/cmake/fennelladder.cmake
@@ -1,9 +1,10 @@
-# fennelladder_library(NAME [DEPENDS lib...] [LINK external...])
+# fennelladder_library(NAME [DEPENDS lib...] [LINK external...] [APART test...])
 #
 # Defines the library fennelladder_NAME from every .cpp beside the calling
 # CMakeLists.txt (and below generated/), and the test program test_NAME from
 # every *_test.cpp there. Public headers live in include/fennelladder/NAME/.
-# DEPENDS names other libraries of this project, LINK external ones. The
+# DEPENDS names other libraries of this project, LINK external ones. Each test
+# in APART, from TEST_test.cpp, is the program test_NAME_TEST instead. The
 # library and its headers are installed (see install.cmake).
 
 add_library(fennelladder_options INTERFACE)
@@ -26,7 +27,7 @@
 add_compile_definitions(BOOST_ENABLE_ASSERT_HANDLER)
 
 function(fennelladder_library name)
-  cmake_parse_arguments(arg "" "" "DEPENDS;LINK;TEST_DEPENDS" ${ARGN})
+  cmake_parse_arguments(arg "" "" "DEPENDS;LINK;TEST_DEPENDS;APART" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS *.cpp)
   file(GLOB generated CONFIGURE_DEPENDS generated/*.cpp)
   set(tests ${sources})
@@ -58,21 +59,29 @@
   if(IS_DIRECTORY ${headers})
     install(DIRECTORY ${headers} DESTINATION include/fennelladder)
   endif()
-  if(tests AND FENNELLADDER_TESTS)
-    add_executable(test_${name} ${tests})
-    target_include_directories(test_${name}
+  # library_test(PROGRAM source...)
+  function(library_test program)
+    add_executable(test_${program} ${ARGN})
+    target_include_directories(test_${program}
       PRIVATE ${CMAKE_CURRENT_SOURCE_DIR})
     if(generated)
-      target_include_directories(test_${name} SYSTEM PRIVATE
+      target_include_directories(test_${program} SYSTEM PRIVATE
         ${CMAKE_CURRENT_SOURCE_DIR}/generated)
     endif()
-    target_link_libraries(test_${name} PRIVATE
+    target_link_libraries(test_${program} PRIVATE
       ${target} fennelladder_testing fennelladder_options)
     foreach(lib IN LISTS arg_TEST_DEPENDS)
-      target_link_libraries(test_${name} PRIVATE fennelladder_${lib})
+      target_link_libraries(test_${program} PRIVATE fennelladder_${lib})
     endforeach()
-    add_test(NAME ${name} COMMAND test_${name}
+    add_test(NAME ${program} COMMAND test_${program}
       WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
-    set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+    set_tests_properties(${program} PROPERTIES TIMEOUT 300)
+  endfunction()
+  if(tests AND FENNELLADDER_TESTS)
+    foreach(test IN LISTS arg_APART)
+      list(REMOVE_ITEM tests ${CMAKE_CURRENT_SOURCE_DIR}/${test}_test.cpp)
+      library_test(${name}_${test} ${test}_test.cpp)
+    endforeach()
+    library_test(${name} ${tests})
   endif()
 endfunction()
--- /dev/null
+++ b/libs/dispatch/retry_fleet_test.cpp
@@ -0,0 +1,212 @@
+// What all nodes of a fleet together send again, against the operator's limit,
+// while nodes die and start and callers move between them. Every window is
+// counted by hand.
+
+#include "fennelladder/base/random.hpp"
+#include "fennelladder/dispatch/retry_window.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace fennelladder;
+using namespace fennelladder::dispatch;
+
+namespace {
+
+const service_id llm("llm");
+constexpr instant start = instant(seconds(100));
+
+/// Until a node that has started knows the others.
+constexpr double acquaintance_s = 1;
+
+struct fleet_options
+{
+    std::size_t nodes = 8;
+    double requests_per_second = 92;
+    retry_window_options retries{
+        .share = 0.2, .slack = 56, .window = seconds(10)};
+};
+
+/// Nodes that send again all they may while targets fail.
+class fleet
+{
+public:
+    explicit fleet(fleet_options options) : options_(options)
+    {
+        nodes_.assign(options_.nodes, {options_.retries});
+    }
+
+    /// Requests come to the living nodes, `weights` as often each.
+    void run_until(double until_s, const std::vector<double>& weights,
+                   bool targets_fail, random_source& random)
+    {
+        while (now_ < until_s) {
+            now_ += random.exponential(1 / options_.requests_per_second);
+            node& it = pick(weights, random);
+            it.retries.count_request(llm, at());
+            requests_.push_back(now_);
+            if (targets_fail)
+                send_again();
+        }
+    }
+
+    /// The node's process ends, and its next one begins.
+    void restart(std::size_t n)
+    {
+        nodes_[n] = {options_.retries, now_};
+    }
+
+    /// How far the worst window is beyond the limit; at most 0 where the limit
+    /// holds. The operator takes the requests of the window, of the one
+    /// before, or of the one half a window before, whichever are most.
+    double worst_excess() const
+    {
+        const double window = to_seconds(options_.retries.window);
+        double out = -1e9;
+        for (const double from : retries_) {
+            const double most = std::max(
+                {count(requests_, from), count(requests_, from - window),
+                 count(requests_, from - window / 2)});
+            const double allowed =
+                options_.retries.share * most + options_.retries.slack;
+            out = std::max(out, count(retries_, from) - allowed);
+        }
+        return out;
+    }
+
+private:
+    struct node
+    {
+        retry_window retries;
+        double started = -1e9;
+
+        node(retry_window_options options, double at = -1e9)
+            : retries(options), started(at)
+        {}
+    };
+
+    instant at() const { return start + from_seconds(now_); }
+
+    node& pick(const std::vector<double>& weights, random_source& random)
+    {
+        double total = 0;
+        for (const double it : weights)
+            total += it;
+        double draw = random.unit() * total;
+        for (std::size_t i = 0; i < weights.size(); ++i) {
+            draw -= weights[i];
+            if (draw < 0)
+                return nodes_[i];
+        }
+        return nodes_.back();
+    }
+
+    void send_again()
+    {
+        for (node& it : nodes_) {
+            const bool knows_others = now_ - it.started >= acquaintance_s;
+            const std::size_t known = knows_others ? nodes_.size() : 1;
+            while (it.retries.take_retry(llm, known, at()))
+                retries_.push_back(now_);
+        }
+    }
+
+    double count(const std::vector<double>& in, double from) const
+    {
+        const double window = to_seconds(options_.retries.window);
+        return static_cast<double>(
+            std::ranges::lower_bound(in, from + window) -
+            std::ranges::lower_bound(in, from));
+    }
+
+    fleet_options options_;
+    std::vector<node> nodes_;
+    double now_ = 0;
+    std::vector<double> requests_;
+    std::vector<double> retries_;
+};
+
+void check_limit(const fleet& all, const std::string& label = "")
+{
+    const int excess = static_cast<int>(all.worst_excess());
+    if (excess > 0)
+        FAIL((label + std::to_string(excess) + " too many").c_str());
+}
+
+const std::vector<double> everywhere(8, 1);
+const std::vector<double> first_half{1, 1, 1, 1, 0, 0, 0, 0};
+const std::vector<double> second_half{0, 0, 0, 0, 1, 1, 1, 1};
+
+} // namespace
+
+TEST_GROUP(retry_fleet)
+{
+    random_source random{1};
+    fleet all{{}};
+};
+
+// Guards against requests that give the right to a retry twice: to the node
+// that died and to those to which its callers turn.
+TEST(retry_fleet, callers_of_dead_nodes_bring_no_second_allowance)
+{
+    all.run_until(20, everywhere, false, random);
+    all.run_until(21, everywhere, true, random);
+    all.run_until(40, first_half, true, random);
+    check_limit(all);
+}
+
+// Guards against a node's next process that spends again what the one before
+// it has spent within the same window.
+TEST(retry_fleet, a_start_brings_no_second_allowance)
+{
+    all.run_until(20, everywhere, false, random);
+    all.run_until(21, everywhere, true, random);
+    for (std::size_t i = 0; i < 8; ++i)
+        all.restart(i);
+    all.run_until(40, everywhere, true, random);
+    check_limit(all);
+}
+
+// Guards against nodes that have just started, know nobody, and take the slack
+// of the whole fleet each.
+TEST(retry_fleet, nodes_that_know_nobody_dont_take_the_whole_slack)
+{
+    all.run_until(20, everywhere, false, random);
+    for (std::size_t i = 0; i < 5; ++i)
+        all.restart(i);
+    all.run_until(40, everywhere, true, random);
+    check_limit(all);
+}
+
+// Guards against callers that move to and fro, as entry answers may have them
+// do, while targets fail.
+TEST(retry_fleet, moving_callers_bring_no_second_allowance)
+{
+    all.run_until(20, first_half, false, random);
+    all.run_until(20.5, first_half, true, random);
+    all.run_until(40, second_half, true, random);
+    check_limit(all);
+}
+
+// Any order of starts, moves and failures.
+TEST(retry_fleet, no_order_of_events_passes_the_limit)
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        random_source draw(seed);
+        fleet one({});
+        double until = 0;
+        while (until < 60) {
+            until += 0.2 + draw.unit() * 5;
+            std::vector<double> weights(8);
+            for (double& it : weights)
+                it = 0.01 + (draw.unit() < 0.5 ? draw.unit() : 0);
+            one.run_until(until, weights, draw.unit() < 0.5, draw);
+            for (std::size_t i = 0; i < 8; ++i)
+                if (draw.unit() < 0.3)
+                    one.restart(i);
+        }
+        check_limit(one, "seed " + std::to_string(seed) + ": ");
+    }
+}
