Stock fewer tokens after deaths of nodes, as more are stocked after outages

What the operators saw: too few requests served after the nodes' return (RECOVER). Plain requests were; those that cost tokens were refused.

Cause: what a node has stocked is lost with it. Losses of nodes have the opposite bearing on stock as outages, and only outages were remembered.

Ruled out: callers that come back as the cause (refusals are at teams with no token in any purse or record); a node's own part of the stock being too large (the sum over all nodes is what is planned for).

Beacons carry how long a process has run and what it remembers (two optional fields).

--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -22,6 +22,7 @@
 #include "fennelladder/mesh/freshness.hpp"
 #include "fennelladder/mesh/news_lateness.hpp"
 #include "fennelladder/mesh/roster.hpp"
+#include "fennelladder/prepaid/loss_memory.hpp"
 #include "fennelladder/prepaid/purse.hpp"
 #include "fennelladder/telemetry/metrics.hpp"
 #include "platform/host_settings.hpp"
@@ -137,6 +138,7 @@
     dispatch::retry_allowance retries;
     dispatch::poison_list poison;
     prepaid::purse purse;
+    prepaid::loss_memory losses;
     mesh::roster nodes;
     target_pool pool;
     telemetry::metrics metrics;
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -89,6 +89,10 @@
     /// or is of an earlier release.
     std::optional<catalog::evacuation_state> evacuations;
     std::optional<duration> evacuations_age;
+    /// Since its process started; not said by nodes of earlier releases.
+    std::optional<duration> up_for;
+    /// Whole fleets lost lately, see prepaid/loss_memory.hpp; unset: unknown.
+    std::optional<double> fleets_lost;
     /// Sent for news between two regular ones: without load and stock, of which
     /// the last said holds.
     bool is_brief = false;
@@ -199,6 +203,7 @@
 inline constexpr std::size_t most_rows = 256; ///< Of a list in a beacon.
 inline constexpr tokens most_tokens(1'000'000'000'000'000);
 inline constexpr double most_requests = 1e9; ///< A second.
+inline constexpr double most_fleets_lost = 1000;
 
 /// Datagrams up to this size fit in one packet on every network we know of
 /// (IPv4 and UDP headers within an Ethernet frame); larger ones go out in
--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -88,6 +88,7 @@
 {
     bool new_node = false; ///< Or a new life of a known one.
     bool state_changed = false;
+    bool died = false; ///< The host's earlier process, without leaving.
     bool late = false; ///< An older one than the last; passed over.
     /// How much longer than usual it was under way; unset where its sender
     /// doesn't say when it was sent.
--- a/include/fennelladder/prepaid/stock_plan.hpp
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -59,6 +59,10 @@
     double outage_cover = 1.2;
     /// For that no more than this share of the unspent is stocked.
     double most_for_outage = 0.55;
+    /// How much less is stocked after losses: the stock is divided by one more
+    /// than this many times the whole fleets that died lately. 0: losses don't
+    /// count.
+    double loss_caution = 1;
     /// Whether stock lies at large hosts alone, if there are enough of them.
     /// Most callers are there, so that most tokens needn't travel; and they
     /// answer sooner.
@@ -95,6 +99,7 @@
     tokens stocked;
     double fleet_spending = 0; ///< Tokens a second, all nodes together.
     duration outage{0}; ///< The longest lately, see prepaid/outage_memory.hpp.
+    double losses = 0;  ///< Whole fleets lately, see prepaid/loss_memory.hpp.
     tokens waited_for;  ///< Missing for requests that wait, or for other nodes.
     std::size_t stockists = 1; ///< That are alive.
     bool stockist = false;     ///< Whether this node is one.
--- a/libs/edge/decision_options.cpp
+++ b/libs/edge/decision_options.cpp
@@ -83,6 +83,7 @@
         of("stock.conflict-pause", &options::stock, &stock::conflict_pause),
         of("stock.outage-cover", &options::stock, &stock::outage_cover),
         of("stock.most-for-outage", &options::stock, &stock::most_for_outage),
+        of("stock.loss-caution", &options::stock, &stock::loss_caution),
         of("stock.large-holders", &options::stock, &stock::large_holders),
         of("tokens.ahead", &options::stock, &stock::ahead),
         of("tokens.keep-back", &options::ration,
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -157,6 +157,8 @@
     out.evacuations_age = tables_.evacuations_freshness.age(tables_.now());
     out.configuration_age = tables_.configuration_freshness.age(tables_.now());
     out.targets_age = tables_.targets_freshness.age(tables_.now());
+    out.up_for = tables_.now() - tables_.started;
+    out.fleets_lost = tables_.losses.known(tables_.now());
     out.heard = tables_.nodes.heard_lately(tables_.now());
     out.load = tables_.book.own_load();
     keep_largest(out.load, load_limit, &dispatch::target_load::running);
@@ -346,6 +348,7 @@
     const instant now = tables_.now();
     const mesh::roster_news news = tables_.nodes.hear(from, now);
     introduce(from.introduced);
+    note_losses(from, news.died, now);
     if (!from.is_brief)
         take_holdings(from);
     for (const dispatch::poison_record& it : from.poison)
@@ -368,6 +371,16 @@
     news_.hear(from);
 }
 
+/// A younger node knows less than this one has seen.
+void mesh_node::note_losses(const mesh::beacon& from, bool died, instant now)
+{
+    if (died)
+        tables_.losses.note_death(tables_.nodes.host_count(), now);
+    const bool is_older = from.up_for && *from.up_for > now - tables_.started;
+    if (is_older && from.fleets_lost)
+        tables_.losses.hear(*from.fleets_lost, now);
+}
+
 /// A beacon without load and stock says nothing of them; taken as empty, every
 /// change of a target made its targets look idle and its tokens gone.
 void mesh_node::take_holdings(const mesh::beacon& from)
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -63,8 +63,8 @@
       lateness(settings.news_bound()),
       book(book_options(settings, options.book)),
       retries(retry_options(settings, options.retries)), poison({}),
-      nodes(settings.host, {}), pool(context, options.pool),
-      started(clock_used.now())
+      losses(settings.first_start, clock_used.now()), nodes(settings.host, {}),
+      pool(context, options.pool), started(clock_used.now())
 {}
 
 bool node_tables::ready() const
--- a/libs/edge/stock_keeper.cpp
+++ b/libs/edge/stock_keeper.cpp
@@ -184,6 +184,7 @@
     out.stockist = std::ranges::find(few, tables_.settings.host) != few.end();
     out.fleet_free = own + others.free;
     out.outage = outages_.longest(now);
+    out.losses = tables_.losses.at(now);
     out.stocked = others.free_of_some + (out.stockist ? own : tokens(0));
     out.fleet_spending = tables_.purse.spending(team, now) +
                          static_cast<double>(others.spent_per_second.count());
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -80,6 +80,8 @@
   23: optional i64 sent_ms
   24: optional Evacuations evacuations
   25: optional i32 evacuations_age_ms
+  26: optional i32 up_ms
+  27: optional double fleets_lost
 }
 
 struct TokenAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -244,6 +244,10 @@
         out.__set_evacuations(to_wire(*from.evacuations));
     if (from.evacuations_age)
         out.__set_evacuations_age_ms(age_to_wire(*from.evacuations_age));
+    if (from.up_for)
+        out.__set_up_ms(age_to_wire(*from.up_for));
+    if (from.fleets_lost)
+        out.__set_fleets_lost(*from.fleets_lost);
     if (from.target_news)
         out.__set_target_news(to_wire(*from.target_news));
     out.__set_is_brief(from.is_brief);
@@ -410,6 +414,9 @@
         out.evacuations = from_wire(from.evacuations, left_out);
     out.evacuations_age =
         age_of(from.__isset.evacuations_age_ms, from.evacuations_age_ms);
+    out.up_for = age_of(from.__isset.up_ms, from.up_ms);
+    if (from.__isset.fleets_lost && from.fleets_lost >= 0)
+        out.fleets_lost = std::min(from.fleets_lost, most_fleets_lost);
     if (from.__isset.target_news)
         out.target_news = from_wire(from.target_news, left_out);
     out.is_brief = from.__isset.is_brief && from.is_brief;
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -47,6 +47,8 @@
     out.evacuations = {{data_center_id("austin"), data_center_id("houston")},
                        catalog::revision(13)};
     out.evacuations_age = milliseconds(80);
+    out.up_for = seconds(70);
+    out.fleets_lost = 0.25;
     out.is_brief = true;
     out.heard = {{node_life(78), milliseconds(40)}};
     return out;
@@ -123,6 +125,8 @@
     CHECK(!it.target_news->changes.at(1).entry);
     CHECK(it.evacuations == sample().evacuations);
     CHECK(it.evacuations_age == milliseconds(80));
+    CHECK(it.up_for == seconds(70));
+    DOUBLES_EQUAL(0.25, *it.fleets_lost, 1e-9);
     CHECK(it.is_brief);
     CHECK(it.targets_as_of == catalog::revision(14));
     CHECK(it.heard.at(0).life == node_life(78));
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -37,6 +37,8 @@
     const auto known = rows_.find(from.host);
     if (known == rows_.end() || known->second.last.life != from.life) {
         news.new_node = true;
+        news.died = known != rows_.end() &&
+                    known->second.last.state != node_state::leaving;
     } else {
         news.late = from.sequence <= known->second.last.sequence;
         if (news.late)
--- a/libs/mesh/roster_test.cpp
+++ b/libs/mesh/roster_test.cpp
@@ -38,6 +38,16 @@
     CHECK(nodes.hear(from(1, 1, 2), start).new_node);
 }
 
+TEST(roster, a_process_that_didnt_leave_has_died)
+{
+    CHECK(!nodes.hear(from(1), start).died);
+    CHECK(nodes.hear(from(1, 1, 2), start).died);
+    beacon leaving = from(1, 2, 2);
+    leaving.state = node_state::leaving;
+    nodes.hear(leaving, start);
+    CHECK(!nodes.hear(from(1, 1, 3), start).died);
+}
+
 TEST(roster, a_late_beacon_changes_nothing)
 {
     nodes.hear(from(1, 5), start);
--- a/libs/prepaid/stock_plan.cpp
+++ b/libs/prepaid/stock_plan.cpp
@@ -36,10 +36,12 @@
         unspent * options.most_for_outage);
     const double most =
         std::max(unspent * share_to_stock(state, unspent, options), for_outage);
-    const double goal = std::min(std::max(first, by_spending), most);
+    const double caution = 1 + options.loss_caution * state.losses;
+    const double limit = most / caution;
+    const double goal = std::min(std::max(first, by_spending) / caution, limit);
     if (stocked >= goal * options.refill_below)
         return 0;
-    const double gap = std::max(std::min(goal - stocked, most - free), 0.0);
+    const double gap = std::max(std::min(goal - stocked, limit - free), 0.0);
     return gap / static_cast<double>(std::max<std::size_t>(state.stockists, 1));
 }
 
