Ration targets that may have started anew over all nodes, too

The class of the retries beyond the limit: a limit on a sum over nodes, kept by each node for itself.

Change: only the nodes that carry a cold target's requests send it one a second.

--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -32,7 +32,8 @@
 // carry its requests (dispatch/cold_ramp.hpp), and for them as often as it
 // bears. It is known to be cold by its own word or since its data centre's
 // evacuation ended; a target that answers again after it couldn't be reached
-// may have started anew, and gets one request a second until that is known.
+// may have started anew, and gets one request a second from each of these nodes
+// until that is known.
 //
 // What is known is known of one process. When a target starts again under its
 // id, its row begins anew; what ends later at the process before, and loads
--- a/include/fennelladder/prepaid/loss_memory.hpp
+++ b/include/fennelladder/prepaid/loss_memory.hpp
@@ -57,7 +57,7 @@
 private:
     loss_options options_;
     instant started_;
-    bool presumes_all_; ///< Until an older node is heard, all died.
+    bool presumes_all_;  ///< Until an older node is heard, all died.
     double counted_ = 0; ///< As of `changed_`.
     instant changed_;
 };
--- a/libs/dispatch/restricted_targets_test.cpp
+++ b/libs/dispatch/restricted_targets_test.cpp
@@ -231,6 +231,7 @@
 TEST(restricted_targets, a_target_that_is_back_gets_one_request_a_second)
 {
     traits();
+    book.set_ramp_hosts({host_id("a")});
     book.sync(targets(1, 1), false, start);
     back_after_a_rest(0, start);
     const auto got = send(book, 500, start + seconds(1));
@@ -239,6 +240,29 @@
     CHECK_EQUAL(500, later.at(target_id("i-0")));
 }
 
+// Guards against one request a second from each node of a fleet, where any of
+// them may be the herd that a cold target doesn't bear.
+TEST(restricted_targets, a_fleet_sends_a_target_that_is_back_what_it_bears)
+{
+    std::vector<host_id> hosts;
+    for (int i = 0; i < 77; ++i)
+        hosts.emplace_back("host-" + std::to_string(i));
+    const catalog::target_process back{target_id("i-0"), {}};
+    int got = 0;
+    for (const host_id& it : hosts) {
+        target_book one(options_of(it.str().c_str()));
+        one.set_cold_traits({{service_id("llm"), {cold_for, limit}}});
+        one.set_ramp_hosts(hosts);
+        one.sync(targets(1, 1), false, start);
+        one.learned(back, target_evidence::unreachable, start);
+        one.learned(back, target_evidence::answered, start + seconds(1));
+        for (const auto& [target, n] : send(one, 10, start + seconds(1)))
+            got += n;
+    }
+    CHECK(got > 0);
+    CHECK(got <= static_cast<int>(limit));
+}
+
 /// Six nodes at which all callers are, of a fleet of 77, and 140 targets, of
 /// which a third is back after an evacuation; 800 requests in a second.
 TEST(restricted_targets, a_third_of_all_targets_back_at_once_meets_no_herd)
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -228,7 +228,8 @@
         cold || now < it.suspect_until ? traits_of(it) : nullptr;
     if (traits == nullptr)
         return std::nullopt;
-    return cold ? ramp_.share(it.entry.id, traits->limit) : 1;
+    const std::uint32_t share = ramp_.share(it.entry.id, traits->limit);
+    return cold ? share : std::min(share, 1U);
 }
 
 /// Whether this node has sent the target all that it may while it is cold.
