--- a/include/fennelladder/dispatch/cold_ramp.hpp
+++ b/include/fennelladder/dispatch/carrier_table.hpp
@@ -1,8 +1,8 @@
 // How many requests a cold target gets from this node.
 //
-//     cold_ramp ramp(self, {});
-//     ramp.set_hosts(hosts);                      // whom the roster knows
-//     if (sends.count(now) < ramp.share(target, limit)) ...
+//     carrier_table carriers(self, {});
+//     carriers.set_hosts(hosts);                      // whom the roster knows
+//     if (sends.count(now) < carriers.share(target, limit)) ...
 //
 // A cold target bears a number of requests in any one second, counted over all
 // nodes, and crashes above it. Nodes can't ask each other before each request,
@@ -18,8 +18,8 @@
 //
 // Pure. Not thread safe.
 
-#ifndef FENNELLADDER_DISPATCH_COLD_RAMP_HPP
-#define FENNELLADDER_DISPATCH_COLD_RAMP_HPP
+#ifndef FENNELLADDER_DISPATCH_CARRIER_TABLE_HPP
+#define FENNELLADDER_DISPATCH_CARRIER_TABLE_HPP
 
 #include "fennelladder/base/ids.hpp"
 #include "fennelladder/base/time.hpp"
@@ -31,7 +31,7 @@
 
 namespace fennelladder::dispatch {
 
-struct cold_ramp_options
+struct carrier_options
 {
     /// Nodes that carry one target. With one, its loss starves the target;
     /// with many, the parts are so small that a burst at one finds no room.
@@ -41,10 +41,10 @@
     double planned = 0.67;
 };
 
-class cold_ramp
+class carrier_table
 {
 public:
-    cold_ramp(host_id self, cold_ramp_options options);
+    carrier_table(host_id self, carrier_options options);
 
     /// All hosts that may carry, in any order, this one among them if it may.
     /// Empty while this node doesn't know enough of them: it carries nothing.
@@ -56,7 +56,7 @@
 
 private:
     host_id self_;
-    cold_ramp_options options_;
+    carrier_options options_;
     std::vector<host_id> hosts_;
     bool may_carry_ = false;
 };
--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -29,7 +29,7 @@
 //
 // Targets of an evacuated data centre, and those outside of the regions that a
 // request names, are no choice. A cold target is one only for the nodes that
-// carry its requests (dispatch/cold_ramp.hpp), and for them as often as it
+// carry its requests (dispatch/carrier_table.hpp), and for them as often as it
 // bears. It is known to be cold by its own word or since its data centre's
 // evacuation ended; a target that answers again after it couldn't be reached
 // may have started anew, and gets one request a second from each of these nodes
@@ -47,7 +47,7 @@
 #include "fennelladder/base/random.hpp"
 #include "fennelladder/catalog/configuration.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
-#include "fennelladder/dispatch/cold_ramp.hpp"
+#include "fennelladder/dispatch/carrier_table.hpp"
 
 #include <cstdint>
 #include <map>
@@ -150,7 +150,7 @@
     host_id self;
     data_center_id own_data_center;
     std::map<data_center_id, region_id> regions; ///< Of all data centres.
-    cold_ramp_options ramp;
+    carrier_options carriers;
     /// Reading speed assumed of an engine, tokens a second; what a target
     /// really does shows in its slowness. Of the engines measured so far,
     /// 48 to 55 thousand.
@@ -224,8 +224,8 @@
     /// Services that aren't among these have no cold targets.
     void set_cold_traits(std::unordered_map<service_id, cold_traits> traits);
 
-    /// The hosts that may carry requests of cold targets, see cold_ramp.
-    void set_ramp_hosts(std::vector<host_id> hosts);
+    /// The hosts that may carry requests of cold targets, see carrier_table.
+    void set_carrier_hosts(std::vector<host_id> hosts);
 
     /// The target says that it stays cold for `left`.
     void note_cold(const catalog::target_process& target, duration left,
@@ -340,7 +340,7 @@
     void add_peer(const std::vector<target_load>& load, int sign);
 
     target_book_options options_;
-    cold_ramp ramp_;
+    carrier_table carriers_;
     std::vector<data_center_id> evacuated_; ///< Sorted.
     std::unordered_map<service_id, cold_traits> cold_traits_;
     state_map targets_;
--- a/libs/dispatch/cold_ramp.cpp
+++ b/libs/dispatch/carrier_table.cpp
@@ -1,4 +1,4 @@
-#include "fennelladder/dispatch/cold_ramp.hpp"
+#include "fennelladder/dispatch/carrier_table.hpp"
 
 #include "fennelladder/base/hash.hpp"
 
@@ -20,18 +20,18 @@
 
 } // namespace
 
-cold_ramp::cold_ramp(host_id self, cold_ramp_options options)
+carrier_table::carrier_table(host_id self, carrier_options options)
     : self_(std::move(self)), options_(options)
 {}
 
-void cold_ramp::set_hosts(std::vector<host_id> hosts)
+void carrier_table::set_hosts(std::vector<host_id> hosts)
 {
     hosts_ = std::move(hosts);
     may_carry_ = std::ranges::find(hosts_, self_) != hosts_.end();
 }
 
-std::uint32_t cold_ramp::share(const target_id& target,
-                               std::uint32_t limit) const
+std::uint32_t carrier_table::share(const target_id& target,
+                                   std::uint32_t limit) const
 {
     const auto planned = static_cast<std::size_t>(limit * options_.planned);
     if (!may_carry_ || planned == 0)
--- a/libs/dispatch/cold_ramp_test.cpp
+++ b/libs/dispatch/carrier_table_test.cpp
@@ -6,7 +6,7 @@
 //   - as many carriers as the target bears requests;
 //   - one carrier, as a ration that one node hands out would have.
 
-#include "fennelladder/dispatch/cold_ramp.hpp"
+#include "fennelladder/dispatch/carrier_table.hpp"
 
 #include "fennelladder/base/random.hpp"
 #include "fennelladder/testing/property.hpp"
@@ -34,19 +34,19 @@
 /// Requests in a second that all nodes together let through to one target,
 /// where node i knows views[i].
 std::uint32_t total(const hosts& all, const std::vector<hosts>& views,
-                    cold_ramp_options options, const target_id& target)
+                    carrier_options options, const target_id& target)
 {
     std::uint32_t out = 0;
     for (std::size_t i = 0; i < all.size(); ++i) {
-        cold_ramp ramp(all[i], options);
-        ramp.set_hosts(views[i]);
-        out += ramp.share(target, limit);
+        carrier_table carriers(all[i], options);
+        carriers.set_hosts(views[i]);
+        out += carriers.share(target, limit);
     }
     return out;
 }
 
 std::uint32_t most_of_targets(const hosts& all, const std::vector<hosts>& views,
-                              cold_ramp_options options)
+                              carrier_options options)
 {
     std::uint32_t out = 0;
     for (int i = 0; i < 50; ++i)
@@ -59,9 +59,9 @@
 
 } // namespace
 
-TEST_GROUP(cold_ramp){};
+TEST_GROUP(carrier_table){};
 
-TEST(cold_ramp, nodes_that_agree_stay_below_the_limit_and_starve_nobody)
+TEST(carrier_table, nodes_that_agree_stay_below_the_limit_and_starve_nobody)
 {
     for (const std::size_t n : sizes) {
         const hosts all = fleet(n);
@@ -77,7 +77,7 @@
 
 // Guards against a cold target that gets the load of all nodes, each of which
 // believes that it is among its carriers since it heard late of some hosts.
-TEST(cold_ramp, late_views_stay_below_the_limit)
+TEST(carrier_table, late_views_stay_below_the_limit)
 {
     random_source random(7);
     for (const std::size_t n : sizes) {
@@ -97,15 +97,15 @@
 // Guards against a node that is cut off, hears nobody and so ranks first for
 // every target: hosts known for long are counted, and one that knows of none
 // carries nothing.
-TEST(cold_ramp, a_node_that_knows_nobody_carries_nothing)
+TEST(carrier_table, a_node_that_knows_nobody_carries_nothing)
 {
-    cold_ramp ramp(host_id("host-0"), {});
-    ramp.set_hosts({});
-    UNSIGNED_LONGS_EQUAL(0, ramp.share(target_id("i-1"), limit));
+    carrier_table carriers(host_id("host-0"), {});
+    carriers.set_hosts({});
+    UNSIGNED_LONGS_EQUAL(0, carriers.share(target_id("i-1"), limit));
 }
 
 // Guards against halves of a fleet that each choose carriers of their own.
-TEST(cold_ramp, halves_that_remember_each_other_stay_below_the_limit)
+TEST(carrier_table, halves_that_remember_each_other_stay_below_the_limit)
 {
     const hosts all = fleet(77);
     const std::vector<hosts> remembered(all.size(), all);
@@ -121,26 +121,26 @@
     // bears, whether each target has one carrier or as many as it bears.
     for (const std::size_t carriers :
          {std::size_t(1), std::size_t(3), std::size_t(12)}) {
-        cold_ramp_options by_heard;
+        carrier_options by_heard;
         by_heard.carriers = carriers;
         CHECK(most_of_targets(all, heard, by_heard) > limit);
     }
 }
 
 // With one carrier for each, a target is starved where that host is gone.
-TEST(cold_ramp, the_loss_of_some_hosts_starves_few_targets)
+TEST(carrier_table, the_loss_of_some_hosts_starves_few_targets)
 {
     const hosts all = fleet(77);
     const auto starved = [&](std::size_t carriers) {
-        cold_ramp_options options;
+        carrier_options options;
         options.carriers = carriers;
         int out = 0;
         for (int i = 0; i < 200; ++i) {
             std::uint32_t sum = 0;
             for (std::size_t j = all.size() / 3; j < all.size(); ++j) {
-                cold_ramp ramp(all[j], options);
-                ramp.set_hosts(all);
-                sum += ramp.share(target_id("i-" + std::to_string(i)), limit);
+                carrier_table one(all[j], options);
+                one.set_hosts(all);
+                sum += one.share(target_id("i-" + std::to_string(i)), limit);
             }
             out += sum == 0;
         }
@@ -150,9 +150,9 @@
     CHECK(starved(1) > 40);
 }
 
-TEST(cold_ramp, a_small_limit_is_carried_by_few)
+TEST(carrier_table, a_small_limit_is_carried_by_few)
 {
-    cold_ramp alone(host_id("host-0"), {});
+    carrier_table alone(host_id("host-0"), {});
     alone.set_hosts(fleet(1));
     UNSIGNED_LONGS_EQUAL(0, alone.share(target_id("i-1"), 0));
     UNSIGNED_LONGS_EQUAL(1, alone.share(target_id("i-1"), 2));
@@ -161,7 +161,7 @@
     UNSIGNED_LONGS_EQUAL(2, total(all, views, {}, target_id("i-1")) / 6);
 }
 
-TEST(cold_ramp, sends_count_for_a_second)
+TEST(carrier_table, sends_count_for_a_second)
 {
     const instant start(seconds(100));
     recent_sends sends;
--- a/libs/dispatch/restricted_targets_test.cpp
+++ b/libs/dispatch/restricted_targets_test.cpp
@@ -171,7 +171,7 @@
 TEST(restricted_targets, a_cold_target_gets_its_share_in_any_second)
 {
     traits();
-    book.set_ramp_hosts({host_id("a")});
+    book.set_carrier_hosts({host_id("a")});
     auto listed = targets(2, 1);
     listed.at(target_id("i-0")).warm_up_left = cold_for;
     book.sync(listed, false, start);
@@ -186,7 +186,7 @@
 TEST(restricted_targets, nodes_that_dont_carry_it_send_a_cold_target_nothing)
 {
     traits();
-    book.set_ramp_hosts({});
+    book.set_carrier_hosts({});
     auto listed = targets(2, 1);
     for (auto& [id, entry] : listed)
         entry.warm_up_left = cold_for;
@@ -231,7 +231,7 @@
 TEST(restricted_targets, a_target_that_is_back_gets_one_request_a_second)
 {
     traits();
-    book.set_ramp_hosts({host_id("a")});
+    book.set_carrier_hosts({host_id("a")});
     book.sync(targets(1, 1), false, start);
     back_after_a_rest(0, start);
     const auto got = send(book, 500, start + seconds(1));
@@ -252,7 +252,7 @@
     for (const host_id& it : hosts) {
         target_book one(options_of(it.str().c_str()));
         one.set_cold_traits({{service_id("llm"), {cold_for, limit}}});
-        one.set_ramp_hosts(hosts);
+        one.set_carrier_hosts(hosts);
         one.sync(targets(1, 1), false, start);
         one.learned(back, target_evidence::unreachable, start);
         one.learned(back, target_evidence::answered, start + seconds(1));
@@ -278,7 +278,7 @@
         options.regions.clear();
         target_book one(options);
         one.set_cold_traits({{service_id("llm"), {cold_for, limit}}});
-        one.set_ramp_hosts(large);
+        one.set_carrier_hosts(large);
         one.sync(listed, false, start);
         one.set_evacuated({place(0)}, start);
         one.set_evacuated({}, start + seconds(1));
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -61,7 +61,7 @@
 }
 
 target_book::target_book(target_book_options options)
-    : options_(std::move(options)), ramp_(options_.self, options_.ramp)
+    : options_(std::move(options)), carriers_(options_.self, options_.carriers)
 {}
 
 std::vector<catalog::target_entry>
@@ -199,9 +199,9 @@
     cold_traits_ = std::move(traits);
 }
 
-void target_book::set_ramp_hosts(std::vector<host_id> hosts)
+void target_book::set_carrier_hosts(std::vector<host_id> hosts)
 {
-    ramp_.set_hosts(std::move(hosts));
+    carriers_.set_hosts(std::move(hosts));
 }
 
 void target_book::note_cold(const catalog::target_process& target,
@@ -228,7 +228,7 @@
         cold || now < it.suspect_until ? traits_of(it) : nullptr;
     if (traits == nullptr)
         return std::nullopt;
-    const std::uint32_t share = ramp_.share(it.entry.id, traits->limit);
+    const std::uint32_t share = carriers_.share(it.entry.id, traits->limit);
     return cold ? share : std::min(share, 1U);
 }
 
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -189,8 +189,8 @@
     const bool is_acquainted =
         settings.is_alone() ||
         (now() - started >= acquaintance && !nodes.rows().empty());
-    book.set_ramp_hosts(is_acquainted ? nodes.large_hosts(capacity())
-                                      : std::vector<host_id>());
+    book.set_carrier_hosts(is_acquainted ? nodes.large_hosts(capacity())
+                                         : std::vector<host_id>());
     retries.set_hosts(is_acquainted ? nodes.host_count() : 0, now());
 }
 
