Say when a target names a limit, and when it doesn't any more

The header with the requests a second that a target takes from all nodes together is read, kept with the target and logged when it changes (target_limited, 1611). An answer that the target signed and that names no limit ends one; one that another process gave says nothing. No decision changes.

--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -231,6 +231,12 @@
     void note_cold(const catalog::target_process& target, duration left,
                    instant now);
 
+    /// The target said, at `said`, that it takes `rate` requests a second from
+    /// all nodes together; unset: that it names no limit. Words older than the
+    /// last are passed over. Whether the limit is another one now.
+    bool note_rate_limit(const catalog::target_process& target,
+                         std::optional<double> rate, instant said);
+
     /// The best target, or nothing when the service has none to offer.
     std::optional<choice> choose(const work_wish& wish, instant now,
                                  random_source& random);
@@ -301,6 +307,8 @@
         instant cold_until;
         instant suspect_until; ///< It may have started anew, unannounced.
         recent_sends sends;    ///< While it is cold or suspected to be.
+        std::optional<double> rate_limit; ///< Requests a second, all nodes.
+        instant limit_said;               ///< Of the last word on it.
     };
 
     using state_map = std::map<target_id, target_state>;
--- a/include/fennelladder/telemetry/event_catalog.hpp
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -131,6 +131,7 @@
 constexpr int request_unread = 1517;
 constexpr int connection_not_taken = 1518;
 constexpr int target_died = 1610;
+constexpr int target_limited = 1611;
 constexpr int node_heard = 1710;
 constexpr int node_state_changed = 1711;
 constexpr int mesh_sent = 1712;
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <utility>
 
 namespace fennelladder::dispatch {
 
@@ -211,6 +212,16 @@
         it->cold_until = std::max(it->cold_until, now + left);
 }
 
+bool target_book::note_rate_limit(const catalog::target_process& target,
+                                  std::optional<double> rate, instant said)
+{
+    target_state* it = find(target);
+    if (it == nullptr || said < it->limit_said)
+        return false;
+    it->limit_said = said;
+    return std::exchange(it->rate_limit, rate) != rate;
+}
+
 /// Null if the service's targets bear any load while they are cold.
 const cold_traits* target_book::traits_of(const target_state& it) const
 {
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -4,6 +4,8 @@
 
 #include "fennelladder/edge/attempt.hpp"
 
+#include "fennelladder/telemetry/log.hpp"
+
 #include <array>
 #include <boost/asio/write.hpp>
 #include <limits>
@@ -14,6 +16,8 @@
 
 using dispatch::attempt_end;
 using dispatch::target_evidence;
+using telemetry::log_event;
+namespace event = telemetry::event;
 
 /// A connection within the fleet's networks is made in milliseconds; one that
 /// takes longer lost a packet or goes nowhere, and another target is sooner. On
@@ -31,6 +35,9 @@
 
 constexpr std::size_t piece_size = 16'384;
 
+/// Status by which another process at the address turns a request away.
+constexpr unsigned misdirected = 421;
+
 /// What is being written; outlives the attempt, since the write may.
 struct outgoing_request
 {
@@ -51,6 +58,7 @@
 
 private:
     awaitable<bool> connect();
+    void note_limit(const adapter::answer_facts& facts, unsigned status);
     bool is_wanted();
     bool caller_has_ended() const;
     bool answer_counts() const;
@@ -442,10 +450,27 @@
         "status " + std::to_string(out_.head.status));
 }
 
+/// A limit lasts for as long as the target's answers name it. One of another
+/// process at the address says nothing of the target, and one that it didn't
+/// sign can't end a limit.
+void attempt::note_limit(const adapter::answer_facts& facts, unsigned status)
+{
+    const bool says_so = facts.rate_limit || facts.signed_by_target;
+    if (status == misdirected || !says_so)
+        return;
+    const bool changed = in_.tables.book.note_rate_limit(
+        in_.target.process(), facts.rate_limit, in_.tables.now());
+    if (changed)
+        log_event(event::target_limited,
+                  {{"target", in_.target.target.str()},
+                   {"rate", facts.rate_limit ? std::to_string(*facts.rate_limit)
+                                             : "none"},
+                   {"by", "answer"}});
+}
+
 awaitable<void> attempt::take_answer(answer_parser& parser,
                                      const adapter::answer_facts& facts)
 {
-    constexpr unsigned misdirected = 421;
     const unsigned status = parser.get().result_int();
     if (facts.not_run || status == misdirected) {
         (void)co_await skip(parser);
@@ -491,6 +516,7 @@
         if (facts.cold_left)
             in_.tables.book.note_cold(in_.target.process(), *facts.cold_left,
                                       in_.tables.now());
+        note_limit(facts, parser->get().result_int());
         if (facts.request.empty() || facts.request == in_.request.facts.id) {
             co_await take_answer(*parser, facts);
             co_return;
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -223,6 +223,9 @@
     {event::target_died, severity::warning, "target_died",
      "A target broke off its answers and can't be reached; what ran there is "
      "suspected."},
+    {event::target_limited, severity::info, "target_limited",
+     "A target names another limit of requests a second from all nodes "
+     "together, or none any more."},
     {event::node_heard, severity::info, "node_heard",
      "Another node, or a new life of it, was heard for the first time."},
     {event::node_state_changed, severity::info, "node_state_changed",
