Keep a target's named limit over all nodes together

What the operators saw: a target in need that names the requests a second it takes got more from nodes that had passed its word on (LIMIT): 14 in 4 s where 13 are allowed, 12 where 11 are.

Cause: nothing read the limit; such a target went on getting its 3 to 4 requests a second like the others. It belongs to the class of retries and cold targets: a limit on a sum over nodes. A rate for each of 83 nodes would have passed it 83 times.

Ruled out: retries (the 52 requests that the logs give to the two targets from 8 to 16 s were sent once each).

Change: the design of cold targets holds for both. Up to three nodes that rank first for the target carry its requests, each an equal part of what the limit allows in 4 s; others send them elsewhere, and refuse at once where all targets have got what they take. A limit lasts until an answer of the target doesn't name it; beacons carry what a node was told in the last ten seconds, with its age, and the last word counts. The carriers may be dead or have no callers: while no node has had an answer, further hosts carry in the order of their ranks, small ones behind the large, at a quarter of the rate. After two minutes without a word a limit is over.

--- a/include/fennelladder/dispatch/carrier_table.hpp
+++ b/include/fennelladder/dispatch/carrier_table.hpp
@@ -1,21 +1,27 @@
-// How many requests a cold target gets from this node.
+// Which nodes carry the requests of a target that bears few, and how many each.
 //
 //     carrier_table carriers(self, {});
-//     carriers.set_hosts(hosts);                      // whom the roster knows
-//     if (sends.count(now) < carriers.share(target, limit)) ...
+//     carriers.set_hosts(large, small);           // whom the roster knows
+//     if (sends.count(now, cold_span) < carriers.cold_share(target, limit)) ...
+//     if (sends.count(now, limit_span) <
+//         carriers.limited_share(target, rate, silence)) ...
 //
-// A cold target bears a number of requests in any one second, counted over all
-// nodes, and crashes above it. Nodes can't ask each other before each request,
-// and a rate for each of them would add up to many times the limit. So a few
-// nodes carry the requests of a cold target, those that rank first for it by
-// rendezvous hashing over the hosts; each may send an equal part of what the
-// target bears, and all other nodes nothing.
+// What a cold target bears, and what one that names a limit takes, is counted
+// over all nodes. Nodes can't ask each other before each request, and a rate
+// for each of them would add up to many times the limit. So a few nodes carry
+// the requests of such a target, those that rank first for it by rendezvous
+// hashing over the hosts; each may send an equal part, and all other nodes
+// nothing.
 //
 // Nodes may know different hosts. Each that wrongly counts itself among the
 // carriers sends one part more, so that only some of the limit is planned for.
 // The hosts have to be those known for long, living or not: a node that is cut
 // off would count itself first everywhere if it left out whom it can't hear.
 //
+// Carriers may be dead or have no callers. A cold target is warm soon; that a
+// limit is over shows only in an answer. While no node has had one, further
+// hosts carry in the order of their ranks, at a quarter of the limit's rate.
+//
 // Pure. Not thread safe.
 
 #ifndef FENNELLADDER_DISPATCH_CARRIER_TABLE_HPP
@@ -31,13 +37,17 @@
 
 namespace fennelladder::dispatch {
 
+/// Spans over which requests are counted against what a target bears.
+inline constexpr duration cold_span = seconds(1);
+inline constexpr duration limit_span = seconds(4);
+
 struct carrier_options
 {
     /// Nodes that carry one target. With one, its loss starves the target;
     /// with many, the parts are so small that a burst at one finds no room.
     std::size_t carriers = 3;
-    /// Part of the limit that the carriers use; the rest is for nodes that
-    /// know other hosts than the others do.
+    /// Part of what a cold target bears that the carriers use; the rest is for
+    /// nodes that know other hosts than the others do.
     double planned = 0.67;
 };
 
@@ -46,29 +56,41 @@
 public:
     carrier_table(host_id self, carrier_options options);
 
-    /// All hosts that may carry, in any order, this one among them if it may.
+    /// All hosts that may carry, in any order, this one among them if it may:
+    /// `first`, and behind all of these `rest`, which carry no cold targets.
     /// Empty while this node doesn't know enough of them: it carries nothing.
-    void set_hosts(std::vector<host_id> hosts);
+    void set_hosts(std::vector<host_id> first, std::vector<host_id> rest = {});
 
-    /// Requests that this node may send to the target in any one second.
+    /// Requests that this node may send to a cold target in any cold_span.
     /// `limit`: what the target bears from all nodes.
-    std::uint32_t share(const target_id& target, std::uint32_t limit) const;
+    std::uint32_t cold_share(const target_id& target,
+                             std::uint32_t limit) const;
+
+    /// Requests that this node may send in any limit_span to a target that
+    /// takes `rate` >= 0 a second from all nodes, `silence` after its last
+    /// answer to any node.
+    std::uint32_t limited_share(const target_id& target, double rate,
+                                duration silence) const;
 
 private:
+    std::size_t rank(const target_id& target) const;
+
     host_id self_;
     carrier_options options_;
-    std::vector<host_id> hosts_;
-    bool may_carry_ = false;
+    std::vector<host_id> first_;
+    std::vector<host_id> rest_;
+    bool is_first_ = false; ///< Whether this host is among `first_`.
+    bool is_rest_ = false;
 };
 
-/// When requests were sent to a target, as far as the latest second goes.
+/// When requests were sent to a target, as far as the longest span goes.
 class recent_sends
 {
 public:
     void note(instant now);
 
-    /// Within the second up to `now`.
-    std::size_t count(instant now) const;
+    /// Within the span up to `now`. Precondition: span <= limit_span.
+    std::size_t count(instant now, duration span) const;
 
 private:
     std::deque<instant> sends_;
--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -35,6 +35,10 @@
 // may have started anew, and gets one request a second from each of these nodes
 // until that is known.
 //
+// A target may name a limit of requests from all nodes together. It is a choice
+// for the nodes that carry its requests, as often as the limit allows, until an
+// answer without the limit; what other nodes were told is heard from them.
+//
 // What is known is known of one process. When a target starts again under its
 // id, its row begins anew; what ends later at the process before, and loads
 // that peers have there, are passed over.
@@ -123,7 +127,8 @@
     none_usable, ///< None is listed, or all left, or were tried.
     outside,     ///< Those left are outside of the regions allowed.
     evacuated,   ///< Data centres of those left are evacuated.
-    cold         ///< Those left are cold and have got what they bear.
+    cold,        ///< Those left are cold and have got what they bear.
+    limited      ///< Those left name limits and have got what these allow.
 };
 
 std::string_view to_string(absence value);
@@ -145,6 +150,15 @@
     catalog::target_start start;
 };
 
+/// A target's word on the limit of requests that it takes.
+struct limit_word
+{
+    target_id target;
+    catalog::target_start start;
+    std::optional<double> rate; ///< A second, from all nodes; unset: no limit.
+    duration ago{0};
+};
+
 struct target_book_options
 {
     host_id self;
@@ -224,18 +238,28 @@
     /// Services that aren't among these have no cold targets.
     void set_cold_traits(std::unordered_map<service_id, cold_traits> traits);
 
-    /// The hosts that may carry requests of cold targets, see carrier_table.
-    void set_carrier_hosts(std::vector<host_id> hosts);
+    /// The hosts that may carry requests of targets that bear few, see
+    /// carrier_table::set_hosts().
+    void set_carrier_hosts(std::vector<host_id> first,
+                           std::vector<host_id> rest = {});
 
     /// The target says that it stays cold for `left`.
     void note_cold(const catalog::target_process& target, duration left,
                    instant now);
 
-    /// The target said, at `said`, that it takes `rate` requests a second from
-    /// all nodes together; unset: that it names no limit. Words older than the
-    /// last are passed over. Whether the limit is another one now.
+    /// The target says that it takes `rate` requests a second from all nodes
+    /// together; unset: that it names no limit. Whether this is news.
     bool note_rate_limit(const catalog::target_process& target,
-                         std::optional<double> rate, instant said);
+                         std::optional<double> rate, instant now);
+
+    /// Words that this node has got lately of targets that name a limit, or
+    /// did so a moment ago, for its peers.
+    std::vector<limit_word> own_limits(instant now) const;
+
+    /// The same from a peer, as of `at`. Those that are news here; older words
+    /// than the last are passed over.
+    std::vector<limit_word> peer_limits(const std::vector<limit_word>& words,
+                                        instant at);
 
     /// The best target, or nothing when the service has none to offer.
     std::optional<choice> choose(const work_wish& wish, instant now,
@@ -286,6 +310,16 @@
         instant at;
     };
 
+    /// Of the requests that a target takes, by its own words.
+    struct limit_state
+    {
+        std::optional<double> rate; ///< By the last word that any node got.
+        instant said;
+        std::optional<double> own_rate; ///< By the last that this node got.
+        instant own_said;
+        instant own_named; ///< The last that this node got of a limit.
+    };
+
     struct target_state
     {
         catalog::target_entry entry;
@@ -307,8 +341,7 @@
         instant cold_until;
         instant suspect_until; ///< It may have started anew, unannounced.
         recent_sends sends;    ///< While it is cold or suspected to be.
-        std::optional<double> rate_limit; ///< Requests a second, all nodes.
-        instant limit_said;               ///< Of the last word on it.
+        limit_state limit;
     };
 
     using state_map = std::map<target_id, target_state>;
@@ -320,8 +353,13 @@
     std::optional<std::uint32_t> cold_share(const target_state& it,
                                             instant now) const;
     bool is_cold_to_us(const target_state& it, instant now) const;
+    std::optional<std::uint32_t> limited_share(const target_state& it,
+                                               instant now) const;
+    bool is_limited_to_us(const target_state& it, instant now) const;
     bool is_outside(const target_state& it, const work_wish& wish) const;
     bool was_tried(const target_state& it, const work_wish& wish) const;
+    static bool take_limit(limit_state& it, std::optional<double> rate,
+                           instant said);
     void suspect_start(target_state& it, instant now) const;
     bool resting(const target_state& it, instant now) const;
     bool is_quiet(const target_state& it, instant now) const;
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -100,6 +100,8 @@
     std::optional<catalog::target_news> target_news;
     std::vector<dispatch::target_load> load;
     std::vector<token_stock> stock;
+    /// What targets told it lately of the requests that they take.
+    std::vector<dispatch::limit_word> limits;
     std::vector<dispatch::poison_record> poison;
     std::vector<std::string> introduced; ///< Addresses of further nodes.
     std::vector<heard_node> heard;       ///< Those heard last, directly.
--- a/include/fennelladder/mesh/roster.hpp
+++ b/include/fennelladder/mesh/roster.hpp
@@ -146,6 +146,9 @@
     /// host_memory, living or not.
     std::vector<host_id> large_hosts(double capacity) const;
 
+    /// The others of these.
+    std::vector<host_id> small_hosts(double capacity) const;
+
     /// This host, all others within host_memory, and the addresses that have
     /// never answered. Guards against the halves of a fleet in two, and nodes
     /// that start in one of them: each would share a limit among fewer hosts
@@ -187,6 +190,7 @@
     std::vector<std::pair<place, const node_row*>>
     ahead_of(std::string_view salt, bool reached, double capacity,
              instant now) const;
+    std::vector<host_id> hosts_by_size(double capacity, bool large) const;
     void take_mentions(const beacon& from, instant now);
     double phase_of(const host_id& other) const;
 
--- a/libs/dispatch/carrier_table.cpp
+++ b/libs/dispatch/carrier_table.cpp
@@ -3,14 +3,13 @@
 #include "fennelladder/base/hash.hpp"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace fennelladder::dispatch {
 
 namespace {
 
-constexpr duration counted_span = seconds(1);
-
 using place = std::pair<std::uint64_t, const host_id*>;
 
 bool precedes(const place& a, const place& b)
@@ -18,49 +17,84 @@
     return a.first != b.first ? a.first > b.first : *a.second < *b.second;
 }
 
+bool contains(const std::vector<host_id>& hosts, const host_id& host)
+{
+    return std::ranges::find(hosts, host) != hosts.end();
+}
+
 } // namespace
 
 carrier_table::carrier_table(host_id self, carrier_options options)
     : self_(std::move(self)), options_(options)
 {}
 
-void carrier_table::set_hosts(std::vector<host_id> hosts)
+void carrier_table::set_hosts(std::vector<host_id> first,
+                              std::vector<host_id> rest)
 {
-    hosts_ = std::move(hosts);
-    may_carry_ = std::ranges::find(hosts_, self_) != hosts_.end();
+    first_ = std::move(first);
+    rest_ = std::move(rest);
+    is_first_ = contains(first_, self_);
+    is_rest_ = contains(rest_, self_);
 }
 
-std::uint32_t carrier_table::share(const target_id& target,
-                                   std::uint32_t limit) const
+/// How many hosts come before this one for the target. Precondition: it is
+/// among them.
+std::size_t carrier_table::rank(const target_id& target) const
 {
-    const auto planned = static_cast<std::size_t>(limit * options_.planned);
-    if (!may_carry_ || planned == 0)
-        return 0;
-    const std::size_t carriers =
-        std::min({options_.carriers, hosts_.size(), planned});
+    assert(is_first_ || is_rest_);
     const std::uint64_t seed = hash64(target.str());
     const auto place_of = [&](const host_id& host) {
         return place(hash64(host.str(), seed), &host);
     };
     const place own = place_of(self_);
+    const auto& peers = is_first_ ? first_ : rest_;
     const auto ahead = std::ranges::count_if(
-        hosts_, [&](const host_id& it) { return precedes(place_of(it), own); });
-    if (static_cast<std::size_t>(ahead) >= carriers)
+        peers, [&](const host_id& it) { return precedes(place_of(it), own); });
+    return static_cast<std::size_t>(ahead) + (is_first_ ? 0 : first_.size());
+}
+
+std::uint32_t carrier_table::cold_share(const target_id& target,
+                                        std::uint32_t limit) const
+{
+    const auto planned = static_cast<std::size_t>(limit * options_.planned);
+    if (!is_first_ || planned == 0)
+        return 0;
+    const std::size_t carriers =
+        std::min({options_.carriers, first_.size(), planned});
+    if (rank(target) >= carriers)
         return 0;
     return static_cast<std::uint32_t>(planned / carriers);
 }
 
+std::uint32_t carrier_table::limited_share(const target_id& target, double rate,
+                                           duration silence) const
+{
+    if (!is_first_ && !is_rest_)
+        return 0;
+    // One request in a span finds out whether the limit is over.
+    const double each_span = std::max(rate * to_seconds(limit_span), 1.0);
+    const auto planned = static_cast<std::size_t>(each_span);
+    const std::size_t carriers =
+        std::min({options_.carriers, first_.size() + rest_.size(), planned});
+    const std::size_t ahead = rank(target);
+    if (ahead < carriers)
+        return static_cast<std::uint32_t>(planned / carriers);
+    const double spans = to_seconds(silence) / to_seconds(limit_span);
+    const double more = std::max(each_span * spans / 4, 0.0);
+    return ahead < carriers + more ? 1 : 0;
+}
+
 void recent_sends::note(instant now)
 {
-    while (!sends_.empty() && now - sends_.front() > counted_span)
+    while (!sends_.empty() && now - sends_.front() > limit_span)
         sends_.pop_front();
     sends_.push_back(now);
 }
 
-std::size_t recent_sends::count(instant now) const
+std::size_t recent_sends::count(instant now, duration span) const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
-        sends_, [&](instant it) { return now - it <= counted_span; }));
+        sends_, [&](instant it) { return now - it <= span; }));
 }
 
 } // namespace fennelladder::dispatch
--- a/libs/dispatch/carrier_table_test.cpp
+++ b/libs/dispatch/carrier_table_test.cpp
@@ -40,7 +40,7 @@
     for (std::size_t i = 0; i < all.size(); ++i) {
         carrier_table carriers(all[i], options);
         carriers.set_hosts(views[i]);
-        out += carriers.share(target, limit);
+        out += carriers.cold_share(target, limit);
     }
     return out;
 }
@@ -101,7 +101,7 @@
 {
     carrier_table carriers(host_id("host-0"), {});
     carriers.set_hosts({});
-    UNSIGNED_LONGS_EQUAL(0, carriers.share(target_id("i-1"), limit));
+    UNSIGNED_LONGS_EQUAL(0, carriers.cold_share(target_id("i-1"), limit));
 }
 
 // Guards against halves of a fleet that each choose carriers of their own.
@@ -140,7 +140,8 @@
             for (std::size_t j = all.size() / 3; j < all.size(); ++j) {
                 carrier_table one(all[j], options);
                 one.set_hosts(all);
-                sum += one.share(target_id("i-" + std::to_string(i)), limit);
+                sum +=
+                    one.cold_share(target_id("i-" + std::to_string(i)), limit);
             }
             out += sum == 0;
         }
@@ -154,21 +155,65 @@
 {
     carrier_table alone(host_id("host-0"), {});
     alone.set_hosts(fleet(1));
-    UNSIGNED_LONGS_EQUAL(0, alone.share(target_id("i-1"), 0));
-    UNSIGNED_LONGS_EQUAL(1, alone.share(target_id("i-1"), 2));
+    UNSIGNED_LONGS_EQUAL(0, alone.cold_share(target_id("i-1"), 0));
+    UNSIGNED_LONGS_EQUAL(1, alone.cold_share(target_id("i-1"), 2));
     const hosts all = fleet(8);
     const std::vector<hosts> views(all.size(), all);
     UNSIGNED_LONGS_EQUAL(2, total(all, views, {}, target_id("i-1")) / 6);
 }
 
-TEST(carrier_table, sends_count_for_a_second)
+TEST(carrier_table, sends_count_for_a_span)
 {
     const instant start(seconds(100));
     recent_sends sends;
     sends.note(start);
     sends.note(start + milliseconds(400));
-    UNSIGNED_LONGS_EQUAL(2, sends.count(start + seconds(1)));
-    UNSIGNED_LONGS_EQUAL(1, sends.count(start + milliseconds(1001)));
+    UNSIGNED_LONGS_EQUAL(2, sends.count(start + seconds(1), cold_span));
+    UNSIGNED_LONGS_EQUAL(1, sends.count(start + milliseconds(1001), cold_span));
     sends.note(start + seconds(3));
-    UNSIGNED_LONGS_EQUAL(1, sends.count(start + seconds(3)));
+    UNSIGNED_LONGS_EQUAL(1, sends.count(start + seconds(3), cold_span));
+    UNSIGNED_LONGS_EQUAL(3, sends.count(start + seconds(3), limit_span));
+    UNSIGNED_LONGS_EQUAL(1, sends.count(start + seconds(5), limit_span));
+}
+
+// Guards against a limit that is never found to be over, since the first hosts
+// are dead or have no callers.
+TEST(carrier_table, while_nobody_hears_of_a_limit_more_hosts_carry)
+{
+    const hosts all = fleet(40);
+    const hosts first(all.begin(), all.begin() + 10);
+    const hosts rest(all.begin() + 10, all.end());
+    const auto carriers = [&](duration silence) {
+        std::uint32_t out = 0;
+        for (const host_id& it : all) {
+            carrier_table one(it, {});
+            one.set_hosts(first, rest);
+            out += one.limited_share(target_id("i-1"), 1, silence);
+        }
+        return out;
+    };
+    UNSIGNED_LONGS_EQUAL(3, carriers(seconds(0)));
+    // Not more than one in 4 s, a quarter of what the target takes.
+    UNSIGNED_LONGS_EQUAL(4, carriers(seconds(4)));
+    UNSIGNED_LONGS_EQUAL(13, carriers(seconds(40)));
+    UNSIGNED_LONGS_EQUAL(33, carriers(seconds(120)));
+}
+
+TEST(carrier_table, all_that_a_limit_allows_is_shared_out)
+{
+    const hosts all = fleet(8);
+    const auto share = [&](double rate) {
+        std::uint32_t out = 0;
+        for (const host_id& it : all) {
+            carrier_table one(it, {});
+            one.set_hosts(all);
+            out += one.limited_share(target_id("i-1"), rate, seconds(0));
+        }
+        return out;
+    };
+    // One of them finds out whether the limit is over.
+    UNSIGNED_LONGS_EQUAL(1, share(0));
+    UNSIGNED_LONGS_EQUAL(1, share(0.4));
+    UNSIGNED_LONGS_EQUAL(3, share(1));
+    UNSIGNED_LONGS_EQUAL(30, share(7.5));
 }
--- a/libs/dispatch/limited_target_test.cpp
+++ b/libs/dispatch/limited_target_test.cpp
@@ -37,7 +37,8 @@
 };
 
 /// A fleet before one target, which names its limit in each answer from 0 s
-/// until `ends_s`.
+/// until `ends_s`. Every quarter of a second each node hears what the others
+/// were told, as it was a quarter of a second before.
 class fleet
 {
 public:
@@ -55,6 +56,7 @@
     {
         while (now_ < until_s) {
             now_ += random.exponential(1 / options_.requests_per_second);
+            tell_each_other();
             send(nodes_[random.below(nodes_.size())], random);
         }
     }
@@ -109,6 +111,20 @@
 
     instant at() const { return start + from_seconds(now_); }
 
+    void tell_each_other()
+    {
+        if (now_ < next_words_s_)
+            return;
+        next_words_s_ = now_ + words_period_s;
+        for (const auto& words : words_)
+            for (node& it : nodes_)
+                it.book.peer_limits(words, words_at_);
+        words_.clear();
+        words_at_ = at();
+        for (const node& it : nodes_)
+            words_.push_back(it.book.own_limits(at()));
+    }
+
     void send(node& by, random_source& random)
     {
         work_wish wish;
@@ -122,14 +138,15 @@
         if (now_ >= by.told + 0.5)
             counted_.push_back(now_);
         const bool names = now_ < ends_s;
-        by.book.note_rate_limit({needy, {}},
-                                names ? std::optional(options_.rate)
-                                      : std::nullopt,
-                                at());
+        by.book.note_rate_limit(
+            {needy, {}}, names ? std::optional(options_.rate) : std::nullopt,
+            at());
         if (names)
             by.told = std::min(by.told, now_);
     }
 
+    static constexpr double words_period_s = 0.25;
+
     static int sent(const std::vector<double>& in, double from)
     {
         return static_cast<int>(std::ranges::lower_bound(in, from + window_s) -
@@ -139,6 +156,9 @@
     fleet_options options_;
     std::vector<host_id> hosts_;
     std::vector<node> nodes_;
+    std::vector<std::vector<limit_word>> words_; ///< Under way.
+    instant words_at_;
+    double next_words_s_ = 0;
     double now_ = 0;
     std::vector<double> all_;
     std::vector<double> counted_;
@@ -179,3 +199,46 @@
         CHECK(all.got(20) >= rate * window_s / 2);
     }
 }
+
+// Guards against nodes that start, and against those that know few hosts:
+// half of the fleet, as after a start in a cut.
+TEST(limited_target, starts_and_halves_stay_below_what_is_allowed)
+{
+    for (const double rate : {1.0, 1.3, 7.5}) {
+        fleet all({.rate = rate});
+        const std::vector<host_id> half(all.hosts().begin(),
+                                        all.hosts().begin() + 4);
+        all.run_until(10, random);
+        for (std::size_t n = 0; n < 8; n += 2)
+            all.restart(n, half);
+        all.run_until(40, random);
+        check_limit(all);
+    }
+}
+
+// Guards against a target that is well again and stays without requests.
+TEST(limited_target, is_a_target_like_others_once_it_names_no_limit)
+{
+    fleet all({});
+    all.ends_s = 20;
+    all.run_until(30, random);
+    CHECK(all.got(14) <= all.allowed());
+    CHECK(all.got(24) >= 150);
+}
+
+// Guards against a word that is older than the last and brings a limit back.
+TEST(limited_target, an_older_word_changes_nothing)
+{
+    target_book book({.self = host(0)});
+    catalog::target_entry entry;
+    entry.id = needy;
+    entry.service = llm;
+    entry.address = "10.0.0.1:80";
+    book.sync({{needy, entry}}, false, start);
+    CHECK(book.note_rate_limit({needy, {}}, 1.0, start));
+    CHECK(book.note_rate_limit({needy, {}}, std::nullopt, start + seconds(2)));
+    const limit_word late{needy, {}, 1.0, seconds(1)};
+    CHECK(book.peer_limits({late}, start + seconds(2)).empty());
+    UNSIGNED_LONGS_EQUAL(1,
+                         book.peer_limits({late}, start + seconds(4)).size());
+}
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -137,7 +137,9 @@
         else if (!usable(it, now))
             out = std::max(out, absence::evacuated);
         else if (is_cold_to_us(it, now))
-            out = absence::cold;
+            out = std::max(out, absence::cold);
+        else if (is_limited_to_us(it, now))
+            out = absence::limited;
     }
     return out;
 }
@@ -152,7 +154,7 @@
     for (const target_id& id : known->second) {
         target_state& it = targets_[id];
         if (usable(it, now) && !was_tried(it, wish) && !is_outside(it, wish) &&
-            !is_cold_to_us(it, now))
+            !is_cold_to_us(it, now) && !is_limited_to_us(it, now))
             candidates.push_back(&it);
     }
     if (candidates.empty())
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -26,6 +26,7 @@
 /// the usual case.
 constexpr std::size_t load_limit = 32;
 constexpr std::size_t stock_limit = 32;
+constexpr std::size_t limits_limit = 16;
 
 /// Changes of targets that travel inside a beacon, of about 100 bytes each, so
 /// that it stays in one packet. More at once are fetched.
@@ -54,6 +55,15 @@
     list.erase(end, list.end());
 }
 
+std::vector<dispatch::limit_word>
+newest_limits(std::vector<dispatch::limit_word> all)
+{
+    std::ranges::sort(all, {}, &dispatch::limit_word::ago);
+    if (all.size() > limits_limit)
+        all.resize(limits_limit);
+    return all;
+}
+
 /// What changes all the time anyway comes with the next regular beacon; without
 /// it the news fit one packet.
 void make_brief(mesh::beacon& it)
@@ -165,6 +175,7 @@
     if (desk_ != nullptr)
         out.stock = desk_->own_stock();
     keep_largest(out.stock, stock_limit, &mesh::token_stock::free);
+    out.limits = newest_limits(tables_.book.own_limits(tables_.now()));
     out.poison =
         tables_.poison.recent(poison_span, poison_limit, tables_.now());
     return out;
@@ -366,6 +377,7 @@
         tables_.list_changed();
     if (from.evacuations)
         tables_.take_evacuations(*from.evacuations, from.host.str());
+    take_limits(from, now - news.delay.value_or(duration(0)));
     if (!news.late)
         take_freshness(from, news.delay, now);
     news_.hear(from);
@@ -390,6 +402,15 @@
         desk_->on_stock(from);
 }
 
+void mesh_node::take_limits(const mesh::beacon& from, instant sent)
+{
+    for (const auto& it : tables_.book.peer_limits(from.limits, sent))
+        log_event(event::target_limited,
+                  {{"target", it.target.str()},
+                   {"rate", it.rate ? std::to_string(*it.rate) : "none"},
+                   {"by", from.host.str()}});
+}
+
 /// A peer that was up to date at some time says what the newest was then. A
 /// node that has that, or more, was up to date then as well.
 void mesh_node::take_freshness(const mesh::beacon& from,
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -189,9 +189,14 @@
     const bool is_acquainted =
         settings.is_alone() ||
         (now() - started >= acquaintance && !nodes.rows().empty());
-    book.set_carrier_hosts(is_acquainted ? nodes.large_hosts(capacity())
-                                         : std::vector<host_id>());
-    retries.set_hosts(is_acquainted ? nodes.host_count() : 0, now());
+    if (!is_acquainted) {
+        book.set_carrier_hosts({});
+        retries.set_hosts(0, now());
+        return;
+    }
+    book.set_carrier_hosts(nodes.large_hosts(capacity()),
+                           nodes.small_hosts(capacity()));
+    retries.set_hosts(nodes.host_count(), now());
 }
 
 duration node_tables::stock_word_lasts() const
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -54,6 +54,13 @@
   2: list<string> data_centers
 }
 
+struct Limit {
+  1: string target
+  2: i64 start_ms
+  3: optional double rate
+  4: i32 ago_ms
+}
+
 struct Beacon {
   1: string host
   2: i64 life
@@ -82,6 +89,7 @@
   25: optional i32 evacuations_age_ms
   26: optional i32 up_ms
   27: optional double fleets_lost
+  28: optional list<Limit> limits
 }
 
 struct TokenAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -221,6 +221,17 @@
     return instant(milliseconds(ms));
 }
 
+wire::Limit to_wire(const dispatch::limit_word& from)
+{
+    wire::Limit out;
+    out.target = from.target.str();
+    out.start_ms = number(from.start.value());
+    if (from.rate)
+        out.__set_rate(*from.rate);
+    out.ago_ms = age_to_wire(from.ago);
+    return out;
+}
+
 wire::Beacon to_wire(const beacon& from)
 {
     wire::Beacon out;
@@ -272,6 +283,9 @@
         out.stock.push_back(std::move(stock));
     }
     out.__isset.stock = !out.stock.empty();
+    for (const auto& it : from.limits)
+        out.limits.push_back(to_wire(it));
+    out.__isset.limits = !out.limits.empty();
     for (const auto& it : from.poison)
         out.poison.push_back(to_wire(it));
     out.__isset.poison = !out.poison.empty();
@@ -331,6 +345,32 @@
     return out;
 }
 
+/// A rate that can't be would hold a target back for all nodes.
+bool is_limit(const wire::Limit& from)
+{
+    const bool is_rate =
+        !from.__isset.rate || (std::isfinite(from.rate) && from.rate >= 0);
+    return is_id(from.target) && is_rate && from.ago_ms >= 0;
+}
+
+std::vector<dispatch::limit_word>
+limits_from(const std::vector<wire::Limit>& all, std::size_t& left_out)
+{
+    std::vector<dispatch::limit_word> out;
+    for (const wire::Limit& it : first_rows(all, left_out)) {
+        if (!is_limit(it)) {
+            ++left_out;
+            continue;
+        }
+        dispatch::limit_word word{target_id(it.target), start_of(it.start_ms),
+                                  std::nullopt, milliseconds(it.ago_ms)};
+        if (it.__isset.rate)
+            word.rate = it.rate;
+        out.push_back(std::move(word));
+    }
+    return out;
+}
+
 bool is_amount(std::int64_t count)
 {
     return count >= 0 && tokens(count) <= most_tokens;
@@ -425,6 +465,7 @@
     out.sent = instant_of(from.__isset.sent_ms, from.sent_ms);
     out.load = loads_from(from.load, left_out);
     out.stock = stock_from(from.stock, left_out);
+    out.limits = limits_from(from.limits, left_out);
     out.poison = poison_from(from.poison, left_out);
     out.introduced = addresses_from(from.introduced, left_out);
     for (const wire::HeardNode& it : first_rows(from.heard, left_out))
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -49,6 +49,9 @@
     out.evacuations_age = milliseconds(80);
     out.up_for = seconds(70);
     out.fleets_lost = 0.25;
+    out.limits = {
+        {target_id("i-1"), catalog::target_start(42), 1.3, milliseconds(500)},
+        {target_id("i-2"), {}, std::nullopt, milliseconds(20)}};
     out.is_brief = true;
     out.heard = {{node_life(78), milliseconds(40)}};
     return out;
@@ -127,6 +130,12 @@
     CHECK(it.evacuations_age == milliseconds(80));
     CHECK(it.up_for == seconds(70));
     DOUBLES_EQUAL(0.25, *it.fleets_lost, 1e-9);
+    UNSIGNED_LONGS_EQUAL(2, it.limits.size());
+    CHECK(it.limits.at(0).target == target_id("i-1"));
+    CHECK(it.limits.at(0).start == catalog::target_start(42));
+    DOUBLES_EQUAL(1.3, *it.limits.at(0).rate, 1e-9);
+    CHECK(it.limits.at(0).ago == milliseconds(500));
+    CHECK(!it.limits.at(1).rate);
     CHECK(it.is_brief);
     CHECK(it.targets_as_of == catalog::revision(14));
     CHECK(it.heard.at(0).life == node_life(78));
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -15,6 +15,7 @@
     beacon out = from;
     out.load.clear();
     out.stock.clear();
+    out.limits.clear();
     out.poison.clear();
     out.introduced.clear();
     out.heard.clear();
@@ -208,20 +209,30 @@
 
 /// Sizes are settings of hosts, so nodes that know the same ones agree on who
 /// is large.
-std::vector<host_id> roster::large_hosts(double capacity) const
+std::vector<host_id> roster::hosts_by_size(double capacity, bool large) const
 {
     double largest = capacity;
     for (const auto& [host, it] : hosts_)
         largest = std::max(largest, it.capacity);
     std::vector<host_id> out;
-    if (is_large(capacity, largest))
+    if (is_large(capacity, largest) == large)
         out.push_back(self_);
     for (const auto& [host, it] : hosts_)
-        if (is_large(it.capacity, largest))
+        if (is_large(it.capacity, largest) == large)
             out.push_back(host);
     return out;
 }
 
+std::vector<host_id> roster::large_hosts(double capacity) const
+{
+    return hosts_by_size(capacity, true);
+}
+
+std::vector<host_id> roster::small_hosts(double capacity) const
+{
+    return hosts_by_size(capacity, false);
+}
+
 std::size_t roster::host_count() const
 {
     return hosts_.size() + unanswered_.size() + 1;
