--- a/libs/dispatch/carrier_table.cpp
+++ b/libs/dispatch/carrier_table.cpp
@@ -79,8 +79,9 @@
     const std::size_t ahead = rank(target);
     if (ahead < carriers)
         return static_cast<std::uint32_t>(planned / carriers);
-    const double spans = to_seconds(silence) / to_seconds(limit_span);
-    const double more = std::max(each_span * spans / 4, 0.0);
+    const double spans =
+        std::max(to_seconds(silence) / to_seconds(limit_span), 0.0);
+    const auto more = static_cast<std::size_t>(each_span * spans / 4);
     return ahead < carriers + more ? 1 : 0;
 }
 
