--- a/include/fennelladder/prepaid/stock_plan.hpp
+++ b/include/fennelladder/prepaid/stock_plan.hpp
@@ -62,7 +62,7 @@
     /// How much less is stocked after losses: the stock is divided by one more
     /// than this many times the whole fleets that died lately. 0: losses don't
     /// count.
-    double loss_caution = 1;
+    double loss_caution = 3;
     /// Whether stock lies at large hosts alone, if there are enough of them.
     /// Most callers are there, so that most tokens needn't travel; and they
     /// answer sooner.
