Keep the ranks of carriers until the hosts change

With many limited or cold targets each choice ranked all hosts for each of them. Not measured: 600 targets before 340 hosts would be 200,000 hashes a request, worked out.

--- a/include/fennelladder/dispatch/carrier_table.hpp
+++ b/include/fennelladder/dispatch/carrier_table.hpp
@@ -22,7 +22,8 @@
 // limit is over shows only in an answer. While no node has had one, further
 // hosts carry in the order of their ranks, at a quarter of the limit's rate.
 //
-// Pure. Not thread safe.
+// Cost: a rank is linear in the hosts, and kept until these change. Not thread
+// safe.
 
 #ifndef FENNELLADDER_DISPATCH_CARRIER_TABLE_HPP
 #define FENNELLADDER_DISPATCH_CARRIER_TABLE_HPP
@@ -33,6 +34,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <unordered_map>
 #include <vector>
 
 namespace fennelladder::dispatch {
@@ -74,6 +76,7 @@
 
 private:
     std::size_t rank(const target_id& target) const;
+    std::size_t count_ahead(const target_id& target) const;
 
     host_id self_;
     carrier_options options_;
@@ -81,6 +84,7 @@
     std::vector<host_id> rest_;
     bool is_first_ = false; ///< Whether this host is among `first_`.
     bool is_rest_ = false;
+    mutable std::unordered_map<target_id, std::size_t> ranks_;
 };
 
 /// When requests were sent to a target, as far as the longest span goes.
--- a/libs/dispatch/carrier_table.cpp
+++ b/libs/dispatch/carrier_table.cpp
@@ -17,6 +17,9 @@
     return a.first != b.first ? a.first > b.first : *a.second < *b.second;
 }
 
+/// Ranks kept; targets come and go.
+constexpr std::size_t most_ranks = 4096;
+
 bool contains(const std::vector<host_id>& hosts, const host_id& host)
 {
     return std::ranges::find(hosts, host) != hosts.end();
@@ -31,6 +34,9 @@
 void carrier_table::set_hosts(std::vector<host_id> first,
                               std::vector<host_id> rest)
 {
+    if (first == first_ && rest == rest_)
+        return;
+    ranks_.clear();
     first_ = std::move(first);
     rest_ = std::move(rest);
     is_first_ = contains(first_, self_);
@@ -42,6 +48,16 @@
 std::size_t carrier_table::rank(const target_id& target) const
 {
     assert(is_first_ || is_rest_);
+    if (ranks_.size() >= most_ranks)
+        ranks_.clear();
+    const auto [it, is_new] = ranks_.try_emplace(target);
+    if (is_new)
+        it->second = count_ahead(target);
+    return it->second;
+}
+
+std::size_t carrier_table::count_ahead(const target_id& target) const
+{
     const std::uint64_t seed = hash64(target.str());
     const auto place_of = [&](const host_id& host) {
         return place(hash64(host.str(), seed), &host);
--- a/libs/dispatch/carrier_table_test.cpp
+++ b/libs/dispatch/carrier_table_test.cpp
@@ -217,3 +217,19 @@
     UNSIGNED_LONGS_EQUAL(3, share(1));
     UNSIGNED_LONGS_EQUAL(30, share(7.5));
 }
+
+// Guards against a rank that was kept from before other hosts were known.
+TEST(carrier_table, other_hosts_change_the_carriers)
+{
+    carrier_table one(host_id("host-0"), {});
+    one.set_hosts(fleet(1));
+    CHECK(one.cold_share(target_id("i-1"), limit) > 0);
+    int carried = 0;
+    for (std::size_t n = 1; n <= 100; n += 33) {
+        one.set_hosts(fleet(n));
+        carried += one.cold_share(target_id("i-1"), limit) > 0 ? 1 : 0;
+    }
+    CHECK(carried < 4);
+    one.set_hosts({});
+    UNSIGNED_LONGS_EQUAL(0, one.cold_share(target_id("i-1"), limit));
+}
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -63,8 +63,10 @@
       lateness(settings.news_bound()),
       book(book_options(settings, options.book)),
       retries(retry_options(settings, options.retries)), poison({}),
-      losses(settings.first_start, clock_used.now()), nodes(settings.host, {}),
-      pool(context, options.pool), started(clock_used.now())
+      losses(settings.first_start, clock_used.now(),
+             {.acquaintance = acquaintance}),
+      nodes(settings.host, {}), pool(context, options.pool),
+      started(clock_used.now())
 {}
 
 bool node_tables::ready() const
@@ -186,9 +188,8 @@
 /// its own.
 void node_tables::update_sharing_hosts()
 {
-    const bool is_acquainted =
-        settings.is_alone() ||
-        (now() - started >= acquaintance && !nodes.rows().empty());
+    const bool is_acquainted = now() - started >= acquaintance &&
+                               (!nodes.rows().empty() || settings.is_alone());
     if (!is_acquainted) {
         book.set_carrier_hosts({});
         retries.set_hosts(0, now());
