--- a/libs/dispatch/retry_fleet_test.cpp
+++ b/libs/dispatch/retry_fleet_test.cpp
@@ -56,6 +56,9 @@
     /// The node's process ends, and its next one begins.
     void restart(std::size_t n) { nodes_[n] = {options_.retries, now_}; }
 
+    /// From now on the node counts so many hosts, once it knows the others.
+    void believe(std::size_t n, std::size_t hosts) { nodes_[n].known = hosts; }
+
     /// How far the worst window is beyond the limit; at most 0 where the limit
     /// holds. The operator takes the requests of the window, of the one
     /// before, or of the one half a window before, whichever are most.
@@ -78,6 +81,7 @@
     {
         retry_allowance retries;
         double started = -1e9;
+        std::size_t known = 0; ///< Hosts that it counts; 0: all.
 
         node(retry_allowance_options options, double at = -1e9)
             : retries(options), started(at)
@@ -104,7 +108,8 @@
     {
         for (node& it : nodes_) {
             const bool knows_others = now_ - it.started >= acquaintance_s;
-            it.retries.set_hosts(knows_others ? nodes_.size() : 0, at());
+            const std::size_t known = it.known ? it.known : nodes_.size();
+            it.retries.set_hosts(knows_others ? known : 0, at());
         }
     }
 
@@ -200,6 +205,28 @@
     check_limit(all);
 }
 
+// Guards against nodes that start in one half of a fleet in two and hear only
+// that half, while the others remember all.
+TEST(retry_fleet, nodes_that_start_in_a_half_stay_below_the_limit)
+{
+    all.run_until(20, everywhere, false, random);
+    for (std::size_t i = 0; i < 4; ++i) {
+        all.restart(i);
+        all.believe(i, 4);
+    }
+    all.run_until(60, everywhere, true, random);
+    check_limit(all);
+}
+
+// Guards against nodes that join, and of which half of the fleet doesn't hear.
+TEST(retry_fleet, nodes_that_join_unheard_stay_below_the_limit)
+{
+    for (std::size_t i = 0; i < 4; ++i)
+        all.believe(i, 5);
+    all.run_until(60, everywhere, true, random);
+    check_limit(all);
+}
+
 // Any order of starts, moves and failures.
 TEST(retry_fleet, no_order_of_events_passes_the_limit)
 {
