Share a larger limit among more nodes

With three carriers of each target a node of eight carries none of a service's three targets in one case of four (worked out), and refuses all its callers where all three name limits, while others have room.

Change: a limit is carried by as many nodes as it gives two requests in 4 s each, three at least as before; what doesn't divide goes to the first by rank, so that all of the limit is used.

--- a/include/fennelladder/dispatch/carrier_table.hpp
+++ b/include/fennelladder/dispatch/carrier_table.hpp
@@ -11,7 +11,7 @@
 // for each of them would add up to many times the limit. So a few nodes carry
 // the requests of such a target, those that rank first for it by rendezvous
 // hashing over the hosts; each may send an equal part, and all other nodes
-// nothing.
+// nothing. The larger a named limit, the more nodes carry it.
 //
 // Nodes may know different hosts. Each that wrongly counts itself among the
 // carriers sends one part more, so that only some of the limit is planned for.
@@ -48,6 +48,10 @@
     /// Nodes that carry one target. With one, its loss starves the target;
     /// with many, the parts are so small that a burst at one finds no room.
     std::size_t carriers = 3;
+    /// A limit that has room for so many requests a node in a limit_span is
+    /// carried by more nodes than that: callers of the others are refused where
+    /// all targets of a service name limits.
+    std::size_t least_part = 2;
     /// Part of what a cold target bears that the carriers use; the rest is for
     /// nodes that know other hosts than the others do.
     double planned = 0.67;
--- a/libs/dispatch/carrier_table.cpp
+++ b/libs/dispatch/carrier_table.cpp
@@ -91,10 +91,13 @@
     const double each_span = std::max(rate * to_seconds(limit_span), 1.0);
     const auto planned = static_cast<std::size_t>(each_span);
     const std::size_t carriers =
-        std::min({options_.carriers, first_.size() + rest_.size(), planned});
+        std::min(std::max(std::min(options_.carriers, planned),
+                          planned / options_.least_part),
+                 first_.size() + rest_.size());
     const std::size_t ahead = rank(target);
     if (ahead < carriers)
-        return static_cast<std::uint32_t>(planned / carriers);
+        return static_cast<std::uint32_t>(planned / carriers +
+                                          (ahead < planned % carriers ? 1 : 0));
     const double spans =
         std::max(to_seconds(silence) / to_seconds(limit_span), 0.0);
     const auto more = static_cast<std::size_t>(each_span * spans / 4);
