--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -44,6 +44,11 @@
     instant changed; ///< When `reached` last changed.
 };
 
+/// Writes a line for a limit of requests that a target names anew, or for its
+/// end where `rate` is unset; `by` says who told it.
+void log_limit(const target_id& target, std::optional<double> rate,
+               const std::string& by);
+
 struct node_tables
 {
     node_tables(asio::io_context& context, const clock& clock_used,
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
-#include <utility>
 
 namespace fennelladder::dispatch {
 
@@ -21,13 +20,6 @@
 /// Waits shorter than this say more of the network than of the target.
 constexpr double shortest_wait = 0.005;
 
-/// A limit of which no node had a word for so long is over: the target can't
-/// have had a request since.
-constexpr duration limit_memory = minutes(2);
-
-/// For how long a word on a limit is told to peers.
-constexpr duration limit_news = seconds(10);
-
 } // namespace
 
 std::string_view to_string(target_evidence value)
@@ -203,128 +195,6 @@
     return ended;
 }
 
-void target_book::set_cold_traits(
-    std::unordered_map<service_id, cold_traits> traits)
-{
-    cold_traits_ = std::move(traits);
-}
-
-void target_book::set_carrier_hosts(std::vector<host_id> first,
-                                    std::vector<host_id> rest)
-{
-    carriers_.set_hosts(std::move(first), std::move(rest));
-}
-
-void target_book::note_cold(const catalog::target_process& target,
-                            duration left, instant now)
-{
-    if (target_state* it = find(target))
-        it->cold_until = std::max(it->cold_until, now + left);
-}
-
-bool target_book::take_limit(limit_state& it, std::optional<double> rate,
-                             instant said)
-{
-    if (said < it.said)
-        return false;
-    it.said = said;
-    return std::exchange(it.rate, rate) != rate;
-}
-
-bool target_book::note_rate_limit(const catalog::target_process& target,
-                                  std::optional<double> rate, instant now)
-{
-    target_state* it = find(target);
-    if (it == nullptr)
-        return false;
-    it->limit.own_rate = rate;
-    it->limit.own_said = now;
-    if (rate)
-        it->limit.own_named = now;
-    return take_limit(it->limit, rate, now);
-}
-
-std::vector<limit_word> target_book::own_limits(instant now) const
-{
-    std::vector<limit_word> out;
-    for (const auto& [id, state] : targets_) {
-        const limit_state& it = state.limit;
-        if (it.own_named != instant() && now - it.own_named <= limit_news)
-            out.push_back(
-                {id, state.entry.start, it.own_rate, now - it.own_said});
-    }
-    return out;
-}
-
-std::vector<limit_word>
-target_book::peer_limits(const std::vector<limit_word>& words, instant at)
-{
-    std::vector<limit_word> out;
-    for (const limit_word& word : words) {
-        target_state* it =
-            find(catalog::target_process{word.target, word.start});
-        if (it != nullptr && take_limit(it->limit, word.rate, at - word.ago))
-            out.push_back(word);
-    }
-    return out;
-}
-
-/// Null if the service's targets bear any load while they are cold.
-const cold_traits* target_book::traits_of(const target_state& it) const
-{
-    const auto found = cold_traits_.find(it.entry.service);
-    return found == cold_traits_.end() ? nullptr : &found->second;
-}
-
-/// Requests in any one second that this node may send to a target that is cold
-/// or may be; unset for all others.
-std::optional<std::uint32_t> target_book::cold_share(const target_state& it,
-                                                     instant now) const
-{
-    const bool cold = now < it.cold_until;
-    const cold_traits* traits =
-        cold || now < it.suspect_until ? traits_of(it) : nullptr;
-    if (traits == nullptr)
-        return std::nullopt;
-    const std::uint32_t share =
-        carriers_.cold_share(it.entry.id, traits->limit);
-    return cold ? share : std::min(share, 1U);
-}
-
-/// Whether this node has sent the target all that it may while it is cold.
-bool target_book::is_cold_to_us(const target_state& it, instant now) const
-{
-    const auto share = cold_share(it, now);
-    return share && it.sends.count(now, cold_span) >= *share;
-}
-
-/// Requests in any limit_span that this node may send to a target that names a
-/// limit; unset for all others.
-std::optional<std::uint32_t> target_book::limited_share(const target_state& it,
-                                                        instant now) const
-{
-    const duration silence = now - it.limit.said;
-    if (!it.limit.rate || silence > limit_memory)
-        return std::nullopt;
-    return carriers_.limited_share(it.entry.id, *it.limit.rate, silence);
-}
-
-bool target_book::is_limited_to_us(const target_state& it, instant now) const
-{
-    const auto share = limited_share(it, now);
-    return share && it.sends.count(now, limit_span) >= *share;
-}
-
-/// A target that couldn't be reached answers. Guards against a target that
-/// crashed and is back under its id: it looks idle, so that all nodes would
-/// choose it before its entry says that it is cold.
-void target_book::suspect_start(target_state& it, instant now) const
-{
-    const cold_traits* traits = traits_of(it);
-    if (it.rests > 0 && traits != nullptr)
-        it.suspect_until = now + traits->lasts;
-}
-
 bool target_book::resting(const target_state& it, instant now) const
 {
     return now < it.rest_until || (it.rests > 0 && it.trying) ||
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -4,8 +4,6 @@
 
 #include "fennelladder/edge/attempt.hpp"
 
-#include "fennelladder/telemetry/log.hpp"
-
 #include <array>
 #include <boost/asio/write.hpp>
 #include <limits>
@@ -16,8 +14,6 @@
 
 using dispatch::attempt_end;
 using dispatch::target_evidence;
-using telemetry::log_event;
-namespace event = telemetry::event;
 
 /// A connection within the fleet's networks is made in milliseconds; one that
 /// takes longer lost a packet or goes nowhere, and another target is sooner. On
@@ -461,11 +457,7 @@
     const bool changed = in_.tables.book.note_rate_limit(
         in_.target.process(), facts.rate_limit, in_.tables.now());
     if (changed)
-        log_event(event::target_limited,
-                  {{"target", in_.target.target.str()},
-                   {"rate", facts.rate_limit ? std::to_string(*facts.rate_limit)
-                                             : "none"},
-                   {"by", "answer"}});
+        log_limit(in_.target.target, facts.rate_limit, "answer");
 }
 
 awaitable<void> attempt::take_answer(answer_parser& parser,
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -405,10 +405,7 @@
 void mesh_node::take_limits(const mesh::beacon& from, instant sent)
 {
     for (const auto& it : tables_.book.peer_limits(from.limits, sent))
-        log_event(event::target_limited,
-                  {{"target", it.target.str()},
-                   {"rate", it.rate ? std::to_string(*it.rate) : "none"},
-                   {"by", from.host.str()}});
+        log_limit(it.target, it.rate, from.host.str());
 }
 
 /// A peer that was up to date at some time says what the newest was then. A
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -55,6 +55,15 @@
 
 } // namespace
 
+void log_limit(const target_id& target, std::optional<double> rate,
+               const std::string& by)
+{
+    log_event(event::target_limited,
+              {{"target", target.str()},
+               {"rate", rate ? std::to_string(*rate) : "none"},
+               {"by", by}});
+}
+
 node_tables::node_tables(asio::io_context& context, const clock& clock_used,
                          adapter::host_settings given, std::uint64_t seed,
                          decision_options decide)
