Let no late answer to another request end a target's limit

An extra answer may come on a kept connection where the next is expected. One that the target made before it named a limit would have ended the limit at that node, and by its word at the others.

Test: data_path, a_late_answer_to_another_request_ends_no_limit (failed before).

--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -447,12 +447,13 @@
 }
 
 /// A limit lasts for as long as the target's answers name it. One of another
-/// process at the address says nothing of the target, and one that it didn't
-/// sign can't end a limit.
+/// process at the address says nothing of the target. What it didn't sign can't
+/// end a limit, nor can a late answer to another request.
 void attempt::note_limit(const adapter::answer_facts& facts, unsigned status)
 {
-    const bool says_so = facts.rate_limit || facts.signed_by_target;
-    if (status == misdirected || !says_so)
+    const bool is_latest =
+        facts.signed_by_target && facts.request == in_.request.facts.id;
+    if (status == misdirected || !(facts.rate_limit || is_latest))
         return;
     const bool changed = in_.tables.book.note_rate_limit(
         in_.target.process(), facts.rate_limit, in_.tables.now());
