Let one function say whether and why a target is no choice

choose() and why_none() each had the whole chain of tests (left, tried, outside, evacuated, cold, limited), with the first half of usable() a third time. They call what_bars() now. Which targets are chosen is unchanged; the one word that differs was wrong: a target whose entry had lapsed in doubt was called evacuated in refusals and logs.

Test: restricted_targets, a_target_whose_entry_lapsed_isnt_called_evacuated (failed before). dispatch, limited_target and the data path's tests pass.

--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -348,7 +348,11 @@
 
     double faded(const fading_average& of, instant now) const;
     void observe(fading_average& of, double value, instant now) const;
+    static bool has_left(const target_state& it, instant now);
+    bool is_evacuated(const target_state& it) const;
     bool usable(const target_state& it, instant now) const;
+    std::optional<absence> what_bars(const target_state& it,
+                                     const work_wish& wish, instant now) const;
     const cold_traits* traits_of(const target_state& it) const;
     std::optional<std::uint32_t> cold_share(const target_state& it,
                                             instant now) const;
--- a/libs/dispatch/restricted_targets_test.cpp
+++ b/libs/dispatch/restricted_targets_test.cpp
@@ -132,6 +132,16 @@
     CHECK(book.choose(wish, start, random).has_value());
 }
 
+// Guards against a refusal that names an evacuation where targets' entries
+// lapsed while the platform was unwell.
+TEST(restricted_targets, a_target_whose_entry_lapsed_isnt_called_evacuated)
+{
+    book.sync({}, true, start);
+    const instant later = start + seconds(10);
+    CHECK(!book.choose(wish, later, random).has_value());
+    CHECK(book.why_none(wish, later) == absence::none_usable);
+}
+
 TEST(restricted_targets, an_evacuation_of_an_unknown_place_changes_nothing)
 {
     UNSIGNED_LONGS_EQUAL(0, book.set_evacuated({data_center_id("x")}, start));
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -167,13 +167,20 @@
     of.at = now;
 }
 
+bool target_book::has_left(const target_state& it, instant now)
+{
+    const bool lapsed = it.use_until && now >= *it.use_until;
+    return it.gone || it.other_life || it.entry.leaving || lapsed;
+}
+
+bool target_book::is_evacuated(const target_state& it) const
+{
+    return std::ranges::binary_search(evacuated_, it.entry.data_center);
+}
+
 bool target_book::usable(const target_state& it, instant now) const
 {
-    if (it.gone || it.other_life || it.entry.leaving)
-        return false;
-    if (std::ranges::binary_search(evacuated_, it.entry.data_center))
-        return false;
-    return !it.use_until || now < *it.use_until;
+    return !has_left(it, now) && !is_evacuated(it);
 }
 
 std::size_t target_book::set_evacuated(std::vector<data_center_id> data_centers,
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -121,26 +121,33 @@
                wish.regions->end();
 }
 
+/// Why the target is no choice for this wish; nothing if it is one.
+std::optional<absence> target_book::what_bars(const target_state& it,
+                                              const work_wish& wish,
+                                              instant now) const
+{
+    if (has_left(it, now) || was_tried(it, wish))
+        return absence::none_usable;
+    if (is_outside(it, wish))
+        return absence::outside;
+    if (is_evacuated(it))
+        return absence::evacuated;
+    if (is_cold_to_us(it, now))
+        return absence::cold;
+    if (is_limited_to_us(it, now))
+        return absence::limited;
+    return std::nullopt;
+}
+
 absence target_book::why_none(const work_wish& wish, instant now) const
 {
     absence out = absence::none_usable;
     const auto known = by_service_.find(wish.service);
     if (known == by_service_.end())
         return out;
-    for (const target_id& id : known->second) {
-        const target_state& it = targets_.at(id);
-        const bool left = it.gone || it.other_life || it.entry.leaving;
-        if (left || was_tried(it, wish))
-            continue;
-        if (is_outside(it, wish))
-            out = std::max(out, absence::outside);
-        else if (!usable(it, now))
-            out = std::max(out, absence::evacuated);
-        else if (is_cold_to_us(it, now))
-            out = std::max(out, absence::cold);
-        else if (is_limited_to_us(it, now))
-            out = absence::limited;
-    }
+    for (const target_id& id : known->second)
+        if (const auto bar = what_bars(targets_.at(id), wish, now))
+            out = std::max(out, *bar);
     return out;
 }
 
@@ -153,8 +160,7 @@
     std::vector<target_state*> candidates;
     for (const target_id& id : known->second) {
         target_state& it = targets_[id];
-        if (usable(it, now) && !was_tried(it, wish) && !is_outside(it, wish) &&
-            !is_cold_to_us(it, now) && !is_limited_to_us(it, now))
+        if (!what_bars(it, wish, now))
             candidates.push_back(&it);
     }
     if (candidates.empty())
