Let the roster alone decide that a process has died

The roster told of a death by the lives in beacons, and the book of stocks did the same a second time to say what was lost. It forgets a host's stock now when it is told of the death, and keeps no life. One difference: where the first word of the next process is a brief beacon, the dead one's stock is forgotten then, not with the next regular beacon, so that nobody asks for it meanwhile.

The test of what is lost asks forget() for what hear() returned; its assertions are kept, and one more says that the host isn't asked any more.

--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -64,7 +64,8 @@
     void take(const mesh::datagram& message, const std::string& from);
     void take_beacon(const mesh::beacon& from);
     void take_limits(const mesh::beacon& from, instant sent);
-    void note_losses(const mesh::beacon& from, bool died, instant now);
+    void note_death(const host_id& host, instant now);
+    void hear_losses(const mesh::beacon& from, instant now);
     void take_holdings(const mesh::beacon& from);
     duration way_allowance(instant now) const;
     void note_tick(instant now);
--- a/include/fennelladder/edge/token_desk.hpp
+++ b/include/fennelladder/edge/token_desk.hpp
@@ -75,6 +75,9 @@
     /// What another node says it holds.
     void on_stock(const mesh::beacon& from);
 
+    /// The host's process ended without handing its tokens on.
+    void on_death(const host_id& host);
+
     /// What to say of this node's stock.
     std::vector<mesh::token_stock> own_stock() const;
 
--- a/include/fennelladder/mesh/stock_book.hpp
+++ b/include/fennelladder/mesh/stock_book.hpp
@@ -4,6 +4,7 @@
 //     known.hear(beacon, now);
 //     known.richest(team, tried, now - most_age)   // whom to ask
 //     known.deduct(host, team, amount);            // it was asked for that
+//     known.forget(host);                          // its process has died
 //
 // A hint: what a peer said is as old as its last regular beacon, and names
 // its largest stocks only. Whom to ask when nobody is known to have any is
@@ -35,9 +36,11 @@
 {
 public:
     /// Takes a regular beacon in; of a leaving node nothing is kept, since it
-    /// hands its tokens on. Returns what died with the host's earlier process,
-    /// by that one's last word; empty if it is the same process.
-    std::vector<token_stock> hear(const beacon& from, instant now);
+    /// hands its tokens on.
+    void hear(const beacon& from, instant now);
+
+    /// The host's process has died. Returns what it last said to hold.
+    std::vector<token_stock> forget(const host_id& host);
 
     /// The node with most of the team's tokens, of those heard since `since`
     /// that aren't in `but`. Nothing if none is known to have any.
@@ -55,7 +58,6 @@
 private:
     struct row
     {
-        node_life life;
         std::map<team_id, token_stock> stock;
         instant heard;
     };
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -359,7 +359,9 @@
     const instant now = tables_.now();
     const mesh::roster_news news = tables_.nodes.hear(from, now);
     introduce(from.introduced);
-    note_losses(from, news.died, now);
+    if (news.died)
+        note_death(from.host, now);
+    hear_losses(from, now);
     if (!from.is_brief)
         take_holdings(from);
     for (const dispatch::poison_record& it : from.poison)
@@ -383,11 +385,16 @@
     news_.hear(from);
 }
 
+void mesh_node::note_death(const host_id& host, instant now)
+{
+    tables_.losses.note_death(tables_.nodes.host_count(), now);
+    if (desk_ != nullptr)
+        desk_->on_death(host);
+}
+
 /// A younger node knows less than this one has seen.
-void mesh_node::note_losses(const mesh::beacon& from, bool died, instant now)
+void mesh_node::hear_losses(const mesh::beacon& from, instant now)
 {
-    if (died)
-        tables_.losses.note_death(tables_.nodes.host_count(), now);
     const bool is_older = from.up_for && *from.up_for > now - tables_.started;
     if (is_older && from.fleets_lost)
         tables_.losses.hear(*from.fleets_lost, now);
--- a/libs/edge/token_desk.cpp
+++ b/libs/edge/token_desk.cpp
@@ -395,13 +395,18 @@
 
 void token_desk::on_stock(const mesh::beacon& from)
 {
-    const auto lost = peers_.hear(from, tables_.now());
+    peers_.hear(from, tables_.now());
+}
+
+void token_desk::on_death(const host_id& host)
+{
+    const auto lost = peers_.forget(host);
     if (lost.empty())
         return;
     tokens total;
     for (const mesh::token_stock& it : lost)
         total += it.free;
-    log_event(event::tokens_lost, {{"node", from.host.str()},
+    log_event(event::tokens_lost, {{"node", host.str()},
                                    {"teams", std::to_string(lost.size())},
                                    {"amount", std::to_string(total.count())}});
 }
--- a/libs/mesh/stock_book.cpp
+++ b/libs/mesh/stock_book.cpp
@@ -1,25 +1,28 @@
 #include "fennelladder/mesh/stock_book.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace fennelladder::mesh {
 
-std::vector<token_stock> stock_book::hear(const beacon& from, instant now)
+void stock_book::hear(const beacon& from, instant now)
 {
-    std::vector<token_stock> lost;
     row& it = rows_[from.host];
-    if (it.life != from.life)
-        for (const auto& [team, stock] : it.stock)
-            if (stock.free > tokens(0))
-                lost.push_back(stock);
-    it.life = from.life;
     it.heard = now;
     it.stock.clear();
     if (from.state == node_state::leaving)
-        return lost;
+        return;
     for (const token_stock& stock : from.stock)
         it.stock[stock.team] = stock;
-    return lost;
+}
+
+std::vector<token_stock> stock_book::forget(const host_id& host)
+{
+    std::vector<token_stock> out;
+    for (const auto& [team, stock] : std::exchange(rows_[host].stock, {}))
+        if (stock.free > tokens(0))
+            out.push_back(stock);
+    return out;
 }
 
 std::optional<host_id> stock_book::richest(const team_id& team,
--- a/libs/mesh/stock_book_test.cpp
+++ b/libs/mesh/stock_book_test.cpp
@@ -77,10 +77,9 @@
 
 TEST(stock_book, what_died_with_a_process_is_told_once)
 {
-    beacon next = saying("b", 20);
-    next.life = node_life(99);
-    const auto lost = known.hear(next, start + seconds(2));
+    const auto lost = known.forget(host_id("b"));
     UNSIGNED_LONGS_EQUAL(1, lost.size());
     CHECK(lost.front().free == tokens(300));
-    CHECK(known.hear(next, start + seconds(3)).empty());
+    CHECK(known.forget(host_id("b")).empty());
+    CHECK(known.richest(team, {}, start) == host_id("a"));
 }
