--- a/libs/dispatch/limited_target_test.cpp
+++ b/libs/dispatch/limited_target_test.cpp
@@ -2,6 +2,8 @@
 // against what it allows: in any 4 s one and a half times the limit, and 5
 // more, from nodes that have known of it for half a second.
 
+#include "sample_targets.hpp"
+
 #include "fennelladder/base/random.hpp"
 #include "fennelladder/dispatch/target_book.hpp"
 
@@ -17,7 +19,7 @@
 namespace {
 
 const service_id llm("llm");
-const target_id needy("i-needy");
+const target_id needy("i-1");
 constexpr instant start = instant(seconds(100));
 
 /// From the first answer that names the limit on, nodes may need so long.
@@ -99,12 +101,7 @@
         target_book_options options;
         options.self = host(n);
         node out{target_book(options)};
-        catalog::target_entry entry;
-        entry.id = needy;
-        entry.service = llm;
-        entry.address = "10.0.0.1:80";
-        entry.slots = 24;
-        out.book.sync({{needy, entry}}, false, start);
+        out.book.sync({{needy, sample_engine(1, 24)}}, false, start);
         out.book.set_carrier_hosts(std::move(known));
         return out;
     }
@@ -230,11 +227,7 @@
 TEST(limited_target, an_older_word_changes_nothing)
 {
     target_book book({.self = host(0)});
-    catalog::target_entry entry;
-    entry.id = needy;
-    entry.service = llm;
-    entry.address = "10.0.0.1:80";
-    book.sync({{needy, entry}}, false, start);
+    book.sync({{needy, sample_engine(1, 24)}}, false, start);
     CHECK(book.note_rate_limit({needy, {}}, 1.0, start));
     CHECK(book.note_rate_limit({needy, {}}, std::nullopt, start + seconds(2)));
     const limit_word late{needy, {}, 1.0, seconds(1)};
--- a/libs/dispatch/restricted_targets_test.cpp
+++ b/libs/dispatch/restricted_targets_test.cpp
@@ -1,6 +1,8 @@
 // Targets that a request may not go to, or not as often as it would: those of
 // evacuated data centres, cold ones, and those outside of a request's regions.
 
+#include "sample_targets.hpp"
+
 #include "fennelladder/dispatch/target_book.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -27,11 +29,7 @@
 {
     entry_map out;
     for (int i = 0; i < n; ++i) {
-        catalog::target_entry it;
-        it.id = target_id("i-" + std::to_string(i));
-        it.service = service_id("llm");
-        it.address = "10.0.0." + std::to_string(i) + ":80";
-        it.slots = 24;
+        auto it = sample_engine(i, 24);
         it.data_center = place(i % places);
         out.emplace(it.id, it);
     }
--- a/libs/dispatch/target_book_test.cpp
+++ b/libs/dispatch/target_book_test.cpp
@@ -1,3 +1,5 @@
+#include "sample_targets.hpp"
+
 #include "fennelladder/dispatch/target_book.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -16,11 +18,7 @@
 {
     entry_map out;
     for (int i = 0; i < n; ++i) {
-        catalog::target_entry it;
-        it.id = target_id("i-" + std::to_string(i));
-        it.service = service_id("llm");
-        it.address = "10.0.0." + std::to_string(i) + ":80";
-        it.slots = 64;
+        const auto it = sample_engine(i, 64);
         out.emplace(it.id, it);
     }
     return out;
