Doubt missing targets only where no node's list is confirmed

Cause: while the platform is unwell entries lapse and come back, so a node that had heard nothing for seconds goes on sending for 1.5 s to targets missing from its next list. It judged that by the age of its own list. A host behind a full link had an old list for 5 s while 79 others had new ones all the while; the targets had left meanwhile.

Ruled out: that the request was under way (sent 130 ms after it was read); that the node didn't know better (its list as of then was 0.4 s old).

Change: doubt goes by the newest list that any heard node had confirmed, which each beacon says; a node's own confirmation counts among them as before.

--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -72,8 +72,10 @@
     /// heard from the platform for long, or not until a moment ago.
     bool list_in_doubt() const;
 
-    /// Whether the list is older than news may be. Nodes ask the platform well
-    /// before that, so it is so only where none gets an answer.
+    /// Whether no node that is heard has had the newest list for longer than
+    /// news may take. Nodes ask the platform well before that, so it is so only
+    /// where none gets an answer; a list that is old because this host is
+    /// behind says nothing of the platform.
     bool targets_unconfirmed() const;
 
     /// Whether changes reach this node too late for it to give out work; see
@@ -111,6 +113,9 @@
     /// was the newest at `at`.
     void confirm_configuration(instant at);
     void confirm_targets(instant at);
+
+    /// Some node had the newest list of targets at `at`, whatever this one has.
+    void note_targets_confirmed(instant at);
     void confirm_evacuations(instant at);
 
     /// Notes whether a call to the platform was answered.
@@ -131,6 +136,7 @@
     std::optional<instant> configuration_announced;
     catalog::target_list targets;
     mesh::freshness targets_freshness;
+    mesh::freshness fleet_targets_freshness; ///< Of any node's list.
     catalog::evacuation_list evacuations;
     mesh::freshness evacuations_freshness;
     /// The latest change of targets that a peer spoke of.
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -433,8 +433,13 @@
         tables_.note_configuration_announced();
     if (from.configuration <= own && from.configuration_age)
         tables_.confirm_configuration(now - *from.configuration_age - way);
-    if (from.targets_changed <= tables_.targets.as_of() && from.targets_age)
-        tables_.confirm_targets(now - *from.targets_age - way);
+    if (from.targets_age) {
+        const instant at = now - *from.targets_age - way;
+        if (from.targets_changed <= tables_.targets.as_of())
+            tables_.confirm_targets(at);
+        else
+            tables_.note_targets_confirmed(at);
+    }
     // What the sender knows was taken before.
     if (from.evacuations && from.evacuations_age)
         tables_.confirm_evacuations(now - *from.evacuations_age - way);
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -126,7 +126,7 @@
 
 bool node_tables::targets_unconfirmed() const
 {
-    const auto age = targets_freshness.age(now());
+    const auto age = fleet_targets_freshness.age(now());
     return !age || *age > settings.news_bound();
 }
 
@@ -236,8 +236,14 @@
 {
     if (!targets.known())
         return;
-    const bool was_old = targets_unconfirmed();
     targets_freshness.confirm(at);
+    note_targets_confirmed(at);
+}
+
+void node_tables::note_targets_confirmed(instant at)
+{
+    const bool was_old = targets_unconfirmed();
+    fleet_targets_freshness.confirm(at);
     if (was_old && !targets_unconfirmed())
         targets_gap_ended = now();
 }
