Decode all that a target says of itself in one place, and log it

All such words now come as one type (catalog::target_signals) from one function of the adapter, are taken at one place for every answer, and are kept for each process in dispatch::signal_state, whose header is the table of what each binds and what ends it. Cold and limited targets move there with no change of behaviour but one: how long a target stays cold isn't taken any more from an answer of another process at its address.

Events 1612 (target_leaving) and 1613 (target_rests) are new.

--- /dev/null
+++ b/include/fennelladder/dispatch/signal_state.hpp
@@ -0,0 +1,101 @@
+// What one process of a target has said of itself that still holds.
+//
+//     signal_state said;
+//     signal_news news = said.take(signals_of_answer, now);
+//     if (said.leaving() || said.rest_left(now) > duration(0)) ...
+//
+// | signal  | heard from             | binds     | ends                        |
+// | ------- | ---------------------- | --------- | --------------------------- |
+// | leaving | answers, peers         | all nodes | with the process            |
+// | rest    | rejections             | this node | when its time is over       |
+// | cold    | answers, entries, the  | all nodes | when its time is over       |
+// |         | end of an evacuation   |           |                             |
+// | limit   | answers, peers         | all nodes | with a later answer that    |
+// |         |                        |           | names none; after           |
+// |         |                        |           | limit_memory without a word |
+//
+// Each signal ends only as the table says. The platform's list may be older
+// than an answer, so no entry takes one back, nor does the lack of one: the
+// state is kept for as long as it holds(). Answers may come in any order, so a
+// shorter rest doesn't end a longer one. A new process begins with a new state.
+//
+// Not thread safe.
+
+#ifndef FENNELLADDER_DISPATCH_SIGNAL_STATE_HPP
+#define FENNELLADDER_DISPATCH_SIGNAL_STATE_HPP
+
+#include "fennelladder/catalog/target_signals.hpp"
+
+#include <optional>
+
+namespace fennelladder::dispatch {
+
+/// Which signals said something new.
+struct signal_news
+{
+    bool leaving = false;
+    bool rest = false;
+    bool rate_limit = false;
+
+    bool any() const { return leaving || rest || rate_limit; }
+};
+
+/// The limit of requests that a target named, or that it names none.
+struct rate_word
+{
+    std::optional<double> rate; ///< A second, from all nodes; unset: no limit.
+    duration ago{0};
+};
+
+class signal_state
+{
+public:
+    /// Takes what an answer to this node says.
+    signal_news take(const catalog::target_signals& said, instant now);
+
+    /// Another node was told that the process leaves. Whether that is news.
+    bool take_peers_leaving(instant now);
+
+    /// Another node was told of a limit as `at` says; older words than the
+    /// last are passed over. Whether that is news.
+    bool take_peers_limit(std::optional<double> rate, instant at);
+
+    /// The process is cold until `until`, by its entry or an evacuation's end.
+    void cool_until(instant until);
+
+    bool leaving() const { return leaving_; }
+    duration rest_left(instant now) const;
+    bool is_cold(instant now) const { return now < cold_until_; }
+
+    /// Unset: none is known.
+    std::optional<double> rate_limit(instant now) const;
+
+    /// Since any node had a word on the limit.
+    duration limit_silence(instant now) const { return now - limit_said_; }
+
+    /// What this node has to tell its peers of the limit.
+    std::optional<rate_word> limit_for_peers(instant now) const;
+
+    /// Whether this node has to tell its peers that the process leaves.
+    bool leaving_for_peers(instant now) const;
+
+    /// Whether anything was said that still counts, so that the state must
+    /// outlive the target's entry.
+    bool holds(instant now) const;
+
+private:
+    bool leaving_ = false;
+    instant leaving_heard_; ///< Last, in whichever way.
+    instant own_leaving_heard_; ///< Last, by this node's own answers.
+    instant rest_until_;
+    instant cold_until_;
+    std::optional<double> rate_limit_; ///< By the last word any node got.
+    instant limit_said_;
+    std::optional<double> own_rate_; ///< By the last that this node got.
+    instant own_said_;
+    instant own_named_; ///< The last that this node got of a limit.
+};
+
+} // namespace fennelladder::dispatch
+
+#endif
--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -52,6 +52,7 @@
 #include "fennelladder/catalog/configuration.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
 #include "fennelladder/dispatch/carrier_table.hpp"
+#include "fennelladder/dispatch/signal_state.hpp"
 
 #include <cstdint>
 #include <map>
@@ -243,14 +244,10 @@
     void set_carrier_hosts(std::vector<host_id> first,
                            std::vector<host_id> rest = {});
 
-    /// The target says that it stays cold for `left`.
-    void note_cold(const catalog::target_process& target, duration left,
-                   instant now);
-
-    /// The target says that it takes `rate` requests a second from all nodes
-    /// together; unset: that it names no limit. Whether this is news.
-    bool note_rate_limit(const catalog::target_process& target,
-                         std::optional<double> rate, instant now);
+    /// Takes what an answer of the target says of the target itself. What of
+    /// it is news.
+    signal_news note_signals(const catalog::target_process& target,
+                             const catalog::target_signals& said, instant now);
 
     /// Words that this node has got lately of targets that name a limit, or
     /// did so a moment ago, for its peers.
@@ -310,16 +307,6 @@
         instant at;
     };
 
-    /// Of the requests that a target takes, by its own words.
-    struct limit_state
-    {
-        std::optional<double> rate; ///< By the last word that any node got.
-        instant said;
-        std::optional<double> own_rate; ///< By the last that this node got.
-        instant own_said;
-        instant own_named; ///< The last that this node got of a limit.
-    };
-
     struct target_state
     {
         catalog::target_entry entry;
@@ -338,10 +325,9 @@
         int rests = 0;       ///< In a row.
         bool trying = false; ///< One request finds out whether it works.
         std::unordered_map<std::uint64_t, instant> parts; ///< Last use.
-        instant cold_until;
+        signal_state said;     ///< By the process itself.
         instant suspect_until; ///< It may have started anew, unannounced.
-        recent_sends sends;    ///< While it is cold or suspected to be.
-        limit_state limit;
+        recent_sends sends;    ///< While it is rationed.
     };
 
     using state_map = std::map<target_id, target_state>;
@@ -362,8 +348,6 @@
     bool is_limited_to_us(const target_state& it, instant now) const;
     bool is_outside(const target_state& it, const work_wish& wish) const;
     bool was_tried(const target_state& it, const work_wish& wish) const;
-    static bool take_limit(limit_state& it, std::optional<double> rate,
-                           instant said);
     void suspect_start(target_state& it, instant now) const;
     bool resting(const target_state& it, instant now) const;
     bool is_quiet(const target_state& it, instant now) const;
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -44,10 +44,10 @@
     instant changed; ///< When `reached` last changed.
 };
 
-/// Writes a line for a limit of requests that a target names anew, or for its
-/// end where `rate` is unset; `by` says who told it.
-void log_limit(const target_id& target, std::optional<double> rate,
-               const std::string& by);
+/// Writes a line for each signal of a target that is news; `by` says who told
+/// it: an answer, or the peer.
+void log_signals(const target_id& target, const catalog::target_signals& said,
+                 const dispatch::signal_news& news, const std::string& by);
 
 struct node_tables
 {
--- a/libs/dispatch/limited_target_test.cpp
+++ b/libs/dispatch/limited_target_test.cpp
@@ -31,6 +31,11 @@
     return host_id("host-" + std::to_string(n));
 }
 
+catalog::target_signals signals_of(std::optional<double> rate)
+{
+    return {.rate_limit = rate, .is_latest = true};
+}
+
 struct fleet_options
 {
     std::size_t nodes = 8;
@@ -135,8 +140,9 @@
         if (now_ >= by.told + 0.5)
             counted_.push_back(now_);
         const bool names = now_ < ends_s;
-        by.book.note_rate_limit(
-            {needy, {}}, names ? std::optional(options_.rate) : std::nullopt,
+        by.book.note_signals(
+            {needy, {}},
+            signals_of(names ? std::optional(options_.rate) : std::nullopt),
             at());
         if (names)
             by.told = std::min(by.told, now_);
@@ -228,8 +234,11 @@
 {
     target_book book({.self = host(0)});
     book.sync({{needy, sample_engine(1, 24)}}, false, start);
-    CHECK(book.note_rate_limit({needy, {}}, 1.0, start));
-    CHECK(book.note_rate_limit({needy, {}}, std::nullopt, start + seconds(2)));
+    const auto note = [&](std::optional<double> rate, instant at) {
+        return book.note_signals({needy, {}}, signals_of(rate), at).rate_limit;
+    };
+    CHECK(note(1.0, start));
+    CHECK(note(std::nullopt, start + seconds(2)));
     const limit_word late{needy, {}, 1.0, seconds(1)};
     CHECK(book.peer_limits({late}, start + seconds(2)).empty());
     UNSIGNED_LONGS_EQUAL(1,
--- a/libs/dispatch/restricted_targets_test.cpp
+++ b/libs/dispatch/restricted_targets_test.cpp
@@ -229,7 +229,7 @@
 TEST(restricted_targets, a_target_may_say_that_it_is_cold)
 {
     traits();
-    book.note_cold({target_id("i-0"), {}}, cold_for, start);
+    book.note_signals({target_id("i-0"), {}}, {.cold_left = cold_for}, start);
     const auto got = send(book, 100, start);
     CHECK(!got.contains(target_id("i-0")));
 }
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -124,7 +124,7 @@
     if (!same_process)
         it = target_state();
     if (cold_anew && entry.warm_up_left > duration(0))
-        it.cold_until = std::max(it.cold_until, now + entry.warm_up_left);
+        it.said.cool_until(now + entry.warm_up_left);
     if (moved)
         forget_address(it);
     it.entry = entry;
@@ -196,7 +196,7 @@
             continue;
         ++ended;
         if (const cold_traits* traits = traits_of(state))
-            state.cold_until = std::max(state.cold_until, now + traits->lasts);
+            state.said.cool_until(now + traits->lasts);
     }
     evacuated_ = std::move(data_centers);
     return ended;
--- a/libs/dispatch/target_rations.cpp
+++ b/libs/dispatch/target_rations.cpp
@@ -4,21 +4,9 @@
 #include "fennelladder/dispatch/target_book.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace fennelladder::dispatch {
 
-namespace {
-
-/// A limit of which no node had a word for so long is over: the target can't
-/// have had a request since.
-constexpr duration limit_memory = minutes(2);
-
-/// For how long a word on a limit is told to peers.
-constexpr duration limit_news = seconds(10);
-
-} // namespace
-
 void target_book::set_cold_traits(
     std::unordered_map<service_id, cold_traits> traits)
 {
@@ -31,44 +19,20 @@
     carriers_.set_hosts(std::move(first), std::move(rest));
 }
 
-void target_book::note_cold(const catalog::target_process& target,
-                            duration left, instant now)
-{
-    if (target_state* it = find(target))
-        it->cold_until = std::max(it->cold_until, now + left);
-}
-
-bool target_book::take_limit(limit_state& it, std::optional<double> rate,
-                             instant said)
-{
-    if (said < it.said)
-        return false;
-    it.said = said;
-    return std::exchange(it.rate, rate) != rate;
-}
-
-bool target_book::note_rate_limit(const catalog::target_process& target,
-                                  std::optional<double> rate, instant now)
+signal_news target_book::note_signals(const catalog::target_process& target,
+                                      const catalog::target_signals& said,
+                                      instant now)
 {
     target_state* it = find(target);
-    if (it == nullptr)
-        return false;
-    it->limit.own_rate = rate;
-    it->limit.own_said = now;
-    if (rate)
-        it->limit.own_named = now;
-    return take_limit(it->limit, rate, now);
+    return it == nullptr ? signal_news() : it->said.take(said, now);
 }
 
 std::vector<limit_word> target_book::own_limits(instant now) const
 {
     std::vector<limit_word> out;
-    for (const auto& [id, state] : targets_) {
-        const limit_state& it = state.limit;
-        if (it.own_named != instant() && now - it.own_named <= limit_news)
-            out.push_back(
-                {id, state.entry.start, it.own_rate, now - it.own_said});
-    }
+    for (const auto& [id, state] : targets_)
+        if (const auto word = state.said.limit_for_peers(now))
+            out.push_back({id, state.entry.start, word->rate, word->ago});
     return out;
 }
 
@@ -79,7 +43,8 @@
     for (const limit_word& word : words) {
         target_state* it =
             find(catalog::target_process{word.target, word.start});
-        if (it != nullptr && take_limit(it->limit, word.rate, at - word.ago))
+        if (it != nullptr &&
+            it->said.take_peers_limit(word.rate, at - word.ago))
             out.push_back(word);
     }
     return out;
@@ -97,7 +62,7 @@
 std::optional<std::uint32_t> target_book::cold_share(const target_state& it,
                                                      instant now) const
 {
-    const bool cold = now < it.cold_until;
+    const bool cold = it.said.is_cold(now);
     const cold_traits* traits =
         cold || now < it.suspect_until ? traits_of(it) : nullptr;
     if (traits == nullptr)
@@ -119,10 +84,11 @@
 std::optional<std::uint32_t> target_book::limited_share(const target_state& it,
                                                         instant now) const
 {
-    const duration silence = now - it.limit.said;
-    if (!it.limit.rate || silence > limit_memory)
+    const auto rate = it.said.rate_limit(now);
+    if (!rate)
         return std::nullopt;
-    return carriers_.limited_share(it.entry.id, *it.limit.rate, silence);
+    return carriers_.limited_share(it.entry.id, *rate,
+                                   it.said.limit_silence(now));
 }
 
 bool target_book::is_limited_to_us(const target_state& it, instant now) const
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -54,7 +54,8 @@
 
 private:
     awaitable<bool> connect();
-    void note_limit(const adapter::answer_facts& facts, unsigned status);
+    void note_signals(const answer_parser& parser,
+                      const adapter::answer_facts& facts);
     bool is_wanted();
     bool caller_has_ended() const;
     bool answer_counts() const;
@@ -446,19 +447,21 @@
         "status " + std::to_string(out_.head.status));
 }
 
-/// A limit lasts for as long as the target's answers name it. One of another
-/// process at the address says nothing of the target. What it didn't sign can't
-/// end a limit, nor can a late answer to another request.
-void attempt::note_limit(const adapter::answer_facts& facts, unsigned status)
+/// Each answer says what the target takes, also a failure, a rejection, or a
+/// late one to another request; only what the target signed for this request is
+/// known to be its latest word.
+void attempt::note_signals(const answer_parser& parser,
+                           const adapter::answer_facts& facts)
 {
-    const bool is_latest =
-        facts.signed_by_target && facts.request == in_.request.facts.id;
-    if (status == misdirected || !(facts.rate_limit || is_latest))
+    auto said =
+        adapter::read_signals(parser.get().result_int(), parser.get().base());
+    if (!said)
         return;
-    const bool changed = in_.tables.book.note_rate_limit(
-        in_.target.process(), facts.rate_limit, in_.tables.now());
-    if (changed)
-        log_limit(in_.target.target, facts.rate_limit, "answer");
+    said->is_latest =
+        facts.signed_by_target && facts.request == in_.request.facts.id;
+    const dispatch::signal_news news = in_.tables.book.note_signals(
+        in_.target.process(), *said, in_.tables.now());
+    log_signals(in_.target.target, *said, news, "answer");
 }
 
 awaitable<void> attempt::take_answer(answer_parser& parser,
@@ -506,10 +509,7 @@
         if (!read)
             co_return;
         const auto facts = adapter::read_answer(parser->get().base());
-        if (facts.cold_left)
-            in_.tables.book.note_cold(in_.target.process(), *facts.cold_left,
-                                      in_.tables.now());
-        note_limit(facts, parser->get().result_int());
+        note_signals(*parser, facts);
         if (facts.request.empty() || facts.request == in_.request.facts.id) {
             co_await take_answer(*parser, facts);
             co_return;
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -412,7 +412,8 @@
 void mesh_node::take_limits(const mesh::beacon& from, instant sent)
 {
     for (const auto& it : tables_.book.peer_limits(from.limits, sent))
-        log_limit(it.target, it.rate, from.host.str());
+        log_signals(it.target, {.rate_limit = it.rate}, {.rate_limit = true},
+                    from.host.str());
 }
 
 /// A peer that was up to date at some time says what the newest was then. A
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -55,13 +55,23 @@
 
 } // namespace
 
-void log_limit(const target_id& target, std::optional<double> rate,
-               const std::string& by)
+void log_signals(const target_id& target, const catalog::target_signals& said,
+                 const dispatch::signal_news& news, const std::string& by)
 {
-    log_event(event::target_limited,
-              {{"target", target.str()},
-               {"rate", rate ? std::to_string(*rate) : "none"},
-               {"by", by}});
+    if (news.leaving)
+        log_event(event::target_leaving,
+                  {{"target", target.str()}, {"by", by}});
+    if (news.rest)
+        log_event(event::target_rests,
+                  {{"target", target.str()},
+                   {"rest_ms", milliseconds_text(*said.rest)},
+                   {"by", by}});
+    if (news.rate_limit)
+        log_event(event::target_limited,
+                  {{"target", target.str()},
+                   {"rate", said.rate_limit ? std::to_string(*said.rate_limit)
+                                            : "none"},
+                   {"by", by}});
 }
 
 node_tables::node_tables(asio::io_context& context, const clock& clock_used,
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -226,6 +226,11 @@
     {event::target_limited, severity::info, "target_limited",
      "A target names another limit of requests a second from all nodes "
      "together, or none any more."},
+    {event::target_leaving, severity::info, "target_leaving",
+     "A target says in its answers that it leaves, whatever its entry says."},
+    {event::target_rests, severity::info, "target_rests",
+     "A target turned a request away and wants none from this node for a "
+     "while."},
     {event::node_heard, severity::info, "node_heard",
      "Another node, or a new life of it, was heard for the first time."},
     {event::node_state_changed, severity::info, "node_state_changed",
