Send nothing more to a target whose answer said that it leaves

Callers whose requests went to a target that had announced its end risked being cut off by it; operators saw requests 4,286 and 5,021 ms after a node had passed on such an answer (2,000 ms are borne).

Ruled out: a word that is read and lost again (nothing read it), requests chosen before and sent after (they come seconds later).

The word counts from the head of any answer on, binds the process, and is given back neither by a list that names the target again nor by one that doesn't name it for a while: rows outlive their entries while what was said holds. A later start ends it, and without starts a move. Where all targets leave, callers are refused at once, "its targets leave".

--- a/include/fennelladder/dispatch/signal_state.hpp
+++ b/include/fennelladder/dispatch/signal_state.hpp
@@ -4,15 +4,15 @@
 //     signal_news news = said.take(signals_of_answer, now);
 //     if (said.leaving() || said.rest_left(now) > duration(0)) ...
 //
-// | signal  | heard from             | binds     | ends                        |
-// | ------- | ---------------------- | --------- | --------------------------- |
-// | leaving | answers, peers         | all nodes | with the process            |
-// | rest    | rejections             | this node | when its time is over       |
-// | cold    | answers, entries, the  | all nodes | when its time is over       |
-// |         | end of an evacuation   |           |                             |
-// | limit   | answers, peers         | all nodes | with a later answer that    |
-// |         |                        |           | names none; after           |
-// |         |                        |           | limit_memory without a word |
+// | signal  | heard from             | binds     | ends | | ------- |
+// ---------------------- | --------- | --------------------------- | | leaving
+// | answers, peers         | all nodes | with the process            | | rest
+// | rejections             | this node | when its time is over       | | cold
+// | answers, entries, the  | all nodes | when its time is over       | | | end
+// of an evacuation   |           |                             | | limit   |
+// answers, peers         | all nodes | with a later answer that    | | | | |
+// names none; after           | |         |                        | |
+// limit_memory without a word |
 //
 // Each signal ends only as the table says. The platform's list may be older
 // than an answer, so no entry takes one back, nor does the lack of one: the
@@ -85,7 +85,7 @@
 
 private:
     bool leaving_ = false;
-    instant leaving_heard_; ///< Last, in whichever way.
+    instant leaving_heard_;     ///< Last, in whichever way.
     instant own_leaving_heard_; ///< Last, by this node's own answers.
     instant rest_until_;
     instant cold_until_;
--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -39,9 +39,13 @@
 // for the nodes that carry its requests, as often as the limit allows, until an
 // answer without the limit; what other nodes were told is heard from them.
 //
+// A target that said in an answer that it leaves is no choice any more.
+//
 // What is known is known of one process. When a target starts again under its
 // id, its row begins anew; what ends later at the process before, and loads
-// that peers have there, are passed over.
+// that peers have there, are passed over. What a process said of itself goes
+// before what the list says of it, and outlives its entry; see
+// dispatch/signal_state.hpp.
 //
 // Cost: choose() is linear in the targets of the service. Not thread safe.
 
@@ -125,7 +129,8 @@
 /// Why no target can be chosen, the later the nearer it was to be one.
 enum class absence : std::uint8_t
 {
-    none_usable, ///< None is listed, or all left, or were tried.
+    none_usable, ///< None is listed, or all are gone, or were tried.
+    leaving,     ///< Those left say that they leave.
     outside,     ///< Those left are outside of the regions allowed.
     evacuated,   ///< Data centres of those left are evacuated.
     cold,        ///< Those left are cold and have got what they bear.
@@ -334,7 +339,8 @@
 
     double faded(const fading_average& of, instant now) const;
     void observe(fading_average& of, double value, instant now) const;
-    static bool has_left(const target_state& it, instant now);
+    static bool is_gone(const target_state& it, instant now);
+    static bool is_leaving(const target_state& it);
     bool is_evacuated(const target_state& it) const;
     bool usable(const target_state& it, instant now) const;
     std::optional<absence> what_bars(const target_state& it,
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -50,6 +50,8 @@
     switch (value) {
     case absence::none_usable:
         return "no usable target";
+    case absence::leaving:
+        return "its targets leave";
     case absence::evacuated:
         return "its data centres are evacuated";
     case absence::cold:
@@ -84,11 +86,12 @@
     std::erase_if(targets_, [&](const auto& it) {
         const target_state& state = it.second;
         return (state.gone || state.other_life) && state.running == 0 &&
-               !listed.contains(it.first);
+               !state.said.holds(now) && !listed.contains(it.first);
     });
     by_service_.clear();
     for (const auto& [id, state] : targets_)
-        by_service_[state.entry.service].push_back(id);
+        if (!state.gone || state.running > 0)
+            by_service_[state.entry.service].push_back(id);
     recount_peers();
     return replaced;
 }
@@ -123,6 +126,9 @@
         !same_process || entry.warm_up_left != it.entry.warm_up_left;
     if (!same_process)
         it = target_state();
+    // Without starts, only a move shows that another process has the id.
+    if (moved && !catalog::is_said(entry.start))
+        it.said = signal_state();
     if (cold_anew && entry.warm_up_left > duration(0))
         it.said.cool_until(now + entry.warm_up_left);
     if (moved)
@@ -167,10 +173,15 @@
     of.at = now;
 }
 
-bool target_book::has_left(const target_state& it, instant now)
+bool target_book::is_gone(const target_state& it, instant now)
 {
     const bool lapsed = it.use_until && now >= *it.use_until;
-    return it.gone || it.other_life || it.entry.leaving || lapsed;
+    return it.gone || it.other_life || lapsed;
+}
+
+bool target_book::is_leaving(const target_state& it)
+{
+    return it.entry.leaving || it.said.leaving();
 }
 
 bool target_book::is_evacuated(const target_state& it) const
@@ -180,7 +191,7 @@
 
 bool target_book::usable(const target_state& it, instant now) const
 {
-    return !has_left(it, now) && !is_evacuated(it);
+    return !is_gone(it, now) && !is_leaving(it) && !is_evacuated(it);
 }
 
 std::size_t target_book::set_evacuated(std::vector<data_center_id> data_centers,
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -126,8 +126,10 @@
                                               const work_wish& wish,
                                               instant now) const
 {
-    if (has_left(it, now) || was_tried(it, wish))
+    if (is_gone(it, now) || was_tried(it, wish))
         return absence::none_usable;
+    if (is_leaving(it))
+        return absence::leaving;
     if (is_outside(it, wish))
         return absence::outside;
     if (is_evacuated(it))
