Keep the rest that a target asks a node for

Cause: nothing read the time that such a rejection names; a target that turned a request away was left alone for 100 ms, and as it runs nothing it looks the best of all. Ruled out: requests under way as the answer came (they are few, and half a second is given for them).

A target that asked for rest is no choice for as long, also where no other is left; what was chosen before asks once more before its first byte. Nothing but the time, or a new process, ends it: no answer to what was under way, no shorter rest, no list. Then one request finds out whether it works while others prefer other targets. Where all rest, callers are refused at once and told to come back after the first rest's end, spread over half as long again.

--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -39,7 +39,10 @@
 // for the nodes that carry its requests, as often as the limit allows, until an
 // answer without the limit; what other nodes were told is heard from them.
 //
-// A target that said in an answer that it leaves is no choice any more.
+// A target that said in an answer that it leaves is no choice any more. One
+// that turned a request away and asked for rest is none for as long, whatever
+// else is left; then one request finds out whether it works again, and others
+// go there meanwhile only if all others are ruled out.
 //
 // What is known is known of one process. When a target starts again under its
 // id, its row begins anew; what ends later at the process before, and loads
@@ -134,6 +137,7 @@
     outside,     ///< Those left are outside of the regions allowed.
     evacuated,   ///< Data centres of those left are evacuated.
     cold,        ///< Those left are cold and have got what they bear.
+    resting,     ///< Those left asked this node for rest.
     limited      ///< Those left name limits and have got what these allow.
 };
 
@@ -263,6 +267,13 @@
     std::vector<limit_word> peer_limits(const std::vector<limit_word>& words,
                                         instant at);
 
+    /// How long it takes until a target that asked for rest may be chosen, if
+    /// all others of the wish's service that could be are no choice for longer
+    /// than a moment; unset if one is, or if none will be. What was tried
+    /// already counts as well: this is for the caller's next request.
+    std::optional<duration> wait_for_rest(const work_wish& wish,
+                                          instant now) const;
+
     /// The best target, or nothing when the service has none to offer.
     std::optional<choice> choose(const work_wish& wish, instant now,
                                  random_source& random);
@@ -328,7 +339,8 @@
         int unread = 0;      ///< Requests without a first byte.
         instant quiet_since; ///< Nothing came since, or nothing was waited for.
         int rests = 0;       ///< In a row.
-        bool trying = false; ///< One request finds out whether it works.
+        bool on_trial = false; ///< It had asked for rest and took none since.
+        bool trying = false;   ///< One request finds out whether it works.
         std::unordered_map<std::uint64_t, instant> parts; ///< Last use.
         signal_state said;     ///< By the process itself.
         instant suspect_until; ///< It may have started anew, unannounced.
@@ -356,6 +368,8 @@
     bool was_tried(const target_state& it, const work_wish& wish) const;
     void suspect_start(target_state& it, instant now) const;
     bool resting(const target_state& it, instant now) const;
+    static bool asked_for_rest(const target_state& it, instant now);
+    static void end_trial(target_state& it, instant now);
     bool is_quiet(const target_state& it, instant now) const;
     std::uint32_t held(const target_state& it, const work_wish& wish,
                        bool expected_here, instant now) const;
--- a/libs/dispatch/target_book.cpp
+++ b/libs/dispatch/target_book.cpp
@@ -56,6 +56,8 @@
         return "its data centres are evacuated";
     case absence::cold:
         return "its targets are cold";
+    case absence::resting:
+        return "its targets asked for rest";
     case absence::limited:
         return "its targets take no more at present";
     case absence::outside:
@@ -215,10 +217,24 @@
 
 bool target_book::resting(const target_state& it, instant now) const
 {
-    return now < it.rest_until || (it.rests > 0 && it.trying) ||
+    const bool one_at_a_time = it.rests > 0 || it.on_trial;
+    return now < it.rest_until || (one_at_a_time && it.trying) ||
            is_quiet(it, now);
 }
 
+bool target_book::asked_for_rest(const target_state& it, instant now)
+{
+    return it.said.rest_left(now) > duration(0);
+}
+
+/// An answer to a request that was under way as the target asked for rest says
+/// nothing of the time after.
+void target_book::end_trial(target_state& it, instant now)
+{
+    if (!asked_for_rest(it, now))
+        it.on_trial = false;
+}
+
 /// Guards against a host that goes dark: its requests may not be sent again
 /// and therefore wait for their deadlines, and until the first of them ends
 /// nothing else says that the target is gone, so that it would get its share
@@ -244,7 +260,8 @@
 bool target_book::may_use(const target_id& target, instant now) const
 {
     const auto it = targets_.find(target);
-    return it != targets_.end() && usable(it->second, now);
+    return it != targets_.end() && usable(it->second, now) &&
+           !asked_for_rest(it->second, now);
 }
 
 std::optional<catalog::target_entry>
@@ -289,7 +306,7 @@
     if (it->unread++ == 0)
         hear(*it, now);
     it->reading += made.work.reading;
-    if (it->rests > 0)
+    if (it->rests > 0 || it->on_trial)
         it->trying = true;
     if (cold_share(*it, now) || limited_share(*it, now))
         it->sends.note(now);
@@ -317,6 +334,7 @@
     it->reading -= made.work.reading;
     --it->unread;
     hear(*it, now);
+    end_trial(*it, now);
     const double predicted =
         std::max(to_seconds(made.predicted), shortest_wait);
     const double slowness = std::clamp(to_seconds(waited) / predicted,
@@ -365,12 +383,14 @@
         suspect_start(*it, now);
         it->rests = 0;
         it->trying = false;
+        end_trial(*it, now);
         observe(it->failures, 0, now);
         return;
     case target_evidence::failed:
         suspect_start(*it, now);
         it->rests = 0;
         it->trying = false;
+        end_trial(*it, now);
         observe(it->failures, 0.5, now);
         return;
     case target_evidence::broke:
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -136,6 +136,8 @@
         return absence::evacuated;
     if (is_cold_to_us(it, now))
         return absence::cold;
+    if (asked_for_rest(it, now))
+        return absence::resting;
     if (is_limited_to_us(it, now))
         return absence::limited;
     return std::nullopt;
@@ -153,6 +155,28 @@
     return out;
 }
 
+std::optional<duration> target_book::wait_for_rest(const work_wish& wish,
+                                                   instant now) const
+{
+    std::optional<duration> out;
+    const auto known = by_service_.find(wish.service);
+    if (known == by_service_.end())
+        return out;
+    work_wish any = wish;
+    any.avoid.clear();
+    for (const target_id& id : known->second) {
+        const target_state& it = targets_.at(id);
+        const auto bar = what_bars(it, any, now);
+        if (!bar || *bar == absence::cold || *bar == absence::limited)
+            return std::nullopt;
+        if (*bar != absence::resting)
+            continue;
+        const duration left = it.said.rest_left(now);
+        out = out ? std::min(*out, left) : left;
+    }
+    return out;
+}
+
 std::optional<choice> target_book::choose(const work_wish& wish, instant now,
                                           random_source& random)
 {
--- a/libs/dispatch/target_rations.cpp
+++ b/libs/dispatch/target_rations.cpp
@@ -24,7 +24,10 @@
                                       instant now)
 {
     target_state* it = find(target);
-    return it == nullptr ? signal_news() : it->said.take(said, now);
+    if (it == nullptr)
+        return {};
+    it->on_trial |= said.rest.has_value();
+    return it->said.take(said, now);
 }
 
 std::vector<limit_word> target_book::own_limits(instant now) const
--- a/libs/dispatch/target_signals_test.cpp
+++ b/libs/dispatch/target_signals_test.cpp
@@ -100,3 +100,75 @@
                .any());
     CHECK(is_choice());
 }
+
+// Guards against a target that asked for rest and is chosen as no other is
+// left.
+TEST(target_signals, a_target_that_asked_for_rest_is_no_choice)
+{
+    const auto first = engine(1, 5);
+    const auto second = engine(2, 5);
+    const entry_map both = {{first.id, first}, {second.id, second}};
+    list(both);
+    CHECK(!book.wait_for_rest(wish_for(), now));
+    book.note_signals(first.process(), {.rest = seconds(3)}, now);
+    CHECK(is_choice());
+    CHECK(!book.wait_for_rest(wish_for(), now));
+    book.note_signals(second.process(), {.rest = seconds(2)}, now);
+    CHECK(!is_choice());
+    CHECK(!book.may_use(first.id, now));
+    CHECK(book.why_none(wish_for(), now) == absence::resting);
+    CHECK(book.wait_for_rest(wish_for(), now) == duration(seconds(2)));
+    now += seconds(2);
+    CHECK(is_choice());
+    CHECK(!book.wait_for_rest(wish_for(), now));
+    CHECK(!book.may_use(first.id, now));
+}
+
+// Guards against a rest that ends with what was under way, a shorter one, or
+// the list.
+TEST(target_signals, only_its_time_or_a_new_process_ends_a_rest)
+{
+    const auto only = engine(1, 5);
+    list({{only.id, only}});
+    const auto made = book.choose(wish_for(), now, random);
+    book.started(*made, wish_for(), now);
+    book.note_signals(only.process(), {.rest = seconds(3)}, now);
+    book.first_byte(*made, seconds(1), now);
+    book.finished(*made, true, target_evidence::answered, now);
+    CHECK(!is_choice());
+    book.note_signals(only.process(), {.rest = seconds(1)}, now);
+    book.note_signals(only.process(), {.is_latest = true}, now);
+    list({});
+    list({{only.id, only}});
+    now += milliseconds(2999);
+    CHECK(!is_choice());
+    now += milliseconds(1);
+    CHECK(is_choice());
+    book.note_signals(only.process(), {.rest = seconds(3)}, now);
+    const auto next = engine(1, 6);
+    list({{next.id, next}});
+    CHECK(is_choice());
+}
+
+// Guards against all requests at once to a target whose rest has just ended:
+// it looks idle.
+TEST(target_signals, one_request_finds_out_whether_a_rest_was_enough)
+{
+    const auto rested = engine(1, 5);
+    const auto busy = engine(2, 5);
+    list({{rested.id, rested}, {busy.id, busy}});
+    book.peer_load(host_id("peer"), {{busy.id, 20, 0, busy.start}});
+    const auto chosen = [&] {
+        return book.choose(wish_for(true), now, random)->target;
+    };
+    CHECK(chosen() == rested.id);
+    book.note_signals(rested.process(), {.rest = seconds(3)}, now);
+    CHECK(chosen() == busy.id);
+    now += seconds(3);
+    const auto trial = book.choose(wish_for(true), now, random);
+    CHECK(trial->target == rested.id);
+    book.started(*trial, wish_for(true), now);
+    CHECK(chosen() == busy.id);
+    book.first_byte(*trial, milliseconds(10), now);
+    CHECK(chosen() == rested.id);
+}
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -183,8 +183,8 @@
 
 /// On a node that is behind with its work a caller may have left unnoticed;
 /// what is sent on then only burdens a target. While it connected, or the node
-/// was busy, the target may have said that it leaves, or this node's news may
-/// have become too old to know.
+/// was busy, the target may have said that it leaves or rests, or this node's
+/// news may have become too old to know.
 bool attempt::is_wanted()
 {
     in_.course.look_for_caller();
@@ -198,7 +198,7 @@
     // Nothing was sent: the request goes elsewhere as if no connection could
     // be made, and the target isn't to blame.
     end(attempt_end::not_connected, target_evidence::nothing,
-        late ? "news are late" : "it leaves");
+        late ? "news are late" : "it takes no more");
     return false;
 }
 
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -19,6 +19,10 @@
 /// A request that kills targets is not wanted back soon.
 constexpr duration come_back_poison = seconds(5);
 
+/// Callers who are to come back at the end of a rest are spread over this part
+/// of what is left of it, at least over come_back.
+constexpr double come_back_spread = 0.5;
+
 /// A request waits at least this long for tokens: two rounds among peers.
 constexpr duration least_token_wait = milliseconds(30);
 
@@ -101,6 +105,7 @@
     bool may_send() const;
     bool take_retry();
     std::string_view why_no_target() const;
+    duration when_to_come_back();
     tokens worst_case() const;
 
     request_driver& driver_;
@@ -417,6 +422,18 @@
     return to_string(tables_.book.why_none(wish(), tables_.now()));
 }
 
+/// Callers who wait for targets to end their rest come back after its end, and
+/// not all at once.
+duration request_run::when_to_come_back()
+{
+    const auto rest = tables_.book.wait_for_rest(wish(), tables_.now());
+    if (!rest)
+        return come_back;
+    const duration spread =
+        std::max(part_of(*rest, come_back_spread), come_back);
+    return *rest + part_of(spread, tables_.random.unit());
+}
+
 awaitable<void> request_run::attempt_until_done()
 {
     so_far_.way = way_;
@@ -531,7 +548,7 @@
         co_return;
     case next_action::say_not_run:
         answer.status = 503;
-        answer.retry_after = come_back;
+        answer.retry_after = when_to_come_back();
         answer.message = "not run: " + reason_of(last);
         log_end(event::request_refused, "not_run", reason_of(last));
         break;
