Tell the other nodes that a target says it leaves

Beacons name the processes that told their node so in the last ten seconds and whose entries don't say it yet, the newest 16 (list 29 of Beacon; nodes of earlier releases pass it over). A peer that learns it so sends nothing more there, and doesn't pass it on: all that get an answer of the target do.

--- a/include/fennelladder/dispatch/signal_state.hpp
+++ b/include/fennelladder/dispatch/signal_state.hpp
@@ -76,8 +76,9 @@
     /// What this node has to tell its peers of the limit.
     std::optional<rate_word> limit_for_peers(instant now) const;
 
-    /// Whether this node has to tell its peers that the process leaves.
-    bool leaving_for_peers(instant now) const;
+    /// How long ago an answer first told this node that the process leaves;
+    /// unset: never, or too long for peers to be told.
+    std::optional<duration> leaving_for_peers(instant now) const;
 
     /// Whether anything was said that still counts, so that the state must
     /// outlive the target's entry.
@@ -86,7 +87,7 @@
 private:
     bool leaving_ = false;
     instant leaving_heard_;     ///< Last, in whichever way.
-    instant own_leaving_heard_; ///< Last, by this node's own answers.
+    instant own_leaving_heard_; ///< First, by an answer to this node.
     instant rest_until_;
     instant cold_until_;
     std::optional<double> rate_limit_; ///< By the last word any node got.
--- a/include/fennelladder/dispatch/target_book.hpp
+++ b/include/fennelladder/dispatch/target_book.hpp
@@ -274,6 +274,16 @@
     std::optional<duration> wait_for_rest(const work_wish& wish,
                                           instant now) const;
 
+    /// Targets that have told this node lately that they leave, and whose
+    /// entries don't say so, for its peers; the newest of them, at most `most`.
+    std::vector<catalog::target_process> told_leaving(std::size_t most,
+                                                      instant now) const;
+
+    /// The same from a peer. Those that are news here.
+    std::vector<catalog::target_process>
+    peer_leaving(const std::vector<catalog::target_process>& targets,
+                 instant now);
+
     /// The best target, or nothing when the service has none to offer.
     std::optional<choice> choose(const work_wish& wish, instant now,
                                  random_source& random);
--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -63,7 +63,7 @@
     awaitable<void> tick();
     void take(const mesh::datagram& message, const std::string& from);
     void take_beacon(const mesh::beacon& from);
-    void take_limits(const mesh::beacon& from, instant sent);
+    void take_signals(const mesh::beacon& from, instant sent);
     void note_death(const host_id& host, instant now);
     void hear_losses(const mesh::beacon& from, instant now);
     void take_holdings(const mesh::beacon& from);
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -102,6 +102,8 @@
     std::vector<token_stock> stock;
     /// What targets told it lately of the requests that they take.
     std::vector<dispatch::limit_word> limits;
+    /// Targets that told it lately that they leave.
+    std::vector<catalog::target_process> leaving;
     std::vector<dispatch::poison_record> poison;
     std::vector<std::string> introduced; ///< Addresses of further nodes.
     std::vector<heard_node> heard;       ///< Those heard last, directly.
--- a/libs/dispatch/signal_state.cpp
+++ b/libs/dispatch/signal_state.cpp
@@ -30,7 +30,8 @@
     signal_news out;
     if (said.leaving) {
         out.leaving = take_peers_leaving(now);
-        own_leaving_heard_ = now;
+        if (own_leaving_heard_ == instant())
+            own_leaving_heard_ = now;
     }
     if (said.rest && now + *said.rest > rest_until_) {
         rest_until_ = now + *said.rest;
@@ -84,9 +85,11 @@
     return rate_word{own_rate_, now - own_said_};
 }
 
-bool signal_state::leaving_for_peers(instant now) const
+std::optional<duration> signal_state::leaving_for_peers(instant now) const
 {
-    return is_within(own_leaving_heard_, news_span, now);
+    if (!is_within(own_leaving_heard_, news_span, now))
+        return std::nullopt;
+    return now - own_leaving_heard_;
 }
 
 bool signal_state::holds(instant now) const
--- a/libs/dispatch/target_rations.cpp
+++ b/libs/dispatch/target_rations.cpp
@@ -4,6 +4,7 @@
 #include "fennelladder/dispatch/target_book.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace fennelladder::dispatch {
 
@@ -53,6 +54,36 @@
     return out;
 }
 
+std::vector<catalog::target_process>
+target_book::told_leaving(std::size_t most, instant now) const
+{
+    std::vector<std::pair<duration, catalog::target_process>> told;
+    for (const auto& [id, state] : targets_) {
+        const auto ago = state.said.leaving_for_peers(now);
+        if (ago && !state.entry.leaving)
+            told.emplace_back(*ago, state.entry.process());
+    }
+    std::ranges::sort(told);
+    std::vector<catalog::target_process> out;
+    for (const auto& [ago, process] : told)
+        if (out.size() < most)
+            out.push_back(process);
+    return out;
+}
+
+std::vector<catalog::target_process>
+target_book::peer_leaving(const std::vector<catalog::target_process>& targets,
+                          instant now)
+{
+    std::vector<catalog::target_process> out;
+    for (const catalog::target_process& each : targets) {
+        target_state* it = find(each);
+        if (it != nullptr && it->said.take_peers_leaving(now))
+            out.push_back(each);
+    }
+    return out;
+}
+
 /// Null if the service's targets bear any load while they are cold.
 const cold_traits* target_book::traits_of(const target_state& it) const
 {
--- a/libs/dispatch/target_signals_test.cpp
+++ b/libs/dispatch/target_signals_test.cpp
@@ -172,3 +172,35 @@
     book.first_byte(*trial, milliseconds(10), now);
     CHECK(chosen() == rested.id);
 }
+
+// Guards against other nodes' requests to a target that leaves, and may end
+// with them.
+TEST(target_signals, peers_are_told_once_that_a_target_leaves)
+{
+    const auto first = engine(1, 5);
+    const auto second = engine(2, 5);
+    const auto third = engine(3, 5);
+    const entry_map all = {
+        {first.id, first}, {second.id, second}, {third.id, third}};
+    list(all);
+    target_book peer{target_book_options{}};
+    peer.sync(all, false, now);
+    book.note_signals(first.process(), {.leaving = true}, now);
+    now += seconds(1);
+    book.note_signals(second.process(), {.leaving = true}, now);
+    CHECK(book.told_leaving(1, now) ==
+          std::vector<catalog::target_process>{second.process()});
+    const auto told = book.told_leaving(16, now);
+    UNSIGNED_LONGS_EQUAL(2, told.size());
+    UNSIGNED_LONGS_EQUAL(2, peer.peer_leaving(told, now).size());
+    CHECK(peer.peer_leaving(told, now).empty());
+    CHECK(peer.told_leaving(16, now).empty());
+    CHECK(!peer.may_use(first.id, now));
+    CHECK(!peer.may_use(second.id, now));
+    CHECK(peer.may_use(third.id, now));
+    CHECK(peer.peer_leaving({engine(3, 4).process()}, now).empty());
+    CHECK(peer.may_use(third.id, now));
+    now += seconds(11);
+    book.note_signals(first.process(), {.leaving = true}, now);
+    CHECK(book.told_leaving(16, now).empty());
+}
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t load_limit = 32;
 constexpr std::size_t stock_limit = 32;
 constexpr std::size_t limits_limit = 16;
+constexpr std::size_t leaving_limit = 16;
 
 /// Changes of targets that travel inside a beacon, of about 100 bytes each, so
 /// that it stays in one packet. More at once are fetched.
@@ -176,6 +177,7 @@
         out.stock = desk_->own_stock();
     keep_largest(out.stock, stock_limit, &mesh::token_stock::free);
     out.limits = newest_limits(tables_.book.own_limits(tables_.now()));
+    out.leaving = tables_.book.told_leaving(leaving_limit, tables_.now());
     out.poison =
         tables_.poison.recent(poison_span, poison_limit, tables_.now());
     return out;
@@ -379,7 +381,7 @@
         tables_.list_changed();
     if (from.evacuations)
         tables_.take_evacuations(*from.evacuations, from.host.str());
-    take_limits(from, now - news.delay.value_or(duration(0)));
+    take_signals(from, now - news.delay.value_or(duration(0)));
     if (!news.late)
         take_freshness(from, news.delay, now);
     news_.hear(from);
@@ -409,8 +411,12 @@
         desk_->on_stock(from);
 }
 
-void mesh_node::take_limits(const mesh::beacon& from, instant sent)
+void mesh_node::take_signals(const mesh::beacon& from, instant sent)
 {
+    for (const auto& it :
+         tables_.book.peer_leaving(from.leaving, tables_.now()))
+        log_signals(it.id, {.leaving = true}, {.leaving = true},
+                    from.host.str());
     for (const auto& it : tables_.book.peer_limits(from.limits, sent))
         log_signals(it.target, {.rate_limit = it.rate}, {.rate_limit = true},
                     from.host.str());
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -61,6 +61,11 @@
   4: i32 ago_ms
 }
 
+struct LeavingTarget {
+  1: string target
+  2: i64 start_ms
+}
+
 struct Beacon {
   1: string host
   2: i64 life
@@ -90,6 +95,7 @@
   26: optional i32 up_ms
   27: optional double fleets_lost
   28: optional list<Limit> limits
+  29: optional list<LeavingTarget> leaving
 }
 
 struct TokenAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -232,6 +232,14 @@
     return out;
 }
 
+wire::LeavingTarget to_wire(const catalog::target_process& from)
+{
+    wire::LeavingTarget out;
+    out.target = from.id.str();
+    out.start_ms = number(from.start.value());
+    return out;
+}
+
 wire::Beacon to_wire(const beacon& from)
 {
     wire::Beacon out;
@@ -286,6 +294,9 @@
     for (const auto& it : from.limits)
         out.limits.push_back(to_wire(it));
     out.__isset.limits = !out.limits.empty();
+    for (const auto& it : from.leaving)
+        out.leaving.push_back(to_wire(it));
+    out.__isset.leaving = !out.leaving.empty();
     for (const auto& it : from.poison)
         out.poison.push_back(to_wire(it));
     out.__isset.poison = !out.poison.empty();
@@ -371,6 +382,19 @@
     return out;
 }
 
+std::vector<catalog::target_process>
+leaving_from(const std::vector<wire::LeavingTarget>& all, std::size_t& left_out)
+{
+    std::vector<catalog::target_process> out;
+    for (const wire::LeavingTarget& it : first_rows(all, left_out)) {
+        if (is_id(it.target))
+            out.push_back({target_id(it.target), start_of(it.start_ms)});
+        else
+            ++left_out;
+    }
+    return out;
+}
+
 bool is_amount(std::int64_t count)
 {
     return count >= 0 && tokens(count) <= most_tokens;
@@ -466,6 +490,7 @@
     out.load = loads_from(from.load, left_out);
     out.stock = stock_from(from.stock, left_out);
     out.limits = limits_from(from.limits, left_out);
+    out.leaving = leaving_from(from.leaving, left_out);
     out.poison = poison_from(from.poison, left_out);
     out.introduced = addresses_from(from.introduced, left_out);
     for (const wire::HeardNode& it : first_rows(from.heard, left_out))
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -52,6 +52,8 @@
     out.limits = {
         {target_id("i-1"), catalog::target_start(42), 1.3, milliseconds(500)},
         {target_id("i-2"), {}, std::nullopt, milliseconds(20)}};
+    out.leaving = {{target_id("i-3"), catalog::target_start(43)},
+                   {target_id("i-4"), {}}};
     out.is_brief = true;
     out.heard = {{node_life(78), milliseconds(40)}};
     return out;
@@ -136,6 +138,7 @@
     DOUBLES_EQUAL(1.3, *it.limits.at(0).rate, 1e-9);
     CHECK(it.limits.at(0).ago == milliseconds(500));
     CHECK(!it.limits.at(1).rate);
+    CHECK(it.leaving == sample().leaving);
     CHECK(it.is_brief);
     CHECK(it.targets_as_of == catalog::revision(14));
     CHECK(it.heard.at(0).life == node_life(78));
--- a/libs/mesh/roster.cpp
+++ b/libs/mesh/roster.cpp
@@ -16,6 +16,7 @@
     out.load.clear();
     out.stock.clear();
     out.limits.clear();
+    out.leaving.clear();
     out.poison.clear();
     out.introduced.clear();
     out.heard.clear();
