Prove what targets say of themselves over random orders of events

400 seeded courses of 150 steps: lists that repeat, lapse and lose the entry, restarts under the id, late answers of the process before, words of peers, requests that begin and end. A process that said it leaves, or rests, is never chosen; one that is listed and said neither always is.

--- a/libs/dispatch/target_signals_test.cpp
+++ b/libs/dispatch/target_signals_test.cpp
@@ -204,3 +204,152 @@
     book.note_signals(first.process(), {.leaving = true}, now);
     CHECK(book.told_leaving(16, now).empty());
 }
+
+namespace {
+
+/// One target, and what it may be sent by the words of its processes alone.
+class spoken_target
+{
+public:
+    explicit spoken_target(std::uint64_t seed) : random_(seed) { list(); }
+
+    void step()
+    {
+        now_ += from_seconds(random_.unit());
+        static constexpr void (spoken_target::*moves[])() = {
+            &spoken_target::list,       &spoken_target::lapse,
+            &spoken_target::disappear,  &spoken_target::start_again,
+            &spoken_target::say_leaves, &spoken_target::ask_for_rest,
+            &spoken_target::late_words, &spoken_target::hear_peer,
+            &spoken_target::begin,      &spoken_target::end};
+        (this->*moves[random_.below(std::size(moves))])();
+        check();
+    }
+
+private:
+    catalog::target_process process() const
+    {
+        return engine(1, process_).process();
+    }
+
+    void list()
+    {
+        auto entry = engine(1, process_);
+        entry.slots = 1 + static_cast<std::uint32_t>(random_.below(3));
+        book_.sync({{entry.id, entry}}, false, now_);
+        listed_ = true;
+    }
+
+    void lapse()
+    {
+        book_.sync({}, true, now_);
+        listed_ = false;
+    }
+
+    void disappear()
+    {
+        book_.sync({}, false, now_);
+        listed_ = false;
+    }
+
+    void start_again()
+    {
+        ++process_;
+        leaves_ = false;
+        rests_until_ = instant();
+        running_.clear();
+        list();
+    }
+
+    bool is_known() { return book_.entry_of(process().id).has_value(); }
+
+    void say_leaves()
+    {
+        if (!is_known() || random_.below(3) > 0)
+            return;
+        book_.note_signals(process(), {.leaving = true, .is_latest = true},
+                           now_);
+        leaves_ = true;
+    }
+
+    void ask_for_rest()
+    {
+        if (!is_known())
+            return;
+        const duration rest = from_seconds(random_.unit() * 3);
+        book_.note_signals(process(), {.rest = rest}, now_);
+        rests_until_ = std::max(rests_until_, now_ + rest);
+    }
+
+    void late_words()
+    {
+        book_.note_signals(engine(1, process_ - 1).process(),
+                           {.leaving = true, .rest = seconds(9)}, now_);
+        book_.note_signals(process(), {.is_latest = true}, now_);
+    }
+
+    void hear_peer()
+    {
+        book_.peer_leaving({engine(1, process_ - 1).process()}, now_);
+        if (is_known() && random_.below(4) == 0) {
+            book_.peer_leaving({process()}, now_);
+            leaves_ = true;
+        }
+    }
+
+    void begin()
+    {
+        const auto made = book_.choose(wish_for(), now_, random_);
+        if (!made)
+            return;
+        book_.started(*made, wish_for(), now_);
+        running_.push_back(*made);
+    }
+
+    void end()
+    {
+        static constexpr target_evidence ends[] = {
+            target_evidence::answered, target_evidence::failed,
+            target_evidence::full, target_evidence::nothing};
+        if (running_.empty())
+            return;
+        const target_evidence how = ends[random_.below(std::size(ends))];
+        book_.finished(running_.back(), false, how, now_);
+        running_.pop_back();
+    }
+
+    void check()
+    {
+        const bool is_barred = leaves_ || now_ < rests_until_;
+        const bool is_chosen =
+            book_.choose(wish_for(), now_, random_).has_value();
+        if (is_barred) {
+            CHECK(!is_chosen);
+            CHECK(!book_.may_use(process().id, now_));
+        } else if (listed_) {
+            CHECK(is_chosen);
+        }
+    }
+
+    random_source random_;
+    target_book book_{target_book_options{}};
+    instant now_ = start;
+    std::uint64_t process_ = 5;
+    bool listed_ = false;
+    bool leaves_ = false;
+    instant rests_until_;
+    std::vector<choice> running_;
+};
+
+} // namespace
+
+// Guards against any order of lists, restarts, late answers and peers' words
+// that takes back what a process said, or ascribes it to another.
+TEST(target_signals, hold_in_any_order_of_events)
+{
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+        spoken_target it(seed);
+        for (int i = 0; i < 150; ++i)
+            it.step();
+    }
+}
