--- a/libs/dispatch/retry_fleet_test.cpp
+++ b/libs/dispatch/retry_fleet_test.cpp
@@ -184,6 +184,20 @@
     check_limit(all);
 }
 
+// Guards against most nodes that start anew, twice, while targets turn requests
+// away and what may be sent again is spent.
+TEST(retry_fleet, starts_while_retries_are_spent_stay_below_the_limit)
+{
+    all.run_until(20, everywhere, false, random);
+    for (const double at_s : {24.0, 27.0}) {
+        all.run_until(at_s, everywhere, true, random);
+        for (std::size_t i = 0; i < 7; ++i)
+            all.restart(i);
+    }
+    all.run_until(45, everywhere, true, random);
+    check_limit(all);
+}
+
 // Guards against nodes that have just started, know nobody, and take the slack
 // of the whole fleet each.
 TEST(retry_fleet, nodes_that_know_nobody_dont_take_the_whole_slack)
