Let the soak's targets leave, ask for rest and name limits

Targets now say so for some seconds at a time, beside kills, pauses and outages, and start again as another process; which process of a node got which answer is read from the connection's other end. A process that stood still or was started since is excused, as the operators' rules have it. Bodies differ by request now: with one body for all, targets that start again would look killed by it.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -7,13 +7,15 @@
 callers that use them. Faults come from a seeded plan and overlap: nodes are
 killed, paused, told to leave and started again; the store is down, turns
 calls away, or carries out writes and loses the reply; targets reset, cut and
-delay answers.
+delay answers, and say of themselves that they leave, want rest, or bear few
+requests.
 
 What is checked, from what callers and targets see:
   - a call that may run once ran once at most;
   - a call refused as "not run" (503 without the target's mark) never ran;
   - a success bears the mark of a run of that very request, and its whole body;
   - no team got more tokens than it had prepaid;
+  - nodes heed what targets say of themselves (target_signals.py);
   - at the end, with all faults over, calls are answered again.
 
 Exit status 0 when all held, 1 with the findings otherwise. It ends only the
@@ -36,6 +38,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlparse
 
+from target_signals import Senders, TargetSignals
+
 NODES = 3
 TARGETS = 3
 HOST = "h.example"
@@ -164,14 +168,20 @@
         return len(self.prompts) * PROMPT + self.delivered * PER_EVENT
 
 
-def target_handler(name, runs, fault):
+def target_handler(name, runs, fault, signals):
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
 
+        def setup(self):
+            super().setup()
+            self.sender = signals.senders.find(self.client_address[1],
+                                               self.server.server_port)
+
         def log_message(self, *_):
             pass
 
         def do_any(self):
+            signals.arrived(self.sender)
             size = int(self.headers.get("Content-Length") or 0)
             self.rfile.read(size)
             request = self.headers["X-Request-Id"]
@@ -180,7 +190,7 @@
                 return
             mark = f"{name}.{random.getrandbits(48):x}"
             odd = fault()
-            if odd == "reject":
+            if odd == "reject" or signals.turns_away:
                 self.head(503, request, "",
                           {"X-Not-Executed": "1", "Content-Length": "0"})
                 return
@@ -201,6 +211,8 @@
         def head(self, status, request, mark, headers):
             self.send_response_only(status)
             self.send_header("X-Request-Id", request)
+            if status != 421:
+                headers = headers | signals.headers(self.sender, status)
             if mark:
                 self.send_header("X-Server-Signature", mark)
             for key, value in headers.items():
@@ -313,7 +325,7 @@
     def __init__(self, args):
         self.random = random.Random(args.seed)
         random.seed(args.seed)
-        self.seconds = args.seconds
+        self.seconds, self.plan_seed = args.seconds, args.seed + 1000
         self.store, self.runs = Store(), Runs()
         self.found, self.lock = [], threading.Lock()
         self.outcomes = collections.Counter()
@@ -321,23 +333,48 @@
         self.stop = threading.Event()
         self.folder = tempfile.mkdtemp(prefix="soak-")
         self.closing = []
+        senders = Senders(lambda: [it.process.pid for it in self.nodes
+                                   if it.process])
+        self.senders = senders
+        self.targets = {}
         server, address = serve(self.store.handler())
         self.closing.append(server)
         self.store.put("config", "main", configuration(1))
         for i in range(TARGETS):
             name = f"i-{i}"
-            server, where = serve(target_handler(name, self.runs, self.fault))
+            signals = TargetSignals(name, senders, self.note)
+            server, where = serve(target_handler(name, self.runs, self.fault,
+                                                 signals))
             self.closing.append(server)
-            self.store.put("servers", name, {
-                "service": "s", "address": where, "zone": "z", "slots": 64,
-                "state": "ready", "version": "v1", "coldRemainingMs": 0,
-                "sequence": 1})
+            self.targets[name] = signals, where
+            self.list_target(name)
         # Addresses of their own, so that soaks can run beside each other.
         ips = [f"127.7.{args.seed % 250}.{i + 1}" for i in range(NODES)]
         seeds = ",".join(f"{ip}:1" for ip in ips[:2])
         self.nodes = [Node(args.binary, self.folder, i, address, ip, seeds)
                       for i, ip in enumerate(ips)]
 
+    def list_target(self, name):
+        """As a process that starts now."""
+        self.store.put("servers", name, {
+            "service": "s", "address": self.targets[name][1], "zone": "z",
+            "slots": 64, "state": "ready", "version": "v1",
+            "coldRemainingMs": 0, "sequence": 1,
+            "born": int(time.time() * 1000)})
+
+    def speak(self):
+        """Targets say of themselves what they take, each for some seconds."""
+        plan = random.Random(self.plan_seed)
+        while not self.stop.wait(plan.uniform(0.2, 1)):
+            name = plan.choice(sorted(self.targets))
+            signals, _ = self.targets[name]
+            plan.choice([signals.leave,
+                         lambda it=signals: it.rest_for(plan.uniform(1, 3)),
+                         lambda it=signals: it.limit(plan.choice([0, 1, 5]))])()
+            self.stop.wait(plan.uniform(2, 5))
+            signals.be_well()
+            self.list_target(name)
+
     def fault(self):
         if random.random() >= self.fault_share:
             return ""
@@ -371,7 +408,8 @@
         if kind == "stream":
             headers["X-Token-Usage"] = f"{PROMPT},{MOST_OUT}"
         try:
-            call.request("POST", f"/{kind}/x", body=b"x" * 50, headers=headers)
+            call.request("POST", f"/{kind}/x", body=request.ljust(50).encode(),
+                         headers=headers)
             answer = call.getresponse()
             body = answer.read()
         except (OSError, http.client.HTTPException) as failure:
@@ -428,8 +466,8 @@
             node.signal(signal.SIGKILL if what == "kill" else signal.SIGTERM)
         elif what == "pause":
             node.signal(signal.SIGSTOP)
-            threading.Timer(self.random.uniform(0.3, 2), node.signal,
-                            [signal.SIGCONT]).start()
+            threading.Timer(self.random.uniform(0.3, 2), self.wake,
+                            [node, node.process]).start()
         elif what == "store":
             self.store.mode = self.random.choice(["down", "busy", "lossy"])
             threading.Timer(self.random.uniform(0.5, 3), self.mend_store
@@ -440,6 +478,10 @@
             self.store.put("config", "main",
                            configuration(self.store.revision + 1))
 
+    def wake(self, node, process):
+        self.senders.stood_still[process.pid] = time.monotonic()
+        node.signal(signal.SIGCONT)
+
     def mend_store(self):
         self.store.mode = "well"
 
@@ -486,6 +528,7 @@
             node.start()
         callers = [threading.Thread(target=self.caller, args=[i])
                    for i in range(8)]
+        callers.append(threading.Thread(target=self.speak))
         for it in callers:
             it.start()
         end = time.time() + self.seconds
