Put what targets say of themselves into a file of its own

signal_state's header had a table that the formatter had run together: it is a list now. The functions of target_book that take and tell signals move out of target_rations, and the status of a misdirected request stands once.

--- a/include/fennelladder/dispatch/signal_state.hpp
+++ b/include/fennelladder/dispatch/signal_state.hpp
@@ -4,20 +4,20 @@
 //     signal_news news = said.take(signals_of_answer, now);
 //     if (said.leaving() || said.rest_left(now) > duration(0)) ...
 //
-// | signal  | heard from             | binds     | ends | | ------- |
-// ---------------------- | --------- | --------------------------- | | leaving
-// | answers, peers         | all nodes | with the process            | | rest
-// | rejections             | this node | when its time is over       | | cold
-// | answers, entries, the  | all nodes | when its time is over       | | | end
-// of an evacuation   |           |                             | | limit   |
-// answers, peers         | all nodes | with a later answer that    | | | | |
-// names none; after           | |         |                        | |
-// limit_memory without a word |
+// The signals, whom each binds, and what ends it:
 //
-// Each signal ends only as the table says. The platform's list may be older
-// than an answer, so no entry takes one back, nor does the lack of one: the
-// state is kept for as long as it holds(). Answers may come in any order, so a
-// shorter rest doesn't end a longer one. A new process begins with a new state.
+// - leaving, from answers and peers: binds all nodes, and ends with the
+//   process.
+// - rest, from rejections: binds this node, and ends when its time is over.
+// - cold, from answers, entries and the end of an evacuation: binds all nodes
+//   together, and ends when its time is over.
+// - limit, from answers and peers: binds all nodes together, and ends with a
+//   later answer that names none, or when no node had a word for long.
+//
+// Nothing else ends one. The platform's list may be older than an answer, so no
+// entry takes one back, nor does the lack of one: the state is kept for as long
+// as it holds(). Answers may come in any order, so a shorter rest doesn't end a
+// longer one. A new process begins with a new state.
 //
 // Not thread safe.
 
--- /dev/null
+++ b/libs/dispatch/target_signals.cpp
@@ -0,0 +1,75 @@
+// The part of target_book that takes what targets say of themselves, from their
+// answers and from peers, and tells it to peers.
+
+#include "fennelladder/dispatch/target_book.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace fennelladder::dispatch {
+
+signal_news target_book::note_signals(const catalog::target_process& target,
+                                      const catalog::target_signals& said,
+                                      instant now)
+{
+    target_state* it = find(target);
+    if (it == nullptr)
+        return {};
+    it->on_trial |= said.rest.has_value();
+    return it->said.take(said, now);
+}
+
+std::vector<limit_word> target_book::own_limits(instant now) const
+{
+    std::vector<limit_word> out;
+    for (const auto& [id, state] : targets_)
+        if (const auto word = state.said.limit_for_peers(now))
+            out.push_back({id, state.entry.start, word->rate, word->ago});
+    return out;
+}
+
+std::vector<limit_word>
+target_book::peer_limits(const std::vector<limit_word>& words, instant at)
+{
+    std::vector<limit_word> out;
+    for (const limit_word& word : words) {
+        target_state* it =
+            find(catalog::target_process{word.target, word.start});
+        if (it != nullptr &&
+            it->said.take_peers_limit(word.rate, at - word.ago))
+            out.push_back(word);
+    }
+    return out;
+}
+
+std::vector<catalog::target_process>
+target_book::told_leaving(std::size_t most, instant now) const
+{
+    std::vector<std::pair<duration, catalog::target_process>> told;
+    for (const auto& [id, state] : targets_) {
+        const auto ago = state.said.leaving_for_peers(now);
+        if (ago && !state.entry.leaving)
+            told.emplace_back(*ago, state.entry.process());
+    }
+    std::ranges::sort(told);
+    std::vector<catalog::target_process> out;
+    for (const auto& [ago, process] : told)
+        if (out.size() < most)
+            out.push_back(process);
+    return out;
+}
+
+std::vector<catalog::target_process>
+target_book::peer_leaving(const std::vector<catalog::target_process>& targets,
+                          instant now)
+{
+    std::vector<catalog::target_process> out;
+    for (const catalog::target_process& each : targets) {
+        target_state* it = find(each);
+        if (it != nullptr && it->said.take_peers_leaving(now))
+            out.push_back(each);
+    }
+    return out;
+}
+
+} // namespace fennelladder::dispatch
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -31,9 +31,6 @@
 
 constexpr std::size_t piece_size = 16'384;
 
-/// Status by which another process at the address turns a request away.
-constexpr unsigned misdirected = 421;
-
 /// What is being written; outlives the attempt, since the write may.
 struct outgoing_request
 {
@@ -468,10 +465,10 @@
                                      const adapter::answer_facts& facts)
 {
     const unsigned status = parser.get().result_int();
-    if (facts.not_run || status == misdirected) {
+    if (facts.not_run || status == adapter::misdirected) {
         (void)co_await skip(parser);
         give_back(parser);
-        const bool moved = status == misdirected;
+        const bool moved = status == adapter::misdirected;
         end(moved ? attempt_end::other_life : attempt_end::rejected,
             moved ? target_evidence::other_life : target_evidence::full,
             "status " + std::to_string(status));
