Serve callers of a node that is cut off from targets through its peers

Callers saw: while a node had lost its links to the targets, its requests were refused as not run, or failed, although its peers reached the same targets (39 of 394 first attempts served, 269 of 271 at the others).

Cause: a node takes what it sees for what is. Each target was judged by this node's own connections alone, so a lost link looked like a failed target, every target was dialled in turn, and there was no other way to one. Ruled out: a shortage of targets (the others served nearly all), and leaving the entry answers as a remedy by itself (callers keep addresses for up to 15 s; 394 attempts came later than 3 s after the cut began).

Change: heartbeats name the targets that a node hears from. A target that can't be connected to while a peer hears from it is lost to this node, not failed (dispatch/reach_table); two such losses without a byte between them stand for the whole service. Requests to a lost target go over a connection through a peer that reaches it (edge/relay). The node that has the caller keeps tokens, deadline, retries and the record of what ran, so each of these holds as before; the peer checks for each request whether the target takes it and reads what it signals. A relay needs the peer's incarnation, which only nodes know that get its heartbeats. Probes find healed links. Entry answers leave out nodes that are cut off as long as two others are left.

Ways weighed: the request as HTTP to the peer's own address needs two nodes to agree on who pays, counts retries and knows the configuration; a redirect isn't followed by callers.

--- a/include/fennelladder/dispatch/target_registry.hpp
+++ b/include/fennelladder/dispatch/target_registry.hpp
@@ -30,6 +30,10 @@
 // stale: a target whose address turns out to belong to another incarnation is
 // excluded at once.
 //
+// A target that only peers reach (see dispatch/reach_table.hpp) is eligible
+// too: the choice then says that the request has to be relayed, and failures to
+// connect to it from here don't exclude it.
+//
 // Targets of an evacuated data centre, and targets outside the regions that a
 // request allows, are not eligible. A cold target is eligible only on the
 // nodes assigned to it (dispatch/assignment_table.hpp), within their quotas.
@@ -63,6 +67,7 @@
 #include "fennelladder/catalog/configuration.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
 #include "fennelladder/dispatch/assignment_table.hpp"
+#include "fennelladder/dispatch/reach_table.hpp"
 #include "fennelladder/dispatch/signal_state.hpp"
 
 #include <cstdint>
@@ -115,6 +120,7 @@
     /// Address of a target that holds more of the prompt's shared parts; empty
     /// if a fetch isn't worth it.
     std::string fetch_from;
+    bool relayed = false; ///< Only peers reach the target.
 
     catalog::target_process process() const { return {target, start}; }
 };
@@ -231,6 +237,7 @@
     /// A part that was not used for this long counts as evicted.
     duration part_retention = seconds(20);
     std::size_t max_parts = 4096; ///< Remembered per target.
+    reach_options reach;
 };
 
 class target_registry
@@ -311,7 +318,7 @@
     void first_byte(const choice& made, duration waited, instant now);
 
     /// Bytes of an answer came, so the target is alive.
-    void note_activity(const catalog::target_process& target, instant now);
+    void note_activity(const choice& made, instant now);
 
     /// The request is over; `prefilled` says whether first_byte() was called.
     void finished(const choice& made, bool prefilled, target_evidence evidence,
@@ -332,12 +339,20 @@
     /// True if the target may take new work now.
     bool may_use(const target_id& target, instant now) const;
 
+    /// True if this node may connect a peer to the target now. A cold target,
+    /// whose requests are counted by the nodes it is assigned to, gets none.
+    bool may_relay_to(const catalog::target_process& target, instant now) const;
+
     /// The entry of a target; unset if the target isn't known any more.
     std::optional<catalog::target_entry>
     entry_of(const target_id& target) const;
 
     std::size_t count(const service_id& service) const;
 
+    /// Which of these targets this node reaches.
+    reach_table& reach() { return reach_; }
+    const reach_table& reach() const { return reach_; }
+
 private:
     struct decaying_average
     {
@@ -357,8 +372,9 @@
         std::int64_t peers_reading = 0;
         decaying_average log_slowness; ///< Natural logarithm; 0: as predicted.
         decaying_average failure_rate; ///< 0 to 1.
-        instant backoff_until;
-        int awaiting_first_byte = 0; ///< Requests.
+        instant backoff_until;         ///< After a failed connect.
+        instant full_until;            ///< After a rejection.
+        int awaiting_first_byte = 0;   ///< Requests.
         /// When the last byte came, or when requests began to wait.
         instant silent_since;
         int consecutive_backoffs = 0;
@@ -397,6 +413,7 @@
     bool is_backing_off(const target_state& it, instant now) const;
     static bool backoff_requested(const target_state& it, instant now);
     static void end_probe(target_state& it, instant now);
+    bool is_relayed(const target_state& it) const;
     bool is_silent(const target_state& it, instant now) const;
     std::uint32_t held_tokens(const target_state& it,
                               const routing_request& request,
@@ -411,6 +428,7 @@
                 double predicted, instant now) const;
     void back_off(target_state& it, duration first, instant now);
     static void mark_active(target_state& it, instant now);
+    void note_bytes(target_state& it, const choice& made, instant now);
     void trim_parts(target_state& it, instant now) const;
     /// Null unless this process is the known one of its id.
     target_state* find(const catalog::target_process& target);
@@ -424,6 +442,7 @@
 
     target_registry_options options_;
     assignment_table assignments_;
+    reach_table reach_;
     std::vector<data_center_id> evacuated_; ///< Sorted.
     std::unordered_map<service_id, cold_start_profile> profiles_;
     state_map targets_;
--- a/include/fennelladder/edge/attempt.hpp
+++ b/include/fennelladder/edge/attempt.hpp
@@ -8,6 +8,10 @@
 // buffered until they are complete, so that the request can be retried at
 // another target if the response breaks off.
 //
+// A request to a target that only peers reach goes through one of them
+// (edge/relay.hpp). This node keeps all that belongs to the request: tokens,
+// deadline, retries and what the target signals.
+//
 // A response is accepted only if it names this request. One that names another
 // request (such as a late duplicate response to the previous request on a
 // reused connection) is read to its end and discarded.
@@ -76,6 +80,7 @@
     bool partial_body_sent = false;
     response_head head; ///< Of a failure response that may be relayed.
     std::string body;   ///< Body that belongs to `head`.
+    host_id relay;      ///< The peer that relayed it; empty if none.
     std::string detail; ///< For the log.
 };
 
--- a/include/fennelladder/edge/edge_node.hpp
+++ b/include/fennelladder/edge/edge_node.hpp
@@ -18,6 +18,7 @@
 
 #include "fennelladder/edge/caller_server.hpp"
 #include "fennelladder/edge/entry_planner.hpp"
+#include "fennelladder/edge/link_prober.hpp"
 #include "fennelladder/edge/mesh_node.hpp"
 #include "fennelladder/edge/platform_feed.hpp"
 #include "fennelladder/edge/simple_server.hpp"
@@ -78,6 +79,7 @@
     mesh_node mesh_;
     token_allocator allocator_;
     platform_feed feed_;
+    link_prober links_;
     request_driver driver_;
     caller_server callers_;
     std::vector<std::unique_ptr<simple_server>> servers_;
--- a/include/fennelladder/edge/entry_planner.hpp
+++ b/include/fennelladder/edge/entry_planner.hpp
@@ -6,6 +6,9 @@
 // named; if there are none, those of the regions in which requests for the host
 // name may be run.
 //
+// Nodes that are cut off from targets are named only if fewer than min_nodes
+// others are left: they serve requests at the cost of another hop.
+//
 // Callers pick at random among the addresses they are given, and some send all
 // their requests to one address. Where hosts are of unequal size, small ones
 // are therefore named only if the large ones can't carry the total load with
@@ -31,8 +34,9 @@
     std::string address;
     data_center_id data_center;
     region_id region;
-    double capacity = 0; ///< Requests per second that it can carry.
-    double load = 0;     ///< Requests per second at present.
+    double capacity = 0;  ///< Requests per second that it can carry.
+    double load = 0;      ///< Requests per second at present.
+    bool cut_off = false; ///< It serves requests through other nodes.
 };
 
 struct entry_options
--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -42,6 +42,9 @@
 
     const std::string& address() const { return address_; }
 
+    /// Number of connections that this node relays for peers.
+    std::size_t relayed() const { return exchange_.relayed(); }
+
     /// Logs the traffic sent since the last call, as "datagrams/bytes" for each
     /// kind.
     void log_traffic();
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -70,6 +70,10 @@
     /// Requests per second that this host can carry.
     double capacity() const;
 
+    /// Whether requests for some service go through peers for the most part.
+    /// Callers are served, but better by the peers.
+    bool is_cut_off() const;
+
     /// Updates the target registry from the target list. Call after each change
     /// of the list.
     void update_target_registry();
@@ -91,6 +95,12 @@
     /// The present queueing delay of incoming traffic, beyond the usual one.
     duration queueing_delay() const;
 
+    /// How long connecting to a target may take. Within the fleet's networks it
+    /// takes milliseconds. A connect that takes longer has lost a packet or
+    /// leads nowhere, and another target is faster. On a saturated link,
+    /// connecting to any target takes as long as bytes queue there.
+    duration connect_timeout() const;
+
     /// Puts a configuration into force if it is newer than the present one.
     /// `text` is passed on to other nodes; `source` names the sender for the
     /// log. Returns true if it is in force now.
--- a/include/fennelladder/edge/peer_stream.hpp
+++ b/include/fennelladder/edge/peer_stream.hpp
@@ -61,6 +61,9 @@
 
     void close();
 
+    /// Gives up the connection without closing it.
+    void release();
+
     /// Message bytes read so far, without the length prefixes.
     std::size_t bytes_read() const { return bytes_read_; }
 
--- a/include/fennelladder/edge/target_connection.hpp
+++ b/include/fennelladder/edge/target_connection.hpp
@@ -83,6 +83,11 @@
     /// Creates a connection object for open().
     connection_ptr make(const target_endpoint& to);
 
+    /// Creates a connection object for connect_relayed(); see edge/relay.hpp.
+    connection_ptr make_relayed(const target_endpoint& to);
+
+    const connection_pool_options& options() const { return options_; }
+
     /// Connects. Fails if the connection is refused or not made within `limit`.
     awaitable<status> open(connection_ptr made, duration limit);
 
--- a/include/fennelladder/edge/update_exchange.hpp
+++ b/include/fennelladder/edge/update_exchange.hpp
@@ -24,6 +24,7 @@
 
 #include "fennelladder/edge/node_tables.hpp"
 #include "fennelladder/edge/peer_stream.hpp"
+#include "fennelladder/edge/relay.hpp"
 #include "fennelladder/mesh/source_choice.hpp"
 #include "fennelladder/mesh/transfer_slots.hpp"
 
@@ -47,6 +48,9 @@
     /// The membership view must have processed the heartbeat before.
     void on_heartbeat(const mesh::node_heartbeat& from);
 
+    /// Number of connections that this node relays for peers.
+    std::size_t relayed() const { return relays_.active(); }
+
 private:
     /// State and counters of the fetches of one part.
     struct fetch_state
@@ -112,6 +116,7 @@
     node_tables& tables_;
     std::string address_;
     tcp::acceptor acceptor_;
+    relay_server relays_;
     mesh::transfer_slots slots_;
     fetch_state targets_;
     fetch_state configuration_;
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -106,6 +106,10 @@
     std::vector<dispatch::limit_signal> limits;
     /// Targets that recently signalled to it that they are leaving.
     std::vector<catalog::target_process> leaving;
+    /// Targets it recently heard from over connections of its own.
+    std::vector<dispatch::reached_target> reached;
+    /// It is cut off from a service, and sends its requests through peers.
+    bool cut_off = false;
     std::vector<dispatch::poison_record> poison;
     std::vector<std::string> introduced; ///< Addresses of other nodes.
     /// Nodes whose own heartbeats it received last.
@@ -179,7 +183,29 @@
     configuration
 };
 
-/// Asks a node for everything newer than the given versions.
+/// Asks a node to connect the sender to a target. If it does, the connection
+/// carries the target's bytes from then on, in both directions.
+struct relay_request
+{
+    /// Of the node asked. Known only to nodes that get its heartbeats, so that
+    /// nobody else can use it as a relay.
+    node_incarnation incarnation;
+    catalog::target_process target;
+    std::string request; ///< Id of the caller's request, for the log.
+    host_id host;        ///< Of the sender, for the log.
+};
+
+enum class relay_result : std::uint8_t
+{
+    connected,
+    unreachable, ///< It can't connect to the target.
+    refused,     ///< The target takes nothing, by what it knows.
+    busy         ///< It can't relay now: no room, or it is shutting down.
+};
+
+std::string_view to_string(relay_result value);
+
+/// Asks a node for everything newer than the given versions, or for a relay.
 struct sync_request
 {
     catalog::configuration_version configuration;
@@ -187,6 +213,7 @@
     sync_part part = sync_part::both;
     /// Of the requesting node, to be named to others as a source.
     std::string peer_address;
+    std::optional<relay_request> relay;
 };
 
 struct sync_reply
@@ -206,6 +233,8 @@
     bool busy = false;
     std::vector<std::string> served;
     catalog::configuration_version served_configuration;
+    /// The answer to a relay_request. Unset from nodes of earlier releases.
+    std::optional<relay_result> relay;
     std::size_t invalid_parts = 0; ///< Invalid parts dropped by decoding.
 };
 
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -102,7 +102,7 @@
     const double objective = std::max(to_seconds(request.objective), 0.05);
     double out = predicted * slowness + decayed(it.failure_rate, now) *
                                             options_.failure_cost * objective;
-    if (it.entry.data_center != options_.own_data_center)
+    if (it.entry.data_center != options_.own_data_center || is_relayed(it))
         out += to_seconds(options_.remote_penalty);
     return out;
 }
@@ -253,6 +253,7 @@
     out.address = chosen->entry.address;
     out.data_center = chosen->entry.data_center;
     out.running = chosen->running + chosen->peers_running;
+    out.relayed = is_relayed(*chosen);
     return out;
 }
 
--- a/libs/dispatch/target_registry.cpp
+++ b/libs/dispatch/target_registry.cpp
@@ -68,7 +68,7 @@
 
 target_registry::target_registry(target_registry_options options)
     : options_(std::move(options)),
-      assignments_(options_.self, options_.assignment)
+      assignments_(options_.self, options_.assignment), reach_(options_.reach)
 {}
 
 std::vector<catalog::target_entry>
@@ -92,9 +92,14 @@
                !state.signals.is_active(now) && !listed.contains(it.first);
     });
     by_service_.clear();
-    for (const auto& [id, state] : targets_)
-        if (!state.gone || state.running > 0)
-            by_service_[state.entry.service].push_back(id);
+    std::vector<listed_process> processes;
+    for (const auto& [id, state] : targets_) {
+        if (state.gone && state.running == 0)
+            continue;
+        by_service_[state.entry.service].push_back(id);
+        processes.push_back({state.entry.process(), state.entry.service});
+    }
+    reach_.set_targets(processes);
     recount_peers();
     return replaced;
 }
@@ -106,6 +111,7 @@
     it.consecutive_backoffs = 0;
     it.probe_running = false;
     it.backoff_until = instant();
+    it.full_until = instant();
     it.failure_rate = {};
 }
 
@@ -224,9 +230,16 @@
 
 bool target_registry::is_backing_off(const target_state& it, instant now) const
 {
-    const bool needs_probe = it.consecutive_backoffs > 0 || it.probe_pending;
-    return now < it.backoff_until || (needs_probe && it.probe_running) ||
-           is_silent(it, now);
+    // Failures to connect from here say nothing about a relayed target.
+    const bool failed_here = it.consecutive_backoffs > 0 && !is_relayed(it);
+    const bool needs_probe = failed_here || it.probe_pending;
+    return (now < it.backoff_until && !is_relayed(it)) || now < it.full_until ||
+           (needs_probe && it.probe_running) || is_silent(it, now);
+}
+
+bool target_registry::is_relayed(const target_state& it) const
+{
+    return reach_.needs_relay(it.entry.process());
 }
 
 bool target_registry::backoff_requested(const target_state& it, instant now)
@@ -246,11 +259,14 @@
 /// there that may not be retried wait for their deadlines, and until the first
 /// of them ends nothing else shows that the target is gone, so it would get its
 /// share of new ones for seconds. If it is alive again it answers, or its
-/// connections are reset; both end the silence.
+/// connections are reset; both end the silence. Requests that were sent before
+/// the target was lost to this node show nothing about it.
 bool target_registry::is_silent(const target_state& it, instant now) const
 {
+    const auto lost = reach_.lost_since(it.entry.process());
+    const instant since = std::max(it.silent_since, lost.value_or(instant()));
     return options_.max_silence > duration(0) && it.awaiting_first_byte > 0 &&
-           now - it.silent_since > options_.max_silence;
+           now - since > options_.max_silence;
 }
 
 void target_registry::mark_active(target_state& it, instant now)
@@ -258,11 +274,20 @@
     it.silent_since = std::max(it.silent_since, now);
 }
 
-void target_registry::note_activity(const catalog::target_process& target,
-                                    instant now)
+/// Records that bytes came. Those of a relayed answer don't show that this node
+/// reaches the target.
+void target_registry::note_bytes(target_state& it, const choice& made,
+                                 instant now)
 {
-    if (target_state* it = find(target))
-        mark_active(*it, now);
+    mark_active(it, now);
+    if (!made.relayed)
+        reach_.note_contact(made.process(), now);
+}
+
+void target_registry::note_activity(const choice& made, instant now)
+{
+    if (target_state* it = find(made.process()))
+        note_bytes(*it, made, now);
 }
 
 bool target_registry::may_use(const target_id& target, instant now) const
@@ -272,6 +297,15 @@
            !backoff_requested(it->second, now);
 }
 
+bool target_registry::may_relay_to(const catalog::target_process& target,
+                                   instant now) const
+{
+    const auto it = targets_.find(target.id);
+    return it != targets_.end() && it->second.entry.process() == target &&
+           may_use(target.id, now) && !cold_quota(it->second, now) &&
+           !reach_.lost_since(target);
+}
+
 std::optional<catalog::target_entry>
 target_registry::entry_of(const target_id& target) const
 {
@@ -315,6 +349,9 @@
     if (it->awaiting_first_byte++ == 0)
         mark_active(*it, now);
     it->reading += made.work.reading;
+    // A target that peers hear from didn't restart, so it isn't cold.
+    if (made.relayed)
+        it->consecutive_backoffs = 0;
     if (it->consecutive_backoffs > 0 || it->probe_pending)
         it->probe_running = true;
     if (cold_quota(*it, now) || limited_quota(*it, now))
@@ -343,7 +380,7 @@
         return;
     it->reading -= made.work.reading;
     --it->awaiting_first_byte;
-    mark_active(*it, now);
+    note_bytes(*it, made, now);
     end_probe(*it, now);
     const double predicted = std::max(to_seconds(made.predicted), min_wait);
     const double slowness =
@@ -367,7 +404,7 @@
                           evidence == target_evidence::failed ||
                           evidence == target_evidence::full;
     if (answered)
-        mark_active(*it, now);
+        note_bytes(*it, made, now);
     note_evidence(made.process(), evidence, now);
 }
 
@@ -416,8 +453,7 @@
         return;
     case target_evidence::full:
         it->probe_running = false;
-        it->backoff_until =
-            std::max(it->backoff_until, now + options_.full_backoff);
+        it->full_until = std::max(it->full_until, now + options_.full_backoff);
         return;
     case target_evidence::other_life:
         it->address_reused = true;
--- a/libs/dispatch/target_registry_test.cpp
+++ b/libs/dispatch/target_registry_test.cpp
@@ -468,7 +468,7 @@
     const instant later = start + milliseconds(1'001);
     CHECK(chosen(request, later) != first->target);
     // It was only slow, or it works again.
-    registry.note_activity(first->process(), later);
+    registry.note_activity(*first, later);
     CHECK(chosen(request, later) == first->target);
     // No request waits for a first byte any more.
     registry.first_byte(*first, seconds(1), later);
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -4,6 +4,8 @@
 
 #include "fennelladder/edge/attempt.hpp"
 
+#include "fennelladder/edge/relay.hpp"
+
 #include <array>
 #include <boost/asio/write.hpp>
 #include <limits>
@@ -15,12 +17,6 @@
 using dispatch::attempt_end;
 using dispatch::target_evidence;
 
-/// Within the fleet's networks a connection is made in milliseconds. One that
-/// takes longer has lost a packet or leads nowhere, and another target is
-/// faster. On a saturated link, connecting to any target takes as long as bytes
-/// queue there, so that time is added.
-constexpr duration connect_timeout = milliseconds(350);
-
 /// Responses up to this size are buffered until complete.
 constexpr std::size_t max_buffered_bytes = 524'288;
 
@@ -52,6 +48,8 @@
 
 private:
     awaitable<bool> connect();
+    awaitable<bool> connect_through_peer();
+    bool take_idle(const target_endpoint& to);
     void record_signals(const response_parser& parser,
                         const adapter::response_header_values& header_values);
     bool may_still_send();
@@ -164,25 +162,67 @@
         co_return false;
     }
     const target_endpoint to{in_.target.process(), in_.target.address};
-    connection_ =
-        in_.tables.pool.take_idle(to, in_.max_idle_time, in_.tables.now());
-    if (connection_) {
-        out_.reused_connection = true;
-        in_.cancellation.attach(connection_);
+    if (take_idle(to))
         co_return true;
+    if (in_.target.relayed) {
+        const bool relayed = co_await connect_through_peer();
+        co_return relayed;
     }
     connection_ = in_.tables.pool.make(to);
     in_.cancellation.attach(connection_);
-    // The target's reply queues like all other traffic on a saturated link.
-    const duration limit = connect_timeout + 2 * in_.tables.queueing_delay();
-    const status made = co_await in_.tables.pool.open(connection_, limit);
+    const instant started = in_.tables.now();
+    const status made = co_await in_.tables.pool.open(
+        connection_, in_.tables.connect_timeout());
+    dispatch::reach_table& reach = in_.tables.registry.reach();
+    if (made)
+        reach.note_connected(to.process, in_.tables.now());
     if (made && in_.cancellation.stopped() == stop_reason::none)
         co_return true;
-    if (in_.cancellation.stopped() == stop_reason::none)
+    if (in_.cancellation.stopped() == stop_reason::none) {
+        reach.note_dial_failed(to.process, started, in_.tables.now());
         end(attempt_end::not_connected, target_evidence::unreachable,
             made.error().message);
-    else
+    } else {
         end_with_error("connect");
+    }
+    co_return false;
+}
+
+/// Takes an idle connection to the target. Returns false if there is none, or
+/// if the target was lost since it was last used.
+bool attempt::take_idle(const target_endpoint& to)
+{
+    // A relayed answer isn't evidence of this node's own link.
+    if (in_.target.relayed ||
+        !in_.tables.registry.reach().may_use_open(to.process))
+        return false;
+    connection_ =
+        in_.tables.pool.take_idle(to, in_.max_idle_time, in_.tables.now());
+    if (!connection_)
+        return false;
+    out_.reused_connection = true;
+    in_.cancellation.attach(connection_);
+    return true;
+}
+
+awaitable<bool> attempt::connect_through_peer()
+{
+    connection_ = in_.tables.pool.make_relayed(
+        {in_.target.process(), in_.target.address});
+    in_.cancellation.attach(connection_);
+    const relay_outcome got = co_await connect_relayed(
+        in_.tables, connection_, in_.request.header_values.id);
+    out_.relay = got.peer;
+    if (in_.cancellation.stopped() != stop_reason::none) {
+        end_with_error("connect through peer");
+        co_return false;
+    }
+    if (got.result == mesh::relay_result::connected)
+        co_return true;
+    const bool unreachable = got.result == mesh::relay_result::unreachable;
+    end(attempt_end::not_connected,
+        unreachable ? target_evidence::unreachable : target_evidence::nothing,
+        "relay " + std::string(to_string(got.result)));
     co_return false;
 }
 
@@ -320,7 +360,8 @@
                        !header_values.closes_connection && outgoing_->done &&
                        connection_->buf.size() == 0;
     in_.cancellation.detach();
-    if (!clean)
+    // The relaying peer checks for each request whether the target takes it.
+    if (!clean || in_.target.relayed)
         return;
     in_.tables.pool.release(connection_, header_values.keep_alive,
                             in_.tables.now());
@@ -366,8 +407,7 @@
         const bool more = co_await read_body_part(parser, part);
         if (!more)
             co_return;
-        in_.tables.registry.note_activity(in_.target.process(),
-                                          in_.tables.now());
+        in_.tables.registry.note_activity(in_.target, in_.tables.now());
         if (!in_.events.feed(part)) {
             end(attempt_end::garbled, target_evidence::broke, "events");
             co_return;
@@ -506,6 +546,12 @@
             "status " + std::to_string(status) + " without a signature");
         co_return;
     }
+    // The end of a relayed connection may be that of the relaying peer.
+    if (in_.target.relayed && parser.need_eof() && !is_head_request()) {
+        end(attempt_end::broken, target_evidence::nothing,
+            "relayed response without a length");
+        co_return;
+    }
     if (status < 200 || status >= 300) {
         co_await buffer_failure(parser);
         co_return;
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -59,7 +59,8 @@
           [this](const std::string& address, const mesh::datagram& message) {
               mesh_.send(address, message);
           }),
-      feed_(tables_, client_, mesh_), driver_(tables_, allocator_),
+      feed_(tables_, client_, mesh_), links_(tables_),
+      driver_(tables_, allocator_),
       callers_(tables_, driver_, limits_for(tables_.settings)),
       signals_(io, SIGTERM, SIGINT, SIGHUP),
       settings_text_(options_.settings_text)
@@ -107,6 +108,7 @@
     add_seed_nodes();
     feed_.start();
     allocator_.start();
+    links_.start();
     spawn(io_, watch_signals());
     spawn(io_, run_periodic_tasks());
     log_event(event::node_started,
@@ -156,9 +158,12 @@
     co_await sleep_on(timer, options_.drain_delay);
     callers_.stop_accepting();
     callers_.reject_new_requests();
-    while (callers_.requests_in_flight() > 0 && tables_.now() < end)
+    const auto in_flight = [this] {
+        return callers_.requests_in_flight() + mesh_.relayed();
+    };
+    while (in_flight() > 0 && tables_.now() < end)
         co_await sleep_on(timer, drain_check_period);
-    const std::size_t left = callers_.requests_in_flight();
+    const std::size_t left = in_flight();
     co_await allocator_.push_all(token_hand_over_timeout);
     log_event(left == 0 ? event::node_stopped : event::node_left_unclean,
               {{"under_way", std::to_string(left)}});
@@ -247,14 +252,15 @@
     if (tables_.state() == mesh::node_state::ready)
         out.push_back({settings.listen.callers, settings.data_center,
                        settings.region, tables_.capacity(),
-                       tables_.accepted_requests.at(now)});
+                       tables_.accepted_requests.at(now),
+                       tables_.is_cut_off()});
     for (const mesh::peer_record* it : tables_.peers.alive(now)) {
         const mesh::node_heartbeat& last = it->last;
         if (last.state == mesh::node_state::ready &&
             !last.caller_address.empty())
             out.push_back({last.caller_address, last.data_center,
                            settings.region_of(last.data_center), last.capacity,
-                           last.requests_per_second});
+                           last.requests_per_second, last.cut_off});
     }
     return out;
 }
@@ -302,6 +308,10 @@
         .set(age_of(tables_.targets_freshness.age(now)));
     metrics.gauge_of("fennelladder_evacuations_age_milliseconds")
         .set(age_of(tables_.evacuations_freshness.age(now)));
+    metrics.gauge_of("fennelladder_targets_lost")
+        .set(static_cast<std::int64_t>(tables_.registry.reach().lost_count()));
+    metrics.gauge_of("fennelladder_relayed_connections")
+        .set(static_cast<std::int64_t>(mesh_.relayed()));
     metrics.gauge_of("fennelladder_target_connections_opened")
         .set(static_cast<std::int64_t>(tables_.pool.opened()));
     metrics.gauge_of("fennelladder_log_lines_dropped")
--- a/libs/edge/entry_planner.cpp
+++ b/libs/edge/entry_planner.cpp
@@ -83,7 +83,12 @@
                                     const entry_query& query,
                                     const entry_options& options)
 {
-    std::vector<entry_node> selected = nearest_nodes(nodes, query, options);
+    std::vector<entry_node> candidates =
+        filter_nodes(nodes, [](const entry_node& it) { return !it.cut_off; });
+    if (candidates.size() < options.min_nodes)
+        candidates = nodes;
+    std::vector<entry_node> selected =
+        nearest_nodes(candidates, query, options);
     keep_largest_sufficient(selected, options);
     if (selected.size() > options.max_addresses)
         selected.resize(options.max_addresses);
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t max_stocks = 32;
 constexpr std::size_t max_rate_limits = 16;
 constexpr std::size_t max_leaving_targets = 16;
+constexpr std::size_t max_reached_targets = 64;
 
 /// Target changes carried in one heartbeat, of about 100 bytes each, so that it
 /// fits one packet. If there are more, peers fetch them.
@@ -179,6 +180,9 @@
     out.limits = newest_limits(tables_.registry.own_limits(tables_.now()));
     out.leaving =
         tables_.registry.own_leaving(max_leaving_targets, tables_.now());
+    out.reached =
+        tables_.registry.reach().own_report(max_reached_targets, tables_.now());
+    out.cut_off = tables_.is_cut_off();
     out.poison = tables_.poison.recent(poison_report_time, max_poison_records,
                                        tables_.now());
     return out;
@@ -366,6 +370,10 @@
     const instant now = tables_.now();
     const mesh::heartbeat_effect observed =
         tables_.peers.on_heartbeat(from, now);
+    if (!observed.late)
+        tables_.registry.reach().set_peer(
+            from.host, from.reached,
+            now - mesh::hop_allowance - observed.delay.value_or(duration(0)));
     add_peer_addresses(from.introduced);
     if (observed.died)
         handle_node_death(from.host, now);
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -10,6 +10,8 @@
 using telemetry::log_event;
 namespace event = telemetry::event;
 
+constexpr duration usual_connect_timeout = milliseconds(350);
+
 /// For this long after the platform became reachable again, entries missing
 /// from its list may still return: targets rewrite theirs within two seconds.
 constexpr duration entry_return_window = milliseconds(2500);
@@ -121,6 +123,11 @@
            (configuration_announced && lateness.is_overdue(configuration_age));
 }
 
+bool node_tables::is_cut_off() const
+{
+    return !registry.reach().impaired_services().empty();
+}
+
 double node_tables::capacity() const
 {
     return request_capacity(settings.cores, settings.link_bits_per_second);
@@ -149,6 +156,12 @@
     return lateness.max_delay(now()).value_or(duration(0));
 }
 
+/// The target's reply queues like all other traffic on a saturated link.
+duration node_tables::connect_timeout() const
+{
+    return usual_connect_timeout + 2 * queueing_delay();
+}
+
 void node_tables::update_target_registry()
 {
     const bool in_doubt = target_list_in_doubt();
--- a/libs/edge/peer_stream.cpp
+++ b/libs/edge/peer_stream.cpp
@@ -126,7 +126,14 @@
 {
     deadline_.clear();
     net_error ec;
-    socket_->close(ec);
+    if (socket_ != nullptr)
+        socket_->close(ec);
+}
+
+void peer_stream::release()
+{
+    deadline_.clear();
+    socket_.reset();
 }
 
 } // namespace fennelladder::edge
--- /dev/null
+++ b/libs/edge/relay.cpp
@@ -0,0 +1,320 @@
+#include "fennelladder/edge/relay.hpp"
+
+#include "fennelladder/mesh/source_choice.hpp"
+#include "fennelladder/telemetry/log.hpp"
+#include "platform/request_headers.hpp"
+
+#include <array>
+#include <boost/asio/write.hpp>
+
+namespace fennelladder::edge {
+
+namespace {
+
+using mesh::relay_result;
+using telemetry::log_event;
+namespace event = telemetry::event;
+
+/// Peers asked for one request.
+constexpr int max_peers_asked = 3;
+
+/// The reply contains a result, and fields that are empty.
+constexpr std::size_t max_reply_bytes = 1'024;
+
+constexpr std::size_t copy_bytes = 16'384;
+
+/// Memory of a relayed connection: two copy buffers and the kernel's buffers.
+constexpr std::size_t bytes_per_relay = 65'536;
+
+/// Bytes searched for the head of the target's answer.
+constexpr std::size_t max_head_bytes = 16'384;
+
+/// A target that is told that nobody waits any more, and goes on, is
+/// disconnected after this time.
+constexpr duration half_close_timeout = milliseconds(150);
+
+/// A node that has its whole answer closes the connection within this time.
+constexpr duration delivery_timeout = seconds(1);
+
+/// An eighth of the memory and of the descriptors, two a connection.
+std::size_t limit_for(const adapter::host_settings& settings)
+{
+    const std::size_t memory = std::size_t(settings.memory_mb) * 1'000'000;
+    return std::min<std::size_t>(memory / 8 / bytes_per_relay,
+                                 settings.descriptors / 8 / 2);
+}
+
+/// The peers that may relay to the target and accept requests.
+std::vector<const mesh::peer_record*>
+relays_of(const node_tables& tables, const catalog::target_process& target)
+{
+    std::vector<const mesh::peer_record*> out;
+    const instant now = tables.now();
+    for (const host_id& it : tables.registry.reach().relays(target, now)) {
+        const auto found = tables.peers.rows().find(it);
+        if (found != tables.peers.rows().end() &&
+            tables.peers.is_alive(found->second, now) &&
+            found->second.last.state == mesh::node_state::ready)
+            out.push_back(&found->second);
+    }
+    return out;
+}
+
+/// A random one of these, in favour of near and large hosts; null if none.
+const mesh::peer_record*
+choose_relay(node_tables& tables,
+             const std::vector<const mesh::peer_record*>& relays)
+{
+    std::vector<mesh::update_source> sources;
+    for (const mesh::peer_record* it : relays)
+        sources.push_back(
+            {it->last.peer_address, it->last.data_center, it->last.capacity});
+    const std::string address = mesh::choose_source(
+        sources, tables.settings.data_center, tables.random);
+    for (const mesh::peer_record* it : relays)
+        if (it->last.peer_address == address)
+            return it;
+    return nullptr;
+}
+
+/// Asks one peer. The connection is closed unless it is `connected`.
+awaitable<relay_result> ask_peer(node_tables& tables, connection_ptr made,
+                                 std::string address, mesh::relay_request ask)
+{
+    const auto endpoint = parse_endpoint(address);
+    if (!endpoint)
+        co_return relay_result::busy;
+    // The peer's own connect has the same limit as one from here.
+    socket_deadline until(socket_of(made));
+    until.close_after(2 * tables.connect_timeout());
+    peer_stream stream(socket_of(made));
+    const bool connected =
+        co_await stream.connect(*endpoint, tables.connect_timeout());
+    if (!connected)
+        co_return relay_result::busy;
+    mesh::sync_request question;
+    question.relay = std::move(ask);
+    const std::string request = framed(mesh::encode(question));
+    std::string bytes;
+    const bool sent = co_await stream.write(request);
+    if (!sent)
+        co_return relay_result::busy;
+    const bool read = co_await stream.read(bytes, max_reply_bytes);
+    if (!read)
+        co_return relay_result::busy;
+    const auto reply = mesh::decode_sync_reply(bytes);
+    const relay_result out =
+        reply && reply->relay ? *reply->relay : relay_result::busy;
+    if (out == relay_result::connected) {
+        stream.release();
+        enable_keepalive(made->socket, tables.pool.options().keepalive_timeout);
+    }
+    co_return out;
+}
+
+} // namespace
+
+awaitable<relay_outcome>
+connect_relayed(node_tables& tables, connection_ptr made, std::string request)
+{
+    relay_outcome out;
+    dispatch::reach_table& reach = tables.registry.reach();
+    const catalog::target_process target = made->to.process;
+    for (int i = 0; i < max_peers_asked; ++i) {
+        const mesh::peer_record* peer =
+            choose_relay(tables, relays_of(tables, target));
+        if (peer == nullptr)
+            break;
+        // Copied: the record may be gone after the wait.
+        const std::string address = peer->last.peer_address;
+        const mesh::relay_request ask{peer->last.incarnation, target, request,
+                                      tables.settings.host};
+        out.peer = peer->last.host;
+        out.result = co_await ask_peer(tables, made, address, ask);
+        tables.metrics
+            .counter_of("fennelladder_relays_asked_total",
+                        {{"result", std::string(to_string(out.result))}})
+            .add();
+        if (out.result != relay_result::busy)
+            break;
+        reach.note_relay_failed(out.peer, tables.now());
+    }
+    const bool useless = out.result == relay_result::unreachable ||
+                         out.result == relay_result::refused;
+    if (useless)
+        reach.note_unreachable_by_peer(target, tables.now());
+    co_return out;
+}
+
+/// A connection of a peer, and the one to the target that it is relayed to.
+struct relay_server::relayed_connection
+{
+    std::shared_ptr<tcp::socket> peer;
+    connection_ptr target;
+    mesh::relay_request ask;
+    std::string head; ///< Of the answer, until it has been read.
+    bool head_read = false;
+    std::size_t request_bytes = 0;
+    std::size_t answer_bytes = 0;
+
+    void close() const
+    {
+        net_error ec;
+        peer->close(ec);
+        target->socket.close(ec);
+    }
+};
+
+relay_server::relay_server(node_tables& tables)
+    : tables_(tables), limit_(limit_for(tables.settings))
+{}
+
+relay_result relay_server::check(const mesh::relay_request& ask) const
+{
+    if (tables_.state() != mesh::node_state::ready || active_ >= limit_)
+        return relay_result::busy;
+    if (!tables_.registry.may_relay_to(ask.target, tables_.now()))
+        return relay_result::refused;
+    return relay_result::connected;
+}
+
+awaitable<relay_result> relay_server::connect(connection_ptr made)
+{
+    const instant started = tables_.now();
+    const status opened =
+        co_await tables_.pool.open(made, tables_.connect_timeout());
+    const instant now = tables_.now();
+    dispatch::reach_table& reach = tables_.registry.reach();
+    if (opened) {
+        reach.note_connected(made->to.process, now);
+        co_return relay_result::connected;
+    }
+    reach.note_dial_failed(made->to.process, started, now);
+    tables_.registry.note_evidence(made->to.process,
+                                   dispatch::target_evidence::unreachable, now);
+    co_return relay_result::unreachable;
+}
+
+awaitable<void> relay_server::serve(peer_stream& stream,
+                                    std::shared_ptr<tcp::socket> socket,
+                                    mesh::relay_request ask)
+{
+    if (ask.incarnation != tables_.incarnation)
+        co_return;
+    const instant started = tables_.now();
+    mesh::sync_reply reply;
+    reply.relay = check(ask);
+    ++active_;
+    const auto it = std::make_shared<relayed_connection>();
+    it->peer = std::move(socket);
+    it->ask = std::move(ask);
+    if (reply.relay == relay_result::connected) {
+        const auto entry = tables_.registry.entry_of(it->ask.target.id);
+        it->target = tables_.pool.make({it->ask.target, entry->address});
+        reply.relay = co_await connect(it->target);
+    }
+    const std::string bytes = framed(mesh::encode(reply));
+    const bool sent = co_await stream.write(bytes);
+    if (sent && reply.relay == relay_result::connected) {
+        enable_keepalive(*it->peer, tables_.pool.options().keepalive_timeout);
+        spawn(tables_.io, copy_request(it));
+        co_await copy_answer(it);
+        it->close();
+    }
+    --active_;
+    log_event(event::request_relayed,
+              {{"id", it->ask.request},
+               {"target", it->ask.target.id.str()},
+               {"for", it->ask.host.str()},
+               {"result", std::string(to_string(*reply.relay))},
+               {"request_bytes", std::to_string(it->request_bytes)},
+               {"answer_bytes", std::to_string(it->answer_bytes)},
+               {"ms", milliseconds_text(tables_.now() - started)}});
+}
+
+/// Copies until the peer has sent all, or leaves.
+awaitable<void> relay_server::copy_request(relayed_ptr it)
+{
+    std::vector<char> buf(copy_bytes);
+    net_error ec;
+    for (;;) {
+        const std::size_t n =
+            co_await it->peer->async_read_some(asio::buffer(buf), into(ec));
+        if (ec)
+            break;
+        it->request_bytes += n;
+        co_await asio::async_write(it->target->socket,
+                                   asio::buffer(buf.data(), n), into(ec));
+        if (ec)
+            break;
+    }
+    if (ec != asio::error::eof) {
+        it->close();
+        co_return;
+    }
+    // The peer's caller has left, or the peer has what it wanted.
+    it->target->socket.shutdown(tcp::socket::shutdown_send, ec);
+    asio::steady_timer timer(tables_.io);
+    co_await sleep_on(timer, half_close_timeout);
+    it->close();
+}
+
+/// Copies until the target has sent all, or its connection breaks.
+awaitable<void> relay_server::copy_answer(relayed_ptr it)
+{
+    std::vector<char> buf(copy_bytes);
+    net_error ec;
+    for (;;) {
+        const std::size_t n = co_await it->target->socket.async_read_some(
+            asio::buffer(buf), into(ec));
+        if (ec)
+            break;
+        it->answer_bytes += n;
+        tables_.registry.reach().note_contact(it->ask.target, tables_.now());
+        read_signals(*it, buf.data(), n);
+        co_await asio::async_write(*it->peer, asio::buffer(buf.data(), n),
+                                   into(ec));
+        if (ec)
+            break;
+    }
+    if (ec != asio::error::eof)
+        co_return;
+    it->peer->shutdown(tcp::socket::shutdown_send, ec);
+    // Closing at once could reset the connection and lose the answer's end.
+    socket_deadline until(it->peer);
+    until.close_after(delivery_timeout);
+    co_await it->peer->async_wait(tcp::socket::wait_error, into(ec));
+}
+
+/// Records what the target signals, since it takes this node for the sender.
+void relay_server::read_signals(relayed_connection& it, const char* bytes,
+                                std::size_t size)
+{
+    if (it.head_read)
+        return;
+    it.head.append(bytes, size);
+    http::response_parser<http::empty_body> parser;
+    parser.skip(true);
+    net_error ec;
+    parser.put(asio::buffer(it.head), ec);
+    const bool incomplete =
+        ec == http::error::need_more && it.head.size() < max_head_bytes;
+    if (incomplete)
+        return;
+    it.head_read = true;
+    it.head.clear();
+    if (ec || !parser.is_header_done())
+        return;
+    const unsigned code = parser.get().result_int();
+    auto signals = adapter::parse_target_signals(code, parser.get().base());
+    if (!signals)
+        return;
+    const auto values = adapter::parse_response_headers(parser.get().base());
+    signals->is_latest =
+        values.signed_by_target && values.request == it.ask.request;
+    const dispatch::signal_changes changes =
+        tables_.registry.note_signals(it.ask.target, *signals, tables_.now());
+    log_signals(it.ask.target.id, *signals, changes, "relayed answer");
+}
+
+} // namespace fennelladder::edge
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -130,6 +130,7 @@
     event_splitter events_;
     std::vector<catalog::target_process> tried_targets_;
     target_id last_target_;
+    host_id last_relay_;       ///< Of the last attempt; empty if it was direct.
     bool retry_taken_ = false; ///< For the attempt after an idle one.
     bool prompt_may_have_been_read_ = false; ///< Then it is charged.
     std::optional<instant> last_sent_at_;
@@ -392,6 +393,7 @@
                                  const dispatch::choice& target)
 {
     last_target_ = target.target;
+    last_relay_ = got.relay;
     const bool not_run = dispatch::proved_not_run(got.ended);
     if (got.sent_at) {
         ++state_.sent;
@@ -492,6 +494,8 @@
                       {{"id", request_.header_values.id},
                        {"target", target->target.str()},
                        {"address", target->address},
+                       {"relay", got.relay.str()},
+                       {"reused", got.reused_connection ? "yes" : "no"},
                        {"ended", std::string(to_string(got.ended))},
                        {"detail", got.detail},
                        {"running", std::to_string(target->running)},
@@ -517,6 +521,7 @@
          {"route", route_ ? route_->id.str() : ""},
          {"team", team_ ? team_->id.str() : ""},
          {"target", last_target_.str()},
+         {"relay", last_relay_.str()},
          {"ms", milliseconds_text(took)},
          {"sent_ms", last_sent_at_
                          ? milliseconds_text(*last_sent_at_ - request_.arrived)
--- a/libs/edge/target_connection.cpp
+++ b/libs/edge/target_connection.cpp
@@ -53,6 +53,11 @@
     return std::make_shared<target_connection>(io_, to);
 }
 
+connection_ptr connection_pool::make_relayed(const target_endpoint& to)
+{
+    return std::make_shared<target_connection>(io_, to);
+}
+
 awaitable<status> connection_pool::open(connection_ptr made, duration limit)
 {
     const auto endpoint = parse_endpoint(made->to.address);
--- a/libs/edge/update_exchange.cpp
+++ b/libs/edge/update_exchange.cpp
@@ -90,7 +90,7 @@
 
 update_exchange::update_exchange(node_tables& tables, std::string address)
     : tables_(tables), address_(std::move(address)), acceptor_(tables.io),
-      slots_(tables.settings.link_bits_per_second),
+      relays_(tables), slots_(tables.settings.link_bits_per_second),
       targets_(tables.metrics, sync_part::targets),
       configuration_(tables.metrics, sync_part::configuration),
       fetched_bytes_(tables.metrics.counter_of(fetched_bytes_metric)),
@@ -256,7 +256,7 @@
     if (!connected)
         co_return false;
     const mesh::sync_request ask{tables_.version(), tables_.targets.as_of(),
-                                 fetch.part, address_};
+                                 fetch.part, address_, std::nullopt};
     const std::string request = framed(mesh::encode(ask));
     const bool sent = co_await stream.write(request);
     if (!sent)
@@ -385,7 +385,7 @@
 
 awaitable<void> update_exchange::serve(std::shared_ptr<tcp::socket> socket)
 {
-    peer_stream stream(std::move(socket));
+    peer_stream stream(socket);
     std::string bytes;
     const bool read = co_await stream.read(bytes, max_request_bytes);
     if (!read)
@@ -395,7 +395,10 @@
         note_unreadable("a question", ask.error());
         co_return;
     }
-    co_await answer(stream, *ask);
+    if (ask->relay)
+        co_await relays_.serve(stream, socket, *ask->relay);
+    else
+        co_await answer(stream, *ask);
 }
 
 awaitable<void> update_exchange::answer(peer_stream& stream,
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -96,6 +96,10 @@
   27: optional double fleets_lost
   28: optional list<Limit> limits
   29: optional list<LeavingTarget> leaving
+  // Five bytes a target: its mark in network byte order, and the time since it
+  // was heard from in units of 50 ms.
+  30: optional binary reached
+  31: optional bool cut_off
 }
 
 struct TokenAsk {
@@ -135,11 +139,20 @@
   5: optional TokenGiftTaken gift_taken
 }
 
+struct RelayAsk {
+  1: i64 life
+  2: string target
+  3: i64 start_ms
+  4: string request
+  5: string host
+}
+
 struct SyncAsk {
   1: i64 configuration
   2: i64 targets_as_of
   3: optional i8 part
   4: optional string peer_address
+  5: optional RelayAsk relay
 }
 
 struct SyncReply {
@@ -151,4 +164,5 @@
   6: optional bool busy
   7: optional list<string> served
   8: optional i64 served_configuration
+  9: optional i8 relay
 }
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <span>
 
 namespace fennelladder::mesh {
@@ -244,6 +245,68 @@
     return out;
 }
 
+/// Unit of the ages of reached targets.
+constexpr duration reach_age_unit = milliseconds(50);
+constexpr std::size_t reached_row_bytes = 5;
+
+/// Ages are rounded up: a target must not seem to be heard from later.
+std::string to_wire(const std::vector<dispatch::reached_target>& from)
+{
+    std::string out;
+    for (const dispatch::reached_target& it : from) {
+        const auto units =
+            (it.ago + reach_age_unit - duration(1)) / reach_age_unit;
+        for (const int shift : {24, 16, 8, 0})
+            out.push_back(static_cast<char>(it.mark >> shift));
+        out.push_back(static_cast<char>(std::clamp<std::int64_t>(
+            units, 0, std::numeric_limits<std::uint8_t>::max())));
+    }
+    return out;
+}
+
+std::vector<dispatch::reached_target> reached_from(const std::string& bytes,
+                                                   std::size_t& invalid_parts)
+{
+    std::vector<dispatch::reached_target> out;
+    const std::size_t rows = bytes.size() / reached_row_bytes;
+    if (bytes.size() % reached_row_bytes != 0 || rows > max_heartbeat_rows) {
+        ++invalid_parts;
+        return out;
+    }
+    for (std::size_t i = 0; i < rows; ++i) {
+        const auto byte = [&](std::size_t n) {
+            return static_cast<std::uint8_t>(bytes[i * reached_row_bytes + n]);
+        };
+        dispatch::process_mark mark = 0;
+        for (std::size_t n = 0; n < 4; ++n)
+            mark = mark << 8 | byte(n);
+        out.push_back({mark, reach_age_unit * byte(4)});
+    }
+    return out;
+}
+
+wire::RelayAsk to_wire(const relay_request& from)
+{
+    wire::RelayAsk out;
+    out.life = to_signed(from.incarnation.value());
+    out.target = from.target.id.str();
+    out.start_ms = to_signed(from.target.start.value());
+    out.request = from.request;
+    out.host = from.host.str();
+    return out;
+}
+
+/// Unset if the target is invalid: nothing can be connected to it.
+std::optional<relay_request> from_wire(const wire::RelayAsk& from)
+{
+    if (!is_id(from.target) || from.start_ms < 0)
+        return std::nullopt;
+    return relay_request{id_of<node_incarnation>(from.life),
+                         {target_id(from.target), start_of(from.start_ms)},
+                         from.request,
+                         host_id(from.host)};
+}
+
 wire::Beacon to_wire(const node_heartbeat& from)
 {
     wire::Beacon out;
@@ -301,6 +364,10 @@
     for (const auto& it : from.leaving)
         out.leaving.push_back(to_wire(it));
     out.__isset.leaving = !out.leaving.empty();
+    if (!from.reached.empty())
+        out.__set_reached(to_wire(from.reached));
+    if (from.cut_off)
+        out.__set_cut_off(true);
     for (const auto& it : from.poison)
         out.poison.push_back(to_wire(it));
     out.__isset.poison = !out.poison.empty();
@@ -501,6 +568,8 @@
     out.stock = stock_from(from.stock, invalid_parts);
     out.limits = limits_from(from.limits, invalid_parts);
     out.leaving = leaving_from(from.leaving, invalid_parts);
+    out.reached = reached_from(from.reached, invalid_parts);
+    out.cut_off = from.__isset.cut_off && from.cut_off;
     out.poison = poison_from(from.poison, invalid_parts);
     out.introduced = addresses_from(from.introduced, invalid_parts);
     for (const wire::HeardNode& it : first_rows(from.heard, invalid_parts))
@@ -604,6 +673,8 @@
     out.targets_as_of = to_signed(message.targets_as_of.value());
     out.__set_part(static_cast<std::int8_t>(message.part));
     out.__set_peer_address(message.peer_address);
+    if (message.relay)
+        out.__set_relay(to_wire(*message.relay));
     return to_bytes(out);
 }
 
@@ -619,6 +690,8 @@
     out.__isset.targets = !out.targets.empty();
     if (!message.packed_configuration.empty())
         out.__set_packed_configuration(message.packed_configuration);
+    if (message.relay)
+        out.__set_relay(static_cast<std::int8_t>(*message.relay));
     if (!message.busy)
         return to_bytes(out);
     out.__set_busy(true);
@@ -666,10 +739,16 @@
         return fail(error_code::corrupt,
                     "sync request with a negative configuration version or "
                     "target revision");
-    return sync_request{
-        id_of<catalog::configuration_version>(read->configuration),
-        id_of<catalog::revision>(read->targets_as_of), part_of(read->part),
-        read->peer_address};
+    sync_request out{id_of<catalog::configuration_version>(read->configuration),
+                     id_of<catalog::revision>(read->targets_as_of),
+                     part_of(read->part), read->peer_address, std::nullopt};
+    if (!read->__isset.relay)
+        return out;
+    out.relay = from_wire(read->relay);
+    if (!out.relay)
+        return fail(error_code::corrupt,
+                    "relay request without a valid target");
+    return out;
 }
 
 result<sync_reply> decode_sync_reply(std::string_view bytes)
@@ -692,7 +771,26 @@
     out.served = addresses_from(read->served, out.invalid_parts);
     out.served_configuration =
         id_of<catalog::configuration_version>(read->served_configuration);
+    const bool known = read->__isset.relay && read->relay >= 0 &&
+                       read->relay <= static_cast<int>(relay_result::busy);
+    if (known)
+        out.relay = static_cast<relay_result>(read->relay);
     return out;
 }
 
+std::string_view to_string(relay_result value)
+{
+    switch (value) {
+    case relay_result::connected:
+        return "connected";
+    case relay_result::unreachable:
+        return "unreachable";
+    case relay_result::refused:
+        return "refused";
+    case relay_result::busy:
+        return "busy";
+    }
+    return "unknown";
+}
+
 } // namespace fennelladder::mesh
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -236,6 +236,14 @@
     {event::target_rests, severity::info, "target_rests",
      "A target rejected a request and asked this node to send none for a "
      "while."},
+    {event::service_cut_off, severity::warning, "service_cut_off",
+     "The node lost its links to at least half of a service's targets while "
+     "peers reach them; requests go through peers."},
+    {event::service_reached, severity::info, "service_reached",
+     "The node reaches most targets of a service again, or no peer does "
+     "either; requests go there directly."},
+    {event::request_relayed, severity::info, "request_relayed",
+     "The node connected a peer to a target that the peer doesn't reach."},
     {event::node_heard, severity::info, "node_heard",
      "Another node, or a new life of it, was heard for the first time."},
     {event::node_state_changed, severity::info, "node_state_changed",
