Don't take a lost link for the death of a target

Callers saw: requests that were under way when a node lost its links were counted as killers of their targets on all nodes, and refused after two such deaths.

Cause: a target whose answer broke off and that this node can't connect to counted as dead. Change: before that, a peer that reaches the service is asked to connect to the target; only if it can't either, the target is dead. A death is recorded at once where no peer ever reported the service, and up to half a second later otherwise.

Test: relayed_request, a_lost_link_is_not_the_death_of_a_target failed before, passes now.

--- a/include/fennelladder/edge/target_prober.hpp
+++ b/include/fennelladder/edge/target_prober.hpp
@@ -5,9 +5,10 @@
 //
 // A broken response alone is weak evidence: responses also get lost on targets
 // that are alive. The prober connects to the target. If that succeeds, the
-// connection is kept for the next request. If it is refused or times out, the
-// target counts as dead: every request whose response broke off there at about
-// that time is added to the poison list, and the other nodes are told.
+// connection is kept for the next request. If it is refused or times out, and
+// no peer can connect either, the target counts as dead: every request whose
+// response broke off there at about that time is added to the poison list, and
+// the other nodes are told.
 //
 // A target may restart under the same id so soon that its new process accepts
 // the connection. A process also counts as dead if its target is listed with a
@@ -44,6 +45,7 @@
 
     awaitable<void> probe(catalog::target_process target);
     awaitable<bool> is_unreachable(catalog::target_process target);
+    awaitable<bool> is_reached_by_peer(catalog::target_process target);
     bool has_restarted(const catalog::target_process& target) const;
     void record_death(const catalog::target_process& target,
                       const suspect_list& suspects);
--- a/libs/edge/target_prober.cpp
+++ b/libs/edge/target_prober.cpp
@@ -1,5 +1,6 @@
 #include "fennelladder/edge/target_prober.hpp"
 
+#include "fennelladder/edge/relay.hpp"
 #include "fennelladder/telemetry/log.hpp"
 
 namespace fennelladder::edge {
@@ -11,6 +12,11 @@
 constexpr duration probe_delay = milliseconds(30);
 constexpr duration probe_timeout = milliseconds(400);
 
+/// How long to wait for a peer that reaches the target's service: two
+/// heartbeats in a small fleet.
+constexpr duration peer_report_time = milliseconds(500);
+constexpr duration peer_check_period = milliseconds(50);
+
 /// How long to watch for a restart. The new process of a target that restarts
 /// at once accepts the probe's connection. The death then shows in the list:
 /// targets write their entry when they start, and nodes have it within two
@@ -67,18 +73,51 @@
     const target_endpoint to{target, entry->address};
     tables_.pool.close_idle(to);
     connection_ptr made = tables_.pool.make(to);
+    const instant started = tables_.now();
     const status opened = co_await tables_.pool.open(made, probe_timeout);
-    if (!opened)
+    dispatch::reach_table& reach = tables_.registry.reach();
+    if (!opened) {
+        reach.note_dial_failed(target, started, tables_.now());
         co_return true;
+    }
+    reach.note_connected(target, tables_.now());
     tables_.pool.release(made, std::nullopt, tables_.now());
     co_return false;
 }
 
+/// Whether a peer can connect to the process: then this node's link to it is
+/// lost. Precondition: this node can't connect to it.
+awaitable<bool>
+target_prober::is_reached_by_peer(catalog::target_process target)
+{
+    const dispatch::reach_table& reach = tables_.registry.reach();
+    asio::steady_timer timer(tables_.io);
+    const instant end = tables_.now() + peer_report_time;
+    while (reach.is_reported(target) && tables_.now() < end) {
+        if (reach.relays(target, tables_.now()).empty()) {
+            co_await sleep_on(timer, peer_check_period);
+            continue;
+        }
+        const connection_ptr made = tables_.pool.make_relayed({target, ""});
+        const std::string no_request;
+        const relay_outcome got =
+            co_await connect_relayed(tables_, made, no_request);
+        net_error ec;
+        made->socket.close(ec);
+        co_return got.result == mesh::relay_result::connected;
+    }
+    co_return false;
+}
+
 awaitable<void> target_prober::probe(catalog::target_process target)
 {
     asio::steady_timer timer(tables_.io);
     co_await sleep_on(timer, probe_delay);
-    const bool unreachable = co_await is_unreachable(target);
+    bool unreachable = co_await is_unreachable(target);
+    if (unreachable) {
+        const bool reached = co_await is_reached_by_peer(target);
+        unreachable = !reached;
+    }
     // Responses that break off from now on need a probe of their own.
     const suspect_list suspects = std::move(suspects_[target]);
     suspects_.erase(target);
