Test what must hold for a request over two hops

Peers that heard from the service shortly before the loss may be asked too: their first report after it may be under way.

--- a/include/fennelladder/dispatch/reach_table.hpp
+++ b/include/fennelladder/dispatch/reach_table.hpp
@@ -62,6 +62,9 @@
 {
     process_mark mark = 0;
     duration ago{0}; ///< Rounded up, so that it never seems more recent.
+
+    friend bool operator==(const reached_target&,
+                           const reached_target&) = default;
 };
 
 struct reach_options
@@ -132,8 +135,9 @@
     std::optional<instant>
     lost_since(const catalog::target_process& process) const;
 
-    /// The peers that may relay to the target, those that heard from it since
-    /// it was lost; if there are none, those that heard from its service.
+    /// The peers that may relay to the target: those that heard from it since
+    /// it was lost; if there are none, those that lately heard from its
+    /// service.
     std::vector<host_id> relays(const catalog::target_process& process,
                                 instant now) const;
 
@@ -141,6 +145,9 @@
     std::optional<instant>
     heard_by_peers(const catalog::target_process& process) const;
 
+    /// Whether peers ever reported a target of the same service.
+    bool is_reported(const catalog::target_process& process) const;
+
     /// Whether this node is cut off from a service that peers reach.
     bool is_cut_off(const service_id& service) const;
 
--- a/libs/dispatch/reach_table.cpp
+++ b/libs/dispatch/reach_table.cpp
@@ -171,6 +171,16 @@
     return value_of(heard_by_peers_, mark_of(process));
 }
 
+bool reach_table::is_reported(const catalog::target_process& process) const
+{
+    const auto it = targets_.find(process);
+    if (it == targets_.end())
+        return false;
+    const auto service = services_.find(it->second.service);
+    return service != services_.end() &&
+           service->second.heard_by_peers.has_value();
+}
+
 /// Whether connections to enough targets failed to suspect all of them.
 bool reach_table::has_failed(const service_state& service) const
 {
@@ -258,7 +268,9 @@
             continue;
         if (is_after(value_of(peer.heard, target.mark), *lost))
             of_target.push_back(host);
-        if (is_after(value_of(peer.heard_services, target.service), *lost))
+        // Its first report after the loss may still be under way.
+        if (is_after(value_of(peer.heard_services, target.service),
+                     *lost - options_.report_span))
             of_service.push_back(host);
     }
     return of_target.empty() ? of_service : of_target;
--- a/libs/dispatch/target_registry.cpp
+++ b/libs/dispatch/target_registry.cpp
@@ -302,8 +302,7 @@
 {
     const auto it = targets_.find(target.id);
     return it != targets_.end() && it->second.entry.process() == target &&
-           may_use(target.id, now) && !cold_quota(it->second, now) &&
-           !reach_.lost_since(target);
+           may_use(target.id, now) && !cold_quota(it->second, now);
 }
 
 std::optional<catalog::target_entry>
--- a/libs/edge/entry_planner_test.cpp
+++ b/libs/edge/entry_planner_test.cpp
@@ -48,6 +48,19 @@
     UNSIGNED_LONGS_EQUAL(0, count(0, 0));
 }
 
+// Guards against naming nodes that serve requests only through others, and
+// against naming too few when most are cut off.
+TEST(entry_planner, names_nodes_that_are_cut_off_only_if_few_others_are_left)
+{
+    auto all = nodes(3, 1);
+    all[0].cut_off = true;
+    all[1].cut_off = true;
+    const auto some = plan_entry(all, query_from("a"), {});
+    CHECK(some == (std::vector<std::string>{"near2", "far0"}));
+    all[2].cut_off = true;
+    UNSIGNED_LONGS_EQUAL(3, plan_entry(all, query_from("a"), {}).size());
+}
+
 TEST(entry_planner, limits_the_number_of_addresses)
 {
     UNSIGNED_LONGS_EQUAL(64, count(100, 0));
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -44,7 +44,7 @@
                                  settings.descriptors / 8 / 2);
 }
 
-/// The peers that may relay to the target and accept requests.
+/// The peers that may relay to the target, accept requests and aren't cut off.
 std::vector<const mesh::peer_record*>
 relays_of(const node_tables& tables, const catalog::target_process& target)
 {
@@ -54,7 +54,8 @@
         const auto found = tables.peers.rows().find(it);
         if (found != tables.peers.rows().end() &&
             tables.peers.is_alive(found->second, now) &&
-            found->second.last.state == mesh::node_state::ready)
+            found->second.last.state == mesh::node_state::ready &&
+            !found->second.last.cut_off)
             out.push_back(&found->second);
     }
     return out;
@@ -171,7 +172,9 @@
 
 relay_result relay_server::check(const mesh::relay_request& ask) const
 {
-    if (tables_.state() != mesh::node_state::ready || active_ >= limit_)
+    const bool lost =
+        tables_.registry.reach().lost_since(ask.target).has_value();
+    if (tables_.state() != mesh::node_state::ready || active_ >= limit_ || lost)
         return relay_result::busy;
     if (!tables_.registry.may_relay_to(ask.target, tables_.now()))
         return relay_result::refused;
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -54,6 +54,8 @@
         {target_id("i-2"), {}, std::nullopt, milliseconds(20)}};
     out.leaving = {{target_id("i-3"), catalog::target_start(43)},
                    {target_id("i-4"), {}}};
+    out.reached = {{0xfedcba98, milliseconds(150)}, {7, milliseconds(0)}};
+    out.cut_off = true;
     out.is_brief = true;
     out.heard = {{node_incarnation(78), milliseconds(40)}};
     return out;
@@ -141,6 +143,8 @@
     CHECK(it.limits.at(0).ago == milliseconds(500));
     CHECK(!it.limits.at(1).rate);
     CHECK(it.leaving == sample().leaving);
+    CHECK(it.reached == sample().reached);
+    CHECK(it.cut_off);
     CHECK(it.is_brief);
     CHECK(it.targets_as_of == catalog::revision(14));
     CHECK(it.heard.at(0).incarnation == node_incarnation(78));
@@ -269,6 +273,43 @@
     }
 }
 
+// Guards against a report that makes a target seem to be heard from later than
+// it was.
+TEST(mesh_messages, ages_of_reached_targets_are_rounded_up)
+{
+    datagram message;
+    message.heartbeat = sample();
+    message.heartbeat->reached = {{1, milliseconds(51)}, {2, minutes(9)}};
+    const auto got = decode_datagram(encode(message));
+    CHECK(got->heartbeat->reached.at(0).ago == milliseconds(100));
+    CHECK(got->heartbeat->reached.at(1).ago == milliseconds(255 * 50));
+}
+
+TEST(mesh_messages, a_relay_request_and_its_answer_survive_encoding)
+{
+    sync_request ask;
+    ask.relay = relay_request{node_incarnation(77),
+                              {target_id("i-1"), catalog::target_start(42)},
+                              "r1",
+                              host_id("n1")};
+    const auto got = decode_sync_request(encode(ask));
+    CHECK(got && got->relay);
+    CHECK(got->relay->incarnation == ask.relay->incarnation);
+    CHECK(got->relay->target == ask.relay->target);
+    STRCMP_EQUAL("r1", got->relay->request.c_str());
+    CHECK(got->relay->host == ask.relay->host);
+    ask.relay->target.id = target_id();
+    CHECK(!decode_sync_request(encode(ask)));
+    for (const relay_result it :
+         {relay_result::connected, relay_result::unreachable,
+          relay_result::refused, relay_result::busy}) {
+        sync_reply reply;
+        reply.relay = it;
+        CHECK(decode_sync_reply(encode(reply))->relay == it);
+    }
+    CHECK(!decode_sync_reply(encode(sync_reply{}))->relay);
+}
+
 TEST(mesh_messages, a_packed_configuration_survives_encoding)
 {
     sync_reply reply;
