Keep the rejections of brittle targets within what they survive

Users announce targets that fail when they have to reject more than N requests in a second, and say so in all answers (Server-Brittle). Nothing read it: nodes that all saw a free slot filled it together, and rejected requests went on to the next such target.

Change: the signal is decoded, kept (dispatch/signal_state, which now has one type for values announced until an answer comes without them) and told to peers. While it holds for a service, each node uses no more of a target's slots at a time than its part; the parts of all hosts known for long add up to the whole, also while nodes don't hear each other. Nodes without a part, where there are more hosts than slots, send one request at a time while less than half of the slots are known to be taken. A target that rejected a request gets none from that node for a second.

Suspected weak: more nodes than slots and a burst within one heartbeat.

--- a/include/fennelladder/catalog/target_signals.hpp
+++ b/include/fennelladder/catalog/target_signals.hpp
@@ -7,6 +7,7 @@
 
 #include "fennelladder/base/time.hpp"
 
+#include <cstdint>
 #include <optional>
 
 namespace fennelladder::catalog {
@@ -22,8 +23,11 @@
     /// Requests per second that it takes from all nodes together; from 0 to
     /// max_rate_limit.
     std::optional<double> rate_limit;
+    /// Rejections a second, of requests from all nodes, above which the target
+    /// fails: it is brittle. Unset: it isn't.
+    std::optional<std::uint32_t> max_rejections;
     /// Whether the answer is certain to be the target's latest, so that a limit
-    /// it doesn't name has ended.
+    /// or a brittleness it doesn't name has ended.
     bool is_latest = false;
 };
 
--- a/include/fennelladder/dispatch/assignment_table.hpp
+++ b/include/fennelladder/dispatch/assignment_table.hpp
@@ -7,6 +7,7 @@
 //         assignments.cold_quota(target, limit)) ...
 //     if (sends.count(now, limit_window) <
 //         assignments.limited_quota(target, rate, silence)) ...
+//     if (running < assignments.place_share(target, slots)) ...
 //
 // The capacity of a cold target, and the limit that a target announces, apply
 // to the requests of all nodes together. Nodes can't ask each other before each
@@ -83,6 +84,12 @@
     std::uint32_t limited_quota(const target_id& target, double rate,
                                 duration silence) const;
 
+    /// This node's part of `slots` places at a target, which nodes use at the
+    /// same time: the parts of all known hosts add up to the whole. One place
+    /// while no hosts are known.
+    std::uint32_t place_share(const target_id& target,
+                              std::uint32_t slots) const;
+
 private:
     std::size_t rank(const target_id& target) const;
     /// Number of hosts that rank before this one; rank() caches it.
--- a/include/fennelladder/dispatch/target_registry.hpp
+++ b/include/fennelladder/dispatch/target_registry.hpp
@@ -46,6 +46,17 @@
 // then eligible on its assigned nodes only, within their quotas, until an
 // answer comes without the limit. Peers report the limits announced to them.
 //
+// A target may announce that it is brittle: it fails if it has to reject more
+// than some requests in a second, of all nodes together. Nodes can't know its
+// room at each moment, so each has a part of its slots and uses no more of it
+// at a time. A node that has none, because there are more hosts than slots, may
+// send one request at a time while less than half of the slots are known to be
+// taken; not so a request that was rejected before, which would go from one
+// full target to the next. The bound holds for the parts; one request of each
+// of many such nodes at the same moment may exceed it. A target that rejected a
+// request gets none from this node for a second. The targets of a service are
+// taken for brittle once one of them says so, until they say otherwise.
+//
 // A target that announced in an answer that it is leaving is not eligible any
 // more. One that rejected a request and asked for backoff is not eligible for
 // that time, even if no other target is left; afterwards one request probes
@@ -97,6 +108,7 @@
     duration objective{0};            ///< Of the time to the first byte.
     catalog::allowed_regions regions; ///< Where it may run.
     std::vector<catalog::target_process> avoid; ///< Tried already.
+    bool was_rejected = false; ///< By a target that it was sent to before.
 };
 
 /// Work added to a target's load, to be subtracted with the same value.
@@ -151,7 +163,8 @@
     evacuated,       ///< Its data centre is evacuated.
     cold,            ///< It is cold, and this node's quota is used up.
     backing_off,     ///< It asked this node for backoff.
-    limited          ///< It announced a limit; this node's quota is used up.
+    limited,         ///< It announced a limit; this node's quota is used up.
+    no_room          ///< It is brittle, and this node's places are taken.
 };
 
 std::string_view to_string(no_target_reason value);
@@ -173,7 +186,8 @@
     catalog::target_start start;
 };
 
-/// The request limit that a target announced.
+/// The request limit that a target announced, or the rejections a second that
+/// it survives.
 struct limit_signal
 {
     target_id target;
@@ -230,6 +244,11 @@
     duration max_silence = seconds(1);
     /// Backoff from a target that rejected a request.
     duration full_backoff = milliseconds(100);
+    /// The same if it is brittle: the time in which rejections are counted.
+    duration brittle_backoff = seconds(1);
+    /// Share of a brittle target's slots below which nodes without a part of
+    /// their own may use it.
+    double shared_room = 0.5;
     /// How long a target that disappeared from the list while the platform was
     /// degraded stays eligible: entries that expired meanwhile come back within
     /// two seconds if the target is alive.
@@ -283,6 +302,11 @@
     std::vector<limit_signal>
     merge_peer_limits(const std::vector<limit_signal>& signals, instant at);
 
+    /// The same for targets that are brittle.
+    std::vector<limit_signal> own_brittle(instant now) const;
+    std::vector<limit_signal>
+    merge_peer_brittle(const std::vector<limit_signal>& signals, instant at);
+
     /// How long until the first target that asked for backoff is eligible
     /// again. Unset if a target of the request's service is eligible, or will
     /// be in a moment (cold or limited), or if none asked for backoff.
@@ -405,6 +429,9 @@
     std::optional<std::uint32_t> limited_quota(const target_state& it,
                                                instant now) const;
     bool limited_quota_used_up(const target_state& it, instant now) const;
+    bool is_brittle(const target_state& it, instant now) const;
+    bool has_room(const target_state& it, const routing_request& request,
+                  instant now) const;
     bool is_outside(const target_state& it,
                     const routing_request& request) const;
     bool was_tried(const target_state& it,
@@ -448,6 +475,8 @@
     state_map targets_;
     std::unordered_map<service_id, std::vector<target_id>> by_service_;
     std::map<host_id, std::vector<target_load>> peer_loads_;
+    /// When a target of the service last announced that it is brittle.
+    std::unordered_map<service_id, instant> brittle_services_;
 };
 
 /// The part of a prompt by which requests are routed to the same target: the
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -104,6 +104,9 @@
     std::vector<token_stock> stock;
     /// Rate limits that targets recently signalled to it.
     std::vector<dispatch::limit_signal> limits;
+    /// Targets that recently signalled to it that they are brittle; the rate is
+    /// that of the rejections that they survive.
+    std::vector<dispatch::limit_signal> brittle;
     /// Targets that recently signalled to it that they are leaving.
     std::vector<catalog::target_process> leaving;
     /// Targets it recently heard from over connections of its own.
--- a/include/fennelladder/telemetry/event_catalog.hpp
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -138,6 +138,7 @@
 constexpr int service_cut_off = 1614;
 constexpr int service_reached = 1615;
 constexpr int request_relayed = 1616;
+constexpr int target_brittle = 1617;
 constexpr int node_heard = 1710;
 constexpr int node_state_changed = 1711;
 constexpr int mesh_sent = 1712;
--- a/libs/dispatch/assignment_table.cpp
+++ b/libs/dispatch/assignment_table.cpp
@@ -106,6 +106,16 @@
     return ahead < assigned + more ? 1 : 0;
 }
 
+std::uint32_t assignment_table::place_share(const target_id& target,
+                                            std::uint32_t slots) const
+{
+    if (!is_first_ && !is_rest_)
+        return 1;
+    const std::size_t hosts = first_.size() + rest_.size();
+    return static_cast<std::uint32_t>(slots / hosts +
+                                      (rank(target) < slots % hosts ? 1 : 0));
+}
+
 void recent_sends::note(instant now)
 {
     while (!sends_.empty() && now - sends_.front() > limit_window)
--- a/libs/dispatch/signal_state.cpp
+++ b/libs/dispatch/signal_state.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-/// A limit expires when no node got a signal on it for this long: the target
+/// A value expires when no node got a signal on it for this long: the target
 /// can't have had a request since.
-constexpr duration limit_memory = minutes(2);
+constexpr duration signal_memory = minutes(2);
 
 /// An entry that isn't listed for this long after its process announced that
 /// it is leaving doesn't come back.
@@ -25,6 +25,35 @@
 
 } // namespace
 
+bool announced_value::apply(std::optional<double> value, instant now)
+{
+    own_value_ = value;
+    own_signalled_ = now;
+    if (value)
+        own_announced_ = now;
+    return apply_peer(value, now);
+}
+
+bool announced_value::apply_peer(std::optional<double> value, instant at)
+{
+    if (at < signalled_)
+        return false;
+    signalled_ = at;
+    return std::exchange(value_, value) != value;
+}
+
+std::optional<double> announced_value::value(instant now) const
+{
+    return now - signalled_ > signal_memory ? std::nullopt : value_;
+}
+
+std::optional<rate_signal> announced_value::for_peers(instant now) const
+{
+    if (!is_within(own_announced_, peer_report_span, now))
+        return std::nullopt;
+    return rate_signal{own_value_, now - own_signalled_};
+}
+
 signal_changes signal_state::apply(const catalog::target_signals& signals,
                                    instant now)
 {
@@ -40,13 +69,10 @@
     }
     if (signals.remaining_cold)
         extend_cold_until(now + *signals.remaining_cold);
-    if (signals.rate_limit || signals.is_latest) {
-        own_rate_ = signals.rate_limit;
-        own_limit_signal_time_ = now;
-        if (own_rate_)
-            own_limit_announced_ = now;
-        out.rate_limit = apply_peer_limit(own_rate_, now);
-    }
+    if (signals.rate_limit || signals.is_latest)
+        out.rate_limit = limit_.apply(signals.rate_limit, now);
+    if (signals.max_rejections || signals.is_latest)
+        out.brittle = brittle_.apply(signals.max_rejections, now);
     return out;
 }
 
@@ -56,14 +82,6 @@
     return !std::exchange(leaving_, true);
 }
 
-bool signal_state::apply_peer_limit(std::optional<double> rate, instant at)
-{
-    if (at < limit_signal_time_)
-        return false;
-    limit_signal_time_ = at;
-    return std::exchange(rate_limit_, rate) != rate;
-}
-
 void signal_state::extend_cold_until(instant until)
 {
     cold_until_ = std::max(cold_until_, until);
@@ -74,18 +92,6 @@
     return std::max<duration>(backoff_until_ - now, duration(0));
 }
 
-std::optional<double> signal_state::rate_limit(instant now) const
-{
-    return limit_signal_age(now) > limit_memory ? std::nullopt : rate_limit_;
-}
-
-std::optional<rate_signal> signal_state::limit_for_peers(instant now) const
-{
-    if (!is_within(own_limit_announced_, peer_report_span, now))
-        return std::nullopt;
-    return rate_signal{own_rate_, now - own_limit_signal_time_};
-}
-
 std::optional<duration> signal_state::leaving_for_peers(instant now) const
 {
     if (!is_within(own_leaving_heard_, peer_report_span, now))
@@ -96,7 +102,8 @@
 bool signal_state::is_active(instant now) const
 {
     return is_within(leaving_heard_, leaving_memory, now) ||
-           backoff_left(now) > duration(0) || is_cold(now) || rate_limit(now);
+           backoff_left(now) > duration(0) || is_cold(now) || rate_limit(now) ||
+           max_rejections(now);
 }
 
 } // namespace fennelladder::dispatch
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -144,6 +144,8 @@
         return no_target_reason::backing_off;
     if (limited_quota_used_up(it, now))
         return no_target_reason::limited;
+    if (!has_room(it, request, now))
+        return no_target_reason::no_room;
     return std::nullopt;
 }
 
@@ -173,7 +175,8 @@
         const target_state& it = targets_.at(id);
         const auto reason = exclusion_reason(it, without_avoid, now);
         if (!reason || *reason == no_target_reason::cold ||
-            *reason == no_target_reason::limited)
+            *reason == no_target_reason::limited ||
+            *reason == no_target_reason::no_room)
             return std::nullopt;
         if (*reason != no_target_reason::backing_off)
             continue;
--- a/libs/dispatch/target_quotas.cpp
+++ b/libs/dispatch/target_quotas.cpp
@@ -7,6 +7,13 @@
 
 namespace fennelladder::dispatch {
 
+namespace {
+
+/// How long the targets of a service count as brittle after one said so.
+constexpr duration brittle_service_memory = seconds(10);
+
+} // namespace
+
 void target_registry::set_cold_start_profiles(
     std::unordered_map<service_id, cold_start_profile> profiles)
 {
@@ -69,6 +76,34 @@
     return quota && it.sends.count(now, limit_window) >= *quota;
 }
 
+/// A target that hasn't said otherwise since is as brittle as others of its
+/// service: a node would learn it from an answer after a burst only.
+bool target_registry::is_brittle(const target_state& it, instant now) const
+{
+    if (it.signals.max_rejections(now))
+        return true;
+    const auto found = brittle_services_.find(it.entry.service);
+    return found != brittle_services_.end() &&
+           now - found->second <= brittle_service_memory &&
+           it.signals.brittle_signalled() < found->second;
+}
+
+bool target_registry::has_room(const target_state& it,
+                               const routing_request& request,
+                               instant now) const
+{
+    if (!is_brittle(it, now))
+        return true;
+    if (now < it.full_until)
+        return false;
+    const std::uint32_t slots = it.entry.slots;
+    const std::uint32_t share = assignments_.place_share(it.entry.id, slots);
+    if (share > 0)
+        return static_cast<std::uint32_t>(it.running) < share;
+    return it.running == 0 && !request.was_rejected &&
+           it.peers_running < slots * options_.shared_room;
+}
+
 /// Treats a target that answers after it was unreachable as possibly cold. It
 /// may have crashed and restarted under its id: it then looks idle, and all
 /// nodes would choose it before its entry says that it is cold.
--- a/libs/dispatch/target_registry.cpp
+++ b/libs/dispatch/target_registry.cpp
@@ -60,6 +60,8 @@
         return "its targets asked for rest";
     case no_target_reason::limited:
         return "its targets take no more at present";
+    case no_target_reason::no_room:
+        return "its targets have no room";
     case no_target_reason::outside_regions:
         return "no target in the regions allowed";
     }
@@ -452,7 +454,10 @@
         return;
     case target_evidence::full:
         it->probe_running = false;
-        it->full_until = std::max(it->full_until, now + options_.full_backoff);
+        it->full_until =
+            std::max(it->full_until,
+                     now + (is_brittle(*it, now) ? options_.brittle_backoff
+                                                 : options_.full_backoff));
         return;
     case target_evidence::other_life:
         it->address_reused = true;
--- a/libs/dispatch/target_signals.cpp
+++ b/libs/dispatch/target_signals.cpp
@@ -17,6 +17,8 @@
     if (it == nullptr)
         return {};
     it->probe_pending |= signals.backoff.has_value();
+    if (signals.max_rejections)
+        brittle_services_[it->entry.service] = now;
     return it->signals.apply(signals, now);
 }
 
@@ -44,6 +46,36 @@
     return out;
 }
 
+std::vector<limit_signal> target_registry::own_brittle(instant now) const
+{
+    std::vector<limit_signal> out;
+    for (const auto& [id, state] : targets_)
+        if (const auto signal = state.signals.brittle_for_peers(now))
+            out.push_back({id, state.entry.start, signal->rate, signal->ago});
+    return out;
+}
+
+std::vector<limit_signal>
+target_registry::merge_peer_brittle(const std::vector<limit_signal>& signals,
+                                    instant at)
+{
+    std::vector<limit_signal> out;
+    for (const limit_signal& signal : signals) {
+        target_state* it =
+            find(catalog::target_process{signal.target, signal.start});
+        if (it == nullptr)
+            continue;
+        const instant heard = at - signal.ago;
+        if (it->signals.apply_peer_brittle(signal.rate, heard))
+            out.push_back(signal);
+        if (signal.rate) {
+            instant& last = brittle_services_[it->entry.service];
+            last = std::max(last, heard);
+        }
+    }
+    return out;
+}
+
 std::vector<catalog::target_process>
 target_registry::own_leaving(std::size_t most, instant now) const
 {
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -178,6 +178,7 @@
         out.stock = allocator_->local_stock();
     keep_largest(out.stock, max_stocks, &mesh::token_stock::free);
     out.limits = newest_limits(tables_.registry.own_limits(tables_.now()));
+    out.brittle = newest_limits(tables_.registry.own_brittle(tables_.now()));
     out.leaving =
         tables_.registry.own_leaving(max_leaving_targets, tables_.now());
     out.reached =
@@ -434,6 +435,13 @@
          tables_.registry.merge_peer_leaving(from.leaving, tables_.now()))
         log_signals(it.id, {.leaving = true}, {.leaving = true},
                     from.host.str());
+    for (const auto& it :
+         tables_.registry.merge_peer_brittle(from.brittle, sent)) {
+        catalog::target_signals signals;
+        if (it.rate)
+            signals.max_rejections = static_cast<std::uint32_t>(*it.rate);
+        log_signals(it.target, signals, {.brittle = true}, from.host.str());
+    }
     for (const auto& it : tables_.registry.merge_peer_limits(from.limits, sent))
         log_signals(it.target, {.rate_limit = it.rate}, {.rate_limit = true},
                     from.host.str());
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -69,6 +69,13 @@
                   {{"target", target.str()},
                    {"rest_ms", milliseconds_text(*signals.backoff)},
                    {"by", by}});
+    if (changes.brittle)
+        log_event(event::target_brittle,
+                  {{"target", target.str()},
+                   {"rejections", signals.max_rejections
+                                      ? std::to_string(*signals.max_rejections)
+                                      : "any"},
+                   {"by", by}});
     if (changes.rate_limit)
         log_event(
             event::target_limited,
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -256,6 +256,7 @@
     out.on_engine = engine_ != nullptr;
     out.objective = route_->objective;
     out.avoid = tried_targets_;
+    out.was_rejected = state_.rejections > 0;
     out.regions = catalog::regions_for(*route_, team_);
     for (const adapter::prompt_part& it : request_.header_values.prompt)
         out.prompt.push_back({it.id, it.size});
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -100,6 +100,7 @@
   // was heard from in units of 50 ms.
   30: optional binary reached
   31: optional bool cut_off
+  32: optional list<Limit> brittle
 }
 
 struct TokenAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -364,6 +364,9 @@
     for (const auto& it : from.leaving)
         out.leaving.push_back(to_wire(it));
     out.__isset.leaving = !out.leaving.empty();
+    for (const auto& it : from.brittle)
+        out.brittle.push_back(to_wire(it));
+    out.__isset.brittle = !out.brittle.empty();
     if (!from.reached.empty())
         out.__set_reached(to_wire(from.reached));
     if (from.cut_off)
@@ -567,6 +570,7 @@
     out.load = loads_from(from.load, invalid_parts);
     out.stock = stock_from(from.stock, invalid_parts);
     out.limits = limits_from(from.limits, invalid_parts);
+    out.brittle = limits_from(from.brittle, invalid_parts);
     out.leaving = leaving_from(from.leaving, invalid_parts);
     out.reached = reached_from(from.reached, invalid_parts);
     out.cut_off = from.__isset.cut_off && from.cut_off;
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -54,6 +54,8 @@
         {target_id("i-2"), {}, std::nullopt, milliseconds(20)}};
     out.leaving = {{target_id("i-3"), catalog::target_start(43)},
                    {target_id("i-4"), {}}};
+    out.brittle = {
+        {target_id("i-1"), catalog::target_start(42), 5, milliseconds(70)}};
     out.reached = {{0xfedcba98, milliseconds(150)}, {7, milliseconds(0)}};
     out.cut_off = true;
     out.is_brief = true;
@@ -144,6 +146,9 @@
     CHECK(!it.limits.at(1).rate);
     CHECK(it.leaving == sample().leaving);
     CHECK(it.reached == sample().reached);
+    CHECK(it.brittle.at(0).target == target_id("i-1"));
+    CHECK(it.brittle.at(0).rate == 5.0);
+    CHECK(it.brittle.at(0).ago == milliseconds(70));
     CHECK(it.cut_off);
     CHECK(it.is_brief);
     CHECK(it.targets_as_of == catalog::revision(14));
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -244,6 +244,10 @@
      "either; requests go there directly."},
     {event::request_relayed, severity::info, "request_relayed",
      "The node connected a peer to a target that the peer doesn't reach."},
+    {event::target_brittle, severity::info, "target_brittle",
+     "A target says in its answers how many rejections a second it survives, "
+     "or "
+     "that it survives any number."},
     {event::node_heard, severity::info, "node_heard",
      "Another node, or a new life of it, was heard for the first time."},
     {event::node_state_changed, severity::info, "node_state_changed",
