Wait for a target that pauses when a request can't go elsewhere

Users say that a sound target may fall silent for a second or so and go on. Callers saw 502: a request that may be repeated was given up after twice its objective, also when no retry was left or no other target could take it, although its target would have answered.

Change: before the answer has begun, too, an attempt is given up only if another one can be made, or after 1.6 s of silence.

--- a/include/fennelladder/edge/io.hpp
+++ b/include/fennelladder/edge/io.hpp
@@ -67,6 +67,9 @@
 /// vanished, or a connection whose state was lost between the two ends (as in a
 /// NAT or firewall), shows neither an end nor an error; the kernel's probes and
 /// the limit on unacknowledged bytes turn it into an error after about `limit`.
+/// On Linux the user timeout, which is `limit`, also decides when probes give
+/// up; their count, which adds up to the same, has no say. A peer whose process
+/// pauses while its kernel answers isn't affected.
 void enable_keepalive(tcp::socket& socket, duration limit);
 
 /// Waits for `length`. Returns early if the timer is cancelled.
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -39,6 +39,10 @@
 /// Minimum timeout for the first byte, however short the latency objective.
 constexpr duration min_first_byte_timeout = milliseconds(250);
 
+/// Sound targets pause for up to about a second and a half. One that is silent
+/// for this long has failed.
+constexpr duration longest_pause = milliseconds(1600);
+
 /// Urgency runs from 0, the most urgent, to this value.
 constexpr int lowest_urgency = 9;
 
@@ -132,6 +136,7 @@
     target_id last_target_;
     host_id last_relay_;       ///< Of the last attempt; empty if it was direct.
     bool retry_taken_ = false; ///< For the attempt after an idle one.
+    instant attempt_began_;
     bool prompt_may_have_been_read_ = false; ///< Then it is charged.
     std::optional<instant> last_sent_at_;
 };
@@ -291,20 +296,20 @@
 }
 
 /// Whether to abandon an idle attempt. Failure it guards against: a target
-/// pauses in its stream, the attempt is abandoned, and only then it turns out
-/// that no retry is left or no other target can continue, so the caller's
-/// response is cut off although its target would have resumed. Therefore the
-/// preconditions of the next attempt are checked, and its retry is taken,
-/// first. An attempt whose response has not begun is always abandoned: its
-/// caller can be told at once to retry.
+/// pauses, the attempt is abandoned, and only then it turns out that no retry
+/// is left or no other target can continue, so the request fails although its
+/// target would have resumed. Therefore the preconditions of the next attempt
+/// are checked, and its retry is taken, first. An attempt whose response has
+/// not begun is abandoned in any case once the silence is longer than a pause:
+/// its caller can be told to retry.
 bool request_run::may_abandon_idle(const dispatch::choice& idle)
 {
-    if (!reply_.begun())
+    if (!reply_.begun() && tables_.now() - attempt_began_ >= longest_pause)
         return true;
     dispatch::request_state after = state_;
     ++after.sent;
     ++after.may_have_run;
-    after.head_passed_on = true;
+    after.head_passed_on = reply_.begun();
     after.time_left = time_left();
     const auto step = dispatch::decide_next(after, attempt_end::silent,
                                             tables_.options.attempts);
@@ -367,6 +372,7 @@
     const dispatch::routing_request wanted = routing_request();
     tables_.registry.started(target, wanted, tables_.now());
     retry_taken_ = false;
+    attempt_began_ = tables_.now();
     cancellation_->on_idle_timeout([&] { return may_abandon_idle(target); });
     attempt_outcome got = co_await run_attempt(in);
     cancellation_->on_idle_timeout(nullptr);
