--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -67,6 +67,7 @@
              const std::vector<const mesh::peer_record*>& relays)
 {
     std::vector<mesh::update_source> sources;
+    sources.reserve(relays.size());
     for (const mesh::peer_record* it : relays)
         sources.push_back(
             {it->last.peer_address, it->last.data_center, it->last.capacity});
