--- a/include/fennelladder/dispatch/reach_table.hpp
+++ b/include/fennelladder/dispatch/reach_table.hpp
@@ -2,10 +2,10 @@
 // peers reach.
 //
 //     reach_table reach({});
-//     reach.set_targets(processes);                     // the platform's list
-//     reach.note_dial_failed(process, dialled_at, now); // evidence of this
-//     node reach.set_peer(host, heartbeat.reached, sent_at); // evidence of a
-//     peer if (reach.needs_relay(process))
+//     reach.set_targets(processes);                  // the platform's list
+//     reach.note_dial_failed(process, started, now); // evidence of this node
+//     reach.set_peer(host, heartbeat.reached, sent); // evidence of a peer
+//     if (reach.needs_relay(process))
 //         ... send the request through one of reach.relays(process, now) ...
 //
 // A target that can't be reached has failed, or the path between it and this
--- a/include/fennelladder/dispatch/target_registry.hpp
+++ b/include/fennelladder/dispatch/target_registry.hpp
@@ -412,6 +412,8 @@
     };
 
     using state_map = std::map<target_id, target_state>;
+    using signal_for_peers =
+        std::optional<rate_signal> (signal_state::*)(instant) const;
 
     double decayed(const decaying_average& of, instant now) const;
     void observe(decaying_average& of, double value, instant now) const;
@@ -429,6 +431,8 @@
     std::optional<std::uint32_t> limited_quota(const target_state& it,
                                                instant now) const;
     bool limited_quota_used_up(const target_state& it, instant now) const;
+    std::vector<limit_signal> signals_for_peers(signal_for_peers which,
+                                                instant now) const;
     bool is_brittle(const target_state& it, instant now) const;
     bool has_room(const target_state& it, const routing_request& request,
                   instant now) const;
--- a/include/fennelladder/edge/relay.hpp
+++ b/include/fennelladder/edge/relay.hpp
@@ -25,6 +25,7 @@
 #include "fennelladder/mesh/messages.hpp"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -37,9 +38,12 @@
 };
 
 /// Connects `made` to its target through a peer, the nearest if possible. Asks
-/// another peer if one is busy. `request` is the id of the caller's request.
-awaitable<relay_outcome>
-connect_relayed(node_tables& tables, connection_ptr made, std::string request);
+/// another peer if one is busy, unless `is_stopped` returns true: then `made`
+/// was closed to stop the request. `request` is the id of the caller's request.
+awaitable<relay_outcome> connect_relayed(node_tables& tables,
+                                         connection_ptr made,
+                                         std::string request,
+                                         std::function<bool()> is_stopped);
 
 /// Connects peers to targets.
 class relay_server
--- a/libs/dispatch/reach_table.cpp
+++ b/libs/dispatch/reach_table.cpp
@@ -68,7 +68,9 @@
     if (it == targets_.end())
         return;
     it->second.contact = now;
-    note_sign_of(it->second.service);
+    // Without lost targets no failures are recorded.
+    if (lost_count_ > 0)
+        note_sign_of(it->second.service);
 }
 
 void reach_table::note_connected(const catalog::target_process& process,
@@ -112,9 +114,9 @@
         ++lost_count_;
     }
     service_state& service = services_[state.service];
-    service.failed.insert(process);
-    if (!service.first_failure)
+    if (service.failed.empty())
         service.first_failure = started;
+    service.failed.insert(process);
 }
 
 void reach_table::note_unreachable_by_peer(
--- a/libs/dispatch/reach_table_test.cpp
+++ b/libs/dispatch/reach_table_test.cpp
@@ -229,6 +229,20 @@
     CHECK(!reach.lost_since(process_of(0)));
 }
 
+// Guards against counting from the failure of a target that is gone: what peers
+// heard before the other failures would be evidence of a cut.
+TEST(reach_table, a_cut_begins_with_the_first_failure_of_a_listed_target)
+{
+    fail_to_connect(0);
+    reach.set_targets({{process_of(1), llm}, {process_of(2), llm}});
+    pass(seconds(1));
+    report({2});
+    pass(milliseconds(100));
+    fail_to_connect(1);
+    fail_to_connect(2);
+    CHECK(!reach.is_cut_off(llm));
+}
+
 TEST(reach_table, a_new_process_starts_anew)
 {
     fail_to_connect(0);
--- a/libs/dispatch/target_signals.cpp
+++ b/libs/dispatch/target_signals.cpp
@@ -22,15 +22,21 @@
     return it->signals.apply(signals, now);
 }
 
-std::vector<limit_signal> target_registry::own_limits(instant now) const
+std::vector<limit_signal>
+target_registry::signals_for_peers(signal_for_peers which, instant now) const
 {
     std::vector<limit_signal> out;
     for (const auto& [id, state] : targets_)
-        if (const auto signal = state.signals.limit_for_peers(now))
+        if (const auto signal = (state.signals.*which)(now))
             out.push_back({id, state.entry.start, signal->rate, signal->ago});
     return out;
 }
 
+std::vector<limit_signal> target_registry::own_limits(instant now) const
+{
+    return signals_for_peers(&signal_state::limit_for_peers, now);
+}
+
 std::vector<limit_signal>
 target_registry::merge_peer_limits(const std::vector<limit_signal>& signals,
                                    instant at)
@@ -48,11 +54,7 @@
 
 std::vector<limit_signal> target_registry::own_brittle(instant now) const
 {
-    std::vector<limit_signal> out;
-    for (const auto& [id, state] : targets_)
-        if (const auto signal = state.signals.brittle_for_peers(now))
-            out.push_back({id, state.entry.start, signal->rate, signal->ago});
-    return out;
+    return signals_for_peers(&signal_state::brittle_for_peers, now);
 }
 
 std::vector<limit_signal>
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -210,8 +210,11 @@
     connection_ = in_.tables.pool.make_relayed(
         {in_.target.process(), in_.target.address});
     in_.cancellation.attach(connection_);
+    const std::function<bool()> is_stopped = [this] {
+        return in_.cancellation.stopped() != stop_reason::none;
+    };
     const relay_outcome got = co_await connect_relayed(
-        in_.tables, connection_, in_.request.header_values.id);
+        in_.tables, connection_, in_.request.header_values.id, is_stopped);
     out_.relay = got.peer;
     if (in_.cancellation.stopped() != stop_reason::none) {
         end_with_error("connect through peer");
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -44,21 +44,25 @@
                                  settings.descriptors / 8 / 2);
 }
 
-/// The peers that may relay to the target, accept requests and aren't cut off.
+/// The peers that may relay to the target and accept requests. Those that are
+/// cut off from some service themselves only if there are no others.
 std::vector<const mesh::peer_record*>
 relays_of(const node_tables& tables, const catalog::target_process& target)
 {
     std::vector<const mesh::peer_record*> out;
+    std::vector<const mesh::peer_record*> cut_off;
     const instant now = tables.now();
     for (const host_id& it : tables.registry.reach().relays(target, now)) {
         const auto found = tables.peers.rows().find(it);
-        if (found != tables.peers.rows().end() &&
-            tables.peers.is_alive(found->second, now) &&
-            found->second.last.state == mesh::node_state::ready &&
-            !found->second.last.cut_off)
-            out.push_back(&found->second);
+        if (found == tables.peers.rows().end())
+            continue;
+        const mesh::peer_record& peer = found->second;
+        if (!tables.peers.is_alive(peer, now) ||
+            peer.last.state != mesh::node_state::ready)
+            continue;
+        (peer.last.cut_off ? cut_off : out).push_back(&peer);
     }
-    return out;
+    return out.empty() ? cut_off : out;
 }
 
 /// A random one of these, in favour of near and large hosts; null if none.
@@ -116,8 +120,10 @@
 
 } // namespace
 
-awaitable<relay_outcome>
-connect_relayed(node_tables& tables, connection_ptr made, std::string request)
+awaitable<relay_outcome> connect_relayed(node_tables& tables,
+                                         connection_ptr made,
+                                         std::string request,
+                                         std::function<bool()> is_stopped)
 {
     relay_outcome out;
     dispatch::reach_table& reach = tables.registry.reach();
@@ -137,7 +143,7 @@
             .counter_of("fennelladder_relays_asked_total",
                         {{"result", std::string(to_string(out.result))}})
             .add();
-        if (out.result != relay_result::busy)
+        if (out.result != relay_result::busy || is_stopped())
             break;
         reach.note_relay_failed(out.peer, tables.now());
     }
@@ -297,23 +303,26 @@
     if (it.head_read)
         return;
     it.head.append(bytes, size);
-    http::response_parser<http::empty_body> parser;
-    parser.skip(true);
+    std::optional<http::response_parser<http::empty_body>> parser;
     net_error ec;
-    parser.put(asio::buffer(it.head), ec);
-    const bool incomplete =
-        ec == http::error::need_more && it.head.size() < max_head_bytes;
-    if (incomplete)
-        return;
+    // Interim (1xx) responses precede the final one.
+    do {
+        parser.emplace();
+        parser->skip(true);
+        const std::size_t n = parser->put(asio::buffer(it.head), ec);
+        if (ec == http::error::need_more && it.head.size() < max_head_bytes)
+            return;
+        it.head.erase(0, n);
+    } while (!ec && parser->get().result_int() < 200);
     it.head_read = true;
     it.head.clear();
-    if (ec || !parser.is_header_done())
+    if (ec || !parser->is_header_done())
         return;
-    const unsigned code = parser.get().result_int();
-    auto signals = adapter::parse_target_signals(code, parser.get().base());
+    const unsigned code = parser->get().result_int();
+    auto signals = adapter::parse_target_signals(code, parser->get().base());
     if (!signals)
         return;
-    const auto values = adapter::parse_response_headers(parser.get().base());
+    const auto values = adapter::parse_response_headers(parser->get().base());
     signals->is_latest =
         values.signed_by_target && values.request == it.ask.request;
     const dispatch::signal_changes changes =
--- a/libs/edge/target_prober.cpp
+++ b/libs/edge/target_prober.cpp
@@ -100,8 +100,9 @@
         }
         const connection_ptr made = tables_.pool.make_relayed({target, ""});
         const std::string no_request;
+        const std::function<bool()> goes_on = [] { return false; };
         const relay_outcome got =
-            co_await connect_relayed(tables_, made, no_request);
+            co_await connect_relayed(tables_, made, no_request, goes_on);
         net_error ec;
         made->socket.close(ec);
         co_return got.result == mesh::relay_result::connected;
