--- a/include/fennelladder/dispatch/reach_table.hpp
+++ b/include/fennelladder/dispatch/reach_table.hpp
@@ -199,7 +199,7 @@
 
     using state_map = std::map<catalog::target_process, target_state>;
 
-    void note_sign_of(const service_id& service);
+    void forget_failures(const service_id& service);
     bool has_failed(const service_state& service) const;
     bool may_relay(const peer_state& peer, instant now) const;
 
--- a/include/fennelladder/dispatch/signal_state.hpp
+++ b/include/fennelladder/dispatch/signal_state.hpp
@@ -14,7 +14,6 @@
 //   together, and ends when its time is over.
 // - limit, from answers and peers: binds all nodes together, and ends with a
 //   later answer without one, or when no node got a limit signal for long.
-//
 // - brittle, from answers and peers: binds all nodes together, and ends like a
 //   limit.
 //
--- a/libs/dispatch/reach_table.cpp
+++ b/libs/dispatch/reach_table.cpp
@@ -54,7 +54,7 @@
         targets_, [](const auto& it) { return it.second.lost.has_value(); }));
 }
 
-void reach_table::note_sign_of(const service_id& service)
+void reach_table::forget_failures(const service_id& service)
 {
     service_state& state = services_[service];
     state.failed.clear();
@@ -70,7 +70,7 @@
     it->second.contact = now;
     // Without lost targets no failures are recorded.
     if (lost_count_ > 0)
-        note_sign_of(it->second.service);
+        forget_failures(it->second.service);
 }
 
 void reach_table::note_connected(const catalog::target_process& process,
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -192,7 +192,6 @@
 /// if the target was lost since it was last used.
 bool attempt::take_idle(const target_endpoint& to)
 {
-    // A relayed answer isn't evidence of this node's own link.
     if (in_.target.relayed ||
         !in_.tables.registry.reach().may_use_open(to.process))
         return false;
