Log how a response was delimited, and what it left unfinished

The log could not tell a response that ends with its connection from one that states its end, nor whether bytes of an event were left over. Lines of attempts have `framing`, lines of requests `framing` and `unfinished_bytes`. No logic changes.

--- a/include/fennelladder/edge/attempt.hpp
+++ b/include/fennelladder/edge/attempt.hpp
@@ -44,6 +44,17 @@
     bool first_on_connection = false;
 };
 
+/// How a target's response says where its body ends.
+enum class body_framing : std::uint8_t
+{
+    unknown, ///< There was no response, or it has no body.
+    length,
+    chunks,
+    connection_end ///< With the connection: it states no end.
+};
+
+std::string_view to_string(body_framing value);
+
 struct attempt_input
 {
     node_tables& tables;
@@ -80,6 +91,7 @@
     bool partial_body_sent = false;
     response_head head; ///< Of a failure response that may be relayed.
     std::string body;   ///< Body that belongs to `head`.
+    body_framing framing = body_framing::unknown;
     host_id relay;      ///< The peer that relayed it; empty if none.
     std::string detail; ///< For the log.
 };
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -39,6 +39,16 @@
 
 using response_parser = http::response_parser<http::buffer_body>;
 
+body_framing framing_of(const response_parser& parser)
+{
+    if (parser.chunked())
+        return body_framing::chunks;
+    if (parser.need_eof())
+        return body_framing::connection_end;
+    return parser.content_length() ? body_framing::length
+                                   : body_framing::unknown;
+}
+
 class attempt
 {
 public:
@@ -585,6 +595,7 @@
         record_signals(*parser, header_values);
         if (header_values.request.empty() ||
             header_values.request == in_.request.header_values.id) {
+            out_.framing = framing_of(*parser);
             co_await handle_response(*parser, header_values);
             co_return;
         }
@@ -617,6 +628,21 @@
 
 } // namespace
 
+std::string_view to_string(body_framing value)
+{
+    switch (value) {
+    case body_framing::unknown:
+        return "";
+    case body_framing::length:
+        return "length";
+    case body_framing::chunks:
+        return "chunks";
+    case body_framing::connection_end:
+        return "connection_end";
+    }
+    return "";
+}
+
 awaitable<attempt_outcome> run_attempt(attempt_input& in)
 {
     attempt it(in);
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -135,6 +135,7 @@
     std::vector<catalog::target_process> tried_targets_;
     target_id last_target_;
     host_id last_relay_;       ///< Of the last attempt; empty if it was direct.
+    body_framing last_framing_ = body_framing::unknown;
     bool retry_taken_ = false; ///< For the attempt after an idle one.
     instant attempt_began_;
     bool prompt_may_have_been_read_ = false; ///< Then it is charged.
@@ -401,6 +402,7 @@
 {
     last_target_ = target.target;
     last_relay_ = got.relay;
+    last_framing_ = got.framing;
     const bool not_run = dispatch::proved_not_run(got.ended);
     if (got.sent_at) {
         ++state_.sent;
@@ -504,6 +506,7 @@
                        {"relay", got.relay.str()},
                        {"reused", got.reused_connection ? "yes" : "no"},
                        {"ended", std::string(to_string(got.ended))},
+                       {"framing", std::string(to_string(got.framing))},
                        {"detail", got.detail},
                        {"running", std::to_string(target->running)},
                        {"candidates", std::to_string(target->candidates)},
@@ -539,6 +542,8 @@
          {"may_have_run", std::to_string(state_.may_have_run)},
          {"rejections", std::to_string(state_.rejections)},
          {"events", std::to_string(events_.events())},
+         {"framing", std::string(to_string(last_framing_))},
+         {"unfinished_bytes", std::to_string(events_.incomplete().size())},
          {"generation", version_text(tables_)},
          {"targets_as_of", std::to_string(tables_.targets.as_of().value())},
          {"tokens_wanted", std::to_string(max_cost().count())},
