Recognize events whatever ends their lines

Callers of a target that ends lines with CR LF or CR got no event before the stream ended: only two LFs in a row ended one.

Two events fed to the splitter before: LF 2 events, CR LF 0, CR 0, with all bytes held back; now 2 each, for any split of the input. Comments and empty lines are relayed as before but don't count as events, and the splitter tells whether a stream may end where it is. An id behind a byte order mark is read.

--- a/include/fennelladder/edge/event_splitter.hpp
+++ b/include/fennelladder/edge/event_splitter.hpp
@@ -6,7 +6,8 @@
 //     std::string whole = splitter.take();   // may be empty
 //     splitter.last_id()                     // where to resume
 //
-// An empty line ends an event. Events that were already relayed are dropped, in
+// An empty line ends an event; a line ends with LF, CR LF or CR. A comment line
+// is not part of an event. Events that were already relayed are dropped, in
 // case a target resumes too early.
 //
 // Not thread safe.
@@ -37,11 +38,21 @@
     /// Returns the whole events completed since the last call, unchanged.
     std::string take();
 
+    /// Whether take() has anything to return.
+    bool has_output() const { return !complete_.empty(); }
+
     /// Bytes received after the last whole event.
     const std::string& incomplete() const { return incomplete_; }
 
+    /// Whether the stream may end here: of an event that isn't whole nothing
+    /// was received, only comments and empty lines.
+    bool is_between_events() const
+    {
+        return !has_field_ && line_begin_ == incomplete_.size();
+    }
+
     /// Drops an incomplete event, before another target continues the stream.
-    void discard_incomplete() { incomplete_.clear(); }
+    void discard_incomplete();
 
     /// Id of the last whole event; empty before the first.
     const std::string& last_id() const { return last_id_; }
@@ -51,8 +62,14 @@
 
 private:
     bool add_event(std::string_view text);
+    bool end_line(std::size_t line_end, std::size_t next);
+    void forget_before(std::size_t next);
 
     std::string incomplete_;
+    std::size_t line_begin_ = 0; ///< Of the last line of `incomplete_`.
+    std::size_t searched_ = 0;   ///< Bytes of it searched for line ends.
+    bool has_field_ = false;     ///< A whole line of it belongs to an event.
+    bool after_cr_ = false;      ///< A CR before `searched_` ended a line.
     std::string complete_;
     std::string last_id_;
     std::optional<std::uint64_t> last_sequence_;
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -413,7 +413,6 @@
 {
     in_.events.discard_incomplete();
     std::string part;
-    std::uint64_t passed = in_.events.events();
     while (!parser.is_done()) {
         part.clear();
         const bool more = co_await read_body_part(parser, part);
@@ -424,9 +423,8 @@
             end(attempt_end::garbled, target_evidence::broke, "events");
             co_return;
         }
-        if (in_.events.events() == passed)
+        if (!in_.events.has_output())
             continue;
-        passed = in_.events.events();
         record_first_byte();
         restart_idle_timer(in_.progress_timeout);
         // The caller has left, and the connection to the target is closed soon.
--- a/libs/edge/event_splitter.cpp
+++ b/libs/edge/event_splitter.cpp
@@ -4,16 +4,22 @@
 #include "fennelladder/edge/event_splitter.hpp"
 
 #include <charconv>
+#include <utility>
 
 namespace fennelladder::edge {
 
 namespace {
 
+constexpr std::string_view line_ends = "\r\n";
+
 std::string_view event_id(std::string_view event)
 {
     constexpr std::string_view id_field = "id:";
+    constexpr std::string_view byte_order_mark = "\xEF\xBB\xBF";
+    if (event.starts_with(byte_order_mark))
+        event.remove_prefix(byte_order_mark.size());
     while (!event.empty()) {
-        const auto end = std::min(event.find('\n'), event.size());
+        const auto end = std::min(event.find_first_of(line_ends), event.size());
         std::string_view line = event.substr(0, end);
         event.remove_prefix(std::min(end + 1, event.size()));
         if (!line.starts_with(id_field))
@@ -21,8 +27,6 @@
         line.remove_prefix(id_field.size());
         if (line.starts_with(' '))
             line.remove_prefix(1);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
         return line;
     }
     return {};
@@ -57,29 +61,68 @@
     return true;
 }
 
+/// Drops the first `next` bytes, which end with a line.
+void event_splitter::forget_before(std::size_t next)
+{
+    incomplete_.erase(0, next);
+    line_begin_ -= next;
+    searched_ -= next;
+}
+
+/// Handles the line that ends before `line_end`; the next one begins at `next`.
+/// Returns false if it ends an event that shows that another is missing.
+bool event_splitter::end_line(std::size_t line_end, std::size_t next)
+{
+    const std::size_t begin = std::exchange(line_begin_, next);
+    searched_ = next;
+    if (begin < line_end) {
+        has_field_ |= incomplete_[begin] != ':';
+        return true;
+    }
+    const auto block = std::string_view(incomplete_).substr(0, next);
+    const bool in_order = !has_field_ || add_event(block);
+    // Comments are relayed, but aren't events.
+    if (!has_field_)
+        complete_ += block;
+    has_field_ = false;
+    forget_before(next);
+    return in_order;
+}
+
 bool event_splitter::feed(std::string_view bytes)
 {
-    constexpr std::string_view event_end = "\n\n";
-    const std::size_t searched =
-        incomplete_.size() < event_end.size() ? 0 : incomplete_.size() - 1;
     incomplete_ += bytes;
-    std::size_t begin = 0;
-    std::size_t from = searched;
     for (;;) {
-        const auto end = incomplete_.find(event_end, from);
+        const auto end = incomplete_.find_first_of(line_ends, searched_);
         if (end == std::string::npos)
             break;
-        const std::size_t next = end + event_end.size();
-        if (!add_event(
-                std::string_view(incomplete_).substr(begin, next - begin)))
+        const bool ends_in_cr = incomplete_[end] == '\r';
+        // The LF of a CR LF whose CR was the last byte of the input before.
+        if (!ends_in_cr && after_cr_ && end == searched_) {
+            after_cr_ = false;
+            line_begin_ = searched_ = end + 1;
+            continue;
+        }
+        const bool has_lf = ends_in_cr && end + 1 < incomplete_.size() &&
+                            incomplete_[end + 1] == '\n';
+        after_cr_ = ends_in_cr && !has_lf;
+        if (!end_line(end, end + (has_lf ? 2 : 1)))
             return false;
-        begin = next;
-        from = next;
     }
-    incomplete_.erase(0, begin);
+    after_cr_ = after_cr_ && searched_ == incomplete_.size();
+    searched_ = incomplete_.size();
     return incomplete_.size() <= max_event_bytes;
 }
 
+void event_splitter::discard_incomplete()
+{
+    incomplete_.clear();
+    line_begin_ = 0;
+    searched_ = 0;
+    has_field_ = false;
+    after_cr_ = false;
+}
+
 std::string event_splitter::take()
 {
     std::string out;
