Treat a stream that ends inside an event as broken off

Callers got streams that their target had broken off with a last chunk, so that they looked complete. Cause: the end of a response was taken for the end of its stream, whatever the stream was in the middle of. A response that states no end is over for the parser when its connection is closed; the bytes of the unfinished event were sent and the reply finished.

Such an attempt now ends as broken: a stream that may be resumed goes on at another target, one whose reply hasn't begun fails or is retried, any other is cut.

--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -83,6 +83,7 @@
     response_head to_response_head(const response_parser& parser) const;
     void end(attempt_end how, target_evidence evidence, std::string detail);
     void end_with_error(const char* where);
+    void end_incomplete(const char* detail);
     void restart_idle_timer(std::optional<duration> limit);
     void release_connection(const response_parser& parser);
     void record_first_byte();
@@ -134,6 +135,15 @@
         std::string(where) + ": " + ec_.message());
 }
 
+/// Ends the attempt after a response whose end is there, but not all that
+/// belongs before it.
+void attempt::end_incomplete(const char* detail)
+{
+    if (in_.cancellation.stopped() != stop_reason::none)
+        return end_with_error(detail);
+    end(attempt_end::broken, target_evidence::broke, detail);
+}
+
 /// Whether the caller's end of stream was seen after the request was sent, and
 /// the target was told to stop. Failure it guards against: a caller that only
 /// shut down its sending side, which looks the same, waits for a response that
@@ -437,11 +447,15 @@
             co_return;
         restart_idle_timer(in_.progress_timeout);
     }
+    if (!in_.events.is_between_events()) {
+        end_incomplete("the stream ended inside an event");
+        co_return;
+    }
     release_connection(parser);
     const bool passed_on = co_await relay_events(parser);
     if (!passed_on)
         co_return;
-    // Bytes after the last event are part of the target's complete response.
+    // Comments after the last event are part of the target's response.
     const std::string rest = in_.events.incomplete();
     (void)co_await in_.reply.send_chunk(rest);
     const bool finished = co_await in_.reply.finish();
