Treat an empty stream without a stated end as broken off

A target that closes its connection after a stream's head, and so sends no event, has not sent a whole stream; its caller got a complete empty one. A stream that is resumed may have nothing left to send.

--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -451,6 +451,12 @@
         end_incomplete("the stream ended inside an event");
         co_return;
     }
+    // Only a resumed stream may have nothing left to send.
+    if (out_.framing == body_framing::connection_end &&
+        in_.events.events() == 0 && in_.forwarding.resume_after.empty()) {
+        end_incomplete("the stream ended without an event");
+        co_return;
+    }
     release_connection(parser);
     const bool passed_on = co_await relay_events(parser);
     if (!passed_on)
