Pass on responses without a stated end through a peer

The node can't tell the target's end from the peer's, so it gave up all of them.

The peer knows. It keeps how its last relays ended, and the node that has the caller asks it over another connection before it takes such a response for whole. A peer that died, or doesn't know, can't vouch for it: the response is broken off. A frame around the relayed bytes would carry the same, at the price of a second encoding of every answer.

--- a/include/fennelladder/edge/relay.hpp
+++ b/include/fennelladder/edge/relay.hpp
@@ -12,6 +12,11 @@
 // each request it checks that the target may get one, and it reads the signals
 // in the target's answer.
 //
+// The end of a connection through a peer may be the peer's. Where it matters,
+// because a response states no end of its own, the peer is asked:
+//
+//     const auto end = co_await ask_relay_end(tables, got.peer, ask, limit);
+//
 // A peer is asked with its incarnation, which only nodes know that get its
 // heartbeats. Others get no answer.
 //
@@ -25,8 +30,10 @@
 #include "fennelladder/mesh/messages.hpp"
 
 #include <cstddef>
+#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace fennelladder::edge {
@@ -45,6 +52,13 @@
                                          std::string request,
                                          std::function<bool()> is_stopped);
 
+/// How the connection that `peer` relayed for `request` ended at the target's
+/// side, by the peer itself; unset if it doesn't know, or doesn't answer within
+/// `limit`.
+awaitable<std::optional<mesh::relay_end>>
+ask_relay_end(node_tables& tables, host_id peer, catalog::target_process target,
+              std::string request, duration limit);
+
 /// Connects peers to targets.
 class relay_server
 {
@@ -57,6 +71,10 @@
                           std::shared_ptr<tcp::socket> socket,
                           mesh::relay_request ask);
 
+    /// How the last relay asked for with the same words ended; unset if it goes
+    /// on, or ended long ago.
+    std::optional<mesh::relay_end> end_of(const mesh::relay_request& ask) const;
+
     /// Number of connections that are relayed, or are being made.
     std::size_t active() const { return active_; }
 
@@ -64,16 +82,24 @@
     struct relayed_connection;
     using relayed_ptr = std::shared_ptr<relayed_connection>;
 
+    struct ended_relay
+    {
+        mesh::relay_request ask;
+        mesh::relay_end end = mesh::relay_end::broken;
+    };
+
     mesh::relay_result check(const mesh::relay_request& ask) const;
     awaitable<mesh::relay_result> connect(connection_ptr made);
     awaitable<void> copy_request(relayed_ptr it);
     awaitable<void> copy_answer(relayed_ptr it);
+    void note_end(const mesh::relay_request& ask, mesh::relay_end end);
     void read_signals(relayed_connection& it, const char* bytes,
                       std::size_t size);
 
     node_tables& tables_;
     const std::size_t limit_;
     std::size_t active_ = 0;
+    std::deque<ended_relay> ended_; ///< The last ones.
 };
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/edge/update_exchange.hpp
+++ b/include/fennelladder/edge/update_exchange.hpp
@@ -100,6 +100,8 @@
 
     awaitable<void> accept();
     awaitable<void> serve(std::shared_ptr<tcp::socket> socket);
+    awaitable<void> answer_relay_end(peer_stream& stream,
+                                     const mesh::relay_request& ask);
     awaitable<void> answer(peer_stream& stream, const mesh::sync_request& ask);
     awaitable<bool> send_configuration(peer_stream& stream,
                                        std::shared_ptr<const std::string> bytes,
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -208,7 +208,17 @@
 
 std::string_view to_string(relay_result value);
 
-/// Asks a node for everything newer than the given versions, or for a relay.
+/// How the target's side of a relayed connection ended.
+enum class relay_end : std::uint8_t
+{
+    orderly, ///< The target closed it, and all its bytes were passed on.
+    broken   ///< It was reset, or the relay ended it.
+};
+
+std::string_view to_string(relay_end value);
+
+/// Asks a node for everything newer than the given versions, for a relay, or
+/// how one ended.
 struct sync_request
 {
     catalog::configuration_version configuration;
@@ -217,6 +227,7 @@
     /// Of the requesting node, to be named to others as a source.
     std::string peer_address;
     std::optional<relay_request> relay;
+    std::optional<relay_request> relay_end; ///< Asked with `relay` before.
 };
 
 struct sync_reply
@@ -238,6 +249,8 @@
     catalog::configuration_version served_configuration;
     /// The answer to a relay_request. Unset from nodes of earlier releases.
     std::optional<relay_result> relay;
+    /// The answer to a question for a relay's end; unset if it isn't known.
+    std::optional<mesh::relay_end> relay_end;
     std::size_t invalid_parts = 0; ///< Invalid parts dropped by decoding.
 };
 
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -79,6 +79,7 @@
     awaitable<void> relay_unbuffered(response_parser& parser,
                                      std::string begun);
     awaitable<void> buffer_failure(response_parser& parser);
+    awaitable<bool> is_end_of_response();
     awaitable<bool> relay_events(const response_parser& parser);
     response_head to_response_head(const response_parser& parser) const;
     void end(attempt_end how, target_evidence evidence, std::string detail);
@@ -419,6 +420,27 @@
     co_return sent;
 }
 
+/// Whether a response whose connection ended has ended too. A response that
+/// states no end is over when the target closes its connection; the end of a
+/// relayed one may be the relaying peer's. If not, ends the attempt.
+awaitable<bool> attempt::is_end_of_response()
+{
+    if (!in_.target.relayed || out_.framing != body_framing::connection_end)
+        co_return true;
+    restart_idle_timer(std::nullopt);
+    const auto got = co_await ask_relay_end(
+        in_.tables, out_.relay, in_.target.process(),
+        in_.request.header_values.id, in_.tables.connect_timeout());
+    if (got == mesh::relay_end::orderly && may_use_response())
+        co_return true;
+    if (got == mesh::relay_end::broken)
+        end_incomplete("the relay says that the target broke off");
+    else
+        end(attempt_end::broken, target_evidence::nothing,
+            "the relay doesn't say how its connection ended");
+    co_return false;
+}
+
 awaitable<void> attempt::relay_stream(response_parser& parser)
 {
     in_.events.discard_incomplete();
@@ -457,6 +479,9 @@
         end_incomplete("the stream ended without an event");
         co_return;
     }
+    const bool ended = co_await is_end_of_response();
+    if (!ended)
+        co_return;
     release_connection(parser);
     const bool passed_on = co_await relay_events(parser);
     if (!passed_on)
@@ -491,6 +516,9 @@
             co_return;
     }
     if (relayed) {
+        const bool ended = co_await is_end_of_response();
+        if (!ended)
+            co_return;
         release_connection(parser);
         relayed = co_await in_.reply.finish();
     }
@@ -514,6 +542,9 @@
         }
     }
     restart_idle_timer(std::nullopt);
+    const bool ended = co_await is_end_of_response();
+    if (!ended)
+        co_return;
     release_connection(parser);
     const response_head head = to_response_head(parser);
     const bool sent = co_await in_.reply.send_complete(head, body);
@@ -531,6 +562,9 @@
         if (!more)
             co_return;
     }
+    const bool ended = co_await is_end_of_response();
+    if (!ended)
+        co_return;
     release_connection(parser);
     end(attempt_end::failed_there, target_evidence::failed,
         "status " + std::to_string(out_.head.status));
@@ -576,12 +610,6 @@
             "status " + std::to_string(status) + " without a signature");
         co_return;
     }
-    // The end of a relayed connection may be that of the relaying peer.
-    if (in_.target.relayed && parser.need_eof() && !is_head_request()) {
-        end(attempt_end::broken, target_evidence::nothing,
-            "relayed response without a length");
-        co_return;
-    }
     if (status < 200 || status >= 300) {
         co_await buffer_failure(parser);
         co_return;
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <boost/asio/write.hpp>
+#include <ranges>
 
 namespace fennelladder::edge {
 
@@ -29,6 +30,9 @@
 /// Bytes searched for the head of the target's answer.
 constexpr std::size_t max_head_bytes = 16'384;
 
+/// Ends of relays that are kept. The node that has the caller asks at once.
+constexpr std::size_t max_ended_relays = 256;
+
 /// A target that is told that nobody waits any more, and goes on, is
 /// disconnected after this time.
 constexpr duration half_close_timeout = milliseconds(150);
@@ -83,6 +87,11 @@
     return nullptr;
 }
 
+bool is_same(const mesh::relay_request& a, const mesh::relay_request& b)
+{
+    return a.request == b.request && a.target == b.target && a.host == b.host;
+}
+
 /// Asks one peer. The connection is closed unless it is `connected`.
 awaitable<relay_result> ask_peer(node_tables& tables, connection_ptr made,
                                  std::string address, mesh::relay_request ask)
@@ -154,6 +163,39 @@
     co_return out;
 }
 
+awaitable<std::optional<mesh::relay_end>>
+ask_relay_end(node_tables& tables, host_id peer, catalog::target_process target,
+              std::string request, duration limit)
+{
+    const auto found = tables.peers.rows().find(peer);
+    if (found == tables.peers.rows().end())
+        co_return std::nullopt;
+    const auto endpoint = parse_endpoint(found->second.last.peer_address);
+    if (!endpoint)
+        co_return std::nullopt;
+    mesh::sync_request question;
+    question.relay_end =
+        mesh::relay_request{found->second.last.incarnation, std::move(target),
+                            std::move(request), tables.settings.host};
+    auto socket = std::make_shared<tcp::socket>(tables.io);
+    socket_deadline until(socket);
+    until.close_after(limit);
+    peer_stream stream(socket);
+    const bool connected = co_await stream.connect(*endpoint, limit);
+    if (!connected)
+        co_return std::nullopt;
+    const std::string bytes = framed(mesh::encode(question));
+    const bool sent = co_await stream.write(bytes);
+    if (!sent)
+        co_return std::nullopt;
+    std::string got;
+    const bool read = co_await stream.read(got, max_reply_bytes);
+    if (!read)
+        co_return std::nullopt;
+    const auto reply = mesh::decode_sync_reply(got);
+    co_return reply ? reply->relay_end : std::nullopt;
+}
+
 /// A connection of a peer, and the one to the target that it is relayed to.
 struct relay_server::relayed_connection
 {
@@ -242,6 +284,24 @@
                {"ms", milliseconds_text(tables_.now() - started)}});
 }
 
+std::optional<mesh::relay_end>
+relay_server::end_of(const mesh::relay_request& ask) const
+{
+    if (ask.incarnation != tables_.incarnation)
+        return std::nullopt;
+    for (const ended_relay& it : ended_ | std::views::reverse)
+        if (is_same(it.ask, ask))
+            return it.end;
+    return std::nullopt;
+}
+
+void relay_server::note_end(const mesh::relay_request& ask, mesh::relay_end end)
+{
+    ended_.push_back({ask, end});
+    if (ended_.size() > max_ended_relays)
+        ended_.pop_front();
+}
+
 /// Copies until the peer has sent all, or leaves.
 awaitable<void> relay_server::copy_request(relayed_ptr it)
 {
@@ -287,6 +347,9 @@
         if (ec)
             break;
     }
+    // Before the peer's side ends: the node there may ask at once.
+    note_end(it->ask, ec == asio::error::eof ? mesh::relay_end::orderly
+                                             : mesh::relay_end::broken);
     if (ec != asio::error::eof)
         co_return;
     it->peer->shutdown(tcp::socket::shutdown_send, ec);
--- a/libs/edge/update_exchange.cpp
+++ b/libs/edge/update_exchange.cpp
@@ -397,10 +397,22 @@
     }
     if (ask->relay)
         co_await relays_.serve(stream, socket, *ask->relay);
+    else if (ask->relay_end)
+        co_await answer_relay_end(stream, *ask->relay_end);
     else
         co_await answer(stream, *ask);
 }
 
+awaitable<void>
+update_exchange::answer_relay_end(peer_stream& stream,
+                                  const mesh::relay_request& ask)
+{
+    mesh::sync_reply reply;
+    reply.relay_end = relays_.end_of(ask);
+    const std::string bytes = framed(mesh::encode(reply));
+    (void)co_await stream.write(bytes);
+}
+
 awaitable<void> update_exchange::answer(peer_stream& stream,
                                         const mesh::sync_request& ask)
 {
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -154,6 +154,7 @@
   3: optional i8 part
   4: optional string peer_address
   5: optional RelayAsk relay
+  6: optional RelayAsk relay_end
 }
 
 struct SyncReply {
@@ -166,4 +167,5 @@
   7: optional list<string> served
   8: optional i64 served_configuration
   9: optional i8 relay
+  10: optional i8 relay_end
 }
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -679,6 +679,8 @@
     out.__set_peer_address(message.peer_address);
     if (message.relay)
         out.__set_relay(to_wire(*message.relay));
+    if (message.relay_end)
+        out.__set_relay_end(to_wire(*message.relay_end));
     return to_bytes(out);
 }
 
@@ -696,6 +698,8 @@
         out.__set_packed_configuration(message.packed_configuration);
     if (message.relay)
         out.__set_relay(static_cast<std::int8_t>(*message.relay));
+    if (message.relay_end)
+        out.__set_relay_end(static_cast<std::int8_t>(*message.relay_end));
     if (!message.busy)
         return to_bytes(out);
     out.__set_busy(true);
@@ -745,11 +749,16 @@
                     "target revision");
     sync_request out{id_of<catalog::configuration_version>(read->configuration),
                      id_of<catalog::revision>(read->targets_as_of),
-                     part_of(read->part), read->peer_address, std::nullopt};
-    if (!read->__isset.relay)
-        return out;
-    out.relay = from_wire(read->relay);
-    if (!out.relay)
+                     part_of(read->part),
+                     read->peer_address,
+                     std::nullopt,
+                     std::nullopt};
+    if (read->__isset.relay)
+        out.relay = from_wire(read->relay);
+    if (read->__isset.relay_end)
+        out.relay_end = from_wire(read->relay_end);
+    if (read->__isset.relay != out.relay.has_value() ||
+        read->__isset.relay_end != out.relay_end.has_value())
         return fail(error_code::corrupt,
                     "relay request without a valid target");
     return out;
@@ -779,9 +788,25 @@
                        read->relay <= static_cast<int>(relay_result::busy);
     if (known)
         out.relay = static_cast<relay_result>(read->relay);
+    const bool known_end =
+        read->__isset.relay_end && read->relay_end >= 0 &&
+        read->relay_end <= static_cast<int>(relay_end::broken);
+    if (known_end)
+        out.relay_end = static_cast<relay_end>(read->relay_end);
     return out;
 }
 
+std::string_view to_string(relay_end value)
+{
+    switch (value) {
+    case relay_end::orderly:
+        return "orderly";
+    case relay_end::broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
 std::string_view to_string(relay_result value)
 {
     switch (value) {
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -290,6 +290,29 @@
     CHECK(got->heartbeat->reached.at(1).ago == milliseconds(255 * 50));
 }
 
+TEST(mesh_messages, a_question_for_a_relays_end_survives_encoding)
+{
+    sync_request ask;
+    ask.relay_end =
+        relay_request{node_incarnation(77),
+                      {target_id("i-1"), catalog::target_start(100)},
+                      "r1",
+                      host_id("n1")};
+    const auto got = decode_sync_request(encode(ask));
+    CHECK(got && got->relay_end && !got->relay);
+    CHECK(got->relay_end->target == ask.relay_end->target);
+    STRCMP_EQUAL("r1", got->relay_end->request.c_str());
+    ask.relay_end->target.id = target_id();
+    CHECK(!decode_sync_request(encode(ask)));
+    for (const relay_end it : {relay_end::orderly, relay_end::broken}) {
+        sync_reply reply;
+        reply.relay_end = it;
+        const auto read = decode_sync_reply(encode(reply));
+        CHECK(read && read->relay_end == it && !read->relay);
+    }
+    CHECK(!decode_sync_reply(encode(sync_reply()))->relay_end);
+}
+
 TEST(mesh_messages, a_relay_request_and_its_answer_survive_encoding)
 {
     sync_request ask;
