Don't let a broken-off answer end in order for HTTP/1.0 callers

The one path on which our own reply ends with its connection: a caller of HTTP/1.0 was sent chunks, which it doesn't know, and a reply that was given up was closed like a whole one. Such a caller now gets the bytes alone, and a reset if they aren't all.

--- a/include/fennelladder/edge/response_writer.hpp
+++ b/include/fennelladder/edge/response_writer.hpp
@@ -62,7 +62,8 @@
     awaitable<bool> send_complete(const response_head& head,
                                   const std::string& body);
 
-    /// Sends the head of a chunked response. send_chunk() and finish() follow.
+    /// Sends the head of a response whose length isn't known yet. send_chunk()
+    /// and finish() follow.
     awaitable<bool> begin(const response_head& head);
     awaitable<bool> send_chunk(const std::string& bytes);
     awaitable<bool> finish();
@@ -73,6 +74,17 @@
     /// used for it.
     void omit_body() { omits_body_ = true; }
 
+    /// Sends no chunks until reset(), to a caller that doesn't know them: its
+    /// response ends with its connection. Precondition: as for omit_body().
+    void omit_chunk_sizes();
+
+    /// Whether the response would look complete if its connection were closed
+    /// now: it was begun, isn't finished, and states no end.
+    bool must_be_reset() const
+    {
+        return begun_ && !finished_ && omits_chunk_sizes_;
+    }
+
     /// Adds `Connection: close` to every later response head.
     void close_when_done() { closes_connection_ = true; }
     bool closes_connection() const { return closes_connection_; }
@@ -97,6 +109,7 @@
     tcp::socket& socket_;
     bool closes_connection_ = false;
     bool omits_body_ = false;
+    bool omits_chunk_sizes_ = false;
     bool begun_ = false;
     bool finished_ = false;
     bool writing_ = false;
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -240,6 +240,9 @@
     }
     if (!parser.keep_alive())
         reply_.close_when_done();
+    // HTTP/1.0 has no chunks.
+    if (parser.get().version() < 11)
+        reply_.omit_chunk_sizes();
     out.has_body = parser.get().has_content_length() || parser.chunked();
     auto& message = parser.get();
     out.method = std::string(message.method_string());
@@ -383,6 +386,11 @@
             break;
     }
     read_deadline_->clear();
+    if (reply_.must_be_reset()) {
+        socket_.set_option(asio::socket_base::linger(true, 0), ec);
+        close();
+        co_return;
+    }
     // Closing a socket with unread bytes sends a reset, on which the caller may
     // lose the last response.
     socket_.shutdown(tcp::socket::shutdown_send, ec);
--- a/libs/edge/response_writer.cpp
+++ b/libs/edge/response_writer.cpp
@@ -26,11 +26,18 @@
 void response_writer::reset()
 {
     omits_body_ = false;
+    omits_chunk_sizes_ = false;
     begun_ = false;
     finished_ = false;
     write_error_ = {};
 }
 
+void response_writer::omit_chunk_sizes()
+{
+    omits_chunk_sizes_ = true;
+    closes_connection_ = true;
+}
+
 awaitable<bool> response_writer::write(std::string bytes)
 {
     writing_ = true;
@@ -94,7 +101,10 @@
 awaitable<bool> response_writer::begin(const response_head& head)
 {
     begun_ = true;
-    std::string out = encode_head(head) + "Transfer-Encoding: chunked\r\n\r\n";
+    std::string out = encode_head(head);
+    if (!omits_chunk_sizes_)
+        out += "Transfer-Encoding: chunked\r\n";
+    out += "\r\n";
     const bool sent = co_await write(std::move(out));
     co_return sent;
 }
@@ -104,14 +114,14 @@
     // An empty chunk terminates a chunked body.
     if (bytes.empty())
         co_return true;
-    std::string out = chunk(bytes);
+    std::string out = omits_chunk_sizes_ ? bytes : chunk(bytes);
     const bool sent = co_await write(std::move(out));
     co_return sent;
 }
 
 awaitable<bool> response_writer::finish()
 {
-    std::string out = "0\r\n\r\n";
+    std::string out = omits_chunk_sizes_ ? "" : "0\r\n\r\n";
     const bool sent = co_await write(std::move(out));
     finished_ = sent;
     co_return sent;
