Know the software version of each target, and log it

No line said which version a target ran, nor which attempt a caller names when it asks for the rest of a stream, so streams that went on at another version couldn't be told from others, nor those resumed within a response from those whose callers came back. Entries carry the version, also between nodes; lines of attempts and requests have `version`, `resumes` and `resume_after`. No decision depends on it yet.

--- a/include/fennelladder/catalog/target_entry.hpp
+++ b/include/fennelladder/catalog/target_entry.hpp
@@ -37,6 +37,10 @@
 /// own clock; 0: unknown. Only starts of the same id are compared.
 using target_start = number_id<struct target_start_tag>;
 
+/// Version of the software that a target runs; versions have no order. Targets
+/// that state none share the empty one.
+using software_version = text_id<struct software_version_tag>;
+
 constexpr bool is_known(target_start start)
 {
     return start != target_start();
@@ -64,6 +68,7 @@
     std::uint32_t slots = 1;
     bool leaving = false;
     duration remaining_warm_up{0}; ///< Remaining time for which it is slow.
+    software_version software;
 
     target_process process() const { return {id, start}; }
 
@@ -151,7 +156,7 @@
 
     void apply_change(target_change change);
     void log(target_change change);
-    void fill_in_start(target_change& change) const;
+    void fill_in(target_change& change) const;
     bool is_of_earlier_process(const target_change& change) const;
     bool keep_later_start(const target_change& change);
     void remember_start(const target_change& change);
--- a/include/fennelladder/dispatch/target_registry.hpp
+++ b/include/fennelladder/dispatch/target_registry.hpp
@@ -124,6 +124,7 @@
     catalog::target_start start; ///< Of the process that was chosen.
     std::string address;
     data_center_id data_center;
+    catalog::software_version software;
     assigned_work work;
     duration predicted{0}; ///< Time to first byte of an average target.
     double cost = 0;       ///< Of the chosen target, in seconds.
--- a/libs/catalog/target_entry.cpp
+++ b/libs/catalog/target_entry.cpp
@@ -34,6 +34,8 @@
     // Any data centre is accepted: an unknown one only costs a longer route.
     if (entry.data_center.str().size() > max_target_id_bytes)
         return fail(error_code::corrupt, "target's data centre is too long");
+    if (entry.software.str().size() > max_target_id_bytes)
+        return fail(error_code::corrupt, "target's version is too long");
     if (entry.slots == 0 || entry.slots > max_target_slots)
         return fail(error_code::corrupt, "target's slots are out of range");
     if (entry.remaining_warm_up < duration(0) ||
@@ -60,7 +62,7 @@
             changes.push_back({id, std::nullopt, as_of});
     for (const auto& [id, listed_change] : listed) {
         target_change change = *listed_change;
-        fill_in_start(change);
+        fill_in(change);
         const auto old = entries_.find(id);
         if (has_listing_ && !is_of_earlier_process(change))
             change.at = as_of;
@@ -113,7 +115,7 @@
 
 void target_list::apply_change(target_change change)
 {
-    fill_in_start(change);
+    fill_in(change);
     if (keep_later_start(change))
         return;
     if (change.entry)
@@ -124,14 +126,20 @@
     log(std::move(change));
 }
 
-/// An entry without a start time (passed on by a node of an earlier release) is
-/// taken as of the known process.
-void target_list::fill_in_start(target_change& change) const
+/// Nodes of earlier releases pass on entries without a start time, which are
+/// taken as of the known process, and without a software version, which a
+/// process doesn't change.
+void target_list::fill_in(target_change& change) const
 {
-    const auto known = starts_.find(change.id);
-    if (change.entry && !is_known(change.entry->start) &&
-        known != starts_.end())
-        change.entry->start = known->second.start;
+    if (!change.entry)
+        return;
+    const auto start = starts_.find(change.id);
+    if (!is_known(change.entry->start) && start != starts_.end())
+        change.entry->start = start->second.start;
+    const auto listed = entries_.find(change.id);
+    if (change.entry->software.empty() && listed != entries_.end() &&
+        listed->second.process() == change.entry->process())
+        change.entry->software = listed->second.software;
 }
 
 bool target_list::is_of_earlier_process(const target_change& change) const
--- a/libs/catalog/target_entry_test.cpp
+++ b/libs/catalog/target_entry_test.cpp
@@ -278,3 +278,22 @@
     UNSIGNED_LONGS_EQUAL(2, list.latest_update(16).changes.size());
     CHECK(list.latest_change() == revision(12));
 }
+
+// Guards against a node of an earlier release, which passes entries on without
+// their versions: streams of the target could not be resumed.
+TEST(target_list, a_process_keeps_its_version)
+{
+    target_change known = process("a", 100, 5);
+    known.entry->software = software_version("v1");
+    target_list list;
+    list.replace_all({known}, revision(10));
+    const auto software = [&] {
+        return list.entries().at(target_id("a")).software.str();
+    };
+    list.apply({process("a", 100, 11)}, revision(11));
+    STRCMP_EQUAL("v1", software().c_str());
+    list.replace_all({process("a", 100, 12)}, revision(12));
+    STRCMP_EQUAL("v1", software().c_str());
+    list.apply({process("a", 101, 13)}, revision(13));
+    STRCMP_EQUAL("", software().c_str());
+}
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -255,6 +255,7 @@
     out.start = chosen->entry.start;
     out.address = chosen->entry.address;
     out.data_center = chosen->entry.data_center;
+    out.software = chosen->entry.software;
     out.running = chosen->running + chosen->peers_running;
     out.relayed = is_relayed(*chosen);
     return out;
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -66,6 +66,13 @@
     return last.detail.empty() ? ended : ended + ": " + last.detail;
 }
 
+/// What a caller states, for the log: as long as any proper id.
+std::string shortened(const std::string& text)
+{
+    constexpr std::size_t max_logged_bytes = 64;
+    return text.substr(0, max_logged_bytes);
+}
+
 std::string version_text(const node_tables& tables)
 {
     return tables.config ? std::to_string(tables.config->version().value())
@@ -134,7 +141,8 @@
     event_splitter events_;
     std::vector<catalog::target_process> tried_targets_;
     target_id last_target_;
-    host_id last_relay_;       ///< Of the last attempt; empty if it was direct.
+    catalog::software_version last_version_; ///< Of the last target.
+    host_id last_relay_; ///< Of the last attempt; empty if it was direct.
     body_framing last_framing_ = body_framing::unknown;
     bool retry_taken_ = false; ///< For the attempt after an idle one.
     instant attempt_began_;
@@ -401,6 +409,7 @@
                                  const dispatch::choice& target)
 {
     last_target_ = target.target;
+    last_version_ = target.software;
     last_relay_ = got.relay;
     last_framing_ = got.framing;
     const bool not_run = dispatch::proved_not_run(got.ended);
@@ -503,6 +512,7 @@
                       {{"id", request_.header_values.id},
                        {"target", target->target.str()},
                        {"address", target->address},
+                       {"version", target->software.str()},
                        {"relay", got.relay.str()},
                        {"reused", got.reused_connection ? "yes" : "no"},
                        {"ended", std::string(to_string(got.ended))},
@@ -531,6 +541,9 @@
          {"route", route_ ? route_->id.str() : ""},
          {"team", team_ ? team_->id.str() : ""},
          {"target", last_target_.str()},
+         {"version", last_version_.str()},
+         {"resumes", shortened(request_.header_values.resumes)},
+         {"resume_after", shortened(request_.header_values.resume_after)},
          {"relay", last_relay_.str()},
          {"ms", milliseconds_text(took)},
          {"sent_ms", last_sent_at_
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -36,6 +36,7 @@
   8: i64 warm_up_ms
   9: i64 changed_at
   10: optional i64 start_ms
+  11: optional string software
 }
 
 struct TargetNews {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -50,6 +50,8 @@
     out.warm_up_ms =
         std::chrono::duration_cast<milliseconds>(from.entry->remaining_warm_up)
             .count();
+    if (!from.entry->software.empty())
+        out.__set_software(from.entry->software.str());
     if (catalog::is_known(from.entry->start))
         out.__set_start_ms(to_signed(from.entry->start.value()));
     return out;
@@ -72,6 +74,7 @@
     entry.remaining_warm_up =
         milliseconds(std::clamp(from.warm_up_ms, std::int64_t(-1), too_long));
     entry.start = start_of(from.start_ms);
+    entry.software = catalog::software_version(from.software);
     return entry;
 }
 
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -30,6 +30,7 @@
     leaving.id = target_id("i-1");
     leaving.service = service_id("s");
     leaving.address = "10.0.0.9:80";
+    leaving.software = catalog::software_version("v1.2");
     leaving.leaving = true;
     out.target_update = {
         catalog::revision(10),
