Resume a stream only at the version that began it, within a response

Callers got streams of which one part came from a target of one software version and the rest from another's. What two versions write doesn't fit together, and targets don't check it.

Cause: a request that resumes a stream could go to any target of its service. The version of the target whose answer was begun now narrows the candidates before anything else does; a pause is no reason to give it up for a target of another version; without a target of the version the stream is cut at once.

--- a/include/fennelladder/dispatch/target_registry.hpp
+++ b/include/fennelladder/dispatch/target_registry.hpp
@@ -34,6 +34,9 @@
 // too: the choice then says that the request has to be relayed, and failures to
 // connect to it from here don't exclude it.
 //
+// A request that resumes a stream may name the software version that began it.
+// Only targets of that version are eligible, whatever else speaks for others.
+//
 // Targets of an evacuated data centre, and targets outside the regions that a
 // request allows, are not eligible. A cold target is eligible only on the
 // nodes assigned to it (dispatch/assignment_table.hpp), within their quotas.
@@ -109,6 +112,8 @@
     catalog::allowed_regions regions; ///< Where it may run.
     std::vector<catalog::target_process> avoid; ///< Tried already.
     bool was_rejected = false; ///< By a target that it was sent to before.
+    /// The software version that it may run at, to resume a stream; unset: any.
+    std::optional<catalog::software_version> software;
 };
 
 /// Work added to a target's load, to be subtracted with the same value.
@@ -159,6 +164,7 @@
 {
     /// No target is listed, or it is gone or was tried already.
     none_usable,
+    other_version,   ///< It can't resume the stream: another version began it.
     leaving,         ///< It announced that it is leaving.
     outside_regions, ///< Its region isn't allowed.
     evacuated,       ///< Its data centre is evacuated.
@@ -372,7 +378,10 @@
     std::optional<catalog::target_entry>
     entry_of(const target_id& target) const;
 
-    std::size_t count(const service_id& service) const;
+    /// Number of the service's targets; with `software`, of that version only.
+    std::size_t count(const service_id& service,
+                      const std::optional<catalog::software_version>& software =
+                          std::nullopt) const;
 
     /// Which of these targets this node reaches.
     reach_table& reach() { return reach_; }
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -132,6 +132,8 @@
 {
     if (is_gone(it, now) || was_tried(it, request))
         return no_target_reason::none_usable;
+    if (request.software && it.entry.software != *request.software)
+        return no_target_reason::other_version;
     if (is_leaving(it))
         return no_target_reason::leaving;
     if (is_outside(it, request))
--- a/libs/dispatch/target_registry.cpp
+++ b/libs/dispatch/target_registry.cpp
@@ -50,6 +50,8 @@
     switch (value) {
     case no_target_reason::none_usable:
         return "no usable target";
+    case no_target_reason::other_version:
+        return "no target of the version that began the stream";
     case no_target_reason::leaving:
         return "its targets leave";
     case no_target_reason::evacuated:
@@ -316,10 +318,19 @@
     return it->second.entry;
 }
 
-std::size_t target_registry::count(const service_id& service) const
+std::size_t target_registry::count(
+    const service_id& service,
+    const std::optional<catalog::software_version>& software) const
 {
-    const auto it = by_service_.find(service);
-    return it == by_service_.end() ? 0 : it->second.size();
+    const auto known = by_service_.find(service);
+    if (known == by_service_.end())
+        return 0;
+    if (!software)
+        return known->second.size();
+    return static_cast<std::size_t>(
+        std::ranges::count_if(known->second, [&](const target_id& id) {
+            return targets_.at(id).entry.software == *software;
+        }));
 }
 
 target_registry::target_state*
--- a/libs/dispatch/target_registry_test.cpp
+++ b/libs/dispatch/target_registry_test.cpp
@@ -54,6 +54,48 @@
     }
 };
 
+// Guards against resuming a stream at a target of another version, by whatever
+// makes that target the better choice.
+TEST(target_registry, only_targets_of_the_version_are_eligible)
+{
+    entry_map listed = engines(6);
+    for (int i = 0; i < 6; ++i)
+        listed.at(target_id("i-" + std::to_string(i))).software =
+            catalog::software_version(i < 2 ? "v1" : "v2");
+    registry.sync(listed, false, start);
+    const catalog::software_version old("v1");
+    UNSIGNED_LONGS_EQUAL(2, registry.count(service_id("llm"), old));
+    for (std::uint64_t part = 2; part < 40; ++part) {
+        routing_request request = prompt(part);
+        // The shared parts are held by a target of the other version.
+        for (int i = 2; i < 6; ++i) {
+            choice holder;
+            holder.target = target_id("i-" + std::to_string(i));
+            registry.started(holder, request, start);
+        }
+        request.software = old;
+        const auto made = registry.choose(request, start, random);
+        CHECK(made && made->software == old);
+        UNSIGNED_LONGS_EQUAL(2, made->candidates);
+        STRCMP_EQUAL("", made->fetch_from.c_str());
+    }
+    // Those that are left are tried already, or leave.
+    routing_request request = prompt(2);
+    request.software = old;
+    request.avoid = {{target_id("i-0"), {}}};
+    listed.at(target_id("i-1")).leaving = true;
+    registry.sync(listed, false, start);
+    CHECK(!registry.choose(request, start, random));
+    CHECK(registry.why_no_target(request, start) == no_target_reason::leaving);
+    listed.erase(target_id("i-0"));
+    listed.erase(target_id("i-1"));
+    registry.sync(listed, false, start);
+    CHECK(!registry.choose(request, start, random));
+    CHECK(registry.why_no_target(request, start) ==
+          no_target_reason::other_version);
+    CHECK(!registry.backoff_wait(request, start));
+}
+
 TEST(target_registry, nodes_agree_on_the_target_of_a_part)
 {
     target_registry other{{}};
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -144,6 +144,8 @@
     catalog::software_version last_version_; ///< Of the last target.
     host_id last_relay_; ///< Of the last attempt; empty if it was direct.
     body_framing last_framing_ = body_framing::unknown;
+    /// Version that began the stream; unset: no part of it is known to exist.
+    std::optional<catalog::software_version> software_;
     bool retry_taken_ = false; ///< For the attempt after an idle one.
     instant attempt_began_;
     bool prompt_may_have_been_read_ = false; ///< Then it is charged.
@@ -271,6 +273,7 @@
     out.objective = route_->objective;
     out.avoid = tried_targets_;
     out.was_rejected = state_.rejections > 0;
+    out.software = software_;
     out.regions = catalog::regions_for(*route_, team_);
     for (const adapter::prompt_part& it : request_.header_values.prompt)
         out.prompt.push_back({it.id, it.size});
@@ -301,7 +304,8 @@
 {
     return route_->repeats == catalog::repeat_rule::idempotent &&
            state_.may_have_run + 1 < route_->max_targets &&
-           tables_.registry.count(service_) > tried_targets_.size() + 1;
+           tables_.registry.count(service_, software_) >
+               tried_targets_.size() + 1;
 }
 
 /// Whether to abandon an idle attempt. Failure it guards against: a target
@@ -326,6 +330,8 @@
         return false;
     dispatch::routing_request other = routing_request();
     other.avoid.push_back(idle.process());
+    if (route_->streams && reply_.begun())
+        other.software = idle.software;
     const instant now = tables_.now();
     retry_taken_ =
         tables_.registry.choose(other, now, tables_.random).has_value() &&
@@ -434,6 +440,9 @@
     if (!got.stale_connection || target.candidates > 1)
         tried_targets_.push_back(target.process());
     state_.head_passed_on = reply_.begun();
+    // What targets of two versions send doesn't fit together.
+    if (route_->streams && reply_.begun() && !software_)
+        software_ = target.software;
     state_.partial_body_sent |= got.partial_body_sent;
     state_.time_left = time_left();
 }
