Resume a stream only at the version that began it, for callers that return

A caller whose node died, or whose response was cut, asks any node for the rest of its stream.

Cause: no node knew which version began a stream that it hadn't begun, and none asked. Before a request for a resumable stream is sent to a target, its node now tells three others, picked by rendezvous hashing of the attempt's id and team in different data centres. A node to which a caller comes back asks those that may know. If nobody does, the stream is resumed only if its service has had one version for a minute, as of a list that was confirmed after the caller asked; otherwise it is refused at once, as not run. Without a target of its version that stays, a stream is refused at once too, and without a time to come back.

Ruled out: asking the node that began it (it is the one that died), telling all (4,200 streams a second to 340 nodes), and a version chosen by a hash of the id (needs the same list at both nodes, which nobody has in a release).

--- /dev/null
+++ b/include/fennelladder/dispatch/stream_origins.hpp
@@ -0,0 +1,183 @@
+// Which software version began each resumable stream.
+//
+// Targets of several software versions may serve a service side by side. What
+// two versions write doesn't fit together, and targets don't check it, so a
+// stream may be resumed only at a target of the version that began it, also
+// when its caller comes back to another node because the first one died.
+//
+// The node that sends a request for a resumable stream to a target tells a few
+// other nodes, before the target can answer:
+//
+//     origins.note({key, service, version, attempt}, now);
+//     for (const host_id& it : stream_record_holders(key, hosts, 3))
+//         ... send the record ...
+//
+// The node to which the caller comes back asks the nodes that rendezvous
+// hashing ranks first for the stream, and decides:
+//
+//     switch (decide_resumption(evidence)) ...
+//
+// Not thread safe, but for the functions without state.
+
+#ifndef FENNELLADDER_DISPATCH_STREAM_ORIGINS_HPP
+#define FENNELLADDER_DISPATCH_STREAM_ORIGINS_HPP
+
+#include "fennelladder/base/ids.hpp"
+#include "fennelladder/base/time.hpp"
+#include "fennelladder/catalog/target_entry.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace fennelladder::dispatch {
+
+/// Identifies a stream: one attempt of a caller.
+using stream_key = number_id<struct stream_key_tag>;
+
+/// `request` is the id of the caller's attempt. The team is part of the key: a
+/// caller that states another team's id finds nothing.
+stream_key stream_key_of(std::string_view request, const team_id& team);
+
+/// Where a stream began.
+struct stream_origin
+{
+    stream_key key;
+    service_id service;
+    catalog::software_version version;
+    /// Of the attempts of one request before its first event, which may have
+    /// been sent to different versions, the last one counts.
+    std::uint32_t attempt = 0;
+
+    friend bool operator==(const stream_origin&,
+                           const stream_origin&) = default;
+};
+
+/// A record as of now, with the time since it was made.
+struct aged_origin
+{
+    stream_origin origin;
+    duration age{0};
+};
+
+struct stream_origin_options
+{
+    /// How long a record is kept: longer than callers come back.
+    duration retention = seconds(60);
+    std::size_t max_records = 65'536; ///< The oldest ones are dropped.
+};
+
+class stream_origin_table
+{
+public:
+    explicit stream_origin_table(stream_origin_options options = {});
+
+    /// Adds a record that was made `age` ago. Ignored if one with a later
+    /// attempt is known.
+    void note(const stream_origin& origin, instant now,
+              duration age = duration(0));
+
+    std::optional<aged_origin> find(stream_key key, instant now) const;
+
+    /// Records made within `span`, the newest last.
+    std::vector<aged_origin> recent(duration span, instant now) const;
+
+    std::size_t size() const { return records_.size(); }
+    const stream_origin_options& options() const { return options_; }
+
+private:
+    struct record
+    {
+        stream_origin origin;
+        instant made;
+    };
+
+    void evict(instant now);
+
+    stream_origin_options options_;
+    std::unordered_map<stream_key, record> records_;
+    std::deque<std::pair<stream_key, instant>> by_age_; ///< As added.
+};
+
+/// The software versions that a service had within some span, as far as known.
+struct recent_versions
+{
+    std::set<catalog::software_version> versions;
+    bool complete = false; ///< There were no others.
+
+    /// Adds what another node knows.
+    void merge(const recent_versions& other);
+
+    /// The version, if there was only one.
+    std::optional<catalog::software_version> only() const;
+};
+
+/// The software versions that each service had of late.
+class version_history
+{
+public:
+    explicit version_history(duration span) : span_(span) {}
+
+    /// Applies the list of targets. Call after each change of the list.
+    void sync(const catalog::target_list::entry_map& listed, instant now);
+
+    /// The versions of the service within the span: complete if the list is
+    /// known for that long.
+    recent_versions of(const service_id& service, instant now) const;
+
+private:
+    /// When a version was last listed; unset while it is.
+    using last_listed =
+        std::map<catalog::software_version, std::optional<instant>>;
+
+    duration span_;
+    std::optional<instant> known_since_;
+    std::map<service_id, last_listed> versions_;
+};
+
+/// A node that may hold the record of a stream.
+struct record_holder
+{
+    host_id host;
+    data_center_id data_center;
+};
+
+/// The hosts that rendezvous hashing ranks first for the stream, at most
+/// `most`, in different data centres as far as there are.
+std::vector<host_id> stream_record_holders(stream_key key,
+                                           std::vector<record_holder> hosts,
+                                           std::size_t most);
+
+/// What is known about a stream that its caller asks to resume.
+struct resumption_evidence
+{
+    std::optional<stream_origin> origin; ///< From a record.
+    recent_versions versions;            ///< As this node and others know them.
+    /// The list of targets was confirmed after the caller had asked: a version
+    /// that began the stream is listed there, or was before.
+    bool list_confirmed = false;
+    service_id service; ///< Of the request's route.
+};
+
+enum class resumption : std::uint8_t
+{
+    at_origin,     ///< At the version of the record.
+    at_only,       ///< At the only version.
+    wait_for_list, ///< At the only version, once the list is confirmed.
+    other_service, ///< The route leads to another service now: refuse.
+    unknown        ///< Any version may have begun it: refuse.
+};
+
+std::string_view to_string(resumption value);
+
+resumption decide_resumption(const resumption_evidence& evidence);
+
+} // namespace fennelladder::dispatch
+
+#endif
--- a/include/fennelladder/dispatch/target_registry.hpp
+++ b/include/fennelladder/dispatch/target_registry.hpp
@@ -321,6 +321,10 @@
     std::optional<duration> backoff_wait(const routing_request& request,
                                          instant now) const;
 
+    /// Whether a target may take the request now or later: it has the version,
+    /// stays, and is in a region that is allowed. `avoid` is ignored.
+    bool may_take_later(const routing_request& request, instant now) const;
+
     /// For peers: targets that recently announced to this node that they are
     /// leaving, and whose entries don't say so. The newest, at most `most`.
     std::vector<catalog::target_process> own_leaving(std::size_t most,
--- a/include/fennelladder/edge/edge_node.hpp
+++ b/include/fennelladder/edge/edge_node.hpp
@@ -78,6 +78,7 @@
     platform_client client_;
     mesh_node mesh_;
     token_allocator allocator_;
+    stream_origin_exchange origins_;
     platform_feed feed_;
     link_prober links_;
     request_driver driver_;
--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -11,6 +11,7 @@
 #define FENNELLADDER_EDGE_MESH_NODE_HPP
 
 #include "fennelladder/edge/node_tables.hpp"
+#include "fennelladder/edge/stream_origin_exchange.hpp"
 #include "fennelladder/edge/token_allocator.hpp"
 #include "fennelladder/edge/update_exchange.hpp"
 
@@ -30,11 +31,15 @@
     /// Sets the receiver of token messages. Call before start().
     void set_token_allocator(token_allocator& allocator);
 
+    /// Sets the receiver of messages about streams. Call before start().
+    void set_stream_origins(stream_origin_exchange& origins);
+
     /// Opens the sockets and starts to send and receive. Fails if the address
     /// can't be used.
     status start();
 
-    /// Sends one datagram. It may be lost without an error.
+    /// Sends one datagram of tokens or streams. It may be lost without an
+    /// error.
     void send(const std::string& address, const mesh::datagram& message);
 
     /// Adds peer addresses from other sources, such as seeds and the platform.
@@ -56,7 +61,8 @@
         heartbeats,    ///< Periodic ones.
         updates,       ///< Brief heartbeats, sent when something changed.
         introductions, ///< Heartbeats to newly discovered nodes.
-        tokens         ///< Token messages.
+        tokens,        ///< Token messages.
+        streams        ///< Where streams began.
     };
 
     struct traffic_count
@@ -69,6 +75,7 @@
     awaitable<void> tick();
     void handle_datagram(const mesh::datagram& message,
                          const std::string& from);
+    void handle_streams(const mesh::datagram& message, const std::string& from);
     void handle_heartbeat(const mesh::node_heartbeat& from);
     void apply_target_signals(const mesh::node_heartbeat& from, instant sent);
     void handle_node_death(const host_id& host, instant now);
@@ -94,12 +101,13 @@
     node_tables& tables_;
     std::string address_;
     token_allocator* allocator_ = nullptr;
+    stream_origin_exchange* origins_ = nullptr;
     udp::socket socket_;
     update_exchange exchange_;
     telemetry::counter& sent_;
     telemetry::counter& failed_;
     telemetry::gauge& lag_gauge_;
-    std::array<traffic_count, 4> traffic_{}; ///< Since the last log_traffic().
+    std::array<traffic_count, 5> traffic_{}; ///< Since the last log_traffic().
     std::array<char, 65536> datagram_{};
     std::uint64_t sequence_ = 0;
     bool update_scheduled_ = false;
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -16,6 +16,7 @@
 #include "fennelladder/catalog/target_entry.hpp"
 #include "fennelladder/dispatch/poison_list.hpp"
 #include "fennelladder/dispatch/retry_budget.hpp"
+#include "fennelladder/dispatch/stream_origins.hpp"
 #include "fennelladder/dispatch/target_registry.hpp"
 #include "fennelladder/edge/loop_lag.hpp"
 #include "fennelladder/edge/target_connection.hpp"
@@ -167,6 +168,8 @@
     dispatch::target_registry registry;
     dispatch::retry_budget retries;
     dispatch::poison_list poison;
+    dispatch::stream_origin_table stream_origins;
+    dispatch::version_history versions{stream_origins.options().retention};
     prepaid::token_balances token_balances;
     prepaid::loss_tracker losses;
     mesh::peer_view peers;
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -25,6 +25,7 @@
 #include "fennelladder/catalog/evacuation_list.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
 #include "fennelladder/dispatch/poison_list.hpp"
+#include "fennelladder/dispatch/stream_origins.hpp"
 #include "fennelladder/dispatch/target_registry.hpp"
 
 #include <cstdint>
@@ -165,6 +166,24 @@
     transfer_number number;
 };
 
+/// Asks a node where a stream began.
+struct origin_question
+{
+    node_incarnation incarnation; ///< Of the asking node.
+    std::uint64_t number = 0;     ///< Unique within it.
+    dispatch::stream_key key;
+    service_id service; ///< Whose recent versions are asked for as well.
+};
+
+struct origin_answer
+{
+    node_incarnation incarnation; ///< Of the asking node.
+    std::uint64_t number = 0;
+    host_id host;                                ///< Of the answering node.
+    std::optional<dispatch::aged_origin> origin; ///< Unset: it doesn't know.
+    dispatch::recent_versions versions;
+};
+
 /// A datagram holds one of these messages.
 struct datagram
 {
@@ -173,6 +192,10 @@
     std::optional<token_grant> grant;
     std::optional<token_push> push;
     std::optional<token_push_ack> push_ack;
+    /// Where streams began, for a node that keeps the record of it.
+    std::vector<dispatch::aged_origin> origins;
+    std::optional<origin_question> stream_question;
+    std::optional<origin_answer> stream_answer;
     std::size_t invalid_parts = 0; ///< Invalid parts dropped by decoding.
 };
 
--- a/include/fennelladder/telemetry/event_catalog.hpp
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -131,6 +131,7 @@
 constexpr int answer_undelivered = 1516;
 constexpr int request_unread = 1517;
 constexpr int connection_not_taken = 1518;
+constexpr int stream_resumed = 1519;
 constexpr int target_died = 1610;
 constexpr int target_limited = 1611;
 constexpr int target_leaving = 1612;
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -164,6 +164,21 @@
     return out;
 }
 
+bool target_registry::may_take_later(const routing_request& request,
+                                     instant now) const
+{
+    const auto known = by_service_.find(request.service);
+    if (known == by_service_.end())
+        return false;
+    routing_request without_avoid = request;
+    without_avoid.avoid.clear();
+    return std::ranges::any_of(known->second, [&](const target_id& id) {
+        const auto reason =
+            exclusion_reason(targets_.at(id), without_avoid, now);
+        return !reason || *reason > no_target_reason::outside_regions;
+    });
+}
+
 std::optional<duration>
 target_registry::backoff_wait(const routing_request& request, instant now) const
 {
--- a/libs/dispatch/target_registry_test.cpp
+++ b/libs/dispatch/target_registry_test.cpp
@@ -87,12 +87,14 @@
     registry.sync(listed, false, start);
     CHECK(!registry.choose(request, start, random));
     CHECK(registry.why_no_target(request, start) == no_target_reason::leaving);
+    CHECK(registry.may_take_later(request, start));
     listed.erase(target_id("i-0"));
     listed.erase(target_id("i-1"));
     registry.sync(listed, false, start);
     CHECK(!registry.choose(request, start, random));
     CHECK(registry.why_no_target(request, start) ==
           no_target_reason::other_version);
+    CHECK(!registry.may_take_later(request, start));
     CHECK(!registry.backoff_wait(request, start));
 }
 
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -59,8 +59,13 @@
           [this](const std::string& address, const mesh::datagram& message) {
               mesh_.send(address, message);
           }),
+      origins_(
+          tables_,
+          [this](const std::string& address, const mesh::datagram& message) {
+              mesh_.send(address, message);
+          }),
       feed_(tables_, client_, mesh_), links_(tables_),
-      driver_(tables_, allocator_),
+      driver_(tables_, allocator_, origins_),
       callers_(tables_, driver_, limits_for(tables_.settings)),
       signals_(io, SIGTERM, SIGINT, SIGHUP),
       settings_text_(options_.settings_text)
@@ -101,6 +106,7 @@
 status edge_node::start()
 {
     mesh_.set_token_allocator(allocator_);
+    mesh_.set_stream_origins(origins_);
     if (auto ok = mesh_.start(); !ok)
         return ok;
     if (auto ok = start_servers(); !ok)
@@ -164,6 +170,7 @@
     while (in_flight() > 0 && tables_.now() < end)
         co_await sleep_on(timer, drain_check_period);
     const std::size_t left = in_flight();
+    origins_.hand_over();
     co_await allocator_.push_all(token_hand_over_timeout);
     log_event(left == 0 ? event::node_stopped : event::node_left_unclean,
               {{"under_way", std::to_string(left)}});
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -90,6 +90,11 @@
     allocator_ = &allocator;
 }
 
+void mesh_node::set_stream_origins(stream_origin_exchange& origins)
+{
+    origins_ = &origins;
+}
+
 status mesh_node::start()
 {
     const auto endpoint = parse_endpoint(address_);
@@ -124,7 +129,10 @@
 
 void mesh_node::send(const std::string& address, const mesh::datagram& message)
 {
-    send_to_all({address}, message, traffic::tokens);
+    const bool of_tokens =
+        message.request || message.grant || message.push || message.push_ack;
+    send_to_all({address}, message,
+                of_tokens ? traffic::tokens : traffic::streams);
 }
 
 void mesh_node::send_to_all(const std::vector<std::string>& addresses,
@@ -285,7 +293,8 @@
                          {{"beacons", text(traffic::heartbeats)},
                           {"news", text(traffic::updates)},
                           {"greetings", text(traffic::introductions)},
-                          {"tokens", text(traffic::tokens)}});
+                          {"tokens", text(traffic::tokens)},
+                          {"streams", text(traffic::streams)}});
     traffic_ = {};
 }
 
@@ -354,6 +363,8 @@
 {
     if (message.heartbeat)
         handle_heartbeat(*message.heartbeat);
+    if (origins_ != nullptr)
+        handle_streams(message, from);
     if (allocator_ == nullptr)
         return;
     if (message.request)
@@ -366,6 +377,16 @@
         allocator_->on_push_acknowledged(*message.push_ack);
 }
 
+void mesh_node::handle_streams(const mesh::datagram& message,
+                               const std::string& from)
+{
+    origins_->on_origins(message.origins);
+    if (message.stream_question)
+        origins_->on_question(*message.stream_question, from);
+    if (message.stream_answer)
+        origins_->on_answer(*message.stream_answer);
+}
+
 void mesh_node::handle_heartbeat(const mesh::node_heartbeat& from)
 {
     const instant now = tables_.now();
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -174,6 +174,7 @@
     const bool in_doubt = target_list_in_doubt();
     targets_changed = now();
     const auto replaced = registry.sync(targets.entries(), in_doubt, now());
+    versions.sync(targets.entries(), now());
     for (const catalog::target_entry& it : replaced)
         pool.close_idle({it.process(), it.address});
     log_event(event::targets_changed,
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -32,6 +32,15 @@
 constexpr duration max_idle_if_repeatable = seconds(60);
 constexpr duration max_idle_if_once = milliseconds(250);
 
+/// How long to ask other nodes for the version of a stream, as a fraction of
+/// the route's objective, and at least.
+constexpr double origin_wait_share = 0.2;
+constexpr duration min_origin_wait = milliseconds(50);
+
+/// How long to wait for the list of targets to be confirmed, likewise.
+constexpr double list_wait_share = 0.5;
+constexpr duration list_check_interval = milliseconds(20);
+
 /// Targets stop at the deadline that they are given and send a response that
 /// says so. The node waits this long for it after the deadline.
 constexpr duration deadline_response_grace = milliseconds(60);
@@ -96,6 +105,10 @@
 
 private:
     std::optional<refusal> find_route();
+    awaitable<std::optional<refusal>> find_version();
+    awaitable<dispatch::resumption> resumption_of(const found_origin& found);
+    dispatch::stream_key stream_key_of(const std::string& request) const;
+    void note_beginning(const dispatch::choice& target);
     awaitable<std::optional<refusal>> reserve_tokens();
     awaitable<void> run_attempts();
     awaitable<attempt_outcome> run_attempt_at(const dispatch::choice& target);
@@ -114,13 +127,15 @@
     duration total_time() const;
     int urgency() const;
     const service_id& choose_service();
+    void use_service(const service_id& service);
+    bool may_use_service(const service_id& service) const;
     std::optional<dispatch::choice> choose_target();
     bool retry_is_possible() const;
     bool may_abandon_idle(const dispatch::choice& idle);
     bool may_send() const;
     bool take_retry();
     std::string_view no_target_reason() const;
-    duration retry_after();
+    std::optional<duration> retry_after();
     tokens max_cost() const;
 
     request_driver& driver_;
@@ -146,7 +161,10 @@
     body_framing last_framing_ = body_framing::unknown;
     /// Version that began the stream; unset: no part of it is known to exist.
     std::optional<catalog::software_version> software_;
-    bool retry_taken_ = false; ///< For the attempt after an idle one.
+    /// Version that was recorded last as the one that begins the stream.
+    std::optional<catalog::software_version> recorded_;
+    std::uint32_t beginnings_ = 0; ///< Records made.
+    bool retry_taken_ = false;     ///< For the attempt after an idle one.
     instant attempt_began_;
     bool prompt_may_have_been_read_ = false; ///< Then it is charged.
     std::optional<instant> last_sent_at_;
@@ -188,6 +206,21 @@
     return route_->services.back().service;
 }
 
+void request_run::use_service(const service_id& service)
+{
+    service_ = service;
+    const catalog::service* served = config_->find_service(service_);
+    engine_ = served != nullptr && served->engine ? &*served->engine : nullptr;
+}
+
+/// Whether the route leads to this service.
+bool request_run::may_use_service(const service_id& service) const
+{
+    return std::ranges::any_of(route_->services, [&](const auto& it) {
+        return it.service == service;
+    });
+}
+
 std::optional<refusal> request_run::find_route()
 {
     if (!tables_.ready() && config_ == nullptr)
@@ -209,13 +242,105 @@
                                  team_ ? team_->id : team_id(), request_.body);
     if (tables_.poison.is_poison(mark_, tables_.now()))
         return refusal{503, poison_retry_after, "it kills its targets"};
-    service_ = choose_service();
-    const catalog::service* served = config_->find_service(service_);
-    if (served != nullptr && served->engine)
-        engine_ = &*served->engine;
+    use_service(choose_service());
     return std::nullopt;
 }
 
+/// What follows from what is known about the stream. Waits for the list of
+/// targets to be confirmed if that decides.
+awaitable<dispatch::resumption>
+request_run::resumption_of(const found_origin& found)
+{
+    dispatch::resumption_evidence evidence;
+    if (found.origin)
+        evidence.origin = found.origin->origin;
+    evidence.versions = found.versions;
+    evidence.service = service_;
+    const instant until =
+        tables_.now() + part_of(route_->objective, list_wait_share);
+    asio::steady_timer timer(tables_.io);
+    for (;;) {
+        const auto age = tables_.targets_freshness.age(tables_.now());
+        evidence.list_confirmed =
+            age && tables_.now() - *age >= request_.arrived;
+        // Changes that the list has got meanwhile count.
+        evidence.versions.merge(tables_.versions.of(service_, tables_.now()));
+        const auto out = dispatch::decide_resumption(evidence);
+        if (out != dispatch::resumption::wait_for_list ||
+            tables_.now() >= until)
+            co_return out;
+        co_await sleep_on(timer, list_check_interval);
+    }
+}
+
+/// Key of the stream that this caller's attempt `request` began.
+dispatch::stream_key
+request_run::stream_key_of(const std::string& request) const
+{
+    return dispatch::stream_key_of(request, team_ ? team_->id : team_id());
+}
+
+/// Finds the software version that began the stream which the caller asks to
+/// resume. Refuses the request if it can't be told from others.
+awaitable<std::optional<refusal>> request_run::find_version()
+{
+    using dispatch::resumption;
+    const adapter::request_header_values& values = request_.header_values;
+    if (!route_->resumable || values.resume_after.empty())
+        co_return std::nullopt;
+    const instant begun = tables_.now();
+    const duration limit = std::max(
+        part_of(route_->objective, origin_wait_share), min_origin_wait);
+    found_origin found;
+    if (!values.resumes.empty()) {
+        const auto key = stream_key_of(values.resumes);
+        const instant until = begun + limit;
+        found = co_await driver_.origins_.find(key, service_, until);
+    }
+    // A route may have several services; the stream belongs to one of them.
+    if (found.origin && may_use_service(found.origin->origin.service))
+        use_service(found.origin->origin.service);
+    const resumption decided = co_await resumption_of(found);
+    if (decided == resumption::at_origin)
+        software_ = found.origin->origin.version;
+    else if (decided == resumption::at_only)
+        software_ = found.versions.only();
+    log_event(
+        event::stream_resumed,
+        {{"id", values.id},
+         {"resumes", shortened(values.resumes)},
+         {"resume_after", shortened(values.resume_after)},
+         {"decision", std::string(to_string(decided))},
+         {"service", service_.str()},
+         {"version", software_ ? software_->str() : ""},
+         {"source", found.source.str()},
+         {"age_ms", found.origin ? milliseconds_text(found.origin->age) : ""},
+         {"asked", std::to_string(found.asked)},
+         {"answered", std::to_string(found.answered)},
+         {"ms", milliseconds_text(tables_.now() - begun)}});
+    tables_.metrics
+        .counter_of("fennelladder_streams_resumed_total",
+                    {{"decision", std::string(to_string(decided))}})
+        .add();
+    if (software_)
+        co_return std::nullopt;
+    // Asking again helps only if some node may know more by then.
+    std::optional<duration> later;
+    if (decided == resumption::wait_for_list || found.answered < found.asked)
+        later = default_retry_after;
+    co_return refusal{503, later, "version of the stream unknown"};
+}
+
+/// Records at which version the stream begins, if it may be resumed.
+void request_run::note_beginning(const dispatch::choice& target)
+{
+    if (!route_->resumable || recorded_ == target.software)
+        return;
+    recorded_ = target.software;
+    driver_.origins_.begin({stream_key_of(request_.header_values.id), service_,
+                            target.software, ++beginnings_});
+}
+
 /// Largest number of tokens that the request can cost.
 tokens request_run::max_cost() const
 {
@@ -384,6 +509,7 @@
                 part_of(route_->event_gap_objective,
                         tables_.options.requests.stream_idle_timeout_factor);
     }
+    note_beginning(target);
     const dispatch::routing_request wanted = routing_request();
     tables_.registry.started(target, wanted, tables_.now());
     retry_taken_ = false;
@@ -474,10 +600,14 @@
         tables_.registry.why_no_target(routing_request(), tables_.now()));
 }
 
-/// Retry-After for a request that did not run. Callers that wait for a target's
+/// Retry-After for a request that did not run; unset if no target will take
+/// it. Callers that wait for a target's
 /// backoff should retry after its end, and not all at once.
-duration request_run::retry_after()
+std::optional<duration> request_run::retry_after()
 {
+    if (software_ &&
+        !tables_.registry.may_take_later(routing_request(), tables_.now()))
+        return std::nullopt;
     const auto rest =
         tables_.registry.backoff_wait(routing_request(), tables_.now());
     if (!rest)
@@ -644,7 +774,9 @@
     }
     cancellation_->set_deadline(request_.arrived + total_time() +
                                 deadline_response_grace);
-    refused = co_await reserve_tokens();
+    refused = co_await find_version();
+    if (!refused)
+        refused = co_await reserve_tokens();
     if (refused) {
         co_await refuse(*refused);
         co_return;
@@ -657,8 +789,9 @@
     co_await run_attempts();
 }
 
-request_driver::request_driver(node_tables& tables, token_allocator& allocator)
-    : tables_(tables), allocator_(allocator), prober_(tables)
+request_driver::request_driver(node_tables& tables, token_allocator& allocator,
+                               stream_origin_exchange& origins)
+    : tables_(tables), allocator_(allocator), origins_(origins), prober_(tables)
 {}
 
 awaitable<void> request_driver::serve(const caller_request& request,
--- /dev/null
+++ b/libs/edge/stream_origin_exchange.cpp
@@ -0,0 +1,164 @@
+#include "fennelladder/edge/stream_origin_exchange.hpp"
+
+#include <algorithm>
+
+namespace fennelladder::edge {
+
+namespace {
+
+/// Other nodes that keep the record of a stream: it is lost only if all of
+/// them and the node that began the stream end before it is needed.
+constexpr std::size_t record_holders = 3;
+
+/// Nodes asked for a stream. More than keep its record, since nodes that have
+/// started or ended meanwhile change the order.
+constexpr std::size_t nodes_asked = 8;
+
+/// After this time without an answer the question is sent again. Peers in the
+/// same region answer in a few milliseconds.
+constexpr duration question_repeat_interval = milliseconds(20);
+
+/// Records that fit one packet.
+constexpr std::size_t records_per_datagram = 16;
+
+} // namespace
+
+stream_origin_exchange::stream_origin_exchange(node_tables& tables, sender send)
+    : tables_(tables), send_(std::move(send))
+{}
+
+std::string stream_origin_exchange::address_of(const host_id& host) const
+{
+    const auto it = tables_.peers.rows().find(host);
+    return it == tables_.peers.rows().end() ? std::string()
+                                            : it->second.last.peer_address;
+}
+
+/// The other nodes that keep the stream's record, or may do so. With
+/// `after_leaving`, only those that stay.
+std::vector<host_id> stream_origin_exchange::holders(dispatch::stream_key key,
+                                                     std::size_t most,
+                                                     bool after_leaving) const
+{
+    std::vector<dispatch::record_holder> all;
+    for (const mesh::peer_record* it : tables_.peers.alive(tables_.now()))
+        if (!after_leaving || it->last.state != mesh::node_state::leaving)
+            all.push_back({it->last.host, it->last.data_center});
+    return dispatch::stream_record_holders(key, std::move(all), most);
+}
+
+void stream_origin_exchange::begin(const dispatch::stream_origin& origin)
+{
+    const instant now = tables_.now();
+    tables_.stream_origins.note(origin, now);
+    mesh::datagram message;
+    message.origins = {{origin, duration(0)}};
+    // A record that corrects an earlier one is sent twice: a node that missed
+    // it would answer with the earlier one.
+    const int copies = origin.attempt > 1 ? 2 : 1;
+    for (const host_id& it : holders(origin.key, record_holders, true))
+        for (int i = 0; i < copies; ++i)
+            send_(address_of(it), message);
+}
+
+void stream_origin_exchange::send_question(
+    const mesh::origin_question& question, const open_question& to)
+{
+    mesh::datagram message;
+    message.stream_question = question;
+    for (const host_id& it : to.waiting_for)
+        send_(address_of(it), message);
+}
+
+awaitable<found_origin> stream_origin_exchange::find(dispatch::stream_key key,
+                                                     service_id service,
+                                                     instant until)
+{
+    found_origin known;
+    known.source = tables_.settings.host;
+    known.origin = tables_.stream_origins.find(key, tables_.now());
+    known.versions = tables_.versions.of(service, tables_.now());
+    if (known.origin)
+        co_return known;
+    const auto asked = std::make_shared<open_question>(tables_.io);
+    asked->found = known;
+    for (const host_id& it : holders(key, nodes_asked, false))
+        asked->waiting_for.insert(it);
+    asked->found.asked = asked->waiting_for.size();
+    const mesh::origin_question question{tables_.incarnation, ++last_number_,
+                                         key, std::move(service)};
+    questions_.emplace(question.number, asked);
+    instant repeat = tables_.now();
+    while (!asked->found.origin && !asked->waiting_for.empty()) {
+        const instant now = tables_.now();
+        if (now >= until)
+            break;
+        if (now >= repeat) {
+            send_question(question, *asked);
+            repeat = now + question_repeat_interval;
+        }
+        co_await sleep_on(asked->timer, std::min(repeat, until) - now);
+    }
+    questions_.erase(question.number);
+    co_return asked->found;
+}
+
+void stream_origin_exchange::hand_over()
+{
+    const instant now = tables_.now();
+    std::map<host_id, mesh::datagram> messages;
+    const auto send = [this](const host_id& to, mesh::datagram& message) {
+        send_(address_of(to), message);
+        message.origins.clear();
+    };
+    const duration span = tables_.stream_origins.options().retention;
+    for (const auto& it : tables_.stream_origins.recent(span, now))
+        for (const host_id& to : holders(it.origin.key, record_holders, true)) {
+            mesh::datagram& message = messages[to];
+            message.origins.push_back(it);
+            if (message.origins.size() == records_per_datagram)
+                send(to, message);
+        }
+    for (auto& [to, message] : messages)
+        if (!message.origins.empty())
+            send(to, message);
+}
+
+void stream_origin_exchange::on_origins(
+    const std::vector<dispatch::aged_origin>& origins)
+{
+    const instant now = tables_.now();
+    for (const dispatch::aged_origin& it : origins)
+        tables_.stream_origins.note(it.origin, now, it.age);
+}
+
+void stream_origin_exchange::on_question(const mesh::origin_question& question,
+                                         const std::string& from)
+{
+    const instant now = tables_.now();
+    mesh::datagram message;
+    message.stream_answer = mesh::origin_answer{
+        question.incarnation, question.number, tables_.settings.host,
+        tables_.stream_origins.find(question.key, now),
+        tables_.versions.of(question.service, now)};
+    send_(from, message);
+}
+
+void stream_origin_exchange::on_answer(const mesh::origin_answer& answer)
+{
+    const auto found = questions_.find(answer.number);
+    if (answer.incarnation != tables_.incarnation || found == questions_.end())
+        return;
+    open_question& asked = *found->second;
+    if (asked.waiting_for.erase(answer.host) == 0)
+        return;
+    ++asked.found.answered;
+    if (answer.origin) {
+        asked.found.origin = answer.origin;
+        asked.found.source = answer.host;
+    }
+    asked.found.versions.merge(answer.versions);
+    asked.timer.cancel();
+}
+
+} // namespace fennelladder::edge
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -133,12 +133,40 @@
   2: i64 number
 }
 
+// Where a stream began.
+struct StreamOrigin {
+  1: i64 key
+  2: string service_name
+  3: string software
+  4: i32 attempt
+  5: optional i32 age_ms
+}
+
+struct OriginAsk {
+  1: i64 life
+  2: i64 number
+  3: i64 key
+  4: string service_name
+}
+
+struct OriginReply {
+  1: i64 life
+  2: i64 number
+  3: string host
+  4: optional StreamOrigin origin
+  5: optional list<string> versions
+  6: optional bool versions_complete
+}
+
 struct Datagram {
   1: optional Beacon beacon
   2: optional TokenAsk ask
   3: optional TokenGive give
   4: optional TokenGift gift
   5: optional TokenGiftTaken gift_taken
+  6: optional list<StreamOrigin> origins
+  7: optional OriginAsk origin_ask
+  8: optional OriginReply origin_reply
 }
 
 struct RelayAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -248,6 +248,9 @@
     return out;
 }
 
+/// Records of streams are dropped long before.
+constexpr std::int32_t max_origin_age_ms = 24 * 3600 * 1000;
+
 /// Unit of the ages of reached targets.
 constexpr duration reach_age_unit = milliseconds(50);
 constexpr std::size_t reached_row_bytes = 5;
@@ -310,6 +313,104 @@
                          host_id(from.host)};
 }
 
+wire::StreamOrigin to_wire(const dispatch::aged_origin& from)
+{
+    wire::StreamOrigin out;
+    out.key = to_signed(from.origin.key.value());
+    out.service_name = from.origin.service.str();
+    out.software = from.origin.version.str();
+    out.attempt = static_cast<std::int32_t>(from.origin.attempt);
+    const auto age = std::chrono::duration_cast<milliseconds>(from.age).count();
+    if (age > 0)
+        out.__set_age_ms(static_cast<std::int32_t>(
+            std::min<std::int64_t>(age, max_origin_age_ms)));
+    return out;
+}
+
+std::optional<dispatch::aged_origin> from_wire(const wire::StreamOrigin& from)
+{
+    if (!is_id(from.service_name) || from.software.size() > max_id_bytes ||
+        from.attempt < 0 || from.age_ms < 0 || from.age_ms > max_origin_age_ms)
+        return std::nullopt;
+    return dispatch::aged_origin{{id_of<dispatch::stream_key>(from.key),
+                                  service_id(from.service_name),
+                                  catalog::software_version(from.software),
+                                  static_cast<std::uint32_t>(from.attempt)},
+                                 milliseconds(from.age_ms)};
+}
+
+std::vector<dispatch::aged_origin>
+origins_from(const std::vector<wire::StreamOrigin>& rows,
+             std::size_t& invalid_parts)
+{
+    std::vector<dispatch::aged_origin> out;
+    for (const wire::StreamOrigin& it : rows) {
+        const auto read = from_wire(it);
+        if (read && out.size() < max_heartbeat_rows)
+            out.push_back(*read);
+        else
+            ++invalid_parts;
+    }
+    return out;
+}
+
+wire::OriginAsk to_wire(const origin_question& from)
+{
+    wire::OriginAsk out;
+    out.life = to_signed(from.incarnation.value());
+    out.number = to_signed(from.number);
+    out.key = to_signed(from.key.value());
+    out.service_name = from.service.str();
+    return out;
+}
+
+origin_question from_wire(const wire::OriginAsk& from)
+{
+    return {id_of<node_incarnation>(from.life),
+            static_cast<std::uint64_t>(from.number),
+            id_of<dispatch::stream_key>(from.key),
+            service_id(from.service_name)};
+}
+
+wire::OriginReply to_wire(const origin_answer& from)
+{
+    wire::OriginReply out;
+    out.life = to_signed(from.incarnation.value());
+    out.number = to_signed(from.number);
+    out.host = from.host.str();
+    if (from.origin)
+        out.__set_origin(to_wire(*from.origin));
+    for (const catalog::software_version& it : from.versions.versions)
+        out.versions.push_back(it.str());
+    out.__isset.versions = !out.versions.empty();
+    if (from.versions.complete)
+        out.__set_versions_complete(true);
+    return out;
+}
+
+/// An answer that can't be read whole says nothing: left out versions would
+/// make another one look like the only one.
+std::optional<origin_answer> from_wire(const wire::OriginReply& from)
+{
+    origin_answer out;
+    out.incarnation = id_of<node_incarnation>(from.life);
+    out.number = static_cast<std::uint64_t>(from.number);
+    out.host = host_id(from.host);
+    if (from.__isset.origin) {
+        out.origin = from_wire(from.origin);
+        if (!out.origin)
+            return std::nullopt;
+    }
+    for (const std::string& it : from.versions) {
+        if (it.size() > max_id_bytes)
+            return std::nullopt;
+        out.versions.versions.insert(catalog::software_version(it));
+    }
+    out.versions.complete =
+        from.__isset.versions_complete && from.versions_complete;
+    return out;
+}
+
 wire::Beacon to_wire(const node_heartbeat& from)
 {
     wire::Beacon out;
@@ -670,6 +771,13 @@
     if (message.push_ack)
         out.__set_gift_taken(
             transfer_to_wire<wire::TokenGiftTaken>(*message.push_ack));
+    for (const dispatch::aged_origin& it : message.origins)
+        out.origins.push_back(to_wire(it));
+    out.__isset.origins = !out.origins.empty();
+    if (message.stream_question)
+        out.__set_origin_ask(to_wire(*message.stream_question));
+    if (message.stream_answer)
+        out.__set_origin_reply(to_wire(*message.stream_answer));
     return to_bytes(out);
 }
 
@@ -732,6 +840,13 @@
         out.push = transfer_from_wire<token_push>(read->gift);
     if (read->__isset.gift_taken)
         out.push_ack = transfer_from_wire<token_push_ack>(read->gift_taken);
+    out.origins = origins_from(read->origins, out.invalid_parts);
+    if (read->__isset.origin_ask)
+        out.stream_question = from_wire(read->origin_ask);
+    if (read->__isset.origin_reply) {
+        out.stream_answer = from_wire(read->origin_reply);
+        out.invalid_parts += !out.stream_answer;
+    }
     if (has_invalid_amount(out))
         return fail(error_code::corrupt,
                     "token message with an amount out of range");
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -291,6 +291,42 @@
     CHECK(got->heartbeat->reached.at(1).ago == milliseconds(255 * 50));
 }
 
+TEST(mesh_messages, records_of_streams_survive_encoding)
+{
+    const dispatch::aged_origin record{
+        {dispatch::stream_key(0xfedcba9876543210), service_id("s"),
+         catalog::software_version("v1.2"), 2},
+        milliseconds(1500)};
+    datagram message;
+    message.origins = {record};
+    message.stream_question = origin_question{
+        node_incarnation(77), 5, record.origin.key, service_id("s")};
+    message.stream_answer = origin_answer{
+        node_incarnation(78),
+        6,
+        host_id("n2"),
+        record,
+        {{catalog::software_version("v1"), catalog::software_version()}, true}};
+    const auto got = decode_datagram(encode(message));
+    CHECK(got && got->origins.size() == 1 && got->invalid_parts == 0);
+    CHECK(got->origins[0].origin == record.origin);
+    CHECK(got->origins[0].age == record.age);
+    CHECK(got->stream_question->key == record.origin.key);
+    CHECK(got->stream_question->number == 5);
+    CHECK(got->stream_answer->origin->origin == record.origin);
+    CHECK(got->stream_answer->versions.complete);
+    CHECK(got->stream_answer->versions.versions ==
+          message.stream_answer->versions.versions);
+    STRCMP_EQUAL("n2", got->stream_answer->host.str().c_str());
+    // One bad record harms no other; a bad answer says nothing.
+    message.origins = {record, record};
+    message.origins[0].origin.service = service_id();
+    message.stream_answer->origin->origin.service = service_id();
+    const auto bad = decode_datagram(encode(message));
+    CHECK(bad && bad->origins.size() == 1 && bad->invalid_parts == 2);
+    CHECK(!bad->stream_answer);
+}
+
 TEST(mesh_messages, a_question_for_a_relays_end_survives_encoding)
 {
     sync_request ask;
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -222,6 +222,9 @@
     {event::connection_not_taken, severity::warning, "connection_not_taken",
      "A caller's connection was not accepted: the host has reached its limit "
      "of connections, or the system allows no more."},
+    {event::stream_resumed, severity::info, "stream_resumed",
+     "A caller asked for the rest of a stream; the line says which software "
+     "version began it, and who knew."},
     {event::call_rejected, severity::info, "call_rejected",
      "A request was rejected as invalid: no such route, no valid key, or a "
      "malformed request."},
