Find the version of a stream whose caller names no attempt

A record is kept for the content of a request as well: method, path, team, body and prompt, which callers send again with each attempt. Streams asked for with the same words share it, and the last one counts. Where there is no record, the only version known is taken, also by a node that has just started. A route with several services needs a record: the stream belongs to one of them.

--- a/include/fennelladder/dispatch/stream_origins.hpp
+++ b/include/fennelladder/dispatch/stream_origins.hpp
@@ -25,6 +25,7 @@
 #include "fennelladder/base/ids.hpp"
 #include "fennelladder/base/time.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
+#include "fennelladder/dispatch/poison_list.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -32,6 +33,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -45,6 +47,12 @@
 /// caller that states another team's id finds nothing.
 stream_key stream_key_of(std::string_view request, const team_id& team);
 
+/// The same for callers that don't name the attempt: by what a caller sends
+/// again with each attempt. Streams that are asked for with the same words
+/// share it; the one that began last counts.
+stream_key stream_key_of(request_fingerprint content,
+                         std::span<const std::uint64_t> prompt);
+
 /// Where a stream began.
 struct stream_origin
 {
@@ -52,7 +60,8 @@
     service_id service;
     catalog::software_version version;
     /// Of the attempts of one request before its first event, which may have
-    /// been sent to different versions, the last one counts.
+    /// been sent to different versions, the last one counts. 0 in a record
+    /// that isn't of one request.
     std::uint32_t attempt = 0;
 
     friend bool operator==(const stream_origin&,
@@ -78,8 +87,8 @@
 public:
     explicit stream_origin_table(stream_origin_options options = {});
 
-    /// Adds a record that was made `age` ago. Ignored if one with a later
-    /// attempt is known.
+    /// Adds a record that was made `age` ago, or replaces the known one, unless
+    /// that has a later attempt.
     void note(const stream_origin& origin, instant now,
               duration age = duration(0));
 
@@ -114,6 +123,9 @@
     /// Adds what another node knows.
     void merge(const recent_versions& other);
 
+    /// The version, if there was only one as far as known.
+    std::optional<catalog::software_version> only_known() const;
+
     /// The version, if there was only one.
     std::optional<catalog::software_version> only() const;
 };
@@ -162,7 +174,11 @@
     /// The list of targets was confirmed after the caller had asked: a version
     /// that began the stream is listed there, or was before.
     bool list_confirmed = false;
-    service_id service; ///< Of the request's route.
+    service_id service;          ///< Of the request's route.
+    bool has_one_service = true; ///< The route has no other.
+    /// The caller names the attempt that began the stream, so that there is a
+    /// record unless all nodes that kept it have died.
+    bool is_named = true;
 };
 
 enum class resumption : std::uint8_t
--- a/libs/dispatch/stream_origins.cpp
+++ b/libs/dispatch/stream_origins.cpp
@@ -13,6 +13,15 @@
     return stream_key(hash64(request, hash64(team.str())));
 }
 
+stream_key stream_key_of(request_fingerprint content,
+                         std::span<const std::uint64_t> prompt)
+{
+    std::uint64_t out = content.value();
+    for (const std::uint64_t it : prompt)
+        out = hash64(to_hex(it), out);
+    return stream_key(out);
+}
+
 stream_origin_table::stream_origin_table(stream_origin_options options)
     : options_(options)
 {}
@@ -25,7 +34,7 @@
         records_.try_emplace(origin.key, record{origin, made});
     if (added)
         by_age_.emplace_back(origin.key, now);
-    else if (it->second.origin.attempt < origin.attempt)
+    else if (it->second.origin.attempt <= origin.attempt)
         it->second = {origin, made};
     evict(now);
 }
@@ -103,13 +112,18 @@
     complete |= other.complete;
 }
 
-std::optional<catalog::software_version> recent_versions::only() const
+std::optional<catalog::software_version> recent_versions::only_known() const
 {
-    if (!complete || versions.size() != 1)
+    if (versions.size() != 1)
         return std::nullopt;
     return *versions.begin();
 }
 
+std::optional<catalog::software_version> recent_versions::only() const
+{
+    return complete ? only_known() : std::nullopt;
+}
+
 std::vector<host_id> stream_record_holders(stream_key key,
                                            std::vector<record_holder> hosts,
                                            std::size_t most)
@@ -135,6 +149,11 @@
         return resumption::other_service;
     if (evidence.origin)
         return resumption::at_origin;
+    if (!evidence.has_one_service)
+        return resumption::unknown;
+    if (!evidence.is_named)
+        return evidence.versions.only_known() ? resumption::at_only
+                                              : resumption::unknown;
     if (!evidence.versions.only())
         return resumption::unknown;
     return evidence.list_confirmed ? resumption::at_only
--- a/libs/dispatch/stream_origins_test.cpp
+++ b/libs/dispatch/stream_origins_test.cpp
@@ -89,6 +89,20 @@
           stream_key_of("r1", team_id("a")));
 }
 
+// Guards against two streams, asked for with the same words, of which the
+// earlier one counts.
+TEST(stream_origins, the_last_stream_of_the_same_content_counts)
+{
+    const request_fingerprint same = fingerprint_of("GET", "/x", {}, "");
+    const std::vector<std::uint64_t> prompt{1, 2};
+    const stream_key key = stream_key_of(same, prompt);
+    CHECK(key != stream_key_of(same, std::vector<std::uint64_t>{1, 3}));
+    CHECK(key == stream_key_of(same, prompt));
+    table.note({key, llm, version("v1"), 0}, start);
+    table.note({key, llm, version("v2"), 0}, start);
+    CHECK(table.find(key, start)->origin.version == version("v2"));
+}
+
 // Guards against taking the only version that is left for the only one there
 // was, and against a node that has just started.
 TEST(stream_origins, a_version_counts_for_a_while_after_it_is_gone)
@@ -124,6 +138,8 @@
     recent_versions versions;
     bool list_confirmed;
     resumption expected;
+    bool is_named = true;
+    bool has_one_service = true;
 };
 
 TEST(stream_origins, a_stream_is_resumed_only_where_it_is_known_to_belong)
@@ -147,10 +163,18 @@
          resumption::wait_for_list},
         {"no record, perhaps one version", {}, some, true, resumption::unknown},
         {"no record, no version", {}, {}, true, resumption::unknown},
+        {"not named, a record", origin(1, "v2"), two, false,
+         resumption::at_origin, false},
+        {"not named, one version", {}, some, false, resumption::at_only, false},
+        {"not named", {}, two, true, resumption::unknown, false},
+        {"several services", {}, one, true, resumption::unknown, true, false},
+        {"several services, a record", origin(1, "v2"), two, false,
+         resumption::at_origin, true, false},
     };
     for (const resumption_case& it : cases)
         CHECK_TEXT(decide_resumption({it.origin, it.versions, it.list_confirmed,
-                                      llm}) == it.expected,
+                                      llm, it.has_one_service, it.is_named}) ==
+                       it.expected,
                    it.name);
 }
 
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -106,8 +106,9 @@
 private:
     std::optional<refusal> find_route();
     awaitable<std::optional<refusal>> find_version();
-    awaitable<dispatch::resumption> resumption_of(const found_origin& found);
+    awaitable<dispatch::resumption> resumption_of(found_origin& found);
     dispatch::stream_key stream_key_of(const std::string& request) const;
+    dispatch::stream_key content_key() const;
     void note_beginning(const dispatch::choice& target);
     awaitable<std::optional<refusal>> reserve_tokens();
     awaitable<void> run_attempts();
@@ -248,14 +249,14 @@
 
 /// What follows from what is known about the stream. Waits for the list of
 /// targets to be confirmed if that decides.
-awaitable<dispatch::resumption>
-request_run::resumption_of(const found_origin& found)
+awaitable<dispatch::resumption> request_run::resumption_of(found_origin& found)
 {
     dispatch::resumption_evidence evidence;
     if (found.origin)
         evidence.origin = found.origin->origin;
-    evidence.versions = found.versions;
     evidence.service = service_;
+    evidence.has_one_service = route_->services.size() == 1;
+    evidence.is_named = !request_.header_values.resumes.empty();
     const instant until =
         tables_.now() + part_of(route_->objective, list_wait_share);
     asio::steady_timer timer(tables_.io);
@@ -264,7 +265,8 @@
         evidence.list_confirmed =
             age && tables_.now() - *age >= request_.arrived;
         // Changes that the list has got meanwhile count.
-        evidence.versions.merge(tables_.versions.of(service_, tables_.now()));
+        found.versions.merge(tables_.versions.of(service_, tables_.now()));
+        evidence.versions = found.versions;
         const auto out = dispatch::decide_resumption(evidence);
         if (out != dispatch::resumption::wait_for_list ||
             tables_.now() >= until)
@@ -280,6 +282,15 @@
     return dispatch::stream_key_of(request, team_ ? team_->id : team_id());
 }
 
+/// Key of the stream by what the caller sends with each attempt.
+dispatch::stream_key request_run::content_key() const
+{
+    std::vector<std::uint64_t> prompt;
+    for (const adapter::prompt_part& it : request_.header_values.prompt)
+        prompt.push_back(it.id);
+    return dispatch::stream_key_of(mark_, prompt);
+}
+
 /// Finds the software version that began the stream which the caller asks to
 /// resume. Refuses the request if it can't be told from others.
 awaitable<std::optional<refusal>> request_run::find_version()
@@ -291,12 +302,10 @@
     const instant begun = tables_.now();
     const duration limit = std::max(
         part_of(route_->objective, origin_wait_share), min_origin_wait);
-    found_origin found;
-    if (!values.resumes.empty()) {
-        const auto key = stream_key_of(values.resumes);
-        const instant until = begun + limit;
-        found = co_await driver_.origins_.find(key, service_, until);
-    }
+    const bool is_named = !values.resumes.empty();
+    const auto key = is_named ? stream_key_of(values.resumes) : content_key();
+    const instant until = begun + limit;
+    found_origin found = co_await driver_.origins_.find(key, service_, until);
     // A route may have several services; the stream belongs to one of them.
     if (found.origin && may_use_service(found.origin->origin.service))
         use_service(found.origin->origin.service);
@@ -304,7 +313,7 @@
     if (decided == resumption::at_origin)
         software_ = found.origin->origin.version;
     else if (decided == resumption::at_only)
-        software_ = found.versions.only();
+        software_ = found.versions.only_known();
     log_event(
         event::stream_resumed,
         {{"id", values.id},
@@ -337,8 +346,12 @@
     if (!route_->resumable || recorded_ == target.software)
         return;
     recorded_ = target.software;
-    driver_.origins_.begin({stream_key_of(request_.header_values.id), service_,
-                            target.software, ++beginnings_});
+    dispatch::stream_origin origin{stream_key_of(request_.header_values.id),
+                                   service_, target.software, ++beginnings_};
+    driver_.origins_.begin(origin);
+    origin.key = content_key();
+    origin.attempt = 0;
+    driver_.origins_.begin(origin);
 }
 
 /// Largest number of tokens that the request can cost.
