--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,7 @@
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4 $(PASS_OVER)
 	cd tools/losses && python3 losses_test.py
+	cd tools/streams && python3 streams_test.py
 
 demo: build
 	$(BUILD)/fennelladder demo
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -670,6 +670,7 @@
                        {"ended", std::string(to_string(got.ended))},
                        {"framing", std::string(to_string(got.framing))},
                        {"detail", got.detail},
+                       {"events", std::to_string(events_.events())},
                        {"running", std::to_string(target->running)},
                        {"candidates", std::to_string(target->candidates)},
                        {"left_ms", milliseconds_text(state_.time_left)},
--- a/libs/report/request_timeline.cpp
+++ b/libs/report/request_timeline.cpp
@@ -211,6 +211,34 @@
            " (status " + std::string(it.last.get("outcome")) + ").";
 }
 
+/// Which software version began the stream that the caller came back for, and
+/// who knew; empty for other requests.
+std::string describe_resumption(const log_line& it)
+{
+    const std::string began =
+        "The caller came back for a stream after event " +
+        std::string(it.get("resume_after")) +
+        (it.get("resumes").empty()
+             ? ", without naming the attempt that began it."
+             : ", begun by its attempt " + std::string(it.get("resumes")) +
+                   ".");
+    const std::string version = quoted(it.get("version"));
+    const auto decision = it.get("decision");
+    if (decision == "at_origin")
+        return began + " It began at version " + version + ", by the record " +
+               "of host " + std::string(it.get("source")) + ", which was " +
+               std::string(it.get("age_ms")) + " ms old.";
+    if (decision == "at_only")
+        return began + " No record was found; the service had no other " +
+               "version than " + version + ".";
+    if (decision == "other_service")
+        return began + " Its route leads to another service now.";
+    return began + " Which version began it wasn't known: " +
+           std::string(it.get("answered")) + " of " +
+           std::string(it.get("asked")) + " nodes answered, and none had a " +
+           "record.";
+}
+
 struct explanation_rule
 {
     int event;
@@ -340,6 +368,7 @@
     }
     const auto lines = sorted_lines();
     const log_line* attempt = nullptr;
+    const log_line* resumption = nullptr;
     const log_line* last = nullptr;
     for (const log_line& it : lines) {
         out << it.time << ' ' << it.host << ' ' << it.name;
@@ -351,10 +380,14 @@
         out << '\n';
         if (it.event == event::attempt_ended)
             attempt = &it;
+        if (it.event == event::stream_resumed)
+            resumption = &it;
         if (find_rule(it) != nullptr)
             last = &it;
     }
     out << '\n';
+    if (resumption != nullptr)
+        out << describe_resumption(*resumption) << '\n';
     if (last == nullptr)
         out << "These logs don't contain the outcome.\n"
             << dropped_lines_note(context_);
--- a/libs/report/request_timeline_test.cpp
+++ b/libs/report/request_timeline_test.cpp
@@ -47,6 +47,30 @@
                                "last got tokens 10.6 s before, by host b"));
 }
 
+// A stream is refused, and the operator must find out which version began it
+// or why nobody knew.
+TEST(request_timeline, a_resumed_stream_names_the_version_that_began_it)
+{
+    request_timeline known("r1");
+    known.add(line("05.100", "a", 1519,
+                   R"(,"id":"r1","resumes":"r0","resume_after":"7",)"
+                   R"("decision":"at_origin","version":"v1.2",)"
+                   R"("source":"b","age_ms":"420")"));
+    known.add(line("05.200", "a", 1510, R"(,"id":"r1","ms":"90")"));
+    CHECK(explanation_contains(
+        known, "after event 7, begun by its attempt r0. It began at version "
+               "'v1.2', by the record of host b, which was 420 ms old"));
+    request_timeline unknown("r1");
+    unknown.add(line("05.100", "a", 1519,
+                     R"(,"id":"r1","resumes":"r0","resume_after":"7",)"
+                     R"("decision":"unknown","asked":"7","answered":"4")"));
+    unknown.add(line("05.200", "a", 1511,
+                     R"(,"id":"r1","outcome":"503",)"
+                     R"("reason":"version of the stream unknown")"));
+    CHECK(explanation_contains(unknown, "4 of 7 nodes answered"));
+    CHECK(explanation_contains(unknown, "version of the stream unknown"));
+}
+
 // A target dies in the middle of a stream that can't be resumed at another
 // target, so the caller's answer is truncated.
 TEST(request_timeline, a_cut_stream_names_the_target_that_died)
