--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -660,21 +660,23 @@
             action = dispatch::give_up(state_, got.ended);
         if (got.ended != attempt_end::answered &&
             got.ended != attempt_end::caller_left)
-            log_event(event::attempt_ended,
-                      {{"id", request_.header_values.id},
-                       {"target", target->target.str()},
-                       {"address", target->address},
-                       {"version", target->software.str()},
-                       {"relay", got.relay.str()},
-                       {"reused", got.reused_connection ? "yes" : "no"},
-                       {"ended", std::string(to_string(got.ended))},
-                       {"framing", std::string(to_string(got.framing))},
-                       {"detail", got.detail},
-                       {"events", std::to_string(events_.events())},
-                       {"running", std::to_string(target->running)},
-                       {"candidates", std::to_string(target->candidates)},
-                       {"left_ms", milliseconds_text(state_.time_left)},
-                       {"next", std::string(to_string(action))}});
+            log_event(
+                event::attempt_ended,
+                {{"id", request_.header_values.id},
+                 {"target", target->target.str()},
+                 {"address", target->address},
+                 {"version", target->software.str()},
+                 {"relay", got.relay.str()},
+                 {"reused", got.reused_connection ? "yes" : "no"},
+                 {"ended", std::string(to_string(got.ended))},
+                 {"framing", std::string(to_string(got.framing))},
+                 {"detail", got.detail},
+                 {"events", std::to_string(events_.events())},
+                 {"running", std::to_string(target->running)},
+                 {"candidates", std::to_string(target->candidates)},
+                 {"left_ms", milliseconds_text(state_.time_left)},
+                 {"queue_ms", milliseconds_text(tables_.queueing_delay())},
+                 {"next", std::string(to_string(action))}});
         if (action != next_action::try_other) {
             co_await respond(action, got);
             co_return;
