Hand over records of streams in series, and ask no longer than callers wait

Records of the last 20 s are handed over when a node leaves: those of a whole minute would fill a small host's link (580 kB in a fleet of 340, computed). is_known_after_nodes_have_left_in_series fails without the handing over. The question for a stream ends with its caller's deadline.

--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -304,7 +304,8 @@
         part_of(route_->objective, origin_wait_share), min_origin_wait);
     const bool is_named = !values.resumes.empty();
     const auto key = is_named ? stream_key_of(values.resumes) : content_key();
-    const instant until = begun + limit;
+    const instant until =
+        std::min(begun + limit, request_.arrived + total_time());
     found_origin found = co_await driver_.origins_.find(key, service_, until);
     // A route may have several services; the stream belongs to one of them.
     if (found.origin && may_use_service(found.origin->origin.service))
--- a/libs/edge/stream_origin_exchange.cpp
+++ b/libs/edge/stream_origin_exchange.cpp
@@ -18,6 +18,10 @@
 /// same region answer in a few milliseconds.
 constexpr duration question_repeat_interval = milliseconds(20);
 
+/// Records handed over when the node leaves: most callers come back within
+/// seconds, and all records of a minute would fill a small host's link.
+constexpr duration handed_over_span = seconds(20);
+
 /// Records that fit one packet.
 constexpr std::size_t records_per_datagram = 16;
 
@@ -111,8 +115,7 @@
         send_(address_of(to), message);
         message.origins.clear();
     };
-    const duration span = tables_.stream_origins.options().retention;
-    for (const auto& it : tables_.stream_origins.recent(span, now))
+    for (const auto& it : tables_.stream_origins.recent(handed_over_span, now))
         for (const host_id& to : holders(it.origin.key, record_holders, true)) {
             mesh::datagram& message = messages[to];
             message.origins.push_back(it);
