Draw no conclusion about targets from connects behind a full link

A host whose incoming traffic is delayed counted targets as lost whose connects timed out behind its own link, asked peers to relay over the same link, and could take the targets for dead. Such connects are evidence no more. a_full_link_is_not_taken_for_a_lost_one failed before (2 targets lost).

--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -102,6 +102,16 @@
     /// connecting to any target takes as long as bytes queue there.
     duration connect_timeout() const;
 
+    /// Whether the host's link delays its traffic so much that a connect which
+    /// isn't made in time shows nothing about its other end.
+    bool link_is_full() const;
+
+    /// Records that a connection to the target, begun at `started`, couldn't be
+    /// made, unless the host's link is full: a relay would cross the same link
+    /// twice more.
+    void note_dial_failed(const catalog::target_process& target,
+                          instant started);
+
     /// Puts a configuration into force if it is newer than the present one.
     /// `text` is passed on to other nodes; `source` names the sender for the
     /// log. Returns true if it is in force now.
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -200,7 +200,7 @@
     if (made && in_.cancellation.stopped() == stop_reason::none)
         co_return true;
     if (in_.cancellation.stopped() == stop_reason::none) {
-        reach.note_dial_failed(to.process, started, in_.tables.now());
+        in_.tables.note_dial_failed(to.process, started);
         end(attempt_end::not_connected, target_evidence::unreachable,
             made.error().message);
     } else {
--- a/libs/edge/link_prober.cpp
+++ b/libs/edge/link_prober.cpp
@@ -47,7 +47,7 @@
     const instant now = tables_.now();
     dispatch::reach_table& reach = tables_.registry.reach();
     if (!opened) {
-        reach.note_dial_failed(target, started, now);
+        tables_.note_dial_failed(target, started);
         co_return;
     }
     reach.note_connected(target, now);
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -12,6 +12,9 @@
 
 constexpr duration usual_connect_timeout = milliseconds(350);
 
+/// Delay beyond the usual from which a host's link counts as full.
+constexpr duration full_link_delay = milliseconds(100);
+
 /// For this long after the platform became reachable again, entries missing
 /// from its list may still return: targets rewrite theirs within two seconds.
 constexpr duration entry_return_window = milliseconds(2500);
@@ -169,6 +172,18 @@
     return usual_connect_timeout + 2 * queueing_delay();
 }
 
+bool node_tables::link_is_full() const
+{
+    return queueing_delay() >= full_link_delay;
+}
+
+void node_tables::note_dial_failed(const catalog::target_process& target,
+                                   instant started)
+{
+    if (!link_is_full())
+        registry.reach().note_dial_failed(target, started, now());
+}
+
 void node_tables::update_target_registry()
 {
     const bool in_doubt = target_list_in_doubt();
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -241,7 +241,7 @@
         reach.note_connected(made->to.process, now);
         co_return relay_result::connected;
     }
-    reach.note_dial_failed(made->to.process, started, now);
+    tables_.note_dial_failed(made->to.process, started);
     tables_.registry.note_evidence(made->to.process,
                                    dispatch::target_evidence::unreachable, now);
     co_return relay_result::unreachable;
--- a/libs/edge/target_prober.cpp
+++ b/libs/edge/target_prober.cpp
@@ -64,7 +64,7 @@
 }
 
 /// Whether the process can't be connected to. False if its entry is gone, since
-/// its address is then unknown.
+/// its address is then unknown, or if the host's own link is full.
 awaitable<bool> target_prober::is_unreachable(catalog::target_process target)
 {
     const auto entry = tables_.registry.entry_of(target.id);
@@ -77,8 +77,8 @@
     const status opened = co_await tables_.pool.open(made, probe_timeout);
     dispatch::reach_table& reach = tables_.registry.reach();
     if (!opened) {
-        reach.note_dial_failed(target, started, tables_.now());
-        co_return true;
+        tables_.note_dial_failed(target, started);
+        co_return !tables_.link_is_full();
     }
     reach.note_connected(target, tables_.now());
     tables_.pool.release(made, std::nullopt, tables_.now());
