--- a/libs/dispatch/stream_origins.cpp
+++ b/libs/dispatch/stream_origins.cpp
@@ -3,7 +3,6 @@
 #include "fennelladder/base/hash.hpp"
 
 #include <algorithm>
-#include <ranges>
 #include <set>
 
 namespace fennelladder::dispatch {
@@ -134,11 +133,13 @@
     std::ranges::sort(hosts, std::greater<>(), rank);
     // The first host of each data centre, by rank, before the others.
     std::set<data_center_id> seen;
-    std::ranges::stable_partition(hosts, [&](const record_holder& it) {
-        return seen.insert(it.data_center).second;
-    });
+    std::stable_partition(hosts.begin(), hosts.end(),
+                          [&](const record_holder& it) {
+                              return seen.insert(it.data_center).second;
+                          });
+    hosts.resize(std::min(hosts.size(), most));
     std::vector<host_id> out;
-    for (const record_holder& it : hosts | std::views::take(most))
+    for (const record_holder& it : hosts)
         out.push_back(it.host);
     return out;
 }
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -4,9 +4,9 @@
 #include "fennelladder/telemetry/log.hpp"
 #include "platform/request_headers.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
-#include <ranges>
 
 namespace fennelladder::edge {
 
@@ -289,10 +289,10 @@
 {
     if (ask.incarnation != tables_.incarnation)
         return std::nullopt;
-    for (const ended_relay& it : ended_ | std::views::reverse)
-        if (is_same(it.ask, ask))
-            return it.end;
-    return std::nullopt;
+    const auto last = std::find_if(
+        ended_.rbegin(), ended_.rend(),
+        [&](const ended_relay& it) { return is_same(it.ask, ask); });
+    return last == ended_.rend() ? std::nullopt : std::optional(last->end);
 }
 
 void relay_server::note_end(const mesh::relay_request& ask, mesh::relay_end end)
