--- a/libs/dispatch/stream_origins.cpp
+++ b/libs/dispatch/stream_origins.cpp
@@ -139,6 +139,7 @@
                           });
     hosts.resize(std::min(hosts.size(), most));
     std::vector<host_id> out;
+    out.reserve(hosts.size());
     for (const record_holder& it : hosts)
         out.push_back(it.host);
     return out;
