Give a time to come back only where a stream may be known later

A stream whose route leads to another service now was refused with a Retry-After if not all nodes had answered. A relayed response whose deadline passes while the peer is asked for its end is out of time, not broken. Found by reading; the first has no test of its own.

--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -433,11 +433,10 @@
         in_.request.header_values.id, in_.tables.connect_timeout());
     if (got == mesh::relay_end::orderly && may_use_response())
         co_return true;
-    if (got == mesh::relay_end::broken)
-        end_incomplete("the relay says that the target broke off");
-    else
-        end(attempt_end::broken, target_evidence::nothing,
-            "the relay doesn't say how its connection ended");
+    end_incomplete(got ? "the relay says that the target broke off"
+                       : "the relay doesn't say how its connection ended");
+    if (!got)
+        out_.evidence = target_evidence::nothing;
     co_return false;
 }
 
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -335,8 +335,11 @@
     if (software_)
         co_return std::nullopt;
     // Asking again helps only if some node may know more by then.
+    const bool may_be_known_later =
+        decided == resumption::wait_for_list ||
+        (decided == resumption::unknown && found.answered < found.asked);
     std::optional<duration> later;
-    if (decided == resumption::wait_for_list || found.answered < found.asked)
+    if (may_be_known_later)
         later = default_retry_after;
     co_return refusal{503, later, "version of the stream unknown"};
 }
