--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -123,6 +123,10 @@
     bool apply_evacuations(catalog::evacuation_state state,
                            const std::string& source);
 
+    /// Whether this node started so lately that it may not have heard from all
+    /// others.
+    bool is_discovering() const;
+
     /// Updates the set of hosts that share the fleet-wide limits. The set is
     /// empty until this node has had time to hear from the others.
     void update_sharing_hosts();
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -245,10 +245,15 @@
 
 /// A node that hears from no peer although there are others would otherwise
 /// claim each limit for itself.
+bool node_tables::is_discovering() const
+{
+    return now() - started < discovery_period;
+}
+
 void node_tables::update_sharing_hosts()
 {
-    const bool knows_peers = now() - started >= discovery_period &&
-                             (!peers.rows().empty() || settings.is_alone());
+    const bool knows_peers =
+        !is_discovering() && (!peers.rows().empty() || settings.is_alone());
     if (!knows_peers) {
         registry.set_assignable_hosts({});
         retries.set_hosts(0, now());
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -337,7 +337,8 @@
     // Asking again helps only if some node may know more by then.
     const bool may_be_known_later =
         decided == resumption::wait_for_list ||
-        (decided == resumption::unknown && found.answered < found.asked);
+        (decided == resumption::unknown &&
+         (found.answered < found.asked || tables_.is_discovering()));
     std::optional<duration> later;
     if (may_be_known_later)
         later = default_retry_after;
