Finish a response in one place, and put two comments right

The check whether a response's end is the target's stood four times before the release of its connection; one function does both. The splitter's branch for comments is one if. A comment had slipped to another function.

No behaviour changes: broken_off_answer, edge, part_passed_on, broken_stream and stream_version pass.

--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -79,7 +79,7 @@
     awaitable<void> relay_unbuffered(response_parser& parser,
                                      std::string begun);
     awaitable<void> buffer_failure(response_parser& parser);
-    awaitable<bool> is_end_of_response();
+    awaitable<bool> finish_response(const response_parser& parser);
     awaitable<bool> relay_events(const response_parser& parser);
     response_head to_response_head(const response_parser& parser) const;
     void end(attempt_end how, target_evidence evidence, std::string detail);
@@ -420,19 +420,24 @@
     co_return sent;
 }
 
-/// Whether a response whose connection ended has ended too. A response that
-/// states no end is over when the target closes its connection; the end of a
-/// relayed one may be the relaying peer's. If not, ends the attempt.
-awaitable<bool> attempt::is_end_of_response()
+/// Releases the connection of a response that was read to its end. Returns
+/// false, and ends the attempt, if that may not be the response's end: one that
+/// states none is over when the target closes its connection, and the end of a
+/// relayed one may be the relaying peer's.
+awaitable<bool> attempt::finish_response(const response_parser& parser)
 {
-    if (!in_.target.relayed || out_.framing != body_framing::connection_end)
+    if (!in_.target.relayed || out_.framing != body_framing::connection_end) {
+        release_connection(parser);
         co_return true;
+    }
     restart_idle_timer(std::nullopt);
     const auto got = co_await ask_relay_end(
         in_.tables, out_.relay, in_.target.process(),
         in_.request.header_values.id, in_.tables.connect_timeout());
-    if (got == mesh::relay_end::orderly && may_use_response())
+    if (got == mesh::relay_end::orderly && may_use_response()) {
+        release_connection(parser);
         co_return true;
+    }
     end_incomplete(got ? "the relay says that the target broke off"
                        : "the relay doesn't say how its connection ended");
     if (!got)
@@ -478,10 +483,9 @@
         end_incomplete("the stream ended without an event");
         co_return;
     }
-    const bool ended = co_await is_end_of_response();
+    const bool ended = co_await finish_response(parser);
     if (!ended)
         co_return;
-    release_connection(parser);
     const bool passed_on = co_await relay_events(parser);
     if (!passed_on)
         co_return;
@@ -515,10 +519,9 @@
             co_return;
     }
     if (relayed) {
-        const bool ended = co_await is_end_of_response();
+        const bool ended = co_await finish_response(parser);
         if (!ended)
             co_return;
-        release_connection(parser);
         relayed = co_await in_.reply.finish();
     }
     if (relayed)
@@ -541,10 +544,9 @@
         }
     }
     restart_idle_timer(std::nullopt);
-    const bool ended = co_await is_end_of_response();
+    const bool ended = co_await finish_response(parser);
     if (!ended)
         co_return;
-    release_connection(parser);
     const response_head head = to_response_head(parser);
     const bool sent = co_await in_.reply.send_complete(head, body);
     if (sent)
@@ -561,10 +563,9 @@
         if (!more)
             co_return;
     }
-    const bool ended = co_await is_end_of_response();
+    const bool ended = co_await finish_response(parser);
     if (!ended)
         co_return;
-    release_connection(parser);
     end(attempt_end::failed_there, target_evidence::failed,
         "status " + std::to_string(out_.head.status));
 }
--- a/libs/edge/event_splitter.cpp
+++ b/libs/edge/event_splitter.cpp
@@ -80,11 +80,11 @@
         return true;
     }
     const auto block = std::string_view(incomplete_).substr(0, next);
-    const bool in_order = !has_field_ || add_event(block);
-    // Comments are relayed, but aren't events.
-    if (!has_field_)
-        complete_ += block;
-    has_field_ = false;
+    bool in_order = true;
+    if (std::exchange(has_field_, false))
+        in_order = add_event(block);
+    else
+        complete_ += block; // Comments are relayed, but aren't events.
     forget_before(next);
     return in_order;
 }
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -243,13 +243,13 @@
     return true;
 }
 
-/// A node that hears from no peer although there are others would otherwise
-/// claim each limit for itself.
 bool node_tables::is_discovering() const
 {
     return now() - started < discovery_period;
 }
 
+/// A node that hears from no peer although there are others would otherwise
+/// claim each limit for itself.
 void node_tables::update_sharing_hosts()
 {
     const bool knows_peers =
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -618,9 +618,9 @@
         tables_.registry.why_no_target(routing_request(), tables_.now()));
 }
 
-/// Retry-After for a request that did not run; unset if no target will take
-/// it. Callers that wait for a target's
-/// backoff should retry after its end, and not all at once.
+/// Retry-After for a request that did not run; unset if no target will take it.
+/// Callers that wait for a target's backoff should retry after its end, and not
+/// all at once.
 std::optional<duration> request_run::retry_after()
 {
     if (software_ &&
