Ask a peer and read its answer by one function

Relays wrote the same exchange of a question and its answer twice that fetches of updates had already. No behaviour changes: relayed_request, news, edge, cut_off_node and broken_off_answer pass.

--- a/include/fennelladder/edge/peer_stream.hpp
+++ b/include/fennelladder/edge/peer_stream.hpp
@@ -55,6 +55,10 @@
     /// ended or made no progress.
     awaitable<bool> write(std::string_view bytes);
 
+    /// Sends one message and reads the answer, as write() and read() do.
+    awaitable<bool> ask(std::string question, std::string& answer,
+                        std::size_t max_size);
+
     /// Waits until the peer, which has received all it requested, closes the
     /// connection. Returns false if it does not.
     awaitable<bool> wait_for_close();
--- a/libs/edge/peer_stream.cpp
+++ b/libs/edge/peer_stream.cpp
@@ -112,6 +112,17 @@
     co_return !ec;
 }
 
+awaitable<bool> peer_stream::ask(std::string question, std::string& answer,
+                                 std::size_t max_size)
+{
+    const std::string bytes = framed(question);
+    const bool sent = co_await write(bytes);
+    if (!sent)
+        co_return false;
+    const bool answered = co_await read(answer, max_size);
+    co_return answered;
+}
+
 awaitable<bool> peer_stream::wait_for_close()
 {
     char any = 0;
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -109,13 +109,10 @@
         co_return relay_result::busy;
     mesh::sync_request question;
     question.relay = std::move(ask);
-    const std::string request = framed(mesh::encode(question));
+    const std::string message = mesh::encode(question);
     std::string bytes;
-    const bool sent = co_await stream.write(request);
-    if (!sent)
-        co_return relay_result::busy;
-    const bool read = co_await stream.read(bytes, max_reply_bytes);
-    if (!read)
+    const bool answered = co_await stream.ask(message, bytes, max_reply_bytes);
+    if (!answered)
         co_return relay_result::busy;
     const auto reply = mesh::decode_sync_reply(bytes);
     const relay_result out =
@@ -184,15 +181,12 @@
     const bool connected = co_await stream.connect(*endpoint, limit);
     if (!connected)
         co_return std::nullopt;
-    const std::string bytes = framed(mesh::encode(question));
-    const bool sent = co_await stream.write(bytes);
-    if (!sent)
-        co_return std::nullopt;
-    std::string got;
-    const bool read = co_await stream.read(got, max_reply_bytes);
-    if (!read)
+    const std::string message = mesh::encode(question);
+    std::string bytes;
+    const bool answered = co_await stream.ask(message, bytes, max_reply_bytes);
+    if (!answered)
         co_return std::nullopt;
-    const auto reply = mesh::decode_sync_reply(got);
+    const auto reply = mesh::decode_sync_reply(bytes);
     co_return reply ? reply->relay_end : std::nullopt;
 }
 
--- a/libs/edge/update_exchange.cpp
+++ b/libs/edge/update_exchange.cpp
@@ -257,12 +257,9 @@
         co_return false;
     const mesh::sync_request ask{tables_.version(), tables_.targets.as_of(),
                                  fetch.part, address_, std::nullopt};
-    const std::string request = framed(mesh::encode(ask));
-    const bool sent = co_await stream.write(request);
-    if (!sent)
-        co_return false;
-    const bool read = co_await stream.read(answer, max_reply_bytes);
-    co_return read;
+    const std::string message = mesh::encode(ask);
+    const bool answered = co_await stream.ask(message, answer, max_reply_bytes);
+    co_return answered;
 }
 
 void update_exchange::record_result(fetch_state& fetch,
