Rank the holders of a record once, and look peers' addresses up in one place

Each comparison of a sort hashed two hosts' names, twice for each resumable stream. The address of a host's node was looked up by a copy of the token allocator's function; peer_view has it now. No behaviour changes: dispatch, mesh, edge, stream_version, adapter and news pass.

--- a/include/fennelladder/dispatch/stream_origins.hpp
+++ b/include/fennelladder/dispatch/stream_origins.hpp
@@ -162,9 +162,9 @@
 
 /// The hosts that rendezvous hashing ranks first for the stream, at most
 /// `most`, in different data centres as far as there are.
-std::vector<host_id> stream_record_holders(stream_key key,
-                                           std::vector<record_holder> hosts,
-                                           std::size_t most);
+std::vector<host_id>
+stream_record_holders(stream_key key, const std::vector<record_holder>& hosts,
+                      std::size_t most);
 
 /// What is known about a stream that its caller asks to resume.
 struct resumption_evidence
--- a/include/fennelladder/edge/stream_origin_exchange.hpp
+++ b/include/fennelladder/edge/stream_origin_exchange.hpp
@@ -78,7 +78,6 @@
 
     std::vector<host_id> holders(dispatch::stream_key key, std::size_t most,
                                  bool after_leaving) const;
-    std::string address_of(const host_id& host) const;
     void send_question(const mesh::origin_question& question,
                        const open_question& to);
 
--- a/include/fennelladder/edge/token_allocator.hpp
+++ b/include/fennelladder/edge/token_allocator.hpp
@@ -142,7 +142,6 @@
     std::optional<host_id> choose_peer(const team_id& team,
                                        const std::set<host_id>& tried) const;
     shortage shortage_of(const team_id& team) const;
-    std::string address_of(const host_id& host) const;
     void check_writer_timeout();
     void forget_expired();
     void wake_waiters();
--- a/include/fennelladder/mesh/peer_view.hpp
+++ b/include/fennelladder/mesh/peer_view.hpp
@@ -117,6 +117,9 @@
     /// of those that never answered.
     std::vector<std::string> due(instant now);
 
+    /// Where a host's node listens for peers; empty if it isn't known.
+    std::string address_of(const host_id& host) const;
+
     /// All known addresses, for updates that must not wait.
     std::vector<std::string> all_addresses() const;
 
--- a/libs/dispatch/stream_origins.cpp
+++ b/libs/dispatch/stream_origins.cpp
@@ -123,25 +123,27 @@
     return complete ? only_known() : std::nullopt;
 }
 
-std::vector<host_id> stream_record_holders(stream_key key,
-                                           std::vector<record_holder> hosts,
-                                           std::size_t most)
+std::vector<host_id>
+stream_record_holders(stream_key key, const std::vector<record_holder>& hosts,
+                      std::size_t most)
 {
-    const auto rank = [key](const record_holder& it) {
-        return hash64(it.host.str(), key.value());
-    };
-    std::ranges::sort(hosts, std::greater<>(), rank);
+    using ranked_host = std::pair<std::uint64_t, const record_holder*>;
+    std::vector<ranked_host> ranked;
+    ranked.reserve(hosts.size());
+    for (const record_holder& it : hosts)
+        ranked.emplace_back(hash64(it.host.str(), key.value()), &it);
+    std::ranges::sort(ranked, std::greater<>(), &ranked_host::first);
     // The first host of each data centre, by rank, before the others.
     std::set<data_center_id> seen;
-    std::stable_partition(hosts.begin(), hosts.end(),
-                          [&](const record_holder& it) {
-                              return seen.insert(it.data_center).second;
+    std::stable_partition(ranked.begin(), ranked.end(),
+                          [&](const ranked_host& it) {
+                              return seen.insert(it.second->data_center).second;
                           });
-    hosts.resize(std::min(hosts.size(), most));
+    ranked.resize(std::min(ranked.size(), most));
     std::vector<host_id> out;
-    out.reserve(hosts.size());
-    for (const record_holder& it : hosts)
-        out.push_back(it.host);
+    out.reserve(ranked.size());
+    for (const ranked_host& it : ranked)
+        out.push_back(it.second->host);
     return out;
 }
 
--- a/libs/edge/stream_origin_exchange.cpp
+++ b/libs/edge/stream_origin_exchange.cpp
@@ -31,13 +31,6 @@
     : tables_(tables), send_(std::move(send))
 {}
 
-std::string stream_origin_exchange::address_of(const host_id& host) const
-{
-    const auto it = tables_.peers.rows().find(host);
-    return it == tables_.peers.rows().end() ? std::string()
-                                            : it->second.last.peer_address;
-}
-
 /// The other nodes that keep the stream's record, or may do so. With
 /// `after_leaving`, only those that stay.
 std::vector<host_id> stream_origin_exchange::holders(dispatch::stream_key key,
@@ -48,7 +41,7 @@
     for (const mesh::peer_record* it : tables_.peers.alive(tables_.now()))
         if (!after_leaving || it->last.state != mesh::node_state::leaving)
             all.push_back({it->last.host, it->last.data_center});
-    return dispatch::stream_record_holders(key, std::move(all), most);
+    return dispatch::stream_record_holders(key, all, most);
 }
 
 void stream_origin_exchange::begin(const dispatch::stream_origin& origin)
@@ -62,7 +55,7 @@
     const int copies = origin.attempt > 1 ? 2 : 1;
     for (const host_id& it : holders(origin.key, record_holders, true))
         for (int i = 0; i < copies; ++i)
-            send_(address_of(it), message);
+            send_(tables_.peers.address_of(it), message);
 }
 
 void stream_origin_exchange::send_question(
@@ -71,7 +64,7 @@
     mesh::datagram message;
     message.stream_question = question;
     for (const host_id& it : to.waiting_for)
-        send_(address_of(it), message);
+        send_(tables_.peers.address_of(it), message);
 }
 
 awaitable<found_origin> stream_origin_exchange::find(dispatch::stream_key key,
@@ -112,7 +105,7 @@
     const instant now = tables_.now();
     std::map<host_id, mesh::datagram> messages;
     const auto send = [this](const host_id& to, mesh::datagram& message) {
-        send_(address_of(to), message);
+        send_(tables_.peers.address_of(to), message);
         message.origins.clear();
     };
     for (const auto& it : tables_.stream_origins.recent(handed_over_span, now))
--- a/libs/edge/token_allocator.cpp
+++ b/libs/edge/token_allocator.cpp
@@ -271,13 +271,6 @@
     return std::nullopt;
 }
 
-std::string token_allocator::address_of(const host_id& host) const
-{
-    const auto it = tables_.peers.rows().find(host);
-    return it == tables_.peers.rows().end() ? std::string()
-                                            : it->second.last.peer_address;
-}
-
 /// Sends `what` to a peer under the next transfer number.
 mesh::transfer_number token_allocator::send_request(const host_id& peer,
                                                     mesh::token_request what)
@@ -290,7 +283,7 @@
     peers_.deduct(peer, what.team, what.wanted);
     mesh::datagram message;
     message.request = std::move(what);
-    send_(address_of(peer), message);
+    send_(tables_.peers.address_of(peer), message);
     return last_number_;
 }
 
@@ -476,7 +469,7 @@
         std::string taker;
         for (const host_id& host : refiller_.stock_holders(it.team))
             if (taker.empty() && host != tables_.settings.host)
-                taker = address_of(host);
+                taker = tables_.peers.address_of(host);
         if (taker.empty())
             continue;
         last_number_ = last_number_.next();
--- a/libs/mesh/peer_view.cpp
+++ b/libs/mesh/peer_view.cpp
@@ -154,6 +154,12 @@
     return out;
 }
 
+std::string peer_view::address_of(const host_id& host) const
+{
+    const auto it = rows_.find(host);
+    return it == rows_.end() ? std::string() : it->second.last.peer_address;
+}
+
 std::vector<std::string> peer_view::all_addresses() const
 {
     std::vector<std::string> out = unanswered_;
