--- a/include/fennelladder/dispatch/poison_list.hpp
+++ b/include/fennelladder/dispatch/poison_list.hpp
@@ -27,6 +27,7 @@
 #include "fennelladder/base/ids.hpp"
 #include "fennelladder/base/time.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
+#include "fennelladder/dispatch/request_fingerprint.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -36,14 +37,6 @@
 
 namespace fennelladder::dispatch {
 
-/// Identifies a request that is sent again.
-using request_fingerprint = number_id<struct request_fingerprint_tag>;
-
-/// Computes the fingerprint of a request. Thread safe.
-request_fingerprint fingerprint_of(std::string_view method,
-                                   std::string_view path, const team_id& team,
-                                   std::string_view body);
-
 /// Processes of targets that died while the request ran there.
 struct poison_record
 {
