Split request_driver.cpp by what a request goes through

Admission, attempts and the end of a request have a file each; the state of a request is declared in a private header. Moves only: test_adapter passes as before.

--- /dev/null
+++ b/libs/edge/request_admission.cpp
@@ -0,0 +1,224 @@
+// The part of request_run that decides whether a request is served.
+
+#include "fennelladder/base/part_of.hpp"
+#include "fennelladder/telemetry/log.hpp"
+#include "request_run.hpp"
+
+#include <algorithm>
+
+namespace fennelladder::edge {
+
+namespace {
+
+using telemetry::log_event;
+namespace event = telemetry::event;
+
+/// Retry-After while the node has no configuration yet.
+constexpr duration startup_retry_after = milliseconds(500);
+/// Retry-After of a quarantined request, which should not return soon.
+constexpr duration poison_retry_after = seconds(5);
+
+/// Minimum time that a request waits for tokens: two round trips among peers.
+constexpr duration min_token_wait = milliseconds(30);
+
+/// How long to ask other nodes for the version of a stream, as a fraction of
+/// the route's objective, and at least.
+constexpr double origin_wait_share = 0.2;
+constexpr duration min_origin_wait = milliseconds(50);
+
+/// How long to wait for the list of targets to be confirmed, likewise.
+constexpr double list_wait_share = 0.5;
+constexpr duration list_check_interval = milliseconds(20);
+
+std::string_view without_query(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+const service_id& request_run::choose_service()
+{
+    double total = 0;
+    for (const auto& it : route_->services)
+        total += it.weight;
+    double draw = tables_.random.unit() * total;
+    for (const auto& it : route_->services) {
+        draw -= it.weight;
+        if (draw < 0)
+            return it.service;
+    }
+    return route_->services.back().service;
+}
+
+void request_run::use_service(const service_id& service)
+{
+    service_ = service;
+    const catalog::service* served = config_->find_service(service_);
+    engine_ = served != nullptr && served->engine ? &*served->engine : nullptr;
+}
+
+/// Whether the route leads to this service.
+bool request_run::may_use_service(const service_id& service) const
+{
+    return std::ranges::any_of(route_->services, [&](const auto& it) {
+        return it.service == service;
+    });
+}
+
+std::optional<refusal> request_run::find_route()
+{
+    if (!tables_.ready() && config_ == nullptr)
+        return refusal{503, startup_retry_after, "no configuration yet"};
+    if (request_.header_values.id.empty())
+        return refusal{400, std::nullopt, "no request id"};
+    const auto host = request_.fields[http::field::host];
+    route_ = config_->find_route({host.data(), host.size()},
+                                 without_query(request_.path));
+    if (route_ == nullptr || route_->services.empty())
+        return refusal{404, std::nullopt, "no such route"};
+    if (!route_->is_public && config_->parts().needs_keys) {
+        team_ = config_->find_team_by_key(request_.header_values.key);
+        if (team_ == nullptr)
+            return refusal{401, std::nullopt, "no valid key"};
+    }
+    mark_ =
+        dispatch::fingerprint_of(request_.method, request_.path,
+                                 team_ ? team_->id : team_id(), request_.body);
+    if (tables_.poison.is_poison(mark_, tables_.now()))
+        return refusal{503, poison_retry_after, "it kills its targets"};
+    use_service(choose_service());
+    return std::nullopt;
+}
+
+/// What follows from what is known about the stream. Waits for the list of
+/// targets to be confirmed if that decides.
+awaitable<dispatch::resumption> request_run::resumption_of(found_origin& found)
+{
+    dispatch::resumption_evidence evidence;
+    if (found.origin)
+        evidence.origin = found.origin->origin;
+    evidence.service = service_;
+    evidence.has_one_service = route_->services.size() == 1;
+    evidence.is_named = !request_.header_values.resumes.empty();
+    const instant until =
+        tables_.now() + part_of(route_->objective, list_wait_share);
+    asio::steady_timer timer(tables_.io);
+    for (;;) {
+        const auto age = tables_.targets_freshness.age(tables_.now());
+        evidence.list_confirmed =
+            age && tables_.now() - *age >= request_.arrived;
+        // Changes that the list has got meanwhile count.
+        found.versions.merge(tables_.versions.of(service_, tables_.now()));
+        evidence.versions = found.versions;
+        const auto out = dispatch::decide_resumption(evidence);
+        if (out != dispatch::resumption::wait_for_list ||
+            tables_.now() >= until)
+            co_return out;
+        co_await sleep_on(timer, list_check_interval);
+    }
+}
+
+/// Key of the stream that this caller's attempt `request` began.
+dispatch::stream_key
+request_run::stream_key_of(const std::string& request) const
+{
+    return dispatch::stream_key_of(request, team_ ? team_->id : team_id());
+}
+
+/// Key of the stream by what the caller sends with each attempt.
+dispatch::stream_key request_run::content_key() const
+{
+    std::vector<std::uint64_t> prompt;
+    for (const adapter::prompt_part& it : request_.header_values.prompt)
+        prompt.push_back(it.id);
+    return dispatch::stream_key_of(mark_, prompt);
+}
+
+/// Finds the software version that began the stream which the caller asks to
+/// resume. Refuses the request if it can't be told from others.
+awaitable<std::optional<refusal>> request_run::find_version()
+{
+    using dispatch::resumption;
+    const adapter::request_header_values& values = request_.header_values;
+    if (!route_->resumable || values.resume_after.empty())
+        co_return std::nullopt;
+    const instant begun = tables_.now();
+    const duration limit = std::max(
+        part_of(route_->objective, origin_wait_share), min_origin_wait);
+    const bool is_named = !values.resumes.empty();
+    const auto key = is_named ? stream_key_of(values.resumes) : content_key();
+    const instant until =
+        std::min(begun + limit, request_.arrived + total_time());
+    found_origin found = co_await driver_.origins_.find(key, service_, until);
+    // A route may have several services; the stream belongs to one of them.
+    if (found.origin && may_use_service(found.origin->origin.service))
+        use_service(found.origin->origin.service);
+    const resumption decided = co_await resumption_of(found);
+    if (decided == resumption::at_origin)
+        software_ = found.origin->origin.version;
+    else if (decided == resumption::at_only)
+        software_ = found.versions.only_known();
+    log_event(
+        event::stream_resumed,
+        {{"id", values.id},
+         {"resumes", shortened(values.resumes)},
+         {"resume_after", shortened(values.resume_after)},
+         {"decision", std::string(to_string(decided))},
+         {"service", service_.str()},
+         {"version", software_ ? software_->str() : ""},
+         {"source", found.source.str()},
+         {"age_ms", found.origin ? milliseconds_text(found.origin->age) : ""},
+         {"asked", std::to_string(found.asked)},
+         {"answered", std::to_string(found.answered)},
+         {"ms", milliseconds_text(tables_.now() - begun)}});
+    tables_.metrics
+        .counter_of("fennelladder_streams_resumed_total",
+                    {{"decision", std::string(to_string(decided))}})
+        .add();
+    if (software_)
+        co_return std::nullopt;
+    // Asking again helps only if some node may know more by then.
+    const bool may_be_known_later =
+        decided == resumption::wait_for_list ||
+        (decided == resumption::unknown &&
+         (found.answered < found.asked || tables_.is_discovering()));
+    std::optional<duration> later;
+    if (may_be_known_later)
+        later = default_retry_after;
+    co_return refusal{503, later, "version of the stream unknown"};
+}
+
+/// Largest number of tokens that the request can cost.
+tokens request_run::max_cost() const
+{
+    return request_.header_values.prompt_size.value_or(tokens(0)) +
+           request_.header_values.max_output_tokens.value_or(tokens(0));
+}
+
+awaitable<std::optional<refusal>> request_run::reserve_tokens()
+{
+    if (team_ == nullptr || !team_->prepaid ||
+        !request_.header_values.prompt_size)
+        co_return std::nullopt;
+    const tokens max_tokens = max_cost();
+    const duration wait = std::max(
+        part_of(route_->objective, tables_.options.requests.token_wait_share),
+        min_token_wait);
+    const instant until = tables_.now() + wait;
+    const shortage got = co_await driver_.allocator_.acquire(
+        team_->id, max_tokens, urgency(), until);
+    if (got == shortage::none) {
+        reserved_ = max_tokens;
+        co_return std::nullopt;
+    }
+    if (got == shortage::exceeds_prepaid)
+        co_return refusal{402, std::nullopt, "more than was prepaid"};
+    const duration later =
+        got == shortage::temporary
+            ? default_retry_after
+            : part_of(time_left(), tables_.options.requests.retry_after_share);
+    co_return refusal{503, later, "short of tokens"};
+}
+
+} // namespace fennelladder::edge
--- /dev/null
+++ b/libs/edge/request_run.hpp
@@ -0,0 +1,118 @@
+// The state of one request while request_driver serves it.
+//
+//     request_run run(driver, request, reply, cancellation);
+//     co_await run.run();
+//
+// Its functions are in three files, by what they do: admission (the route, the
+// team, the version of a stream, tokens), attempts at targets, and the end (the
+// final answer, settling tokens, logging).
+
+#ifndef FENNELLADDER_EDGE_REQUEST_RUN_HPP
+#define FENNELLADDER_EDGE_REQUEST_RUN_HPP
+
+#include "fennelladder/edge/request_driver.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fennelladder::edge {
+
+/// A response that refuses a request before any attempt.
+struct refusal
+{
+    unsigned status = 503;
+    std::optional<duration> retry_after;
+    const char* reason = "";
+};
+
+/// Not thread safe.
+class request_run
+{
+public:
+    request_run(request_driver& driver, const caller_request& request,
+                response_writer& reply, request_cancellation_ptr cancellation)
+        : driver_(driver), tables_(driver.tables_), request_(request),
+          reply_(reply), cancellation_(std::move(cancellation)),
+          config_(tables_.config), queueing_time_(tables_.queueing_delay())
+    {}
+
+    awaitable<void> run();
+
+private:
+    std::optional<refusal> find_route();
+    awaitable<std::optional<refusal>> find_version();
+    awaitable<dispatch::resumption> resumption_of(found_origin& found);
+    dispatch::stream_key stream_key_of(const std::string& request) const;
+    dispatch::stream_key content_key() const;
+    void note_beginning(const dispatch::choice& target);
+    awaitable<std::optional<refusal>> reserve_tokens();
+    awaitable<void> run_attempts();
+    awaitable<attempt_outcome> run_attempt_at(const dispatch::choice& target);
+    void record_attempt(const attempt_outcome& got,
+                        const dispatch::choice& target);
+    void report_to_prober(const attempt_outcome& got,
+                          const dispatch::choice& target);
+    awaitable<void> respond(dispatch::next_action action, const attempt_outcome& last);
+    awaitable<void> refuse(const refusal& why);
+    void settle();
+    void log_end(int number, std::string_view outcome, std::string_view reason);
+    dispatch::routing_request routing_request() const;
+    adapter::forwarding_headers
+    forwarding_for(const dispatch::choice& target) const;
+    duration time_left() const;
+    duration total_time() const;
+    int urgency() const;
+    const service_id& choose_service();
+    void use_service(const service_id& service);
+    bool may_use_service(const service_id& service) const;
+    std::optional<dispatch::choice> choose_target();
+    bool retry_is_possible() const;
+    bool may_abandon_idle(const dispatch::choice& idle);
+    bool may_send() const;
+    bool take_retry();
+    std::string_view no_target_reason() const;
+    std::optional<duration> retry_after();
+    tokens max_cost() const;
+
+    request_driver& driver_;
+    node_tables& tables_;
+    const caller_request& request_;
+    response_writer& reply_;
+    request_cancellation_ptr cancellation_;
+    std::shared_ptr<const catalog::configuration> config_;
+    const duration queueing_time_; ///< Of the link, when the request was read.
+    const catalog::route* route_ = nullptr;
+    const catalog::team* team_ = nullptr;
+    service_id service_;
+    const catalog::engine_traits* engine_ = nullptr;
+    dispatch::request_fingerprint mark_;
+    std::optional<tokens> reserved_;
+    tokens used_;
+    dispatch::request_state state_;
+    event_splitter events_;
+    std::vector<catalog::target_process> tried_targets_;
+    target_id last_target_;
+    catalog::software_version last_version_; ///< Of the last target.
+    host_id last_relay_; ///< Of the last attempt; empty if it was direct.
+    body_framing last_framing_ = body_framing::unknown;
+    /// Version that began the stream; unset: no part of it is known to exist.
+    std::optional<catalog::software_version> software_;
+    /// Version that was recorded last as the one that begins the stream.
+    std::optional<catalog::software_version> recorded_;
+    std::uint32_t beginnings_ = 0; ///< Records made.
+    bool retry_taken_ = false;     ///< For the attempt after an idle one.
+    instant attempt_began_;
+    bool prompt_may_have_been_read_ = false; ///< Then it is charged.
+    std::optional<instant> last_sent_at_;
+};
+
+/// What a caller states, for the log: as long as any proper id.
+std::string shortened(const std::string& text);
+
+} // namespace fennelladder::edge
+
+#endif
