Keep prompts with a part that crashes targets from further targets

Cause: evidence was kept by a key that the caller varies, the request as it would be sent again, and only evidence against it. It was read once, on arrival; a retry followed 5 ms after a break, before the death was known.

Deaths are now recorded for the request and for each shared part of its prompt, with the whole answers that clear them (dispatch/quarantine), and the verdict is read before each send: at the first attempt, a retry, a resumption, and once more after the connection is made. A retry waits up to 0.1 s until it is known whether the target died. Requests with a suspected part run one at a time in the fleet, by leave of one node, at the target with the fewest requests. A witness tells all nodes at once.

The part replaces dispatch/poison_list; the wire form is extended, and records of earlier releases count as before. A request killed in two copies at the same instant is suspected now, where it was condemned.

--- a/include/fennelladder/dispatch/quarantine.hpp
+++ b/include/fennelladder/dispatch/quarantine.hpp
@@ -161,6 +161,9 @@
     /// any more, here and at nodes that are told. Returns whether it was known.
     bool forgive(const crash_mark& mark, instant now);
 
+    /// Whether any mark is condemned, disregarding answers at other places.
+    bool has_condemned() const { return !condemned_.empty(); }
+
     std::size_t size() const { return entries_.size(); }
     const quarantine_options& options() const { return options_; }
 
--- a/include/fennelladder/dispatch/stream_origins.hpp
+++ b/include/fennelladder/dispatch/stream_origins.hpp
@@ -25,7 +25,7 @@
 #include "fennelladder/base/ids.hpp"
 #include "fennelladder/base/time.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
-#include "fennelladder/dispatch/poison_list.hpp"
+#include "fennelladder/dispatch/request_fingerprint.hpp"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/fennelladder/dispatch/target_registry.hpp
+++ b/include/fennelladder/dispatch/target_registry.hpp
@@ -116,6 +116,9 @@
     catalog::allowed_regions regions; ///< Where it may run.
     std::vector<catalog::target_process> avoid; ///< Tried already.
     bool was_rejected = false; ///< By a target that it was sent to before.
+    /// It may crash its target: the one with the fewest requests is chosen,
+    /// whatever the cost.
+    bool isolated = false;
     /// The software version that it may run at, to resume a stream; unset: any.
     std::optional<catalog::software_version> software;
 };
--- a/include/fennelladder/edge/attempt.hpp
+++ b/include/fennelladder/edge/attempt.hpp
@@ -27,6 +27,7 @@
 #include "fennelladder/edge/response_writer.hpp"
 #include "platform/request_headers.hpp"
 
+#include <span>
 #include <string>
 
 namespace fennelladder::edge {
@@ -71,6 +72,11 @@
     /// response and between its parts; unset: no limit.
     std::optional<duration> first_byte_timeout;
     std::optional<duration> progress_timeout;
+    /// Of the request. It isn't sent if one of them came under suspicion since
+    /// it was checked, unless it has a lease.
+    std::span<const dispatch::crash_mark> marks{};
+    dispatch::run_place place{}; ///< Of the target.
+    bool leased = false;
 };
 
 struct attempt_outcome
--- a/include/fennelladder/edge/edge_node.hpp
+++ b/include/fennelladder/edge/edge_node.hpp
@@ -79,6 +79,7 @@
     mesh_node mesh_;
     token_allocator allocator_;
     stream_origin_exchange origins_;
+    quarantine_exchange quarantine_;
     platform_feed feed_;
     link_prober links_;
     request_driver driver_;
--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -11,6 +11,7 @@
 #define FENNELLADDER_EDGE_MESH_NODE_HPP
 
 #include "fennelladder/edge/node_tables.hpp"
+#include "fennelladder/edge/quarantine_exchange.hpp"
 #include "fennelladder/edge/stream_origin_exchange.hpp"
 #include "fennelladder/edge/token_allocator.hpp"
 #include "fennelladder/edge/update_exchange.hpp"
@@ -34,12 +35,16 @@
     /// Sets the receiver of messages about streams. Call before start().
     void set_stream_origins(stream_origin_exchange& origins);
 
+    /// Sets the receiver of messages about requests that crash targets. Call
+    /// before start().
+    void set_quarantine(quarantine_exchange& exchange);
+
     /// Opens the sockets and starts to send and receive. Fails if the address
     /// can't be used.
     status start();
 
-    /// Sends one datagram of tokens or streams. It may be lost without an
-    /// error.
+    /// Sends one datagram of tokens, streams or crashes. It may be lost without
+    /// an error.
     void send(const std::string& address, const mesh::datagram& message);
 
     /// Adds peer addresses from other sources, such as seeds and the platform.
@@ -62,7 +67,8 @@
         updates,       ///< Brief heartbeats, sent when something changed.
         introductions, ///< Heartbeats to newly discovered nodes.
         tokens,        ///< Token messages.
-        streams        ///< Where streams began.
+        streams,       ///< Where streams began.
+        crashes        ///< Requests that crash targets.
     };
 
     struct traffic_count
@@ -76,6 +82,7 @@
     void handle_datagram(const mesh::datagram& message,
                          const std::string& from);
     void handle_streams(const mesh::datagram& message, const std::string& from);
+    void handle_crashes(const mesh::datagram& message, const std::string& from);
     void handle_heartbeat(const mesh::node_heartbeat& from);
     void apply_target_signals(const mesh::node_heartbeat& from, instant sent);
     void handle_node_death(const host_id& host, instant now);
@@ -102,12 +109,13 @@
     std::string address_;
     token_allocator* allocator_ = nullptr;
     stream_origin_exchange* origins_ = nullptr;
+    quarantine_exchange* quarantine_ = nullptr;
     udp::socket socket_;
     update_exchange exchange_;
     telemetry::counter& sent_;
     telemetry::counter& failed_;
     telemetry::gauge& lag_gauge_;
-    std::array<traffic_count, 5> traffic_{}; ///< Since the last log_traffic().
+    std::array<traffic_count, 6> traffic_{}; ///< Since the last log_traffic().
     std::array<char, 65536> datagram_{};
     std::uint64_t sequence_ = 0;
     bool update_scheduled_ = false;
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -14,7 +14,7 @@
 #include "fennelladder/catalog/configuration.hpp"
 #include "fennelladder/catalog/evacuation_list.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
-#include "fennelladder/dispatch/poison_list.hpp"
+#include "fennelladder/dispatch/quarantine.hpp"
 #include "fennelladder/dispatch/retry_budget.hpp"
 #include "fennelladder/dispatch/stream_origins.hpp"
 #include "fennelladder/dispatch/target_registry.hpp"
@@ -181,7 +181,7 @@
     std::optional<instant> confirmation_gap_ended;
     dispatch::target_registry registry;
     dispatch::retry_budget retries;
-    dispatch::poison_list poison;
+    dispatch::quarantine quarantine;
     dispatch::stream_origin_table stream_origins;
     dispatch::version_history versions{stream_origins.options().retention};
     prepaid::token_balances token_balances;
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -24,7 +24,7 @@
 #include "fennelladder/catalog/configuration.hpp"
 #include "fennelladder/catalog/evacuation_list.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
-#include "fennelladder/dispatch/poison_list.hpp"
+#include "fennelladder/dispatch/crash_record.hpp"
 #include "fennelladder/dispatch/stream_origins.hpp"
 #include "fennelladder/dispatch/target_registry.hpp"
 
@@ -114,7 +114,7 @@
     std::vector<dispatch::reached_target> reached;
     /// It is cut off from a service, and sends its requests through peers.
     bool cut_off = false;
-    std::vector<dispatch::poison_record> poison;
+    std::vector<dispatch::crash_record> crash_records;
     std::vector<std::string> introduced; ///< Addresses of other nodes.
     /// Nodes whose own heartbeats it received last.
     std::vector<recent_peer> heard;
@@ -184,6 +184,34 @@
     dispatch::recent_versions versions;
 };
 
+/// Asks the node that decides for a service for leave to run a request, see
+/// dispatch/run_leases.hpp.
+struct run_question
+{
+    node_incarnation incarnation; ///< Of the asking node.
+    std::uint64_t number = 0;     ///< Unique within it.
+    dispatch::run_place place;
+    std::vector<dispatch::crash_mark> marks;
+};
+
+struct run_answer
+{
+    node_incarnation incarnation; ///< Of the asking node.
+    std::uint64_t number = 0;
+    bool granted = false;
+    duration retry_after{0}; ///< If it isn't granted.
+    /// What the answering node knows of the marks.
+    std::vector<dispatch::crash_record> records;
+};
+
+/// The run is over.
+struct run_end
+{
+    node_incarnation incarnation; ///< Of the node that asked.
+    std::uint64_t number = 0;
+    duration hold{0}; ///< The marks are free again after this time.
+};
+
 /// A datagram holds one of these messages.
 struct datagram
 {
@@ -196,6 +224,10 @@
     std::vector<dispatch::aged_origin> origins;
     std::optional<origin_question> stream_question;
     std::optional<origin_answer> stream_answer;
+    std::vector<dispatch::crash_record> crash_records;
+    std::optional<mesh::run_question> run_question;
+    std::optional<mesh::run_answer> run_answer;
+    std::optional<mesh::run_end> run_end;
     std::size_t invalid_parts = 0; ///< Invalid parts dropped by decoding.
 };
 
--- a/include/fennelladder/mesh/peer_view.hpp
+++ b/include/fennelladder/mesh/peer_view.hpp
@@ -71,8 +71,9 @@
 /// What is known of another node.
 struct peer_record
 {
-    node_heartbeat last; ///< Without fast-changing parts (load, stock, poison).
-    instant heard;       ///< Time of the last heartbeat.
+    node_heartbeat
+        last;      ///< Without fast-changing parts (load, stock, crashes).
+    instant heard; ///< Time of the last heartbeat.
     /// Time of the last sign of life: a heartbeat or a report by another node.
     instant seen;
     transit_delay transit; ///< Of its heartbeats.
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -279,7 +279,10 @@
         const auto weighted = static_cast<std::uint32_t>(
             reading + again * (options_.shared_weight - 1));
         const double target_cost =
-            cost(*it, request, predicted_seconds(*it, request, weighted), now);
+            request.isolated
+                ? it->running + it->peers_running
+                : cost(*it, request, predicted_seconds(*it, request, weighted),
+                       now);
         if (chosen != nullptr && target_cost >= out.cost)
             continue;
         chosen = it;
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -261,14 +261,19 @@
         end_with_error("before sending");
         return false;
     }
+    const instant now = in_.tables.now();
     const bool late = in_.tables.updates_are_late();
-    if (!late &&
-        in_.tables.registry.may_use(in_.target.target, in_.tables.now()))
+    const bool suspected = !in_.leased && in_.tables.quarantine.worst_of(
+                                              in_.marks, in_.place, now);
+    if (!late && !suspected &&
+        in_.tables.registry.may_use(in_.target.target, now))
         return true;
     // Nothing was sent: the request goes to another target, as after a failed
     // connect, without evidence against this one.
     end(attempt_end::not_connected, target_evidence::nothing,
-        late ? "news are late" : "it takes no more");
+        late        ? "news are late"
+        : suspected ? "it came under suspicion"
+                    : "it takes no more");
     return false;
 }
 
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -64,8 +64,13 @@
           [this](const std::string& address, const mesh::datagram& message) {
               mesh_.send(address, message);
           }),
+      quarantine_(
+          tables_,
+          [this](const std::string& address, const mesh::datagram& message) {
+              mesh_.send(address, message);
+          }),
       feed_(tables_, client_, mesh_), links_(tables_),
-      driver_(tables_, allocator_, origins_),
+      driver_(tables_, allocator_, origins_, quarantine_),
       callers_(tables_, driver_, limits_for(tables_.settings)),
       signals_(io, SIGTERM, SIGINT, SIGHUP),
       settings_text_(options_.settings_text)
@@ -107,6 +112,7 @@
 {
     mesh_.set_token_allocator(allocator_);
     mesh_.set_stream_origins(origins_);
+    mesh_.set_quarantine(quarantine_);
     if (auto ok = mesh_.start(); !ok)
         return ok;
     if (auto ok = start_servers(); !ok)
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -18,9 +18,9 @@
 /// A longer stall of the event loop delays callers noticeably and is logged.
 constexpr duration min_logged_lag = milliseconds(250);
 
-/// How long the death of a target is reported to peers.
-constexpr duration poison_report_time = seconds(20);
-constexpr std::size_t max_poison_records = 24;
+/// How long peers are told of a change in what is known of requests that crash
+/// targets.
+constexpr duration crash_report_time = seconds(20);
 
 /// Limits on the entries in one heartbeat, so that it usually fits one packet.
 constexpr std::size_t max_loads = 32;
@@ -28,6 +28,7 @@
 constexpr std::size_t max_rate_limits = 16;
 constexpr std::size_t max_leaving_targets = 16;
 constexpr std::size_t max_reached_targets = 64;
+constexpr std::size_t max_crash_records = 12;
 
 /// Target changes carried in one heartbeat, of about 100 bytes each, so that it
 /// fits one packet. If there are more, peers fetch them.
@@ -95,6 +96,11 @@
     origins_ = &origins;
 }
 
+void mesh_node::set_quarantine(quarantine_exchange& exchange)
+{
+    quarantine_ = &exchange;
+}
+
 status mesh_node::start()
 {
     const auto endpoint = parse_endpoint(address_);
@@ -131,8 +137,10 @@
 {
     const bool of_tokens =
         message.request || message.grant || message.push || message.push_ack;
-    send_to_all({address}, message,
-                of_tokens ? traffic::tokens : traffic::streams);
+    const bool of_streams = !message.origins.empty() ||
+                            message.stream_question || message.stream_answer;
+    const auto rest = of_streams ? traffic::streams : traffic::crashes;
+    send_to_all({address}, message, of_tokens ? traffic::tokens : rest);
 }
 
 void mesh_node::send_to_all(const std::vector<std::string>& addresses,
@@ -192,8 +200,8 @@
     out.reached =
         tables_.registry.reach().own_report(max_reached_targets, tables_.now());
     out.cut_off = tables_.is_cut_off();
-    out.poison = tables_.poison.recent(poison_report_time, max_poison_records,
-                                       tables_.now());
+    out.crash_records = tables_.quarantine.take_news(
+        crash_report_time, max_crash_records, tables_.now());
     return out;
 }
 
@@ -294,7 +302,8 @@
                           {"news", text(traffic::updates)},
                           {"greetings", text(traffic::introductions)},
                           {"tokens", text(traffic::tokens)},
-                          {"streams", text(traffic::streams)}});
+                          {"streams", text(traffic::streams)},
+                          {"crashes", text(traffic::crashes)}});
     traffic_ = {};
 }
 
@@ -365,6 +374,8 @@
         handle_heartbeat(*message.heartbeat);
     if (origins_ != nullptr)
         handle_streams(message, from);
+    if (quarantine_ != nullptr)
+        handle_crashes(message, from);
     if (allocator_ == nullptr)
         return;
     if (message.request)
@@ -387,6 +398,18 @@
         origins_->on_answer(*message.stream_answer);
 }
 
+void mesh_node::handle_crashes(const mesh::datagram& message,
+                               const std::string& from)
+{
+    quarantine_->on_records(message.crash_records);
+    if (message.run_question)
+        quarantine_->on_question(*message.run_question, from);
+    if (message.run_answer)
+        quarantine_->on_answer(*message.run_answer);
+    if (message.run_end)
+        quarantine_->on_end(*message.run_end);
+}
+
 void mesh_node::handle_heartbeat(const mesh::node_heartbeat& from)
 {
     const instant now = tables_.now();
@@ -402,8 +425,8 @@
     merge_loss_history(from, now);
     if (!from.is_brief)
         apply_load_and_stock(from);
-    for (const dispatch::poison_record& it : from.poison)
-        tables_.poison.merge(it, now);
+    if (quarantine_ != nullptr)
+        quarantine_->on_records(from.crash_records);
     if (observed.new_node) {
         log_event(event::node_heard,
                   {{"node", from.host.str()}, {"address", from.peer_address}});
--- a/libs/edge/request_admission.cpp
+++ b/libs/edge/request_admission.cpp
@@ -15,8 +15,6 @@
 
 /// Retry-After while the node has no configuration yet.
 constexpr duration startup_retry_after = milliseconds(500);
-/// Retry-After of a quarantined request, which should not return soon.
-constexpr duration poison_retry_after = seconds(5);
 
 /// Minimum time that a request waits for tokens: two round trips among peers.
 constexpr duration min_token_wait = milliseconds(30);
@@ -30,6 +28,9 @@
 constexpr double list_wait_share = 0.5;
 constexpr duration list_check_interval = milliseconds(20);
 
+/// Marks of a request; further parts of its prompt get none.
+constexpr std::size_t max_marks = 256;
+
 std::string_view without_query(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -82,13 +83,43 @@
         if (team_ == nullptr)
             return refusal{401, std::nullopt, "no valid key"};
     }
-    mark_ =
+    use_service(choose_service());
+    set_marks();
+    return check_condemned();
+}
+
+void request_run::set_marks()
+{
+    fingerprint_ =
         dispatch::fingerprint_of(request_.method, request_.path,
                                  team_ ? team_->id : team_id(), request_.body);
-    if (tables_.poison.is_poison(mark_, tables_.now()))
-        return refusal{503, poison_retry_after, "it kills its targets"};
-    use_service(choose_service());
-    return std::nullopt;
+    marks_.push_back(dispatch::crash_mark::of(fingerprint_));
+    const auto& prompt = request_.header_values.prompt;
+    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+        const auto mark = dispatch::crash_mark::of_part(prompt[i].id);
+        const bool known = std::ranges::find(marks_, mark) != marks_.end();
+        if (!known && marks_.size() < max_marks)
+            marks_.push_back(mark);
+    }
+}
+
+/// Refuses a request that is known to crash targets before it waits for
+/// anything. Where targets run several versions, that depends on the target.
+std::optional<refusal> request_run::check_condemned()
+{
+    if (!tables_.quarantine.has_condemned())
+        return std::nullopt;
+    const instant now = tables_.now();
+    const auto version = tables_.versions.of(service_, now).only_known();
+    if (!version)
+        return std::nullopt;
+    const auto place = dispatch::place_of(service_, *version);
+    const auto worst = tables_.quarantine.worst_of(marks_, place, now);
+    if (!worst || worst->state.level != dispatch::suspicion::condemned ||
+        now >= worst->state.next_run)
+        return std::nullopt;
+    log_quarantine(*worst, "refused", host_id());
+    return refusal{503, worst->state.next_run - now, crashes_targets};
 }
 
 /// What follows from what is known about the stream. Waits for the list of
@@ -132,7 +163,7 @@
     std::vector<std::uint64_t> prompt;
     for (const adapter::prompt_part& it : request_.header_values.prompt)
         prompt.push_back(it.id);
-    return dispatch::stream_key_of(mark_, prompt);
+    return dispatch::stream_key_of(fingerprint_, prompt);
 }
 
 /// Finds the software version that began the stream which the caller asks to
--- a/libs/edge/request_attempts.cpp
+++ b/libs/edge/request_attempts.cpp
@@ -32,6 +32,17 @@
 /// for this long has failed.
 constexpr duration longest_pause = milliseconds(1600);
 
+/// How long to wait for leave to run a request that may crash its target. A
+/// node in the same region answers in a few milliseconds.
+constexpr duration leave_wait = milliseconds(150);
+
+/// How long a retry waits until it is known whether the last target died. A
+/// process that ends refuses connections at once.
+constexpr duration verdict_wait = milliseconds(100);
+
+/// Time until all nodes know of a death.
+constexpr duration death_notice_time = seconds(1);
+
 } // namespace
 
 /// Records at which version the stream begins, if it may be resumed.
@@ -167,6 +178,9 @@
                 part_of(route_->event_gap_objective,
                         tables_.options.requests.stream_idle_timeout_factor);
     }
+    in.marks = marks_;
+    in.place = dispatch::place_of(service_, target.software);
+    in.leased = permit_.leased;
     note_beginning(target);
     const dispatch::routing_request wanted = routing_request();
     tables_.registry.started(target, wanted, tables_.now());
@@ -189,10 +203,67 @@
                               got.ended == attempt_end::failed_there;
     if (!got.sent_at || whole_answer || dispatch::proved_not_run(got.ended))
         return;
+    const broken_run run{marks_, dispatch::place_of(service_, target.software),
+                         *got.sent_at, tables_.now(), permit_.leased};
     if (got.ended == attempt_end::broken)
-        driver_.prober_.on_broken_answer(target.process(), mark_);
+        driver_.prober_.on_broken_answer(target.process(), run);
     else
-        driver_.prober_.on_unfinished_request(target.process(), mark_);
+        driver_.prober_.on_unfinished_request(target.process(), run);
+}
+
+/// Whether a retry has to wait until it is known if the target has died: a part
+/// of the prompt that may have crashed it isn't known to be harmless.
+bool request_run::needs_verdict(const dispatch::choice& target) const
+{
+    const auto place = dispatch::place_of(service_, target.software);
+    return std::ranges::any_of(marks_, [&](const auto& it) {
+        return it.is_part &&
+               !tables_.quarantine.is_proven(it, place, tables_.now());
+    });
+}
+
+/// Gets leave to send the request to `target`. A request that runs alone with
+/// a suspected mark goes to a target where little else would break off.
+awaitable<bool> request_run::get_leave(std::optional<dispatch::choice>& target)
+{
+    permit_ = {};
+    const auto place = dispatch::place_of(service_, target->software);
+    permit_ = co_await driver_.quarantine_.acquire(marks_, place, service_,
+                                                   tables_.now() + leave_wait);
+    if (!permit_.allowed) {
+        quarantine_wait_ = permit_.retry_after;
+        log_quarantine(*permit_.worst, "refused", permit_.giver);
+        co_return false;
+    }
+    if (!permit_.leased)
+        co_return true;
+    log_quarantine(*permit_.worst, "run alone", permit_.giver);
+    dispatch::routing_request wanted = routing_request();
+    wanted.isolated = true;
+    wanted.software = target->software;
+    if (may_send())
+        if (auto idle =
+                tables_.registry.choose(wanted, tables_.now(), tables_.random))
+            target = idle;
+    co_return true;
+}
+
+/// Records what the attempt shows of the request's marks.
+void request_run::end_leave(const attempt_outcome& got,
+                            const dispatch::choice& target)
+{
+    const bool answered = got.ended == attempt_end::answered;
+    if (answered)
+        driver_.quarantine_.note_answer(
+            marks_, dispatch::place_of(service_, target.software),
+            permit_.leased);
+    if (!permit_.leased)
+        return;
+    const bool target_lives = answered || dispatch::proved_not_run(got.ended) ||
+                              got.ended == attempt_end::failed_there;
+    driver_.quarantine_.release(permit_,
+                                target_lives ? duration(0) : death_notice_time);
+    permit_.leased = false;
 }
 
 void request_run::record_attempt(const attempt_outcome& got,
@@ -263,6 +334,8 @@
 /// all at once.
 std::optional<duration> request_run::retry_after()
 {
+    if (quarantine_wait_)
+        return quarantine_wait_;
     if (software_ &&
         !tables_.registry.may_take_later(routing_request(), tables_.now()))
         return std::nullopt;
@@ -283,14 +356,23 @@
     attempt_outcome got;
     got.ended = attempt_end::not_connected;
     for (;;) {
-        const auto target = choose_target();
+        auto target = choose_target();
         if (!target) {
             got.detail = no_target_reason();
             co_await respond(dispatch::give_up(state_, got.ended), got);
             co_return;
         }
+        const bool may_run = co_await get_leave(target);
+        if (!may_run) {
+            const bool condemned =
+                permit_.worst->state.level == dispatch::suspicion::condemned;
+            got.detail = condemned ? crashes_targets : may_crash_targets;
+            co_await respond(dispatch::give_up(state_, got.ended), got);
+            co_return;
+        }
         got = co_await run_attempt_at(*target);
         record_attempt(got, *target);
+        end_leave(got, *target);
         const dispatch::next_step step =
             dispatch::decide_next(state_, got.ended, tables_.options.attempts);
         next_action action = step.action;
@@ -326,6 +408,9 @@
             co_await respond(action, got);
             co_return;
         }
+        if (got.ended == attempt_end::broken && needs_verdict(*target))
+            co_await driver_.prober_.settled(target->process(),
+                                             tables_.now() + verdict_wait);
     }
 }
 
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -58,15 +58,18 @@
     }
     if (cancellation_->stopped() == stop_reason::caller_left) {
         settle();
-        log_end(telemetry::event::caller_left, "caller_left", "before any attempt");
+        log_end(telemetry::event::caller_left, "caller_left",
+                "before any attempt");
         co_return;
     }
     co_await run_attempts();
 }
 
 request_driver::request_driver(node_tables& tables, token_allocator& allocator,
-                               stream_origin_exchange& origins)
-    : tables_(tables), allocator_(allocator), origins_(origins), prober_(tables)
+                               stream_origin_exchange& origins,
+                               quarantine_exchange& quarantine)
+    : tables_(tables), allocator_(allocator), origins_(origins),
+      quarantine_(quarantine), prober_(tables, quarantine)
 {}
 
 awaitable<void> request_driver::serve(const caller_request& request,
--- a/libs/edge/request_end.cpp
+++ b/libs/edge/request_end.cpp
@@ -98,6 +98,37 @@
         .observe(to_seconds(took));
 }
 
+/// Logs what is known of the mark that keeps the request from its targets, or
+/// lets it run alone. `giver` decided; empty if no other node was asked.
+void request_run::log_quarantine(const dispatch::quarantine::worst_mark& worst,
+                                 std::string_view decision,
+                                 const host_id& giver)
+{
+    const instant now = tables_.now();
+    const std::string level(to_string(worst.state.level));
+    const std::vector<dispatch::crash_mark> one{worst.mark};
+    dispatch::crash_record record;
+    for (const auto& it : tables_.quarantine.records_of(one, now))
+        record = it;
+    const bool condemned = worst.state.level == dispatch::suspicion::condemned;
+    log_event(event::request_suspected,
+              {{"id", request_.header_values.id},
+               {"decision", std::string(decision)},
+               {"mark", worst.mark.text()},
+               {"level", level},
+               {"deaths", std::to_string(worst.state.deaths)},
+               {"rounds", std::to_string(worst.state.rounds)},
+               {"targets", targets_text(record)},
+               {"last_answer_ms", last_answer_text(record)},
+               {"trial_in_ms",
+                condemned ? milliseconds_text(worst.state.next_run - now) : ""},
+               {"giver", giver.str()}});
+    tables_.metrics
+        .counter_of("fennelladder_quarantine_decisions_total",
+                    {{"decision", std::string(decision)}, {"level", level}})
+        .add();
+}
+
 awaitable<void> request_run::refuse(const refusal& why)
 {
     local_response answer{why.status, request_.header_values.id,
--- a/libs/edge/request_run.hpp
+++ b/libs/edge/request_run.hpp
@@ -29,6 +29,10 @@
     const char* reason = "";
 };
 
+/// Reasons of refusals.
+inline constexpr const char* crashes_targets = "it crashes targets";
+inline constexpr const char* may_crash_targets = "it may crash targets";
+
 /// Not thread safe.
 class request_run
 {
@@ -44,6 +48,8 @@
 
 private:
     std::optional<refusal> find_route();
+    void set_marks();
+    std::optional<refusal> check_condemned();
     awaitable<std::optional<refusal>> find_version();
     awaitable<dispatch::resumption> resumption_of(found_origin& found);
     dispatch::stream_key stream_key_of(const std::string& request) const;
@@ -51,12 +57,18 @@
     void note_beginning(const dispatch::choice& target);
     awaitable<std::optional<refusal>> reserve_tokens();
     awaitable<void> run_attempts();
+    awaitable<bool> get_leave(std::optional<dispatch::choice>& target);
+    void end_leave(const attempt_outcome& got, const dispatch::choice& target);
+    bool needs_verdict(const dispatch::choice& target) const;
+    void log_quarantine(const dispatch::quarantine::worst_mark& worst,
+                        std::string_view decision, const host_id& giver);
     awaitable<attempt_outcome> run_attempt_at(const dispatch::choice& target);
     void record_attempt(const attempt_outcome& got,
                         const dispatch::choice& target);
     void report_to_prober(const attempt_outcome& got,
                           const dispatch::choice& target);
-    awaitable<void> respond(dispatch::next_action action, const attempt_outcome& last);
+    awaitable<void> respond(dispatch::next_action action,
+                            const attempt_outcome& last);
     awaitable<void> refuse(const refusal& why);
     void settle();
     void log_end(int number, std::string_view outcome, std::string_view reason);
@@ -89,7 +101,12 @@
     const catalog::team* team_ = nullptr;
     service_id service_;
     const catalog::engine_traits* engine_ = nullptr;
-    dispatch::request_fingerprint mark_;
+    dispatch::request_fingerprint fingerprint_;
+    /// Under which crashes of targets are recorded.
+    std::vector<dispatch::crash_mark> marks_;
+    run_permit permit_; ///< For the present attempt.
+    /// Retry-After if the request may not run now because of its marks.
+    std::optional<duration> quarantine_wait_;
     std::optional<tokens> reserved_;
     tokens used_;
     dispatch::request_state state_;
--- a/libs/edge/target_prober.cpp
+++ b/libs/edge/target_prober.cpp
@@ -24,36 +24,44 @@
 constexpr duration restart_watch_time = seconds(5);
 constexpr duration restart_check_period = milliseconds(200);
 
+constexpr duration verdict_check_period = milliseconds(5);
+
 } // namespace
 
 void target_prober::on_broken_answer(const catalog::target_process& target,
-                                     dispatch::request_fingerprint mark)
+                                     broken_run run)
 {
-    const bool under_way = suspects_.contains(target);
-    suspects_[target].push_back(mark);
+    const bool under_way = runs_.contains(target);
+    runs_[target].push_back(std::move(run));
     if (!under_way)
         spawn(tables_.io, probe(target));
 }
 
 void target_prober::on_unfinished_request(const catalog::target_process& target,
-                                          dispatch::request_fingerprint mark)
+                                          const broken_run& run)
 {
     if (has_restarted(target))
-        record_death(target, {mark});
+        record_death(target, {run});
+}
+
+awaitable<void> target_prober::settled(catalog::target_process target,
+                                       instant until)
+{
+    asio::steady_timer timer(tables_.io);
+    while (runs_.contains(target) && tables_.now() < until)
+        co_await sleep_on(timer, verdict_check_period);
 }
 
 void target_prober::record_death(const catalog::target_process& target,
-                                 const suspect_list& suspects)
+                                 const run_list& runs)
 {
-    bool is_new = false;
-    for (const dispatch::request_fingerprint mark : suspects)
-        is_new |= tables_.poison.note_death(mark, target, tables_.now());
     telemetry::log_event(telemetry::event::target_died,
                          {{"target", target.id.str()},
                           {"start", std::to_string(target.start.value())},
-                          {"suspects", std::to_string(suspects.size())}});
-    if (is_new)
-        tables_.broadcast_update();
+                          {"suspects", std::to_string(runs.size())}});
+    for (const broken_run& it : runs)
+        exchange_.note_death(it.marks, {target, it.place, it.ended,
+                                        it.ended - it.sent, it.leased});
 }
 
 bool target_prober::has_restarted(const catalog::target_process& target) const
@@ -120,19 +128,21 @@
         unreachable = !reached;
     }
     // Responses that break off from now on need a probe of their own.
-    const suspect_list suspects = std::move(suspects_[target]);
-    suspects_.erase(target);
+    const run_list runs = std::move(runs_[target]);
+    if (unreachable)
+        record_death(target, runs);
+    runs_.erase(target);
     if (unreachable)
         tables_.registry.note_evidence(
             target, dispatch::target_evidence::unreachable, tables_.now());
     const instant watch_end = tables_.now() + restart_watch_time;
-    bool died = unreachable || has_restarted(target);
-    while (!died && tables_.now() < watch_end) {
+    bool restarted = has_restarted(target);
+    while (!unreachable && !restarted && tables_.now() < watch_end) {
         co_await sleep_on(timer, restart_check_period);
-        died = has_restarted(target);
+        restarted = has_restarted(target);
     }
-    if (died)
-        record_death(target, suspects);
+    if (!unreachable && restarted)
+        record_death(target, runs);
 }
 
 } // namespace fennelladder::edge
--- a/libs/mesh/heartbeat_codec.cpp
+++ b/libs/mesh/heartbeat_codec.cpp
@@ -247,8 +247,7 @@
         out.__set_reached(to_wire(from.reached));
     if (from.cut_off)
         out.__set_cut_off(true);
-    for (const auto& it : from.poison)
-        out.poison.push_back(to_wire(it));
+    out.poison = to_wire(from.crash_records);
     out.__isset.poison = !out.poison.empty();
     out.introduced = from.introduced;
     out.__isset.introduced = !out.introduced.empty();
@@ -316,7 +315,7 @@
     out.leaving = leaving_from(from.leaving, invalid_parts);
     out.reached = reached_from(from.reached, invalid_parts);
     out.cut_off = from.__isset.cut_off && from.cut_off;
-    out.poison = poison_from(from.poison, invalid_parts);
+    out.crash_records = crash_records_from(from.poison, invalid_parts);
     out.introduced = addresses_from(from.introduced, invalid_parts);
     for (const wire::HeardNode& it : first_rows(from.heard, invalid_parts))
         if (const auto ago = age_of(true, it.ago_ms))
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -19,10 +19,49 @@
   3: i64 spent_per_second
 }
 
+struct CrashDeath {
+  1: i32 place
+  2: i32 age_ms
+  3: i32 ran_ms
+  4: optional bool leased
+}
+
+struct CrashAnswer {
+  1: i32 place
+  2: i32 age_ms
+}
+
 struct Poison {
   1: i64 mark
   2: list<string> deaths
   3: optional list<i64> starts_ms
+  // Unset: the mark is of a request.
+  4: optional bool is_part
+  // Parallel to `deaths`.
+  5: optional list<CrashDeath> details
+  6: optional list<CrashAnswer> answers
+}
+
+struct RunAsk {
+  1: i64 life
+  2: i64 number
+  3: i32 place
+  4: list<i64> requests
+  5: list<i64> parts
+}
+
+struct RunReply {
+  1: i64 life
+  2: i64 number
+  3: bool granted
+  4: i32 retry_after_ms
+  5: list<Poison> records
+}
+
+struct RunEnd {
+  1: i64 life
+  2: i64 number
+  3: i32 hold_ms
 }
 
 struct TargetRow {
@@ -167,6 +206,10 @@
   6: optional list<StreamOrigin> origins
   7: optional OriginAsk origin_ask
   8: optional OriginReply origin_reply
+  9: optional list<Poison> crash_records
+  10: optional RunAsk run_ask
+  11: optional RunReply run_reply
+  12: optional RunEnd run_end
 }
 
 struct RelayAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -210,6 +210,14 @@
         out.__set_origin_ask(to_wire(*message.stream_question));
     if (message.stream_answer)
         out.__set_origin_reply(to_wire(*message.stream_answer));
+    out.crash_records = to_wire(message.crash_records);
+    out.__isset.crash_records = !out.crash_records.empty();
+    if (message.run_question)
+        out.__set_run_ask(to_wire(*message.run_question));
+    if (message.run_answer)
+        out.__set_run_reply(to_wire(*message.run_answer));
+    if (message.run_end)
+        out.__set_run_end(to_wire(*message.run_end));
     return to_bytes(out);
 }
 
@@ -240,6 +248,16 @@
         out.stream_answer = from_wire(read->origin_reply);
         out.invalid_parts += !out.stream_answer;
     }
+    out.crash_records =
+        crash_records_from(read->crash_records, out.invalid_parts);
+    if (read->__isset.run_ask) {
+        out.run_question = from_wire(read->run_ask);
+        out.invalid_parts += !out.run_question;
+    }
+    if (read->__isset.run_reply)
+        out.run_answer = from_wire(read->run_reply, out.invalid_parts);
+    if (read->__isset.run_end)
+        out.run_end = from_wire(read->run_end);
     if (has_invalid_amount(out))
         return fail(error_code::corrupt,
                     "token message with an amount out of range");
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -1,5 +1,8 @@
 #include "fennelladder/base/random.hpp"
+#include "fennelladder/base/thrift_codec.hpp"
+#include "fennelladder/dispatch/quarantine.hpp"
 #include "fennelladder/mesh/messages.hpp"
+#include "mesh_types.h"
 
 #include <CppUTest/TestHarness.h>
 #include <cmath>
@@ -39,10 +42,17 @@
          {target_id("i-2"), std::nullopt, catalog::revision(12)}}};
     out.load = {{target_id("i-1"), 3, 400, catalog::target_start(42)}};
     out.stock = {{team_id("t"), tokens(1000), tokens(20)}};
-    out.poison = {{dispatch::request_fingerprint(0xfedcba9876543210),
-                   {{target_id("i-1"), catalog::target_start(41)},
-                    {target_id("i-1"), catalog::target_start(42)},
-                    {target_id("i-2")}}}};
+    const dispatch::run_place place(7);
+    out.crash_records = {
+        {{0xfedcba9876543210, true},
+         {{{target_id("i-1"), catalog::target_start(41)},
+           place,
+           milliseconds(300),
+           milliseconds(40),
+           true},
+          {{target_id("i-1"), catalog::target_start(42)}, place},
+          {{target_id("i-2")}, place}},
+         {{place, milliseconds(20)}}}};
     out.introduced = {"10.0.0.2:7000"};
     out.targets_as_of = catalog::revision(14);
     out.evacuations = {{data_center_id("austin"), data_center_id("houston")},
@@ -157,9 +167,20 @@
     CHECK(it.heard.at(0).ago == milliseconds(40));
     CHECK(it.load.at(0).reading == 400);
     CHECK(it.stock.at(0).spent_per_second == tokens(20));
-    CHECK(it.poison.at(0).mark ==
-          dispatch::request_fingerprint(0xfedcba9876543210));
-    CHECK(it.poison.at(0).deaths == sample().poison.at(0).deaths);
+    const auto& record = it.crash_records.at(0);
+    const dispatch::crash_record sent = sample().crash_records.at(0);
+    CHECK(record.mark == sent.mark);
+    UNSIGNED_LONGS_EQUAL(3, record.deaths.size());
+    for (std::size_t i = 0; i < 3; ++i) {
+        CHECK(record.deaths[i].target == sent.deaths[i].target);
+        CHECK(record.deaths[i].place == sent.deaths[i].place);
+        CHECK(record.deaths[i].at == sent.deaths[i].at);
+        CHECK(record.deaths[i].ran == sent.deaths[i].ran);
+        CHECK(record.deaths[i].leased == sent.deaths[i].leased);
+    }
+    CHECK(record.answers.at(0).place == sent.answers.at(0).place);
+    // An answer may have come earlier by the time that the message took.
+    CHECK(record.answers.at(0).at >= sent.answers.at(0).at);
     CHECK(it.load.at(0).start == catalog::target_start(42));
     STRCMP_EQUAL("10.0.0.2:7000", it.introduced.at(0).c_str());
 }
@@ -197,11 +218,56 @@
     const catalog::target_start below(~std::uint64_t(0));
     message.heartbeat->load.at(0).start = below;
     message.heartbeat->target_update->changes.at(0).entry->start = below;
-    message.heartbeat->poison.at(0).deaths.at(0).start = below;
+    message.heartbeat->crash_records.at(0).deaths.at(0).target.start = below;
     const auto got = decode_datagram(encode(message));
     CHECK(!is_known(got->heartbeat->load.at(0).start));
     CHECK(!is_known(got->heartbeat->target_update->changes.at(0).entry->start));
-    CHECK(!is_known(got->heartbeat->poison.at(0).deaths.at(0).start));
+    CHECK(!is_known(
+        got->heartbeat->crash_records.at(0).deaths.at(0).target.start));
+}
+
+TEST(mesh_messages, leave_to_run_a_request_survives_encoding)
+{
+    datagram message;
+    message.run_question = mesh::run_question{node_incarnation(1),
+                                              2,
+                                              dispatch::run_place(7),
+                                              {{5, false}, {6, true}}};
+    message.run_answer = mesh::run_answer{
+        node_incarnation(1), 2, true, milliseconds(30), sample().crash_records};
+    message.run_end = mesh::run_end{node_incarnation(1), 2, milliseconds(1500)};
+    message.crash_records = sample().crash_records;
+    const auto got = decode_datagram(encode(message));
+    CHECK(got && got->run_question && got->run_answer && got->run_end);
+    CHECK(got->run_question->marks == message.run_question->marks);
+    CHECK(got->run_question->place == dispatch::run_place(7));
+    CHECK(got->run_answer->granted);
+    CHECK(got->run_answer->retry_after == milliseconds(30));
+    UNSIGNED_LONGS_EQUAL(1, got->run_answer->records.size());
+    CHECK(got->run_end->hold == milliseconds(1500));
+    UNSIGNED_LONGS_EQUAL(1, got->crash_records.size());
+    UNSIGNED_LONGS_EQUAL(0, got->invalid_parts);
+}
+
+// Nodes of earlier releases tell the processes that died and nothing else. Two
+// deaths condemn a request there, and so they do here.
+TEST(mesh_messages, deaths_without_times_are_rounds_of_their_own)
+{
+    wire::Datagram old;
+    wire::Poison record;
+    record.mark = 5;
+    record.deaths = {"i-1", "i-2"};
+    old.__set_crash_records({record});
+    const auto got = decode_datagram(to_bytes(old));
+    CHECK(got.has_value());
+    dispatch::quarantine table;
+    const instant now(seconds(100));
+    table.merge(got->crash_records.at(0), now);
+    CHECK(
+        table
+            .assess(dispatch::crash_mark::of(dispatch::request_fingerprint(5)),
+                    {}, dispatch::run_place(7), now)
+            .level == dispatch::suspicion::condemned);
 }
 
 TEST(mesh_messages, transfers_survive_encoding)
@@ -450,9 +516,9 @@
                                 {team_id("b"), tokens(1), tokens(-1)},
                                 {team_id("c"), tokens(INT64_MAX), tokens(1)},
                                 {team_id("d"), tokens(1), tokens(1)}};
-    message.heartbeat->poison.push_back({dispatch::request_fingerprint(1), {}});
-    message.heartbeat->poison.push_back(
-        {dispatch::request_fingerprint(2), {{target_id(), {}}}});
+    message.heartbeat->crash_records.push_back({{1, false}, {}, {}});
+    message.heartbeat->crash_records.push_back(
+        {{2, false}, {{{target_id(), {}}, {}}}, {}});
     message.heartbeat->introduced = {"nowhere", "10.0.0.2:7000", ""};
     const auto got = decode_datagram(encode(message));
     CHECK(got && got->heartbeat);
@@ -462,7 +528,7 @@
     CHECK(it.load.at(0).target == target_id("c"));
     UNSIGNED_LONGS_EQUAL(1, it.stock.size());
     CHECK(it.stock.at(0).team == team_id("d"));
-    UNSIGNED_LONGS_EQUAL(1, it.poison.size());
+    UNSIGNED_LONGS_EQUAL(1, it.crash_records.size());
     UNSIGNED_LONGS_EQUAL(1, it.introduced.size());
     UNSIGNED_LONGS_EQUAL(12, got->invalid_parts);
 }
@@ -538,10 +604,8 @@
     constexpr std::size_t many = max_heartbeat_rows + 10;
     it.load.assign(many, {target_id("i-1"), 1, 1});
     it.stock.assign(many, {team_id("t"), tokens(1), tokens(1)});
-    it.poison.assign(
-        many,
-        {dispatch::request_fingerprint(1),
-         std::vector(many, catalog::target_process{target_id("i-1"), {}})});
+    const dispatch::crash_death<duration> death{{target_id("i-1"), {}}, {}};
+    it.crash_records.assign(many, {{1, false}, std::vector(many, death), {}});
     it.introduced.assign(many, "10.0.0.2:7000");
     it.heard.assign(many, {node_incarnation(78), milliseconds(40)});
     // A truncated update wouldn't be complete, so it is dropped.
@@ -550,9 +614,10 @@
     CHECK(got && got->heartbeat);
     UNSIGNED_LONGS_EQUAL(max_heartbeat_rows, got->heartbeat->load.size());
     UNSIGNED_LONGS_EQUAL(max_heartbeat_rows, got->heartbeat->stock.size());
-    UNSIGNED_LONGS_EQUAL(max_heartbeat_rows, got->heartbeat->poison.size());
     UNSIGNED_LONGS_EQUAL(max_heartbeat_rows,
-                         got->heartbeat->poison.at(0).deaths.size());
+                         got->heartbeat->crash_records.size());
+    UNSIGNED_LONGS_EQUAL(max_heartbeat_rows,
+                         got->heartbeat->crash_records.at(0).deaths.size());
     UNSIGNED_LONGS_EQUAL(max_heartbeat_rows, got->heartbeat->introduced.size());
     UNSIGNED_LONGS_EQUAL(max_heartbeat_rows, got->heartbeat->heard.size());
     CHECK(!got->heartbeat->target_update);
--- a/libs/mesh/peer_view.cpp
+++ b/libs/mesh/peer_view.cpp
@@ -17,7 +17,7 @@
     out.stock.clear();
     out.limits.clear();
     out.leaving.clear();
-    out.poison.clear();
+    out.crash_records.clear();
     out.introduced.clear();
     out.heard.clear();
     out.target_update.reset();
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -225,6 +225,10 @@
     {event::stream_resumed, severity::info, "stream_resumed",
      "A caller asked for the rest of a stream; the line says which software "
      "version began it, and who knew."},
+    {event::request_suspected, severity::info, "request_suspected",
+     "A request has a mark (itself, or a part of its prompt) that may crash "
+     "targets; the line says what is known of it, and whether the request was "
+     "refused or runs alone with it."},
     {event::call_rejected, severity::info, "call_rejected",
      "A request was rejected as invalid: no such route, no valid key, or a "
      "malformed request."},
@@ -251,6 +255,12 @@
      "A target says in its answers how many rejections a second it survives, "
      "or "
      "that it survives any number."},
+    {event::mark_condemned, severity::warning, "mark_condemned",
+     "Targets crashed in successive runs with a mark, a request or a part of "
+     "prompts; no request with it is sent until its next trial."},
+    {event::mark_cleared, severity::info, "mark_cleared",
+     "A condemned mark was answered, explained by another one, or cleared by "
+     "an operator."},
     {event::node_heard, severity::info, "node_heard",
      "Another node, or a new life of it, was heard for the first time."},
     {event::node_state_changed, severity::info, "node_state_changed",
