Show operators the marks under quarantine, and explain refusals by them

fennelladder explain names the part or request, its deaths with targets and times, its last answer, and when a trial is due.

--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -1,5 +1,6 @@
 #include "fennelladder/edge/edge_node.hpp"
 
+#include "fennelladder/edge/quarantine_page.hpp"
 #include "fennelladder/telemetry/log.hpp"
 #include "platform/request_headers.hpp"
 
@@ -342,6 +343,8 @@
 
 simple_response edge_node::answer_metrics(const simple_request& request)
 {
+    if (is_for_quarantine(request))
+        return answer_quarantine(tables_, quarantine_, request);
     if (request.path != options_.metrics_path)
         return {404, "text/plain", "no such path\n"};
     update_gauges();
--- a/libs/report/request_timeline.cpp
+++ b/libs/report/request_timeline.cpp
@@ -63,6 +63,32 @@
     return "'" + std::string(text) + "'";
 }
 
+/// What was known of the request's mark (itself, or a part of its prompt) that
+/// may crash targets, and what followed.
+std::string describe_suspicion(const log_line& it)
+{
+    const std::string mark(it.get("mark"));
+    std::string out = "With its " + mark + ", " +
+                      std::string(it.get("deaths")) + " targets died in " +
+                      std::string(it.get("rounds")) +
+                      " successive rounds (target and milliseconds before: " +
+                      std::string(it.get("targets")) + "). ";
+    const auto answered = it.get("last_answer_ms");
+    if (answered == "none")
+        out += "No target has answered it since it is known.";
+    else
+        out += "A target last answered it " + std::string(answered) +
+               " ms before.";
+    if (it.get("decision") != "refused")
+        return out + " The request ran alone with it, by leave of host " +
+               std::string(it.get("giver")) + ".";
+    if (it.get("level") == "condemned")
+        return out + " It is condemned: one request with it runs as a trial " +
+               "in " + std::string(it.get("trial_in_ms")) + " ms.";
+    return out + " It is under suspicion: one request with it runs at a " +
+           "time, and host " + std::string(it.get("giver")) + " gave no leave.";
+}
+
 struct request_ending
 {
     const log_line& last;
@@ -369,6 +395,7 @@
     const auto lines = sorted_lines();
     const log_line* attempt = nullptr;
     const log_line* resumption = nullptr;
+    const log_line* suspicion = nullptr;
     const log_line* last = nullptr;
     for (const log_line& it : lines) {
         out << it.time << ' ' << it.host << ' ' << it.name;
@@ -382,12 +409,16 @@
             attempt = &it;
         if (it.event == event::stream_resumed)
             resumption = &it;
+        if (it.event == event::request_suspected)
+            suspicion = &it;
         if (find_rule(it) != nullptr)
             last = &it;
     }
     out << '\n';
     if (resumption != nullptr)
         out << describe_resumption(*resumption) << '\n';
+    if (suspicion != nullptr)
+        out << describe_suspicion(*suspicion) << '\n';
     if (last == nullptr)
         out << "These logs don't contain the outcome.\n"
             << dropped_lines_note(context_);
--- a/libs/report/request_timeline_test.cpp
+++ b/libs/report/request_timeline_test.cpp
@@ -71,6 +71,37 @@
     CHECK(explanation_contains(unknown, "version of the stream unknown"));
 }
 
+// A request is refused because of a part of its prompt, and the operator must
+// find out which, and what speaks against it.
+TEST(request_timeline, a_request_with_a_crashing_part_names_part_and_deaths)
+{
+    const auto explain = [](const char* level, const char* decision) {
+        request_timeline timeline("r1");
+        timeline.add(line("05.100", "a", 1520,
+                          std::string(R"(,"id":"r1","mark":"part 0bad",)"
+                                      R"("deaths":"5","rounds":"2",)"
+                                      R"("targets":"i-1:900,i-2:40",)"
+                                      R"("last_answer_ms":"none",)"
+                                      R"("trial_in_ms":"18000",)"
+                                      R"("giver":"b","level":")") +
+                              level + R"(","decision":")" + decision + "\""));
+        timeline.add(line("05.200", "a", 1511,
+                          R"(,"id":"r1","outcome":"not_run",)"
+                          R"("reason":"it crashes targets")"));
+        return timeline;
+    };
+    const auto refused = explain("condemned", "refused");
+    CHECK(explanation_contains(
+        refused, "With its part 0bad, 5 targets died in 2 successive rounds"));
+    CHECK(explanation_contains(refused, "i-1:900,i-2:40"));
+    CHECK(explanation_contains(refused, "No target has answered it"));
+    CHECK(explanation_contains(refused, "a trial in 18000 ms"));
+    CHECK(explanation_contains(explain("suspected", "refused"),
+                               "host b gave no leave"));
+    CHECK(explanation_contains(explain("suspected", "run alone"),
+                               "ran alone with it, by leave of host b"));
+}
+
 // A target dies in the middle of a stream that can't be resumed at another
 // target, so the caller's answer is truncated.
 TEST(request_timeline, a_cut_stream_names_the_target_that_died)
