--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -16,6 +16,8 @@
   - a success bears the mark of a run of that very request, and its whole body;
   - no team got more tokens than it had prepaid;
   - nodes heed what targets say of themselves (target_signals.py);
+  - a part of prompts crashes few targets, while nodes are killed and paused
+    (crashing_parts.py);
   - at the end, with all faults over, calls are answered again.
 
 Exit status 0 when all held, 1 with the findings otherwise. It ends only the
@@ -38,6 +40,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlparse
 
+import crashing_parts
 from target_signals import Senders, TargetSignals
 
 NODES = 3
@@ -168,6 +171,34 @@
         return len(self.prompts) * PROMPT + self.delivered * PER_EVENT
 
 
+def part_handler(target, parts):
+    """Of a target that crashes on parts of prompts."""
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def log_message(self, *_):
+            pass
+
+        def do_any(self):
+            self.rfile.read(int(self.headers.get("Content-Length") or 0))
+            request = self.headers["X-Request-Id"]
+            sender = parts.senders.find(self.client_address[1],
+                                        self.server.server_port)
+            if parts.arrived(target, self.headers["X-Prompt-Prefix"], sender):
+                self.close_connection = True
+                return
+            self.send_response_only(200)
+            self.send_header("X-Request-Id", request)
+            self.send_header("X-Server-Signature", "s")
+            self.send_header("Content-Length", "2")
+            self.end_headers()
+            self.wfile.write(b"ok")
+
+        do_GET = do_POST = do_any
+
+    return Handler
+
+
 def target_handler(name, runs, fault, signals):
     class Handler(BaseHTTPRequestHandler):
         protocol_version = "HTTP/1.1"
@@ -264,10 +295,10 @@
     return ports
 
 
-def route(name, kind, resume=False):
+def route(name, kind, resume=False, service="s"):
     return {"name": name, "host": HOST, "pathPrefix": f"/{name}/",
             "kind": kind, "timeoutMs": 3000, "targetLatencyMs": 400,
-            "priority": 1, "service": "s", "public": False,
+            "priority": 1, "service": service, "public": False,
             "sticky": kind == "streaming", "canResume": resume,
             "maxAttempts": 2 if resume or kind == "idempotent" else 1,
             "gapAimMs": 300}
@@ -277,11 +308,14 @@
     return {"version": version,
             "routes": [route("once", "non_idempotent"),
                        route("again", "idempotent"),
-                       route("stream", "streaming", resume=True)],
-            "services": [{"name": "s", "healthPath": "/health",
+                       route("stream", "streaming", resume=True),
+                       route("part", "idempotent",
+                             service=crashing_parts.SERVICE)],
+            "services": [{"name": name, "healthPath": "/health",
                           "maxConnections": 300,
                           "engine": {"slots": 64, "kvCacheTokens": 400000,
-                                     "stride": PER_EVENT}}],
+                                     "stride": PER_EVENT}}
+                         for name in ("s", crashing_parts.SERVICE)],
             "tenants": [{"name": "t", "apiKeys": [KEY], "prepaid": PREPAID}]}
 
 
@@ -305,10 +339,17 @@
 
     def start(self):
         self.started = time.time()
+        self.log_offset = os.path.getsize(self.log.name)
         self.process = subprocess.Popen(
             [self.binary, "front", "--settings-file", self.path],
             stdout=self.log, stderr=self.log)
 
+    def has_begun(self):
+        """Whether the process said that it has started."""
+        with open(self.log.name, "rb") as log:
+            log.seek(self.log_offset)
+            return b'"name":"node_started"' in log.read()
+
     def signal(self, number):
         if self.process and self.process.poll() is None:
             self.process.send_signal(number)
@@ -348,6 +389,10 @@
             self.closing.append(server)
             self.targets[name] = signals, where
             self.list_target(name)
+        self.parts = crashing_parts.CrashingParts(
+            part_handler, self.list_part_target, senders, self.started_at,
+            self.note)
+        self.parts.start()
         # Addresses of their own, so that soaks can run beside each other.
         ips = [f"127.7.{args.seed % 250}.{i + 1}" for i in range(NODES)]
         seeds = ",".join(f"{ip}:1" for ip in ips[:2])
@@ -362,6 +407,44 @@
             "coldRemainingMs": 0, "sequence": 1,
             "born": int(time.time() * 1000)})
 
+    def list_part_target(self, name, address):
+        self.store.put("servers", name, {
+            "service": crashing_parts.SERVICE, "address": address, "zone": "z",
+            "slots": 64, "state": "ready", "version": "v1",
+            "coldRemainingMs": 0, "sequence": 1,
+            "born": int(time.time() * 1000)})
+
+    def started_at(self, process):
+        """By the monotonic clock."""
+        for node in self.nodes:
+            if node.process and node.process.pid == process:
+                return time.monotonic() - (time.time() - node.started)
+        return time.monotonic()
+
+    def call_part(self, prompt):
+        """Returns whether it was answered."""
+        node = random.choice(self.nodes)
+        call = http.client.HTTPConnection(node.ip, node.front, timeout=5)
+        try:
+            call.request("POST", crashing_parts.PATH, body=prompt.encode(),
+                         headers={"Host": HOST, "X-Request-Deadline-Ms": "4000",
+                                  "X-Request-Id":
+                                  "p%x" % random.getrandbits(60),
+                                  "X-Prompt-Prefix": prompt,
+                                  "Authorization": f"Bearer {KEY}"})
+            return call.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            call.close()
+
+    def storms(self):
+        plan = random.Random(self.plan_seed + 1)
+        number = 0
+        while not self.stop.wait(plan.uniform(0.5, 2)):
+            number += 1
+            self.parts.storm(self.call_part, f"bad{number}", self.stop)
+
     def speak(self):
         """Targets say of themselves what they take, each for some seconds."""
         plan = random.Random(self.plan_seed)
@@ -491,9 +574,8 @@
                 code = node.process.returncode
                 # A process that is told to leave before it has begun has
                 # nothing to leave in order.
-                fresh = time.time() - node.started < 1
                 allowed = {0, -signal.SIGKILL}
-                if fresh:
+                if not node.has_begun():
                     allowed.add(-signal.SIGTERM)
                 if code not in allowed:
                     self.note(f"n{node.number} ended with {code}")
@@ -523,12 +605,21 @@
             time.sleep(0.2)
         self.note("no call was answered after the faults were over")
 
+    def check_sound_parts(self):
+        deadline = time.time() + 15
+        while time.time() < deadline:
+            if self.call_part(self.parts.prompt("50d")):
+                return
+            time.sleep(0.2)
+        self.note("no call with the first part was answered after the storms")
+
     def run(self):
         for node in self.nodes:
             node.start()
         callers = [threading.Thread(target=self.caller, args=[i])
                    for i in range(8)]
         callers.append(threading.Thread(target=self.speak))
+        callers.append(threading.Thread(target=self.storms))
         for it in callers:
             it.start()
         end = time.time() + self.seconds
@@ -542,6 +633,8 @@
         for it in callers:
             it.join()
         self.check_recovery()
+        self.check_sound_parts()
+        self.parts.check()
         for node in self.nodes:
             node.end()
         self.check_end()
@@ -564,6 +657,7 @@
     answered = soak.outcomes[200]
     print(f"seed {args.seed}: {sum(soak.outcomes.values())} calls, "
           f"{dict(soak.outcomes)}, {soak.runs.tokens} of {PREPAID} tokens, "
+          f"{soak.parts.summary}, "
           f"logs in {soak.folder}")
     if answered == 0:
         soak.note("nothing was answered")
