Excuse a round of deaths that came together with those of other targets

Where three targets or more die within 0.1 s, a mark that ran at under half of them gets one round excused. One only: several crashing parts at a time would hide each other otherwise. A crashing part that is sent often ran at each target that died.

--- a/include/fennelladder/dispatch/quarantine.hpp
+++ b/include/fennelladder/dispatch/quarantine.hpp
@@ -27,7 +27,8 @@
 // could know of the first death are one round: a rack that loses its power is
 // no stronger evidence than a single target. A run under a lease is a round by
 // itself. One round makes a mark suspected, two make it condemned; one more
-// each if the mark was answered shortly before.
+// each if the mark was answered shortly before, and one more if targets died
+// at the same time on most of which no request with the mark ran.
 //
 // A part that was answered by one software version and not by another is
 // assessed by place: deaths at other places count only while the place itself
@@ -46,7 +47,9 @@
 #include "fennelladder/dispatch/crash_record.hpp"
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -89,6 +92,11 @@
     duration proof_retention = minutes(1);
     /// A record expires this long after its last death. Longer than any pause.
     duration retention = minutes(30);
+    /// Targets that die within this time of each other, this many at least,
+    /// have a common cause.
+    duration coincidence_time = milliseconds(100);
+    std::ptrdiff_t coincident_deaths = 3;
+    std::size_t max_processes = 4096; ///< Whose death is remembered.
     std::size_t max_records = 16'384;
     std::size_t max_proofs = 16'384;
     std::size_t max_deaths = 64;     ///< Kept in a record.
@@ -188,6 +196,8 @@
 
     death_list open_deaths(const entry& it, run_place place) const;
     int count_rounds(const death_list& deaths, bool of_part) const;
+    bool has_coincidence(const death_list& deaths) const;
+    void note_process(const catalog::target_process& target, instant at);
     bool was_proven(const entry& it, const crash_death<instant>& first,
                     run_place place) const;
     bool is_condemned(const entry& it, bool of_part) const;
@@ -206,6 +216,9 @@
     quarantine_options options_;
     std::unordered_map<crash_mark, entry> entries_;
     std::unordered_set<crash_mark> condemned_; ///< By deaths without an answer.
+    /// All processes that died, whatever ran there, by time.
+    std::multimap<instant, catalog::target_process> processes_;
+    std::map<catalog::target_process, instant> died_;
     /// Answers by mark. When the newer map is full it becomes the older one.
     proof_map newer_proofs_;
     proof_map older_proofs_;
--- a/libs/dispatch/quarantine.cpp
+++ b/libs/dispatch/quarantine.cpp
@@ -149,6 +149,47 @@
     });
 }
 
+/// Whether one of the deaths came together with those of other targets, on most
+/// of which no request with the mark ran.
+bool quarantine::has_coincidence(const death_list& deaths) const
+{
+    const auto is_near = [&](instant a, instant b) {
+        return std::max(a, b) - std::min(a, b) <= options_.coincidence_time;
+    };
+    return std::ranges::any_of(deaths, [&](const auto* death) {
+        const auto from =
+            processes_.lower_bound(death->at - options_.coincidence_time);
+        const auto to =
+            processes_.upper_bound(death->at + options_.coincidence_time);
+        const auto all = std::distance(from, to);
+        const auto own = std::ranges::count_if(
+            deaths, [&](const auto* it) { return is_near(it->at, death->at); });
+        // A record may have dropped deaths of those that it has many of.
+        const bool has_all =
+            own < static_cast<std::ptrdiff_t>(options_.max_deaths_told);
+        return all >= options_.coincident_deaths && has_all && own * 2 < all;
+    });
+}
+
+/// Records when the process died, by the earliest report.
+void quarantine::note_process(const catalog::target_process& target, instant at)
+{
+    const auto known = died_.find(target);
+    if (known != died_.end() && known->second <= at)
+        return;
+    if (known != died_.end()) {
+        const auto [from, to] = processes_.equal_range(known->second);
+        processes_.erase(std::find_if(
+            from, to, [&](const auto& it) { return it.second == target; }));
+    }
+    died_[target] = at;
+    processes_.emplace(at, target);
+    while (processes_.size() > options_.max_processes) {
+        died_.erase(processes_.begin()->second);
+        processes_.erase(processes_.begin());
+    }
+}
+
 /// Removes the deaths whose cause is a condemned mark that the request doesn't
 /// have, and with which more targets died. `has_equal`: most of those that are
 /// left have another such mark in common, so that the two can't be told apart.
@@ -201,7 +242,8 @@
     drop_known_cause(deaths, mark, marks, has_equal);
     out.deaths = deaths.size();
     out.rounds = count_rounds(deaths, mark.is_part);
-    const int counted = out.rounds - (out.proven ? 1 : 0);
+    const int counted =
+        out.rounds - (out.proven ? 1 : 0) - (has_coincidence(deaths) ? 1 : 0);
     if (counted <= 0)
         return out;
     out.level = counted < options_.condemning_rounds || has_equal
@@ -252,8 +294,10 @@
     const death_list deaths = open_deaths(it, unknown_place);
     if (deaths.empty())
         return false;
-    const bool proven = was_proven(it, *deaths.front(), unknown_place);
-    return count_rounds(deaths, of_part) - (proven ? 1 : 0) >=
+    const int excused =
+        (was_proven(it, *deaths.front(), unknown_place) ? 1 : 0) +
+        (has_coincidence(deaths) ? 1 : 0);
+    return count_rounds(deaths, of_part) - excused >=
            options_.condemning_rounds;
 }
 
@@ -269,6 +313,7 @@
 /// that changed the entry.
 bool quarantine::add_death(entry& it, const crash_death<instant>& death)
 {
+    note_process(death.target, death.at);
     const bool has_start = catalog::is_known(death.target.start);
     const auto same = std::ranges::find_if(it.deaths, [&](const auto& known) {
         const bool comparable =
--- a/libs/dispatch/quarantine_test.cpp
+++ b/libs/dispatch/quarantine_test.cpp
@@ -99,6 +99,25 @@
     CHECK_EQUAL(9, got.deaths);
 }
 
+// Of targets that die at once, a sound part ran at one; a crashing one that is
+// sent to many at a time ran at each.
+TEST(quarantine, targets_that_die_beside_others_excuse_a_round)
+{
+    for (int i = 0; i < 5; ++i) {
+        const auto it = death("t" + std::to_string(i), 0.01 * i);
+        note(crash_mark::of_part(100 + std::uint64_t(i)), it);
+        note(bad, it);
+    }
+    CHECK(level_of(table, bad, 1) == suspicion::suspected);
+    const auto sound = crash_mark::of_part(102);
+    CHECK(level_of(table, sound, 1) == suspicion::clear);
+    // Only one round is excused, or several parts could hide each other.
+    for (int i = 0; i < 5; ++i)
+        note(crash_mark::of_part(100 + std::uint64_t(i)),
+             death("u" + std::to_string(i), 5 + 0.01 * i));
+    CHECK(level_of(table, sound, 6) == suspicion::suspected);
+}
+
 // A request that runs once more after its target's death, within one attempt of
 // its caller, is sent after that death.
 TEST(quarantine, the_second_attempt_of_a_request_is_a_round)
