Keep requests from targets that peers saw die

Cause: each node found out by itself that a target had died, by a connect that is refused; a request may have four of these. After most targets died at once, nodes refused requests although others were free.

A death that a peer tells of counts as a failed connect now, unless this node has heard from the process since.

--- a/include/fennelladder/dispatch/reach_table.hpp
+++ b/include/fennelladder/dispatch/reach_table.hpp
@@ -136,6 +136,10 @@
     /// it.
     bool is_unreached(const catalog::target_process& process) const;
 
+    /// When bytes last came over a direct connection; unset: never.
+    std::optional<instant>
+    last_contact(const catalog::target_process& process) const;
+
     /// Since when the target is lost; unset if it isn't.
     std::optional<instant>
     lost_since(const catalog::target_process& process) const;
--- a/include/fennelladder/dispatch/target_registry.hpp
+++ b/include/fennelladder/dispatch/target_registry.hpp
@@ -372,6 +372,11 @@
     void note_evidence(const catalog::target_process& target,
                        target_evidence evidence, instant now);
 
+    /// A peer saw the process die at `died`. Ignored if this node heard from it
+    /// since.
+    void note_reported_death(const catalog::target_process& target,
+                             instant died, instant now);
+
     /// Replaces the load that another node reported before.
     void set_peer_load(const host_id& peer, std::vector<target_load> load);
     void forget_peer(const host_id& peer);
--- a/libs/dispatch/reach_table.cpp
+++ b/libs/dispatch/reach_table.cpp
@@ -244,6 +244,13 @@
            !needs_relay(process);
 }
 
+std::optional<instant>
+reach_table::last_contact(const catalog::target_process& process) const
+{
+    const auto it = targets_.find(process);
+    return it == targets_.end() ? std::nullopt : it->second.contact;
+}
+
 std::optional<instant>
 reach_table::lost_since(const catalog::target_process& process) const
 {
--- a/libs/dispatch/target_registry.cpp
+++ b/libs/dispatch/target_registry.cpp
@@ -433,6 +433,14 @@
     it.probe_running = false;
 }
 
+void target_registry::note_reported_death(const catalog::target_process& target,
+                                          instant died, instant now)
+{
+    const auto contact = reach_.last_contact(target);
+    if (!contact || *contact <= died)
+        note_evidence(target, target_evidence::unreachable, now);
+}
+
 void target_registry::note_evidence(const catalog::target_process& target,
                                     target_evidence evidence, instant now)
 {
--- a/libs/dispatch/target_registry_test.cpp
+++ b/libs/dispatch/target_registry_test.cpp
@@ -183,6 +183,22 @@
     CHECK(chosen(request, later) == dead);
 }
 
+// Many targets die at once. A node that was told by its peers doesn't waste the
+// few failed connects that a request may have on them.
+TEST(target_registry, a_target_that_a_peer_saw_die_is_avoided)
+{
+    const auto request = prompt(5);
+    const target_id dead = chosen(request);
+    registry.note_reported_death({dead}, start, start + milliseconds(10));
+    CHECK(chosen(request, start + milliseconds(20)) != dead);
+    // One that this node has heard from since is alive.
+    const target_id alive = chosen(request, start + milliseconds(20));
+    registry.reach().note_contact({alive}, start + milliseconds(30));
+    registry.note_reported_death({alive}, start + milliseconds(20),
+                                 start + milliseconds(40));
+    CHECK(chosen(request, start + milliseconds(40)) == alive);
+}
+
 TEST(target_registry, targets_in_backoff_are_used_if_there_are_no_others)
 {
     for (int i = 0; i < 6; ++i)
--- a/libs/edge/quarantine_exchange.cpp
+++ b/libs/edge/quarantine_exchange.cpp
@@ -25,6 +25,9 @@
 /// Records of one death that are told at once. Heartbeats tell the rest.
 constexpr std::size_t max_records_told = 256;
 
+/// Deaths longer ago say nothing that the list of targets doesn't.
+constexpr duration max_death_age = seconds(3);
+
 /// Longest list of targets in a log line.
 constexpr std::size_t max_targets_logged = 8;
 
@@ -231,10 +234,17 @@
 void quarantine_exchange::on_records(
     const std::vector<dispatch::crash_record>& records)
 {
+    const instant now = tables_.now();
     std::vector<crash_mark> changed;
-    for (const dispatch::crash_record& it : records)
-        if (tables_.quarantine.merge(it, tables_.now()))
-            changed.push_back(it.mark);
+    for (const dispatch::crash_record& it : records) {
+        if (!tables_.quarantine.merge(it, now))
+            continue;
+        changed.push_back(it.mark);
+        for (const auto& death : it.deaths)
+            if (death.at < max_death_age)
+                tables_.registry.note_reported_death(death.target,
+                                                     now - death.at, now);
+    }
     if (!changed.empty())
         log_changes(changed, "peer");
 }
