Tell at once only of marks that a death makes suspected

Cause: a witness told all nodes of each mark that ran on a dying target, some 27 records of 60 bytes to each peer. With 77 nodes and 14 targets that die together that is 1.7 MB from each witness (worked out, not measured), over a second of a link of 10 Mbit/s. Most of these marks are known to be harmless, or excused; heartbeats tell them in time.

Also, leave that was asked for and not answered is given back to the node that was asked, which may have given it.

--- a/include/fennelladder/edge/quarantine_exchange.hpp
+++ b/include/fennelladder/edge/quarantine_exchange.hpp
@@ -8,9 +8,10 @@
 //         exchange.release(permit, hold);
 //     }
 //
-// A death is told to all nodes at once, by the node that saw it, and again with
-// its next heartbeats. Heartbeats also carry all condemned marks, so that a
-// node that starts, or comes back from a partition, learns them.
+// A death is told to all nodes at once, by the node that saw it, for the marks
+// that it makes suspected, and with its next heartbeats for all. Heartbeats
+// also carry all condemned marks, so that a node that starts, or comes back
+// from a partition, learns them.
 //
 // Leave is given by one node for each service (dispatch/run_leases.hpp): the
 // first in the order on which nodes agree. Its answer carries what it knows of
@@ -110,6 +111,7 @@
     awaitable<std::optional<mesh::run_answer>>
     ask(const mesh::run_question& question, const std::string& address,
         instant until);
+    void end_lease(const run_permit& permit, duration hold);
     void tell_all(std::span<const dispatch::crash_record> records);
     void log_changes(std::span<const dispatch::crash_mark> marks,
                      const std::string& by);
--- a/libs/edge/quarantine_exchange.cpp
+++ b/libs/edge/quarantine_exchange.cpp
@@ -109,13 +109,17 @@
     std::span<const crash_mark> marks,
     const dispatch::crash_death<instant>& death)
 {
+    const instant now = tables_.now();
     std::vector<crash_mark> changed;
     for (const crash_mark& it : marks)
-        if (tables_.quarantine.note_death(it, death, tables_.now()))
+        if (tables_.quarantine.note_death(it, death, now))
             changed.push_back(it);
     log_changes(changed, tables_.settings.host.str());
-    tell_all(
-        tables_.quarantine.records_of_death(changed, death, tables_.now()));
+    // Most marks are known to be harmless. When many targets die, telling all
+    // of them at once would fill the host's link; heartbeats do it in time.
+    const auto suspects =
+        tables_.quarantine.suspects_of(changed, death.place, now);
+    tell_all(tables_.quarantine.records_of_death(suspects, death, now));
 }
 
 void quarantine_exchange::note_answer(std::span<const crash_mark> marks,
@@ -196,6 +200,9 @@
         out.allowed = answer->granted;
         out.retry_after = answer->retry_after;
     } else if (giver == nullptr || state.level != suspicion::condemned) {
+        // The answer may have been lost.
+        if (giver != nullptr)
+            end_lease(out, duration(0));
         out.giver_address.clear();
         const auto got =
             leases_.ask(self, suspects, place, table, tables_.now());
@@ -219,6 +226,11 @@
 void quarantine_exchange::release(const run_permit& permit, duration hold)
 {
     assert(permit.leased);
+    end_lease(permit, hold);
+}
+
+void quarantine_exchange::end_lease(const run_permit& permit, duration hold)
+{
     if (permit.giver_address.empty()) {
         leases_.end({tables_.incarnation.value(), permit.number}, hold,
                     tables_.now());
--- a/libs/edge/quarantine_page.cpp
+++ b/libs/edge/quarantine_page.cpp
@@ -1,5 +1,6 @@
 #include "fennelladder/edge/quarantine_page.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
