Count runs that were given up shortly before their target died

Cause, from the nodes' logs: busy targets took over a second to answer. Requests with the crashing part were given up for silence, and their targets died after that. The deaths counted for the sound requests that broke off there, so the sound part was condemned and the other wasn't.

A run that was given up within 3 s of the death of its target, as seen here or told by a peer, counts as one that may have caused it.

--- a/include/fennelladder/edge/quarantine_exchange.hpp
+++ b/include/fennelladder/edge/quarantine_exchange.hpp
@@ -92,6 +92,10 @@
     /// nodes. Returns whether it was known.
     bool forgive(const dispatch::crash_mark& mark);
 
+    /// `listener` is called with each process that a peer saw die lately.
+    using death_listener = std::function<void(const catalog::target_process&)>;
+    void set_death_listener(death_listener listener);
+
     /// Handle messages of other nodes. `from` is the sender's address.
     void on_records(const std::vector<dispatch::crash_record>& records);
     void on_question(const mesh::run_question& question,
@@ -123,6 +127,7 @@
     /// Marks that were logged as condemned, until they are cleared.
     std::set<dispatch::crash_mark> condemned_;
     std::uint64_t last_number_ = 0;
+    death_listener on_death_ = [](const auto&) {};
 };
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/edge/target_prober.hpp
+++ b/include/fennelladder/edge/target_prober.hpp
@@ -48,10 +48,15 @@
                           broken_run run);
 
     /// Call when the request got no complete response for another reason. Only
-    /// makes the request a suspect if the process is known to have ended.
+    /// makes the request a suspect if the process is known to have ended, or
+    /// ends within seconds.
     void on_unfinished_request(const catalog::target_process& target,
                                const broken_run& run);
 
+    /// Call when a peer saw the process die. Runs that were given up there
+    /// shortly before may have caused it.
+    void on_reported_death(const catalog::target_process& target);
+
     /// Waits until it is known whether the process can be reached, at most
     /// until `until`.
     awaitable<void> settled(catalog::target_process target, instant until);
@@ -63,6 +68,7 @@
     awaitable<bool> is_unreachable(catalog::target_process target);
     awaitable<bool> is_reached_by_peer(catalog::target_process target);
     bool has_restarted(const catalog::target_process& target) const;
+    run_list take_given_up(const catalog::target_process& target);
     void record_death(const catalog::target_process& target,
                       const run_list& runs);
 
@@ -70,6 +76,8 @@
     quarantine_exchange& exchange_;
     /// Runs that broke off, by target, while it is being probed.
     std::map<catalog::target_process, run_list> runs_;
+    /// Runs that were given up, while their targets may have gone on.
+    std::map<catalog::target_process, run_list> given_up_;
 };
 
 } // namespace fennelladder::edge
--- a/libs/edge/quarantine_exchange.cpp
+++ b/libs/edge/quarantine_exchange.cpp
@@ -56,6 +56,11 @@
     : tables_(tables), send_(std::move(send))
 {}
 
+void quarantine_exchange::set_death_listener(death_listener listener)
+{
+    on_death_ = std::move(listener);
+}
+
 void quarantine_exchange::tell_all(
     std::span<const dispatch::crash_record> records)
 {
@@ -252,10 +257,13 @@
         if (!tables_.quarantine.merge(it, now))
             continue;
         changed.push_back(it.mark);
-        for (const auto& death : it.deaths)
-            if (death.at < max_death_age)
-                tables_.registry.note_reported_death(death.target,
-                                                     now - death.at, now);
+        for (const auto& death : it.deaths) {
+            if (death.at >= max_death_age)
+                continue;
+            tables_.registry.note_reported_death(death.target, now - death.at,
+                                                 now);
+            on_death_(death.target);
+        }
     }
     if (!changed.empty())
         log_changes(changed, "peer");
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -70,7 +70,12 @@
                                quarantine_exchange& quarantine)
     : tables_(tables), allocator_(allocator), origins_(origins),
       quarantine_(quarantine), prober_(tables, quarantine)
-{}
+{
+    quarantine_.set_death_listener(
+        [this](const catalog::target_process& target) {
+            prober_.on_reported_death(target);
+        });
+}
 
 awaitable<void> request_driver::serve(const caller_request& request,
                                       response_writer& reply,
--- a/libs/edge/target_prober.cpp
+++ b/libs/edge/target_prober.cpp
@@ -24,6 +24,10 @@
 constexpr duration restart_watch_time = seconds(5);
 constexpr duration restart_check_period = milliseconds(200);
 
+/// How long a run that was given up may have caused its target's death: a
+/// target goes on for a while until it notices.
+constexpr duration given_up_memory = seconds(3);
+
 constexpr duration verdict_check_period = milliseconds(5);
 
 } // namespace
@@ -40,8 +44,37 @@
 void target_prober::on_unfinished_request(const catalog::target_process& target,
                                           const broken_run& run)
 {
-    if (has_restarted(target))
+    if (has_restarted(target)) {
         record_death(target, {run});
+        return;
+    }
+    const instant now = tables_.now();
+    std::erase_if(given_up_, [&](const auto& it) {
+        return now - it.second.back().ended > given_up_memory;
+    });
+    given_up_[target].push_back(run);
+}
+
+target_prober::run_list
+target_prober::take_given_up(const catalog::target_process& target)
+{
+    const auto found = given_up_.find(target);
+    if (found == given_up_.end())
+        return {};
+    run_list out = std::move(found->second);
+    given_up_.erase(found);
+    const instant now = tables_.now();
+    std::erase_if(out, [&](const broken_run& it) {
+        return now - it.ended > given_up_memory;
+    });
+    return out;
+}
+
+void target_prober::on_reported_death(const catalog::target_process& target)
+{
+    const bool has_runs = given_up_.contains(target);
+    if (has_runs)
+        record_death(target, {});
 }
 
 awaitable<void> target_prober::settled(catalog::target_process target,
@@ -62,6 +95,10 @@
     for (const broken_run& it : runs)
         exchange_.note_death(it.marks, {target, it.place, it.ended,
                                         it.ended - it.sent, it.leased});
+    const instant died = runs.empty() ? tables_.now() : runs.front().ended;
+    for (const broken_run& it : take_given_up(target))
+        exchange_.note_death(
+            it.marks, {target, it.place, died, died - it.sent, it.leased});
 }
 
 bool target_prober::has_restarted(const catalog::target_process& target) const
