Let sound parts run alone that share half of a crashing part's deaths

Cause, from the nodes' logs: no target had answered the part yet, since all six were down in turn, and it had three deaths where the crashing part had two, as nodes that had seen more were killed. So the crashing part didn't explain its deaths, and the first trial was 20 s away.

Marks count as not told apart from half of the deaths in common on (three quarters before), until a run with one of them alone ends a target; the first trial comes 10 s after the last death.

--- a/include/fennelladder/dispatch/quarantine.hpp
+++ b/include/fennelladder/dispatch/quarantine.hpp
@@ -86,7 +86,7 @@
     /// Rounds that condemn a mark, and how long it pauses after them. The last
     /// value holds for all further rounds.
     int condemning_rounds = 2;
-    std::array<duration, 4> pauses{seconds(20), minutes(1), minutes(3),
+    std::array<duration, 4> pauses{seconds(10), minutes(1), minutes(3),
                                    minutes(10)};
     /// An answer counts as evidence for a mark this long.
     duration proof_retention = minutes(1);
--- a/libs/dispatch/quarantine.cpp
+++ b/libs/dispatch/quarantine.cpp
@@ -12,7 +12,7 @@
 
 /// Share of a mark's deaths that it has in common with another one if the two
 /// can't be told apart. Not all: some deaths may not have been heard of yet.
-constexpr double min_shared = 0.75;
+constexpr double min_shared = 0.5;
 
 instant sent_at(const crash_death<instant>& it)
 {
