Accept all connections that wait in one turn of the loop

What callers saw: on a small host to which one team keeps, they left 10 to 60 ms after the node had read their requests, while a target was dialled. Their requests had waited unread for up to a second.

Cause: the servers accepted one connection in each turn of the event loop. With a hundred streams on 0.12 cores a turn takes tens of milliseconds, so fewer connections were accepted than came, and what was accepted was always the oldest. Class: an unbounded queue before the first measurement; the loop's lag (10 to 30 ms) and the link's queue (6 to 11 ms) didn't show it.

Change: edge/connection_acceptor accepts up to 64 in a turn; callers' server, entry answers and readiness, and the exchange between nodes use it (the loop stood three times).

--- a/include/fennelladder/edge/caller_server.hpp
+++ b/include/fennelladder/edge/caller_server.hpp
@@ -69,7 +69,7 @@
     friend class caller_session;
     using session_set = std::set<caller_session*>;
 
-    awaitable<void> accept();
+    void take(tcp::socket socket);
     void log_not_accepted(const std::string& reason) const;
     const char* rejection_reason(const caller_request& request) const;
 
--- /dev/null
+++ b/include/fennelladder/edge/connection_acceptor.hpp
@@ -0,0 +1,36 @@
+// Accepts connections for a server.
+//
+//     spawn(io, accept_connections(acceptor, [this](tcp::socket socket) {
+//               ... serve it ...
+//           }));
+//
+// All connections that wait are accepted in one turn of the event loop. On a
+// busy node a turn takes tens of milliseconds. A server that accepts one
+// connection in each turn falls behind its callers, and reads requests whose
+// callers are about to give up.
+//
+// Not thread safe.
+
+#ifndef FENNELLADDER_EDGE_CONNECTION_ACCEPTOR_HPP
+#define FENNELLADDER_EDGE_CONNECTION_ACCEPTOR_HPP
+
+#include "fennelladder/edge/io.hpp"
+
+#include <functional>
+
+namespace fennelladder::edge {
+
+/// Connections accepted in one turn at most, so that other work gets its turn.
+inline constexpr int max_accepts_per_turn = 64;
+
+/// Passes each new connection to `take` until the acceptor is closed. After a
+/// failure, which is passed to `on_failure`, it pauses for a moment: the system
+/// allows no more descriptors, for instance. Precondition: the acceptor listens
+/// and outlives the coroutine, as does all that `take` refers to.
+awaitable<void> accept_connections(
+    tcp::acceptor& acceptor, std::function<void(tcp::socket)> take,
+    std::function<void(const net_error&)> on_failure = [](const auto&) {});
+
+} // namespace fennelladder::edge
+
+#endif
--- a/include/fennelladder/edge/simple_server.hpp
+++ b/include/fennelladder/edge/simple_server.hpp
@@ -48,7 +48,6 @@
     void stop();
 
 private:
-    awaitable<void> accept();
     awaitable<void> serve(std::shared_ptr<tcp::socket> socket);
 
     asio::io_context& io_;
--- a/include/fennelladder/edge/update_exchange.hpp
+++ b/include/fennelladder/edge/update_exchange.hpp
@@ -98,7 +98,6 @@
     void record_suggested_sources(const mesh::sync_reply& reply);
     void note_unreadable(const std::string& source, const error& cause);
 
-    awaitable<void> accept();
     awaitable<void> serve(std::shared_ptr<tcp::socket> socket);
     awaitable<void> answer_relay_end(peer_stream& stream,
                                      const mesh::relay_request& ask);
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -4,6 +4,7 @@
 
 #include "fennelladder/edge/caller_server.hpp"
 
+#include "fennelladder/edge/connection_acceptor.hpp"
 #include "fennelladder/edge/simple_server.hpp"
 #include "fennelladder/edge/socket_deadline.hpp"
 #include "fennelladder/telemetry/log.hpp"
@@ -17,7 +18,6 @@
 
 namespace {
 
-constexpr duration accept_pause = milliseconds(50);
 constexpr duration keepalive_timeout = seconds(10);
 
 /// Time within which a whole body must have arrived.
@@ -413,7 +413,13 @@
 {
     if (auto ok = listen_on(acceptor_, address); !ok)
         return ok;
-    spawn(tables_.io, accept());
+    spawn(tables_.io,
+          accept_connections(
+              acceptor_,
+              [this](tcp::socket socket) { take(std::move(socket)); },
+              [this](const net_error& ec) {
+                  log_not_accepted(disconnect_reason(ec));
+              }));
     return {};
 }
 
@@ -463,27 +469,17 @@
                           {"connections", std::to_string(sessions_->size())}});
 }
 
-awaitable<void> caller_server::accept()
+void caller_server::take(tcp::socket socket)
 {
-    asio::steady_timer timer(tables_.io);
-    while (acceptor_.is_open()) {
-        tcp::socket socket(tables_.io);
+    if (sessions_->size() >= limits_.connections) {
+        log_not_accepted("connection limit reached");
         net_error ec;
-        co_await acceptor_.async_accept(socket, into(ec));
-        if (ec) {
-            log_not_accepted(disconnect_reason(ec));
-            co_await sleep_on(timer, accept_pause);
-            continue;
-        }
-        if (sessions_->size() >= limits_.connections) {
-            log_not_accepted("connection limit reached");
-            socket.close(ec);
-            continue;
-        }
-        const auto session =
-            std::make_shared<caller_session>(*this, std::move(socket));
-        spawn(tables_.io, caller_session::run(session));
+        socket.close(ec);
+        return;
     }
+    const auto session =
+        std::make_shared<caller_session>(*this, std::move(socket));
+    spawn(tables_.io, caller_session::run(session));
 }
 
 } // namespace fennelladder::edge
--- a/libs/edge/simple_server.cpp
+++ b/libs/edge/simple_server.cpp
@@ -1,12 +1,12 @@
 #include "fennelladder/edge/simple_server.hpp"
 
+#include "fennelladder/edge/connection_acceptor.hpp"
 #include "fennelladder/edge/socket_deadline.hpp"
 
 namespace fennelladder::edge {
 
 namespace {
 
-constexpr duration accept_pause = milliseconds(50);
 constexpr duration idle_timeout = seconds(10);
 constexpr std::uint32_t header_limit = 8'192;
 constexpr std::uint64_t body_limit = 16'384;
@@ -51,7 +51,10 @@
 {
     if (auto ok = listen_on(acceptor_, address_); !ok)
         return ok;
-    spawn(io_, accept());
+    spawn(io_, accept_connections(acceptor_, [this](tcp::socket socket) {
+              spawn(io_,
+                    serve(std::make_shared<tcp::socket>(std::move(socket))));
+          }));
     return {};
 }
 
@@ -61,20 +64,6 @@
     acceptor_.close(ec);
 }
 
-awaitable<void> simple_server::accept()
-{
-    asio::steady_timer timer(io_);
-    while (acceptor_.is_open()) {
-        auto socket = std::make_shared<tcp::socket>(io_);
-        net_error ec;
-        co_await acceptor_.async_accept(*socket, into(ec));
-        if (!ec)
-            spawn(io_, serve(socket));
-        else
-            co_await sleep_on(timer, accept_pause);
-    }
-}
-
 awaitable<void> simple_server::serve(std::shared_ptr<tcp::socket> socket)
 {
     enable_keepalive(*socket, idle_timeout);
--- a/libs/edge/update_exchange.cpp
+++ b/libs/edge/update_exchange.cpp
@@ -1,5 +1,6 @@
 #include "fennelladder/edge/update_exchange.hpp"
 
+#include "fennelladder/edge/connection_acceptor.hpp"
 #include "fennelladder/edge/simple_server.hpp"
 #include "fennelladder/mesh/text_compression.hpp"
 #include "fennelladder/telemetry/log.hpp"
@@ -45,8 +46,6 @@
 /// forgotten. During the first ones it may still be parsing what it received.
 constexpr int max_fruitless_requests = 3;
 
-constexpr duration accept_retry_delay = milliseconds(50);
-
 std::string name_of(sync_part part)
 {
     return part == sync_part::targets ? "targets" : "configuration";
@@ -105,7 +104,10 @@
 {
     if (auto ok = listen_on(acceptor_, address_); !ok)
         return ok;
-    spawn(tables_.io, accept());
+    spawn(tables_.io, accept_connections(acceptor_, [this](tcp::socket socket) {
+              spawn(tables_.io,
+                    serve(std::make_shared<tcp::socket>(std::move(socket))));
+          }));
     return {};
 }
 
@@ -365,21 +367,6 @@
 
 // Serving.
 
-awaitable<void> update_exchange::accept()
-{
-    asio::steady_timer timer(tables_.io);
-    for (;;) {
-        auto socket = std::make_shared<tcp::socket>(tables_.io);
-        net_error ec;
-        co_await acceptor_.async_accept(*socket, into(ec));
-        if (ec) {
-            co_await sleep_on(timer, accept_retry_delay);
-            continue;
-        }
-        spawn(tables_.io, serve(socket));
-    }
-}
-
 awaitable<void> update_exchange::serve(std::shared_ptr<tcp::socket> socket)
 {
     peer_stream stream(socket);
