Read all datagrams that wait in one turn of the loop

slow_loop, turns of 20 ms, 100 datagrams: 2,065 ms before, where one second is allowed (fails); 68 ms now.

--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -19,6 +19,7 @@
 #include <array>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace fennelladder::edge {
 
@@ -78,6 +79,7 @@
     };
 
     awaitable<void> receive();
+    void handle_bytes(std::string_view bytes, const udp::endpoint& from);
     awaitable<void> tick();
     void handle_datagram(const mesh::datagram& message,
                          const std::string& from);
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -41,6 +41,9 @@
 /// in force, and the first change is sent without delay.
 constexpr duration min_update_interval = milliseconds(200);
 
+/// Datagrams handled in one turn of the event loop at most.
+constexpr int max_datagrams_per_turn = 64;
+
 /// Bytes of the IPv4 and UDP headers, which count as traffic of the link.
 constexpr std::size_t datagram_header_bytes = 28;
 
@@ -336,31 +339,39 @@
 
 // Receiving.
 
+/// Handles all datagrams that wait in one turn of the event loop, whose turns
+/// take tens of milliseconds on a busy host.
 awaitable<void> mesh_node::receive()
 {
-    udp::endpoint from;
+    asio::steady_timer timer(tables_.io);
     for (;;) {
         net_error ec;
-        const std::size_t n = co_await socket_.async_receive_from(
+        udp::endpoint from;
+        std::size_t n = co_await socket_.async_receive_from(
             asio::buffer(datagram_), from, into(ec));
-        if (ec) {
-            // An ICMP error for an earlier datagram; later ones may succeed.
-            asio::steady_timer timer(tables_.io);
-            co_await sleep_on(timer, milliseconds(1));
-            continue;
-        }
-        const std::string sender = from.address().to_string();
-        const auto got = mesh::decode_datagram({datagram_.data(), n});
-        if (!got) {
-            note_unreadable(sender, got.error());
-            continue;
+        for (int handled = 0; !ec; ++handled) {
+            handle_bytes({datagram_.data(), n}, from);
+            if (handled + 1 == max_datagrams_per_turn)
+                break;
+            n = socket_.receive_from(asio::buffer(datagram_), from, 0, ec);
         }
-        if (got->invalid_parts > 0)
-            note_unreadable(sender, {error_code::corrupt, "parts left out"});
-        handle_datagram(*got, sender + ":" + std::to_string(from.port()));
+        // An ICMP error for an earlier datagram; later ones may succeed.
+        if (ec && !is_transient(ec))
+            co_await sleep_on(timer, milliseconds(1));
     }
 }
 
+void mesh_node::handle_bytes(std::string_view bytes, const udp::endpoint& from)
+{
+    const std::string sender = from.address().to_string();
+    const auto got = mesh::decode_datagram(bytes);
+    if (!got)
+        return note_unreadable(sender, got.error());
+    if (got->invalid_parts > 0)
+        note_unreadable(sender, {error_code::corrupt, "parts left out"});
+    handle_datagram(*got, sender + ":" + std::to_string(from.port()));
+}
+
 void mesh_node::note_unreadable(const std::string& sender, const error& cause)
 {
     tables_.unreadable.note(unreadable_kind::message, sender,
