Write JSON log lines without building a document first

A log line of 26 fields was put into a document of the JSON library, which compares each name with all before it, and then printed. Most values need no escapes, so the line is written as it is; values that need them still go through the library. A test compares the line with the library's, for all bytes.

Ruled out: leaving out lines that the rate limit drops anyway; at this price it hardly matters, and the limit lies behind the sink.

--- a/include/fennelladder/telemetry/log.hpp
+++ b/include/fennelladder/telemetry/log.hpp
@@ -32,7 +32,9 @@
     severity min_severity = severity::info; ///< Events below it are dropped.
 };
 
-/// A field of a log line. Names are snake_case.
+/// A field of a log line. Names are snake_case, and those of one line differ.
+/// None is "event" or "name"; a field "level" of a JSON object replaces the
+/// severity.
 struct log_field
 {
     std::string_view name;
--- a/libs/telemetry/log.cpp
+++ b/libs/telemetry/log.cpp
@@ -4,6 +4,7 @@
 
 #include "fennelladder/telemetry/log.hpp"
 
+#include <algorithm>
 #include <atomic>
 #include <cassert>
 #include <easylogging++.h>
@@ -15,6 +16,9 @@
 
 namespace {
 
+/// A longer line makes its buffer grow.
+constexpr std::size_t typical_line_bytes = 1024;
+
 std::atomic<bool> as_json{false};
 std::atomic<severity> min_severity{severity::info};
 
@@ -47,16 +51,54 @@
                                       nlohmann::json::error_handler_t::replace);
 }
 
+bool is_printable_ascii(char c)
+{
+    return c >= ' ' && c <= '~';
+}
+
+/// Appends `text` as a JSON string. Most values need no escapes.
+void append_quoted(std::string& out, std::string_view text)
+{
+    const bool is_plain = std::ranges::all_of(text, [](char c) {
+        return is_printable_ascii(c) && c != '"' && c != '\\';
+    });
+    if (!is_plain) {
+        out += nlohmann::json(text).dump(
+            -1, ' ', false, nlohmann::json::error_handler_t::replace);
+        return;
+    }
+    out += '"';
+    out += text;
+    out += '"';
+}
+
+/// Appends a member of an object that has others before it.
+void append_member(std::string& out, std::string_view name,
+                   std::string_view value)
+{
+    out += ',';
+    append_quoted(out, name);
+    out += ':';
+    append_quoted(out, value);
+}
+
 std::string format_json(const event_description& what,
                         std::span<const log_field> fields)
 {
-    nlohmann::ordered_json line;
-    line["event"] = what.number;
-    line["name"] = what.name;
-    line["level"] = to_string(what.level);
+    constexpr std::string_view level_name = "level";
+    std::string line;
+    line.reserve(typical_line_bytes);
+    line += "{\"event\":" + std::to_string(what.number);
+    append_member(line, "name", what.name);
+    const auto level = std::ranges::find(fields, level_name, &log_field::name);
+    append_member(line, level_name,
+                  level != fields.end() ? std::string_view(level->value)
+                                        : to_string(what.level));
     for (const log_field& it : fields)
-        line[std::string(it.name)] = it.value;
-    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        if (it.name != level_name)
+            append_member(line, it.name, it.value);
+    line += '}';
+    return line;
 }
 
 } // namespace
--- a/libs/telemetry/log_test.cpp
+++ b/libs/telemetry/log_test.cpp
@@ -1,6 +1,7 @@
 #include "fennelladder/telemetry/log.hpp"
 
 #include <CppUTest/TestHarness.h>
+#include <nlohmann/json.hpp>
 #include <vector>
 
 using namespace fennelladder::telemetry;
@@ -34,3 +35,30 @@
         CHECK(json.find(it.json) != std::string::npos);
     }
 }
+
+// A line whose text isn't that of a JSON library can't be read by others.
+TEST(log, a_json_line_is_what_a_json_library_writes)
+{
+    const auto& what = *find_event(event::request_answered);
+    std::vector<log_field> fields{{"empty", ""}, {"level", "own"}};
+    const std::vector<std::string> names = [] {
+        std::vector<std::string> out;
+        for (int i = 0; i < 256; ++i)
+            out.push_back("byte_" + std::to_string(i));
+        return out;
+    }();
+    for (int i = 0; i < 256; ++i)
+        fields.push_back({names[std::size_t(i)],
+                          "a" + std::string(1, static_cast<char>(i)) + "b"});
+    fields.push_back({"whole", "\xe0\xb8\x81 \xf0\x9f\x9a\xb2"});
+    fields.push_back({"cut", "\xe0\xb8"});
+    nlohmann::ordered_json expected;
+    expected["event"] = what.number;
+    expected["name"] = what.name;
+    expected["level"] = "info";
+    for (const log_field& it : fields)
+        expected[std::string(it.name)] = it.value;
+    const std::string text =
+        expected.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    STRCMP_EQUAL(text.c_str(), format_event(what, fields, true).c_str());
+}
