Look up targets once, not for each question about them

Choosing among 140 targets looked each up by its name several times, copied its name for each question to the table of what is reached, and judged backoff and held parts twice. The registry now keeps the targets of a service by pointer and each target's process beside its entry, and judges each candidate once. While no target is lost, the table of what is reached is not asked. What is chosen stays the same, and so does the order of random draws.

The table of what peers reach kept two maps for each peer and three by name; a heartbeat with 40 rows cost 200 look-ups and allocations. It now has one hash table by mark and a list for each peer. Lists are searched only while a target is lost.

Ruled out: another hash for the rendezvous weights, on which nodes of earlier releases agree; it is a small part.

Run: test_dispatch (130 tests pass).

--- a/include/fennelladder/dispatch/reach_table.hpp
+++ b/include/fennelladder/dispatch/reach_table.hpp
@@ -30,8 +30,9 @@
 // If no peer hears from a service either, it is not cut off, and nothing is
 // relayed.
 //
-// Cost: all functions but set_targets(), next_probe() and own_report() take
-// logarithmic time, relays() linear time in the number of peers. Not thread
+// Cost: set_targets(), next_probe() and own_report() take linear time in the
+// number of targets, set_peer() in that of the rows, relays() in that of all
+// peers' rows; the others take logarithmic time. Not thread
 // safe.
 
 #ifndef FENNELLADDER_DISPATCH_REACH_TABLE_HPP
@@ -46,6 +47,8 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace fennelladder::dispatch {
@@ -97,6 +100,10 @@
 {
 public:
     explicit reach_table(reach_options options) : options_(options) {}
+    reach_table(const reach_table&) = delete;
+    reach_table& operator=(const reach_table&) = delete;
+    reach_table(reach_table&&) = default;
+    reach_table& operator=(reach_table&&) = default;
 
     /// The targets that exist. Others are forgotten, and evidence about them is
     /// ignored.
@@ -197,28 +204,35 @@
         std::optional<instant> heard_by_peers; ///< From any of its targets.
     };
 
+    /// A listed target as peers name it.
+    struct marked_target
+    {
+        service_state* service = nullptr;
+        /// When any peer last heard from it. Outlives the peer.
+        std::optional<instant> heard;
+    };
+
     struct peer_state
     {
         instant reported;
         std::optional<instant> failed; ///< When it last didn't relay.
         /// When it last heard from each target, and from any of a service.
-        std::map<process_mark, instant> heard;
-        std::map<service_id, instant> heard_services;
+        std::vector<std::pair<process_mark, instant>> heard;
+        std::vector<std::pair<const service_state*, instant>> heard_services;
     };
 
     using state_map = std::map<catalog::target_process, target_state>;
 
+    std::optional<instant> heard_by_peers(process_mark mark) const;
     void forget_failures(const service_id& service);
     bool has_failed(const service_state& service) const;
     bool may_relay(const peer_state& peer, instant now) const;
 
     reach_options options_;
     state_map targets_;
-    std::map<service_id, service_state> services_;
+    std::map<service_id, service_state> services_; ///< Nothing is erased.
     std::map<host_id, peer_state> peers_;
-    std::map<process_mark, service_id> services_of_marks_;
-    /// When any peer last heard from a target. Outlives the peer.
-    std::map<process_mark, instant> heard_by_peers_;
+    std::unordered_map<process_mark, marked_target> marked_targets_;
     std::size_t lost_count_ = 0;
     instant next_probe_;
 };
--- a/include/fennelladder/dispatch/target_registry.hpp
+++ b/include/fennelladder/dispatch/target_registry.hpp
@@ -278,6 +278,10 @@
 {
 public:
     explicit target_registry(target_registry_options options);
+    target_registry(const target_registry&) = delete;
+    target_registry& operator=(const target_registry&) = delete;
+    target_registry(target_registry&&) = default;
+    target_registry& operator=(target_registry&&) = default;
 
     /// Applies the platform's list. `list_in_doubt`: the platform was recently
     /// degraded, so missing entries may come back. Returns the previous entries
@@ -414,6 +418,7 @@
     struct target_state
     {
         catalog::target_entry entry;
+        catalog::target_process process;     ///< That of `entry`.
         std::optional<instant> usable_until; ///< Left a list in doubt.
         bool gone = false;                   ///< Left the list.
         bool address_reused = false;         ///< By another process.
@@ -438,6 +443,14 @@
         recent_sends sends;       ///< While this node has a quota for it.
     };
 
+    /// An eligible target, while one is chosen.
+    struct candidate
+    {
+        const target_state* state = nullptr;
+        bool backing_off = false;
+        std::uint32_t held = 0; ///< Tokens of the prompt.
+    };
+
     using state_map = std::map<target_id, target_state>;
     using signal_for_peers =
         std::optional<rate_signal> (signal_state::*)(instant) const;
@@ -477,9 +490,12 @@
     std::uint32_t held_tokens(const target_state& it,
                               const routing_request& request,
                               bool expected_here, instant now) const;
+    std::vector<candidate> candidates_for(const routing_request& request,
+                                          const std::vector<target_state*>& all,
+                                          instant now) const;
     const target_state*
-    expected_holder(const std::vector<target_state*>& candidates,
-                    const routing_request& request, instant now) const;
+    expected_holder(const std::vector<candidate>& candidates,
+                    const routing_request& request) const;
     double predicted_seconds(const target_state& it,
                              const routing_request& request,
                              std::uint32_t reading) const;
@@ -490,6 +506,7 @@
     void note_bytes(target_state& it, const choice& made, instant now);
     void trim_parts(target_state& it, instant now) const;
     /// Null unless this process is the known one of its id.
+    target_state* find(const target_id& target, catalog::target_start start);
     target_state* find(const catalog::target_process& target);
     target_state* find(const target_load& load);
     static void apply_entry(target_state& it,
@@ -505,7 +522,8 @@
     std::vector<data_center_id> evacuated_; ///< Sorted.
     std::unordered_map<service_id, cold_start_profile> profiles_;
     state_map targets_;
-    std::unordered_map<service_id, std::vector<target_id>> by_service_;
+    /// In order of their ids.
+    std::unordered_map<service_id, std::vector<target_state*>> by_service_;
     std::map<host_id, std::vector<target_load>> peer_loads_;
     /// When a target of the service last announced that it is brittle.
     std::unordered_map<service_id, instant> brittle_services_;
--- a/libs/dispatch/reach_table.cpp
+++ b/libs/dispatch/reach_table.cpp
@@ -15,11 +15,14 @@
     return heard && *heard > since;
 }
 
-template <class Map, class Key>
-std::optional<instant> value_of(const Map& map, const Key& key)
+/// The last row with this key.
+template <class Rows, class Key>
+std::optional<instant> value_of(const Rows& rows, const Key& key)
 {
-    const auto it = map.find(key);
-    return it == map.end() ? std::nullopt : std::optional(it->second);
+    const auto it =
+        std::find_if(rows.rbegin(), rows.rend(),
+                     [&](const auto& row) { return row.first == key; });
+    return it == rows.rend() ? std::nullopt : std::optional(it->second);
 }
 
 } // namespace
@@ -33,7 +36,7 @@
 void reach_table::set_targets(const std::vector<listed_process>& all)
 {
     state_map next;
-    services_of_marks_.clear();
+    std::unordered_map<process_mark, marked_target> marked;
     for (const listed_process& it : all) {
         const auto known = targets_.find(it.process);
         target_state& state = next[it.process];
@@ -41,15 +44,14 @@
             state = std::move(known->second);
         state.service = it.service;
         state.mark = mark_of(it.process);
-        services_of_marks_[state.mark] = it.service;
+        marked[state.mark] = {&services_[it.service],
+                              heard_by_peers(state.mark)};
     }
     targets_ = std::move(next);
+    marked_targets_ = std::move(marked);
     for (auto& [service, state] : services_)
         std::erase_if(state.failed,
                       [&](const auto& it) { return !targets_.contains(it); });
-    std::erase_if(heard_by_peers_, [&](const auto& it) {
-        return !services_of_marks_.contains(it.first);
-    });
     lost_count_ = static_cast<std::size_t>(std::ranges::count_if(
         targets_, [](const auto& it) { return it.second.lost.has_value(); }));
 }
@@ -141,18 +143,24 @@
     state.reported = sent;
     state.heard.clear();
     state.heard_services.clear();
+    state.heard.reserve(all.size());
     for (const reached_target& it : all) {
-        const auto service = services_of_marks_.find(it.mark);
-        if (service == services_of_marks_.end())
+        const auto known = marked_targets_.find(it.mark);
+        if (known == marked_targets_.end())
             continue;
+        marked_target& target = known->second;
         const instant at = sent - it.ago;
-        state.heard[it.mark] = at;
-        instant& of_peer = state.heard_services[service->second];
-        of_peer = std::max(of_peer, at);
-        instant& latest = heard_by_peers_[it.mark];
-        latest = std::max(latest, at);
-        auto& of_all = services_[service->second].heard_by_peers;
+        state.heard.emplace_back(it.mark, at);
+        target.heard = std::max(target.heard.value_or(at), at);
+        auto& of_all = target.service->heard_by_peers;
         of_all = std::max(of_all.value_or(at), at);
+        const auto of_peer =
+            std::ranges::find(state.heard_services, target.service,
+                              &std::pair<const service_state*, instant>::first);
+        if (of_peer == state.heard_services.end())
+            state.heard_services.emplace_back(target.service, at);
+        else
+            of_peer->second = std::max(of_peer->second, at);
     }
 }
 
@@ -167,10 +175,16 @@
            (!peer.failed || now - *peer.failed >= options_.relay_backoff);
 }
 
+std::optional<instant> reach_table::heard_by_peers(process_mark mark) const
+{
+    const auto it = marked_targets_.find(mark);
+    return it == marked_targets_.end() ? std::nullopt : it->second.heard;
+}
+
 std::optional<instant>
 reach_table::heard_by_peers(const catalog::target_process& process) const
 {
-    return value_of(heard_by_peers_, mark_of(process));
+    return heard_by_peers(mark_of(process));
 }
 
 bool reach_table::is_reported(const catalog::target_process& process) const
@@ -228,7 +242,7 @@
     if (it == targets_.end())
         return false;
     const target_state& state = it->second;
-    const auto heard = value_of(heard_by_peers_, state.mark);
+    const auto heard = heard_by_peers(state.mark);
     if (state.unreachable_by_peer &&
         !is_after(heard, *state.unreachable_by_peer))
         return false;
@@ -238,6 +252,8 @@
 
 bool reach_table::is_unreached(const catalog::target_process& process) const
 {
+    if (lost_count_ == 0)
+        return false;
     const auto it = targets_.find(process);
     return it != targets_.end() && it->second.lost &&
            !is_after(it->second.contact, *it->second.lost) &&
@@ -254,8 +270,10 @@
 std::optional<instant>
 reach_table::lost_since(const catalog::target_process& process) const
 {
+    if (lost_count_ == 0)
+        return std::nullopt;
     const auto it = targets_.find(process);
-    if (it == targets_.end() || lost_count_ == 0)
+    if (it == targets_.end())
         return std::nullopt;
     if (it->second.lost)
         return it->second.lost;
@@ -280,13 +298,14 @@
     if (!lost)
         return of_target;
     const target_state& target = targets_.at(process);
+    const service_state* service = &services_.at(target.service);
     for (const auto& [host, peer] : peers_) {
         if (!may_relay(peer, now))
             continue;
         if (is_after(value_of(peer.heard, target.mark), *lost))
             of_target.push_back(host);
         // Its first report after the loss may still be under way.
-        if (is_after(value_of(peer.heard_services, target.service),
+        if (is_after(value_of(peer.heard_services, service),
                      *lost - options_.report_span))
             of_service.push_back(host);
     }
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -59,19 +59,20 @@
 
 /// The target where all nodes expect the shared parts of the prompt.
 const target_registry::target_state*
-target_registry::expected_holder(const std::vector<target_state*>& candidates,
-                                 const routing_request& request,
-                                 instant now) const
+target_registry::expected_holder(const std::vector<candidate>& candidates,
+                                 const routing_request& request) const
 {
     const auto part = affinity_part(request.prompt);
     const target_state* out = nullptr;
     std::uint64_t best = 0;
     if (!part || !options_.predicts_part_holders)
         return out;
-    for (const target_state* it : candidates) {
-        const std::uint64_t rank = weight(*part, it->entry.id);
-        if (!is_backing_off(*it, now) && (out == nullptr || rank > best)) {
-            out = it;
+    for (const candidate& it : candidates) {
+        if (it.backing_off)
+            continue;
+        const std::uint64_t rank = weight(*part, it.state->entry.id);
+        if (out == nullptr || rank > best) {
+            out = it.state;
             best = rank;
         }
     }
@@ -110,8 +111,7 @@
 bool target_registry::was_tried(const target_state& it,
                                 const routing_request& request) const
 {
-    return std::ranges::find(request.avoid, it.entry.process()) !=
-           request.avoid.end();
+    return std::ranges::find(request.avoid, it.process) != request.avoid.end();
 }
 
 /// A data centre without a known region counts as outside all allowed regions.
@@ -159,11 +159,10 @@
     if (known == by_service_.end())
         return false;
     bool found = false;
-    for (const target_id& id : known->second) {
-        const target_state& it = targets_.at(id);
-        if (!usable(it, now))
+    for (const target_state* it : known->second) {
+        if (!usable(*it, now))
             continue;
-        if (!reach_.is_unreached(it.entry.process()))
+        if (!reach_.is_unreached(it->process))
             return false;
         found = true;
     }
@@ -177,8 +176,8 @@
     const auto known = by_service_.find(request.service);
     if (known == by_service_.end())
         return out;
-    for (const target_id& id : known->second)
-        if (const auto reason = exclusion_reason(targets_.at(id), request, now))
+    for (const target_state* it : known->second)
+        if (const auto reason = exclusion_reason(*it, request, now))
             out = std::max(out, *reason);
     if (nobody_reaches(request.service, now))
         out = std::max(out, no_target_reason::unreached);
@@ -193,9 +192,8 @@
         return false;
     routing_request without_avoid = request;
     without_avoid.avoid.clear();
-    return std::ranges::any_of(known->second, [&](const target_id& id) {
-        const auto reason =
-            exclusion_reason(targets_.at(id), without_avoid, now);
+    return std::ranges::any_of(known->second, [&](const target_state* it) {
+        const auto reason = exclusion_reason(*it, without_avoid, now);
         return !reason || *reason > no_target_reason::outside_regions;
     });
 }
@@ -209,21 +207,37 @@
         return out;
     routing_request without_avoid = request;
     without_avoid.avoid.clear();
-    for (const target_id& id : known->second) {
-        const target_state& it = targets_.at(id);
-        const auto reason = exclusion_reason(it, without_avoid, now);
+    for (const target_state* it : known->second) {
+        const auto reason = exclusion_reason(*it, without_avoid, now);
         if (!reason || *reason == no_target_reason::cold ||
             *reason == no_target_reason::limited ||
             *reason == no_target_reason::no_room)
             return std::nullopt;
         if (*reason != no_target_reason::backing_off)
             continue;
-        const duration left = it.signals.backoff_left(now);
+        const duration left = it->signals.backoff_left(now);
         out = out ? std::min(*out, left) : left;
     }
     return out;
 }
 
+/// The eligible ones of these targets.
+std::vector<target_registry::candidate>
+target_registry::candidates_for(const routing_request& request,
+                                const std::vector<target_state*>& all,
+                                instant now) const
+{
+    std::vector<candidate> out;
+    out.reserve(all.size());
+    for (const target_state* it : all)
+        if (!exclusion_reason(*it, request, now))
+            out.push_back({it, is_backing_off(*it, now)});
+    const target_state* expected = expected_holder(out, request);
+    for (candidate& it : out)
+        it.held = held_tokens(*it.state, request, it.state == expected, now);
+    return out;
+}
+
 std::optional<choice> target_registry::choose(const routing_request& request,
                                               instant now,
                                               random_source& random)
@@ -233,40 +247,30 @@
         return std::nullopt;
     if (nobody_reaches(request.service, now))
         return std::nullopt;
-    std::vector<target_state*> candidates;
-    for (const target_id& id : known->second) {
-        target_state& it = targets_[id];
-        if (!exclusion_reason(it, request, now))
-            candidates.push_back(&it);
-    }
+    const auto candidates = candidates_for(request, known->second, now);
     if (candidates.empty())
         return std::nullopt;
     // Targets in backoff are used only when all others are excluded.
     const bool all_backing_off =
-        std::ranges::all_of(candidates, [&](const target_state* it) {
-            return is_backing_off(*it, now);
-        });
-    const target_state* expected = expected_holder(candidates, request, now);
+        std::ranges::all_of(candidates, &candidate::backing_off);
     const target_state* holder = nullptr;
     std::uint32_t held_most = 0;
-    for (const target_state* it : candidates) {
-        const std::uint32_t there =
-            held_tokens(*it, request, it == expected, now);
-        if (there > held_most && !is_backing_off(*it, now)) {
-            holder = it;
-            held_most = there;
+    for (const candidate& it : candidates)
+        if (it.held > held_most && !it.backing_off) {
+            holder = it.state;
+            held_most = it.held;
         }
-    }
     choice out;
     out.candidates = candidates.size();
     const target_state* chosen = nullptr;
+    const std::uint32_t shared = shared_size(request.prompt);
     const std::size_t first = random.below(candidates.size());
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const target_state* it = candidates[(first + i) % candidates.size()];
-        if (!all_backing_off && is_backing_off(*it, now))
+        const candidate& each = candidates[(first + i) % candidates.size()];
+        if (!all_backing_off && each.backing_off)
             continue;
-        const std::uint32_t here =
-            held_tokens(*it, request, it == expected, now);
+        const target_state* it = each.state;
+        const std::uint32_t here = each.held;
         const std::uint32_t reading = request.prompt_size - here;
         const std::uint32_t fetched =
             held_most > here + options_.min_fetch_tokens ? held_most - here : 0;
@@ -274,7 +278,6 @@
         // cached at two targets is soon evicted by both. Hence the cost counts
         // a part to be fetched as if it were prefilled here, and gives tokens
         // of shared parts a higher weight than those of the unshared part.
-        const std::uint32_t shared = shared_size(request.prompt);
         const double again = shared > here ? shared - here : 0;
         const auto weighted = static_cast<std::uint32_t>(
             reading + again * (options_.shared_weight - 1));
--- a/libs/dispatch/target_registry.cpp
+++ b/libs/dispatch/target_registry.cpp
@@ -99,11 +99,11 @@
     });
     by_service_.clear();
     std::vector<listed_process> processes;
-    for (const auto& [id, state] : targets_) {
+    for (auto& [id, state] : targets_) {
         if (state.gone && state.running == 0)
             continue;
-        by_service_[state.entry.service].push_back(id);
-        processes.push_back({state.entry.process(), state.entry.service});
+        by_service_[state.entry.service].push_back(&state);
+        processes.push_back({state.process, state.entry.service});
     }
     reach_.set_targets(processes);
     recount_peers();
@@ -152,6 +152,7 @@
     if (moved)
         forget_address(it);
     it.entry = entry;
+    it.process = entry.process();
     it.gone = false;
     it.usable_until.reset();
 }
@@ -180,6 +181,8 @@
 
 double target_registry::decayed(const decaying_average& of, instant now) const
 {
+    if (of.value == 0)
+        return 0;
     const double halves =
         to_seconds(now - of.at) / to_seconds(options_.average_half_life);
     return of.value * std::exp2(-std::max(halves, 0.0));
@@ -245,7 +248,7 @@
 
 bool target_registry::is_relayed(const target_state& it) const
 {
-    return reach_.needs_relay(it.entry.process());
+    return reach_.needs_relay(it.process);
 }
 
 bool target_registry::backoff_requested(const target_state& it, instant now)
@@ -269,10 +272,11 @@
 /// the target was lost to this node show nothing about it.
 bool target_registry::is_silent(const target_state& it, instant now) const
 {
-    const auto lost = reach_.lost_since(it.entry.process());
+    if (options_.max_silence <= duration(0) || it.awaiting_first_byte == 0)
+        return false;
+    const auto lost = reach_.lost_since(it.process);
     const instant since = std::max(it.silent_since, lost.value_or(instant()));
-    return options_.max_silence > duration(0) && it.awaiting_first_byte > 0 &&
-           now - since > options_.max_silence;
+    return now - since > options_.max_silence;
 }
 
 void target_registry::mark_active(target_state& it, instant now)
@@ -287,12 +291,12 @@
 {
     mark_active(it, now);
     if (!made.relayed)
-        reach_.note_contact(made.process(), now);
+        reach_.note_contact(it.process, now);
 }
 
 void target_registry::note_activity(const choice& made, instant now)
 {
-    if (target_state* it = find(made.process()))
+    if (target_state* it = find(made.target, made.start))
         note_bytes(*it, made, now);
 }
 
@@ -307,7 +311,7 @@
                                    instant now) const
 {
     const auto it = targets_.find(target.id);
-    return it != targets_.end() && it->second.entry.process() == target &&
+    return it != targets_.end() && it->second.process == target &&
            may_use(target.id, now) && !cold_quota(it->second, now);
 }
 
@@ -330,25 +334,31 @@
     if (!software)
         return known->second.size();
     return static_cast<std::size_t>(
-        std::ranges::count_if(known->second, [&](const target_id& id) {
-            return targets_.at(id).entry.software == *software;
+        std::ranges::count_if(known->second, [&](const target_state* it) {
+            return it->entry.software == *software;
         }));
 }
 
 target_registry::target_state*
-target_registry::find(const catalog::target_process& target)
+target_registry::find(const target_id& target, catalog::target_start start)
 {
-    const auto it = targets_.find(target.id);
-    if (it == targets_.end() || it->second.entry.start != target.start)
+    const auto it = targets_.find(target);
+    if (it == targets_.end() || it->second.entry.start != start)
         return nullptr;
     return &it->second;
 }
 
+target_registry::target_state*
+target_registry::find(const catalog::target_process& target)
+{
+    return find(target.id, target.start);
+}
+
 /// A load without a start time is attributed to the known process.
 target_registry::target_state* target_registry::find(const target_load& load)
 {
     if (catalog::is_known(load.start))
-        return find(catalog::target_process{load.target, load.start});
+        return find(load.target, load.start);
     const auto it = targets_.find(load.target);
     return it == targets_.end() ? nullptr : &it->second;
 }
@@ -356,7 +366,7 @@
 void target_registry::started(const choice& made, const routing_request& of,
                               instant now)
 {
-    target_state* it = find(made.process());
+    target_state* it = find(made.target, made.start);
     if (it == nullptr)
         return;
     ++it->running;
@@ -389,7 +399,7 @@
 void target_registry::first_byte(const choice& made, duration waited,
                                  instant now)
 {
-    target_state* it = find(made.process());
+    target_state* it = find(made.target, made.start);
     if (it == nullptr)
         return;
     it->reading -= made.work.reading;
@@ -405,7 +415,7 @@
 void target_registry::finished(const choice& made, bool prefilled,
                                target_evidence evidence, instant now)
 {
-    target_state* it = find(made.process());
+    target_state* it = find(made.target, made.start);
     if (it == nullptr)
         return;
     assert(it->running > 0);
