Parse the events that were read without clearing buffers

Before each read of a response's body 16 kB were set to zero to receive 80 bytes, and Beast returned after each part of a chunk: its size line, its bytes, and the line end after it, each through the event loop. The node now parses all that was read at once, into as many bytes as were read. What precedes a malformed chunk is still handled before the error.

Ruled out: Beast's eager parsing, which would hold back an event until the next chunk's size line came.

--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -26,7 +26,7 @@
 /// A target has read a request body of up to this size together with its head.
 constexpr std::size_t max_body_read_with_head = 4096;
 
-constexpr std::size_t read_chunk_bytes = 16'384;
+constexpr std::size_t read_bytes = 4096;
 
 /// The request being written. Outlives the attempt, since the write may.
 struct outgoing_request
@@ -69,6 +69,7 @@
     void send();
     awaitable<void> read_responses();
     awaitable<bool> read_head(std::optional<response_parser>& parser);
+    net_error parse_body(response_parser& parser, std::string& out);
     awaitable<bool> read_body_part(response_parser& parser, std::string& out);
     awaitable<bool> discard(response_parser& parser);
     awaitable<void>
@@ -94,6 +95,7 @@
     connection_ptr connection_;
     std::shared_ptr<outgoing_request> outgoing_;
     net_error ec_;
+    net_error parse_error_; ///< After bytes that are still to be handled.
 };
 
 void attempt::end(attempt_end how, target_evidence evidence, std::string detail)
@@ -324,20 +326,47 @@
     }
 }
 
+/// Parses what was read of the body and appends it to `out`. Parsing stops at
+/// what can't be part of a body; what was before is handled first.
+net_error attempt::parse_body(response_parser& parser, std::string& out)
+{
+    beast::flat_buffer& buf = connection_->buf;
+    const std::size_t before = out.size();
+    out.resize(before + buf.size());
+    auto& body = parser.get().body();
+    body.data = out.data() + before;
+    body.size = buf.size();
+    net_error ec;
+    while (!ec && !parser.is_done() && buf.size() > 0)
+        buf.consume(parser.put(buf.data(), ec));
+    out.resize(out.size() - body.size);
+    if (ec == http::error::need_more)
+        return {};
+    if (out.size() == before)
+        return ec;
+    parse_error_ = ec;
+    return {};
+}
+
 /// Appends the next part of the body to `out`. On failure, ends the attempt and
 /// returns false.
 awaitable<bool> attempt::read_body_part(response_parser& parser,
                                         std::string& out)
 {
+    beast::flat_buffer& buf = connection_->buf;
     const std::size_t before = out.size();
-    out.resize(before + read_chunk_bytes);
-    parser.get().body().data = out.data() + before;
-    parser.get().body().size = read_chunk_bytes;
-    co_await http::async_read_some(connection_->socket, connection_->buf,
-                                   parser, into(ec_));
-    if (ec_ == http::error::need_buffer)
-        ec_ = {};
-    out.resize(before + read_chunk_bytes - parser.get().body().size);
+    ec_ = parse_error_;
+    if (!ec_)
+        ec_ = parse_body(parser, out);
+    while (!ec_ && !parser.is_done() && out.size() == before) {
+        const std::size_t n = co_await connection_->socket.async_read_some(
+            buf.prepare(read_bytes), into(ec_));
+        buf.commit(n);
+        if (!ec_)
+            ec_ = parse_body(parser, out);
+        else if (ec_ == asio::error::eof)
+            parser.put_eof(ec_);
+    }
     if (!ec_ && may_use_response())
         co_return true;
     end_with_error("answer's body");
