Write to callers at once what their sockets take

Each event was written by an operation that came back through the event loop although the socket took all of it. Now the loop is used only if the socket doesn't take all at once, as with a caller that reads slowly; only then can a stopped request interrupt the write, as before.

--- a/libs/edge/response_writer.cpp
+++ b/libs/edge/response_writer.cpp
@@ -38,12 +38,21 @@
     closes_connection_ = true;
 }
 
+/// Writes what the socket takes at once, and waits only if that isn't all.
 awaitable<bool> response_writer::write(std::string bytes)
 {
-    writing_ = true;
-    co_await asio::async_write(socket_, asio::buffer(bytes),
-                               into(write_error_));
-    writing_ = false;
+    write_error_ = {};
+    std::size_t sent = 0;
+    if (socket_.non_blocking())
+        sent = socket_.write_some(asio::buffer(bytes), write_error_);
+    if (is_transient(write_error_))
+        write_error_ = {};
+    if (!write_error_ && sent < bytes.size()) {
+        writing_ = true;
+        co_await asio::async_write(socket_, asio::buffer(bytes) + sent,
+                                   into(write_error_));
+        writing_ = false;
+    }
     co_return !write_error_;
 }
 
