--- a/Makefile
+++ b/Makefile
@@ -7,8 +7,8 @@
 PASS_OVER := $(if $(KNOWN_RED),-E '^($(KNOWN_RED))$$')
 SUDO := $(shell [ $$(id -u) = 0 ] || echo sudo)
 
-.PHONY: setup build configure-without-tests test soak demo asan tsan format \
-  format-check tidy mutants capacity bench clean
+.PHONY: setup build configure-without-tests test gate soak demo asan tsan \
+  format format-check tidy mutants capacity bench clean
 
 setup:
 	@dpkg -s $(PACKAGES) >/dev/null 2>&1 || \
@@ -29,9 +29,15 @@
 
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4 $(PASS_OVER)
+	cd tools/gate && python3 gate_test.py
 	cd tools/losses && python3 losses_test.py
 	cd tools/streams && python3 streams_test.py
 
+# What the days of the entries are judged by that SINCE (a commit, or the id of
+# an entry) doesn't have.
+gate:
+	python3 tools/gate/gate.py --since $(or $(SINCE),HEAD)
+
 demo: build
 	$(BUILD)/fennelladder demo
 
