Work out the excused rounds of a mark in one place

assess() and is_condemned() each added up what excuses a round (an answer shortly before, deaths that came together with others): a new excuse in one of them would be forgotten in the other. The behaviour stays.

--- a/include/fennelladder/dispatch/quarantine.hpp
+++ b/include/fennelladder/dispatch/quarantine.hpp
@@ -197,6 +197,7 @@
     death_list open_deaths(const entry& it, run_place place) const;
     int count_rounds(const death_list& deaths, bool of_part) const;
     bool has_coincidence(const death_list& deaths) const;
+    int excused_rounds(const death_list& deaths, bool proven) const;
     void note_process(const catalog::target_process& target, instant at);
     bool was_proven(const entry& it, const crash_death<instant>& first,
                     run_place place) const;
--- a/libs/dispatch/quarantine.cpp
+++ b/libs/dispatch/quarantine.cpp
@@ -171,6 +171,13 @@
     });
 }
 
+/// Rounds that don't count against the mark. `proven`: it was answered shortly
+/// before the first of them.
+int quarantine::excused_rounds(const death_list& deaths, bool proven) const
+{
+    return (proven ? 1 : 0) + (has_coincidence(deaths) ? 1 : 0);
+}
+
 /// Records when the process died, by the earliest report.
 void quarantine::note_process(const catalog::target_process& target, instant at)
 {
@@ -242,8 +249,7 @@
     drop_known_cause(deaths, mark, marks, has_equal);
     out.deaths = deaths.size();
     out.rounds = count_rounds(deaths, mark.is_part);
-    const int counted =
-        out.rounds - (out.proven ? 1 : 0) - (has_coincidence(deaths) ? 1 : 0);
+    const int counted = out.rounds - excused_rounds(deaths, out.proven);
     if (counted <= 0)
         return out;
     out.level = counted < options_.condemning_rounds || has_equal
@@ -294,10 +300,8 @@
     const death_list deaths = open_deaths(it, unknown_place);
     if (deaths.empty())
         return false;
-    const int excused =
-        (was_proven(it, *deaths.front(), unknown_place) ? 1 : 0) +
-        (has_coincidence(deaths) ? 1 : 0);
-    return count_rounds(deaths, of_part) - excused >=
+    const bool proven = was_proven(it, *deaths.front(), unknown_place);
+    return count_rounds(deaths, of_part) - excused_rounds(deaths, proven) >=
            options_.condemning_rounds;
 }
 
