--- a/libs/dispatch/quarantine.cpp
+++ b/libs/dispatch/quarantine.cpp
@@ -366,13 +366,9 @@
     }
 }
 
-bool quarantine::note_death(const crash_mark& mark,
-                            const crash_death<instant>& death, instant now)
+/// Takes in a change of the entry's deaths or answers. The entry may be evicted.
+void quarantine::complete(const crash_mark& mark, entry& it, instant now)
 {
-    entry& it = entries_[mark];
-    const bool changed = add_death(it, death);
-    if (!changed)
-        return false;
     it.changed = now;
     if (const auto* own = proofs_of(mark))
         for (const crash_answer<instant>& answer : *own)
@@ -380,7 +376,16 @@
     trim(it, mark.is_part);
     update_condemned(mark, it);
     evict(now);
-    return true;
+}
+
+bool quarantine::note_death(const crash_mark& mark,
+                            const crash_death<instant>& death, instant now)
+{
+    entry& it = entries_[mark];
+    const bool changed = add_death(it, death);
+    if (changed)
+        complete(mark, it, now);
+    return changed;
 }
 
 bool quarantine::note_answer(std::span<const crash_mark> marks, run_place place,
@@ -421,16 +426,9 @@
             death.target, death.place, now - death.at, death.ran, death.leased};
         changed |= add_death(it, here);
     }
-    if (!changed)
-        return false;
-    it.changed = now;
-    if (const auto* own = proofs_of(record.mark))
-        for (const crash_answer<instant>& answer : *own)
-            join_answer(it.answers, answer);
-    trim(it, record.mark.is_part);
-    update_condemned(record.mark, it);
-    evict(now);
-    return true;
+    if (changed)
+        complete(record.mark, it, now);
+    return changed;
 }
 
 /// The record for peers: of too many deaths, the first of the newest rounds.
