Trim a record for peers without a quarantine of its own

told_record() copied the whole entry and made a second quarantine, with its tables, only to trim to another limit; trim() takes the limit now. told_record() and records_of_death() turn times into ages by one function. The behaviour stays.

--- a/include/fennelladder/dispatch/quarantine.hpp
+++ b/include/fennelladder/dispatch/quarantine.hpp
@@ -205,7 +205,8 @@
     void update_condemned(const crash_mark& mark, const entry& it);
     bool add_death(entry& it, const crash_death<instant>& death);
     void complete(const crash_mark& mark, entry& it, instant now);
-    void trim(entry& it, bool of_part) const;
+    void trim(std::vector<crash_death<instant>>& deaths, std::size_t limit,
+              bool of_part) const;
     void drop_known_cause(death_list& deaths, const crash_mark& mark,
                           std::span<const crash_mark> marks,
                           bool& has_equal) const;
--- a/libs/dispatch/quarantine.cpp
+++ b/libs/dispatch/quarantine.cpp
@@ -51,6 +51,21 @@
     return true;
 }
 
+crash_record aged_record(const crash_mark& mark,
+                         std::span<const crash_death<instant>> deaths,
+                         std::span<const crash_answer<instant>> answers,
+                         instant now)
+{
+    crash_record out;
+    out.mark = mark;
+    for (const crash_death<instant>& it : deaths)
+        out.deaths.push_back(
+            {it.target, it.place, now - it.at, it.ran, it.leased});
+    for (const crash_answer<instant>& it : answers)
+        out.answers.push_back({it.place, now - it.at});
+    return out;
+}
+
 } // namespace
 
 std::string crash_mark::text() const
@@ -344,36 +359,37 @@
 }
 
 /// Orders the deaths, and drops some that add no round if there are too many.
-void quarantine::trim(entry& it, bool of_part) const
+void quarantine::trim(std::vector<crash_death<instant>>& deaths,
+                      std::size_t limit, bool of_part) const
 {
-    std::ranges::stable_sort(it.deaths, {}, [](const auto& death) {
+    std::ranges::stable_sort(deaths, {}, [](const auto& death) {
         return std::pair(sent_at(death), death.target);
     });
-    while (it.deaths.size() > options_.max_deaths) {
+    while (deaths.size() > limit) {
         death_list all;
-        for (const auto& death : it.deaths)
+        for (const auto& death : deaths)
             all.push_back(&death);
         const int rounds = count_rounds(all, of_part);
-        std::size_t dropped = it.deaths.size() - 1;
+        std::size_t dropped = deaths.size() - 1;
         for (; dropped > 0; --dropped) {
             death_list rest = all;
             rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(dropped));
             if (count_rounds(rest, of_part) == rounds)
                 break;
         }
-        it.deaths.erase(it.deaths.begin() +
-                        static_cast<std::ptrdiff_t>(dropped));
+        deaths.erase(deaths.begin() + static_cast<std::ptrdiff_t>(dropped));
     }
 }
 
-/// Takes in a change of the entry's deaths or answers. The entry may be evicted.
+/// Takes in a change of the entry's deaths or answers. The entry may be
+/// evicted.
 void quarantine::complete(const crash_mark& mark, entry& it, instant now)
 {
     it.changed = now;
     if (const auto* own = proofs_of(mark))
         for (const crash_answer<instant>& answer : *own)
             join_answer(it.answers, answer);
-    trim(it, mark.is_part);
+    trim(it.deaths, options_.max_deaths, mark.is_part);
     update_condemned(mark, it);
     evict(now);
 }
@@ -435,18 +451,9 @@
 crash_record quarantine::told_record(const crash_mark& mark, const entry& it,
                                      instant now) const
 {
-    entry few = it;
-    quarantine_options limits = options_;
-    limits.max_deaths = options_.max_deaths_told;
-    quarantine(limits).trim(few, mark.is_part);
-    crash_record out;
-    out.mark = mark;
-    for (const crash_death<instant>& death : few.deaths)
-        out.deaths.push_back({death.target, death.place, now - death.at,
-                              death.ran, death.leased});
-    for (const crash_answer<instant>& answer : few.answers)
-        out.answers.push_back({answer.place, now - answer.at});
-    return out;
+    std::vector<crash_death<instant>> few = it.deaths;
+    trim(few, options_.max_deaths_told, mark.is_part);
+    return aged_record(mark, few, it.answers, now);
 }
 
 std::vector<crash_record> quarantine::take_news(duration span,
@@ -494,15 +501,12 @@
                              instant now) const
 {
     std::vector<crash_record> out;
+    const std::span<const crash_death<instant>> one(&death, 1);
     for (const crash_mark& mark : marks) {
-        crash_record one;
-        one.mark = mark;
-        one.deaths.push_back({death.target, death.place, now - death.at,
-                              death.ran, death.leased});
-        if (const auto known = entries_.find(mark); known != entries_.end())
-            for (const crash_answer<instant>& it : known->second.answers)
-                one.answers.push_back({it.place, now - it.at});
-        out.push_back(std::move(one));
+        const auto known = entries_.find(mark);
+        out.push_back(known == entries_.end()
+                          ? aged_record(mark, one, {}, now)
+                          : aged_record(mark, one, known->second.answers, now));
     }
     return out;
 }
