Return the deaths that no other mark explains

drop_known_cause() changed its argument and had a second result in an output parameter; without_known_cause() returns both. The behaviour stays.

--- a/include/fennelladder/dispatch/quarantine.hpp
+++ b/include/fennelladder/dispatch/quarantine.hpp
@@ -191,6 +191,14 @@
     };
 
     using death_list = std::vector<const crash_death<instant>*>;
+    struct unexplained
+    {
+        death_list deaths;
+        /// Most of them have another condemned mark in common, so that the two
+        /// can't be told apart.
+        bool has_equal = false;
+    };
+
     using proof_map =
         std::unordered_map<crash_mark, std::vector<crash_answer<instant>>>;
 
@@ -207,9 +215,8 @@
     void complete(const crash_mark& mark, entry& it, instant now);
     void trim(std::vector<crash_death<instant>>& deaths, std::size_t limit,
               bool of_part) const;
-    void drop_known_cause(death_list& deaths, const crash_mark& mark,
-                          std::span<const crash_mark> marks,
-                          bool& has_equal) const;
+    unexplained without_known_cause(death_list deaths, const crash_mark& mark,
+                                    std::span<const crash_mark> marks) const;
     crash_record told_record(const crash_mark& mark, const entry& it,
                              instant now) const;
     const std::vector<crash_answer<instant>>*
--- a/libs/dispatch/quarantine.cpp
+++ b/libs/dispatch/quarantine.cpp
@@ -212,15 +212,15 @@
     }
 }
 
-/// Removes the deaths whose cause is a condemned mark that the request doesn't
-/// have, and with which more targets died. `has_equal`: most of those that are
-/// left have another such mark in common, so that the two can't be told apart.
-void quarantine::drop_known_cause(death_list& deaths, const crash_mark& mark,
-                                  std::span<const crash_mark> marks,
-                                  bool& has_equal) const
+/// Leaves out the deaths whose cause is a condemned mark that the request
+/// doesn't have, and with which more targets died.
+quarantine::unexplained
+quarantine::without_known_cause(death_list deaths, const crash_mark& mark,
+                                std::span<const crash_mark> marks) const
 {
+    unexplained out{std::move(deaths)};
     for (const crash_mark& other : condemned_) {
-        if (other == mark || deaths.empty() ||
+        if (other == mark || out.deaths.empty() ||
             std::ranges::find(marks, other) != marks.end())
             continue;
         const entry& cause = entries_.at(other);
@@ -230,20 +230,21 @@
                 return it->target == death->target;
             });
         };
-        if (known.size() > deaths.size()) {
-            std::erase_if(deaths, is_known);
+        if (known.size() > out.deaths.size()) {
+            std::erase_if(out.deaths, is_known);
             continue;
         }
-        const auto shared = std::ranges::count_if(deaths, is_known);
+        const auto shared = std::ranges::count_if(out.deaths, is_known);
         // A run without the other mark tells the two apart.
         const bool told_apart =
-            std::ranges::any_of(deaths, [&](const auto* it) {
+            std::ranges::any_of(out.deaths, [&](const auto* it) {
                 return it->leased && !is_known(it);
             });
-        has_equal |=
-            !told_apart && static_cast<double>(shared) >=
-                               min_shared * static_cast<double>(deaths.size());
+        const auto most = static_cast<double>(out.deaths.size());
+        out.has_equal |=
+            !told_apart && static_cast<double>(shared) >= min_shared * most;
     }
+    return out;
 }
 
 assessment quarantine::assess(const crash_mark& mark,
@@ -256,12 +257,12 @@
         now - known->second.last_death >= options_.retention)
         return out;
     const entry& it = known->second;
-    death_list deaths = open_deaths(it, place);
-    if (deaths.empty())
+    death_list all = open_deaths(it, place);
+    if (all.empty())
         return out;
-    out.proven = was_proven(it, *deaths.front(), place);
-    bool has_equal = false;
-    drop_known_cause(deaths, mark, marks, has_equal);
+    out.proven = was_proven(it, *all.front(), place);
+    const auto [deaths, has_equal] =
+        without_known_cause(std::move(all), mark, marks);
     out.deaths = deaths.size();
     out.rounds = count_rounds(deaths, mark.is_part);
     const int counted = out.rounds - excused_rounds(deaths, out.proven);
