Ask the kernel for the one sender of a request in the soak

The sender of each request was found in /proc/net/tcp, which also lists closed connections for a minute: after the test programs there are thousands, and a look-up reads them all while it holds Python's lock.

The kernel is asked for the one socket now, and only where the answer matters: for requests of a crashing part that come late, and while a target says something of itself. If the kernel doesn't say, the table is read as before, so that nothing goes unjudged.

--- a/tools/soak/crashing_parts.py
+++ b/tools/soak/crashing_parts.py
@@ -96,18 +96,25 @@
         since = max(self.started(process), self.senders.stood_still[process])
         return time.monotonic() - since > CONTACT_S
 
-    def arrived(self, target, prompt, process):
-        """Returns whether the request crashes the target."""
+    def is_late(self, part):
+        """Whether the part was known long ago."""
+        with self.lock:
+            times = self.crashes[part]
+            return (len(times) >= KNOWN_CRASHES and time.monotonic()
+                    - times[KNOWN_CRASHES - 1] > CONTACT_S)
+
+    def arrived(self, target, prompt, find_sender):
+        """Returns whether the request crashes the target. `find_sender` costs
+        time, and is called only for a request that may be one too many."""
         parts = [it.split(":")[0] for it in (prompt or "").split(",")]
         bad = next((it for it in parts if it in self.crashing), None)
         if bad is None:
             return False
-        with self.lock:
-            times = self.crashes[bad]
-            known = len(times) >= KNOWN_CRASHES and times[KNOWN_CRASHES - 1]
-            if (known and time.monotonic() - known > CONTACT_S
-                    and process and self.is_in_touch(process)):
-                self.later[bad] += 1
+        if self.is_late(bad):
+            process = find_sender()
+            if process and self.is_in_touch(process):
+                with self.lock:
+                    self.later[bad] += 1
         time.sleep(CRASH_S)
         if target.crash():
             with self.lock:
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -41,7 +41,8 @@
 from urllib.parse import parse_qs, urlparse
 
 import crashing_parts
-from target_signals import Senders, TargetSignals
+from senders import Senders
+from target_signals import TargetSignals
 
 NODES = 3
 TARGETS = 3
@@ -182,9 +183,12 @@
         def do_any(self):
             self.rfile.read(int(self.headers.get("Content-Length") or 0))
             request = self.headers["X-Request-Id"]
-            sender = parts.senders.find(self.client_address[1],
-                                        self.server.server_port)
-            if parts.arrived(target, self.headers["X-Prompt-Prefix"], sender):
+
+            def find_sender():
+                return parts.senders.find(self.client_address,
+                                          self.server.server_address)
+            if parts.arrived(target, self.headers["X-Prompt-Prefix"],
+                             find_sender):
                 self.close_connection = True
                 return
             self.send_response_only(200)
@@ -205,14 +209,19 @@
 
         def setup(self):
             super().setup()
-            self.sender = signals.senders.find(self.client_address[1],
-                                               self.server.server_port)
+            self.sender = None
+
+        def find_sender(self):
+            if self.sender is None:
+                self.sender = signals.senders.find(
+                    self.client_address, self.server.server_address)
+            return self.sender
 
         def log_message(self, *_):
             pass
 
         def do_any(self):
-            signals.arrived(self.sender)
+            signals.arrived(self.find_sender)
             size = int(self.headers.get("Content-Length") or 0)
             self.rfile.read(size)
             request = self.headers["X-Request-Id"]
@@ -243,7 +252,7 @@
             self.send_response_only(status)
             self.send_header("X-Request-Id", request)
             if status != 421:
-                headers = headers | signals.headers(self.sender, status)
+                headers = headers | signals.headers(self.find_sender, status)
             if mark:
                 self.send_header("X-Server-Signature", mark)
             for key, value in headers.items():
--- a/tools/soak/target_signals.py
+++ b/tools/soak/target_signals.py
@@ -2,8 +2,11 @@
 
     signals = TargetSignals(senders, note)
     signals.leave()                    # or rest_for(s), limit(rate), be_well()
-    signals.arrived(process)           # for each request
-    signals.headers(process, status)   # of each answer, once it is sent
+    signals.arrived(find_sender)           # for each request
+    signals.headers(find_sender, status)   # of each answer, once it is sent
+
+`find_sender` returns the process that sent the request. It costs time, and is
+called only while the target says something.
 
 Each rule is judged by what one process of a node was told: from 2 s after an
 answer that says that the target leaves, it gets nothing from that process;
@@ -14,7 +17,6 @@
 """
 
 import collections
-import os
 import threading
 import time
 
@@ -23,36 +25,6 @@
 LIMIT_GRACE_S, LIMIT_KNOWN_S, LIMIT_SPAN_S = 3, 0.5, 4
 
 
-class Senders:
-    """Which node's process is at the other end of a connection."""
-
-    def __init__(self, processes):
-        self.processes = processes  # Returns the ids of those that run.
-        self.stood_still = collections.defaultdict(float)  # Id: until when.
-
-    @staticmethod
-    def inode_of(port, target_port):
-        with open("/proc/net/tcp", encoding="ascii") as table:
-            for line in list(table)[1:]:
-                part = line.split()
-                here, there = (int(it.split(":")[1], 16) for it in part[1:3])
-                if (here, there) == (port, target_port):
-                    return part[9]
-        return None
-
-    def find(self, port, target_port):
-        inode = self.inode_of(port, target_port)
-        for process in self.processes():
-            folder = f"/proc/{process}/fd"
-            try:
-                for name in os.listdir(folder):
-                    if os.readlink(f"{folder}/{name}") == f"socket:[{inode}]":
-                        return process
-            except OSError:
-                continue  # It ended, or closed the descriptor.
-        return None
-
-
 class TargetSignals:
     """Of one target. Thread safe."""
 
@@ -83,10 +55,15 @@
     def is_excused(self, process, since):
         return self.senders.stood_still[process] >= since
 
-    def arrived(self, process):
+    @property
+    def speaks(self):
+        return self.leaving or self.rest is not None or self.rate is not None
+
+    def arrived(self, find_sender):
+        now = time.monotonic()
+        process = find_sender() if self.speaks else None
         if process is None:
             return
-        now = time.monotonic()
         with self.lock:
             self.check_leaving(process, now)
             self.check_rest(process, now)
@@ -129,9 +106,12 @@
             self.note(f"{self.name} got {count} requests in {LIMIT_SPAN_S} s, "
                       f"{allowed:g} allowed")
 
-    def headers(self, process, status):
-        now = time.monotonic()
+    def headers(self, find_sender, status):
         out = {}
+        if not self.speaks:
+            return out
+        process = find_sender()
+        now = time.monotonic()
         with self.lock:
             if self.leaving:
                 out["Server-Leaving"] = "1"
