Judge in the soak that each team is served, at each node it keeps to

A team that is served far less than all others breaks no rule that the soak checked. Its callers were one team's, and chose any node that they were told of.

A second team's callers keep to one node, drawn by the plan, and send from four times as many lanes in turns, beside the usual faults. No team may be served less than a quarter as often as all others, as a whole and at each node it keeps to, once 20 calls of each were sent. "All others", since a flood would lower what it is measured by.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -18,6 +18,8 @@
   - nodes heed what targets say of themselves (target_signals.py);
   - a part of prompts crashes few targets, while nodes are killed and paused
     (crashing_parts.py);
+  - each team is served, also when its callers keep to one node and send
+    several times their usual (fair_shares.py);
   - at the end, with all faults over, calls are answered again.
 
 Exit status 0 when all held, 1 with the findings otherwise. It ends only the
@@ -41,15 +43,21 @@
 from urllib.parse import parse_qs, urlparse
 
 import crashing_parts
+from fair_shares import FairShares, Floods
 from senders import Senders
 from target_signals import TargetSignals
 
 NODES = 3
 TARGETS = 3
 HOST = "h.example"
-PREPAID = 60000  # tokens of the team: about what 20 s of callers want
+# Tokens of the teams. "t" has about what its callers want in 20 s; those of
+# "u" keep to one node.
+PREPAID = {"t": 60000, "u": 180000}
 PROMPT, MOST_OUT, PER_EVENT = 300, 42, 7
-KEY = "key-1"
+
+
+def key_of(team):
+    return f"key-{team}"
 
 
 class Store:
@@ -146,13 +154,13 @@
 
 
 class Runs:
-    """What targets ran, by request id."""
+    """What targets ran, by request id, which begins with the team."""
 
     def __init__(self):
         self.lock = threading.Lock()
         self.of = collections.defaultdict(list)
         self.prompts = set()  # Requests whose prompt was read.
-        self.delivered = 0    # Events that callers got.
+        self.delivered = collections.Counter()  # Events, by team.
 
     def begin(self, request, mark):
         with self.lock:
@@ -162,14 +170,14 @@
         with self.lock:
             self.prompts.add(request)
 
-    def deliver(self, body):
+    def deliver(self, team, body):
         with self.lock:
-            self.delivered += body.count(b"id: ")
+            self.delivered[team] += body.count(b"id: ")
 
-    @property
-    def tokens(self):
+    def tokens(self, team):
         """A prompt counts once for its request, an event when it arrives."""
-        return len(self.prompts) * PROMPT + self.delivered * PER_EVENT
+        prompts = sum(it.startswith(team) for it in self.prompts)
+        return prompts * PROMPT + self.delivered[team] * PER_EVENT
 
 
 def part_handler(target, parts):
@@ -325,7 +333,9 @@
                           "engine": {"slots": 64, "kvCacheTokens": 400000,
                                      "stride": PER_EVENT}}
                          for name in ("s", crashing_parts.SERVICE)],
-            "tenants": [{"name": "t", "apiKeys": [KEY], "prepaid": PREPAID}]}
+            "tenants": [{"name": team, "apiKeys": [key_of(team)],
+                         "prepaid": prepaid}
+                        for team, prepaid in PREPAID.items()]}
 
 
 class Node:
@@ -379,8 +389,10 @@
         self.store, self.runs = Store(), Runs()
         self.found, self.lock = [], threading.Lock()
         self.outcomes = collections.Counter()
+        self.shares = FairShares(self.note)
         self.fault_share = 0.0
         self.stop = threading.Event()
+        self.floods = Floods(args.seed, NODES, self.stop)
         self.folder = tempfile.mkdtemp(prefix="soak-")
         self.closing = []
         senders = Senders(lambda: [it.process.pid for it in self.nodes
@@ -440,7 +452,7 @@
                                   "X-Request-Id":
                                   "p%x" % random.getrandbits(60),
                                   "X-Prompt-Prefix": prompt,
-                                  "Authorization": f"Bearer {KEY}"})
+                                  "Authorization": f"Bearer {key_of('t')}"})
             return call.getresponse().status == 200
         except (OSError, http.client.HTTPException):
             return False
@@ -489,14 +501,15 @@
                 continue
         return []
 
-    def call_once(self, number, address):
+    def call_once(self, number, address, team="t", kept=None):
+        """`kept` is the number of the node that the caller keeps to."""
         kind = ("once", "again", "stream")[number % 3]
-        request = f"r{number:x}.{random.getrandbits(32):x}"
+        request = f"{team}{number:x}.{random.getrandbits(32):x}"
         ip, port = address.split(":")
         call = http.client.HTTPConnection(ip, int(port), timeout=5)
         headers = {"Host": HOST, "X-Request-Id": request,
                    "X-Request-Deadline-Ms": "4000",
-                   "Authorization": f"Bearer {KEY}"}
+                   "Authorization": f"Bearer {key_of(team)}"}
         if kind == "stream":
             headers["X-Token-Usage"] = f"{PROMPT},{MOST_OUT}"
         try:
@@ -505,14 +518,16 @@
             answer = call.getresponse()
             body = answer.read()
         except (OSError, http.client.HTTPException) as failure:
-            self.runs.deliver(getattr(failure, "partial", b""))
+            self.runs.deliver(team, getattr(failure, "partial", b""))
             self.outcomes["no answer"] += 1
-            return request, kind, 0
+            self.shares.count(team, kept, False)
+            return request, kind, None
         finally:
             call.close()
         if kind == "stream":
-            self.runs.deliver(body)
+            self.runs.deliver(team, body)
         self.outcomes[answer.status] += 1
+        self.shares.count(team, kept, answer.status == 200)
         mark = answer.getheader("X-Server-Signature")
         if answer.status == 200:
             self.check_success(request, kind, mark, body)
@@ -530,20 +545,35 @@
         if body.decode() != whole:
             self.note(f"{request}: not the whole answer: {body!r}")
 
-    def caller(self, lane):
+    def kept_address(self, addresses):
+        """Of the node that callers keep to, if they are told of it."""
+        node = self.floods.node
+        address = f"{self.nodes[node].ip}:{self.nodes[node].front}"
+        return (address, node) if address in addresses else (None, None)
+
+    def caller(self, lane, team):
         number, addresses, asked = lane, [], 0.0
         refused = []
         while not self.stop.is_set():
+            if team == "u" and not self.floods.has_lane(lane):
+                time.sleep(0.05)
+                continue
             if time.time() - asked > 2 or not addresses:
                 addresses, asked = self.addresses(), time.time()
             if not addresses:
                 time.sleep(0.1)
                 continue
             number += 100
-            request, kind, status = self.call_once(number,
-                                                   random.choice(addresses))
+            address, kept = None, None
+            if team == "u":
+                address, kept = self.kept_address(addresses)
+            request, kind, status = self.call_once(
+                number, address or random.choice(addresses), team, kept)
             if status == 503:
                 refused.append((request, kind))
+            if status is None and kept is not None:
+                # Callers leave an address that failed them.
+                addresses = [it for it in addresses if it != address]
             time.sleep(random.uniform(0.01, 0.08))
         time.sleep(1)  # What was refused must not run later either.
         for request, kind in refused:
@@ -595,8 +625,11 @@
             number = int(request[1:].split(".")[0], 16)
             if number % 3 == 0 and len(marks) > 1:
                 self.note(f"{request}: may run once, ran {len(marks)} times")
-        if self.runs.tokens > PREPAID:
-            self.note(f"{self.runs.tokens} tokens of {PREPAID} prepaid")
+        for team, prepaid in PREPAID.items():
+            tokens = self.runs.tokens(team)
+            if tokens > prepaid:
+                self.note(f"{tokens} tokens of {prepaid} prepaid by {team}")
+        self.shares.check()
 
     def check_recovery(self):
         self.store.mode, self.fault_share = "well", 0.0
@@ -625,8 +658,11 @@
     def run(self):
         for node in self.nodes:
             node.start()
-        callers = [threading.Thread(target=self.caller, args=[i])
+        callers = [threading.Thread(target=self.caller, args=[i, "t"])
                    for i in range(8)]
+        callers += [threading.Thread(target=self.caller, args=[i, "u"])
+                    for i in range(Floods.FLOOD_LANES)]
+        callers.append(threading.Thread(target=self.floods.run))
         callers.append(threading.Thread(target=self.speak))
         callers.append(threading.Thread(target=self.storms))
         for it in callers:
@@ -665,8 +701,9 @@
             node.end()
     answered = soak.outcomes[200]
     print(f"seed {args.seed}: {sum(soak.outcomes.values())} calls, "
-          f"{dict(soak.outcomes)}, {soak.runs.tokens} of {PREPAID} tokens, "
-          f"{soak.parts.summary}, "
+          f"{dict(soak.outcomes)}, {soak.runs.tokens('t')} of "
+          f"{PREPAID['t']} tokens, {soak.parts.summary}, "
+          f"served {soak.shares.summary}, "
           f"logs in {soak.folder}")
     if answered == 0:
         soak.note("nothing was answered")
