Count the targets that die once more when all nodes are lost

What nodes know of crashing parts dies with the last of them. How many targets that costs was a suspicion. The model can lose all nodes at once: their tables and leases are gone, what they had under way isn't noted by anybody, and news on their way is dropped. Arrivals count as later from 3 s after the start, as the rule's bound holds for nodes in touch.

--- a/libs/dispatch/quarantine_fleet_test.cpp
+++ b/libs/dispatch/quarantine_fleet_test.cpp
@@ -51,6 +51,8 @@
     /// One node gives leave for all; else each gives it to itself.
     bool one_giver = true;
     double length_s = 60;
+    /// When all nodes die at once and start anew, and with them what they knew.
+    std::vector<double> losses_s;
     std::uint64_t seed = 1;
 };
 
@@ -58,6 +60,7 @@
 {
     int deaths = 0;
     int later_arrivals = 0;
+    std::vector<int> deaths_after_loss; ///< Until the next one.
     int sound = 0;
     int sound_refused = 0; ///< At the first attempt.
     int sound_broken = 0;
@@ -79,6 +82,8 @@
     {
         schedule_arrival(options_.bad_per_second, true);
         schedule_arrival(options_.sound_per_second, false);
+        for (const double it : options_.losses_s)
+            at(from_seconds(it), [this] { lose_nodes(); });
         while (!events_.empty() && now_ < start + length()) {
             const auto next = events_.begin();
             now_ = next->first;
@@ -103,6 +108,7 @@
         bool is_bad = false;
         int attempt = 1;
         std::uint64_t number = 0;
+        std::uint64_t life = 0; ///< Of the nodes; a dead one does nothing more.
     };
 
     struct running
@@ -134,9 +140,18 @@
         });
     }
 
+    void lose_nodes()
+    {
+        nodes_ = std::vector<node>(options_.nodes);
+        ++life_;
+        started_ = now_;
+        result_.deaths_after_loss.push_back(0);
+    }
+
     void arrive(bool is_bad)
     {
         request it;
+        it.life = life_;
         it.node = random_.below(nodes_.size());
         it.number = ++number_;
         it.is_bad = is_bad;
@@ -170,12 +185,16 @@
             return refuse(it);
         const auto suspects = table.suspects_of(it.marks, place, now_);
         at(message_time, [=, this] {
+            if (it.life != life_)
+                return;
             node& giver = nodes_[giver_of(it)];
             const auto got = giver.leases.ask({it.node, it.number}, suspects,
                                               place, giver.table, now_);
             for (const auto& record : giver.table.records_of(suspects, now_))
                 nodes_[it.node].table.merge(record, now_);
             at(message_time, [=, this] {
+                if (it.life != life_)
+                    return;
                 if (got.granted)
                     send(it, true);
                 else
@@ -194,7 +213,7 @@
     void send(const request& it, bool leased)
     {
         if (it.is_bad && result_.deaths >= known_deaths &&
-            now_ > last_counted_ + contact_time)
+            now_ > std::max(last_counted_, started_) + contact_time)
             ++result_.later_arrivals;
         std::vector<std::size_t> up;
         for (std::size_t i = 0; i < targets_.size(); ++i)
@@ -223,6 +242,8 @@
             return;
         const bool leased = there.runs.at(it.number).leased;
         there.runs.erase(it.number);
+        if (it.life != life_)
+            return;
         const bool cleared =
             nodes_[it.node].table.note_answer(it.marks, place, now_);
         if (leased)
@@ -238,6 +259,8 @@
         if (!there.up || there.process != process)
             return;
         ++result_.deaths;
+        if (!result_.deaths_after_loss.empty())
+            ++result_.deaths_after_loss.back();
         if (result_.deaths <= known_deaths)
             last_counted_ = now_;
         there.up = false;
@@ -259,6 +282,8 @@
 
     void note(running run, const catalog::target_process& dead, instant died)
     {
+        if (run.of.life != life_)
+            return;
         const crash_death<instant> death{dead, place, died, died - run.sent,
                                          run.leased};
         quarantine& table = nodes_[run.of.node].table;
@@ -277,7 +302,9 @@
     {
         for (std::size_t i = 0; i < nodes_.size(); ++i)
             if (i != from && random_.unit() >= options_.lost_messages)
-                at(message_time, [=, this] {
+                at(message_time, [=, this, life = life_] {
+                    if (life != life_)
+                        return;
                     for (const auto& it : records)
                         nodes_[i].table.merge(it, now_);
                 });
@@ -290,6 +317,8 @@
     std::multimap<instant, std::function<void()>> events_;
     instant now_ = start;
     instant last_counted_; ///< Of the first known_deaths deaths.
+    instant started_;      ///< All nodes, after a loss.
+    std::uint64_t life_ = 0;
     std::uint64_t number_ = 0;
     fleet_result result_;
 };
@@ -330,3 +359,28 @@
                     CHECK(got.settled_refused * 2 < got.settled);
                 }
 }
+
+// Guards against a part that ends target after target once more, each time that
+// all nodes die and lose what they knew.
+TEST(quarantine_fleet, few_targets_die_after_all_nodes_are_lost)
+{
+    const bool show = std::getenv("SHOW_FIGURES") != nullptr;
+    for (std::uint64_t seed = 1; seed <= 3; ++seed)
+        for (const std::size_t nodes : {8U, 77U, 340U})
+            for (const double rate : {5.0, 20.0, 100.0}) {
+                fleet_options it;
+                it.seed = seed;
+                it.nodes = nodes;
+                it.targets = std::max<std::size_t>(18, nodes * 2);
+                it.bad_per_second = rate;
+                it.sound_per_second = std::max(40.0, 0.5 * double(nodes));
+                it.losses_s = {30};
+                const fleet_result got = fleet(it).run();
+                if (show)
+                    std::printf("lost once | %zu | %.0f | %d | %d | %d |\n",
+                                nodes, rate, got.deaths,
+                                got.deaths_after_loss.at(0),
+                                got.later_arrivals);
+                CHECK(got.later_arrivals <= later_arrivals);
+            }
+}
