--- a/include/fennelladder/dispatch/quarantine.hpp
+++ b/include/fennelladder/dispatch/quarantine.hpp
@@ -51,11 +51,13 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string_view>
 #include <tuple>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 namespace fennelladder::dispatch {
@@ -191,22 +193,33 @@
     };
 
     using death_list = std::vector<const crash_death<instant>*>;
+    struct unexplained
+    {
+        death_list deaths;
+        /// Most of them have another condemned mark in common, so that the two
+        /// can't be told apart.
+        bool has_equal = false;
+    };
+
     using proof_map =
         std::unordered_map<crash_mark, std::vector<crash_answer<instant>>>;
 
     death_list open_deaths(const entry& it, run_place place) const;
     int count_rounds(const death_list& deaths, bool of_part) const;
     bool has_coincidence(const death_list& deaths) const;
+    int excused_rounds(const death_list& deaths, bool proven) const;
     void note_process(const catalog::target_process& target, instant at);
     bool was_proven(const entry& it, const crash_death<instant>& first,
                     run_place place) const;
     bool is_condemned(const entry& it, bool of_part) const;
     void update_condemned(const crash_mark& mark, const entry& it);
     bool add_death(entry& it, const crash_death<instant>& death);
-    void trim(entry& it, bool of_part) const;
-    void drop_known_cause(death_list& deaths, const crash_mark& mark,
-                          std::span<const crash_mark> marks,
-                          bool& has_equal) const;
+    void note_change(const crash_mark& mark, entry& it, instant now);
+    void complete(const crash_mark& mark, entry& it, instant now);
+    void trim(std::vector<crash_death<instant>>& deaths, std::size_t limit,
+              bool of_part) const;
+    unexplained without_known_cause(death_list deaths, const crash_mark& mark,
+                                    std::span<const crash_mark> marks) const;
     crash_record told_record(const crash_mark& mark, const entry& it,
                              instant now) const;
     const std::vector<crash_answer<instant>>*
@@ -216,6 +229,7 @@
     quarantine_options options_;
     std::unordered_map<crash_mark, entry> entries_;
     std::unordered_set<crash_mark> condemned_; ///< By deaths without an answer.
+    std::set<std::pair<instant, crash_mark>> by_change_; ///< All entries.
     /// All processes that died, whatever ran there, by time.
     std::multimap<instant, catalog::target_process> processes_;
     std::map<catalog::target_process, instant> died_;
--- a/libs/dispatch/quarantine.cpp
+++ b/libs/dispatch/quarantine.cpp
@@ -51,6 +51,21 @@
     return true;
 }
 
+crash_record aged_record(const crash_mark& mark,
+                         std::span<const crash_death<instant>> deaths,
+                         std::span<const crash_answer<instant>> answers,
+                         instant now)
+{
+    crash_record out;
+    out.mark = mark;
+    for (const crash_death<instant>& it : deaths)
+        out.deaths.push_back(
+            {it.target, it.place, now - it.at, it.ran, it.leased});
+    for (const crash_answer<instant>& it : answers)
+        out.answers.push_back({it.place, now - it.at});
+    return out;
+}
+
 } // namespace
 
 std::string crash_mark::text() const
@@ -171,6 +186,13 @@
     });
 }
 
+/// Rounds that don't count against the mark. `proven`: it was answered shortly
+/// before the first of them.
+int quarantine::excused_rounds(const death_list& deaths, bool proven) const
+{
+    return (proven ? 1 : 0) + (has_coincidence(deaths) ? 1 : 0);
+}
+
 /// Records when the process died, by the earliest report.
 void quarantine::note_process(const catalog::target_process& target, instant at)
 {
@@ -190,15 +212,15 @@
     }
 }
 
-/// Removes the deaths whose cause is a condemned mark that the request doesn't
-/// have, and with which more targets died. `has_equal`: most of those that are
-/// left have another such mark in common, so that the two can't be told apart.
-void quarantine::drop_known_cause(death_list& deaths, const crash_mark& mark,
-                                  std::span<const crash_mark> marks,
-                                  bool& has_equal) const
+/// Leaves out the deaths whose cause is a condemned mark that the request
+/// doesn't have, and with which more targets died.
+quarantine::unexplained
+quarantine::without_known_cause(death_list deaths, const crash_mark& mark,
+                                std::span<const crash_mark> marks) const
 {
+    unexplained out{std::move(deaths)};
     for (const crash_mark& other : condemned_) {
-        if (other == mark || deaths.empty() ||
+        if (other == mark || out.deaths.empty() ||
             std::ranges::find(marks, other) != marks.end())
             continue;
         const entry& cause = entries_.at(other);
@@ -208,20 +230,21 @@
                 return it->target == death->target;
             });
         };
-        if (known.size() > deaths.size()) {
-            std::erase_if(deaths, is_known);
+        if (known.size() > out.deaths.size()) {
+            std::erase_if(out.deaths, is_known);
             continue;
         }
-        const auto shared = std::ranges::count_if(deaths, is_known);
+        const auto shared = std::ranges::count_if(out.deaths, is_known);
         // A run without the other mark tells the two apart.
         const bool told_apart =
-            std::ranges::any_of(deaths, [&](const auto* it) {
+            std::ranges::any_of(out.deaths, [&](const auto* it) {
                 return it->leased && !is_known(it);
             });
-        has_equal |=
-            !told_apart && static_cast<double>(shared) >=
-                               min_shared * static_cast<double>(deaths.size());
+        const auto most = static_cast<double>(out.deaths.size());
+        out.has_equal |=
+            !told_apart && static_cast<double>(shared) >= min_shared * most;
     }
+    return out;
 }
 
 assessment quarantine::assess(const crash_mark& mark,
@@ -234,16 +257,15 @@
         now - known->second.last_death >= options_.retention)
         return out;
     const entry& it = known->second;
-    death_list deaths = open_deaths(it, place);
-    if (deaths.empty())
+    death_list all = open_deaths(it, place);
+    if (all.empty())
         return out;
-    out.proven = was_proven(it, *deaths.front(), place);
-    bool has_equal = false;
-    drop_known_cause(deaths, mark, marks, has_equal);
+    out.proven = was_proven(it, *all.front(), place);
+    const auto [deaths, has_equal] =
+        without_known_cause(std::move(all), mark, marks);
     out.deaths = deaths.size();
     out.rounds = count_rounds(deaths, mark.is_part);
-    const int counted =
-        out.rounds - (out.proven ? 1 : 0) - (has_coincidence(deaths) ? 1 : 0);
+    const int counted = out.rounds - excused_rounds(deaths, out.proven);
     if (counted <= 0)
         return out;
     out.level = counted < options_.condemning_rounds || has_equal
@@ -294,10 +316,8 @@
     const death_list deaths = open_deaths(it, unknown_place);
     if (deaths.empty())
         return false;
-    const int excused =
-        (was_proven(it, *deaths.front(), unknown_place) ? 1 : 0) +
-        (has_coincidence(deaths) ? 1 : 0);
-    return count_rounds(deaths, of_part) - excused >=
+    const bool proven = was_proven(it, *deaths.front(), unknown_place);
+    return count_rounds(deaths, of_part) - excused_rounds(deaths, proven) >=
            options_.condemning_rounds;
 }
 
@@ -340,43 +360,56 @@
 }
 
 /// Orders the deaths, and drops some that add no round if there are too many.
-void quarantine::trim(entry& it, bool of_part) const
+void quarantine::trim(std::vector<crash_death<instant>>& deaths,
+                      std::size_t limit, bool of_part) const
 {
-    std::ranges::stable_sort(it.deaths, {}, [](const auto& death) {
+    std::ranges::stable_sort(deaths, {}, [](const auto& death) {
         return std::pair(sent_at(death), death.target);
     });
-    while (it.deaths.size() > options_.max_deaths) {
+    while (deaths.size() > limit) {
         death_list all;
-        for (const auto& death : it.deaths)
+        for (const auto& death : deaths)
             all.push_back(&death);
         const int rounds = count_rounds(all, of_part);
-        std::size_t dropped = it.deaths.size() - 1;
+        std::size_t dropped = deaths.size() - 1;
         for (; dropped > 0; --dropped) {
             death_list rest = all;
             rest.erase(rest.begin() + static_cast<std::ptrdiff_t>(dropped));
             if (count_rounds(rest, of_part) == rounds)
                 break;
         }
-        it.deaths.erase(it.deaths.begin() +
-                        static_cast<std::ptrdiff_t>(dropped));
+        deaths.erase(deaths.begin() + static_cast<std::ptrdiff_t>(dropped));
     }
 }
 
-bool quarantine::note_death(const crash_mark& mark,
-                            const crash_death<instant>& death, instant now)
+void quarantine::note_change(const crash_mark& mark, entry& it, instant now)
 {
-    entry& it = entries_[mark];
-    const bool changed = add_death(it, death);
-    if (!changed)
-        return false;
+    by_change_.erase({it.changed, mark});
     it.changed = now;
+    by_change_.emplace(now, mark);
+}
+
+/// Takes in a change of the entry's deaths or answers. The entry may be
+/// evicted.
+void quarantine::complete(const crash_mark& mark, entry& it, instant now)
+{
+    note_change(mark, it, now);
     if (const auto* own = proofs_of(mark))
         for (const crash_answer<instant>& answer : *own)
             join_answer(it.answers, answer);
-    trim(it, mark.is_part);
+    trim(it.deaths, options_.max_deaths, mark.is_part);
     update_condemned(mark, it);
     evict(now);
-    return true;
+}
+
+bool quarantine::note_death(const crash_mark& mark,
+                            const crash_death<instant>& death, instant now)
+{
+    entry& it = entries_[mark];
+    const bool changed = add_death(it, death);
+    if (changed)
+        complete(mark, it, now);
+    return changed;
 }
 
 bool quarantine::note_answer(std::span<const crash_mark> marks, run_place place,
@@ -396,7 +429,7 @@
             open_deaths(known->second, place).empty())
             continue;
         join_answer(known->second.answers, {place, now});
-        known->second.changed = now;
+        note_change(mark, known->second, now);
         update_condemned(mark, known->second);
         out = true;
     }
@@ -417,34 +450,18 @@
             death.target, death.place, now - death.at, death.ran, death.leased};
         changed |= add_death(it, here);
     }
-    if (!changed)
-        return false;
-    it.changed = now;
-    if (const auto* own = proofs_of(record.mark))
-        for (const crash_answer<instant>& answer : *own)
-            join_answer(it.answers, answer);
-    trim(it, record.mark.is_part);
-    update_condemned(record.mark, it);
-    evict(now);
-    return true;
+    if (changed)
+        complete(record.mark, it, now);
+    return changed;
 }
 
 /// The record for peers: of too many deaths, the first of the newest rounds.
 crash_record quarantine::told_record(const crash_mark& mark, const entry& it,
                                      instant now) const
 {
-    entry few = it;
-    quarantine_options limits = options_;
-    limits.max_deaths = options_.max_deaths_told;
-    quarantine(limits).trim(few, mark.is_part);
-    crash_record out;
-    out.mark = mark;
-    for (const crash_death<instant>& death : few.deaths)
-        out.deaths.push_back({death.target, death.place, now - death.at,
-                              death.ran, death.leased});
-    for (const crash_answer<instant>& answer : few.answers)
-        out.answers.push_back({answer.place, now - answer.at});
-    return out;
+    std::vector<crash_death<instant>> few = it.deaths;
+    trim(few, options_.max_deaths_told, mark.is_part);
+    return aged_record(mark, few, it.answers, now);
 }
 
 std::vector<crash_record> quarantine::take_news(duration span,
@@ -457,11 +474,12 @@
         crash_mark mark;
     };
     std::vector<row> all;
-    for (const auto& [mark, it] : entries_) {
-        const bool condemned = condemned_.contains(mark);
-        if (condemned || now - it.changed < span)
-            all.push_back({condemned, it.told, mark});
-    }
+    for (const crash_mark& it : condemned_)
+        all.push_back({true, entries_.at(it).told, it});
+    for (auto it = by_change_.rbegin();
+         it != by_change_.rend() && now - it->first < span; ++it)
+        if (!condemned_.contains(it->second))
+            all.push_back({false, entries_.at(it->second).told, it->second});
     const std::size_t n = std::min(limit, all.size());
     const auto end = all.begin() + static_cast<std::ptrdiff_t>(n);
     std::ranges::partial_sort(all, end, {}, [](const row& it) {
@@ -492,15 +510,12 @@
                              instant now) const
 {
     std::vector<crash_record> out;
+    const std::span<const crash_death<instant>> one(&death, 1);
     for (const crash_mark& mark : marks) {
-        crash_record one;
-        one.mark = mark;
-        one.deaths.push_back({death.target, death.place, now - death.at,
-                              death.ran, death.leased});
-        if (const auto known = entries_.find(mark); known != entries_.end())
-            for (const crash_answer<instant>& it : known->second.answers)
-                one.answers.push_back({it.place, now - it.at});
-        out.push_back(std::move(one));
+        const auto known = entries_.find(mark);
+        out.push_back(known == entries_.end()
+                          ? aged_record(mark, one, {}, now)
+                          : aged_record(mark, one, known->second.answers, now));
     }
     return out;
 }
@@ -528,7 +543,7 @@
     if (known == entries_.end())
         return false;
     join_answer(known->second.answers, {unknown_place, now});
-    known->second.changed = now;
+    note_change(mark, known->second, now);
     update_condemned(mark, known->second);
     return true;
 }
@@ -557,6 +572,7 @@
     });
     for (auto it = all.begin(); it != end; ++it) {
         condemned_.erase(it->mark);
+        by_change_.erase({entries_.at(it->mark).changed, it->mark});
         entries_.erase(it->mark);
     }
 }
