Keep each grant of tokens until it is acknowledged

Cause: a grant that was lost on the way was debited at the giver and credited nowhere. The comments said that requests are repeated under their numbers; nothing repeated one.

Ruled out: repeating the request at the asker. It ends with the asker's wait, so a grant lost after that would still be gone, and the asker can't know whether the giver debited anything.

Change: the giver keeps a grant until the asker acknowledges it (a new datagram, field 13), and sends it again under its number, after 30 ms and then at doubled intervals up to 4 s. The asker credits each number of its incarnation once, for ten minutes, and acknowledges it each time. Grants to a process that ended are stranded and logged, since it may have spent them; those to a live host out of reach are kept for five minutes; askers of earlier releases, which acknowledge nothing, count as served after 30 s, as before. push_all waits for grants as well. The gauge fennelladder_tokens_in_transit tells the amount.

--- a/include/fennelladder/edge/token_allocator.hpp
+++ b/include/fennelladder/edge/token_allocator.hpp
@@ -13,7 +13,9 @@
 //
 // Tokens are credited only after they were deducted elsewhere: by a conditional
 // write that is proven to have taken effect, or by a peer that deducts once per
-// transfer number. A lost message strands tokens and never creates any.
+// transfer number. What is lost on the way is sent again until it is
+// acknowledged (mesh/grants_in_transit.hpp); tokens are stranded only with a
+// node that ends, and never created.
 //
 // Not thread safe.
 
@@ -22,6 +24,7 @@
 
 #include "fennelladder/edge/node_tables.hpp"
 #include "fennelladder/edge/stock_refiller.hpp"
+#include "fennelladder/mesh/grants_in_transit.hpp"
 #include "fennelladder/mesh/stock_table.hpp"
 #include "fennelladder/prepaid/urgency_reserve.hpp"
 
@@ -72,7 +75,9 @@
     /// Handles messages of other nodes. `from` is the sender's address.
     void on_token_request(const mesh::token_request& request,
                           const std::string& from);
-    void on_token_grant(const mesh::token_grant& grant);
+    void on_token_grant(const mesh::token_grant& grant,
+                        const std::string& from);
+    void on_grant_acknowledged(const mesh::token_grant_ack& ack);
     void on_token_push(const mesh::token_push& push, const std::string& from);
     void on_push_acknowledged(const mesh::token_push_ack& ack);
 
@@ -85,8 +90,12 @@
     /// The balances that this node reports to others.
     std::vector<mesh::token_stock> local_stock() const;
 
-    /// Pushes all free tokens to other nodes. Completes when every push is
-    /// acknowledged, or after `limit`.
+    /// Tokens that this node gave and whose arrival isn't acknowledged yet.
+    /// Some may be credited at their askers already.
+    tokens in_transit() const { return grants_.in_transit(); }
+
+    /// Pushes all free tokens to other nodes. Completes when every push and
+    /// every grant is acknowledged, or after `limit`.
     awaitable<void> push_all(duration limit);
 
 private:
@@ -125,6 +134,9 @@
     awaitable<void> wait_for_change(instant until);
     awaitable<void> repeat_push(mesh::token_push push, std::string to,
                                 instant until);
+    awaitable<void> repeat_grants();
+    void push_free_tokens(instant until);
+    void update_gauge();
     record_request request_from_record(const team_id& team, tokens missing,
                                        int urgency);
     bool is_done(const record_request& pending) const;
@@ -159,7 +171,9 @@
     std::map<host_id, instant>
         last_grant_from_; ///< Time of each peer's last grant.
     std::vector<pending_request> pending_;
-    std::map<transfer_key, std::pair<mesh::token_grant, instant>> grants_sent_;
+    mesh::grants_in_transit grants_;
+    bool repeats_grants_ = false; ///< Whether repeat_grants() runs.
+    telemetry::gauge& in_transit_gauge_;
     std::map<transfer_key, instant> pushes_received_;
     std::map<mesh::transfer_number, mesh::token_push> pushes_;
     mesh::transfer_number last_number_;
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -120,8 +120,8 @@
     std::vector<recent_peer> heard;
 };
 
-/// Requests tokens from a peer. Idempotent: a retry with the same number gets
-/// the same grant, whichever message was lost.
+/// Requests tokens from a peer. Idempotent: a copy with the same number gets
+/// the same grant.
 struct token_request
 {
     node_incarnation incarnation;
@@ -138,7 +138,8 @@
 };
 
 /// The answer to a token_request; the granting node has already debited the
-/// amount from its balance.
+/// amount from its balance. Resent under its number until acknowledged; the
+/// requesting node credits each number once.
 struct token_grant
 {
     node_incarnation incarnation; ///< Of the requesting node.
@@ -150,6 +151,14 @@
     std::optional<tokens> allotted;
 };
 
+/// A grant of some tokens was credited, now or before. Nodes of earlier
+/// releases don't send it.
+struct token_grant_ack
+{
+    node_incarnation incarnation; ///< Of the requesting node.
+    transfer_number number;
+};
+
 /// Tokens that a leaving node sends unasked. Resent until acknowledged; the
 /// receiver credits each number once.
 struct token_push
@@ -220,6 +229,7 @@
     std::optional<token_grant> grant;
     std::optional<token_push> push;
     std::optional<token_push_ack> push_ack;
+    std::optional<token_grant_ack> grant_ack;
     /// Where streams began, for a node that keeps the record of it.
     std::vector<dispatch::aged_origin> origins;
     std::optional<origin_question> stream_question;
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -135,8 +135,9 @@
 
 void mesh_node::send(const std::string& address, const mesh::datagram& message)
 {
-    const bool of_tokens =
-        message.request || message.grant || message.push || message.push_ack;
+    const bool of_tokens = message.request || message.grant ||
+                           message.grant_ack || message.push ||
+                           message.push_ack;
     const bool of_streams = !message.origins.empty() ||
                             message.stream_question || message.stream_answer;
     const auto rest = of_streams ? traffic::streams : traffic::crashes;
@@ -381,7 +382,9 @@
     if (message.request)
         allocator_->on_token_request(*message.request, from);
     if (message.grant)
-        allocator_->on_token_grant(*message.grant);
+        allocator_->on_token_grant(*message.grant, from);
+    if (message.grant_ack)
+        allocator_->on_grant_acknowledged(*message.grant_ack);
     if (message.push)
         allocator_->on_token_push(*message.push, from);
     if (message.push_ack)
--- a/libs/edge/token_allocator.cpp
+++ b/libs/edge/token_allocator.cpp
@@ -1,7 +1,7 @@
-// The receiver of a transfer credits each transfer number once. The sender
-// deducts once per number and repeats the same grant if the request is
-// repeated. So no tokens are created by messages that are lost, duplicated or
-// delayed.
+// The receiver of a transfer credits each transfer number once, and
+// acknowledges it each time. The sender deducts once per number and repeats the
+// transfer until it is acknowledged. So no tokens are created or lost by
+// messages that are lost, duplicated or delayed.
 
 #include "fennelladder/edge/token_allocator.hpp"
 
@@ -30,8 +30,9 @@
 /// round.
 constexpr int max_record_requests = 3;
 
-/// How long transfer numbers are kept: longer than any datagram can be delayed.
-constexpr duration transfer_retention = seconds(30);
+/// How long a grant is credited after its request: longer than any peer
+/// repeats it.
+constexpr duration answer_retention = 2 * mesh::unreachable_retention;
 
 /// The writer answers a token request for a waiting request within two writes,
 /// and one for stock after its next regular write, unless it is dead or
@@ -41,6 +42,19 @@
 
 constexpr duration push_repeat_interval = milliseconds(60);
 
+/// Interval at which grants in transit are looked through.
+constexpr duration grant_check_period = mesh::first_grant_pause;
+
+constexpr const char* in_transit_metric = "fennelladder_tokens_in_transit";
+
+void log_stranded(const mesh::addressed_grant& given)
+{
+    log_event(event::tokens_stranded,
+              {{"team", given.grant.team.str()},
+               {"amount", std::to_string(given.grant.amount.count())},
+               {"to", given.to}});
+}
+
 } // namespace
 
 /// Counts a request as waiting during its lifetime. It shares ownership of the
@@ -90,7 +104,8 @@
                          send_request(writer, {.team = team,
                                                .wanted = amount,
                                                .background = true});
-                     }})
+                     }}),
+      in_transit_gauge_(tables.metrics.gauge_of(in_transit_metric))
 {}
 
 void token_allocator::start()
@@ -290,11 +305,11 @@
 void token_allocator::on_token_request(const mesh::token_request& request,
                                        const std::string& from)
 {
-    const transfer_key key{request.incarnation, request.number};
-    const auto known = grants_sent_.find(key);
-    if (known != grants_sent_.end()) {
+    const mesh::token_grant* known =
+        grants_.find(request.incarnation, request.number);
+    if (known != nullptr) {
         mesh::datagram again;
-        again.grant = known->second.first;
+        again.grant = *known;
         send_(from, again);
         return;
     }
@@ -351,7 +366,8 @@
         const duration timeout =
             what.background ? writer_stock_timeout : writer_timeout;
         return what.peer == writer->last.host && what.at > heard &&
-               now - what.at > timeout;
+               now - what.at > timeout &&
+               now - what.at <= mesh::transfer_retention;
     });
     if (silent)
         refiller_.on_writer_timeout();
@@ -363,26 +379,69 @@
     mesh::datagram message;
     message.grant = {request.incarnation, request.number, request.team, amount,
                      refiller_.allotted_of(request.team)};
-    grants_sent_[{request.incarnation, request.number}] = {*message.grant,
-                                                           tables_.now()};
+    grants_.add(*message.grant, from, tables_.now());
     send_(from, message);
-    if (amount > tokens(0))
-        log_event(
-            event::tokens_moved,
-            {{"team", request.team.str()},
-             {"amount", std::to_string(amount.count())},
-             {"to", from},
-             {"left",
-              std::to_string(
-                  tables_.token_balances.free_of(request.team).count())}});
+    if (amount == tokens(0))
+        return;
+    log_event(
+        event::tokens_moved,
+        {{"team", request.team.str()},
+         {"amount", std::to_string(amount.count())},
+         {"to", from},
+         {"left", std::to_string(
+                      tables_.token_balances.free_of(request.team).count())}});
+    update_gauge();
+    if (!std::exchange(repeats_grants_, true))
+        spawn(tables_.io, repeat_grants());
+}
+
+/// Repeats grants until none is in transit.
+awaitable<void> token_allocator::repeat_grants()
+{
+    asio::steady_timer timer(tables_.io);
+    while (!grants_.none_open()) {
+        co_await sleep_on(timer, grant_check_period);
+        const instant now = tables_.now();
+        for (const mesh::addressed_grant& it :
+             grants_.end_lost(tables_.peers, now))
+            log_stranded(it);
+        for (const mesh::addressed_grant& it : grants_.take_due(now)) {
+            mesh::datagram message;
+            message.grant = it.grant;
+            send_(it.to, message);
+        }
+        update_gauge();
+    }
+    repeats_grants_ = false;
 }
 
-void token_allocator::on_token_grant(const mesh::token_grant& grant)
+void token_allocator::update_gauge()
 {
+    in_transit_gauge_.set(grants_.in_transit().count());
+}
+
+void token_allocator::on_grant_acknowledged(const mesh::token_grant_ack& ack)
+{
+    grants_.acknowledge(ack, tables_.now());
+    update_gauge();
+}
+
+void token_allocator::on_token_grant(const mesh::token_grant& grant,
+                                     const std::string& from)
+{
+    const bool asked = grant.incarnation == tables_.incarnation &&
+                       grant.number <= last_number_;
+    if (!asked)
+        return;
     const auto it = outstanding_.find(grant.number);
-    const bool ours = grant.incarnation == tables_.incarnation &&
-                      it != outstanding_.end() && it->second.team == grant.team;
-    if (!ours)
+    if (it != outstanding_.end() && it->second.team != grant.team)
+        return;
+    if (grant.amount > tokens(0)) {
+        mesh::datagram message;
+        message.grant_ack = {grant.incarnation, grant.number};
+        send_(from, message);
+    }
+    if (it == outstanding_.end())
         return;
     last_grant_from_[it->second.peer] = tables_.now();
     outstanding_.erase(it);
@@ -460,9 +519,9 @@
     }
 }
 
-awaitable<void> token_allocator::push_all(duration limit)
+/// Begins to push the tokens that are free now.
+void token_allocator::push_free_tokens(instant until)
 {
-    const instant until = tables_.now() + limit;
     for (const mesh::token_stock& it : local_stock()) {
         if (it.free == tokens(0))
             continue;
@@ -478,26 +537,35 @@
         pushes_[last_number_] = push;
         spawn(tables_.io, repeat_push(push, taker, until));
     }
+}
+
+awaitable<void> token_allocator::push_all(duration limit)
+{
+    const instant until = tables_.now() + limit;
+    push_free_tokens(until);
+    grants_.hasten(tables_.now());
     asio::steady_timer timer(tables_.io);
-    while (!pushes_.empty() && tables_.now() < until)
+    while (!(pushes_.empty() && grants_.none_open()) && tables_.now() < until) {
         co_await sleep_on(timer, push_repeat_interval / 3);
+        push_free_tokens(until);
+    }
     for (const auto& [number, push] : pushes_)
         log_event(event::tokens_stranded,
                   {{"team", push.team.str()},
                    {"amount", std::to_string(push.amount.count())}});
+    for (const mesh::addressed_grant& it : grants_.open())
+        log_stranded(it);
 }
 
 void token_allocator::forget_expired()
 {
     const instant now = tables_.now();
     std::erase_if(outstanding_, [&](const auto& it) {
-        return now - it.second.at > transfer_retention;
-    });
-    std::erase_if(grants_sent_, [&](const auto& it) {
-        return now - it.second.second > transfer_retention;
+        return now - it.second.at > answer_retention;
     });
+    grants_.forget_old(now);
     std::erase_if(pushes_received_, [&](const auto& it) {
-        return now - it.second > transfer_retention;
+        return now - it.second > mesh::transfer_retention;
     });
 }
 
--- a/libs/edge/token_allocator_test.cpp
+++ b/libs/edge/token_allocator_test.cpp
@@ -32,10 +32,11 @@
 class fleet
 {
 public:
-    fleet(std::uint64_t seed, double loss) : random_(seed), loss_(loss)
+    fleet(std::uint64_t seed, double loss, int size = 3)
+        : random_(seed), loss_(loss), size_(size)
     {
         telemetry::set_log_sink([](auto&&...) {});
-        for (int i = 0; i < 3; ++i)
+        for (int i = 0; i < size_; ++i)
             nodes_.push_back(std::make_unique<node>(*this, i, random_.bits()));
     }
 
@@ -52,7 +53,7 @@
     /// Each node receives a heartbeat with the balances of the others.
     void exchange_stock()
     {
-        for (int from = 0; from < 3; ++from) {
+        for (int from = 0; from < size_; ++from) {
             mesh::node_heartbeat hello;
             hello.host = host_id("n" + std::to_string(from));
             hello.incarnation = nodes_[from]->tables.incarnation;
@@ -60,7 +61,7 @@
             hello.state = mesh::node_state::ready;
             hello.peer_address = address_of(from);
             hello.stock = allocator(from).local_stock();
-            for (int to = 0; to < 3; ++to)
+            for (int to = 0; to < size_; ++to)
                 if (to != from) {
                     nodes_[to]->tables.peers.on_heartbeat(hello, now());
                     allocator(to).on_heartbeat(hello);
@@ -79,15 +80,41 @@
         }
     }
 
+    /// Runs until all grants have arrived, for `longest` at most.
+    void settle(duration longest)
+    {
+        const instant end = now() + longest;
+        run_for(milliseconds(100));
+        while (in_transit() > tokens(0) && now() < end)
+            run_for(milliseconds(10));
+    }
+
+    /// The node's process is killed, and another one starts on its host. What
+    /// was sent to the one may arrive at the other.
+    void restart(int i)
+    {
+        nodes_[i]->ended = true;
+        ended_.push_back(std::move(nodes_[i]));
+        nodes_[i] = std::make_unique<node>(*this, i, random_.bits());
+        exchange_stock();
+    }
+
     /// Number of handlers that the event loop has run.
     std::size_t handlers() const { return handlers_; }
 
-    tokens held()
+    /// Number of datagrams that nodes have sent.
+    std::size_t messages() const { return messages_; }
+
+    tokens held() const { return held_by(nodes_); }
+
+    /// What running and ended processes hold or held at their end.
+    tokens ever_held() const { return held() + held_by(ended_); }
+
+    tokens in_transit() const
     {
         tokens out;
         for (const auto& it : nodes_)
-            for (const auto& [id, held] : it->tables.token_balances.holdings())
-                out += held.free + held.reserved + held.spent;
+            out += it->allocator.in_transit();
         return out;
     }
 
@@ -97,9 +124,10 @@
         node(fleet& all, int i, std::uint64_t seed)
             : tables(all.io_, all.time_, settings_of(i), seed), client(tables),
               allocator(tables, client,
-                        [&all, i](const std::string& to,
-                                  const mesh::datagram& message) {
-                            all.send(i, to, message);
+                        [this, &all, i](const std::string& to,
+                                        const mesh::datagram& message) {
+                            if (!ended)
+                                all.send(i, to, message);
                         })
         {
             catalog::configuration_parts parts;
@@ -114,8 +142,20 @@
         node_tables tables;
         platform_client client;
         token_allocator allocator;
+        bool ended = false;
     };
 
+    using node_list = std::vector<std::unique_ptr<node>>;
+
+    static tokens held_by(const node_list& nodes)
+    {
+        tokens out;
+        for (const auto& it : nodes)
+            for (const auto& [id, held] : it->tables.token_balances.holdings())
+                out += held.free + held.reserved + held.spent;
+        return out;
+    }
+
     struct queued_datagram
     {
         int from;
@@ -126,6 +166,7 @@
     void send(int from, const std::string& to, const mesh::datagram& message)
     {
         const int target = std::stoi(to.substr(to.rfind(':') + 1)) - 7000;
+        ++messages_;
         const int copies = random_.chance(loss_)   ? 0
                            : random_.chance(loss_) ? 2
                                                    : 1;
@@ -147,7 +188,9 @@
                 allocator.on_token_request(*message->request,
                                            address_of(it.from));
             if (message->grant)
-                allocator.on_token_grant(*message->grant);
+                allocator.on_token_grant(*message->grant, address_of(it.from));
+            if (message->grant_ack)
+                allocator.on_grant_acknowledged(*message->grant_ack);
             if (message->push)
                 allocator.on_token_push(*message->push, address_of(it.from));
             if (message->push_ack)
@@ -161,20 +204,35 @@
     double loss_;
     std::uint64_t sequence_ = 0;
     std::size_t handlers_ = 0;
+    std::size_t messages_ = 0;
     std::deque<queued_datagram> datagrams_;
-    std::vector<std::unique_ptr<node>> nodes_;
+    int size_;
+    node_list nodes_;
+    node_list ended_;
 };
 
 awaitable<void> acquire(fleet& all, int i, tokens amount, int& got,
                         int urgency = 0)
 {
     const instant until = all.now() + milliseconds(80);
-    const shortage lacks =
-        co_await all.allocator(i).acquire(team, amount, urgency, until);
+    token_allocator& here = all.allocator(i);
+    const shortage lacks = co_await here.acquire(team, amount, urgency, until);
     if (lacks != shortage::none)
         co_return;
     ++got;
-    all.allocator(i).settle(team, amount, amount);
+    here.settle(team, amount, amount);
+}
+
+/// Acquires tokens at random nodes, `count` times.
+void acquire_at_random(fleet& all, random_source& random, int count, int& got)
+{
+    for (int i = 0; i < count; ++i) {
+        all.exchange_stock();
+        const tokens amount(static_cast<std::int64_t>(1 + random.below(300)));
+        spawn(all.io(),
+              acquire(all, static_cast<int>(random.below(3)), amount, got));
+        all.run_for(milliseconds(5));
+    }
 }
 
 } // namespace
@@ -244,6 +302,125 @@
     }
 }
 
+// Guards against tokens that are gone with a lost grant: the giver debited
+// them, nobody credited them, and all nodes lived on.
+TEST(token_allocator, a_lossy_network_loses_no_tokens)
+{
+    for (const double loss : {0.1, 0.33})
+        for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+            fleet all(seed, loss);
+            all.token_balances(0).credit(team, tokens(5000));
+            random_source random(seed);
+            int got = 0;
+            acquire_at_random(all, random, 30, got);
+            all.settle(seconds(20));
+            CHECK(got > 5);
+            LONGS_EQUAL(5000, all.held().count());
+            LONGS_EQUAL(0, all.in_transit().count());
+        }
+}
+
+// Guards against tokens that are credited twice, by the process that asked for
+// them and by the next one on its host, or given twice by two processes.
+TEST(token_allocator, restarts_create_no_tokens)
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        fleet all(seed, 0.33);
+        random_source random(seed);
+        int got = 0;
+        tokens total;
+        for (int round = 0; round < 12; ++round) {
+            const int giver = static_cast<int>(random.below(3));
+            all.token_balances(giver).credit(team, tokens(1000));
+            total += tokens(1000);
+            acquire_at_random(all, random, 4, got);
+            CHECK(all.ever_held() <= total);
+            all.restart(static_cast<int>(random.below(3)));
+        }
+        all.settle(seconds(20));
+        CHECK(all.ever_held() <= total);
+        CHECK(got > 0);
+        LONGS_EQUAL(0, all.in_transit().count());
+    }
+}
+
+// Guards against tokens that a leaving node takes along because the grant of
+// them was lost shortly before.
+TEST(token_allocator, a_leaving_node_waits_for_its_grants_to_arrive)
+{
+    for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+        fleet all(seed, 0.33);
+        all.token_balances(0).credit(team, tokens(1000));
+        all.exchange_stock();
+        int got = 0;
+        spawn(all.io(), acquire(all, 1, tokens(300), got));
+        spawn(all.io(), acquire(all, 2, tokens(500), got));
+        all.run_for(milliseconds(10));
+        spawn(all.io(), all.allocator(0).push_all(milliseconds(1500)));
+        all.run_for(milliseconds(1600));
+        CHECK(all.token_balances(0).free_of(team) == tokens(0));
+        LONGS_EQUAL(1000, all.held().count());
+        LONGS_EQUAL(0, all.allocator(0).in_transit().count());
+    }
+}
+
+// Guards against a grant that is lost because its request had given up, or
+// credited again because its acknowledgement was lost.
+TEST(token_allocator, a_late_grant_is_credited_once_and_acknowledged_each_time)
+{
+    telemetry::set_log_sink([](auto&&...) {});
+    asio::io_context io{1};
+    system_clock time;
+    node_tables tables(io, time, settings_of(0), 1);
+    platform_client client(tables);
+    std::vector<mesh::datagram> sent;
+    token_allocator allocator(
+        tables, client, [&](const std::string&, const mesh::datagram& it) {
+            sent.push_back(it);
+        });
+    catalog::configuration_parts parts;
+    parts.version = catalog::configuration_version(1);
+    catalog::team payer;
+    payer.id = team;
+    payer.prepaid = tokens(1'000);
+    parts.teams = {payer};
+    tables.apply_configuration(std::move(parts), "", "test");
+    mesh::node_heartbeat hello;
+    hello.host = host_id("n1");
+    hello.incarnation = mesh::node_incarnation(7);
+    hello.state = mesh::node_state::ready;
+    hello.peer_address = address_of(1);
+    hello.stock = {{team, tokens(500), tokens(0)}};
+    tables.peers.on_heartbeat(hello, tables.now());
+    allocator.on_heartbeat(hello);
+    const auto ask = [&]() -> awaitable<void> {
+        const instant until = tables.now() + milliseconds(20);
+        co_await allocator.acquire(team, tokens(300), 0, until);
+    };
+    spawn(io, ask());
+    io.run_for(milliseconds(60));
+    CHECK(!sent.empty() && sent[0].request);
+    const mesh::token_grant late{sent[0].request->incarnation,
+                                 sent[0].request->number,
+                                 team,
+                                 tokens(300),
+                                 {}};
+    sent.clear();
+    for (int i = 0; i < 3; ++i)
+        allocator.on_token_grant(late, address_of(1));
+    CHECK(tables.token_balances.free_of(team) == tokens(300));
+    LONGS_EQUAL(3, sent.size());
+    for (const mesh::datagram& it : sent)
+        CHECK(it.grant_ack && it.grant_ack->number == late.number);
+    sent.clear();
+    mesh::token_grant of_another = late;
+    of_another.incarnation = mesh::node_incarnation(8);
+    allocator.on_token_grant(of_another, address_of(1));
+    CHECK(tables.token_balances.free_of(team) == tokens(300));
+    LONGS_EQUAL(0, sent.size());
+    telemetry::set_log_sink(nullptr);
+}
+
 TEST(token_allocator, a_leaving_node_pushes_its_tokens_to_others)
 {
     fleet all(3, 0.33);
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -210,6 +210,7 @@
   10: optional RunAsk run_ask
   11: optional RunReply run_reply
   12: optional RunEnd run_end
+  13: optional TokenGiftTaken give_taken
 }
 
 struct RelayAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -113,7 +113,7 @@
     return out;
 }
 
-/// Converts the fields that the four token messages share.
+/// Converts the fields that the token messages share.
 template <class Wire, class Message>
 Wire transfer_to_wire(const Message& from)
 {
@@ -203,6 +203,9 @@
     if (message.push_ack)
         out.__set_gift_taken(
             transfer_to_wire<wire::TokenGiftTaken>(*message.push_ack));
+    if (message.grant_ack)
+        out.__set_give_taken(
+            transfer_to_wire<wire::TokenGiftTaken>(*message.grant_ack));
     for (const dispatch::aged_origin& it : message.origins)
         out.origins.push_back(to_wire(it));
     out.__isset.origins = !out.origins.empty();
@@ -241,6 +244,8 @@
         out.push = transfer_from_wire<token_push>(read->gift);
     if (read->__isset.gift_taken)
         out.push_ack = transfer_from_wire<token_push_ack>(read->gift_taken);
+    if (read->__isset.give_taken)
+        out.grant_ack = transfer_from_wire<token_grant_ack>(read->give_taken);
     out.origins = origins_from(read->origins, out.invalid_parts);
     if (read->__isset.origin_ask)
         out.stream_question = from_wire(read->origin_ask);
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -277,8 +277,12 @@
                        tokens(300)};
     message.grant = {node_incarnation(1), transfer_number(2), team_id("t"),
                      tokens(250)};
+    message.grant_ack = {node_incarnation(1), transfer_number(3)};
     const auto got = decode_datagram(encode(message));
-    CHECK(got && got->request && got->grant);
+    CHECK(got && got->request && got->grant && got->grant_ack);
+    CHECK(!got->push_ack);
+    CHECK(got->grant_ack->incarnation == node_incarnation(1));
+    CHECK(got->grant_ack->number == transfer_number(3));
     CHECK(got->request->wanted == tokens(300));
     CHECK(got->grant->amount == tokens(250));
 }
