Let one node collect the tokens that several wait for

Cause: a node whose own requests wait refused every other ("none to spare"), so nodes that each held a part of a team's last tokens refused each other, and nobody was served.

Ruled out: more rounds of asking; nothing decides who gives way, and nodes that meet again refuse each other again.

Change: requests that wait have an order on which all nodes agree without a message, by urgency, then by rendezvous hash of team and host. A waiting node gives to those that go first, and keeps the requests of the others until its own ended, then answers them in this order. So tokens move one way only while requests wait. A request of a node that is scarce of tokens now waits for answers that peers still owe, to the end of its wait at most.

--- a/include/fennelladder/edge/token_allocator.hpp
+++ b/include/fennelladder/edge/token_allocator.hpp
@@ -9,7 +9,9 @@
 // The node's own balance is tried first, without a message. Then token requests
 // go to the node with the largest known balance, to the next one, and at last
 // to the node that writes the record (edge/stock_refiller.hpp), which answers
-// once it has withdrawn what is missing.
+// once it has withdrawn what is missing. A node whose own requests wait gives
+// to those that go first (prepaid/collector_rank.hpp), and answers the others
+// once its own are served or refused.
 //
 // Tokens are credited only after they were deducted elsewhere: by a conditional
 // write that is proven to have taken effect, or by a peer that deducts once per
@@ -26,6 +28,7 @@
 #include "fennelladder/edge/stock_refiller.hpp"
 #include "fennelladder/mesh/grants_in_transit.hpp"
 #include "fennelladder/mesh/stock_table.hpp"
+#include "fennelladder/prepaid/collector_rank.hpp"
 #include "fennelladder/prepaid/urgency_reserve.hpp"
 
 #include <functional>
@@ -106,6 +109,7 @@
         host_id peer;
         instant at;
         bool background = false;
+        tokens wanted;
     };
 
     /// A peer's token request that is answered after tokens were withdrawn for
@@ -127,10 +131,20 @@
 
     class waiting_request;
 
-    using waiting_counts = std::map<team_id, int>;
+    /// Whom one acquire() has asked, and under which numbers.
+    struct requested_peers
+    {
+        std::set<host_id> tried; ///< Not to be asked again for now.
+        std::set<mesh::transfer_number> numbers;
+    };
+
+    /// Number of waiting requests, by team and urgency.
+    using waiting_counts = std::map<team_id, std::map<int, int>>;
     using transfer_key =
         std::pair<mesh::node_incarnation, mesh::transfer_number>;
 
+    awaitable<shortage> collect(const team_id& team, tokens amount, int urgency,
+                                instant until);
     awaitable<void> wait_for_change(instant until);
     awaitable<void> repeat_push(mesh::token_push push, std::string to,
                                 instant until);
@@ -140,6 +154,14 @@
     record_request request_from_record(const team_id& team, tokens missing,
                                        int urgency);
     bool is_done(const record_request& pending) const;
+    bool ask_peers(const team_id& team, tokens wanted, int urgency,
+                   requested_peers& from);
+    tokens expected(const requested_peers& from) const;
+    std::set<host_id> unanswered(const requested_peers& from) const;
+    bool goes_first(const mesh::token_request& request) const;
+    prepaid::collector_rank rank_of(const mesh::token_request& request) const;
+    bool is_known(const mesh::token_request& request) const;
+    void answer_deferred(const team_id& team);
     bool cannot_be_withdrawn(const team_id& team, tokens missing) const;
     tokens missing_of(const team_id& team, tokens amount, int urgency) const;
     tokens extra_request(const team_id& team) const;
@@ -151,8 +173,17 @@
     void send_grant(const mesh::token_request& request, const std::string& from,
                     tokens amount);
     void answer_pending(instant begun);
-    std::optional<host_id> choose_peer(const team_id& team,
-                                       const std::set<host_id>& tried) const;
+    /// A peer to ask, and its balance as far as known.
+    struct chosen_peer
+    {
+        host_id host;
+        std::optional<tokens> balance;
+    };
+
+    std::optional<chosen_peer> choose_peer(const team_id& team,
+                                           const std::set<host_id>& tried);
+    std::optional<chosen_peer>
+    choose_last_holder(const team_id& team, const std::set<host_id>& tried);
     shortage shortage_of(const team_id& team) const;
     void check_writer_timeout();
     void forget_expired();
@@ -171,6 +202,8 @@
     std::map<host_id, instant>
         last_grant_from_; ///< Time of each peer's last grant.
     std::vector<pending_request> pending_;
+    /// Requests that go after some that wait here.
+    std::vector<pending_request> deferred_;
     mesh::grants_in_transit grants_;
     bool repeats_grants_ = false; ///< Whether repeat_grants() runs.
     telemetry::gauge& in_transit_gauge_;
--- a/include/fennelladder/mesh/stock_table.hpp
+++ b/include/fennelladder/mesh/stock_table.hpp
@@ -49,6 +49,12 @@
                                           const std::set<host_id>& excluded,
                                           instant since) const;
 
+    /// The balances of the team above zero at the nodes heard since `since` and
+    /// not in `excluded`.
+    std::map<host_id, tokens> holders(const team_id& team,
+                                      const std::set<host_id>& excluded,
+                                      instant since) const;
+
     /// Subtracts what a node was asked for from its balance, until its next
     /// heartbeat.
     void deduct(const host_id& host, const team_id& team, tokens amount);
--- a/libs/edge/token_allocator.cpp
+++ b/libs/edge/token_allocator.cpp
@@ -40,6 +40,10 @@
 constexpr duration writer_timeout = milliseconds(500);
 constexpr duration writer_stock_timeout = milliseconds(2500);
 
+/// A request that had to wait for longer isn't given tokens: its node has
+/// refused it by now.
+constexpr duration deferral_limit = milliseconds(500);
+
 constexpr duration push_repeat_interval = milliseconds(60);
 
 /// Interval at which grants in transit are looked through.
@@ -55,6 +59,16 @@
                {"to", given.to}});
 }
 
+/// The host of a peer's incarnation; null if it isn't known.
+const host_id* host_of(mesh::node_incarnation incarnation,
+                       const mesh::peer_view& peers)
+{
+    const auto it = std::ranges::find_if(peers.rows(), [&](const auto& row) {
+        return row.second.last.incarnation == incarnation;
+    });
+    return it == peers.rows().end() ? nullptr : &it->first;
+}
+
 } // namespace
 
 /// Counts a request as waiting during its lifetime. It shares ownership of the
@@ -65,10 +79,11 @@
 class token_allocator::waiting_request
 {
 public:
-    waiting_request(std::shared_ptr<waiting_counts> counts, const team_id& team)
-        : counts_(std::move(counts)), team_(team)
+    waiting_request(std::shared_ptr<waiting_counts> counts, const team_id& team,
+                    int urgency)
+        : counts_(std::move(counts)), team_(team), urgency_(urgency)
     {
-        ++(*counts_)[team_];
+        ++(*counts_)[team_][urgency_];
     }
 
     waiting_request(const waiting_request&) = delete;
@@ -77,13 +92,16 @@
     ~waiting_request()
     {
         const auto it = counts_->find(team_);
-        if (--it->second == 0)
+        if (--it->second[urgency_] == 0)
+            it->second.erase(urgency_);
+        if (it->second.empty())
             counts_->erase(it);
     }
 
 private:
     std::shared_ptr<waiting_counts> counts_;
     team_id team_;
+    int urgency_;
 };
 
 token_allocator::token_allocator(node_tables& tables, platform_client& client,
@@ -140,21 +158,30 @@
     if (payer == nullptr || !payer->prepaid || *payer->prepaid < amount)
         co_return shortage::exceeds_prepaid;
     urgency_reserve_.note(team, urgency, amount, tables_.now());
-    const waiting_request here(waiting_by_team_, team);
-    std::set<host_id> tried;
+    if (reserve(team, amount, urgency))
+        co_return shortage::none;
+    const shortage out = co_await collect(team, amount, urgency, until);
+    answer_deferred(team);
+    co_return out;
+}
+
+/// Waits for tokens from others until those of the request are reserved.
+awaitable<shortage> token_allocator::collect(const team_id& team, tokens amount,
+                                             int urgency, instant until)
+{
+    const waiting_request here(waiting_by_team_, team, urgency);
+    requested_peers peers;
     std::optional<record_request> asked;
     int record_requests = 0;
     while (!reserve(team, amount, urgency)) {
         if (tables_.now() >= until)
             co_return shortage_of(team);
-        const auto peer = choose_peer(team, tried);
         const tokens missing = missing_of(team, amount, urgency);
         const tokens wanted = missing + extra_request(team);
-        duration pause = peer_timeout;
-        if (peer) {
-            tried.insert(*peer);
-            send_request(*peer,
-                         {.team = team, .wanted = wanted, .urgency = urgency});
+        duration pause(0);
+        if (ask_peers(team, wanted, urgency, peers) ||
+            expected(peers) > tokens(0)) {
+            pause = peer_timeout;
         } else if (asked && !is_done(*asked)) {
             pause = until - tables_.now();
         } else if (record_requests == 0 ||
@@ -162,9 +189,12 @@
                     !cannot_be_withdrawn(team, missing))) {
             // Peers may have received tokens meanwhile: ask them again.
             ++record_requests;
-            tried.clear();
+            peers.tried = unanswered(peers);
             asked = request_from_record(team, wanted, urgency);
             pause = record_timeout;
+        } else if (!unanswered(peers).empty()) {
+            // A peer that goes first keeps the request until it is served.
+            pause = until - tables_.now();
         } else {
             co_return shortage_of(team);
         }
@@ -173,6 +203,50 @@
     co_return shortage::none;
 }
 
+/// Asks as many peers as are known to hold what is wanted beyond the answers
+/// that are expected. Returns whether it asked any.
+bool token_allocator::ask_peers(const team_id& team, tokens wanted, int urgency,
+                                requested_peers& from)
+{
+    tokens missing = wanted - expected(from);
+    bool asked = false;
+    while (missing > tokens(0)) {
+        const auto peer = choose_peer(team, from.tried);
+        if (!peer)
+            break;
+        const tokens part = std::min(missing, peer->balance.value_or(missing));
+        from.tried.insert(peer->host);
+        from.numbers.insert(send_request(
+            peer->host, {.team = team, .wanted = part, .urgency = urgency}));
+        missing -= part;
+        asked = true;
+    }
+    return asked;
+}
+
+/// Tokens that peers were asked for so lately that they may still answer soon.
+tokens token_allocator::expected(const requested_peers& from) const
+{
+    tokens out;
+    for (const mesh::transfer_number number : from.numbers) {
+        const auto it = outstanding_.find(number);
+        if (it != outstanding_.end() &&
+            tables_.now() - it->second.at < peer_timeout)
+            out += it->second.wanted;
+    }
+    return out;
+}
+
+/// The peers that haven't answered some request yet.
+std::set<host_id> token_allocator::unanswered(const requested_peers& from) const
+{
+    std::set<host_id> out;
+    for (const mesh::transfer_number number : from.numbers)
+        if (const auto it = outstanding_.find(number); it != outstanding_.end())
+            out.insert(it->second.peer);
+    return out;
+}
+
 /// Tokens kept back for more urgent requests, while the platform is unreachable
 /// or has none left for the team, so that the remaining ones last.
 tokens token_allocator::reserved_for_urgent(const team_id& team,
@@ -209,7 +283,8 @@
 {
     const auto waiting = waiting_by_team_->find(team);
     const bool alone =
-        waiting == waiting_by_team_->end() || waiting->second <= 1;
+        waiting == waiting_by_team_->end() ||
+        (waiting->second.size() == 1 && waiting->second.begin()->second == 1);
     const tokens spare = tables_.token_balances.free_of(team) -
                          reserved_for_urgent(team, urgency);
     return alone ? amount - std::max(spare, tokens(0)) : amount;
@@ -269,20 +344,56 @@
 
 // Transfers between nodes.
 
-std::optional<host_id>
+std::optional<token_allocator::chosen_peer>
 token_allocator::choose_peer(const team_id& team,
-                             const std::set<host_id>& tried) const
+                             const std::set<host_id>& tried)
 {
     if (!tables_.options.requests_peer_tokens)
         return std::nullopt;
-    const instant since = tables_.now() - tables_.stock_update_lifetime();
-    if (auto best = peers_.largest_holder(team, tried, since))
-        return best;
+    if (refiller_.is_scarce(team)) {
+        if (auto holder = choose_last_holder(team, tried))
+            return holder;
+    } else {
+        const instant since = tables_.now() - tables_.stock_update_lifetime();
+        if (auto best = peers_.largest_holder(team, tried, since))
+            return chosen_peer{*best, std::nullopt};
+    }
     // No peer is known to have any; a stock holder may have received some
     // since.
     for (const host_id& it : refiller_.stock_holders(team))
         if (!tried.contains(it) && tables_.peers.rows().contains(it))
-            return it;
+            return chosen_peer{it, std::nullopt};
+    return std::nullopt;
+}
+
+/// Chooses among the holders of a team's last tokens. Those that go after this
+/// node come first: they give also while they wait themselves. At random, by
+/// balance: if all nodes asked the largest holder first, they would follow each
+/// other through the whole fleet.
+std::optional<token_allocator::chosen_peer>
+token_allocator::choose_last_holder(const team_id& team,
+                                    const std::set<host_id>& tried)
+{
+    const instant since = tables_.now() - tables_.stock_update_lifetime();
+    auto all = peers_.holders(team, tried, since);
+    const auto own = prepaid::rank_of(team, 0, tables_.settings.host);
+    const auto before = [&](const auto& it) {
+        return prepaid::goes_first(prepaid::rank_of(team, 0, it.first), own);
+    };
+    if (!std::ranges::all_of(all, before))
+        std::erase_if(all, before);
+    tokens total;
+    for (const auto& [host, free] : all)
+        total += free;
+    if (total == tokens(0))
+        return std::nullopt;
+    tokens left(static_cast<std::int64_t>(
+        tables_.random.below(static_cast<std::uint64_t>(total.count()))));
+    for (const auto& [host, free] : all) {
+        if (left < free)
+            return chosen_peer{host, free};
+        left -= free;
+    }
     return std::nullopt;
 }
 
@@ -294,7 +405,7 @@
     what.incarnation = tables_.incarnation;
     what.number = last_number_;
     outstanding_[last_number_] = {what.team, peer, tables_.now(),
-                                  what.background};
+                                  what.background, what.wanted};
     peers_.deduct(peer, what.team, what.wanted);
     mesh::datagram message;
     message.request = std::move(what);
@@ -313,12 +424,7 @@
         send_(from, again);
         return;
     }
-    const bool waits =
-        std::ranges::any_of(pending_, [&](const pending_request& it) {
-            return it.request.incarnation == request.incarnation &&
-                   it.request.number == request.number;
-        });
-    if (waits)
+    if (is_known(request))
         return;
     if (!request.background)
         urgency_reserve_.note(request.team, request.urgency, request.wanted,
@@ -330,10 +436,70 @@
                                  request.background);
         return;
     }
-    // Two nodes short of tokens would send the same tokens back and forth.
-    const bool none_to_spare = waiting_by_team_->contains(request.team) &&
-                               refiller_.remote_writer() != nullptr;
-    send_grant(request, from, none_to_spare ? tokens(0) : debit(request));
+    const bool gives = !waiting_by_team_->contains(request.team) ||
+                       refiller_.can_withdraw(request.team) ||
+                       goes_first(request);
+    // Unless the tokens here are the last ones, the asker gets some sooner from
+    // the record.
+    if (!gives && !request.background && refiller_.is_scarce(request.team))
+        deferred_.push_back({request, from, tables_.now()});
+    else
+        send_grant(request, from, gives ? debit(request) : tokens(0));
+}
+
+/// Whether the request waits for its answer already.
+bool token_allocator::is_known(const mesh::token_request& request) const
+{
+    const auto same = [&](const pending_request& it) {
+        return it.request.incarnation == request.incarnation &&
+               it.request.number == request.number;
+    };
+    return std::ranges::any_of(pending_, same) ||
+           std::ranges::any_of(deferred_, same);
+}
+
+/// Whether a peer's request goes before all of the team that wait here.
+bool token_allocator::goes_first(const mesh::token_request& request) const
+{
+    const auto waiting = waiting_by_team_->find(request.team);
+    if (waiting == waiting_by_team_->end())
+        return true;
+    return !request.background &&
+           prepaid::goes_first(rank_of(request),
+                               prepaid::rank_of(request.team,
+                                                waiting->second.begin()->first,
+                                                tables_.settings.host));
+}
+
+/// Answers those of the team's deferred requests that no request here goes
+/// before any more.
+void token_allocator::answer_deferred(const team_id& team)
+{
+    std::vector<pending_request> left;
+    std::vector<pending_request> first;
+    for (pending_request& it : std::exchange(deferred_, {})) {
+        const bool answered = it.request.team == team && goes_first(it.request);
+        (answered ? first : left).push_back(std::move(it));
+    }
+    deferred_ = std::move(left);
+    std::ranges::stable_sort(first, [&](const auto& one, const auto& other) {
+        return prepaid::goes_first(rank_of(one.request),
+                                   rank_of(other.request));
+    });
+    for (const pending_request& it : first) {
+        const bool waits = tables_.now() - it.at <= deferral_limit;
+        send_grant(it.request, it.from, waits ? debit(it.request) : tokens(0));
+    }
+}
+
+/// The rank of a peer's request; the last one if the peer isn't known.
+prepaid::collector_rank
+token_allocator::rank_of(const mesh::token_request& request) const
+{
+    const host_id* asker = host_of(request.incarnation, tables_.peers);
+    return asker == nullptr
+               ? prepaid::collector_rank{request.urgency, 0}
+               : prepaid::rank_of(request.team, request.urgency, *asker);
 }
 
 /// Answers pending requests that can be granted in full now, and those made
--- a/libs/edge/token_allocator_test.cpp
+++ b/libs/edge/token_allocator_test.cpp
@@ -235,6 +235,55 @@
     }
 }
 
+struct collected
+{
+    int served = 0;
+    tokens held;
+    std::size_t messages = 0;
+};
+
+/// Each node of a fleet holds `leftover` tokens, and requests `amount` at the
+/// same time as all others.
+collected ask_everywhere(int size, tokens leftover, tokens amount,
+                         std::uint64_t seed, bool knows_outage)
+{
+    fleet all(seed, 0, size);
+    for (int i = 0; i < size; ++i)
+        all.token_balances(i).credit(team, leftover);
+    all.exchange_stock();
+    if (knows_outage) {
+        for (int i = 0; i < size; ++i)
+            all.allocator(i).start();
+        all.run_for(milliseconds(600));
+        all.exchange_stock();
+    }
+    collected out;
+    const std::size_t before = all.messages();
+    for (int i = 0; i < size; ++i)
+        spawn(all.io(), acquire(all, i, amount, out.served));
+    all.run_for(milliseconds(150));
+    out.held = all.held();
+    out.messages = all.messages() - before;
+    return out;
+}
+
+/// What the fleet holds in leftovers of several sizes must serve as many
+/// requests as it covers.
+void check_leftovers(int size)
+{
+    const tokens amount(600);
+    for (const std::int64_t leftover : {100, 400, 550})
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            const collected got =
+                ask_everywhere(size, tokens(leftover), amount, seed, true);
+            LONGS_EQUAL(size * leftover / amount.count(), got.served);
+            LONGS_EQUAL(size * leftover, got.held.count());
+            // A few to each other node.
+            CHECK(got.messages <= 4 * static_cast<std::size_t>(size) *
+                                      static_cast<std::size_t>(size));
+        }
+}
+
 } // namespace
 
 TEST_GROUP(token_allocator){};
@@ -278,6 +327,56 @@
     CHECK(all.held() == tokens(200));
 }
 
+// Guards against nodes that each hold a part of the last tokens, wait for the
+// rest, and refuse each other.
+TEST(token_allocator, of_nodes_that_wait_at_once_one_collects)
+{
+    for (const bool knows_outage : {false, true})
+        for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+            const collected got =
+                ask_everywhere(3, tokens(400), tokens(600), seed, knows_outage);
+            LONGS_EQUAL(2, got.served);
+            LONGS_EQUAL(1200, got.held.count());
+        }
+}
+
+// Guards against leftovers on several nodes, each smaller than any request,
+// that serve nobody when all nodes ask at once.
+TEST(token_allocator, leftovers_of_eight_nodes_serve_what_they_cover)
+{
+    check_leftovers(8);
+}
+
+// Guards against the same on many nodes, which can't all ask all others.
+TEST(token_allocator, leftovers_of_sixty_nodes_serve_what_they_cover)
+{
+    check_leftovers(60);
+}
+
+// Guards against an urgent request that is refused while a node keeps tokens
+// for a less urgent one.
+TEST(token_allocator, of_nodes_that_wait_the_more_urgent_one_collects)
+{
+    for (const int urgent : {0, 1, 2}) {
+        fleet all(7, 0);
+        for (int i = 0; i < 3; ++i)
+            all.token_balances(i).credit(team, tokens(250));
+        for (int i = 0; i < 3; ++i)
+            all.allocator(i).start(); // Finds that the platform is unreachable.
+        all.run_for(milliseconds(600));
+        all.exchange_stock();
+        int got = 0;
+        int others = 0;
+        for (int i = 0; i < 3; ++i)
+            spawn(all.io(),
+                  acquire(all, i, tokens(600), i == urgent ? got : others,
+                          i == urgent ? 1 : 4));
+        all.run_for(milliseconds(100));
+        LONGS_EQUAL(1, got);
+        LONGS_EQUAL(0, others);
+    }
+}
+
 // A third of all datagrams are lost and a third of the others arrive twice, in
 // any order. Tokens may be lost in transit; none may be created.
 TEST(token_allocator, a_lossy_network_creates_no_tokens)
--- a/libs/mesh/stock_table.cpp
+++ b/libs/mesh/stock_table.cpp
@@ -42,6 +42,21 @@
     return best;
 }
 
+std::map<host_id, tokens>
+stock_table::holders(const team_id& team, const std::set<host_id>& excluded,
+                     instant since) const
+{
+    std::map<host_id, tokens> out;
+    for (const auto& [host, peer] : rows_) {
+        const auto it = peer.stock.find(team);
+        const bool counts = it != peer.stock.end() && peer.heard >= since &&
+                            !excluded.contains(host);
+        if (counts && it->second.free > tokens(0))
+            out[host] = it->second.free;
+    }
+    return out;
+}
+
 void stock_table::deduct(const host_id& host, const team_id& team,
                          tokens amount)
 {
