Keep an account of what a host can do, and limit what it admits

A host accepted whatever came, so that all requests got slower together until their callers left.

dispatch/admission_control measures the share of time in which the event loop has work and the standing backlog (the least wait of a ready handler over an interval).

In the model reading and refusing a new connection's request costs 0.13 ms of 1.3 ms for serving it, so that refusals alone use up the processor at 10 times; what is left to do is to bound the cost of what is refused.

--- a/libs/dispatch/host_overload_test.cpp
+++ b/libs/dispatch/host_overload_test.cpp
@@ -6,6 +6,7 @@
 #include "fennelladder/base/ids.hpp"
 #include "fennelladder/base/random.hpp"
 #include "fennelladder/base/time.hpp"
+#include "fennelladder/dispatch/admission_control.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -17,6 +18,7 @@
 #include <vector>
 
 using namespace fennelladder;
+using namespace fennelladder::dispatch;
 
 namespace {
 
@@ -278,13 +280,32 @@
         note_finished(when);
     }
 
-    void note_busy(double, double) {}
-    void note_backlog(double, double) {}
-    void note_finished(double) {}
+    static instant instant_at(double when)
+    {
+        return instant(seconds(100)) + from_seconds(when);
+    }
+
+    void note_busy(double busy, double now)
+    {
+        control_.note_busy(from_seconds(busy), instant_at(now));
+    }
+
+    void note_backlog(double waited, double now)
+    {
+        control_.note_backlog(from_seconds(waited), instant_at(now));
+    }
+
+    void note_finished(double now) { control_.note_ended(instant_at(now)); }
 
     /// Seconds after which the caller shall come back; 0: admitted.
-    double refused_for(const request&, double, double) { return 0; }
+    double refused_for(const request& it, double longest, double now)
+    {
+        const admission got = control_.admit(
+            it.team, it.urgency, from_seconds(longest), instant_at(now));
+        return got.admitted ? 0 : to_seconds(got.retry_after);
+    }
 
+    admission_control control_;
     random_source random_;
     std::priority_queue<job> ready_;
     std::uint64_t number_ = 0;
