Refuse at once what a host's processor can't do

A host of 0.12 cores took 60 to 170 requests a second from one team, of which it can serve about 100; all got slower together, and callers left.

The node runs its event loop by edge/busy_loop, probes the backlog every 50 ms, and asks admission_control once the route and the team are known, before tokens, target and dial. What is over the limit gets 503, "the host is over its capacity", with a Retry-After from the team's share. Gauges tell the time at work, the backlog and the limit, a counter the refusals; the line of a request's end has busy_permille and backlog_ms.

The condition is now a loop that has had work for 0.95 of an interval, with a least wait over 5 ms.

The gain on a node is not shown.

--- a/apps/fennelladder/command_front.cpp
+++ b/apps/fennelladder/command_front.cpp
@@ -90,14 +90,14 @@
         });
 }
 
-/// Runs `io` until the node stops. An exception that escapes a coroutine ends
+/// Runs the node until it stops. An exception that escapes a coroutine ends
 /// the process and cuts off every request in progress; it is logged, because
 /// without a log line the exit looks like a power failure.
-int run_until_stopped(edge::asio::io_context& io, telemetry::line_writer& log,
+int run_until_stopped(edge::edge_node& node, telemetry::line_writer& log,
                       const clock& time)
 {
     try {
-        io.run();
+        node.run();
         return exit_success;
     } catch (const std::exception& failure) {
         telemetry::log_event(telemetry::event::node_failed,
@@ -156,7 +156,7 @@
         std::cerr << "fennelladder front: " << ok.error().message << '\n';
         return exit_failure;
     }
-    return run_until_stopped(io, log, time);
+    return run_until_stopped(node, log, time);
 }
 
 } // namespace fennelladder::app
--- a/include/fennelladder/dispatch/admission_control.hpp
+++ b/include/fennelladder/dispatch/admission_control.hpp
@@ -13,12 +13,12 @@
 // least over an interval. One stall says nothing; a wait that doesn't go away
 // shows more work than processor.
 //
-// While there is no standing backlog, all requests are admitted. Once there is
-// one, the host admits as many requests a second as it was able to end at full
-// load: the rate of ends divided by the share of time at work, less a reserve.
-// All work counts that way, that of other tasks too, and streams by their whole
-// life. A backlog that stays lowers the limit further. Limiting ends when for a
-// while nothing had to be refused.
+// Until the loop always has work and a standing backlog with it, all requests
+// are admitted. From then on the host admits as many requests a second as it
+// was able to end at full load: the rate of ends divided by the share of time
+// at work, less a reserve. All work counts that way, that of other tasks too,
+// and streams by their whole life. A backlog that stays lowers the limit
+// further. Limiting ends when for a while nothing had to be refused.
 //
 // Teams share the limit max-min fair: a team that asks for less than its share
 // gets all it asks for, and the others share the rest evenly. Part of each
@@ -45,8 +45,13 @@
     /// Interval over which the least wait counts as standing, and after which
     /// the limit is computed anew.
     duration interval = milliseconds(250);
-    duration max_backlog = milliseconds(20); ///< Above it, load is limited.
-    double max_busy = 0.95;                  ///< Aim while load is limited.
+    /// Limiting begins if the loop has had work for this share of an interval,
+    /// and a handler has always waited longer than min_backlog.
+    double begin_busy = 0.95;
+    duration min_backlog = milliseconds(5);
+    /// A longer standing backlog lowers the limit.
+    duration max_backlog = milliseconds(20);
+    double max_busy = 0.95; ///< Aim while load is limited.
     double min_busy = 0.05; ///< A smaller share at work is taken for this.
     /// Time constant of the rates and of the share of time at work: about the
     /// life of a stream, since its work comes over its life.
@@ -138,7 +143,9 @@
     duration shortest_wait_ = duration::max(); ///< In this interval.
     int samples_ = 0;                          ///< Likewise.
     duration standing_{0};                     ///< Of the last interval.
+    duration interval_worked_{0};              ///< Likewise.
     instant interval_began_;
+    double interval_busy_ = 0; ///< Share of time at work, last interval.
     std::optional<instant> first_request_;
     bool limiting_ = false;
     instant last_refusal_;
--- a/include/fennelladder/edge/edge_node.hpp
+++ b/include/fennelladder/edge/edge_node.hpp
@@ -3,7 +3,7 @@
 //
 //     edge_node node(io, clock, settings, options);
 //     if (auto ok = node.start(); !ok) ...
-//     io.run();                         // returns after SIGTERM was handled
+//     node.run();                       // returns after SIGTERM was handled
 //
 // Shutdown after SIGTERM: the node reports that it isn't ready and tells its
 // peers, but continues to serve, since callers still hold entry answers that
@@ -57,11 +57,15 @@
     /// used.
     status start();
 
+    /// Runs the event loop until the node has shut down, and measures its load.
+    void run();
+
 private:
     status start_servers();
     awaitable<void> watch_signals();
     awaitable<void> leave();
     awaitable<void> run_periodic_tasks();
+    awaitable<void> probe_backlog();
     void add_seed_nodes();
     void reload_settings();
     void log_tokens();
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -14,6 +14,7 @@
 #include "fennelladder/catalog/configuration.hpp"
 #include "fennelladder/catalog/evacuation_list.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
+#include "fennelladder/dispatch/admission_control.hpp"
 #include "fennelladder/dispatch/quarantine.hpp"
 #include "fennelladder/dispatch/retry_budget.hpp"
 #include "fennelladder/dispatch/stream_origins.hpp"
@@ -196,6 +197,7 @@
     /// answer.
     decaying_rate accepted_requests{seconds(4)};
     loop_lag lag{tick_period};
+    dispatch::admission_control admission;
     instant started; ///< When this process started to listen to peers.
     bool leaving = false;
 
--- a/libs/dispatch/admission_control.cpp
+++ b/libs/dispatch/admission_control.cpp
@@ -47,6 +47,7 @@
 void admission_control::note_busy(duration worked, instant now)
 {
     busy_.add(to_seconds(worked), now);
+    interval_worked_ += worked;
 }
 
 void admission_control::note_ended(instant now)
@@ -73,6 +74,8 @@
     standing_ = shortest_wait_;
     shortest_wait_ = duration::max();
     samples_ = 0;
+    interval_busy_ = ratio(interval_worked_, now - interval_began_);
+    interval_worked_ = duration(0);
     interval_began_ = now;
     if (!limiting_ && may_begin(now)) {
         limiting_ = true;
@@ -90,7 +93,8 @@
 
 bool admission_control::may_begin(instant now) const
 {
-    return standing_ > options_.max_backlog && first_request_ &&
+    return standing_ > options_.min_backlog &&
+           interval_busy_ >= options_.begin_busy && first_request_ &&
            now - *first_request_ >= options_.warm_up;
 }
 
--- a/libs/dispatch/admission_control_test.cpp
+++ b/libs/dispatch/admission_control_test.cpp
@@ -46,11 +46,11 @@
     /// Lets the team ask `per_step` times in each step; returns how many of
     /// its requests were admitted in each second.
     double ask_for(duration length, int per_step, duration waited,
-                   int urgency = not_urgent)
+                   int urgency = not_urgent, double busy = 1)
     {
         int admitted = 0;
         for (duration it(0); it < length; it += step) {
-            pass(waited);
+            pass(waited, busy);
             for (int i = 0; i < per_step; ++i)
                 admitted += ask(flood, urgency).admitted ? 1 : 0;
         }
@@ -70,6 +70,14 @@
     CHECK_FALSE(control.is_limiting());
 }
 
+// Failure: long turns of a host that has time left are taken for overload.
+TEST(admission_control, admits_all_while_the_loop_has_idle_time)
+{
+    const double admitted = ask_for(seconds(10), 5, long_wait, not_urgent, 0.9);
+    DOUBLES_EQUAL(500, admitted, 1e-6);
+    CHECK_FALSE(control.is_limiting());
+}
+
 // Failure: one stall of the process makes the host refuse callers.
 TEST(admission_control, does_not_take_a_stall_for_a_backlog)
 {
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -1,9 +1,12 @@
 #include "fennelladder/edge/edge_node.hpp"
 
+#include "fennelladder/edge/busy_loop.hpp"
 #include "fennelladder/edge/quarantine_page.hpp"
 #include "fennelladder/telemetry/log.hpp"
 #include "platform/request_headers.hpp"
 
+#include <boost/asio/post.hpp>
+#include <cmath>
 #include <csignal>
 #include <fstream>
 #include <random>
@@ -124,6 +127,7 @@
     links_.start();
     spawn(io_, watch_signals());
     spawn(io_, run_periodic_tasks());
+    spawn(io_, probe_backlog());
     log_event(event::node_started,
               {{"host", tables_.settings.host.str()},
                {"listen", tables_.settings.listen.callers},
@@ -131,6 +135,26 @@
     return {};
 }
 
+void edge_node::run()
+{
+    run_measured(io_, tables_.time, [this](duration worked, instant now) {
+        tables_.admission.note_busy(worked, now);
+    });
+}
+
+/// Measures how long a handler that is ready waits until it runs.
+awaitable<void> edge_node::probe_backlog()
+{
+    asio::steady_timer timer(io_);
+    for (;;) {
+        co_await sleep_on(timer, tick_period);
+        const instant posted = tables_.now();
+        co_await asio::post(io_, asio::use_awaitable);
+        const instant now = tables_.now();
+        tables_.admission.note_backlog(now - posted, now);
+    }
+}
+
 /// All nodes listen for peers on the first internal port, which is the same on
 /// all hosts.
 void edge_node::add_seed_nodes()
@@ -328,6 +352,14 @@
         .set(static_cast<std::int64_t>(mesh_.relayed()));
     metrics.gauge_of("fennelladder_target_connections_opened")
         .set(static_cast<std::int64_t>(tables_.pool.opened()));
+    const auto& admission = tables_.admission;
+    metrics.gauge_of("fennelladder_busy_permille")
+        .set(std::llround(admission.busy_share(now) * 1000));
+    metrics.gauge_of("fennelladder_backlog_milliseconds")
+        .set(age_of(admission.standing_backlog()));
+    // Without a limit: -1.
+    metrics.gauge_of("fennelladder_admitted_per_second_limit")
+        .set(admission.is_limiting() ? std::llround(admission.limit()) : -1);
     metrics.gauge_of("fennelladder_log_lines_dropped")
         .set(static_cast<std::int64_t>(log_.dropped()));
     for (const auto& [team, it] : tables_.token_balances.holdings()) {
--- a/libs/edge/request_admission.cpp
+++ b/libs/edge/request_admission.cpp
@@ -122,6 +122,31 @@
     return refusal{503, worst->state.next_run - now, crashes_targets};
 }
 
+/// Refuses what the host can't do, before any work on it. The log line has few
+/// fields, since a host is in want of processor time then.
+awaitable<bool> request_run::is_over_capacity()
+{
+    const duration longest =
+        part_of(time_left(), tables_.options.requests.retry_after_share);
+    const auto got = tables_.admission.admit(team_ ? team_->id : team_id(),
+                                             urgency(), longest, tables_.now());
+    admitted_ = got.admitted;
+    if (admitted_)
+        co_return false;
+    log_event(event::request_refused, {{"id", request_.header_values.id},
+                                       {"outcome", "503"},
+                                       {"reason", over_capacity},
+                                       {"route", route_->id.str()},
+                                       {"team", team_ ? team_->id.str() : ""}});
+    tables_.metrics
+        .counter_of("fennelladder_refusals_total", {{"reason", over_capacity}})
+        .add();
+    local_response answer{503, request_.header_values.id, got.retry_after,
+                          over_capacity};
+    (void)co_await reply_.send_local(answer);
+    co_return true;
+}
+
 /// What follows from what is known about the stream. Waits for the list of
 /// targets to be confirmed if that decides.
 awaitable<dispatch::resumption> request_run::resumption_of(found_origin& found)
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -47,6 +47,9 @@
         co_await refuse(*refused);
         co_return;
     }
+    const bool over = co_await is_over_capacity();
+    if (over)
+        co_return;
     cancellation_->set_deadline(request_.arrived + total_time() +
                                 deadline_response_grace);
     refused = co_await find_version();
@@ -83,6 +86,8 @@
 {
     request_run run(*this, request, reply, std::move(cancellation));
     co_await run.run();
+    if (run.was_admitted())
+        tables_.admission.note_ended(tables_.now());
 }
 
 } // namespace fennelladder::edge
--- a/libs/edge/request_end.cpp
+++ b/libs/edge/request_end.cpp
@@ -5,6 +5,7 @@
 #include "request_run.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fennelladder::edge {
 
@@ -74,6 +75,11 @@
                          ? milliseconds_text(*last_sent_at_ - request_.arrived)
                          : ""},
          {"lag_ms", milliseconds_text(tables_.lag.at(tables_.now()))},
+         {"busy_permille",
+          std::to_string(std::llround(
+              tables_.admission.busy_share(tables_.now()) * 1000))},
+         {"backlog_ms",
+          milliseconds_text(tables_.admission.standing_backlog())},
          {"caller_end", disconnect_reason(cancellation_->caller_disconnect())},
          {"sends", std::to_string(state_.sent)},
          {"may_have_run", std::to_string(state_.may_have_run)},
--- a/libs/edge/request_run.hpp
+++ b/libs/edge/request_run.hpp
@@ -32,6 +32,7 @@
 /// Reasons of refusals.
 inline constexpr const char* crashes_targets = "it crashes targets";
 inline constexpr const char* may_crash_targets = "it may crash targets";
+inline constexpr const char* over_capacity = "the host is over its capacity";
 
 /// Not thread safe.
 class request_run
@@ -46,8 +47,12 @@
 
     awaitable<void> run();
 
+    /// Whether the host accepted the request as work.
+    bool was_admitted() const { return admitted_; }
+
 private:
     std::optional<refusal> find_route();
+    awaitable<bool> is_over_capacity();
     void set_marks();
     std::optional<refusal> check_condemned();
     awaitable<std::optional<refusal>> find_version();
@@ -121,7 +126,8 @@
     /// Version that was recorded last as the one that begins the stream.
     std::optional<catalog::software_version> recorded_;
     std::uint32_t beginnings_ = 0; ///< Records made.
-    bool retry_taken_ = false;     ///< For the attempt after an idle one.
+    bool admitted_ = false;
+    bool retry_taken_ = false; ///< For the attempt after an idle one.
     instant attempt_began_;
     bool prompt_may_have_been_read_ = false; ///< Then it is charged.
     std::optional<instant> last_sent_at_;
