Let idle connections make room for new ones at a host's limit

Cause: connections on which nothing was being served counted in full, and none was closed for a new one.

Change: at the limit the connection that has been idle for longest, for half a second at least, is closed for the new one. A request that crosses such a close was not read, and its caller may send it again.

--- a/include/fennelladder/edge/caller_server.hpp
+++ b/include/fennelladder/edge/caller_server.hpp
@@ -70,6 +70,7 @@
     using session_set = std::set<caller_session*>;
 
     void take(tcp::socket socket);
+    bool close_longest_idle();
     void log_not_accepted(const std::string& reason) const;
     const char* rejection_reason(const caller_request& request) const;
 
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -32,6 +32,10 @@
 /// deadline no longer applies.
 constexpr duration delivery_timeout = milliseconds(300);
 
+/// A connection that has been idle for less isn't closed for a new one: its
+/// caller may be about to use it.
+constexpr duration min_idle_time = milliseconds(500);
+
 /// Bytes buffered of what a caller sends before it has its response.
 constexpr std::size_t max_read_ahead = 65'536;
 
@@ -86,8 +90,18 @@
     /// Whether no request is being read or served.
     bool is_idle() const { return awaiting_request_ && buf_.size() == 0; }
 
+    /// Whether it is idle and hasn't been closed yet.
+    bool may_be_closed() const { return is_idle() && socket_.is_open(); }
+
     void close_if_unused();
 
+    /// Since when no request is being read or served. Precondition: is_idle().
+    instant idle_since() const { return idle_since_; }
+
+    /// Closes the connection if it is idle and nothing has arrived on it.
+    /// Returns whether it did.
+    bool close_if_idle();
+
 private:
     awaitable<void> serve_requests();
     awaitable<bool> wait_for_request();
@@ -112,6 +126,7 @@
     response_writer reply_;
     beast::flat_buffer buf_;
     bool awaiting_request_ = false; ///< Before its first byte.
+    instant idle_since_;
     bool serving_ = false;
     bool first_request_ = true;
 };
@@ -122,6 +137,15 @@
     socket_.close(ec);
 }
 
+bool caller_session::close_if_idle()
+{
+    net_error ec;
+    if (!may_be_closed() || socket_.available(ec) > 0)
+        return false;
+    close();
+    return true;
+}
+
 /// Closes the connection, while the node shuts down, unless a request has
 /// arrived. Failure it guards against: a caller whose request was read and
 /// whose connection then closes without a response cannot know whether it ran,
@@ -130,10 +154,7 @@
 /// late; it is then rejected with a response.
 void caller_session::close_if_unused()
 {
-    net_error ec;
-    if (is_idle() && socket_.available(ec) == 0)
-        close();
-    else if (!serving_ && read_deadline_)
+    if (!close_if_idle() && !serving_ && read_deadline_)
         read_deadline_->close_after(draining_read_timeout);
 }
 
@@ -156,6 +177,7 @@
                        : limits.idle_timeout);
     net_error ec;
     awaiting_request_ = true;
+    idle_since_ = tables_.now();
     co_await socket_.async_wait(tcp::socket::wait_read, into(ec));
     awaiting_request_ = false;
     co_return !ec && socket_.is_open();
@@ -469,9 +491,23 @@
                           {"connections", std::to_string(sessions_->size())}});
 }
 
+/// Closes the connection that has been idle for longest. Returns false if none
+/// has been for long enough.
+bool caller_server::close_longest_idle()
+{
+    caller_session* longest = nullptr;
+    for (caller_session* it : *sessions_)
+        if (it->may_be_closed() &&
+            (longest == nullptr || it->idle_since() < longest->idle_since()))
+            longest = it;
+    return longest != nullptr &&
+           tables_.now() - longest->idle_since() >= min_idle_time &&
+           longest->close_if_idle();
+}
+
 void caller_server::take(tcp::socket socket)
 {
-    if (sessions_->size() >= limits_.connections) {
+    if (sessions_->size() >= limits_.connections && !close_longest_idle()) {
         log_not_accepted("connection limit reached");
         net_error ec;
         socket.close(ec);
