--- a/libs/edge/token_allocator.cpp
+++ b/libs/edge/token_allocator.cpp
@@ -178,24 +178,23 @@
             co_return shortage_of(team);
         const tokens missing = missing_of(team, amount, urgency);
         const tokens wanted = missing + extra_request(team);
-        duration pause(0);
+        const bool waits_for_record = asked && !is_done(*asked);
+        const bool may_ask_record =
+            !waits_for_record &&
+            (record_requests == 0 || (record_requests < max_record_requests &&
+                                      !cannot_be_withdrawn(team, missing)));
+        duration pause = until - tables_.now();
         if (ask_peers(team, wanted, urgency, peers) ||
             expected(peers) > tokens(0)) {
             pause = peer_timeout;
-        } else if (asked && !is_done(*asked)) {
-            pause = until - tables_.now();
-        } else if (record_requests == 0 ||
-                   (record_requests < max_record_requests &&
-                    !cannot_be_withdrawn(team, missing))) {
+        } else if (may_ask_record) {
             // Peers may have received tokens meanwhile: ask them again.
             ++record_requests;
             peers.tried = unanswered(peers);
             asked = request_from_record(team, wanted, urgency);
             pause = record_timeout;
-        } else if (!unanswered(peers).empty()) {
-            // A peer that goes first keeps the request until it is served.
-            pause = until - tables_.now();
-        } else {
+        } else if (!waits_for_record && unanswered(peers).empty()) {
+            // A peer that goes first answers once its own request has ended.
             co_return shortage_of(team);
         }
         co_await wait_for_change(std::min(tables_.now() + pause, until));
