Ask other nodes by one loop that repeats a question

quarantine_exchange::ask and stream_origin_exchange::find had the same loop: send, wait 20 ms or for an answer, send again. Both use ask_until_answered now; what they send and when stays the same.

--- a/libs/edge/quarantine_exchange.cpp
+++ b/libs/edge/quarantine_exchange.cpp
@@ -3,6 +3,8 @@
 #include "fennelladder/edge/response_writer.hpp"
 #include "fennelladder/telemetry/log.hpp"
 
+#include "repeated_question.hpp"
+
 #include <algorithm>
 #include <cassert>
 
@@ -15,10 +17,6 @@
 using telemetry::log_event;
 namespace event = telemetry::event;
 
-/// After this time without an answer the question is sent again. Peers in the
-/// same region answer in a few milliseconds.
-constexpr duration question_repeat_interval = milliseconds(20);
-
 /// Records that fit one packet.
 constexpr std::size_t records_per_datagram = 12;
 
@@ -155,12 +153,9 @@
     questions_.emplace(question.number, asked);
     mesh::datagram message;
     message.run_question = question;
-    while (!asked->answer && tables_.now() < until) {
-        send_(address, message);
-        const duration left = until - tables_.now();
-        co_await sleep_on(asked->timer,
-                          std::min(left, question_repeat_interval));
-    }
+    const repeated_question repeated{[&] { send_(address, message); },
+                                     [&] { return asked->answer.has_value(); }};
+    co_await ask_until_answered(tables_, asked->timer, repeated, until);
     questions_.erase(question.number);
     co_return asked->answer;
 }
--- a/libs/edge/stream_origin_exchange.cpp
+++ b/libs/edge/stream_origin_exchange.cpp
@@ -1,5 +1,7 @@
 #include "fennelladder/edge/stream_origin_exchange.hpp"
 
+#include "repeated_question.hpp"
+
 #include <algorithm>
 
 namespace fennelladder::edge {
@@ -14,10 +16,6 @@
 /// started or ended meanwhile change the order.
 constexpr std::size_t nodes_asked = 8;
 
-/// After this time without an answer the question is sent again. Peers in the
-/// same region answer in a few milliseconds.
-constexpr duration question_repeat_interval = milliseconds(20);
-
 /// Records handed over when the node leaves: most callers come back within
 /// seconds, and all records of a minute would fill a small host's link.
 constexpr duration handed_over_span = seconds(20);
@@ -85,17 +83,10 @@
     const mesh::origin_question question{tables_.incarnation, ++last_number_,
                                          key, std::move(service)};
     questions_.emplace(question.number, asked);
-    instant repeat = tables_.now();
-    while (!asked->found.origin && !asked->waiting_for.empty()) {
-        const instant now = tables_.now();
-        if (now >= until)
-            break;
-        if (now >= repeat) {
-            send_question(question, *asked);
-            repeat = now + question_repeat_interval;
-        }
-        co_await sleep_on(asked->timer, std::min(repeat, until) - now);
-    }
+    const repeated_question repeated{
+        [&] { send_question(question, *asked); },
+        [&] { return asked->found.origin || asked->waiting_for.empty(); }};
+    co_await ask_until_answered(tables_, asked->timer, repeated, until);
     questions_.erase(question.number);
     co_return asked->found;
 }
