--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -90,12 +90,16 @@
     /// Whether no request is being read or served.
     bool is_idle() const { return awaiting_request_ && buf_.size() == 0; }
 
-    /// Whether it is idle and hasn't been closed yet.
-    bool may_be_closed() const { return is_idle() && socket_.is_open(); }
+    /// Whether it is idle and open, and nothing has arrived on it.
+    bool may_be_closed() const
+    {
+        net_error ec;
+        return is_idle() && socket_.is_open() && socket_.available(ec) == 0;
+    }
 
     void close_if_unused();
 
-    /// Since when no request is being read or served. Precondition: is_idle().
+    /// Since when it is idle; of no meaning if it isn't.
     instant idle_since() const { return idle_since_; }
 
     /// Closes the connection if it is idle and nothing has arrived on it.
@@ -139,8 +143,7 @@
 
 bool caller_session::close_if_idle()
 {
-    net_error ec;
-    if (!may_be_closed() || socket_.available(ec) > 0)
+    if (!may_be_closed())
         return false;
     close();
     return true;
@@ -497,8 +500,8 @@
 {
     caller_session* longest = nullptr;
     for (caller_session* it : *sessions_)
-        if (it->may_be_closed() &&
-            (longest == nullptr || it->idle_since() < longest->idle_since()))
+        if ((longest == nullptr || it->idle_since() < longest->idle_since()) &&
+            it->may_be_closed())
             longest = it;
     return longest != nullptr &&
            tables_.now() - longest->idle_since() >= min_idle_time &&
