--- a/include/fennelladder/dispatch/admission_control.hpp
+++ b/include/fennelladder/dispatch/admission_control.hpp
@@ -6,7 +6,7 @@
 //     control.note_backlog(waited, now);    // by a probe, every few tens of ms
 //     auto it = control.admit(team, urgency, longest, now);
 //     if (!it.admitted) ... refuse, Retry-After: it.retry_after
-//     control.note_ended(now);              // once for each admitted request
+//     control.note_served(now);             // of each whole answer
 //
 // Measured are the share of time in which the event loop had work, and the
 // standing backlog: how long a handler that is ready waits for its turn, as the
@@ -15,10 +15,11 @@
 //
 // Until the loop always has work and a standing backlog with it, all requests
 // are admitted. From then on the host admits as many requests a second as it
-// was able to end at full load: the rate of ends divided by the share of time
-// at work, less a reserve. All work counts that way, that of other tasks too,
-// and streams by their whole life. A backlog that stays lowers the limit
-// further. Limiting ends when for a while nothing had to be refused.
+// was able to answer at full load: the rate of whole answers divided by the
+// share of time at work, less a reserve. All work counts that way, that of
+// other tasks and of requests that were given up too, and streams by their
+// whole life. A backlog that stays lowers the limit further. Limiting ends when
+// for a while nothing had to be refused.
 //
 // Teams share the limit max-min fair: a team that asks for less than its share
 // gets all it asks for, and the others share the rest evenly. Part of each
@@ -91,8 +92,9 @@
     /// A handler that was ready waited so long for its turn.
     void note_backlog(duration waited, instant now);
 
-    /// An admitted request ended, in whatever way.
-    void note_ended(instant now);
+    /// A caller got a whole answer. What callers gave up doesn't count: a host
+    /// whose callers leave can do less than it accepts.
+    void note_served(instant now);
 
     /// Decides about a request that was read now. `urgency` is 0 for the most
     /// urgent. `max_retry_after` is the longest that its caller can wait.
@@ -139,7 +141,7 @@
 
     const admission_options options_;
     decaying_rate busy_;
-    decaying_rate ended_;
+    decaying_rate served_;
     duration shortest_wait_ = duration::max(); ///< In this interval.
     int samples_ = 0;                          ///< Likewise.
     duration standing_{0};                     ///< Of the last interval.
--- a/libs/dispatch/admission_control.cpp
+++ b/libs/dispatch/admission_control.cpp
@@ -41,7 +41,7 @@
 } // namespace
 
 admission_control::admission_control(admission_options options)
-    : options_(options), busy_(options.averaging), ended_(options.averaging)
+    : options_(options), busy_(options.averaging), served_(options.averaging)
 {}
 
 void admission_control::note_busy(duration worked, instant now)
@@ -50,9 +50,9 @@
     interval_worked_ += worked;
 }
 
-void admission_control::note_ended(instant now)
+void admission_control::note_served(instant now)
 {
-    ended_.add(1, now);
+    served_.add(1, now);
 }
 
 double admission_control::busy_share(instant now) const
@@ -101,7 +101,7 @@
 void admission_control::update_limit(instant now)
 {
     const double busy = std::max(busy_share(now), options_.min_busy);
-    limit_ = ended_.at(now) * options_.max_busy / busy;
+    limit_ = served_.at(now) * options_.max_busy / busy;
     if (standing_ > options_.max_backlog)
         limit_ *=
             std::max(ratio(options_.max_backlog, standing_), max_step_down);
--- a/libs/dispatch/admission_control_test.cpp
+++ b/libs/dispatch/admission_control_test.cpp
@@ -33,7 +33,7 @@
     {
         now += step;
         control.note_busy(from_seconds(to_seconds(step) * busy), now);
-        control.note_ended(now);
+        control.note_served(now);
         if (++steps % (probe_gap / step) == 0)
             control.note_backlog(waited, now);
     }
--- a/libs/dispatch/host_overload_test.cpp
+++ b/libs/dispatch/host_overload_test.cpp
@@ -242,7 +242,6 @@
                               (it.streams && start - it.sent > stream_patience);
             if (gone) {
                 ++count(it).left;
-                note_finished(start);
                 return close_ms;
             }
             const double ended = after(start, step_ms);
@@ -262,7 +261,6 @@
         at(when, [=, this](double start) {
             if (start > it.end() || start - last > stream_patience) {
                 ++count(it).left;
-                note_finished(start);
                 return close_ms;
             }
             const double ended = after(start, step_ms);
@@ -276,8 +274,10 @@
 
     void finish(const request& it, double when)
     {
-        ++(when <= it.end() ? count(it).served : count(it).left);
-        note_finished(when);
+        const bool in_time = when <= it.end();
+        ++(in_time ? count(it).served : count(it).left);
+        if (in_time)
+            note_served(when);
     }
 
     static instant instant_at(double when)
@@ -295,7 +295,7 @@
         control_.note_backlog(from_seconds(waited), instant_at(now));
     }
 
-    void note_finished(double now) { control_.note_ended(instant_at(now)); }
+    void note_served(double now) { control_.note_served(instant_at(now)); }
 
     /// Seconds after which the caller shall come back; 0: admitted.
     double refused_for(const request& it, double longest, double now)
--- a/libs/edge/request_admission.cpp
+++ b/libs/edge/request_admission.cpp
@@ -130,8 +130,7 @@
         part_of(time_left(), tables_.options.requests.retry_after_share);
     const auto got = tables_.admission.admit(team_ ? team_->id : team_id(),
                                              urgency(), longest, tables_.now());
-    admitted_ = got.admitted;
-    if (admitted_)
+    if (got.admitted)
         co_return false;
     log_event(event::request_refused, {{"id", request_.header_values.id},
                                        {"outcome", "503"},
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -86,8 +86,8 @@
 {
     request_run run(*this, request, reply, std::move(cancellation));
     co_await run.run();
-    if (run.was_admitted())
-        tables_.admission.note_ended(tables_.now());
+    if (run.was_served())
+        tables_.admission.note_served(tables_.now());
 }
 
 } // namespace fennelladder::edge
--- a/libs/edge/request_end.cpp
+++ b/libs/edge/request_end.cpp
@@ -158,9 +158,11 @@
             log_end(event::caller_left, "caller_left", last.detail);
         else
             log_end(event::request_answered, "answered", "");
+        served_ = last.ended != attempt_end::caller_left;
         co_return;
     case next_action::pass_on:
         log_end(event::request_failed, "passed_on", last.detail);
+        served_ = true;
         (void)co_await reply_.send_complete(last.head, last.body);
         co_return;
     case next_action::say_not_run:
--- a/libs/edge/request_run.hpp
+++ b/libs/edge/request_run.hpp
@@ -47,8 +47,9 @@
 
     awaitable<void> run();
 
-    /// Whether the host accepted the request as work.
-    bool was_admitted() const { return admitted_; }
+    /// Whether the caller got a target's whole answer. What is given up or
+    /// refused later shows nothing of what the host can do.
+    bool was_served() const { return served_; }
 
 private:
     std::optional<refusal> find_route();
@@ -126,7 +127,7 @@
     /// Version that was recorded last as the one that begins the stream.
     std::optional<catalog::software_version> recorded_;
     std::uint32_t beginnings_ = 0; ///< Records made.
-    bool admitted_ = false;
+    bool served_ = false;
     bool retry_taken_ = false; ///< For the attempt after an idle one.
     instant attempt_began_;
     bool prompt_may_have_been_read_ = false; ///< Then it is charged.
