Order positions in the store by its era first

Cause: the store was restored from an older copy. Revisions went back and were assigned again, and nodes compared them with those of before as one history: listings and watches were dropped as older, and still confirmed the list as current. The class: versions compared without their epoch.

Ruled out: a store that refuses some hosts, and a check that is made too early.

Change: catalog::revision is (era, count). The era is read from each answer in platform/, and carried by lists, updates, heartbeats and syncs; messages without one are of the lowest. A node that hears of a later era lists again, confirms nothing by peers of an earlier one, ignores late answers of it and registers again.

--- a/include/fennelladder/catalog/evacuation_list.hpp
+++ b/include/fennelladder/catalog/evacuation_list.hpp
@@ -7,7 +7,10 @@
 //     evacuations.contains(data_center)
 //
 // The whole state is a few names, so nodes exchange all of it, and the later
-// revision wins. It mirrors one linear history and never goes back.
+// revision wins. It mirrors one linear history and never goes back, except when
+// the platform's store is restored from an older copy (see revision.hpp): an
+// evacuation that the copy lacks is kept by this node until the operator has
+// had time to write it again, see drop_kept().
 //
 // An evacuation of a data centre that has no targets or is unknown is kept
 // like any other: its targets may appear later. If all data centres are
@@ -51,7 +54,7 @@
 public:
     /// Replaces the whole state, given in any order; ignores one older than the
     /// current. Returns true if the set of evacuated data centres changed, or
-    /// if this is the first state.
+    /// if this is the first state of its era.
     bool replace_all(evacuation_state state);
 
     /// Applies the changes between as_of() and `as_of`, in order. Returns as
@@ -61,9 +64,19 @@
 
     bool contains(const data_center_id& data_center) const;
 
-    /// Sorted, without duplicates.
+    /// As listed by the platform; sorted, without duplicates.
     const evacuation_state& state() const { return state_; }
 
+    /// All data centres that are evacuated here: those listed and those kept
+    /// from an earlier era. Sorted, without duplicates.
+    std::vector<data_center_id> in_force() const;
+
+    /// Whether any is kept from an earlier era.
+    bool keeps_any() const { return !kept_.empty(); }
+
+    /// Ends what is kept. Returns whether in_force() changed.
+    bool drop_kept();
+
     revision as_of() const { return state_.as_of; }
 
     /// Whether any state has been received.
@@ -71,6 +84,7 @@
 
 private:
     evacuation_state state_;
+    std::vector<data_center_id> kept_; ///< Not in state_; sorted.
     bool has_state_ = false;
 };
 
--- a/include/fennelladder/catalog/target_entry.hpp
+++ b/include/fennelladder/catalog/target_entry.hpp
@@ -13,6 +13,14 @@
 // processes with one id, the one that started last is the live one. An entry
 // with an earlier start is ignored at any revision; a later start is accepted
 // from a peer even if the peer's update is old.
+//
+// In a later era (see revision.hpp) the history begins anew, with an older
+// state. The first listing of an era replaces the list, and only full listings
+// lead from one era to the next. What a process can't undo is kept: one that
+// was leaving still leaves. A process that was removed before and is listed
+// again is held back, since the copy may be older than its end: until its entry
+// changes, or until admit_held(), by when the platform has removed what is
+// gone.
 
 #ifndef FENNELLADDER_CATALOG_TARGET_ENTRY_HPP
 #define FENNELLADDER_CATALOG_TARGET_ENTRY_HPP
@@ -20,6 +28,7 @@
 #include "fennelladder/base/error.hpp"
 #include "fennelladder/base/ids.hpp"
 #include "fennelladder/base/time.hpp"
+#include "fennelladder/catalog/revision.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -30,9 +39,6 @@
 
 namespace fennelladder::catalog {
 
-/// Revision of the platform's history; one counter over all objects.
-using revision = number_id<struct revision_tag>;
-
 /// Start time of a target's process: milliseconds since the Unix epoch by its
 /// own clock; 0: unknown. Only starts of the same id are compared.
 using target_start = number_id<struct target_start_tag>;
@@ -116,9 +122,9 @@
     bool replace_all(const std::vector<target_change>& entries, revision as_of);
 
     /// Applies the changes between this list's as_of() and `as_of`. If they are
-    /// older than the list, applies only the entries whose process started
-    /// later than the one in the list, and returns false. Precondition:
-    /// `changes` is complete for that span.
+    /// older than the list or of another era, applies only the entries whose
+    /// process started later than the one in the list, and returns false.
+    /// Precondition: `changes` is complete for that span.
     bool apply(const std::vector<target_change>& changes, revision as_of);
 
     /// Applies an update that follows on the list without a gap. Of any other,
@@ -146,17 +152,26 @@
     /// Whether a first listing has been received.
     bool known() const { return has_listing_; }
 
+    /// Whether entries are held back.
+    bool holds_back() const { return !held_.empty(); }
+
+    /// Adds the entries that were held back to the list.
+    void admit_held();
+
 private:
-    /// Latest known start of an id, kept after its entry is removed.
-    struct latest_start
+    /// The latest known process of an id, kept after its entry is removed.
+    struct latest_process
     {
         target_start start;
         revision at; ///< Revision of the last change noted.
+        /// It was leaving in an earlier era.
+        bool leaving = false;
     };
 
     void apply_change(target_change change);
     void log(target_change change);
     void fill_in(target_change& change) const;
+    void begin_era(const std::vector<target_change>& listed, revision as_of);
     bool is_of_earlier_process(const target_change& change) const;
     bool keep_later_start(const target_change& change);
     void remember_start(const target_change& change);
@@ -167,7 +182,9 @@
     static constexpr std::size_t start_limit = 4096;
 
     entry_map entries_;
-    std::map<target_id, latest_start> starts_;
+    std::map<target_id, latest_process> starts_;
+    /// Entries of this era that are held back.
+    std::map<target_id, target_change> held_;
     std::uint64_t change_count_ = 0;
     revision as_of_;
     revision log_from_; ///< log_ is complete after this revision.
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -35,6 +35,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace fennelladder::edge {
 
@@ -124,6 +125,10 @@
     bool apply_evacuations(catalog::evacuation_state state,
                            const std::string& source);
 
+    /// Tells the registry which data centres are evacuated. `source` names the
+    /// cause for the log.
+    void apply_evacuations_in_force(const std::string& source);
+
     /// Whether this node started so lately that it may not have heard from all
     /// others.
     bool is_discovering() const;
@@ -151,6 +156,19 @@
     void note_targets_confirmed(instant at);
     void confirm_evacuations(instant at);
 
+    /// Records the era that the store or a peer states. In a later one than
+    /// known, what was learnt of the store before stays in use but is no longer
+    /// confirmed. `source` names who stated it for the log.
+    void note_store_era(catalog::store_era era, const std::string& source);
+
+    /// Whether the store was restored from an older copy within `limit`, as far
+    /// as this node knows.
+    bool store_restored_within(duration limit) const;
+
+    /// Ends what is kept of the time before the store was restored, once those
+    /// who wrote it have had time to do so again. Call regularly.
+    void expire_kept_entries();
+
     /// Records whether a call to the platform was answered. `detail` names the
     /// call for the log.
     void note_platform_contact(bool reached, const std::string& detail);
@@ -176,6 +194,11 @@
     mesh::freshness evacuations_freshness;
     /// The latest revision of the target list that a peer announced.
     catalog::revision targets_announced;
+    /// The highest era of the store that is known; the lowest if it states
+    /// none.
+    catalog::store_era store_era;
+    /// When this process learnt that the store was restored; unset: never.
+    std::optional<instant> store_restored;
     mesh::update_lateness lateness;
     instant targets_changed; ///< When this node's list last changed.
     /// End of the last period in which no node could confirm its target list.
@@ -204,6 +227,9 @@
     /// Called whenever the platform answered any call. Set by platform_feed.
     std::function<void()> on_platform_answer = [] {};
 
+    /// Called when the store has entered a later era.
+    std::vector<std::function<void()>> on_store_era;
+
     /// Sends an update to all peers without waiting for the next heartbeat. Set
     /// by mesh_node.
     std::function<void()> broadcast_update = [] {};
--- a/include/fennelladder/edge/platform_client.hpp
+++ b/include/fennelladder/edge/platform_client.hpp
@@ -13,6 +13,10 @@
 // an aborted transfer has to be repeated. When a connection has timed out, the
 // idle ones are closed too, since the same failure has probably cut them.
 //
+// Each reply states the era of the store. A later one than known is noted in
+// the tables before the call returns; what a reply of an earlier one says is
+// not passed on.
+//
 // Not thread safe.
 
 #ifndef FENNELLADDER_EDGE_PLATFORM_CLIENT_HPP
@@ -35,6 +39,7 @@
     conflict,     ///< The precondition failed; the body contains the object.
     history_gone, ///< The revision is too old to watch from.
     turned_away,  ///< Refused or never sent; not carried out.
+    outdated,     ///< Of an earlier era of the store: it may be lost again.
     no_reply      ///< May have been carried out, or may be later.
 };
 
@@ -63,14 +68,16 @@
 {
     call_outcome outcome = call_outcome::no_reply;
     std::string body;
-    instant first_byte_at; ///< When the first bytes of the reply came.
+    instant first_byte_at;  ///< When the first bytes of the reply came.
+    catalog::store_era era; ///< As the reply states.
 
     /// Whether the store processed the call: it neither refused it nor failed
     /// to reply.
     bool reached() const
     {
         return outcome != call_outcome::no_reply &&
-               outcome != call_outcome::turned_away;
+               outcome != call_outcome::turned_away &&
+               outcome != call_outcome::outdated;
     }
 };
 
--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -17,6 +17,10 @@
 // history is gone or the connection broke, is followed by a listing at once; if
 // watches fail soon after each listing, with a backoff of up to a second.
 //
+// When the store was restored from an older copy (see catalog/revision.hpp),
+// feeds that ask the platform list again, and this node registers again. The
+// others learn the new state from them, or ask when theirs is too old.
+//
 // Objects may have been written by other programs. A target whose entry can't
 // be parsed counts as removed until a valid entry replaces it; for the
 // configuration, the last valid one stays in force. In both cases the response
@@ -67,8 +71,9 @@
         bool stale = false;  ///< As last logged.
         bool listed = false; ///< A watch can continue from the last listing.
         instant listed_at;
-        instant last_attempt; ///< Start of the latest call.
-        int failures = 0;     ///< Consecutive ones.
+        catalog::store_era era; ///< Of the last listing.
+        instant last_attempt;   ///< Start of the latest call.
+        int failures = 0;       ///< Consecutive ones.
         /// Consecutive watches that failed soon after a listing.
         int early_watch_failures = 0;
         instant next_attempt;
@@ -108,6 +113,8 @@
     void back_off(feed_state& feed, mesh::watch_reason reason);
     void record_success(feed_state& feed, duration elapsed);
     void reset_backoff();
+    void on_store_era();
+    awaitable<bool> write_registration();
     void record_reason(feed_state& feed, mesh::watch_reason reason,
                        const mesh::watch_inputs& view);
 
@@ -145,7 +152,7 @@
     template <class Answer>
     awaitable<std::optional<timed<Answer>>>
     fetch(platform_call name, call_kind kind, std::string target,
-          result<Answer> (*decode)(const std::string&));
+          result<Answer> (*decode)(catalog::store_era, const std::string&));
 
     void note_unreadable(unreadable_kind kind,
                          const adapter::stored_object& object,
@@ -169,6 +176,7 @@
     feed_state targets_;
     feed_state evacuations_;
     catalog::revision configuration_as_of_;
+    asio::steady_timer registration_; ///< Cancelled to register again.
     bool is_cut_off_ = true; ///< Backing off since the platform is unreachable.
 };
 
--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -11,7 +11,8 @@
 // Encoded with Thrift's compact protocol. Decoding validates every length. An
 // invalid part of a message (a target without an address, a negative load) is
 // dropped and counted, and the rest is used: a peer may run another release,
-// and may have accepted what another writer stored on the platform. All
+// and may have accepted what another writer stored on the platform. Revisions
+// in messages of earlier releases, which state no era, are of the lowest. All
 // functions are thread safe.
 
 #ifndef FENNELLADDER_MESH_MESSAGES_HPP
@@ -27,6 +28,7 @@
 #include "fennelladder/dispatch/crash_record.hpp"
 #include "fennelladder/dispatch/stream_origins.hpp"
 #include "fennelladder/dispatch/target_registry.hpp"
+#include "fennelladder/prepaid/allotment_ledger.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -81,8 +83,11 @@
     catalog::configuration_version configuration; ///< In force at the sender.
     catalog::revision targets_changed; ///< Latest change in its list; 0: none.
     bool platform_reached = false;     ///< The platform recently answered.
-    double requests_per_second = 0;    ///< Recently accepted from callers.
-    double capacity = 0; ///< Requests per second that it can handle.
+    /// Highest era of the store that it knows; unset: the store states none, or
+    /// the node is of an earlier release.
+    std::optional<catalog::store_era> store_era;
+    double requests_per_second = 0; ///< Recently accepted from callers.
+    double capacity = 0;            ///< Requests per second that it can handle.
     /// Time since its copy was last confirmed as current; unset: never.
     std::optional<duration> configuration_age;
     std::optional<duration> targets_age;
@@ -175,6 +180,44 @@
     transfer_number number;
 };
 
+/// Tells of draws from the allotment record. Sent until acknowledged: a node
+/// spends what it drew once others know of it (prepaid/draw_policy.hpp).
+struct draw_report
+{
+    node_incarnation incarnation; ///< Of the sender.
+    std::uint64_t number = 0;     ///< Unique within it.
+    catalog::store_era era;       ///< Highest that the sender knows.
+    std::vector<prepaid::known_draw> draws;
+};
+
+struct draw_ack
+{
+    node_incarnation incarnation; ///< Of the sender of the report.
+    std::uint64_t number = 0;
+    catalog::store_era era;   ///< Highest that the acknowledging node knows.
+    node_incarnation witness; ///< The acknowledging node.
+};
+
+/// Asks for the draws that a node learnt of recently.
+struct draw_question
+{
+    node_incarnation incarnation; ///< Of the asking node.
+    std::uint64_t number = 0;     ///< Unique within it.
+    catalog::store_era era;
+};
+
+/// One of several datagrams that answer a draw_question.
+struct draw_answer
+{
+    node_incarnation incarnation; ///< Of the asking node.
+    std::uint64_t number = 0;
+    catalog::store_era era;
+    std::vector<prepaid::known_draw> draws;
+    node_incarnation reporter; ///< The answering node.
+    std::uint32_t part = 0;    ///< From 0.
+    std::uint32_t parts = 1;
+};
+
 /// Asks a node where a stream began.
 struct origin_question
 {
@@ -238,6 +281,10 @@
     std::optional<mesh::run_question> run_question;
     std::optional<mesh::run_answer> run_answer;
     std::optional<mesh::run_end> run_end;
+    std::optional<mesh::draw_report> draw_report;
+    std::optional<mesh::draw_ack> draw_ack;
+    std::optional<mesh::draw_question> draw_question;
+    std::optional<mesh::draw_answer> draw_answer;
     std::size_t invalid_parts = 0; ///< Invalid parts dropped by decoding.
 };
 
--- a/libs/catalog/target_entry.cpp
+++ b/libs/catalog/target_entry.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace fennelladder::catalog {
 
@@ -52,10 +53,17 @@
         return false;
     }
     if (!has_listing_)
-        log_from_ = as_of;
+        as_of_ = log_from_ = as_of;
+    else if (as_of.era() > as_of_.era())
+        begin_era(entries, as_of);
     std::map<target_id, const target_change*> listed;
     for (const target_change& it : entries)
         listed.emplace(it.id, &it);
+    std::erase_if(held_,
+                  [&](const auto& it) { return !listed.contains(it.first); });
+    for (const auto& [id, held] : held_)
+        if (listed.at(id)->at == held.at)
+            listed.erase(id);
     std::vector<target_change> changes;
     for (const auto& [id, entry] : entries_)
         if (!listed.contains(id))
@@ -78,7 +86,7 @@
 {
     if (!has_listing_)
         return false;
-    if (as_of < as_of_) {
+    if (as_of < as_of_ || as_of.era() != as_of_.era()) {
         apply_later_starts(changes);
         return false;
     }
@@ -88,6 +96,41 @@
     return true;
 }
 
+/// Forgets the positions of earlier eras, from which no node of this one can
+/// be synced, and notes what no process can undo.
+void target_list::begin_era(const std::vector<target_change>& listed,
+                            revision as_of)
+{
+    log_.clear();
+    log_from_ = as_of;
+    // All nodes that have a list of an earlier era lack something.
+    latest_change_ = as_of;
+    as_of_ = as_of;
+    ++change_count_;
+    held_.clear();
+    for (const auto& [id, entry] : entries_)
+        if (entry.leaving)
+            starts_[id].leaving = true;
+    for (auto& [id, it] : starts_)
+        it.at = as_of;
+    for (const target_change& it : listed) {
+        const auto known = starts_.find(it.id);
+        const bool was_removed = it.entry && known != starts_.end() &&
+                                 !entries_.contains(it.id) &&
+                                 it.entry->start <= known->second.start;
+        if (was_removed)
+            held_.emplace(it.id, it);
+    }
+}
+
+void target_list::admit_held()
+{
+    for (auto& [id, change] : std::exchange(held_, {})) {
+        change.at = as_of_;
+        apply_change(std::move(change));
+    }
+}
+
 bool target_list::apply_update(const target_update& update)
 {
     if (!has_listing_)
@@ -116,6 +159,7 @@
 void target_list::apply_change(target_change change)
 {
     fill_in(change);
+    held_.erase(change.id);
     if (keep_later_start(change))
         return;
     if (change.entry)
@@ -128,7 +172,8 @@
 
 /// Nodes of earlier releases pass on entries without a start time, which are
 /// taken as of the known process, and without a software version, which a
-/// process doesn't change.
+/// process doesn't change. A process that was leaving in an earlier era still
+/// leaves, though its entry was restored from before.
 void target_list::fill_in(target_change& change) const
 {
     if (!change.entry)
@@ -136,6 +181,9 @@
     const auto start = starts_.find(change.id);
     if (!is_known(change.entry->start) && start != starts_.end())
         change.entry->start = start->second.start;
+    if (start != starts_.end() && start->second.leaving &&
+        change.entry->start == start->second.start)
+        change.entry->leaving = true;
     const auto listed = entries_.find(change.id);
     if (change.entry->software.empty() && listed != entries_.end() &&
         listed->second.process() == change.entry->process())
@@ -171,10 +219,10 @@
 /// may arrive after the later one was removed.
 void target_list::remember_start(const target_change& change)
 {
-    latest_start& it = starts_[change.id];
+    latest_process& it = starts_[change.id];
     it.at = std::max(it.at, change.at);
-    if (change.entry)
-        it.start = change.entry->start;
+    if (change.entry && change.entry->start != it.start)
+        it = {change.entry->start, it.at, false};
     if (starts_.size() > std::max(start_limit, 2 * entries_.size()))
         std::erase_if(starts_, [&](const auto& known) {
             return !entries_.contains(known.first);
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -138,9 +138,9 @@
 
 void mesh_node::send(const std::string& address, const mesh::datagram& message)
 {
-    const bool of_tokens = message.request || message.grant ||
-                           message.grant_ack || message.push ||
-                           message.push_ack;
+    const bool of_tokens =
+        message.request || message.grant || message.grant_ack || message.push ||
+        message.push_ack;
     const bool of_streams = !message.origins.empty() ||
                             message.stream_question || message.stream_answer;
     const auto rest = of_streams ? traffic::streams : traffic::crashes;
@@ -181,6 +181,8 @@
     out.configuration = tables_.version();
     out.targets_changed = tables_.targets.latest_change();
     out.platform_reached = tables_.platform.reached;
+    if (tables_.store_era != catalog::store_era())
+        out.store_era = tables_.store_era;
     out.requests_per_second = tables_.accepted_requests.at(tables_.now());
     out.capacity = tables_.capacity();
     out.targets_as_of = tables_.targets.as_of();
@@ -250,10 +252,12 @@
 }
 
 /// Whether the peer's last heartbeat shows that it missed an update: it was
-/// received after this node's target list changed, but has an older list.
+/// received after this node's target list changed, but has an older list. One
+/// of another era can't be updated by changes.
 bool mesh_node::missed_update(const mesh::peer_record& peer) const
 {
-    return peer.last.targets_as_of < tables_.targets.latest_change() &&
+    return peer.last.targets_as_of.era() == tables_.targets.as_of().era() &&
+           peer.last.targets_as_of < tables_.targets.latest_change() &&
            peer.heard > tables_.targets_changed;
 }
 
@@ -332,6 +336,7 @@
     for (;;) {
         record_tick(tables_.now());
         report_lateness();
+        tables_.expire_kept_entries();
         send_due_heartbeats();
         tables_.peers.forget_old(tables_.now());
         co_await sleep_on(timer, tick_period);
@@ -427,6 +432,8 @@
 void mesh_node::handle_heartbeat(const mesh::node_heartbeat& from)
 {
     const instant now = tables_.now();
+    if (from.store_era)
+        tables_.note_store_era(*from.store_era, from.host.str());
     const mesh::heartbeat_effect observed =
         tables_.peers.on_heartbeat(from, now);
     if (!observed.late)
@@ -507,7 +514,8 @@
 
 /// A peer that was up to date at some time reports which state was the newest
 /// then. If this node has that state or a newer one, it was up to date then
-/// too.
+/// too. A peer that hasn't seen the store's present era confirms nothing: what
+/// it calls the newest state is one that the store has lost.
 void mesh_node::apply_freshness(const mesh::node_heartbeat& from,
                                 std::optional<duration> delay, instant now)
 {
@@ -525,7 +533,10 @@
         tables_.note_configuration_announced();
     if (from.configuration <= own && from.configuration_age)
         tables_.confirm_configuration(now - *from.configuration_age - transit);
-    if (from.targets_age) {
+    const bool same_era =
+        from.targets_as_of.era() == tables_.targets.as_of().era();
+    const bool is_earlier = from.targets_as_of < tables_.targets.as_of();
+    if (from.targets_age && (same_era || !is_earlier)) {
         const instant at = now - *from.targets_age - transit;
         if (from.targets_changed <= tables_.targets.as_of())
             tables_.confirm_targets(at);
@@ -533,7 +544,8 @@
             tables_.note_targets_confirmed(at);
     }
     // The sender's evacuation state was applied before.
-    if (from.evacuations && from.evacuations_age)
+    if (from.evacuations && from.evacuations_age &&
+        from.evacuations->as_of.era() == tables_.evacuations.as_of().era())
         tables_.confirm_evacuations(now - *from.evacuations_age - transit);
 }
 
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -3,6 +3,8 @@
 #include "fennelladder/edge/entry_planner.hpp"
 #include "fennelladder/telemetry/log.hpp"
 
+#include <utility>
+
 namespace fennelladder::edge {
 
 namespace {
@@ -19,6 +21,13 @@
 /// from its list may still return: targets rewrite theirs within two seconds.
 constexpr duration entry_return_window = milliseconds(2500);
 
+/// After the store was restored, the platform has removed the entries of
+/// targets that are gone: they are silent for three heartbeats of some seconds.
+constexpr duration held_entry_time = seconds(5);
+
+/// The operator writes again what the store lost.
+constexpr duration operator_rewrite_time = seconds(30);
+
 /// Time after the start before a node takes a share of fleet-wide limits: by
 /// then it has heard from the other nodes.
 constexpr duration discovery_period = seconds(3);
@@ -152,7 +161,49 @@
     const bool just_confirmed =
         confirmation_gap_ended &&
         now() - *confirmation_gap_ended < entry_return_window;
-    return just_confirmed || targets_unconfirmed();
+    return just_confirmed || targets_unconfirmed() ||
+           store_restored_within(entry_return_window);
+}
+
+bool node_tables::store_restored_within(duration limit) const
+{
+    return store_restored && now() - *store_restored < limit;
+}
+
+void node_tables::note_store_era(catalog::store_era era,
+                                 const std::string& source)
+{
+    if (era <= store_era)
+        return;
+    const catalog::store_era before = std::exchange(store_era, era);
+    const bool knows_store = targets.known() || config != nullptr;
+    if (knows_store)
+        store_restored = now();
+    log_event(event::store_era_entered,
+              {{"era", std::to_string(era.value())},
+               {"before", std::to_string(before.value())},
+               {"restored", knows_store ? "true" : "false"},
+               {"targets_as_of", to_string(targets.as_of())},
+               {"evacuations_as_of", to_string(evacuations.as_of())},
+               {"source", source}});
+    metrics.gauge_of("fennelladder_store_era")
+        .set(static_cast<std::int64_t>(era.value()));
+    for (const auto& it : on_store_era)
+        it();
+    // Other nodes may not reach the store.
+    broadcast_update();
+}
+
+void node_tables::expire_kept_entries()
+{
+    if (targets.holds_back() && !store_restored_within(held_entry_time)) {
+        targets.admit_held();
+        update_target_registry();
+    }
+    if (evacuations.keeps_any() &&
+        !store_restored_within(operator_rewrite_time) &&
+        evacuations.drop_kept())
+        apply_evacuations_in_force("expiry");
 }
 
 bool node_tables::targets_unconfirmed() const
@@ -195,6 +246,8 @@
     log_event(event::targets_changed,
               {{"targets", std::to_string(targets.entries().size())},
                {"as_of", std::to_string(targets.as_of().value())},
+               {"era", std::to_string(targets.as_of().era().value())},
+               {"held", targets.holds_back() ? "true" : "false"},
                {"in_doubt", in_doubt ? "true" : "false"}});
 }
 
@@ -230,7 +283,13 @@
 {
     if (!evacuations.replace_all(std::move(state)))
         return false;
-    const auto& evacuated = evacuations.state().data_centers;
+    apply_evacuations_in_force(source);
+    return true;
+}
+
+void node_tables::apply_evacuations_in_force(const std::string& source)
+{
+    const auto evacuated = evacuations.in_force();
     const std::size_t returned = registry.set_evacuated(evacuated, now());
     std::string names;
     for (const data_center_id& it : evacuated)
@@ -238,9 +297,9 @@
     log_event(event::evacuations_changed,
               {{"data_centers", names},
                {"as_of", std::to_string(evacuations.as_of().value())},
+               {"era", std::to_string(evacuations.as_of().era().value())},
                {"targets_back", std::to_string(returned)},
                {"source", source}});
-    return true;
 }
 
 bool node_tables::is_discovering() const
--- a/libs/edge/platform_client.cpp
+++ b/libs/edge/platform_client.cpp
@@ -1,6 +1,7 @@
 #include "fennelladder/edge/platform_client.hpp"
 
 #include "fennelladder/telemetry/log.hpp"
+#include "platform/object_codec.hpp"
 
 #include <algorithm>
 
@@ -69,6 +70,8 @@
         return "history_gone";
     case call_outcome::turned_away:
         return "turned_away";
+    case call_outcome::outdated:
+        return "outdated";
     case call_outcome::no_reply:
         return "no_reply";
     }
@@ -162,6 +165,7 @@
     if (!complete)
         co_return out;
     out.outcome = outcome_of(parser.get().result_int());
+    out.era = adapter::era_of(parser.get());
     out.body = std::move(parser.get().body());
     if (parser.keep_alive() && idle_.size() < max_idle_connections) {
         with->established = true;
@@ -226,6 +230,11 @@
         co_await exchange_on(with, method, target, body, limit);
     if (with->timed_out)
         close_idle();
+    tables_.note_store_era(out.era, std::string(to_string(name)));
+    if (out.reached() && out.era < tables_.store_era) {
+        out.outcome = call_outcome::outdated;
+        out.body.clear();
+    }
     count(name, out);
     co_return out;
 }
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -61,12 +61,13 @@
       configuration_("configuration", tables,
                      limits_of(tables, mesh::update_size::bulk)),
       targets_("targets", tables, limits_),
-      evacuations_("evacuations", tables, limits_)
+      evacuations_("evacuations", tables, limits_), registration_(tables.io)
 {}
 
 void platform_feed::start()
 {
     tables_.on_platform_answer = [this] { reset_backoff(); };
+    tables_.on_store_era.push_back([this] { on_store_era(); });
     configuration_.last_attempt = tables_.now();
     spawn(tables_.io, follow_targets());
     spawn(tables_.io, follow_configuration());
@@ -129,6 +130,20 @@
     }
 }
 
+/// A watch can't lead from one era to the next. Lists at once, since the state
+/// of before is no longer confirmed by anybody.
+void platform_feed::on_store_era()
+{
+    for (feed_state* it : {&configuration_, &targets_, &evacuations_}) {
+        it->listed = false;
+        it->failures = 0;
+        it->early_watch_failures = 0;
+        it->next_attempt = instant();
+        it->pause.cancel();
+    }
+    registration_.cancel();
+}
+
 /// While the platform doesn't answer, the configuration feed lets the targets
 /// feed call first, for at most `max_wait_for_targets`. Otherwise the transfer
 /// of a megabyte of configuration could delay the update that a target leaves.
@@ -211,6 +226,8 @@
     if (feed.listed && tables_.now() - feed.listed_at < relist_period) {
         const bool watched = co_await (this->*watch)();
         feed.listed = watched;
+        if (feed.era != tables_.store_era)
+            feed.listed_at = instant();
         if (record_watch_result(feed, watched))
             co_return false;
         if (watched)
@@ -220,6 +237,7 @@
     // connection. The platform counts as unreachable only if this fails too.
     feed.listed = co_await (this->*list)();
     feed.listed_at = tables_.now();
+    feed.era = tables_.store_era;
     co_return feed.listed;
 }
 
--- a/libs/edge/platform_feed_configuration.cpp
+++ b/libs/edge/platform_feed_configuration.cpp
@@ -57,7 +57,7 @@
         adapter::list_target(object_kind::configuration, freshness::newest, "");
     const auto page =
         co_await fetch(platform_call::list_configuration, call_kind::listing,
-                       target, adapter::decode_page);
+                       target, adapter::decode_page_in);
     if (!page)
         co_return false;
     for (const adapter::stored_object& it : page->value.objects)
@@ -75,9 +75,11 @@
                               limits_.watch_timeout);
     const auto answer =
         co_await fetch(platform_call::watch_configuration, call_kind::watch,
-                       target, adapter::decode_watch);
+                       target, adapter::decode_watch_in);
     if (!answer)
         co_return false;
+    if (answer->value.as_of.era() != configuration_as_of_.era())
+        co_return false;
     for (const adapter::object_event& it : answer->value.events)
         if (!it.deleted)
             apply_configuration(it.object);
--- a/libs/edge/platform_feed_evacuations.cpp
+++ b/libs/edge/platform_feed_evacuations.cpp
@@ -46,7 +46,7 @@
         adapter::list_target(object_kind::evacuations, freshness::newest, "");
     const auto page =
         co_await fetch(platform_call::list_evacuations, call_kind::listing,
-                       target, adapter::decode_page);
+                       target, adapter::decode_page_in);
     if (!page)
         co_return false;
     catalog::evacuation_state state{{}, page->value.as_of};
@@ -70,9 +70,11 @@
         object_kind::evacuations, known.as_of(), limits_.watch_timeout);
     const auto answer =
         co_await fetch(platform_call::watch_evacuations, call_kind::watch,
-                       target, adapter::decode_watch);
+                       target, adapter::decode_watch_in);
     if (!answer)
         co_return false;
+    if (answer->value.as_of.era() != known.as_of().era())
+        co_return false;
     std::vector<catalog::evacuation_change> changes;
     for (const adapter::object_event& it : answer->value.events) {
         if (is_data_center(it.object))
--- a/libs/edge/platform_feed_fetch.hpp
+++ b/libs/edge/platform_feed_fetch.hpp
@@ -15,9 +15,9 @@
 inline constexpr duration list_timeout = milliseconds(1500);
 
 template <class Answer>
-awaitable<std::optional<platform_feed::timed<Answer>>>
-platform_feed::fetch(platform_call name, call_kind kind, std::string target,
-                     result<Answer> (*decode)(const std::string&))
+awaitable<std::optional<platform_feed::timed<Answer>>> platform_feed::fetch(
+    platform_call name, call_kind kind, std::string target,
+    result<Answer> (*decode)(catalog::store_era, const std::string&))
 {
     const duration limit = kind == call_kind::watch
                                ? limits_.watch_timeout + watch_timeout_margin
@@ -27,7 +27,7 @@
     record_contact(got, name, kind);
     if (got.outcome != call_outcome::done)
         co_return std::nullopt;
-    auto decoded = decode(got.body);
+    auto decoded = decode(got.era, got.body);
     if (!decoded) {
         tables_.unreadable.note(unreadable_kind::answer,
                                 std::string(to_string(name)),
--- a/libs/edge/platform_feed_targets.cpp
+++ b/libs/edge/platform_feed_targets.cpp
@@ -70,7 +70,7 @@
                                                   freshness::newest, after);
         const auto page =
             co_await fetch(platform_call::list_targets, call_kind::listing,
-                           target, adapter::decode_page);
+                           target, adapter::decode_page_in);
         if (!page)
             co_return false;
         for (const adapter::stored_object& it : page->value.objects) {
@@ -79,6 +79,9 @@
             if (!it.name.empty())
                 after = it.name;
         }
+        // The store was restored in between.
+        if (as_of && page->value.as_of.era() != as_of->era())
+            co_return false;
         // Later pages may be newer. The next watch starts from the revision of
         // the first page, so it delivers all changes since then.
         if (!as_of) {
@@ -108,9 +111,11 @@
         object_kind::targets, tables_.targets.as_of(), limits_.watch_timeout);
     const auto answer =
         co_await fetch(platform_call::watch_targets, call_kind::watch, target,
-                       adapter::decode_watch);
+                       adapter::decode_watch_in);
     if (!answer)
         co_return false;
+    if (answer->value.as_of.era() != tables_.targets.as_of().era())
+        co_return false;
     const auto changes = parse_changes(answer->value);
     if (!tables_.targets.apply(changes, answer->value.as_of))
         co_return true;
--- a/libs/edge/request_attempts.cpp
+++ b/libs/edge/request_attempts.cpp
@@ -315,6 +315,7 @@
 {
     if (!may_send())
         return std::nullopt;
+    last_list_ = tables_.targets.as_of();
     return tables_.registry.choose(routing_request(), tables_.now(),
                                    tables_.random);
 }
@@ -393,6 +394,7 @@
                  {"target", target->target.str()},
                  {"address", target->address},
                  {"version", target->software.str()},
+                 {"list", to_string(last_list_)},
                  {"relay", got.relay.str()},
                  {"reused", got.reused_connection ? "yes" : "no"},
                  {"ended", std::string(to_string(got.ended))},
--- a/libs/edge/request_run.hpp
+++ b/libs/edge/request_run.hpp
@@ -120,6 +120,8 @@
     std::vector<catalog::target_process> tried_targets_;
     target_id last_target_;
     catalog::software_version last_version_; ///< Of the last target.
+    /// Position of the list of targets that the last choice was made from.
+    catalog::revision last_list_;
     host_id last_relay_; ///< Of the last attempt; empty if it was direct.
     body_framing last_framing_ = body_framing::unknown;
     /// Version that began the stream; unset: no part of it is known to exist.
--- a/libs/mesh/heartbeat_codec.cpp
+++ b/libs/mesh/heartbeat_codec.cpp
@@ -16,6 +16,8 @@
 {
     wire::Evacuations out;
     out.as_of = to_signed(from.as_of.value());
+    if (from.as_of.era() != catalog::store_era())
+        out.__set_era(to_signed(from.as_of.era().value()));
     for (const data_center_id& it : from.data_centers)
         out.data_centers.push_back(it.str());
     return out;
@@ -35,7 +37,7 @@
         return std::nullopt;
     }
     catalog::evacuation_state out;
-    out.as_of = id_of<catalog::revision>(from.as_of);
+    out.as_of = revision_from(from.as_of, from.__isset.era, from.era);
     for (const std::string& it : from.data_centers)
         out.data_centers.emplace_back(it);
     return out;
@@ -214,6 +216,10 @@
         out.__set_target_news(to_wire(*from.target_update));
     out.__set_is_brief(from.is_brief);
     out.__set_targets_as_of(to_signed(from.targets_as_of.value()));
+    if (from.targets_as_of.era() != catalog::store_era())
+        out.__set_targets_era(to_signed(from.targets_as_of.era().value()));
+    if (from.store_era)
+        out.__set_store_era(to_signed(from.store_era->value()));
     if (from.sent)
         out.__set_sent_ms(milliseconds_of(*from.sent));
     for (const auto& it : from.load) {
@@ -288,7 +294,8 @@
     out.peer_address = from.peer_address;
     out.configuration =
         id_of<catalog::configuration_version>(from.configuration);
-    out.targets_changed = id_of<catalog::revision>(from.targets_changed);
+    out.targets_changed = revision_from(
+        from.targets_changed, from.__isset.targets_era, from.targets_era);
     out.platform_reached = from.platform_reached;
     out.requests_per_second = clamped_rate(from.requests_per_second);
     out.capacity = clamped_rate(from.capacity);
@@ -305,8 +312,11 @@
     if (from.__isset.target_news)
         out.target_update = from_wire(from.target_news, invalid_parts);
     out.is_brief = from.__isset.is_brief && from.is_brief;
-    out.targets_as_of = id_of<catalog::revision>(
-        from.__isset.targets_as_of ? from.targets_as_of : from.targets_changed);
+    out.targets_as_of = revision_from(
+        from.__isset.targets_as_of ? from.targets_as_of : from.targets_changed,
+        from.__isset.targets_era, from.targets_era);
+    if (from.__isset.store_era && from.store_era > 0)
+        out.store_era = id_of<catalog::store_era>(from.store_era);
     out.sent = instant_of(from.__isset.sent_ms, from.sent_ms);
     out.load = loads_from(from.load, invalid_parts);
     out.stock = stock_from(from.stock, invalid_parts);
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -82,6 +82,7 @@
   1: i64 since
   2: i64 as_of
   3: list<TargetRow> changes
+  4: optional i64 era
 }
 
 struct HeardNode {
@@ -92,6 +93,7 @@
 struct Evacuations {
   1: i64 as_of
   2: list<string> data_centers
+  3: optional i64 era
 }
 
 struct Limit {
@@ -141,6 +143,42 @@
   30: optional binary reached
   31: optional bool cut_off
   32: optional list<Limit> brittle
+  33: optional i64 store_era
+  // Of targets_changed and targets_as_of.
+  34: optional i64 targets_era
+}
+
+// What nodes drew of the record of allotments in one epoch. Parallel lists.
+struct EpochDraws {
+  1: i64 sequence
+  2: i64 nonce
+  3: i64 era
+  4: list<string> teams
+  5: list<i64> amounts
+}
+
+// Of node `life`, or in answer to its question `number`.
+struct DrawReport {
+  1: i64 life
+  2: i64 number
+  3: i64 era
+  4: list<EpochDraws> draws
+  5: optional i64 reporter
+  6: optional i32 part
+  7: optional i32 parts
+}
+
+struct DrawAck {
+  1: i64 life
+  2: i64 number
+  3: i64 era
+  4: i64 witness
+}
+
+struct DrawAsk {
+  1: i64 life
+  2: i64 number
+  3: i64 era
 }
 
 struct TokenAsk {
@@ -211,6 +249,10 @@
   11: optional RunReply run_reply
   12: optional RunEnd run_end
   13: optional TokenGiftTaken give_taken
+  14: optional DrawReport draw_report
+  15: optional DrawAck draw_ack
+  16: optional DrawAsk draw_ask
+  17: optional DrawReport draw_answer
 }
 
 struct RelayAsk {
@@ -228,6 +270,7 @@
   4: optional string peer_address
   5: optional RelayAsk relay
   6: optional RelayAsk relay_end
+  7: optional i64 era
 }
 
 struct SyncReply {
@@ -241,4 +284,5 @@
   8: optional i64 served_configuration
   9: optional i8 relay
   10: optional i8 relay_end
+  11: optional i64 era
 }
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -3,6 +3,7 @@
 #include "fennelladder/mesh/messages.hpp"
 
 #include "crash_codec.hpp"
+#include "draw_codec.hpp"
 #include "fennelladder/base/address.hpp"
 #include "fennelladder/base/thrift_codec.hpp"
 #include "heartbeat_codec.hpp"
@@ -221,6 +222,14 @@
         out.__set_run_reply(to_wire(*message.run_answer));
     if (message.run_end)
         out.__set_run_end(to_wire(*message.run_end));
+    if (message.draw_report)
+        out.__set_draw_report(to_wire(*message.draw_report));
+    if (message.draw_ack)
+        out.__set_draw_ack(to_wire(*message.draw_ack));
+    if (message.draw_question)
+        out.__set_draw_ask(to_wire(*message.draw_question));
+    if (message.draw_answer)
+        out.__set_draw_answer(to_wire(*message.draw_answer));
     return to_bytes(out);
 }
 
@@ -264,6 +273,18 @@
         out.run_answer = from_wire(read.run_reply, out.invalid_parts);
     if (read.__isset.run_end)
         out.run_end = from_wire(read.run_end);
+    if (read.__isset.draw_report) {
+        out.draw_report = report_from(read.draw_report);
+        out.invalid_parts += !out.draw_report;
+    }
+    if (read.__isset.draw_ack)
+        out.draw_ack = from_wire(read.draw_ack);
+    if (read.__isset.draw_ask)
+        out.draw_question = from_wire(read.draw_ask);
+    if (read.__isset.draw_answer) {
+        out.draw_answer = answer_from(read.draw_answer);
+        out.invalid_parts += !out.draw_answer;
+    }
     if (has_invalid_amount(out))
         return fail(error_code::corrupt,
                     "token message with an amount out of range");
--- a/libs/mesh/sync_messages.cpp
+++ b/libs/mesh/sync_messages.cpp
@@ -45,6 +45,8 @@
     wire::SyncAsk out;
     out.configuration = to_signed(message.configuration.value());
     out.targets_as_of = to_signed(message.targets_as_of.value());
+    if (message.targets_as_of.era() != catalog::store_era())
+        out.__set_era(to_signed(message.targets_as_of.era().value()));
     out.__set_part(static_cast<std::int8_t>(message.part));
     out.__set_peer_address(message.peer_address);
     if (message.relay)
@@ -60,6 +62,8 @@
     if (!message.configuration.empty())
         out.__set_configuration(message.configuration);
     out.targets_as_of = to_signed(message.targets_as_of.value());
+    if (message.targets_as_of.era() != catalog::store_era())
+        out.__set_era(to_signed(message.targets_as_of.era().value()));
     out.targets_full = message.targets_full;
     for (const catalog::target_change& it : message.targets)
         out.targets.push_back(to_wire(it));
@@ -88,12 +92,13 @@
         return fail(error_code::corrupt,
                     "sync request with a negative configuration version or "
                     "target revision");
-    sync_request out{id_of<catalog::configuration_version>(read->configuration),
-                     id_of<catalog::revision>(read->targets_as_of),
-                     part_of(read->part),
-                     read->peer_address,
-                     std::nullopt,
-                     std::nullopt};
+    sync_request out{
+        id_of<catalog::configuration_version>(read->configuration),
+        revision_from(read->targets_as_of, read->__isset.era, read->era),
+        part_of(read->part),
+        read->peer_address,
+        std::nullopt,
+        std::nullopt};
     if (read->__isset.relay)
         out.relay = from_wire(read->relay);
     if (read->__isset.relay_end)
@@ -116,7 +121,8 @@
                     "target revision");
     sync_reply out;
     out.configuration = std::move(read->configuration);
-    out.targets_as_of = id_of<catalog::revision>(read->targets_as_of);
+    out.targets_as_of =
+        revision_from(read->targets_as_of, read->__isset.era, read->era);
     out.targets_full = read->targets_full;
     out.targets =
         changes_from(read->targets, out.targets_as_of, out.invalid_parts);
--- a/libs/mesh/target_rows.cpp
+++ b/libs/mesh/target_rows.cpp
@@ -65,7 +65,10 @@
         }
         const bool has_revision = it.changed_at >= 0;
         const auto at =
-            has_revision ? id_of<catalog::revision>(it.changed_at) : as_of;
+            has_revision
+                ? catalog::revision(static_cast<std::uint64_t>(it.changed_at),
+                                    as_of.era())
+                : as_of;
         catalog::target_change change{target_id(it.id), std::nullopt, at};
         if (!it.gone) {
             change.entry = entry_from_wire(it);
@@ -84,6 +87,8 @@
     wire::TargetNews out;
     out.since = to_signed(from.since.value());
     out.as_of = to_signed(from.as_of.value());
+    if (from.as_of.era() != catalog::store_era())
+        out.__set_era(to_signed(from.as_of.era().value()));
     for (const catalog::target_change& it : from.changes)
         out.changes.push_back(to_wire(it));
     return out;
@@ -99,8 +104,8 @@
         return std::nullopt;
     }
     catalog::target_update out;
-    out.since = id_of<catalog::revision>(from.since);
-    out.as_of = id_of<catalog::revision>(from.as_of);
+    out.since = revision_from(from.since, from.__isset.era, from.era);
+    out.as_of = revision_from(from.as_of, from.__isset.era, from.era);
     out.changes = changes_from(from.changes, out.as_of, invalid_parts);
     return out;
 }
--- a/libs/mesh/wire_values.hpp
+++ b/libs/mesh/wire_values.hpp
@@ -26,6 +26,16 @@
     return Id(static_cast<std::uint64_t>(value));
 }
 
+/// Of the lowest era if the sender states none.
+inline catalog::revision revision_from(std::int64_t count, bool states_era,
+                                       std::int64_t era)
+{
+    return catalog::revision(static_cast<std::uint64_t>(count),
+                             states_era && era > 0
+                                 ? id_of<catalog::store_era>(era)
+                                 : catalog::store_era());
+}
+
 /// A negative start counts as unknown; converted to unsigned, it would be later
 /// than all others.
 inline catalog::target_start start_of(std::int64_t ms)
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -92,6 +92,12 @@
      "platform_calls_over_rate",
      "A call to the platform was not made because the node has used its share "
      "of the permitted call rate."},
+    {event::store_era_entered, severity::warning, "store_era_entered",
+     "The store was restored from an older copy; what it acknowledged since "
+     "may "
+     "be lost, and revisions of before are no longer compared."},
+    {event::node_registered_again, severity::info, "node_registered_again",
+     "The node writes its address again after the store was restored."},
     {event::journal_layout_differs, severity::warning, "journal_layout_differs",
      "The setting for the journal's shards or slots differs from the stored "
      "one, which holds."},
@@ -202,6 +208,14 @@
     {event::tokens_lost, severity::warning, "tokens_lost",
      "Another node's process ended without handing over its tokens; the "
      "amount is the last that it reported."},
+    {event::allotment_repaired, severity::warning, "allotment_repaired",
+     "The record of allotments was written again with all draws that are "
+     "known, "
+     "after the store was restored."},
+    {event::allotment_outdated, severity::warning, "allotment_outdated",
+     "The record of allotments is of before the store was restored; nobody "
+     "draws "
+     "until it is repaired."},
     {event::request_answered, severity::info, "request_answered",
      "A request got its whole answer."},
     {event::request_refused, severity::warning, "request_refused",
