Draw the budgets from what nodes know after the store was restored

Cause: the record of allotments was the only proof of what had been drawn, and the store may lose it. A live node refused the older record for good; a process that started afterwards took it for true.

Change: draws are counted by epoch of the record (allotment_ledger, a counter that grows only, merged by the maximum of each epoch); record_keeper decides by it what a node may do with the record, and the edge makes its calls. Other nodes are told of a draw before it is spent (draw_exchange, draw_policy), and a node repairs the record with all that they know, before anybody draws. A write of an earlier era isn't credited by its mark; a record that it overwrote is repaired. Without an era nothing changes and nothing is sent.

--- a/include/fennelladder/edge/stock_refiller.hpp
+++ b/include/fennelladder/edge/stock_refiller.hpp
@@ -20,6 +20,10 @@
 // A stock holder that gets no answer from the writer writes for itself for a
 // while.
 //
+// After the store was restored from an older copy, the writing node repairs the
+// record at once, whether or not tokens are requested, and the others tell it
+// what they know.
+//
 // Not thread safe.
 
 #ifndef FENNELLADDER_EDGE_STOCK_REFILLER_HPP
@@ -56,7 +60,8 @@
     };
 
     stock_refiller(node_tables& tables, platform_client& client,
-                   const mesh::stock_table& peers, hooks hooks);
+                   const mesh::stock_table& peers, draw_exchange& draws,
+                   hooks hooks);
 
     /// Starts the periodic checks of the stock.
     void start();
@@ -120,6 +125,7 @@
     void end_round(instant begun);
     void abandon_round();
     void request_refill(const host_id& writer);
+    void tell_writer(const mesh::peer_record& writer);
     void credit(const prepaid::token_amounts& granted);
     prepaid::token_amounts withdrawals() const;
     prepaid::stock_state state_of(const team_id& team, tokens total,
@@ -131,6 +137,7 @@
 
     node_tables& tables_;
     const mesh::stock_table& peers_;
+    draw_exchange& draws_;
     hooks hooks_;
     allotment_writer writer_;
     asio::steady_timer wake_;
@@ -144,6 +151,10 @@
     bool platform_reached_ = true;
     prepaid::outage_tracker outages_;
     int failures_ = 0; ///< Consecutive failed calls.
+    /// How often the writer was told of draws in the present era of the store.
+    int times_told_ = 0;
+    mesh::node_incarnation told_;
+    catalog::store_era told_in_;
 };
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/edge/token_allocator.hpp
+++ b/include/fennelladder/edge/token_allocator.hpp
@@ -83,6 +83,7 @@
     void on_grant_acknowledged(const mesh::token_grant_ack& ack);
     void on_token_push(const mesh::token_push& push, const std::string& from);
     void on_push_acknowledged(const mesh::token_push_ack& ack);
+    void on_draws(const mesh::datagram& message, const std::string& from);
 
     /// Records the balances that another node reports.
     void on_heartbeat(const mesh::node_heartbeat& from);
@@ -193,6 +194,7 @@
     sender send_;
     mesh::stock_table peers_;
     prepaid::urgency_reserve urgency_reserve_;
+    draw_exchange draws_;
     stock_refiller refiller_;
     std::vector<std::weak_ptr<asio::steady_timer>> waiters_;
     /// Shared with waiting requests, which may outlive the allocator.
--- a/libs/edge/allotment_writer.cpp
+++ b/libs/edge/allotment_writer.cpp
@@ -1,11 +1,13 @@
 // Tokens are credited only once the write that deducts them is proven to have
-// taken effect, by its own reply or by its mark in a record read later.
+// taken effect, by its own reply or by its mark in a record read later, and
+// other nodes know of it.
 
 #include "fennelladder/edge/allotment_writer.hpp"
 
 #include "fennelladder/telemetry/log.hpp"
 
 #include <cassert>
+#include <utility>
 
 namespace fennelladder::edge {
 
@@ -33,9 +35,20 @@
 } // namespace
 
 allotment_writer::allotment_writer(node_tables& tables, platform_client& client,
-                                   receiver credit)
-    : tables_(tables), client_(client), credit_(std::move(credit))
-{}
+                                   receiver credit, draw_exchange* draws)
+    : tables_(tables), client_(client), credit_(std::move(credit)),
+      draws_(draws), keeper_(tables.settings.host,
+                             std::to_string(tables.incarnation.value()) + ".")
+{
+    if (draws_ != nullptr)
+        draws_->attach(keeper_);
+}
+
+bool allotment_writer::is_outdated() const
+{
+    return keeper_.record().has_value() &&
+           (keeper_.era() < tables_.store_era || !keeper_.is_usable());
+}
 
 /// Tokens that remain in the record for each team in `granted`.
 prepaid::token_amounts
@@ -44,19 +57,37 @@
     const auto totals = prepaid_totals();
     prepaid::token_amounts out;
     for (const auto& [team, amount] : granted)
-        out[team] = prepaid::unallotted(*record_, totals, team);
+        out[team] = prepaid::unallotted(*keeper_.record(), totals, team);
     return out;
 }
 
 void allotment_writer::credit(const prepaid::token_amounts& granted)
 {
+    if (granted.empty())
+        return;
     log_event(event::tokens_allotted,
               {{"amounts", format_amounts(granted)},
                {"left", format_amounts(remaining_after(granted))},
-               {"revision", std::to_string(record_revision_.value())}});
+               {"revision", std::to_string(keeper_.record_at().value())},
+               {"era", std::to_string(keeper_.era().value())}});
     credit_(granted);
 }
 
+awaitable<void> allotment_writer::credit_claims()
+{
+    while (auto claim = keeper_.take_claim(prepaid_totals())) {
+        bool known = claim->era == catalog::store_era() || draws_ == nullptr;
+        if (!known)
+            known = co_await draws_->confirm(*claim);
+        if (!known) {
+            keeper_.return_claim(std::move(*claim));
+            break;
+        }
+        credit(claim->granted);
+    }
+    credit(keeper_.take_covered_claims(prepaid_totals()));
+}
+
 void allotment_writer::report_unreadable(catalog::revision changed,
                                          const error& cause)
 {
@@ -64,46 +95,35 @@
                             cause);
 }
 
-/// Caches a record that was read. Allotted amounts only grow: a record that
-/// shows less than before, or that has disappeared, was changed by another
-/// program. Accepting it would allot tokens again that teams have already
-/// spent.
-bool allotment_writer::accept_record(const adapter::stored_object& object)
+result<prepaid::shown_record>
+allotment_writer::decode(const platform_reply& reply) const
+{
+    const auto object = adapter::decode_object_in(reply.era, reply.body);
+    if (!object)
+        return tl::unexpected(object.error());
+    auto record = object->content.and_then(prepaid::allotment_from_json);
+    if (!record)
+        return tl::unexpected(record.error());
+    return prepaid::shown_record{std::move(*record), object->revision};
+}
+
+/// Returns whether the record was accepted. A record that shows less than
+/// before in the same era, or that has disappeared, was changed by another
+/// program.
+bool allotment_writer::accept(const result<prepaid::shown_record>& read)
 {
-    auto read = object.content.and_then(prepaid::allotment_from_json);
-    if (read && object.revision == catalog::revision())
-        read = fail(error_code::corrupt, "allotment record has no revision");
-    if (read && record_ && !prepaid::may_follow(*record_, *read))
-        read = fail(error_code::corrupt,
-                    "allotment record shows less allotted than before");
     if (!read) {
-        report_unreadable(object.revision, read.error());
+        report_unreadable(catalog::revision(), read.error());
+        return false;
+    }
+    if (const auto ok = keeper_.accept(*read, tables_.now()); !ok) {
+        report_unreadable(read->at, ok.error());
         return false;
     }
-    record_ = std::move(*read);
-    record_revision_ = object.revision;
     record_read_at_ = tables_.now();
     return true;
 }
 
-awaitable<bool> allotment_writer::create_record()
-{
-    const auto body =
-        adapter::encode_object(record_name, catalog::revision(),
-                               prepaid::to_json(prepaid::allotment_record()));
-    const auto got = co_await client_.call(
-        platform_call::write_allotments, http::verb::post,
-        adapter::create_target(object_kind::prepaid), body, call_timeout);
-    // On a conflict another node has created the record; it can be read.
-    const bool there = got.outcome == call_outcome::done ||
-                       got.outcome == call_outcome::conflict;
-    if (!there)
-        co_return false;
-    const auto object = adapter::decode_object(got.body);
-    const bool known = object.has_value() && accept_record(*object);
-    co_return known;
-}
-
 awaitable<bool> allotment_writer::read_record()
 {
     const auto got = co_await client_.call(
@@ -112,57 +132,104 @@
                                adapter::freshness::newest),
         "", call_timeout);
     tables_.note_platform_contact(got.reached(), "allotment record");
-    if (got.outcome == call_outcome::missing && record_) {
-        report_unreadable(catalog::revision(),
-                          {error_code::not_found, "the record is gone"});
-        co_return false;
-    }
     if (got.outcome == call_outcome::missing) {
-        const bool created = co_await create_record();
-        co_return created;
+        const auto ok = keeper_.accept_missing(got.era, tables_.now());
+        if (!ok)
+            report_unreadable(catalog::revision(), ok.error());
+        co_return ok.has_value();
     }
     if (got.outcome != call_outcome::done)
         co_return false;
-    const auto object = adapter::decode_object(got.body);
-    if (!object) {
-        report_unreadable(catalog::revision(), object.error());
+    co_return accept(decode(got));
+}
+
+/// Once an era.
+void allotment_writer::log_outdated()
+{
+    if (logged_outdated_ == keeper_.era())
+        return;
+    logged_outdated_ = keeper_.era();
+    const prepaid::repair_view view = draws_->view(keeper_.is_missing());
+    log_event(event::allotment_outdated,
+              {{"era", std::to_string(keeper_.era().value())},
+               {"record", to_string(keeper_.record_at())},
+               {"asked", std::to_string(view.asked)},
+               {"answered", std::to_string(view.answered)},
+               {"uptime_ms", milliseconds_text(view.uptime)}});
+}
+
+/// Creates the record, or replaces one of an earlier era by all that is known,
+/// once the other nodes have said what they know. Returns whether the record is
+/// usable then.
+awaitable<bool> allotment_writer::repair()
+{
+    const bool restored = keeper_.era() != catalog::store_era();
+    const bool is_missing = keeper_.is_missing();
+    if (restored && draws_ != nullptr) {
+        draws_->ask();
+        waits_for_nodes_ = !prepaid::may_repair(draws_->view(is_missing));
+        if (waits_for_nodes_) {
+            log_outdated();
+            co_return false;
+        }
+    }
+    const prepaid::record_write made =
+        keeper_.draft_repair(tables_.random.bits());
+    const auto body = adapter::encode_object(record_name, made.expected,
+                                             prepaid::to_json(made.record));
+    const std::string target =
+        is_missing ? adapter::create_target(object_kind::prepaid)
+                   : adapter::object_target(object_kind::prepaid, record_name,
+                                            adapter::freshness::newest);
+    const auto got =
+        co_await client_.call(platform_call::write_allotments,
+                              is_missing ? http::verb::post : http::verb::put,
+                              target, body, call_timeout);
+    // On a conflict another node was first; its record can be read.
+    const bool is_there = got.outcome == call_outcome::done ||
+                          got.outcome == call_outcome::conflict;
+    if (!is_there || !accept(decode(got)) || !keeper_.is_usable())
         co_return false;
+    if (restored && got.outcome == call_outcome::done) {
+        log_event(event::allotment_repaired,
+                  {{"era", std::to_string(keeper_.era().value())},
+                   {"before", to_string(made.expected)},
+                   {"epoch", std::to_string(made.record.epoch.sequence)},
+                   {"teams", std::to_string(made.record.allotted.size())},
+                   {"revision", to_string(keeper_.record_at())}});
     }
-    co_return accept_record(*object);
+    co_return true;
 }
 
-/// Sends the write. If the reply leaves the outcome open, the write is kept in
-/// in_doubt_.
-awaitable<bool> allotment_writer::write(const in_doubt_write& pending)
+/// Sends the write. If the reply leaves the outcome open, the write is in
+/// doubt.
+awaitable<bool> allotment_writer::write(const prepaid::record_write& pending)
 {
-    const auto body = adapter::encode_object(
-        record_name, pending.expected, prepaid::to_json(pending.draft.record));
+    const auto body = adapter::encode_object(record_name, pending.expected,
+                                             prepaid::to_json(pending.record));
     const auto got = co_await client_.call(
         platform_call::write_allotments, http::verb::put,
         adapter::object_target(object_kind::prepaid, record_name,
                                adapter::freshness::newest),
         body, call_timeout);
     tables_.note_platform_contact(got.reached(), "allotment record");
-    if (got.outcome == call_outcome::turned_away && !in_doubt_)
+    if (got.outcome == call_outcome::turned_away && !in_doubt())
         co_return false;
     if (got.outcome != call_outcome::done &&
         got.outcome != call_outcome::conflict) {
-        if (!in_doubt_)
+        if (!in_doubt())
             log_event(event::allotment_in_doubt, {{"mark", pending.mark}});
-        in_doubt_ = pending;
+        keeper_.note_in_doubt(pending);
         co_return false;
     }
-    const auto object = adapter::decode_object(got.body);
-    if (!object || !accept_record(*object)) {
-        in_doubt_ = pending;
-        co_return false;
-    }
-    const bool written =
-        prepaid::contains_write(*record_, tables_.settings.host, pending.mark);
-    const auto granted = pending.draft.granted;
-    in_doubt_.reset();
-    if (written)
-        credit(granted);
+    const auto shown = decode(got);
+    if (!shown)
+        report_unreadable(catalog::revision(), shown.error());
+    const bool written = keeper_.end_write(
+        pending, shown ? std::optional(*shown) : std::nullopt, tables_.now());
+    if (shown)
+        record_read_at_ = tables_.now();
+    co_await credit_claims();
     co_return written;
 }
 
@@ -170,48 +237,37 @@
 awaitable<bool> allotment_writer::resolve_in_doubt()
 {
     const bool read = co_await read_record();
-    if (!read || !in_doubt_)
+    if (!read)
         co_return false;
-    if (prepaid::contains_write(*record_, tables_.settings.host,
-                                in_doubt_->mark)) {
-        const auto granted = in_doubt_->draft.granted;
-        in_doubt_.reset();
-        credit(granted);
+    if (!in_doubt())
         co_return true;
-    }
-    if (record_revision_ != in_doubt_->expected) {
-        // The write's revision condition can no longer hold, so it will never
-        // take effect.
-        in_doubt_.reset();
+    if (keeper_.resolve_in_doubt(tables_.now())) {
+        co_await credit_claims();
         co_return true;
     }
     // The write may still take effect. Repeating it is safe, since at most one
     // of the two can, and its reply shows the outcome.
-    const in_doubt_write again = *in_doubt_;
+    const prepaid::record_write again = *keeper_.in_doubt();
     (void)co_await write(again);
-    co_return !in_doubt_;
+    co_return !in_doubt();
 }
 
 awaitable<bool>
 allotment_writer::withdraw(const prepaid::token_amounts& requested)
 {
     constexpr int max_write_attempts = 5;
-    // Without a revision the write would be unconditional.
-    assert(record_revision_ != catalog::revision());
     for (int i = 0; i < max_write_attempts; ++i) {
-        in_doubt_write pending;
-        pending.mark = std::to_string(tables_.incarnation.value()) + "." +
-                       std::to_string(++writes_);
-        pending.draft =
-            prepaid::draft_allotment(*record_, prepaid_totals(), requested,
-                                     tables_.settings.host, pending.mark);
-        pending.expected = record_revision_;
-        if (pending.draft.granted.empty())
+        // The store may have been restored meanwhile.
+        if (!keeper_.is_usable())
+            co_return false;
+        const auto pending =
+            keeper_.draft_withdrawal(prepaid_totals(), requested);
+        if (!pending)
             co_return true;
-        const bool written = co_await write(pending);
+        const bool written = co_await write(*pending);
         if (written)
             co_return true;
-        if (in_doubt_)
+        if (in_doubt())
             co_return false;
         if (i + 1 < max_write_attempts)
             co_await back_off_after_conflict(i);
@@ -232,11 +288,18 @@
 
 awaitable<bool> allotment_writer::refresh(duration max_age)
 {
+    waits_for_nodes_ = false;
+    keeper_.enter_era(tables_.store_era, tables_.now());
     bool fine = true;
-    if (in_doubt_)
+    if (in_doubt())
         fine = co_await resolve_in_doubt();
-    else if (!record_ || tables_.now() - record_read_at_ > max_age)
+    else if (!keeper_.is_usable() || tables_.now() - record_read_at_ > max_age)
         fine = co_await read_record();
+    if (fine && keeper_.needs_repair())
+        fine = co_await repair();
+    fine = fine && keeper_.is_usable();
+    if (fine)
+        co_await credit_claims();
     co_return fine;
 }
 
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -140,7 +140,8 @@
 {
     const bool of_tokens =
         message.request || message.grant || message.grant_ack || message.push ||
-        message.push_ack;
+        message.push_ack || message.draw_report || message.draw_ack ||
+        message.draw_question || message.draw_answer;
     const bool of_streams = !message.origins.empty() ||
                             message.stream_question || message.stream_answer;
     const auto rest = of_streams ? traffic::streams : traffic::crashes;
@@ -405,6 +406,7 @@
         allocator_->on_token_push(*message.push, from);
     if (message.push_ack)
         allocator_->on_push_acknowledged(*message.push_ack);
+    allocator_->on_draws(message, from);
 }
 
 void mesh_node::handle_streams(const mesh::datagram& message,
--- a/libs/edge/stock_refiller.cpp
+++ b/libs/edge/stock_refiller.cpp
@@ -25,19 +25,26 @@
 /// By then the writer has been heard again or is considered dead.
 constexpr duration self_write_time = seconds(3);
 
+/// How often the writer is told of draws after the store was restored.
+constexpr int tells_of_draws = 3;
+
 /// Salt of the ranking of nodes that may write the record.
 constexpr const char* writer_salt = "allotments";
 
 } // namespace
 
 stock_refiller::stock_refiller(node_tables& tables, platform_client& client,
-                               const mesh::stock_table& peers, hooks hooks)
-    : tables_(tables), peers_(peers), hooks_(std::move(hooks)),
+                               const mesh::stock_table& peers,
+                               draw_exchange& draws, hooks hooks)
+    : tables_(tables), peers_(peers), draws_(draws), hooks_(std::move(hooks)),
       writer_(
           tables, client,
-          [this](const prepaid::token_amounts& granted) { credit(granted); }),
+          [this](const prepaid::token_amounts& granted) { credit(granted); },
+          &draws),
       wake_(tables.io)
-{}
+{
+    tables.on_store_era.push_back([this] { wake(); });
+}
 
 void stock_refiller::start()
 {
@@ -234,11 +241,27 @@
     }
 }
 
+/// Tells the writer what this node knows of draws, since it may repair the
+/// record without having heard of them. Some messages may be lost.
+void stock_refiller::tell_writer(const mesh::peer_record& writer)
+{
+    if (told_in_ != tables_.store_era || told_ != writer.last.incarnation) {
+        told_in_ = tables_.store_era;
+        told_ = writer.last.incarnation;
+        times_told_ = 0;
+    }
+    if (!tables_.store_restored || times_told_ >= tells_of_draws)
+        return;
+    ++times_told_;
+    draws_.tell(writer);
+}
+
 awaitable<bool> stock_refiller::write_round()
 {
     const prepaid::stock_options& options = tables_.options.stock;
     const duration rested = tables_.now() - last_write_;
-    if (!has_urgent_request() && rested < options.write_interval)
+    if (!has_urgent_request() && !writer_.is_behind() &&
+        rested < options.write_interval)
         co_return true;
     if (rested < options.urgent_write_interval) {
         // Amounts that are requested meanwhile go into the same write.
@@ -250,7 +273,7 @@
     requested_.clear();
     ++rounds_begun_;
     bool written = true;
-    if (!amounts.empty()) {
+    if (!amounts.empty() || writer_.is_behind()) {
         written = co_await writer_.withdraw(amounts);
         last_write_ = tables_.now();
     }
@@ -262,9 +285,12 @@
 awaitable<bool> stock_refiller::run_once()
 {
     const mesh::peer_record* other = remote_writer();
+    draws_.learn_at_start();
     if (other != nullptr && !writer_.in_doubt()) {
         abandon_round();
+        tell_writer(*other);
         request_refill(other->last.host);
+        co_await writer_.credit_claims();
         co_return true;
     }
     // Another node may have withdrawn less than assumed, so a record with
@@ -274,7 +300,7 @@
     const bool known = co_await writer_.refresh(max_age);
     if (!known) {
         abandon_round();
-        co_return false;
+        co_return writer_.waits_for_nodes();
     }
     const bool written = co_await write_round();
     co_return written;
--- a/libs/edge/token_allocator.cpp
+++ b/libs/edge/token_allocator.cpp
@@ -108,7 +108,11 @@
                                  sender send)
     : tables_(tables), send_(std::move(send)),
       urgency_reserve_(tables.options.urgency_reserve),
-      refiller_(tables, client, peers_,
+      draws_(tables,
+             [this](const std::string& to, const mesh::datagram& message) {
+                 send_(to, message);
+             }),
+      refiller_(tables, client, peers_, draws_,
                 {.on_credited = [this] { answer_pending(instant()); },
                  .on_round_done =
                      [this](instant begun) {
@@ -639,6 +643,12 @@
         pushes_.erase(ack.number);
 }
 
+void token_allocator::on_draws(const mesh::datagram& message,
+                               const std::string& from)
+{
+    draws_.on_message(message, from);
+}
+
 void token_allocator::on_heartbeat(const mesh::node_heartbeat& from)
 {
     peers_.on_heartbeat(from, tables_.now());
