Bound what a target may send that is no answer

The users' news: bytes that are no answer may come without end, in a head or a body, until the caller closes.

Interim responses in series were read for ever: test_endless_answer failed for them (no answer within a second; other requests of the node waited). Now 16 may precede a response. The size of a chunk with its extensions, and all trailers, take 16 KB at most; the body of a rejection is read for 64 KB and then its connection is closed.

--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -23,6 +23,15 @@
 /// Responses to other requests that are discarded before the right one.
 constexpr int max_skipped_responses = 4;
 
+/// Interim responses before one final response. More are no answer.
+constexpr int max_interim_responses = 16;
+
+/// Bytes of a chunk's size with its extensions, or of all trailers.
+constexpr std::size_t max_unparsed_bytes = 16'384;
+
+/// Bytes of a body that is read only to use its connection again.
+constexpr std::size_t max_discarded_bytes = 65'536;
+
 /// A target has read a request body of up to this size together with its head.
 constexpr std::size_t max_body_read_with_head = 4096;
 
@@ -304,7 +313,7 @@
 
 awaitable<bool> attempt::read_head(std::optional<response_parser>& parser)
 {
-    for (;;) {
+    for (int interim = 0; interim <= max_interim_responses; ++interim) {
         parser.emplace();
         parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         // A response to HEAD has no body, whatever length its head states;
@@ -324,6 +333,8 @@
         if (parser->get().result_int() >= 200)
             co_return true;
     }
+    end(attempt_end::garbled, target_evidence::broke, "interim responses");
+    co_return false;
 }
 
 /// Parses what was read of the body and appends it to `out`. Parsing stops at
@@ -366,6 +377,8 @@
             ec_ = parse_body(parser, out);
         else if (ec_ == asio::error::eof)
             parser.put_eof(ec_);
+        if (!ec_ && buf.size() > max_unparsed_bytes)
+            ec_ = http::error::buffer_overflow;
     }
     if (!ec_ && may_use_response())
         co_return true;
@@ -381,13 +394,18 @@
         co_return false;
     }
     std::string discarded;
-    while (!parser.is_done()) {
+    std::size_t total = 0;
+    while (!parser.is_done() && total <= max_discarded_bytes) {
         const bool more = co_await read_body_part(parser, discarded);
         if (!more)
             co_return false;
+        total += discarded.size();
         discarded.clear();
     }
-    co_return true;
+    if (!parser.is_done())
+        end(attempt_end::garbled, target_evidence::broke,
+            "a body that is too long to be discarded");
+    co_return parser.is_done();
 }
 
 response_head attempt::to_response_head(const response_parser& parser) const
@@ -597,6 +615,11 @@
         if (!more)
             co_return;
     }
+    if (!parser.is_done()) {
+        end(attempt_end::garbled, target_evidence::broke,
+            "the body of a failure is too long");
+        co_return;
+    }
     const bool ended = co_await finish_response(parser);
     if (!ended)
         co_return;
