Restore the store from copies in the soak

The soak's store states an era, keeps its states of 8 s and comes back from one of them, beside kills, pauses and changes; the operator and the targets write again within 1.5 s. A copy isn't older than the process that lives longest, which is spared for 5 s: a fleet that dies as a whole within the lost seconds may forget (docs/notes/restored-store.md).

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -6,7 +6,8 @@
 One process of each node, a store and targets of our own in this process, and
 callers that use them. Faults come from a seeded plan and overlap: nodes are
 killed, paused, told to leave and started again; the store is down, turns
-calls away, or carries out writes and loses the reply; targets reset, cut and
+calls away, carries out writes and loses the reply, or comes back from an older
+copy (restored_store.py); targets reset, cut and
 delay answers, and say of themselves that they leave, want rest, or bear few
 requests.
 
@@ -43,6 +44,7 @@
 from urllib.parse import parse_qs, urlparse
 
 import crashing_parts
+import restored_store
 from fair_shares import FairShares, Floods
 from senders import Senders
 from target_signals import TargetSignals
@@ -68,12 +70,15 @@
         self.objects = collections.defaultdict(dict)
         self.revision = 10
         self.mode = "well"  # well, down, busy, lossy
+        self.era = 1
+        self.copies = restored_store.Copies()
 
     def put(self, kind, name, spec):
         with self.lock:
             self.revision += 1
             described = {"name": name, "revision": self.revision}
             stored = {"metadata": described, "spec": spec}
+            self.copies.keep(self.objects, self.revision - 1)
             self.objects[kind][name] = stored
             self.lock.notify_all()
             return stored
@@ -83,14 +88,19 @@
             found = self.objects[kind].get(name)
             return (200, found) if found else (404, {})
         if "watch" in query:
-            since = int(query["watch"][0])
+            since, era = int(query["watch"][0]), self.era
+            if since > self.revision:
+                return 410, {}
             end = time.time() + int(query["waitMs"][0]) / 1000
 
             def news():
                 return [o for o in self.objects[kind].values()
                         if o["metadata"]["revision"] > since]
-            while not news() and time.time() < end and self.mode == "well":
+            while (not news() and time.time() < end and self.mode == "well"
+                   and self.era == era):
                 self.lock.wait(0.05)
+            if self.era != era:
+                return 410, {}
             events = [{"deleted": False, "object": o} for o in news()]
             return 200, {"events": events, "asOf": self.revision}
         items = list(self.objects[kind].values())
@@ -108,6 +118,14 @@
             return 409, present
         return 200, self.put(kind, described["name"], body["spec"])
 
+    def restore(self, age):
+        """Comes back from the copy that is `age` seconds old."""
+        with self.lock:
+            self.objects, self.revision = self.copies.restore(
+                self.objects, self.revision, age)
+            self.era += 1
+            self.lock.notify_all()
+
     def handler(self):
         store = self
 
@@ -129,6 +147,7 @@
                     self.answer(503, {})
                     return
                 with store.lock:
+                    era = store.era
                     if self.command == "GET":
                         got = store.read(parts[0], parts[1],
                                          parse_qs(url.query))
@@ -139,11 +158,12 @@
                         and random.random() < 0.5):
                     self.close_connection = True
                     return
-                self.answer(*got)
+                self.answer(*got, era=era)
 
-            def answer(self, status, content):
+            def answer(self, status, content, era=None):
                 data = json.dumps(content).encode()
                 self.send_response(status)
+                self.send_header("Store-Era", str(era or store.era))
                 self.send_header("Content-Length", str(len(data)))
                 self.end_headers()
                 self.wfile.write(data)
@@ -401,7 +421,9 @@
         self.targets = {}
         server, address = serve(self.store.handler())
         self.closing.append(server)
-        self.store.put("config", "main", configuration(1))
+        self.published = {}
+        self.version = 1
+        self.publish("config", "main", configuration(self.version))
         for i in range(TARGETS):
             name = f"i-{i}"
             signals = TargetSignals(name, senders, self.note)
@@ -414,6 +436,8 @@
             part_handler, self.list_part_target, senders, self.started_at,
             self.note)
         self.parts.start()
+        self.restores = restored_store.Restores(
+            self.store, lambda: self.nodes, self.write_again)
         # Addresses of their own, so that soaks can run beside each other.
         ips = [f"127.7.{args.seed % 250}.{i + 1}" for i in range(NODES)]
         seeds = ",".join(f"{ip}:1" for ip in ips[:2])
@@ -422,14 +446,24 @@
 
     def list_target(self, name):
         """As a process that starts now."""
-        self.store.put("servers", name, {
+        self.publish("servers", name, {
             "service": "s", "address": self.targets[name][1], "zone": "z",
             "slots": 64, "state": "ready", "version": "v1",
             "coldRemainingMs": 0, "sequence": 1,
             "born": int(time.time() * 1000)})
 
+    def publish(self, kind, name, spec):
+        """As the operator or a target."""
+        self.published[kind, name] = spec
+        self.store.put(kind, name, spec)
+
+    def write_again(self):
+        """What the operator and the targets wrote last is written again."""
+        for (kind, name), spec in list(self.published.items()):
+            self.store.put(kind, name, spec)
+
     def list_part_target(self, name, address):
-        self.store.put("servers", name, {
+        self.publish("servers", name, {
             "service": crashing_parts.SERVICE, "address": address, "zone": "z",
             "slots": 64, "state": "ready", "version": "v1",
             "coldRemainingMs": 0, "sequence": 1,
@@ -583,8 +617,12 @@
     def break_something(self):
         node = self.random.choice(self.nodes)
         what = self.random.choice(["kill", "pause", "term", "store", "targets",
-                                   "config"])
-        if what in ("kill", "term"):
+                                   "config", "restore"])
+        if what == "restore":
+            self.restores.begin(self.random)
+        elif node is self.restores.spared():
+            return
+        elif what in ("kill", "term"):
             node.signal(signal.SIGKILL if what == "kill" else signal.SIGTERM)
         elif what == "pause":
             node.signal(signal.SIGSTOP)
@@ -597,8 +635,8 @@
         elif what == "targets":
             self.fault_share = self.random.choice([0.0, 0.1, 0.3])
         else:
-            self.store.put("config", "main",
-                           configuration(self.store.revision + 1))
+            self.version += 1
+            self.publish("config", "main", configuration(self.version))
 
     def wake(self, node, process):
         self.senders.stood_still[process.pid] = time.monotonic()
