Count acknowledgements of a draw that come late

A claim that wasn't confirmed within 150 ms was reported again under a new number, and acknowledgements of the old one were ignored: on hosts whose event loop lags for longer its tokens would never be spent. Found by reading. A node without claims no longer sums the prepaid tokens of all teams four times a second.

--- a/include/fennelladder/edge/allotment_writer.hpp
+++ b/include/fennelladder/edge/allotment_writer.hpp
@@ -60,10 +60,6 @@
     /// Whether the record lacks draws that this node knows of.
     bool is_behind() const { return keeper_.is_behind(); }
 
-    /// Whether the record may have to be read or written though nobody asks for
-    /// tokens: it is of an earlier era.
-    bool is_outdated() const;
-
     /// Withdraws as much of `requested` as remains. Returns false if the write
     /// is not known to have taken effect. Precondition: refresh() returned
     /// true.
--- a/include/fennelladder/edge/draw_exchange.hpp
+++ b/include/fennelladder/edge/draw_exchange.hpp
@@ -23,7 +23,6 @@
 
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -46,8 +45,9 @@
 
     /// Tells other nodes of a claim. Returns true once enough of them know of
     /// it and the store's era hasn't changed; false if that takes too long.
-    /// Precondition: `claim` lives until then.
-    awaitable<bool> confirm(const prepaid::token_claim& claim);
+    /// Call again then: acknowledgements that come meanwhile count.
+    /// Precondition: `claim` lives until the call has ended.
+    awaitable<bool> confirm(prepaid::token_claim& claim);
 
     /// Asks the live nodes that haven't answered in this era what they know.
     /// Call again until they have.
@@ -68,12 +68,8 @@
     void on_message(const mesh::datagram& message, const std::string& from);
 
 private:
-    /// A report that waits for acknowledgements.
-    struct pending_report
-    {
-        std::set<mesh::node_incarnation> witnesses;
-        std::shared_ptr<asio::steady_timer> timer;
-    };
+    /// The nodes that acknowledged a report.
+    using witness_set = std::set<mesh::node_incarnation>;
 
     struct peer_answer
     {
@@ -87,7 +83,7 @@
     sample(std::vector<const mesh::peer_record*> from) const;
     void send_questions(const std::vector<const mesh::peer_record*>& to);
     void send_report(const mesh::draw_report& report,
-                     const std::set<mesh::node_incarnation>& except);
+                     const witness_set& except);
     void on_report(const mesh::draw_report& report, const std::string& from);
     void on_ack(const mesh::draw_ack& ack);
     void on_question(const mesh::draw_question& question,
@@ -100,7 +96,9 @@
     sender send_;
     prepaid::record_keeper* keeper_ = nullptr;
     std::uint64_t last_number_ = 0;
-    std::map<std::uint64_t, pending_report> pending_;
+    std::map<std::uint64_t, witness_set> pending_; ///< By report.
+    asio::steady_timer
+        changed_; ///< Cancelled when pending_ or the era changes.
     /// Number of the question of this era; 0: not asked.
     std::uint64_t question_ = 0;
     instant asked_;
--- a/include/fennelladder/prepaid/record_keeper.hpp
+++ b/include/fennelladder/prepaid/record_keeper.hpp
@@ -57,6 +57,8 @@
     token_amounts granted;
     std::vector<known_draw> draws; ///< What other nodes have to know.
     catalog::store_era era;
+    /// Number of the report to other nodes; 0: none yet.
+    std::uint64_t report = 0;
 };
 
 /// The record as an answer of the store shows it.
--- a/libs/edge/allotment_writer.cpp
+++ b/libs/edge/allotment_writer.cpp
@@ -44,12 +44,6 @@
         draws_->attach(keeper_);
 }
 
-bool allotment_writer::is_outdated() const
-{
-    return keeper_.record().has_value() &&
-           (keeper_.era() < tables_.store_era || !keeper_.is_usable());
-}
-
 /// Tokens that remain in the record for each team in `granted`.
 prepaid::token_amounts
 allotment_writer::remaining_after(const prepaid::token_amounts& granted) const
@@ -75,6 +69,8 @@
 
 awaitable<void> allotment_writer::credit_claims()
 {
+    if (!keeper_.has_claims())
+        co_return;
     while (auto claim = keeper_.take_claim(prepaid_totals())) {
         bool known = claim->era == catalog::store_era() || draws_ == nullptr;
         if (!known)
--- a/libs/edge/draw_exchange.cpp
+++ b/libs/edge/draw_exchange.cpp
@@ -48,7 +48,7 @@
 } // namespace
 
 draw_exchange::draw_exchange(node_tables& tables, sender send)
-    : tables_(tables), send_(std::move(send))
+    : tables_(tables), send_(std::move(send)), changed_(tables.io)
 {}
 
 void draw_exchange::attach(prepaid::record_keeper& keeper)
@@ -63,8 +63,8 @@
     keeper_->enter_era(tables_.store_era, tables_.now());
     question_ = 0;
     answers_.clear();
-    for (const auto& [number, it] : pending_)
-        it.timer->cancel();
+    pending_.clear();
+    changed_.cancel();
 }
 
 std::vector<const mesh::peer_record*> draw_exchange::witnesses() const
@@ -106,7 +106,7 @@
 
 /// Sends to some of those that haven't acknowledged.
 void draw_exchange::send_report(const mesh::draw_report& report,
-                                const std::set<mesh::node_incarnation>& except)
+                                const witness_set& except)
 {
     auto to = witnesses();
     std::erase_if(to, [&](const mesh::peer_record* it) {
@@ -118,25 +118,25 @@
         send_(it->last.peer_address, message);
 }
 
-awaitable<bool> draw_exchange::confirm(const prepaid::token_claim& claim)
+awaitable<bool> draw_exchange::confirm(prepaid::token_claim& claim)
 {
-    const std::uint64_t number = ++last_number_;
-    const mesh::draw_report report{tables_.incarnation, number, claim.era,
+    if (claim.report == 0)
+        claim.report = ++last_number_;
+    const mesh::draw_report report{tables_.incarnation, claim.report, claim.era,
                                    claim.draws};
-    pending_report& pending = pending_[number];
-    pending.timer = std::make_shared<asio::steady_timer>(tables_.io);
-    const auto timer = pending.timer;
+    const auto is_outdated = [&] { return claim.era != tables_.store_era; };
     const auto is_confirmed = [&] {
-        return pending_.at(number).witnesses.size() >=
+        return pending_[claim.report].size() >=
                prepaid::witnesses_needed({witnesses().size(), isolated_for()});
     };
     const repeated_question question{
-        [&] { send_report(report, pending_.at(number).witnesses); },
-        [&] { return claim.era != tables_.store_era || is_confirmed(); }};
-    co_await ask_until_answered(tables_, *timer, question,
+        [&] { send_report(report, pending_[claim.report]); },
+        [&] { return is_outdated() || is_confirmed(); }};
+    co_await ask_until_answered(tables_, changed_, question,
                                 tables_.now() + confirm_timeout);
-    const bool confirmed = claim.era == tables_.store_era && is_confirmed();
-    pending_.erase(number);
+    const bool confirmed = !is_outdated() && is_confirmed();
+    if (confirmed || is_outdated())
+        pending_.erase(claim.report);
     co_return confirmed;
 }
 
@@ -265,8 +265,8 @@
     const auto it = pending_.find(ack.number);
     if (it == pending_.end() || ack.era != tables_.store_era)
         return;
-    it->second.witnesses.insert(ack.witness);
-    it->second.timer->cancel();
+    it->second.insert(ack.witness);
+    changed_.cancel();
 }
 
 void draw_exchange::on_question(const mesh::draw_question& question,
