--- a/libs/edge/draw_exchange.cpp
+++ b/libs/edge/draw_exchange.cpp
@@ -96,9 +96,10 @@
 {
     for (std::size_t i = from.size(); i > 1; --i)
         std::swap(from[i - 1], from[tables_.random.below(i)]);
-    std::ranges::stable_partition(from, [this](const mesh::peer_record* it) {
-        return it->last.data_center != tables_.settings.data_center;
-    });
+    std::stable_partition(
+        from.begin(), from.end(), [this](const mesh::peer_record* it) {
+            return it->last.data_center != tables_.settings.data_center;
+        });
     if (from.size() > prepaid::most_witnesses)
         from.resize(prepaid::most_witnesses);
     return from;
