Count the time to answer from the question to all nodes

A process asks some nodes what they know when it starts. If it wrote the record later in the same era, the time that others have to answer was counted from that first question and was over at once: it repaired the record without those that hadn't answered. The time counts from the question to all now.

--- a/include/fennelladder/edge/draw_exchange.hpp
+++ b/include/fennelladder/edge/draw_exchange.hpp
@@ -101,7 +101,7 @@
         changed_; ///< Cancelled when pending_ or the era changes.
     /// Number of the question of this era; 0: not asked.
     std::uint64_t question_ = 0;
-    instant asked_;
+    std::optional<instant> asked_all_; ///< First time in this era.
     instant last_asked_;
     std::map<mesh::node_incarnation, peer_answer> answers_;
     /// Those that learn_at_start() asks.
--- a/libs/edge/draw_exchange.cpp
+++ b/libs/edge/draw_exchange.cpp
@@ -62,6 +62,7 @@
 {
     keeper_->enter_era(tables_.store_era, tables_.now());
     question_ = 0;
+    asked_all_.reset();
     answers_.clear();
     pending_.clear();
     changed_.cancel();
@@ -143,6 +144,8 @@
 
 void draw_exchange::ask()
 {
+    if (!asked_all_)
+        asked_all_ = tables_.now();
     send_questions(witnesses());
 }
 
@@ -166,12 +169,10 @@
     const std::vector<const mesh::peer_record*>& to)
 {
     const instant now = tables_.now();
-    if (question_ == 0) {
+    if (question_ == 0)
         question_ = ++last_number_;
-        asked_ = now;
-    } else if (now - last_asked_ < question_interval) {
+    else if (now - last_asked_ < question_interval)
         return;
-    }
     last_asked_ = now;
     mesh::datagram message;
     message.draw_question = {tables_.incarnation, question_, tables_.store_era};
@@ -188,7 +189,7 @@
     out.first_start = tables_.settings.first_start;
     out.uptime = now - tables_.started;
     out.isolated_for = isolated_for();
-    out.asked_for = question_ == 0 ? duration(0) : now - asked_;
+    out.asked_for = now - asked_all_.value_or(now);
     out.eldest_answered = out.uptime;
     const auto has_answered = [this](const mesh::peer_record& it) {
         const auto answer = answers_.find(it.last.incarnation);
@@ -199,8 +200,9 @@
         out.answered += has_answered(*it);
     }
     for (const auto& [host, row] : tables_.peers.rows()) {
-        const bool counts =
-            row.last.store_era && now - row.heard < prepaid::isolation_limit;
+        const bool counts = row.last.store_era &&
+                            row.last.state != mesh::node_state::leaving &&
+                            now - row.heard < prepaid::isolation_limit;
         const duration uptime =
             row.last.uptime.value_or(duration(0)) + (now - row.heard);
         duration& eldest =
