--- a/Makefile
+++ b/Makefile
@@ -77,8 +77,11 @@
 	rm -rf build build-asan build-tsan build-mutants build-without-tests out
 
 # Faults against real processes; the seeds are those that once failed, and
-# one more. `tools/soak/soak.py --seed N --seconds S` runs others.
+# one more; the last one is long enough for several restores of the store.
+# `tools/soak/soak.py --seed N --seconds S` runs others.
 soak: build
 	set -e; for seed in $$(cat tools/soak/seeds.txt) 1; do \
 	  python3 tools/soak/soak.py --binary $(BUILD)/fennelladder \
 	    --seed $$seed --seconds 8; done
+	python3 tools/soak/soak.py --binary $(BUILD)/fennelladder \
+	  --seed 422 --seconds 30
--- a/libs/prepaid/restored_store_fleet.hpp
+++ b/libs/prepaid/restored_store_fleet.hpp
@@ -125,7 +125,7 @@
         std::set<std::uint64_t> answered; ///< In this era.
         std::optional<instant> asked;
         instant ask_next;
-        std::vector<std::size_t> teachers;
+        std::vector<std::size_t> asked_at_start;
     };
 
     using event = std::function<void()>;
@@ -566,9 +566,9 @@
         if (!asks || now_ < it.ask_next || it.keeper->needs_repair())
             return;
         it.ask_next = now_ + milliseconds(250);
-        if (it.teachers.empty())
-            it.teachers = sample(live_peers(it));
-        for (const std::size_t peer : it.teachers)
+        if (it.asked_at_start.empty())
+            it.asked_at_start = sample(live_peers(it));
+        for (const std::size_t peer : it.asked_at_start)
             if (!it.answered.contains(nodes_[peer].incarnation))
                 ask(it, peer);
     }
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -740,7 +740,8 @@
     answered = soak.outcomes[200]
     print(f"seed {args.seed}: {sum(soak.outcomes.values())} calls, "
           f"{dict(soak.outcomes)}, {soak.runs.tokens('t')} of "
-          f"{PREPAID['t']} tokens, {soak.parts.summary}, "
+          f"{PREPAID['t']} tokens, {soak.store.era - 1} restores, "
+          f"{soak.parts.summary}, "
           f"served {soak.shares.summary}, "
           f"logs in {soak.folder}")
     if answered == 0:
