Remove parameters and state that nothing reads

resolve_in_doubt() had a time that it ignored, platform_feed a copy of the store's era, and two files a look-up of a team's amount of their own. The order of positions makes the two conditions for ages of target lists one.

--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -71,9 +71,8 @@
         bool stale = false;  ///< As last logged.
         bool listed = false; ///< A watch can continue from the last listing.
         instant listed_at;
-        catalog::store_era era; ///< Of the last listing.
-        instant last_attempt;   ///< Start of the latest call.
-        int failures = 0;       ///< Consecutive ones.
+        instant last_attempt; ///< Start of the latest call.
+        int failures = 0;     ///< Consecutive ones.
         /// Consecutive watches that failed soon after a listing.
         int early_watch_failures = 0;
         instant next_attempt;
--- a/include/fennelladder/prepaid/allotment_ledger.hpp
+++ b/include/fennelladder/prepaid/allotment_ledger.hpp
@@ -39,6 +39,9 @@
 
 using token_amounts = std::map<team_id, tokens>;
 
+/// The team's amount; 0 if there is none. Thread safe.
+tokens amount_of(const token_amounts& from, const team_id& team);
+
 /// Identifies an epoch. The default is that of a record without epochs, which
 /// stores without eras keep and nodes of earlier releases write.
 struct allotment_epoch
--- a/include/fennelladder/prepaid/record_keeper.hpp
+++ b/include/fennelladder/prepaid/record_keeper.hpp
@@ -137,7 +137,7 @@
 
     /// Checks the write in doubt against the record as last accepted. Returns
     /// true if its outcome is known now. Precondition: in_doubt().
-    bool resolve_in_doubt(instant now);
+    bool resolve_in_doubt();
 
     /// Removes the first claim of this era that may be credited, and returns
     /// it. None is while more is known to be drawn than was prepaid: the record
--- a/libs/edge/allotment_writer.cpp
+++ b/libs/edge/allotment_writer.cpp
@@ -237,7 +237,7 @@
         co_return false;
     if (!in_doubt())
         co_return true;
-    if (keeper_.resolve_in_doubt(tables_.now())) {
+    if (keeper_.resolve_in_doubt()) {
         co_await credit_claims();
         co_return true;
     }
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -535,10 +535,8 @@
         tables_.note_configuration_announced();
     if (from.configuration <= own && from.configuration_age)
         tables_.confirm_configuration(now - *from.configuration_age - transit);
-    const bool same_era =
-        from.targets_as_of.era() == tables_.targets.as_of().era();
-    const bool is_earlier = from.targets_as_of < tables_.targets.as_of();
-    if (from.targets_age && (same_era || !is_earlier)) {
+    if (from.targets_age &&
+        from.targets_as_of.era() >= tables_.targets.as_of().era()) {
         const instant at = now - *from.targets_age - transit;
         if (from.targets_changed <= tables_.targets.as_of())
             tables_.confirm_targets(at);
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -136,6 +136,7 @@
 {
     for (feed_state* it : {&configuration_, &targets_, &evacuations_}) {
         it->listed = false;
+        it->listed_at = instant();
         it->failures = 0;
         it->early_watch_failures = 0;
         it->next_attempt = instant();
@@ -226,8 +227,6 @@
     if (feed.listed && tables_.now() - feed.listed_at < relist_period) {
         const bool watched = co_await (this->*watch)();
         feed.listed = watched;
-        if (feed.era != tables_.store_era)
-            feed.listed_at = instant();
         if (record_watch_result(feed, watched))
             co_return false;
         if (watched)
@@ -237,7 +236,6 @@
     // connection. The platform counts as unreachable only if this fails too.
     feed.listed = co_await (this->*list)();
     feed.listed_at = tables_.now();
-    feed.era = tables_.store_era;
     co_return feed.listed;
 }
 
--- a/libs/prepaid/allotment_ledger.cpp
+++ b/libs/prepaid/allotment_ledger.cpp
@@ -4,6 +4,12 @@
 
 namespace fennelladder::prepaid {
 
+tokens amount_of(const token_amounts& from, const team_id& team)
+{
+    const auto it = from.find(team);
+    return it == from.end() ? tokens(0) : it->second;
+}
+
 bool allotment_ledger::is_settled(const allotment_epoch& epoch) const
 {
     return epoch.sequence + kept_epochs <= latest_.sequence;
@@ -68,8 +74,7 @@
 
 tokens allotment_ledger::total(const team_id& team) const
 {
-    const auto settled = settled_.find(team);
-    tokens out = settled == settled_.end() ? tokens(0) : settled->second;
+    tokens out = amount_of(settled_, team);
     for (const auto& [epoch, teams] : drawn_)
         out += drawn(epoch, team);
     return out;
@@ -111,10 +116,7 @@
     theirs.advance_to(latest_);
     const bool settled_more =
         std::ranges::any_of(own.settled_, [&](const auto& it) {
-            const auto known = theirs.settled_.find(it.first);
-            const tokens amount =
-                known == theirs.settled_.end() ? tokens(0) : known->second;
-            return it.second > amount;
+            return it.second > amount_of(theirs.settled_, it.first);
         });
     const auto drew_more = [&](const auto& row) {
         return std::ranges::any_of(row.second, [&](const auto& it) {
--- a/libs/prepaid/allotment_record.cpp
+++ b/libs/prepaid/allotment_record.cpp
@@ -26,7 +26,7 @@
     return it != from.end() && it->is_object() ? &*it : nullptr;
 }
 
-std::optional<tokens> amount_of(const nlohmann::json& from)
+std::optional<tokens> amount_from(const nlohmann::json& from)
 {
     if (!from.is_number_integer())
         return std::nullopt;
@@ -42,7 +42,7 @@
 {
     token_amounts out;
     for (const auto& [team, it] : from.items()) {
-        const auto amount = amount_of(it);
+        const auto amount = amount_from(it);
         if (!amount)
             return fail(error_code::corrupt,
                         "allotment record: invalid amount of team " + team);
@@ -79,12 +79,6 @@
         catalog::store_era(from[era_field].get<std::uint64_t>())};
 }
 
-tokens amount_of(const token_amounts& from, const team_id& team)
-{
-    const auto it = from.find(team);
-    return it == from.end() ? tokens(0) : it->second;
-}
-
 /// Drawn before the current epoch.
 tokens drawn_before(const allotment_record& record, const team_id& team)
 {
--- a/libs/prepaid/record_keeper.cpp
+++ b/libs/prepaid/record_keeper.cpp
@@ -163,7 +163,7 @@
     return took_effect;
 }
 
-bool record_keeper::resolve_in_doubt(instant)
+bool record_keeper::resolve_in_doubt()
 {
     assert(in_doubt_);
     if (is_usable() && contains_write(*record_, self_, in_doubt_->mark)) {
--- a/libs/prepaid/restored_store_fleet.hpp
+++ b/libs/prepaid/restored_store_fleet.hpp
@@ -508,7 +508,7 @@
                     {*got->record, catalog::revision(got->changed, era)}, now_);
                 if (!ok || !by.keeper->in_doubt())
                     return;
-                if (!by.keeper->resolve_in_doubt(now_)) {
+                if (!by.keeper->resolve_in_doubt()) {
                     const record_write again = *by.keeper->in_doubt();
                     write(by, again);
                 }
