Don't take a host's own full link for the loss of its targets

When callers fill a small host's link, connections to targets and peers aren't made within their timeouts, while datagrams show no delay. The node counted its targets as lost, called itself cut off and asked peers for relays, which cross the same link twice.

With link.measure=1 (default 0) edge/link_meter counts the bytes of all sockets, with estimated headers, and the time of dials to targets, peers and the platform; the counts reach dispatch/link_load once a tick. queueing_delay() is the larger of what heartbeats and dials show, so connect timeouts and refusals follow it. While the link is full, failed dials and timeouts are no evidence against targets, no service counts as cut off, and no relay is asked for or given. Events link_full and link_free and three gauges show it.

--- a/include/fennelladder/dispatch/link_load.hpp
+++ b/include/fennelladder/dispatch/link_load.hpp
@@ -88,7 +88,8 @@
 class link_load
 {
 public:
-    /// `bits_per_second` is the capacity of each direction, above 0.
+    /// `bits_per_second` is the capacity of each direction; less than 100,000
+    /// counts as that.
     explicit link_load(double bits_per_second, link_load_options options = {});
 
     /// Records bytes that passed since the last call for the same direction.
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -19,6 +19,7 @@
 #include "fennelladder/dispatch/retry_budget.hpp"
 #include "fennelladder/dispatch/stream_origins.hpp"
 #include "fennelladder/dispatch/target_registry.hpp"
+#include "fennelladder/edge/link_meter.hpp"
 #include "fennelladder/edge/loop_lag.hpp"
 #include "fennelladder/edge/target_connection.hpp"
 #include "fennelladder/edge/tuning_options.hpp"
@@ -74,7 +75,8 @@
     double capacity() const;
 
     /// Whether requests for some service go through peers for the most part.
-    /// Callers are served, but better by the peers.
+    /// Callers are served, but better by the peers. False while
+    /// failures_show_nothing().
     bool is_cut_off() const;
 
     /// Updates the target registry from the target list. Call after each change
@@ -95,7 +97,8 @@
     /// see mesh/update_lateness.hpp.
     bool updates_are_late() const;
 
-    /// The present queueing delay of incoming traffic, beyond the usual one.
+    /// The present queueing delay of incoming traffic, beyond the usual one:
+    /// the larger of what heartbeats and, with link.measure, dials show.
     duration queueing_delay() const;
 
     /// How long connecting to a target may take. Within the fleet's networks it
@@ -108,9 +111,18 @@
     /// isn't made in time shows nothing about its other end.
     bool link_is_full() const;
 
+    /// Whether failed dials and timeouts are no evidence about targets at
+    /// present, and relays aren't asked for, which would cross the full link
+    /// twice more: with link.measure, while the link is full.
+    bool failures_show_nothing() const;
+
+    /// Updates the measures of the link, and logs when it becomes full and when
+    /// it no longer is. Call once a tick.
+    void update_link();
+
     /// Records that a connection to the target, begun at `started`, couldn't be
-    /// made, unless the host's link is full: a relay would cross the same link
-    /// twice more.
+    /// made, unless the host's link was full meanwhile: a relay would cross the
+    /// same link twice more.
     void note_dial_failed(const catalog::target_process& target,
                           instant started);
 
@@ -211,6 +223,10 @@
     prepaid::token_balances token_balances;
     prepaid::loss_tracker losses;
     mesh::peer_view peers;
+    loop_lag lag{tick_period};
+    /// What passes the node's sockets; measured with link.measure.
+    link_meter link;
+    bool link_was_full = false; ///< As logged last.
     connection_pool pool;
     telemetry::metrics metrics;
     unreadable_objects unreadable{metrics};
@@ -219,7 +235,6 @@
     /// of entry answers by a caller, after which the load reflects the last
     /// answer.
     decaying_rate accepted_requests{seconds(4)};
-    loop_lag lag{tick_period};
     dispatch::admission_control admission;
     instant started; ///< When this process started to listen to peers.
     bool leaving = false;
--- a/include/fennelladder/edge/peer_stream.hpp
+++ b/include/fennelladder/edge/peer_stream.hpp
@@ -18,6 +18,7 @@
 #ifndef FENNELLADDER_EDGE_PEER_STREAM_HPP
 #define FENNELLADDER_EDGE_PEER_STREAM_HPP
 
+#include "fennelladder/edge/link_meter.hpp"
 #include "fennelladder/edge/socket_deadline.hpp"
 
 #include <cstddef>
@@ -43,6 +44,10 @@
     peer_stream(const peer_stream&) = delete;
     peer_stream& operator=(const peer_stream&) = delete;
 
+    /// Counts the stream's bytes and its dial from now on. `link` must outlive
+    /// the stream.
+    void count_on(link_meter& link) { link_ = &link; }
+
     /// Connects. Returns false on an error or after `limit`.
     awaitable<bool> connect(tcp::endpoint to, duration limit);
 
@@ -78,6 +83,7 @@
     socket_deadline deadline_;
     socket_deadline::time_point transfer_end_;
     std::size_t bytes_read_ = 0;
+    link_meter* link_ = nullptr; ///< Null: nothing is counted.
 };
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/edge/response_writer.hpp
+++ b/include/fennelladder/edge/response_writer.hpp
@@ -14,6 +14,7 @@
 #define FENNELLADDER_EDGE_RESPONSE_WRITER_HPP
 
 #include "fennelladder/edge/io.hpp"
+#include "fennelladder/edge/link_meter.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -55,6 +56,10 @@
     /// `socket` must outlive the writer.
     explicit response_writer(tcp::socket& socket);
 
+    /// Counts the bytes that are written from now on. `link` must outlive the
+    /// writer.
+    void count_on(link_meter& link) { link_ = &link; }
+
     /// Sends a response of the node itself, with a JSON body.
     awaitable<bool> send_local(const local_response& answer);
 
@@ -107,6 +112,7 @@
                             const std::string& body) const;
 
     tcp::socket& socket_;
+    link_meter* link_ = nullptr; ///< Null: nothing is counted.
     bool closes_connection_ = false;
     bool omits_body_ = false;
     bool omits_chunk_sizes_ = false;
--- a/include/fennelladder/edge/target_connection.hpp
+++ b/include/fennelladder/edge/target_connection.hpp
@@ -25,6 +25,7 @@
 #include "fennelladder/base/error.hpp"
 #include "fennelladder/catalog/target_entry.hpp"
 #include "fennelladder/edge/io.hpp"
+#include "fennelladder/edge/link_meter.hpp"
 
 #include <compare>
 #include <cstddef>
@@ -73,7 +74,10 @@
 class connection_pool
 {
 public:
-    connection_pool(asio::io_context& io, connection_pool_options options);
+    /// `link` counts what connections are opened; null: nothing does. It must
+    /// outlive the pool.
+    connection_pool(asio::io_context& io, connection_pool_options options,
+                    link_meter* link = nullptr);
 
     /// Takes the most recently used idle connection that has been idle for at
     /// most `max_idle_time`. Returns null if there is none.
@@ -110,6 +114,7 @@
 private:
     asio::io_context& io_;
     const connection_pool_options options_;
+    link_meter* const link_;
     // The most recently used connection of an endpoint is the last.
     std::map<target_endpoint, std::vector<connection_ptr>> idle_;
     std::uint64_t opened_ = 0;
--- a/include/fennelladder/edge/tuning_options.hpp
+++ b/include/fennelladder/edge/tuning_options.hpp
@@ -59,6 +59,10 @@
     /// Refuses requests beyond what the processor can do, see
     /// dispatch/admission_control.hpp. Off: callers were served less with it.
     bool refuses_beyond_capacity = false;
+    /// Measures the load of the host's link and the delay of dials, see
+    /// dispatch/link_load.hpp; while the link is full, what fails is no
+    /// evidence against targets, and no peer is asked for a relay.
+    bool measures_link = false;
 };
 
 /// Sets one option from a text of the form name=value. Durations are in
--- a/libs/dispatch/link_load.cpp
+++ b/libs/dispatch/link_load.cpp
@@ -1,7 +1,6 @@
 #include "fennelladder/dispatch/link_load.hpp"
 
 #include <algorithm>
-#include <cassert>
 
 namespace fennelladder::dispatch {
 
@@ -9,6 +8,9 @@
 
 constexpr double bits_per_byte = 8;
 
+/// Settings may leave the capacity at 0.
+constexpr double min_bits_per_second = 1e5;
+
 double ratio(duration part, duration whole)
 {
     return to_seconds(part) / to_seconds(whole);
@@ -57,10 +59,10 @@
 }
 
 link_load::link_load(double bits_per_second, link_load_options options)
-    : bytes_per_second_(bits_per_second / bits_per_byte), options_(options)
-{
-    assert(bits_per_second > 0);
-}
+    : bytes_per_second_(std::max(bits_per_second, min_bits_per_second) /
+                        bits_per_byte),
+      options_(options)
+{}
 
 void link_load::note(direction& which, std::size_t bytes, instant now) const
 {
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -61,7 +61,10 @@
 class attempt
 {
 public:
-    explicit attempt(attempt_input& in) : in_(in) {}
+    explicit attempt(attempt_input& in)
+        : in_(in),
+          through_peer_(in.target.relayed && !in.tables.failures_show_nothing())
+    {}
 
     awaitable<attempt_outcome> run();
 
@@ -100,6 +103,9 @@
     void record_first_byte();
 
     attempt_input& in_;
+    /// The target is dialled from here if a relay would cross the node's full
+    /// link twice: it may have been lost only to that.
+    const bool through_peer_;
     attempt_outcome out_;
     connection_ptr connection_;
     std::shared_ptr<outgoing_request> outgoing_;
@@ -110,8 +116,12 @@
 void attempt::end(attempt_end how, target_evidence evidence, std::string detail)
 {
     // After the target was told to stop, no failure counts as evidence against
-    // it.
+    // it. On a full link, failed dials and timeouts don't either.
     const bool told_to_stop = caller_has_left();
+    if ((evidence == target_evidence::unreachable ||
+         evidence == target_evidence::silent) &&
+        in_.tables.failures_show_nothing())
+        evidence = target_evidence::nothing;
     const bool answered = evidence == target_evidence::answered;
     out_.ended = told_to_stop && how == attempt_end::garbled
                      ? attempt_end::caller_left
@@ -196,7 +206,7 @@
     const target_endpoint to{in_.target.process(), in_.target.address};
     if (take_idle(to))
         co_return true;
-    if (in_.target.relayed) {
+    if (through_peer_) {
         const bool relayed = co_await connect_through_peer();
         co_return relayed;
     }
@@ -224,8 +234,7 @@
 /// if the target was lost since it was last used.
 bool attempt::take_idle(const target_endpoint& to)
 {
-    if (in_.target.relayed ||
-        !in_.tables.registry.reach().may_use_open(to.process))
+    if (through_peer_ || !in_.tables.registry.reach().may_use_open(to.process))
         return false;
     connection_ =
         in_.tables.pool.take_idle(to, in_.max_idle_time, in_.tables.now());
@@ -302,6 +311,7 @@
     outgoing_->connection = connection_;
     connection_->awaiting_response = true;
     out_.sent_at = in_.tables.now();
+    in_.tables.link.add_sent(outgoing_->head.size() + outgoing_->body.size());
     const std::array<asio::const_buffer, 2> bytes{
         asio::buffer(outgoing_->head), asio::buffer(outgoing_->body)};
     asio::async_write(connection_->socket, bytes,
@@ -319,8 +329,11 @@
         // A response to HEAD has no body, whatever length its head states;
         // waiting for one would last until the deadline.
         parser->skip(is_head_request());
-        co_await http::async_read_header(connection_->socket, connection_->buf,
-                                         *parser, into(ec_));
+        const std::size_t buffered = connection_->buf.size();
+        const std::size_t parsed = co_await http::async_read_header(
+            connection_->socket, connection_->buf, *parser, into(ec_));
+        in_.tables.link.add_received(parsed + connection_->buf.size() -
+                                     buffered);
         connection_->awaiting_response = false;
         if (ec_ || !may_use_response()) {
             out_.produced_nothing =
@@ -373,6 +386,7 @@
         const std::size_t n = co_await connection_->socket.async_read_some(
             buf.prepare(read_bytes), into(ec_));
         buf.commit(n);
+        in_.tables.link.add_received(n);
         if (!ec_)
             ec_ = parse_body(parser, out);
         else if (ec_ == asio::error::eof)
@@ -436,7 +450,7 @@
                        connection_->buf.size() == 0;
     in_.cancellation.detach();
     // The relaying peer checks for each request whether the target takes it.
-    if (!clean || in_.target.relayed)
+    if (!clean || through_peer_)
         return;
     in_.tables.pool.release(connection_, header_values.keep_alive,
                             in_.tables.now());
@@ -478,7 +492,7 @@
 /// relayed one may be the relaying peer's.
 awaitable<bool> attempt::finish_response(const response_parser& parser)
 {
-    if (!in_.target.relayed || out_.framing != body_framing::connection_end) {
+    if (!through_peer_ || out_.framing != body_framing::connection_end) {
         release_connection(parser);
         co_return true;
     }
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -366,6 +366,13 @@
     // Without a limit: -1.
     metrics.gauge_of("fennelladder_admitted_per_second_limit")
         .set(admission.is_limiting() ? std::llround(admission.limit()) : -1);
+    const dispatch::link_load& link = tables_.link.load();
+    metrics.gauge_of("fennelladder_link_sent_permille")
+        .set(std::llround(link.sent_share(now) * 1000));
+    metrics.gauge_of("fennelladder_link_received_permille")
+        .set(std::llround(link.received_share(now) * 1000));
+    metrics.gauge_of("fennelladder_link_delay_milliseconds")
+        .set(age_of(tables_.queueing_delay()));
     metrics.gauge_of("fennelladder_log_lines_dropped")
         .set(static_cast<std::int64_t>(log_.dropped()));
     for (const auto& [team, it] : tables_.token_balances.holdings()) {
--- a/libs/edge/link_prober.cpp
+++ b/libs/edge/link_prober.cpp
@@ -56,6 +56,8 @@
 
 void link_prober::report_changes()
 {
+    if (tables_.failures_show_nothing())
+        return;
     const dispatch::reach_table& reach = tables_.registry.reach();
     std::vector<service_id> impaired = reach.impaired_services();
     if (impaired == impaired_)
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -44,9 +44,6 @@
 /// Datagrams handled in one turn of the event loop at most.
 constexpr int max_datagrams_per_turn = 64;
 
-/// Bytes of the IPv4 and UDP headers, which count as traffic of the link.
-constexpr std::size_t datagram_header_bytes = 28;
-
 /// Keeps the `limit` rows with the largest `member`. If the list, which is
 /// ordered by name, were truncated instead, peers would never hear of the stock
 /// of the same teams, and the same targets would always look idle to them.
@@ -163,6 +160,7 @@
                         ec);
         // A send error is treated like a lost datagram.
         (ec ? failed_ : sent_).add();
+        tables_.link.add_datagram_sent(bytes.size());
         ++count.datagrams;
         count.bytes += bytes.size() + datagram_header_bytes;
     }
@@ -336,6 +334,7 @@
     asio::steady_timer timer(tables_.io);
     for (;;) {
         record_tick(tables_.now());
+        tables_.update_link();
         report_lateness();
         tables_.expire_kept_entries();
         send_due_heartbeats();
@@ -370,6 +369,7 @@
 
 void mesh_node::handle_bytes(std::string_view bytes, const udp::endpoint& from)
 {
+    tables_.link.add_datagram_received(bytes.size());
     const std::string sender = from.address().to_string();
     const auto got = mesh::decode_datagram(bytes);
     if (!got)
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -3,6 +3,8 @@
 #include "fennelladder/edge/entry_planner.hpp"
 #include "fennelladder/telemetry/log.hpp"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace fennelladder::edge {
@@ -57,6 +59,11 @@
     return out;
 }
 
+std::string permille_text(double share)
+{
+    return std::to_string(std::llround(share * 1000));
+}
+
 dispatch::retry_budget_options
 retry_options(const adapter::host_settings& settings,
               dispatch::retry_budget_options out)
@@ -107,8 +114,10 @@
       retries(retry_options(settings, options.retries)),
       losses(settings.first_start, clock_used.now(),
              {.discovery_time = discovery_period}),
-      peers(settings.host, {}), pool(context, options.pool),
-      started(clock_used.now())
+      peers(settings.host, {}),
+      link(clock_used, lag, settings.link_bits_per_second,
+           options.measures_link),
+      pool(context, options.pool, &link), started(clock_used.now())
 {}
 
 bool node_tables::ready() const
@@ -144,7 +153,8 @@
 
 bool node_tables::is_cut_off() const
 {
-    return !registry.reach().impaired_services().empty();
+    return !registry.reach().impaired_services().empty() &&
+           !failures_show_nothing();
 }
 
 double node_tables::capacity() const
@@ -214,7 +224,9 @@
 
 duration node_tables::queueing_delay() const
 {
-    return lateness.max_delay(now()).value_or(duration(0));
+    const instant at = now();
+    return std::max(lateness.max_delay(at).value_or(duration(0)),
+                    link.load().dial_delay(at));
 }
 
 /// The target's reply queues like all other traffic on a saturated link.
@@ -225,14 +237,37 @@
 
 bool node_tables::link_is_full() const
 {
-    return queueing_delay() >= full_link_delay;
+    return queueing_delay() >= full_link_delay || link.is_full(now());
+}
+
+bool node_tables::failures_show_nothing() const
+{
+    return options.measures_link && link_is_full();
+}
+
+void node_tables::update_link()
+{
+    if (!options.measures_link)
+        return;
+    const instant at = now();
+    link.tick(at);
+    const bool full = link_is_full();
+    if (std::exchange(link_was_full, full) == full)
+        return;
+    const dispatch::link_load& load = link.load();
+    log_event(full ? event::link_full : event::link_free,
+              {{"sent_permille", permille_text(load.sent_share(at))},
+               {"received_permille", permille_text(load.received_share(at))},
+               {"delay_ms", milliseconds_text(queueing_delay())},
+               {"send_queue_ms", milliseconds_text(load.send_queue(at))}});
 }
 
 void node_tables::note_dial_failed(const catalog::target_process& target,
                                    instant started)
 {
-    if (!link_is_full())
-        registry.reach().note_dial_failed(target, started, now());
+    const instant at = now();
+    if (!link_is_full() && !link.was_full_since(started, at))
+        registry.reach().note_dial_failed(target, started, at);
 }
 
 void node_tables::update_target_registry()
--- a/libs/edge/peer_stream.cpp
+++ b/libs/edge/peer_stream.cpp
@@ -69,9 +69,14 @@
 awaitable<bool> peer_stream::connect(tcp::endpoint to, duration limit)
 {
     deadline_.close_after(limit);
+    const instant began = link_ != nullptr ? link_->begin_dial() : instant();
     net_error ec;
     co_await socket_->async_connect(to, into(ec));
     deadline_.clear();
+    if (link_ != nullptr && deadline_.has_closed())
+        link_->note_timed_out(began, to);
+    else if (link_ != nullptr && !ec)
+        link_->note_connected(began, to);
     co_return !ec && socket_->is_open();
 }
 
@@ -94,6 +99,8 @@
             asio::buffer(out.data() + before, step), into(ec));
         out.resize(before + got);
         bytes_read_ += got;
+        if (link_ != nullptr)
+            link_->add_received(got);
     }
     deadline_.clear();
     co_return !ec;
@@ -107,6 +114,8 @@
         const std::size_t sent = co_await socket_->async_write_some(
             asio::buffer(bytes.data(), bytes.size()), into(ec));
         bytes.remove_prefix(sent);
+        if (link_ != nullptr)
+            link_->add_sent(sent);
     }
     deadline_.clear();
     co_return !ec;
--- a/libs/edge/platform_client.cpp
+++ b/libs/edge/platform_client.cpp
@@ -93,12 +93,16 @@
         co_return false;
     socket_deadline limit(socket_of(made));
     limit.close_after(connect_timeout);
+    const instant began = tables_.link.begin_dial();
     net_error ec;
     co_await made->socket.async_connect(*endpoint, into(ec));
     limit.clear();
     made->timed_out = limit.has_closed();
+    if (made->timed_out)
+        tables_.link.note_timed_out(began, *endpoint);
     if (ec || !made->socket.is_open())
         co_return false;
+    tables_.link.note_connected(began, *endpoint);
     enable_keepalive(made->socket, silence_timeout);
     co_return true;
 }
@@ -114,8 +118,9 @@
     const instant end = until + max_transfer_time;
     net_error ec;
     while (!parser.is_done()) {
-        co_await http::async_read_some(with->socket, with->buf, parser,
-                                       into(ec));
+        const std::size_t got = co_await http::async_read_some(
+            with->socket, with->buf, parser, into(ec));
+        tables_.link.add_received(got);
         if (ec)
             co_return false;
         const instant now = tables_.now();
@@ -151,7 +156,9 @@
     }
     request.prepare_payload();
     net_error ec;
-    co_await http::async_write(with->socket, request, into(ec));
+    const std::size_t sent =
+        co_await http::async_write(with->socket, request, into(ec));
+    tables_.link.add_sent(sent);
     if (ec) {
         with->timed_out = silence.has_closed();
         co_return out;
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -103,6 +103,7 @@
     socket_deadline until(socket_of(made));
     until.close_after(2 * tables.connect_timeout());
     peer_stream stream(socket_of(made));
+    stream.count_on(tables.link);
     const bool connected =
         co_await stream.connect(*endpoint, tables.connect_timeout());
     if (!connected)
@@ -134,7 +135,8 @@
     relay_outcome out;
     dispatch::reach_table& reach = tables.registry.reach();
     const catalog::target_process target = made->to.process;
-    for (int i = 0; i < max_peers_asked; ++i) {
+    for (int i = 0; i < max_peers_asked && !tables.failures_show_nothing();
+         ++i) {
         const mesh::peer_record* peer =
             choose_relay(tables, relays_of(tables, target));
         if (peer == nullptr)
@@ -149,7 +151,9 @@
             .counter_of("fennelladder_relays_asked_total",
                         {{"result", std::string(to_string(out.result))}})
             .add();
-        if (out.result != relay_result::busy || is_stopped())
+        // A peer that isn't reached over a full link may still relay later.
+        if (out.result != relay_result::busy || is_stopped() ||
+            tables.failures_show_nothing())
             break;
         reach.note_relay_failed(out.peer, tables.now());
     }
@@ -178,6 +182,7 @@
     socket_deadline until(socket);
     until.close_after(limit);
     peer_stream stream(socket);
+    stream.count_on(tables.link);
     const bool connected = co_await stream.connect(*endpoint, limit);
     if (!connected)
         co_return std::nullopt;
@@ -217,7 +222,8 @@
 {
     const bool lost =
         tables_.registry.reach().lost_since(ask.target).has_value();
-    if (tables_.state() != mesh::node_state::ready || active_ >= limit_ || lost)
+    if (tables_.state() != mesh::node_state::ready || active_ >= limit_ ||
+        lost || tables_.failures_show_nothing())
         return relay_result::busy;
     if (!tables_.registry.may_relay_to(ask.target, tables_.now()))
         return relay_result::refused;
@@ -236,6 +242,8 @@
         co_return relay_result::connected;
     }
     tables_.note_dial_failed(made->to.process, started);
+    if (tables_.failures_show_nothing())
+        co_return relay_result::busy;
     tables_.registry.note_evidence(made->to.process,
                                    dispatch::target_evidence::unreachable, now);
     co_return relay_result::unreachable;
@@ -307,6 +315,8 @@
         if (ec)
             break;
         it->request_bytes += n;
+        tables_.link.add_received(n);
+        tables_.link.add_sent(n);
         co_await asio::async_write(it->target->socket,
                                    asio::buffer(buf.data(), n), into(ec));
         if (ec)
@@ -334,6 +344,8 @@
         if (ec)
             break;
         it->answer_bytes += n;
+        tables_.link.add_received(n);
+        tables_.link.add_sent(n);
         tables_.registry.reach().note_contact(it->ask.target, tables_.now());
         read_signals(*it, buf.data(), n);
         co_await asio::async_write(*it->peer, asio::buffer(buf.data(), n),
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -16,6 +16,19 @@
 /// Urgency runs from 0, the most urgent, to this value.
 constexpr int lowest_urgency = 9;
 
+/// Bytes between the name and the value of a header line, and after it.
+constexpr std::size_t header_line_extra = 4;
+
+/// Bytes that the caller sent, as far as they were kept.
+std::size_t size_of(const caller_request& request)
+{
+    std::size_t out =
+        request.method.size() + request.path.size() + request.body.size();
+    for (const auto& it : request.fields)
+        out += it.name_string().size() + it.value().size() + header_line_extra;
+    return out;
+}
+
 } // namespace
 
 duration request_run::total_time() const
@@ -84,6 +97,8 @@
                                       response_writer& reply,
                                       request_cancellation_ptr cancellation)
 {
+    tables_.link.add_received(size_of(request));
+    reply.count_on(tables_.link);
     request_run run(*this, request, reply, std::move(cancellation));
     co_await run.run();
     if (run.was_served())
--- a/libs/edge/response_writer.cpp
+++ b/libs/edge/response_writer.cpp
@@ -42,6 +42,8 @@
 awaitable<bool> response_writer::write(std::string bytes)
 {
     write_error_ = {};
+    if (link_ != nullptr)
+        link_->add_sent(bytes.size());
     std::size_t sent = 0;
     if (socket_.non_blocking())
         sent = socket_.write_some(asio::buffer(bytes), write_error_);
--- a/libs/edge/target_connection.cpp
+++ b/libs/edge/target_connection.cpp
@@ -23,8 +23,9 @@
 }
 
 connection_pool::connection_pool(asio::io_context& io,
-                                 connection_pool_options options)
-    : io_(io), options_(options)
+                                 connection_pool_options options,
+                                 link_meter* link)
+    : io_(io), options_(options), link_(link)
 {}
 
 connection_ptr connection_pool::take_idle(const target_endpoint& to,
@@ -66,9 +67,14 @@
                        "not an address: " + made->to.address);
     socket_deadline until(socket_of(made));
     until.close_after(limit);
+    const instant began = link_ != nullptr ? link_->begin_dial() : instant();
     net_error ec;
     co_await made->socket.async_connect(*endpoint, into(ec));
     until.clear();
+    if (link_ != nullptr && until.has_closed())
+        link_->note_timed_out(began, *endpoint);
+    else if (link_ != nullptr && !ec)
+        link_->note_connected(began, *endpoint);
     if (!made->socket.is_open())
         co_return fail(error_code::unavailable, "no connection in time");
     if (ec)
--- a/libs/edge/tuning_options.cpp
+++ b/libs/edge/tuning_options.cpp
@@ -134,6 +134,7 @@
                &connection_pool_options::max_idle_per_target),
         option("news.mind-lateness", &options::refuses_when_late),
         option("admission.limit", &options::refuses_beyond_capacity),
+        option("link.measure", &options::measures_link),
     };
     return all;
 }
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -183,6 +183,11 @@
      "until they are in time again."},
     {event::news_late_over, severity::info, "news_late_over",
      "Changes reach the node in time again; it takes callers."},
+    {event::link_full, severity::warning, "link_full",
+     "The host's own link is full: connections aren't made in time, which "
+     "shows nothing about targets and peers."},
+    {event::link_free, severity::info, "link_free",
+     "The host's own link is no longer full."},
     {event::evacuations_changed, severity::info, "evacuations_changed",
      "Other data centres are evacuated: targets there get no new work."},
     {event::targets_changed, severity::info, "targets_changed",
