Evacuate data centres and start targets cold in the soak

The soak had neither, so a node that ignored an evacuation, the limit of a cold target or a region was found by nothing that runs real processes. A service of four targets in three data centres and two regions joins. Its data centres are evacuated and taken back, its targets restart cold, turn cold while they run, and crash on more than their limit in one second; a route and a team each name one region. The store's double deletes objects and reports them to watches. The time of a request is the kernel's, since one process plays all targets and may read requests late.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -21,6 +21,8 @@
     (crashing_parts.py);
   - each team is served, also when its callers keep to one node and send
     several times their usual (fair_shares.py);
+  - targets of evacuated data centres, cold ones and those of other regions
+    get no more than they may (restricted_targets.py);
   - at the end, with all faults over, calls are answered again.
 
 Exit status 0 when all held, 1 with the findings otherwise. It ends only the
@@ -45,6 +47,7 @@
 
 import crashing_parts
 import restored_store
+import restricted_targets
 from fair_shares import FairShares, Floods
 from senders import Senders
 from target_signals import TargetSignals
@@ -53,8 +56,8 @@
 TARGETS = 3
 HOST = "h.example"
 # Tokens of the teams. "t" has about what its callers want in 20 s; those of
-# "u" keep to one node.
-PREPAID = {"t": 60000, "u": 180000}
+# "u" keep to one node; those of restricted_targets.TEAMS call its targets.
+PREPAID = {"t": 60000, "u": 180000, "v": 600000, "w": 600000}
 PROMPT, MOST_OUT, PER_EVENT = 300, 42, 7
 
 
@@ -69,17 +72,35 @@
         self.lock = threading.Condition()
         self.objects = collections.defaultdict(dict)
         self.revision = 10
+        self.outages = restricted_targets.Outages()
         self.mode = "well"  # well, down, busy, lossy
         self.era = 1
         self.copies = restored_store.Copies()
 
+    @property
+    def mode(self):
+        return self._mode
+
+    @mode.setter
+    def mode(self, mode):
+        self._mode = mode
+        self.outages.note("mode", not self.takes_writes())
+
+    def takes_writes(self):
+        return self.mode in ("well", "lossy")
+
     def put(self, kind, name, spec):
+        """`spec` is None to delete."""
         with self.lock:
+            self.copies.keep(self.objects, self.revision)
             self.revision += 1
             described = {"name": name, "revision": self.revision}
             stored = {"metadata": described, "spec": spec}
-            self.copies.keep(self.objects, self.revision - 1)
-            self.objects[kind][name] = stored
+            # Of what was deleted, watches get the revision.
+            self.objects[kind].pop(name, None)
+            self.objects["deleted", kind].pop(name, None)
+            where = ("deleted", kind) if spec is None else kind
+            self.objects[where][name] = stored
             self.lock.notify_all()
             return stored
 
@@ -94,14 +115,18 @@
             end = time.time() + int(query["waitMs"][0]) / 1000
 
             def news():
-                return [o for o in self.objects[kind].values()
-                        if o["metadata"]["revision"] > since]
+                changes = [(o["metadata"]["revision"], deleted, o)
+                           for deleted, where in ((False, kind),
+                                                  (True, ("deleted", kind)))
+                           for o in self.objects[where].values()]
+                return sorted(it for it in changes if it[0] > since)
             while (not news() and time.time() < end and self.mode == "well"
                    and self.era == era):
                 self.lock.wait(0.05)
             if self.era != era:
                 return 410, {}
-            events = [{"deleted": False, "object": o} for o in news()]
+            events = [{"deleted": deleted, "object": o}
+                      for _, deleted, o in news()]
             return 200, {"events": events, "asOf": self.revision}
         items = list(self.objects[kind].values())
         return 200, {"items": items, "morePages": False, "asOf": self.revision}
@@ -124,6 +149,7 @@
             self.objects, self.revision = self.copies.restore(
                 self.objects, self.revision, age)
             self.era += 1
+            self.outages.note("restore", True)
             self.lock.notify_all()
 
     def handler(self):
@@ -268,7 +294,7 @@
             if odd == "lost":
                 self.close_connection = True
                 return
-            if self.path.startswith("/stream/"):
+            if self.path.startswith("/stream"):
                 self.stream(request, mark, odd)
                 return
             body = f"{request}:{mark}".encode()
@@ -341,21 +367,41 @@
             "gapAimMs": 300}
 
 
+def restricted_route(kind, *args):
+    name = kind + restricted_targets.SUFFIX
+    out = route(name, *args, service=restricted_targets.SERVICE)
+    if kind in restricted_targets.ROUTES:
+        out["allowedRegions"] = sorted(restricted_targets.ROUTES[kind])
+    return out
+
+
+def team(name, prepaid):
+    out = {"name": name, "apiKeys": [key_of(name)], "prepaid": prepaid}
+    if name in restricted_targets.TEAMS:
+        out["allowedRegions"] = sorted(restricted_targets.TEAMS[name])
+    return out
+
+
 def configuration(version):
+    cold = {"coldPerS": restricted_targets.COLD_PER_S,
+            "coldStartS": restricted_targets.COLD_S}
     return {"version": version,
             "routes": [route("once", "non_idempotent"),
                        route("again", "idempotent"),
                        route("stream", "streaming", resume=True),
                        route("part", "idempotent",
-                             service=crashing_parts.SERVICE)],
-            "services": [{"name": name, "healthPath": "/health",
+                             service=crashing_parts.SERVICE),
+                       restricted_route("once", "non_idempotent"),
+                       restricted_route("again", "idempotent"),
+                       restricted_route("stream", "streaming", True)],
+            "services": [{"name": name, **more, "healthPath": "/health",
                           "maxConnections": 300,
                           "engine": {"slots": 64, "kvCacheTokens": 400000,
                                      "stride": PER_EVENT}}
-                         for name in ("s", crashing_parts.SERVICE)],
-            "tenants": [{"name": team, "apiKeys": [key_of(team)],
-                         "prepaid": prepaid}
-                        for team, prepaid in PREPAID.items()]}
+                         for name, more in (
+                             ("s", {}), (crashing_parts.SERVICE, {}),
+                             (restricted_targets.SERVICE, cold))],
+            "tenants": [team(*it) for it in PREPAID.items()]}
 
 
 class Node:
@@ -374,7 +420,8 @@
                       f"listen.directory={ip}:{self.entry}\n"
                       f"internalPortRange=17340,17355\n"
                       f"seedNodes={seeds}\nplatform.address={store}\n"
-                      f"bounds.graceS=5\n")
+                      f"bounds.graceS=5\nzones.z=r\n"
+                      f"{restricted_targets.SETTINGS}")
 
     def start(self):
         self.started = time.time()
@@ -421,7 +468,7 @@
         self.targets = {}
         server, address = serve(self.store.handler())
         self.closing.append(server)
-        self.published = {}
+        self.published, self.publishing = {}, threading.Lock()
         self.version = 1
         self.publish("config", "main", configuration(self.version))
         for i in range(TARGETS):
@@ -436,6 +483,11 @@
             part_handler, self.list_part_target, senders, self.started_at,
             self.note)
         self.parts.start()
+        self.restricted = restricted_targets.RestrictedTargets(
+            lambda name, signals: target_handler(name, self.runs, self.fault,
+                                                 signals),
+            self, senders, self.started_at, self.note)
+        self.restricted.start()
         self.restores = restored_store.Restores(
             self.store, lambda: self.nodes, self.write_again)
         # Addresses of their own, so that soaks can run beside each other.
@@ -453,14 +505,17 @@
             "born": int(time.time() * 1000)})
 
     def publish(self, kind, name, spec):
-        """As the operator or a target."""
-        self.published[kind, name] = spec
-        self.store.put(kind, name, spec)
+        """As the operator or a target; a `spec` of None deletes."""
+        with self.publishing:
+            self.published[kind, name] = spec
+            self.store.put(kind, name, spec)
 
     def write_again(self):
         """What the operator and the targets wrote last is written again."""
-        for (kind, name), spec in list(self.published.items()):
-            self.store.put(kind, name, spec)
+        with self.publishing:
+            for (kind, name), spec in self.published.items():
+                self.store.put(kind, name, spec)
+            self.store.outages.note("restore", False)
 
     def list_part_target(self, name, address):
         self.publish("servers", name, {
@@ -538,6 +593,8 @@
     def call_once(self, number, address, team="t", kept=None):
         """`kept` is the number of the node that the caller keeps to."""
         kind = ("once", "again", "stream")[number % 3]
+        suffix = (restricted_targets.SUFFIX
+                  if team in restricted_targets.TEAMS else "")
         request = f"{team}{number:x}.{random.getrandbits(32):x}"
         ip, port = address.split(":")
         call = http.client.HTTPConnection(ip, int(port), timeout=5)
@@ -547,26 +604,31 @@
         if kind == "stream":
             headers["X-Token-Usage"] = f"{PROMPT},{MOST_OUT}"
         try:
-            call.request("POST", f"/{kind}/x", body=request.ljust(50).encode(),
-                         headers=headers)
+            call.request("POST", f"/{kind}{suffix}/x", headers=headers,
+                         body=request.ljust(50).encode())
             answer = call.getresponse()
             body = answer.read()
         except (OSError, http.client.HTTPException) as failure:
             self.runs.deliver(team, getattr(failure, "partial", b""))
             self.outcomes["no answer"] += 1
-            self.shares.count(team, kept, False)
+            self.count_share(team, kept, False)
             return request, kind, None
         finally:
             call.close()
         if kind == "stream":
             self.runs.deliver(team, body)
         self.outcomes[answer.status] += 1
-        self.shares.count(team, kept, answer.status == 200)
+        self.count_share(team, kept, answer.status == 200)
         mark = answer.getheader("X-Server-Signature")
         if answer.status == 200:
             self.check_success(request, kind, mark, body)
         return request, kind, 0 if mark else answer.status
 
+    def count_share(self, team, kept, served):
+        # Restricted ones are refused for want of targets, each by its own.
+        if team not in restricted_targets.TEAMS:
+            self.shares.count(team, kept, served)
+
     def check_success(self, request, kind, mark, body):
         if mark not in self.runs.of[request]:
             self.note(f"{request}: success without a run of it")
@@ -700,6 +762,12 @@
                    for i in range(8)]
         callers += [threading.Thread(target=self.caller, args=[i, "u"])
                     for i in range(Floods.FLOOD_LANES)]
+        callers += [threading.Thread(target=self.caller, args=[i, it])
+                    for i, it in enumerate("vvvvvvww")]
+        callers += [threading.Thread(
+            target=run, args=[random.Random(self.plan_seed + n), self.stop])
+                    for n, run in ((2, self.restricted.evacuate_some),
+                                   (3, self.restricted.cool_some))]
         callers.append(threading.Thread(target=self.floods.run))
         callers.append(threading.Thread(target=self.speak))
         callers.append(threading.Thread(target=self.storms))
@@ -742,6 +810,7 @@
           f"{dict(soak.outcomes)}, {soak.runs.tokens('t')} of "
           f"{PREPAID['t']} tokens, {soak.store.era - 1} restores, "
           f"{soak.parts.summary}, "
+          f"{soak.restricted.summary}, "
           f"served {soak.shares.summary}, "
           f"logs in {soak.folder}")
     if answered == 0:
