--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -153,6 +153,11 @@
     fetch(platform_call name, call_kind kind, std::string target,
           result<Answer> (*decode)(catalog::store_era, const std::string&));
 
+    /// Lists all objects of a kind, page by page. Unset if a call failed, or
+    /// the store was restored in between.
+    awaitable<std::optional<timed<adapter::object_page>>>
+    list_all(platform_call name, adapter::object_kind kind);
+
     void note_unreadable(unreadable_kind kind,
                          const adapter::stored_object& object,
                          const error& cause);
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -1,8 +1,9 @@
-#include "fennelladder/edge/platform_feed.hpp"
+#include "platform_feed_fetch.hpp"
 
 #include "fennelladder/telemetry/log.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace fennelladder::edge {
 
@@ -318,4 +319,38 @@
                                                   unnamed_relist_period);
 }
 
+/// Later pages may be newer than the first, whose revision is that of the
+/// result: the next watch starts there and delivers all changes since.
+awaitable<std::optional<platform_feed::timed<adapter::object_page>>>
+platform_feed::list_all(platform_call name, adapter::object_kind kind)
+{
+    std::optional<timed<adapter::object_page>> out;
+    std::string after;
+    for (bool more = true; more;) {
+        const std::string before = after;
+        std::string target =
+            adapter::list_target(kind, adapter::freshness::newest, after);
+        auto page = co_await fetch(name, call_kind::listing, target,
+                                   adapter::decode_page_in);
+        if (!page)
+            co_return std::nullopt;
+        if (out && page->value.as_of.era() != out->value.as_of.era())
+            co_return std::nullopt;
+        for (const adapter::stored_object& it : page->value.objects)
+            if (!it.name.empty())
+                after = it.name;
+        more = page->value.more && !page->value.objects.empty();
+        // No object of the page has a name to continue from.
+        if (more && after == before)
+            co_return std::nullopt;
+        if (!out) {
+            out = std::move(page);
+            continue;
+        }
+        std::ranges::move(page->value.objects,
+                          std::back_inserter(out->value.objects));
+    }
+    co_return out;
+}
+
 } // namespace fennelladder::edge
--- a/libs/edge/platform_feed_evacuations.cpp
+++ b/libs/edge/platform_feed_evacuations.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-using adapter::freshness;
 using adapter::object_kind;
 
 bool is_data_center(const adapter::stored_object& object)
@@ -42,22 +41,19 @@
 
 awaitable<bool> platform_feed::list_evacuations()
 {
-    std::string target =
-        adapter::list_target(object_kind::evacuations, freshness::newest, "");
-    const auto page =
-        co_await fetch(platform_call::list_evacuations, call_kind::listing,
-                       target, adapter::decode_page_in);
-    if (!page)
+    const auto listed = co_await list_all(platform_call::list_evacuations,
+                                          object_kind::evacuations);
+    if (!listed)
         co_return false;
-    catalog::evacuation_state state{{}, page->value.as_of};
-    for (const adapter::stored_object& it : page->value.objects) {
+    catalog::evacuation_state state{{}, listed->value.as_of};
+    for (const adapter::stored_object& it : listed->value.objects) {
         if (is_data_center(it))
             state.data_centers.emplace_back(it.name);
         else
             note_unreadable(unreadable_kind::evacuation, it,
                             {error_code::corrupt, "no name"});
     }
-    apply_evacuations(std::move(state), page->first_byte_at);
+    apply_evacuations(std::move(state), listed->first_byte_at);
     co_return true;
 }
 
--- a/libs/edge/platform_feed_targets.cpp
+++ b/libs/edge/platform_feed_targets.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-using adapter::freshness;
 using adapter::object_kind;
 
 } // namespace
@@ -60,44 +59,19 @@
 
 awaitable<bool> platform_feed::list_targets()
 {
+    const auto listed =
+        co_await list_all(platform_call::list_targets, object_kind::targets);
+    if (!listed)
+        co_return false;
     std::vector<catalog::target_change> entries;
-    std::string after;
-    std::optional<catalog::revision> as_of;
-    instant first_byte_at;
-    for (bool more = true; more;) {
-        const std::string before = after;
-        std::string target = adapter::list_target(object_kind::targets,
-                                                  freshness::newest, after);
-        const auto page =
-            co_await fetch(platform_call::list_targets, call_kind::listing,
-                           target, adapter::decode_page_in);
-        if (!page)
-            co_return false;
-        for (const adapter::stored_object& it : page->value.objects) {
-            if (const auto change = parse_target(it))
-                entries.push_back(*change);
-            if (!it.name.empty())
-                after = it.name;
-        }
-        // The store was restored in between.
-        if (as_of && page->value.as_of.era() != as_of->era())
-            co_return false;
-        // Later pages may be newer. The next watch starts from the revision of
-        // the first page, so it delivers all changes since then.
-        if (!as_of) {
-            as_of = page->value.as_of;
-            first_byte_at = page->first_byte_at;
-        }
-        more = page->value.more && !page->value.objects.empty();
-        // No object of the page has a name to continue from.
-        if (more && after == before)
-            co_return false;
-    }
+    for (const adapter::stored_object& it : listed->value.objects)
+        if (const auto change = parse_target(it))
+            entries.push_back(*change);
     const catalog::revision before = tables_.targets.latest_change();
     const bool known = tables_.targets.known();
-    if (!tables_.targets.replace_all(entries, *as_of))
+    if (!tables_.targets.replace_all(entries, listed->value.as_of))
         co_return true;
-    confirm_targets(first_byte_at);
+    confirm_targets(listed->first_byte_at);
     if (!known || tables_.targets.latest_change() != before) {
         tables_.update_target_registry();
         tables_.broadcast_update();
