Limit admission by the busiest of processor and link

A host that refuses what its link can't carry still receives the refused bodies, twice each: a refusal costs 5.6 KB of the incoming link where an answer costs 4.6 KB. The limit that followed the processor alone fell to none, and so did that of the processor, since refusals cost 0.145 of a request served.

The limit now follows the busiest of processor, link sent and link received. Requests cost their bytes where the link is the busiest. Small requests go before large ones, and a team below its share is admitted without saved allowance. Returns are spread over the later half of the time that callers have. A gap of 2 s without measurements discards them.

--- a/libs/dispatch/admission_control_test.cpp
+++ b/libs/dispatch/admission_control_test.cpp
@@ -184,3 +184,101 @@
                   .admitted);
     CHECK(bounded.teams() <= options.max_teams + 1);
 }
+
+// Failure: a host whose link is full, with processor time left, admits all.
+TEST(admission_control, limits_when_a_direction_of_the_link_is_full)
+{
+    const auto serve = [&](double sent, double received) {
+        for (duration it(0); it < seconds(5); it += step) {
+            control.note_link(sent, received, now);
+            ask_for(step, 1, short_wait, not_urgent, 0.2);
+        }
+    };
+    serve(0.5, 0.5);
+    CHECK_FALSE(control.is_limiting());
+    serve(0.5, 1);
+    CHECK(control.is_limiting());
+    CHECK(control.busiest() == host_resource::link_received);
+}
+
+// Failure: the time of a suspension counts as an interval under load, or what
+// was measured before it is taken for the present.
+TEST(admission_control, discards_what_was_measured_before_a_gap)
+{
+    overload();
+    CHECK(control.is_limiting());
+    now += seconds(5);
+    control.note_busy(seconds(5), now);
+    control.note_backlog(seconds(5), now);
+    CHECK_FALSE(control.is_limiting());
+    CHECK(ask(flood).admitted);
+}
+
+// Failure: where a share is a few requests a second, a team that asks for less
+// is refused when two of its requests come together.
+TEST(admission_control, admits_few_requests_that_come_together)
+{
+    overload();
+    for (int i = 0; i < 10; ++i) {
+        ask_for(milliseconds(500), 3, milliseconds(10));
+        for (int team = 0; team < 20; ++team) {
+            const team_id few("few-" + std::to_string(team));
+            const bool both = ask(few).admitted && ask(few).admitted;
+            CHECK(both);
+        }
+    }
+}
+
+// Failure: one large request takes what several small ones need, or large ones
+// of a team below its share are never admitted.
+TEST(admission_control, admits_small_requests_before_large_ones)
+{
+    constexpr std::uint64_t usual = 2'000;
+    constexpr std::uint64_t large = 12'000;
+    int usual_ones = 0;
+    int large_ones = 0;
+    int below_share = 0;
+    int asked_below_share = 0;
+    for (duration it(0); it < seconds(20); it += step) {
+        pass(short_wait, 0.2);
+        control.note_served(now, {usual, 2 * usual, 2 * usual});
+        control.note_link(0.5, 1, now);
+        const auto admitted = [&](const team_id& team, std::uint64_t bytes) {
+            return control.admit(team, urgent, longest, now, bytes).admitted;
+        };
+        const bool counts = it >= seconds(10);
+        for (int i = 0; i < 2; ++i)
+            usual_ones += admitted(flood, usual) && counts ? 1 : 0;
+        large_ones += admitted(flood, large) && counts ? 1 : 0;
+        if (!counts || it % milliseconds(500) != duration(0))
+            continue;
+        below_share += admitted(small, large) ? 1 : 0;
+        ++asked_below_share;
+    }
+    CHECK(usual_ones > 2 * 2 * large_ones);
+    LONGS_EQUAL(asked_below_share, below_share);
+}
+
+// Failure: a refused caller is told to return at once, and its bytes fill the
+// link again; or all of them return together.
+TEST(admission_control, spreads_returns_over_the_later_half_of_the_time)
+{
+    overload();
+    ask_for(seconds(1), 3, milliseconds(10));
+    constexpr int parts = 5;
+    int returns[parts] = {};
+    int all = 0;
+    for (int i = 0; i < 100; ++i) {
+        const admission it = ask(flood);
+        if (it.admitted)
+            continue;
+        const double part = to_seconds(it.retry_after) / to_seconds(longest);
+        CHECK(part >= 0.5);
+        CHECK(part <= 1);
+        ++returns[std::min(static_cast<int>((part - 0.5) * 2 * parts),
+                           parts - 1)];
+        ++all;
+    }
+    for (const int it : returns)
+        DOUBLES_EQUAL(1.0 / parts, static_cast<double>(it) / all, 0.05);
+}
