Decide about requests on their heads, and bound new connections

Refused requests were read whole, and every connection was accepted: on a host that is full, refusals took what it had. The share of time at work left out the first handler after each wait, and counted up to 32 handlers in the next interval. Refusals also came before 402 and before crashing requests were known.

With admission.limit=1, the decision comes when the head has been read. A body of up to 4 KB is read and its connection stays open. A longer or chunked one isn't read: 503 with Connection: close, the sending side is shut down, and input is discarded for 300 ms. "News are late", "the node leaves" and "too much at once" go the same way. 400, 401, 402, 404 and known crashes come before the refusal for want of capacity. New connections are bounded, and the kernel's queue is as short as the bound asks for. The loop reports its work after each handler.

--- a/include/fennelladder/edge/busy_loop.hpp
+++ b/include/fennelladder/edge/busy_loop.hpp
@@ -6,9 +6,10 @@
 //
 // The time in which the loop waits for something to do is idle; all other time
 // is work, also what the host's scheduler takes from the process. So the
-// measure holds however the processor is shared. A loop that never waits is
-// reported after every few handlers. The first handler after a wait counts as
-// idle time: a loop that hardly waits is measured well.
+// measure holds however the processor is shared. Of the first handler after a
+// wait, only the processor time is known, which counts as work. Work is
+// reported after each handler, so that it counts in the interval in which it
+// was done.
 //
 // Preconditions: only one thread runs `io`.
 
--- a/include/fennelladder/edge/caller_server.hpp
+++ b/include/fennelladder/edge/caller_server.hpp
@@ -12,11 +12,19 @@
 // flood from exhausting the process. Connections beyond the limit are closed;
 // requests beyond it are answered 503 at once ("not run").
 //
+// With tuning option admission.limit, requests are decided about when their
+// heads have been read. A refused request's short body is read, and its
+// connection stays open: a new one costs more. A long body isn't read: the
+// refusal closes the connection, and what arrives is discarded for a short
+// time. A connection that is closed with unread bytes is reset, and the caller
+// may lose the answer. New connections are bounded as well.
+//
 // Not thread safe.
 
 #ifndef FENNELLADDER_EDGE_CALLER_SERVER_HPP
 #define FENNELLADDER_EDGE_CALLER_SERVER_HPP
 
+#include "fennelladder/edge/connection_acceptor.hpp"
 #include "fennelladder/edge/request_driver.hpp"
 
 #include <cstddef>
@@ -72,7 +80,8 @@
     void take(tcp::socket socket);
     bool close_longest_idle();
     void log_not_accepted(const std::string& reason) const;
-    const char* rejection_reason(const caller_request& request) const;
+    const char* rejection_reason(std::size_t body_bytes) const;
+    accept_limit new_connection_limit();
 
     node_tables& tables_;
     request_driver& driver_;
--- a/include/fennelladder/edge/connection_acceptor.hpp
+++ b/include/fennelladder/edge/connection_acceptor.hpp
@@ -9,6 +9,9 @@
 // connection in each turn falls behind its callers, and reads requests whose
 // callers are about to give up.
 //
+// A server beyond its capacity bounds the connections that it accepts a second
+// (accept_limit). The others wait in the kernel's queue, which is made short.
+//
 // Not thread safe.
 
 #ifndef FENNELLADDER_EDGE_CONNECTION_ACCEPTOR_HPP
@@ -17,19 +20,33 @@
 #include "fennelladder/edge/io.hpp"
 
 #include <functional>
+#include <optional>
 
 namespace fennelladder::edge {
 
 /// Connections accepted in one turn at most, so that other work gets its turn.
 inline constexpr int max_accepts_per_turn = 64;
 
+/// Bounds the connections that are accepted.
+struct accept_limit
+{
+    /// Present bound, in connections per second; unset: none.
+    std::function<std::optional<double>()> rate = [] {
+        return std::optional<double>();
+    };
+    /// Called when connections wait for the bound.
+    std::function<void()> on_wait = [] {};
+    std::function<instant()> now = [] { return instant(); };
+};
+
 /// Passes each new connection to `take` until the acceptor is closed. After a
 /// failure, which is passed to `on_failure`, it pauses for a moment: the system
 /// allows no more descriptors, for instance. Precondition: the acceptor listens
 /// and outlives the coroutine, as does all that `take` refers to.
 awaitable<void> accept_connections(
     tcp::acceptor& acceptor, std::function<void(tcp::socket)> take,
-    std::function<void(const net_error&)> on_failure = [](const auto&) {});
+    std::function<void(const net_error&)> on_failure = [](const auto&) {},
+    accept_limit limit = {});
 
 } // namespace fennelladder::edge
 
--- a/include/fennelladder/edge/request_driver.hpp
+++ b/include/fennelladder/edge/request_driver.hpp
@@ -21,8 +21,26 @@
 #include "fennelladder/edge/target_prober.hpp"
 #include "fennelladder/edge/token_allocator.hpp"
 
+#include <cstdint>
+#include <optional>
+
 namespace fennelladder::edge {
 
+/// A response that refuses a request before any attempt.
+struct refusal
+{
+    unsigned status = 503;
+    std::optional<duration> retry_after;
+    const char* reason = "";
+};
+
+/// What was decided when a request's head had been read.
+struct head_decision
+{
+    std::uint64_t bytes = 0;        ///< Of head and body, as stated.
+    std::optional<refusal> refused; ///< Unset: it is served.
+};
+
 class request_driver
 {
 public:
@@ -30,10 +48,25 @@
                    stream_origin_exchange& origins,
                    quarantine_exchange& quarantine);
 
-    /// Serves the request. Afterwards the reply is finished, or the caller's
-    /// connection must be closed. Precondition: `cancellation` is unused.
+    /// Decides whether the host has the capacity for a request of so many bytes
+    /// of which only the head has been read. While load is limited, also finds
+    /// the definite answers that follow from the head. Counts as the one
+    /// decision about this request; precondition: tuning option admission.limit
+    /// is set.
+    std::optional<refusal> check_head(const caller_request& head,
+                                      response_writer& reply,
+                                      std::uint64_t bytes);
+
+    /// Serves the request, or refuses it as decided unless it has a definite
+    /// answer. Afterwards the reply is finished, or the caller's connection
+    /// must be closed. Precondition: `cancellation` is unused.
     awaitable<void> serve(const caller_request& request, response_writer& reply,
-                          request_cancellation_ptr cancellation);
+                          request_cancellation_ptr cancellation,
+                          head_decision decided);
+
+    /// Answers a request that was refused on its head.
+    awaitable<void> refuse(const caller_request& head, response_writer& reply,
+                           const refusal& why);
 
 private:
     friend class request_run;
--- a/include/fennelladder/edge/response_writer.hpp
+++ b/include/fennelladder/edge/response_writer.hpp
@@ -93,6 +93,9 @@
     bool finished() const { return finished_; }
     bool is_writing() const { return writing_; }
 
+    /// Bytes of the present response that were sent.
+    std::uint64_t bytes_sent() const { return bytes_sent_; }
+
     /// Error of the last write; no error if it succeeded.
     const net_error& write_error() const { return write_error_; }
 
@@ -113,6 +116,7 @@
     bool begun_ = false;
     bool finished_ = false;
     bool writing_ = false;
+    std::uint64_t bytes_sent_ = 0;
     net_error write_error_;
 };
 
--- a/libs/edge/busy_loop.cpp
+++ b/libs/edge/busy_loop.cpp
@@ -1,20 +1,20 @@
 #include "fennelladder/edge/busy_loop.hpp"
 
+#include <algorithm>
+#include <ctime>
+
 namespace fennelladder::edge {
 
 namespace {
 
-/// Handlers that run between two looks at the clock.
-constexpr int handlers_per_look = 32;
-
-/// Runs what is ready, up to a number of handlers. Returns false if nothing is
-/// left that is ready.
-bool run_ready(asio::io_context& io)
+/// Processor time that this thread has used.
+duration processor_time()
 {
-    for (int i = 0; i < handlers_per_look; ++i)
-        if (io.poll_one() == 0)
-            return false;
-    return true;
+    timespec out{};
+    if (clock_gettime(CLOCK_THREAD_CPUTIME_ID, &out) != 0)
+        return duration(0);
+    return std::chrono::duration_cast<duration>(
+        seconds(out.tv_sec) + std::chrono::nanoseconds(out.tv_nsec));
 }
 
 } // namespace
@@ -24,15 +24,20 @@
 {
     instant since = time.now();
     while (!io.stopped()) {
-        const bool more = run_ready(io);
-        const instant now = time.now();
-        on_work(now - since, now);
-        since = now;
-        if (more)
+        if (io.poll_one() > 0) {
+            const instant now = time.now();
+            on_work(now - since, now);
+            since = now;
             continue;
+        }
         // Waits, and runs the first handler that becomes ready.
+        const instant waits = time.now();
+        const duration used = processor_time();
         io.run_one();
-        since = time.now();
+        const instant now = time.now();
+        const duration worked = (waits - since) + processor_time() - used;
+        on_work(std::clamp(worked, duration(0), now - since), now);
+        since = now;
     }
 }
 
--- a/libs/edge/busy_loop_test.cpp
+++ b/libs/edge/busy_loop_test.cpp
@@ -59,6 +59,26 @@
     CHECK(worked >= handlers * handler_time);
 }
 
+// Failure: a loop that waits before each handler looks idle, whatever its
+// handlers do.
+TEST(busy_loop, counts_the_first_handler_after_a_wait)
+{
+    constexpr int handlers = 10;
+    int left = handlers;
+    asio::steady_timer timer(io);
+    std::function<void()> again = [&] {
+        timer.expires_after(milliseconds(1));
+        timer.async_wait([&](net_error) {
+            work(time);
+            if (--left > 0)
+                again();
+        });
+    };
+    again();
+    run();
+    CHECK(worked >= handlers * handler_time / 2);
+}
+
 TEST(busy_loop, ends_when_the_loop_is_stopped)
 {
     asio::steady_timer timer(io, seconds(100));
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -4,12 +4,12 @@
 
 #include "fennelladder/edge/caller_server.hpp"
 
-#include "fennelladder/edge/connection_acceptor.hpp"
 #include "fennelladder/edge/simple_server.hpp"
 #include "fennelladder/edge/socket_deadline.hpp"
 #include "fennelladder/telemetry/log.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <sys/socket.h>
 #include <utility>
@@ -39,11 +39,44 @@
 /// Bytes buffered of what a caller sends before it has its response.
 constexpr std::size_t max_read_ahead = 65'536;
 
+/// A body up to this length is read before its request is refused.
+constexpr std::uint64_t max_short_body = 4'096;
+
+/// What arrives after a refusal is discarded for so long.
+constexpr duration discard_time = milliseconds(300);
+
 /// Memory estimated per connection, including kernel buffers.
 constexpr std::size_t bytes_per_connection = 24'576;
 
 using request_parser = http::request_parser<http::string_body>;
 
+/// Bytes of a request's head, about as its caller sent it.
+std::uint64_t head_bytes(const request_parser& parser)
+{
+    constexpr std::size_t request_line_rest = 14; // " ", " HTTP/1.1", 2 x CRLF
+    constexpr std::size_t field_rest = 4;         // ": ", CRLF
+    const auto& head = parser.get();
+    std::size_t out =
+        head.method_string().size() + head.target().size() + request_line_rest;
+    for (const auto& it : head)
+        out += it.name_string().size() + it.value().size() + field_rest;
+    return out;
+}
+
+/// The body's length as stated, 0 if it isn't.
+std::uint64_t stated_body(const request_parser& parser)
+{
+    return parser.content_length().value_or(0);
+}
+
+/// Whether a body follows that isn't read if its request is refused. A caller
+/// that expects to be told to send it hasn't sent it yet.
+bool has_long_body(const request_parser& parser)
+{
+    return parser.chunked() || stated_body(parser) > max_short_body ||
+           beast::iequals(parser.get()[http::field::expect], "100-continue");
+}
+
 /// Guards against request smuggling, which uses body lengths that two parties
 /// interpret differently: only a single "chunked" is supported.
 bool has_unsupported_transfer_encoding(const http::fields& fields)
@@ -110,6 +143,14 @@
     awaitable<void> serve_requests();
     awaitable<bool> wait_for_request();
     awaitable<bool> read_request(caller_request& out);
+    awaitable<bool> read_head(request_parser& parser);
+    void take_head(request_parser& parser, caller_request& out);
+    void decide_on_head(const request_parser& parser,
+                        const caller_request& head);
+    bool is_refused() const { return reason_ != nullptr || decided_.refused; }
+    awaitable<void> refuse_unread(const caller_request& head);
+    awaitable<void> refuse(const caller_request& request, const char* reason);
+    awaitable<void> discard_input();
     void set_read_deadline(duration length);
     awaitable<bool> reject(unsigned status, const char* reason);
     void log_incomplete_request(const char* part, const net_error& ec) const;
@@ -133,6 +174,10 @@
     instant idle_since_;
     bool serving_ = false;
     bool first_request_ = true;
+    head_decision decided_; ///< Of the present request.
+    /// Why the node refuses the present request, whatever it is.
+    const char* reason_ = nullptr;
+    bool discards_input_ = false; ///< A body is on its way that isn't read.
 };
 
 void caller_session::close()
@@ -208,15 +253,9 @@
          {"lag_ms", milliseconds_text(tables_.lag.at(tables_.now()))}});
 }
 
-awaitable<bool> caller_session::read_request(caller_request& out)
+/// Reads a request's head. Answers it if it is faulty.
+awaitable<bool> caller_session::read_head(request_parser& parser)
 {
-    const auto config = tables_.config;
-    const catalog::caller_limits limits =
-        config ? config->parts().limits : catalog::caller_limits();
-    request_parser parser;
-    parser.header_limit(limits.header_bytes);
-    parser.body_limit(limits.body_bytes);
-    set_read_deadline(limits.header_timeout);
     net_error ec;
     co_await http::async_read_header(socket_, buf_, parser, into(ec));
     if (ec == http::error::header_limit) {
@@ -246,7 +285,97 @@
         const bool more = co_await reject(400, "transfer encoding");
         co_return more;
     }
+    co_return true;
+}
+
+/// Takes from the head what is needed to decide about the request, and how it
+/// is to be answered.
+void caller_session::take_head(request_parser& parser, caller_request& out)
+{
     out.arrived = tables_.now();
+    out.first_on_connection = std::exchange(first_request_, false);
+    if (!parser.keep_alive() || server_.draining_)
+        reply_.close_when_done();
+    // HTTP/1.0 has no chunks.
+    if (parser.get().version() < 11)
+        reply_.omit_chunk_sizes();
+    const auto& message = parser.get();
+    if (message.method() == http::verb::head)
+        reply_.omit_body();
+    out.has_body = message.has_content_length() || parser.chunked();
+    out.method = std::string(message.method_string());
+    out.path = std::string(message.target());
+    out.fields = message.base();
+    out.header_values = adapter::parse_request_headers(out.fields);
+}
+
+void caller_session::decide_on_head(const request_parser& parser,
+                                    const caller_request& head)
+{
+    decided_ = {head_bytes(parser) + stated_body(parser), std::nullopt};
+    reason_ = nullptr;
+    if (!tables_.options.refuses_beyond_capacity)
+        return;
+    reason_ = server_.rejection_reason(stated_body(parser));
+    if (reason_ == nullptr)
+        decided_.refused =
+            server_.driver_.check_head(head, reply_, decided_.bytes);
+}
+
+awaitable<void> caller_session::refuse(const caller_request& request,
+                                       const char* reason)
+{
+    telemetry::log_event(telemetry::event::request_refused,
+                         {{"id", request.header_values.id},
+                          {"outcome", "503"},
+                          {"reason", reason}});
+    local_response answer{503, request.header_values.id, default_retry_after,
+                          reason};
+    (void)co_await reply_.send_local(answer);
+}
+
+/// Refuses a request without reading its body.
+awaitable<void> caller_session::refuse_unread(const caller_request& head)
+{
+    discards_input_ = true;
+    reply_.close_when_done();
+    if (reason_ != nullptr)
+        co_await refuse(head, reason_);
+    else
+        co_await server_.driver_.refuse(head, reply_, *decided_.refused);
+}
+
+/// Discards what arrives until the caller closes its side, for a bounded time.
+awaitable<void> caller_session::discard_input()
+{
+    std::array<char, 4096> discarded{};
+    net_error ec;
+    read_deadline_->close_after(discard_time);
+    while (!ec)
+        co_await socket_.async_read_some(asio::buffer(discarded), into(ec));
+    read_deadline_->clear();
+}
+
+awaitable<bool> caller_session::read_request(caller_request& out)
+{
+    const auto config = tables_.config;
+    const catalog::caller_limits limits =
+        config ? config->parts().limits : catalog::caller_limits();
+    request_parser parser;
+    parser.header_limit(limits.header_bytes);
+    parser.body_limit(limits.body_bytes);
+    set_read_deadline(limits.header_timeout);
+    const bool has_head = co_await read_head(parser);
+    if (!has_head)
+        co_return false;
+    take_head(parser, out);
+    decide_on_head(parser, out);
+    if (is_refused() && has_long_body(parser)) {
+        read_deadline_->clear();
+        co_await refuse_unread(out);
+        co_return false;
+    }
+    net_error ec;
     if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
         const std::string interim_response = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(socket_, asio::buffer(interim_response),
@@ -263,20 +392,10 @@
         log_incomplete_request("body", ec);
         co_return false;
     }
-    if (!parser.keep_alive())
-        reply_.close_when_done();
-    // HTTP/1.0 has no chunks.
-    if (parser.get().version() < 11)
-        reply_.omit_chunk_sizes();
-    out.has_body = parser.get().has_content_length() || parser.chunked();
-    auto& message = parser.get();
-    out.method = std::string(message.method_string());
-    if (message.method() == http::verb::head)
-        reply_.omit_body();
-    out.path = std::string(message.target());
-    out.body = std::move(message.body());
-    out.fields = std::move(message.base());
-    out.header_values = adapter::parse_request_headers(out.fields);
+    // A chunked body may have trailing fields.
+    if (parser.chunked())
+        out.fields = parser.get().base();
+    out.body = std::move(parser.get().body());
     co_return true;
 }
 
@@ -362,7 +481,7 @@
         });
     watch_caller(cancellation);
     tables_.accepted_requests.add(1, tables_.now());
-    co_await server_.driver_.serve(request, reply_, cancellation);
+    co_await server_.driver_.serve(request, reply_, cancellation, decided_);
     log_undelivered(request, *cancellation);
     cancellation->end();
     net_error ec;
@@ -393,20 +512,14 @@
         const bool read = co_await read_request(request);
         if (!read)
             break;
-        request.first_on_connection = std::exchange(first_request_, false);
         if (server_.draining_)
             reply_.close_when_done();
-        if (const char* reason = server_.rejection_reason(request)) {
-            telemetry::log_event(telemetry::event::request_refused,
-                                 {{"id", request.header_values.id},
-                                  {"outcome", "503"},
-                                  {"reason", reason}});
-            local_response answer{503, request.header_values.id,
-                                  default_retry_after, reason};
-            (void)co_await reply_.send_local(answer);
-        } else {
+        if (reason_ == nullptr)
+            reason_ = server_.rejection_reason(request.body.size());
+        if (reason_ != nullptr)
+            co_await refuse(request, reason_);
+        else
             co_await serve(std::move(request));
-        }
         if (!reply_.finished() || reply_.closes_connection())
             break;
     }
@@ -423,6 +536,8 @@
         char discarded[1024];
         while (socket_.read_some(asio::buffer(discarded), ec) > 0 && !ec) {
         }
+        if (discards_input_)
+            co_await discard_input();
     }
     close();
 }
@@ -444,19 +559,35 @@
               [this](tcp::socket socket) { take(std::move(socket)); },
               [this](const net_error& ec) {
                   log_not_accepted(disconnect_reason(ec));
-              }));
+              },
+              new_connection_limit()));
     return {};
 }
 
+accept_limit caller_server::new_connection_limit()
+{
+    accept_limit out;
+    out.now = [this] { return tables_.now(); };
+    if (!tables_.options.refuses_beyond_capacity)
+        return out;
+    out.rate = [this] {
+        return tables_.admission.max_accepts_per_second(tables_.now());
+    };
+    out.on_wait = [this] {
+        tables_.admission.note_not_accepted(tables_.now());
+    };
+    return out;
+}
+
 /// Returns why the request is rejected, or null if it is accepted.
-const char* caller_server::rejection_reason(const caller_request& request) const
+const char* caller_server::rejection_reason(std::size_t body_bytes) const
 {
     if (rejecting_)
         return "the node leaves";
     if (tables_.updates_are_late())
         return "news are late";
     const bool full = active_requests_ >= limits_.requests ||
-                      body_bytes_ + request.body.size() > limits_.body_bytes;
+                      body_bytes_ + body_bytes > limits_.body_bytes;
     return full ? "too much at once" : nullptr;
 }
 
@@ -510,6 +641,7 @@
 
 void caller_server::take(tcp::socket socket)
 {
+    tables_.admission.note_accepted(tables_.now());
     if (sessions_->size() >= limits_.connections && !close_longest_idle()) {
         log_not_accepted("connection limit reached");
         net_error ec;
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -363,7 +363,13 @@
         .set(std::llround(admission.busy_share(now) * 1000));
     metrics.gauge_of("fennelladder_backlog_milliseconds")
         .set(age_of(admission.standing_backlog()));
+    const auto accepts = admission.max_accepts_per_second(now);
     // Without a limit: -1.
+    metrics.gauge_of("fennelladder_accepted_connections_per_second_limit")
+        .set(accepts ? std::llround(*accepts) : -1);
+    metrics.gauge_of("fennelladder_busiest_resource")
+        .set(admission.is_limiting() ? static_cast<int>(admission.busiest())
+                                     : -1);
     metrics.gauge_of("fennelladder_admitted_per_second_limit")
         .set(admission.is_limiting() ? std::llround(admission.limit()) : -1);
     metrics.gauge_of("fennelladder_log_lines_dropped")
--- a/libs/edge/request_admission.cpp
+++ b/libs/edge/request_admission.cpp
@@ -31,6 +31,8 @@
 /// Marks of a request; further parts of its prompt get none.
 constexpr std::size_t max_marks = 256;
 
+constexpr const char* exceeds_prepaid_reason = "more than was prepaid";
+
 std::string_view without_query(std::string_view target)
 {
     return target.substr(0, target.find('?'));
@@ -67,7 +69,7 @@
     });
 }
 
-std::optional<refusal> request_run::find_route()
+std::optional<refusal> request_run::find_route_and_team()
 {
     if (!tables_.ready() && config_ == nullptr)
         return refusal{503, startup_retry_after, "no configuration yet"};
@@ -83,6 +85,13 @@
         if (team_ == nullptr)
             return refusal{401, std::nullopt, "no valid key"};
     }
+    return std::nullopt;
+}
+
+std::optional<refusal> request_run::find_route()
+{
+    if (auto definite = find_route_and_team())
+        return definite;
     use_service(choose_service());
     set_marks();
     return check_condemned();
@@ -122,30 +131,75 @@
     return refusal{503, worst->state.next_run - now, crashes_targets};
 }
 
-/// Refuses what the host can't do, before any work on it. The log line has few
-/// fields, since a host is in want of processor time then.
-awaitable<bool> request_run::is_over_capacity()
+/// A request that may cost more than its team's whole prepaid amount.
+std::optional<refusal> request_run::check_prepaid() const
+{
+    if (team_ == nullptr || !team_->prepaid ||
+        !request_.header_values.prompt_size || max_cost() <= *team_->prepaid)
+        return std::nullopt;
+    return refusal{402, std::nullopt, exceeds_prepaid_reason};
+}
+
+/// Refuses what the host can't do, before any work on it.
+std::optional<refusal> request_run::is_over_capacity(std::uint64_t bytes)
 {
-    if (!tables_.options.refuses_beyond_capacity)
-        co_return false;
     const duration longest =
         part_of(time_left(), tables_.options.requests.retry_after_share);
-    const auto got = tables_.admission.admit(team_ ? team_->id : team_id(),
-                                             urgency(), longest, tables_.now());
+    const auto got =
+        tables_.admission.admit(team_ ? team_->id : team_id(), urgency(),
+                                longest, tables_.now(), bytes);
     if (got.admitted)
-        co_return false;
+        return std::nullopt;
+    return refusal{503, got.retry_after, over_capacity};
+}
+
+std::optional<refusal> request_run::check_head(std::uint64_t bytes)
+{
+    const auto no_route = find_route_and_team();
+    const bool limiting = tables_.admission.is_limiting();
+    if (no_route)
+        return limiting ? no_route : std::nullopt;
+    if (limiting)
+        if (auto definite = check_prepaid())
+            return definite;
+    return is_over_capacity(bytes);
+}
+
+/// A refusal on the head is answered with what is known to be definite: its
+/// marks are those of the parts of its prompt, which its head names.
+awaitable<void> request_run::refuse_at_head(const refusal& why)
+{
+    auto definite = find_route_and_team();
+    if (!definite)
+        definite = check_prepaid();
+    if (!definite) {
+        use_service(choose_service());
+        set_marks();
+        // The first mark is that of the body, which wasn't read.
+        marks_.erase(marks_.begin());
+        definite = check_condemned();
+    }
+    if (definite) {
+        co_await refuse(*definite);
+        co_return;
+    }
+    co_await send_refusal(why);
+}
+
+/// The log line has few fields, since a host is in want of processor time then.
+awaitable<void> request_run::send_refusal(const refusal& why)
+{
     log_event(event::request_refused, {{"id", request_.header_values.id},
-                                       {"outcome", "503"},
-                                       {"reason", over_capacity},
+                                       {"outcome", std::to_string(why.status)},
+                                       {"reason", why.reason},
                                        {"route", route_->id.str()},
                                        {"team", team_ ? team_->id.str() : ""}});
     tables_.metrics
-        .counter_of("fennelladder_refusals_total", {{"reason", over_capacity}})
+        .counter_of("fennelladder_refusals_total", {{"reason", why.reason}})
         .add();
-    local_response answer{503, request_.header_values.id, got.retry_after,
-                          over_capacity};
+    local_response answer{why.status, request_.header_values.id,
+                          why.retry_after, why.reason};
     (void)co_await reply_.send_local(answer);
-    co_return true;
 }
 
 /// What follows from what is known about the stream. Waits for the list of
@@ -270,7 +324,7 @@
         co_return std::nullopt;
     }
     if (got == shortage::exceeds_prepaid)
-        co_return refusal{402, std::nullopt, "more than was prepaid"};
+        co_return refusal{402, std::nullopt, exceeds_prepaid_reason};
     const duration later =
         got == shortage::temporary
             ? default_retry_after
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -40,16 +40,19 @@
     return std::clamp(out, 0, lowest_urgency);
 }
 
-awaitable<void> request_run::run()
+awaitable<void> request_run::run(const std::optional<refusal>& decided)
 {
     auto refused = find_route();
+    if (!refused && decided)
+        refused = check_prepaid();
     if (refused) {
         co_await refuse(*refused);
         co_return;
     }
-    const bool over = co_await is_over_capacity();
-    if (over)
+    if (decided) {
+        co_await send_refusal(*decided);
         co_return;
+    }
     cancellation_->set_deadline(request_.arrived + total_time() +
                                 deadline_response_grace);
     refused = co_await find_version();
@@ -82,12 +85,34 @@
 
 awaitable<void> request_driver::serve(const caller_request& request,
                                       response_writer& reply,
-                                      request_cancellation_ptr cancellation)
+                                      request_cancellation_ptr cancellation,
+                                      head_decision decided)
 {
     request_run run(*this, request, reply, std::move(cancellation));
-    co_await run.run();
-    if (run.was_served())
-        tables_.admission.note_served(tables_.now());
+    co_await run.run(decided.refused);
+    if (!run.was_served())
+        co_return;
+    // The request comes in and goes out again, and so does its answer.
+    const std::uint64_t each_way = decided.bytes + reply.bytes_sent();
+    tables_.admission.note_served(tables_.now(),
+                                  {decided.bytes, each_way, each_way});
+}
+
+std::optional<refusal> request_driver::check_head(const caller_request& head,
+                                                  response_writer& reply,
+                                                  std::uint64_t bytes)
+{
+    return request_run(*this, head, reply, nullptr).check_head(bytes);
+}
+
+awaitable<void> request_driver::refuse(const caller_request& head,
+                                       response_writer& reply,
+                                       const refusal& why)
+{
+    request_run run(
+        *this, head, reply,
+        std::make_shared<request_cancellation>(tables_.io, tables_.time));
+    co_await run.refuse_at_head(why);
 }
 
 } // namespace fennelladder::edge
--- a/libs/edge/request_run.hpp
+++ b/libs/edge/request_run.hpp
@@ -21,14 +21,6 @@
 
 namespace fennelladder::edge {
 
-/// A response that refuses a request before any attempt.
-struct refusal
-{
-    unsigned status = 503;
-    std::optional<duration> retry_after;
-    const char* reason = "";
-};
-
 /// Reasons of refusals.
 inline constexpr const char* crashes_targets = "it crashes targets";
 inline constexpr const char* may_crash_targets = "it may crash targets";
@@ -45,7 +37,15 @@
           config_(tables_.config), queueing_time_(tables_.queueing_delay())
     {}
 
-    awaitable<void> run();
+    /// `decided` on the head refuses the request unless it has a definite
+    /// answer.
+    awaitable<void> run(const std::optional<refusal>& decided);
+
+    /// Decides about a request of which only the head has been read.
+    std::optional<refusal> check_head(std::uint64_t bytes);
+
+    /// Answers a request that was refused on its head.
+    awaitable<void> refuse_at_head(const refusal& why);
 
     /// Whether the caller got a target's whole answer. What is given up or
     /// refused later shows nothing of what the host can do.
@@ -53,7 +53,10 @@
 
 private:
     std::optional<refusal> find_route();
-    awaitable<bool> is_over_capacity();
+    std::optional<refusal> find_route_and_team();
+    std::optional<refusal> check_prepaid() const;
+    std::optional<refusal> is_over_capacity(std::uint64_t bytes);
+    awaitable<void> send_refusal(const refusal& why);
     void set_marks();
     std::optional<refusal> check_condemned();
     awaitable<std::optional<refusal>> find_version();
--- a/libs/edge/response_writer.cpp
+++ b/libs/edge/response_writer.cpp
@@ -29,6 +29,7 @@
     omits_chunk_sizes_ = false;
     begun_ = false;
     finished_ = false;
+    bytes_sent_ = 0;
     write_error_ = {};
 }
 
@@ -53,6 +54,8 @@
                                    into(write_error_));
         writing_ = false;
     }
+    if (!write_error_)
+        bytes_sent_ += bytes.size();
     co_return !write_error_;
 }
 
