Assemble configurations from parts in datagrams

A host whose incoming link is full hears of a newer configuration but can't fetch it: packets of TCP connections wait in the link's queue, and 67 fetches of 2.5 KB failed in connect. Datagrams aren't queued there.

--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -30,6 +30,7 @@
 #include "fennelladder/dispatch/target_registry.hpp"
 #include "fennelladder/prepaid/allotment_ledger.hpp"
 
+#include <bitset>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -264,6 +265,43 @@
     duration hold{0}; ///< The marks are free again after this time.
 };
 
+/// Most parts of a configuration that is sent by datagrams.
+inline constexpr std::size_t max_configuration_parts = 48;
+
+/// Largest part. With the other fields it fits one packet.
+inline constexpr std::size_t max_part_bytes = 1'400;
+
+/// Numbers of parts, from 0.
+using part_set = std::bitset<max_configuration_parts>;
+
+/// Asks a node for parts of its configuration, see
+/// mesh/configuration_parts.hpp. Nodes of earlier releases don't answer.
+struct configuration_question
+{
+    node_incarnation incarnation; ///< Of the asking node.
+    std::uint64_t number = 0;     ///< Unique within it.
+    /// The answer may be of a later one.
+    catalog::configuration_version version;
+    part_set missing;
+    /// Hash of the compressed text that `missing` refers to; of any other one
+    /// all parts are missing.
+    std::uint64_t text_hash = 0;
+};
+
+/// One of the datagrams that answer a configuration_question.
+struct configuration_part
+{
+    node_incarnation incarnation; ///< Of the asking node.
+    std::uint64_t number = 0;
+    catalog::configuration_version version;
+    /// Hash of the whole compressed text. Nodes may compress the same version
+    /// differently, and parts of different texts don't fit together.
+    std::uint64_t text_hash = 0;
+    std::uint32_t part = 0; ///< From 0.
+    std::uint32_t parts = 1;
+    std::string bytes;
+};
+
 /// A datagram holds one of these messages.
 struct datagram
 {
@@ -285,6 +323,8 @@
     std::optional<mesh::draw_ack> draw_ack;
     std::optional<mesh::draw_question> draw_question;
     std::optional<mesh::draw_answer> draw_answer;
+    std::optional<mesh::configuration_question> configuration_question;
+    std::optional<mesh::configuration_part> configuration_part;
     std::size_t invalid_parts = 0; ///< Invalid parts dropped by decoding.
 };
 
--- a/libs/mesh/mesh.thrift
+++ b/libs/mesh/mesh.thrift
@@ -235,6 +235,27 @@
   6: optional bool versions_complete
 }
 
+// Asks for parts of configuration `version` or a later one. The lowest bit of
+// `missing` stands for the first part of the compressed text whose hash is
+// `text`; of any other text all parts are missing.
+struct ConfigurationAsk {
+  1: i64 life
+  2: i64 number
+  3: i64 version
+  4: i64 missing
+  5: i64 text
+}
+
+struct ConfigurationPart {
+  1: i64 life
+  2: i64 number
+  3: i64 version
+  4: i64 text
+  5: i32 part
+  6: i32 parts
+  7: binary bytes
+}
+
 struct Datagram {
   1: optional Beacon beacon
   2: optional TokenAsk ask
@@ -253,6 +274,8 @@
   15: optional DrawAck draw_ack
   16: optional DrawAsk draw_ask
   17: optional DrawReport draw_answer
+  18: optional ConfigurationAsk configuration_ask
+  19: optional ConfigurationPart configuration_part
 }
 
 struct RelayAsk {
--- a/libs/mesh/messages.cpp
+++ b/libs/mesh/messages.cpp
@@ -2,6 +2,7 @@
 
 #include "fennelladder/mesh/messages.hpp"
 
+#include "configuration_codec.hpp"
 #include "crash_codec.hpp"
 #include "draw_codec.hpp"
 #include "fennelladder/base/address.hpp"
@@ -230,6 +231,10 @@
         out.__set_draw_ask(to_wire(*message.draw_question));
     if (message.draw_answer)
         out.__set_draw_answer(to_wire(*message.draw_answer));
+    if (message.configuration_question)
+        out.__set_configuration_ask(to_wire(*message.configuration_question));
+    if (message.configuration_part)
+        out.__set_configuration_part(to_wire(*message.configuration_part));
     return to_bytes(out);
 }
 
@@ -285,6 +290,14 @@
         out.draw_answer = answer_from(read.draw_answer);
         out.invalid_parts += !out.draw_answer;
     }
+    if (read.__isset.configuration_ask) {
+        out.configuration_question = from_wire(read.configuration_ask);
+        out.invalid_parts += !out.configuration_question;
+    }
+    if (read.__isset.configuration_part) {
+        out.configuration_part = from_wire(read.configuration_part);
+        out.invalid_parts += !out.configuration_part;
+    }
     if (has_invalid_amount(out))
         return fail(error_code::corrupt,
                     "token message with an amount out of range");
--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -468,6 +468,77 @@
     CHECK(got->served_configuration == reply.served_configuration);
 }
 
+TEST(mesh_messages, parts_of_a_configuration_survive_encoding)
+{
+    constexpr std::uint64_t largest = ~std::uint64_t(0);
+    const catalog::configuration_version version(largest / 2);
+    datagram ask;
+    ask.configuration_question = configuration_question{
+        node_incarnation(largest), 5, version, part_set(6), largest};
+    const auto question = decode_datagram(encode(ask));
+    CHECK(question && question->configuration_question);
+    CHECK(question->configuration_question->incarnation ==
+          node_incarnation(largest));
+    CHECK(question->configuration_question->number == 5);
+    CHECK(question->configuration_question->version == version);
+    CHECK(question->configuration_question->missing == part_set(6));
+    CHECK(question->configuration_question->text_hash == largest);
+
+    datagram message;
+    message.configuration_part =
+        configuration_part{node_incarnation(largest),
+                           largest / 2,
+                           version,
+                           largest / 2,
+                           max_configuration_parts - 1,
+                           max_configuration_parts,
+                           std::string(max_part_bytes, '\0')};
+    const std::string bytes = encode(message);
+    CHECK(bytes.size() <= max_packet_bytes);
+    const auto got = decode_datagram(bytes);
+    CHECK(got && got->configuration_part && got->invalid_parts == 0);
+    const configuration_part& part = *got->configuration_part;
+    CHECK(part.number == largest / 2 && part.text_hash == largest / 2);
+    CHECK(part.version == version && part.bytes.size() == max_part_bytes);
+    CHECK(part.part == max_configuration_parts - 1);
+    CHECK(part.parts == max_configuration_parts);
+}
+
+// A peer's part must not be stored outside the assembly, or make it grow.
+TEST(mesh_messages, an_invalid_part_of_a_configuration_is_dropped)
+{
+    const configuration_part valid{node_incarnation(1),
+                                   1,
+                                   catalog::configuration_version(9),
+                                   1,
+                                   0,
+                                   2,
+                                   "x"};
+    std::vector<configuration_part> invalid(6, valid);
+    invalid[0].part = 2;
+    invalid[1].parts = max_configuration_parts + 1;
+    invalid[2].bytes.clear();
+    invalid[3].bytes.assign(max_part_bytes + 1, 'x');
+    invalid[4].version = {};
+    invalid[5].part = ~std::uint32_t(0);
+    for (const configuration_part& it : invalid) {
+        datagram message;
+        message.configuration_part = it;
+        const auto got = decode_datagram(encode(message));
+        CHECK(got && !got->configuration_part && got->invalid_parts == 1);
+    }
+    for (const configuration_question& it :
+         {configuration_question{node_incarnation(1), 1, {}, part_set(1), 0},
+          configuration_question{node_incarnation(1), 1,
+                                 catalog::configuration_version(9), part_set(),
+                                 0}}) {
+        datagram message;
+        message.configuration_question = it;
+        const auto got = decode_datagram(encode(message));
+        CHECK(got && !got->configuration_question && got->invalid_parts == 1);
+    }
+}
+
 // A truncated message must not be read as a shorter one.
 TEST(mesh_messages, truncated_bytes_are_rejected)
 {
