Get small configurations by datagram when connections fail

A host with a full link refused its callers for 6 to 12 s, since it knew of a configuration that it couldn't fetch over TCP.

With the option news.by-datagram, a node asks peers by datagram once a fetch failed to connect or to answer, or at once while its link is full, until the configuration is in force. The text passes the checks of a fetched one. The connect timeout of fetches follows the link's queueing delay, up to a second.

--- a/include/fennelladder/edge/mesh_node.hpp
+++ b/include/fennelladder/edge/mesh_node.hpp
@@ -44,8 +44,8 @@
     /// can't be used.
     status start();
 
-    /// Sends one datagram of tokens, streams or crashes. It may be lost without
-    /// an error.
+    /// Sends one datagram of tokens, streams, crashes or configurations. It may
+    /// be lost without an error.
     void send(const std::string& address, const mesh::datagram& message);
 
     /// Adds peer addresses from other sources, such as seeds and the platform.
@@ -69,7 +69,8 @@
         introductions, ///< Heartbeats to newly discovered nodes.
         tokens,        ///< Token messages.
         streams,       ///< Where streams began.
-        crashes        ///< Requests that crash targets.
+        crashes,       ///< Requests that crash targets.
+        configurations ///< Parts of configurations, and questions for them.
     };
 
     struct traffic_count
@@ -117,7 +118,7 @@
     telemetry::counter& sent_;
     telemetry::counter& failed_;
     telemetry::gauge& lag_gauge_;
-    std::array<traffic_count, 6> traffic_{}; ///< Since the last log_traffic().
+    std::array<traffic_count, 7> traffic_{}; ///< Since the last log_traffic().
     std::array<char, 65536> datagram_{};
     std::uint64_t sequence_ = 0;
     bool update_scheduled_ = false;
--- a/include/fennelladder/edge/tuning_options.hpp
+++ b/include/fennelladder/edge/tuning_options.hpp
@@ -56,6 +56,9 @@
     bool requests_peer_tokens = true;
     /// Refuses callers while updates arrive late, see mesh/update_lateness.hpp.
     bool refuses_when_late = true;
+    /// Gets a configuration by datagrams when connections to peers fail, and
+    /// answers peers that do, see edge/configuration_datagrams.hpp.
+    bool fetches_by_datagram = false;
     /// Refuses requests beyond what the processor can do, see
     /// dispatch/admission_control.hpp. Off: callers were served less with it.
     bool refuses_beyond_capacity = false;
--- a/include/fennelladder/edge/update_exchange.hpp
+++ b/include/fennelladder/edge/update_exchange.hpp
@@ -14,6 +14,9 @@
 // carry replies "busy" and names nodes that have it by now, so a distribution
 // tree forms even if its root is a small host.
 //
+// While connections aren't established, since the link is full, a configuration
+// is also asked for by datagrams (edge/configuration_datagrams).
+//
 // Replies of peers are validated. If one can't be parsed, that is logged, and
 // another node is asked.
 //
@@ -22,6 +25,7 @@
 #ifndef FENNELLADDER_EDGE_UPDATE_EXCHANGE_HPP
 #define FENNELLADDER_EDGE_UPDATE_EXCHANGE_HPP
 
+#include "fennelladder/edge/configuration_datagrams.hpp"
 #include "fennelladder/edge/node_tables.hpp"
 #include "fennelladder/edge/peer_stream.hpp"
 #include "fennelladder/edge/relay.hpp"
@@ -39,7 +43,9 @@
 {
 public:
     /// `address` is the IP and port on which this node listens for peers.
-    update_exchange(node_tables& tables, std::string address);
+    /// Without `send`, nothing is exchanged by datagrams.
+    update_exchange(node_tables& tables, std::string address,
+                    configuration_datagrams::sender send = {});
 
     /// Starts to serve other nodes. Fails if the address can't be used.
     status start();
@@ -48,6 +54,12 @@
     /// The membership view must have processed the heartbeat before.
     void on_heartbeat(const mesh::node_heartbeat& from);
 
+    /// Handles a datagram of another node. `from` is the sender's address.
+    void on_message(const mesh::datagram& message, const std::string& from)
+    {
+        datagrams_.on_message(message, from);
+    }
+
     /// Number of connections that this node relays for peers.
     std::size_t relayed() const { return relays_.active(); }
 
@@ -74,6 +86,8 @@
     {
         catalog::configuration_version version;
         std::shared_ptr<const std::string> bytes; ///< Null: none yet.
+        /// For datagrams; without bytes if it is too large for them.
+        mesh::packed_configuration packed;
     };
 
     bool is_ahead(const mesh::node_heartbeat& from, mesh::sync_part part) const;
@@ -85,6 +99,7 @@
     awaitable<bool> query(peer_stream& stream, const fetch_state& fetch,
                           const std::string& address, std::string& answer);
     duration fetch_delay(const fetch_state& fetch);
+    duration connect_timeout() const;
     std::vector<mesh::update_source> sources_of(mesh::sync_part part);
     void add_suggested_sources(std::vector<mesh::update_source>& to);
     void record_result(fetch_state& fetch, const std::string& address,
@@ -112,7 +127,9 @@
     mesh::sync_reply busy_reply() const;
     std::shared_ptr<const std::string>
     encoded_reply_for(const mesh::sync_request& ask);
+    bool ensure_encoded();
     void cache_encoded(std::string packed);
+    const mesh::packed_configuration* packed();
 
     node_tables& tables_;
     std::string address_;
@@ -128,6 +145,7 @@
     telemetry::counter& sent_;
     telemetry::counter& send_failed_;
     telemetry::counter& sent_busy_;
+    configuration_datagrams datagrams_;
 };
 
 } // namespace fennelladder::edge
--- a/include/fennelladder/telemetry/event_catalog.hpp
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -115,6 +115,7 @@
 constexpr int news_late = 1123;
 constexpr int news_late_over = 1124;
 constexpr int evacuations_changed = 1125;
+constexpr int news_by_datagram = 1130;
 constexpr int platform_call_failed = 1210;
 constexpr int platform_calls = 1211;
 constexpr int tokens_allotted = 1410;
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -82,7 +82,10 @@
 
 mesh_node::mesh_node(node_tables& tables, std::string address)
     : tables_(tables), address_(std::move(address)), socket_(tables.io),
-      exchange_(tables, address_),
+      exchange_(tables, address_,
+                [this](const std::string& to, const mesh::datagram& message) {
+                    send(to, message);
+                }),
       sent_(tables.metrics.counter_of(datagrams_metric, {{"result", "sent"}})),
       failed_(
           tables.metrics.counter_of(datagrams_metric, {{"result", "failed"}})),
@@ -144,8 +147,16 @@
         message.draw_question || message.draw_answer;
     const bool of_streams = !message.origins.empty() ||
                             message.stream_question || message.stream_answer;
-    const auto rest = of_streams ? traffic::streams : traffic::crashes;
-    send_to_all({address}, message, of_tokens ? traffic::tokens : rest);
+    const bool of_configurations =
+        message.configuration_question || message.configuration_part;
+    auto kind = traffic::crashes;
+    if (of_tokens)
+        kind = traffic::tokens;
+    else if (of_streams)
+        kind = traffic::streams;
+    else if (of_configurations)
+        kind = traffic::configurations;
+    send_to_all({address}, message, kind);
 }
 
 void mesh_node::send_to_all(const std::vector<std::string>& addresses,
@@ -312,7 +323,8 @@
                           {"greetings", text(traffic::introductions)},
                           {"tokens", text(traffic::tokens)},
                           {"streams", text(traffic::streams)},
-                          {"crashes", text(traffic::crashes)}});
+                          {"crashes", text(traffic::crashes)},
+                          {"configurations", text(traffic::configurations)}});
     traffic_ = {};
 }
 
@@ -390,6 +402,7 @@
 {
     if (message.heartbeat)
         handle_heartbeat(*message.heartbeat);
+    exchange_.on_message(message, from);
     if (origins_ != nullptr)
         handle_streams(message, from);
     if (quarantine_ != nullptr)
--- a/libs/edge/tuning_options.cpp
+++ b/libs/edge/tuning_options.cpp
@@ -133,6 +133,7 @@
         option("connections.most-idle", &options::pool,
                &connection_pool_options::max_idle_per_target),
         option("news.mind-lateness", &options::refuses_when_late),
+        option("news.by-datagram", &options::fetches_by_datagram),
         option("admission.limit", &options::refuses_beyond_capacity),
     };
     return all;
--- a/libs/edge/update_exchange.cpp
+++ b/libs/edge/update_exchange.cpp
@@ -25,7 +25,11 @@
 
 /// Nodes of the fleet accept connections within milliseconds. One that doesn't
 /// must not delay the next attempt: updates have to be in force within seconds.
-constexpr duration connect_timeout = milliseconds(300);
+constexpr duration usual_connect_timeout = milliseconds(300);
+
+/// On a link with a queue, connecting takes as long as bytes wait there, in
+/// both directions. Another attempt is better than a longer wait.
+constexpr duration max_connect_timeout = seconds(1);
 
 /// A configuration has at most a megabyte, a list of 600 targets far less. Also
 /// limits the uncompressed size.
@@ -87,7 +91,8 @@
     return failed;
 }
 
-update_exchange::update_exchange(node_tables& tables, std::string address)
+update_exchange::update_exchange(node_tables& tables, std::string address,
+                                 configuration_datagrams::sender send)
     : tables_(tables), address_(std::move(address)), acceptor_(tables.io),
       relays_(tables), slots_(tables.settings.link_bits_per_second),
       targets_(tables.metrics, sync_part::targets),
@@ -97,7 +102,14 @@
       send_failed_(
           tables.metrics.counter_of(transfers_metric, {{"result", "failed"}})),
       sent_busy_(
-          tables.metrics.counter_of(transfers_metric, {{"result", "busy"}}))
+          tables.metrics.counter_of(transfers_metric, {{"result", "busy"}})),
+      datagrams_(tables, {std::move(send), [this] { return packed(); },
+                          [this](std::string bytes, const std::string& source) {
+                              mesh::sync_reply reply;
+                              reply.packed_configuration = std::move(bytes);
+                              return apply_configuration(std::move(reply),
+                                                         source);
+                          }})
 {}
 
 status update_exchange::start()
@@ -115,8 +127,11 @@
 {
     if (is_ahead(from, sync_part::targets))
         start_fetch(targets_);
-    if (is_ahead(from, sync_part::configuration))
-        start_fetch(configuration_);
+    if (!is_ahead(from, sync_part::configuration))
+        return;
+    start_fetch(configuration_);
+    if (tables_.link_is_full())
+        datagrams_.start();
 }
 
 bool update_exchange::is_ahead(const mesh::node_heartbeat& from,
@@ -232,6 +247,8 @@
     const fetch_result end =
         read ? handle_reply(fetch, bytes, address) : fetch_result::failed;
     record_result(fetch, address, end);
+    if (!read && fetch.part == sync_part::configuration)
+        datagrams_.start();
     if (end == fetch_result::busy || end == fetch_result::not_newer)
         co_return end;
     log_event(
@@ -246,6 +263,14 @@
     co_return end;
 }
 
+duration update_exchange::connect_timeout() const
+{
+    if (!tables_.options.fetches_by_datagram)
+        return usual_connect_timeout;
+    return std::min(usual_connect_timeout + 2 * tables_.queueing_delay(),
+                    max_connect_timeout);
+}
+
 awaitable<bool> update_exchange::query(peer_stream& stream,
                                        const fetch_state& fetch,
                                        const std::string& address,
@@ -254,7 +279,8 @@
     const auto endpoint = parse_endpoint(address);
     if (!endpoint)
         co_return false;
-    const bool connected = co_await stream.connect(*endpoint, connect_timeout);
+    const bool connected =
+        co_await stream.connect(*endpoint, connect_timeout());
     if (!connected)
         co_return false;
     const mesh::sync_request ask{tables_.version(), tables_.targets.as_of(),
@@ -498,24 +524,41 @@
         plain.configuration = tables_.config_text;
         return std::make_shared<const std::string>(framed(mesh::encode(plain)));
     }
+    return ensure_encoded() ? encoded_.bytes : nullptr;
+}
+
+/// Compresses the configuration in force unless that is done. Returns false if
+/// it can't be.
+bool update_exchange::ensure_encoded()
+{
     if (encoded_.bytes != nullptr && encoded_.version == tables_.version())
-        return encoded_.bytes;
+        return true;
     auto packed = mesh::compress_text(tables_.config_text);
     if (!packed) {
         log_event(event::configuration_unreadable,
                   {{"source", "own"}, {"reason", packed.error().message}});
-        return nullptr;
+        return false;
     }
     cache_encoded(std::move(*packed));
-    return encoded_.bytes;
+    return true;
+}
+
+const mesh::packed_configuration* update_exchange::packed()
+{
+    if (!ensure_encoded() || encoded_.packed.bytes.empty())
+        return nullptr;
+    return &encoded_.packed;
 }
 
 void update_exchange::cache_encoded(std::string packed)
 {
+    encoded_ = {tables_.version(), nullptr, {}};
+    if (packed.size() <= mesh::max_datagram_configuration)
+        encoded_.packed = {tables_.version(), packed};
     mesh::sync_reply reply;
     reply.packed_configuration = std::move(packed);
-    encoded_ = {tables_.version(), std::make_shared<const std::string>(
-                                       framed(mesh::encode(reply)))};
+    encoded_.bytes =
+        std::make_shared<const std::string>(framed(mesh::encode(reply)));
 }
 
 } // namespace fennelladder::edge
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -185,6 +185,9 @@
      "Changes reach the node in time again; it takes callers."},
     {event::evacuations_changed, severity::info, "evacuations_changed",
      "Other data centres are evacuated: targets there get no new work."},
+    {event::news_by_datagram, severity::info, "news_by_datagram",
+     "A configuration came from a peer by datagrams, since connections to "
+     "peers failed or the node's link is full."},
     {event::targets_changed, severity::info, "targets_changed",
      "The list of targets changed."},
     {event::platform_call_failed, severity::warning, "platform_call_failed",
