--- a/libs/mesh/messages_test.cpp
+++ b/libs/mesh/messages_test.cpp
@@ -504,6 +504,53 @@
     CHECK(part.parts == max_configuration_parts);
 }
 
+// An earlier release has no such fields in its datagrams. It must skip them and
+// read the rest; a struct with fewer fields stands for its datagram here.
+TEST(mesh_messages, an_earlier_release_skips_parts_of_a_configuration)
+{
+    datagram message;
+    message.configuration_question = configuration_question{
+        node_incarnation(1), 1, catalog::configuration_version(9), part_set(1),
+        1};
+    message.configuration_part =
+        configuration_part{node_incarnation(1),
+                           1,
+                           catalog::configuration_version(9),
+                           1,
+                           0,
+                           1,
+                           "x"};
+    wire::DrawAck earlier;
+    CHECK(from_bytes(encode(message), earlier).has_value());
+    CHECK(earlier == wire::DrawAck());
+    message.heartbeat = sample();
+    const auto got = decode_datagram(encode(message));
+    CHECK(got && got->heartbeat && got->configuration_part);
+}
+
+// Bytes of a part that are damaged on the way are dropped or fit the limits.
+TEST(mesh_messages, damaged_parts_of_a_configuration_stay_within_limits)
+{
+    datagram message;
+    message.configuration_part = configuration_part{
+        node_incarnation(1),  1, catalog::configuration_version(9), 1, 3, 9,
+        std::string(100, 'x')};
+    const std::string good = encode(message);
+    random_source random(5);
+    for (int i = 0; i < 3000; ++i) {
+        std::string bytes = good.substr(0, random.below(good.size() + 1));
+        for (int k = 0; k < 3 && !bytes.empty(); ++k)
+            bytes[random.below(bytes.size())] =
+                static_cast<char>(random.below(256));
+        const auto got = decode_datagram(bytes);
+        if (!got || !got->configuration_part)
+            continue;
+        const configuration_part& part = *got->configuration_part;
+        CHECK(part.part < part.parts && part.parts <= max_configuration_parts);
+        CHECK(!part.bytes.empty() && part.bytes.size() <= max_part_bytes);
+    }
+}
+
 // A peer's part must not be stored outside the assembly, or make it grow.
 TEST(mesh_messages, an_invalid_part_of_a_configuration_is_dropped)
 {
