--- a/include/fennelladder/edge/connection_acceptor.hpp
+++ b/include/fennelladder/edge/connection_acceptor.hpp
@@ -37,6 +37,9 @@
     /// Called when connections wait for the bound.
     std::function<void()> on_wait = [] {};
     std::function<instant()> now = [] { return instant(); };
+    /// Connections that may wait for the acceptor, as it was told to listen;
+    /// the bound only shortens that.
+    int longest_queue = asio::socket_base::max_listen_connections;
 };
 
 /// Passes each new connection to `take` until the acceptor is closed. After a
--- a/include/fennelladder/edge/simple_server.hpp
+++ b/include/fennelladder/edge/simple_server.hpp
@@ -56,9 +56,11 @@
     tcp::acceptor acceptor_;
 };
 
-/// Makes `acceptor` listen on `address`, an IP:port. Fails if the address is
-/// invalid or cannot be bound.
-status listen_on(tcp::acceptor& acceptor, const std::string& address);
+/// Makes `acceptor` listen on `address`, an IP:port. `queue` is the number of
+/// connections that may wait to be accepted. Fails if the address is invalid or
+/// cannot be bound.
+status listen_on(tcp::acceptor& acceptor, const std::string& address,
+                 int queue = asio::socket_base::max_listen_connections);
 
 } // namespace fennelladder::edge
 
--- a/include/fennelladder/telemetry/event_catalog.hpp
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -117,6 +117,7 @@
 constexpr int evacuations_changed = 1125;
 constexpr int link_full = 1126;
 constexpr int link_free = 1127;
+constexpr int news_by_datagram = 1130;
 constexpr int platform_call_failed = 1210;
 constexpr int platform_calls = 1211;
 constexpr int tokens_allotted = 1410;
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -20,6 +20,11 @@
 
 constexpr duration keepalive_timeout = seconds(10);
 
+/// Connections that wait to be accepted, where they are bounded: what the host
+/// serves in this time, and at least a few that come together.
+constexpr duration max_accept_wait = milliseconds(150);
+constexpr int min_accept_queue = 16;
+
 /// Time within which a whole body must have arrived.
 constexpr duration body_timeout = seconds(15);
 
@@ -551,7 +556,8 @@
 
 status caller_server::start(const std::string& address)
 {
-    if (auto ok = listen_on(acceptor_, address); !ok)
+    const accept_limit limit = new_connection_limit();
+    if (auto ok = listen_on(acceptor_, address, limit.longest_queue); !ok)
         return ok;
     spawn(tables_.io,
           accept_connections(
@@ -560,7 +566,7 @@
               [this](const net_error& ec) {
                   log_not_accepted(disconnect_reason(ec));
               },
-              new_connection_limit()));
+              limit));
     return {};
 }
 
@@ -570,6 +576,11 @@
     out.now = [this] { return tables_.now(); };
     if (!tables_.options.refuses_beyond_capacity)
         return out;
+    // Some systems keep the queue as long as it was first asked for. What waits
+    // there longer is read when its callers have left.
+    out.longest_queue = std::max(
+        static_cast<int>(tables_.capacity() * to_seconds(max_accept_wait)),
+        min_accept_queue);
     out.rate = [this] {
         return tables_.admission.max_accepts_per_second(tables_.now());
     };
--- a/libs/edge/connection_acceptor.cpp
+++ b/libs/edge/connection_acceptor.cpp
@@ -21,14 +21,13 @@
 /// bound has ended.
 constexpr duration look_period = milliseconds(10);
 
-constexpr int longest_queue = asio::socket_base::max_listen_connections;
-
 /// Accepts connections as a bound allows.
 class bounded_acceptor
 {
 public:
     bounded_acceptor(tcp::acceptor& acceptor, accept_limit limit)
-        : acceptor_(acceptor), limit_(std::move(limit))
+        : acceptor_(acceptor), limit_(std::move(limit)),
+          queue_(limit_.longest_queue)
     {}
 
     /// Takes leave to accept one connection.
@@ -36,7 +35,7 @@
     {
         const instant now = limit_.now();
         bound_.set_rate(limit_.rate(), now);
-        set_queue(bound_.queue_length(longest_queue));
+        set_queue(bound_.queue_length(limit_.longest_queue));
         return bound_.take(now);
     }
 
@@ -74,7 +73,7 @@
     tcp::acceptor& acceptor_;
     accept_limit limit_;
     dispatch::accept_bound bound_;
-    int queue_ = longest_queue;
+    int queue_;
 };
 
 /// Waits for one connection, then takes all others that wait too. Returns why
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -251,10 +251,14 @@
         return;
     const instant at = now();
     link.tick(at);
+    const dispatch::link_load& load = link.load();
+    // Connections are slow because of either direction; both count as full.
+    const double least = load.dial_delay(at) >= full_link_delay ? 1.0 : 0.0;
+    admission.note_link(std::max(load.sent_share(at), least),
+                        std::max(load.received_share(at), least), at);
     const bool full = link_is_full();
     if (std::exchange(link_was_full, full) == full)
         return;
-    const dispatch::link_load& load = link.load();
     log_event(full ? event::link_full : event::link_free,
               {{"sent_permille", permille_text(load.sent_share(at))},
                {"received_permille", permille_text(load.received_share(at))},
--- a/libs/edge/simple_server.cpp
+++ b/libs/edge/simple_server.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-status listen_on(tcp::acceptor& acceptor, const std::string& address)
+status listen_on(tcp::acceptor& acceptor, const std::string& address, int queue)
 {
     const auto endpoint = parse_endpoint(address);
     if (!endpoint)
@@ -34,7 +34,7 @@
         acceptor.open(endpoint->protocol());
         acceptor.set_option(tcp::acceptor::reuse_address(true));
         acceptor.bind(*endpoint);
-        acceptor.listen();
+        acceptor.listen(queue);
     } catch (const std::exception& failure) {
         return fail(error_code::unavailable, address + ": " + failure.what());
     }
