Make the share that refusals may take an option

A bound on new connections doesn't know who opens them, so that urgent requests lose as much as others.

Requests that come back after a refusal counted as those of kept connections, and left too few new ones. They count with their refusals now.

--- a/include/fennelladder/dispatch/admission_control.hpp
+++ b/include/fennelladder/dispatch/admission_control.hpp
@@ -79,8 +79,10 @@
     /// request served. Estimated, see docs/notes/overload-of-a-host.md.
     double refusal_cost = 0.15;
     /// Share of the busiest resource that refusals may take before fewer
-    /// connections are accepted.
-    double max_refusal_share = 0.05;
+    /// connections are accepted. A larger one lets the host choose urgent
+    /// requests and small teams among more that come on new connections; it
+    /// then serves fewer in all.
+    double max_refusal_share = 0.02;
     /// Connections that are accepted in any case: a second, and relative to
     /// the limit.
     double min_accepts = 8;
@@ -234,10 +236,11 @@
     void credit(team_account& it, instant now) const;
     duration next_return(duration longest);
 
-    const admission_options options_;
+    admission_options options_;
     decaying_rate busy_;
     decaying_rate served_;
     decaying_rate asked_;
+    decaying_rate refused_;
     decaying_rate accepted_; ///< Connections.
     link_direction sent_;
     link_direction received_;
--- a/include/fennelladder/edge/tuning_options.hpp
+++ b/include/fennelladder/edge/tuning_options.hpp
@@ -11,6 +11,7 @@
 #define FENNELLADDER_EDGE_TUNING_OPTIONS_HPP
 
 #include "fennelladder/base/error.hpp"
+#include "fennelladder/dispatch/admission_control.hpp"
 #include "fennelladder/dispatch/attempt_policy.hpp"
 #include "fennelladder/dispatch/retry_budget.hpp"
 #include "fennelladder/dispatch/target_registry.hpp"
@@ -56,9 +57,10 @@
     bool requests_peer_tokens = true;
     /// Refuses callers while updates arrive late, see mesh/update_lateness.hpp.
     bool refuses_when_late = true;
-    /// Refuses requests beyond what the processor can do, see
-    /// dispatch/admission_control.hpp. Off: callers were served less with it.
+    /// Refuses requests beyond what the host can do, on their heads. Off:
+    /// callers were served less with an earlier form of it.
     bool refuses_beyond_capacity = false;
+    dispatch::admission_options admission; ///< Of that.
 };
 
 /// Sets one option from a text of the form name=value. Durations are in
--- a/libs/dispatch/admission_control.cpp
+++ b/libs/dispatch/admission_control.cpp
@@ -75,8 +75,9 @@
 
 admission_control::admission_control(admission_options options)
     : options_(options), busy_(options.averaging), served_(options.averaging),
-      asked_(options.averaging), accepted_(options.averaging),
-      sent_(options.averaging), received_(options.averaging)
+      asked_(options.averaging), refused_(options.averaging),
+      accepted_(options.averaging), sent_(options.averaging),
+      received_(options.averaging)
 {}
 
 /// Failure it guards against: after a suspension, the time that passed counts
@@ -91,6 +92,7 @@
     busy_ = decaying_rate(options_.averaging);
     served_ = decaying_rate(options_.averaging);
     asked_ = decaying_rate(options_.averaging);
+    refused_ = decaying_rate(options_.averaging);
     accepted_ = decaying_rate(options_.averaging);
     sent_ = link_direction(options_.averaging);
     received_ = link_direction(options_.averaging);
@@ -245,7 +247,10 @@
         refusal_cost = sends_per_refused_request * mean_stated_ /
                        (mean_stated_ + received_.added);
     const double all = limit_ * (1 + options_.max_refusal_share / refusal_cost);
-    const double kept = std::max(asked_.at(now) - accepted_.at(now), 0.0);
+    // Returns come on kept connections, and count with their refusals.
+    const double returns = refused_.at(now) / sends_per_refused_request;
+    const double kept =
+        std::max(asked_.at(now) - accepted_.at(now) - returns, 0.0);
     return std::max(
         {all - kept, limit_ * options_.min_accept_share, options_.min_accepts});
 }
@@ -365,6 +370,7 @@
         return {};
     }
     last_refusal_ = now;
+    refused_.add(1, now);
     ++refusals_;
     return {false, next_return(max_retry_after)};
 }
--- a/libs/dispatch/link_overload_test.cpp
+++ b/libs/dispatch/link_overload_test.cpp
@@ -105,6 +105,7 @@
     double first_sent = 0;
     double sent = 0;
     bool returns = false;
+    int urgency = 0;
     bool keeps_connection = false;
 
     double end() const { return first_sent + request_time; }
@@ -114,8 +115,11 @@
 class host_model
 {
 public:
-    host_model(double bits_per_second, int steps)
-        : steps_(steps), in_(bits_per_second / 8), out_(bits_per_second / 8)
+    host_model(double bits_per_second, int steps,
+               const admission_options& options = {},
+               std::uint64_t urgencies = 1)
+        : control_(options), urgencies_(urgencies), steps_(steps),
+          in_(bits_per_second / 8), out_(bits_per_second / 8)
     {
         each_tick(0);
     }
@@ -174,7 +178,10 @@
     tally& count(const request& it)
     {
         static tally unused;
-        return it.first_sent >= begin_s ? tallies_[it.team] : unused;
+        const std::string name =
+            it.urgency == 0 ? it.team
+                            : it.team + "-" + std::to_string(it.urgency);
+        return it.first_sent >= begin_s ? tallies_[name] : unused;
     }
 
     double work(double cost, double now) { return processor_.add(cost, now); }
@@ -203,6 +210,9 @@
                 random_.chance(large_share) ? large_request : usual_request;
             it.first_sent = it.sent = now;
             it.keeps_connection = keeps;
+            // Leaves the random numbers as they are where there's one urgency.
+            if (urgencies_ > 1)
+                it.urgency = static_cast<int>(random_.below(urgencies_));
             ++count(it).asked;
             connect(it, now);
             arrive(team, per_second, keeps,
@@ -260,8 +270,8 @@
     {
         const double wait = (it.end() - now) * time_share;
         const auto got =
-            control_.admit(team_id(it.team), 0, from_seconds(wait), at(now),
-                           static_cast<std::uint64_t>(it.bytes));
+            control_.admit(team_id(it.team), it.urgency, from_seconds(wait),
+                           at(now), static_cast<std::uint64_t>(it.bytes));
         if (got.admitted) {
             step(it, 0, now);
             return;
@@ -307,11 +317,12 @@
              [=, this](double when) { then(in_.add(answer, when), next); });
     }
 
+    admission_control control_;
+    const std::uint64_t urgencies_;
     const int steps_;
     resource processor_{cores};
     resource in_;
     resource out_;
-    admission_control control_;
     accept_bound bound_;
     random_source random_{1};
     std::priority_queue<event> ready_;
@@ -427,3 +438,31 @@
         CHECK_TEXT(played.slowest_refusal() <= max_refusal_s, what.c_str());
     }
 }
+
+// Failure: the bound on new connections, which doesn't know who opens them,
+// leaves urgent requests unread although there is time to read all.
+TEST(link_overload, serves_urgent_requests_first_where_refusals_may_cost_more)
+{
+    admission_options options;
+    options.max_refusal_share = 0.35;
+    for (const double multiple : {1.5, 2.0}) {
+        host_model played(slow.bits_per_second, slow.steps, options, 3);
+        played.add_team("flood", 0.9 * slow.capacity, false);
+        played.add_team("flood", (multiple - 0.9) * slow.capacity, false,
+                        burst_s);
+        played.run();
+        const tally& urgent = played.of("flood");
+        const tally& least = played.of("flood-2");
+        const std::string what =
+            std::to_string(multiple) + " times: urgent " +
+            std::to_string(urgent.served) + " of " +
+            std::to_string(urgent.asked) + ", least urgent " +
+            std::to_string(least.served) + " of " +
+            std::to_string(least.asked) + ", " + describe(played, multiple);
+        if (std::getenv("FENNELLADDER_SHOW_FIGURES") != nullptr)
+            std::printf("%s\n", what.c_str());
+        CHECK_TEXT(urgent.served >= required_share * urgent.asked,
+                   what.c_str());
+        CHECK_TEXT(least.served < urgent.served, what.c_str());
+    }
+}
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -78,7 +78,9 @@
       callers_(tables_, driver_, limits_for(tables_.settings)),
       signals_(io, SIGTERM, SIGINT, SIGHUP),
       settings_text_(options_.settings_text)
-{}
+{
+    tables_.admission = dispatch::admission_control(options_.tuning.admission);
+}
 
 status edge_node::start_servers()
 {
--- a/libs/edge/tuning_options.cpp
+++ b/libs/edge/tuning_options.cpp
@@ -134,6 +134,8 @@
                &connection_pool_options::max_idle_per_target),
         option("news.mind-lateness", &options::refuses_when_late),
         option("admission.limit", &options::refuses_beyond_capacity),
+        option("admission.refusal-share", &options::admission,
+               &dispatch::admission_options::max_refusal_share),
     };
     return all;
 }
