--- a/include/fennelladder/edge/tuning_options.hpp
+++ b/include/fennelladder/edge/tuning_options.hpp
@@ -11,6 +11,7 @@
 #define FENNELLADDER_EDGE_TUNING_OPTIONS_HPP
 
 #include "fennelladder/base/error.hpp"
+#include "fennelladder/dispatch/admission_control.hpp"
 #include "fennelladder/dispatch/attempt_policy.hpp"
 #include "fennelladder/dispatch/retry_budget.hpp"
 #include "fennelladder/dispatch/target_registry.hpp"
@@ -59,9 +60,10 @@
     /// Gets a configuration by datagrams when connections to peers fail, and
     /// answers peers that do, see edge/configuration_datagrams.hpp.
     bool fetches_by_datagram = false;
-    /// Refuses requests beyond what the processor can do, see
-    /// dispatch/admission_control.hpp. Off: callers were served less with it.
+    /// Refuses requests beyond what the host can do, on their heads, and bounds
+    /// new connections.
     bool refuses_beyond_capacity = false;
+    dispatch::admission_options admission; ///< Of that.
     /// Measures the load of the host's link and the delay of dials, see
     /// dispatch/link_load.hpp; while the link is full, what fails is no
     /// evidence against targets, and no peer is asked for a relay.
--- a/libs/edge/tuning_options.cpp
+++ b/libs/edge/tuning_options.cpp
@@ -136,6 +136,8 @@
         option("news.by-datagram", &options::fetches_by_datagram),
         option("admission.limit", &options::refuses_beyond_capacity),
         option("link.measure", &options::measures_link),
+        option("admission.refusal-share", &options::admission,
+               &dispatch::admission_options::max_refusal_share),
     };
     return all;
 }
