Count refused connections as evidence while the link is full

A refused connection is an answer of the target's host. With link.measure no failed dial counted against a target while the host's link was full, so that requests would go on to a process that is gone.

connection_pool::open() fails with timeout if the connection isn't made in time; only that shows nothing on a full link. The reach table records neither, as before: it decides about relays.

--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -111,11 +111,15 @@
     /// isn't made in time shows nothing about its other end.
     bool link_is_full() const;
 
-    /// Whether failed dials and timeouts are no evidence about targets at
-    /// present, and relays aren't asked for, which would cross the full link
-    /// twice more: with link.measure, while the link is full.
+    /// Whether timeouts are no evidence about targets at present, and relays
+    /// aren't asked for, which would cross the full link twice more: with
+    /// link.measure, while the link is full.
     bool failures_show_nothing() const;
 
+    /// What a failed dial shows of its target. A refused one is an answer, on a
+    /// full link too; requests would otherwise go on to a process that is gone.
+    dispatch::target_evidence evidence_of_dial(const error& why) const;
+
     /// Updates the measures of the link, and logs when it becomes full and when
     /// it no longer is. Call once a tick.
     void update_link();
--- a/include/fennelladder/edge/target_connection.hpp
+++ b/include/fennelladder/edge/target_connection.hpp
@@ -92,7 +92,8 @@
 
     const connection_pool_options& options() const { return options_; }
 
-    /// Connects. Fails if the connection is refused or not made within `limit`.
+    /// Connects. Fails if the connection is refused, or with `timeout` if it
+    /// isn't made within `limit`.
     awaitable<status> open(connection_ptr made, duration limit);
 
     /// Returns a connection to the pool. `keep_alive` is the idle timeout that
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -116,10 +116,9 @@
 void attempt::end(attempt_end how, target_evidence evidence, std::string detail)
 {
     // After the target was told to stop, no failure counts as evidence against
-    // it. On a full link, failed dials and timeouts don't either.
+    // it. On a full link, silence doesn't either.
     const bool told_to_stop = caller_has_left();
-    if ((evidence == target_evidence::unreachable ||
-         evidence == target_evidence::silent) &&
+    if (evidence == target_evidence::silent &&
         in_.tables.failures_show_nothing())
         evidence = target_evidence::nothing;
     const bool answered = evidence == target_evidence::answered;
@@ -222,8 +221,8 @@
         co_return true;
     if (in_.cancellation.stopped() == stop_reason::none) {
         in_.tables.note_dial_failed(to.process, started);
-        end(attempt_end::not_connected, target_evidence::unreachable,
-            made.error().message);
+        end(attempt_end::not_connected,
+            in_.tables.evidence_of_dial(made.error()), made.error().message);
     } else {
         end_with_error("connect");
     }
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -245,6 +245,13 @@
     return options.measures_link && link_is_full();
 }
 
+dispatch::target_evidence node_tables::evidence_of_dial(const error& why) const
+{
+    return why.code == error_code::timeout && failures_show_nothing()
+               ? dispatch::target_evidence::nothing
+               : dispatch::target_evidence::unreachable;
+}
+
 void node_tables::update_link()
 {
     if (!options.measures_link)
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -242,11 +242,12 @@
         co_return relay_result::connected;
     }
     tables_.note_dial_failed(made->to.process, started);
-    if (tables_.failures_show_nothing())
-        co_return relay_result::busy;
-    tables_.registry.note_evidence(made->to.process,
-                                   dispatch::target_evidence::unreachable, now);
-    co_return relay_result::unreachable;
+    const dispatch::target_evidence evidence =
+        tables_.evidence_of_dial(opened.error());
+    tables_.registry.note_evidence(made->to.process, evidence, now);
+    co_return evidence == dispatch::target_evidence::unreachable
+        ? relay_result::unreachable
+        : relay_result::busy;
 }
 
 awaitable<void> relay_server::serve(peer_stream& stream,
--- a/libs/edge/target_connection.cpp
+++ b/libs/edge/target_connection.cpp
@@ -76,7 +76,9 @@
     else if (link_ != nullptr && !ec)
         link_->note_connected(began, *endpoint);
     if (!made->socket.is_open())
-        co_return fail(error_code::unavailable, "no connection in time");
+        co_return fail(until.has_closed() ? error_code::timeout
+                                          : error_code::unavailable,
+                       "no connection in time");
     if (ec)
         co_return fail(error_code::unavailable, "connect: " + ec.message());
     enable_keepalive(made->socket, options_.keepalive_timeout);
