--- a/include/fennelladder/mesh/messages.hpp
+++ b/include/fennelladder/mesh/messages.hpp
@@ -3,7 +3,8 @@
 // Heartbeats and token transfers travel as single datagrams: there is no
 // connection that could stall, and each message is complete in itself. What
 // doesn't fit a datagram (a configuration, many targets) is fetched over a
-// connection from a node whose heartbeat shows a newer version.
+// connection from a node whose heartbeat shows a newer version. While none can
+// be established, a small configuration comes in parts, one a datagram.
 //
 //     std::string bytes = encode(datagram{.heartbeat = own});
 //     result<datagram> got = decode_datagram(bytes);
