Choose targets by measured curves and bound the memory of engines

One constant speed of 50 tokens a millisecond was assumed of all engines, and one factor of recent slowness with a half-life of 3 s stood for everything else, so that large prompts went to slow engines and short slow periods counted for seconds. Nodes that saw the same old reports chose the same engine.

service_curve estimates rate, fixed time, delay per running request and a knee of each target process, with the service's curve as prior; outliers count only once they last for a second. With target.service-curve=1, costs come from these curves, convex in the time relative to the objective, plus this node's recent work at the target and a random time in proportion to the share of the load that other nodes cause. Only work that is at least as urgent counts as ahead. With target.memory-bound=1, an engine gets no request that its memory may not hold. Both are off unless given.

--- a/include/fennelladder/dispatch/target_registry.hpp
+++ b/include/fennelladder/dispatch/target_registry.hpp
@@ -17,6 +17,22 @@
 //     times the target's recent slowness (measured / predicted time),
 //     plus a penalty for its recently failed requests.
 //
+// With target_registry_options::uses_service_curves, the prediction comes from
+// measured curves (dispatch/service_curve.hpp) instead, and slowness isn't
+// counted. Loads that peers report are up to 1.5 s old, and prompts are read
+// within a tenth of a second, so the tokens that peers have a target read
+// aren't counted. Nodes that see the same reports would all choose the same
+// target until the next ones. Against this, the cost includes the work that
+// this node itself recently sent to the target, and a random time, in
+// proportion to the share of the load that other nodes cause. Engines admit
+// urgent requests first, so that only tokens of requests that are at least as
+// urgent count as ahead of a request, as far as this node sent them; less
+// urgent ones avoid targets where urgent ones wait.
+//
+// With target_registry_options::bounds_memory, an engine isn't eligible if the
+// tokens that the requests there may use at most, and those of the request,
+// exceed its memory.
+//
 // A node knows from its own requests which target holds a shared part of a
 // prompt. In addition, all nodes expect a part at the target that rendezvous
 // hashing selects for it, so that nodes agree without exchanging messages and
@@ -86,8 +102,10 @@
 #include "fennelladder/catalog/target_entry.hpp"
 #include "fennelladder/dispatch/assignment_table.hpp"
 #include "fennelladder/dispatch/reach_table.hpp"
+#include "fennelladder/dispatch/service_curve.hpp"
 #include "fennelladder/dispatch/signal_state.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -112,6 +130,9 @@
     bool on_engine = false;
     std::vector<shared_part> prompt;  ///< In order; the last is unshared.
     std::uint32_t prompt_size = 0;    ///< Tokens, all parts and the rest.
+    std::uint32_t max_tokens = 0;     ///< That it may use: prompt and answer.
+    std::uint64_t target_memory = 0;  ///< Of an engine, in tokens; 0: unknown.
+    int urgency = 0;                  ///< 0 is the most urgent.
     duration objective{0};            ///< Of the time to the first byte.
     catalog::allowed_regions regions; ///< Where it may run.
     std::vector<catalog::target_process> avoid; ///< Tried already.
@@ -126,7 +147,10 @@
 /// Work added to a target's load, to be subtracted with the same value.
 struct assigned_work
 {
-    std::uint32_t reading = 0; ///< Prompt tokens to prefill.
+    std::uint32_t reading = 0;    ///< Prompt tokens to prefill.
+    std::uint32_t max_tokens = 0; ///< That it may use: prompt and answer.
+    int urgency = 0;
+    double ahead = 0; ///< Tokens to be read before, when it was chosen.
 };
 
 /// A target chosen for a request.
@@ -171,6 +195,7 @@
 {
     /// No target is listed, or it is gone or was tried already.
     none_usable,
+    too_large,       ///< The request may use more tokens than it holds.
     other_version,   ///< It can't resume the stream: another version began it.
     leaving,         ///< It announced that it is leaving.
     outside_regions, ///< Its region isn't allowed.
@@ -179,7 +204,8 @@
     unreached,       ///< Like all others of the service, by any node.
     backing_off,     ///< It asked this node for backoff.
     limited,         ///< It announced a limit; this node's quota is used up.
-    no_room          ///< It is brittle, and this node's places are taken.
+    no_room,         ///< It is brittle, and this node's places are taken.
+    no_memory        ///< The requests there may use up its memory.
 };
 
 std::string_view to_string(no_target_reason value);
@@ -199,6 +225,9 @@
     std::uint32_t reading = 0; ///< Prompt tokens still to prefill.
     /// Of the process; unset from nodes of earlier releases.
     catalog::target_start start;
+    /// Tokens that the requests may use at most. 0 if the peer doesn't report
+    /// them: each request then counts as the average of the service here.
+    std::uint64_t max_tokens = 0;
 };
 
 /// The request limit that a target announced, or the rejections a second that
@@ -234,6 +263,21 @@
     /// Whether all nodes expect a shared part at the same target before any of
     /// them has sent it there.
     bool predicts_part_holders = true;
+    /// Predicts with measured curves of each target.
+    bool uses_service_curves = false;
+    /// Keeps the tokens of an engine's requests within its memory.
+    bool bounds_memory = false;
+    service_curve_options curve;
+    /// With curves: cost of a second that this node recently had the target
+    /// work, in seconds.
+    double recent_work_weight = 4;
+    duration recent_work_half_life = seconds(60);
+    /// A target that got less recent work than the mean counts as this much
+    /// below it at most: one that was not eligible before gets no burst.
+    duration max_work_credit = milliseconds(50);
+    /// With curves: mean of a random time added to each target's cost, if all
+    /// load there is that of peers, whose latest requests aren't known yet.
+    duration choice_spread = milliseconds(100);
     /// Whether the load of other nodes counts.
     bool counts_peer_load = true;
     /// Cost added for a target that fails all its requests, as a multiple of
@@ -415,6 +459,15 @@
         instant at;
     };
 
+    static constexpr std::size_t urgency_levels = 4;
+
+    /// What is known of all targets of a service.
+    struct service_state
+    {
+        service_curve curve;
+        double mean_tokens = 0; ///< That requests may use.
+    };
+
     struct target_state
     {
         catalog::target_entry entry;
@@ -426,6 +479,18 @@
         std::int64_t reading = 0;
         int peers_running = 0;
         std::int64_t peers_reading = 0;
+        /// Of this node's requests, the part of `reading` by urgency, and how
+        /// many wait for their first byte.
+        std::array<std::int64_t, urgency_levels> reading_by_urgency{};
+        std::array<int, urgency_levels> waiting_by_urgency{};
+        std::int64_t max_tokens = 0;       ///< Of this node's requests.
+        std::int64_t peers_max_tokens = 0; ///< As far as they report them.
+        int peers_unreported = 0; ///< Their requests without such a report.
+        service_state* service = nullptr;
+        std::optional<service_curve> curve; ///< Once something was observed.
+        /// Seconds of work that this node sent there recently, as of
+        /// recent_work_epoch_.
+        double recent_work = 0;
         decaying_average log_slowness; ///< Natural logarithm; 0: as predicted.
         decaying_average failure_rate; ///< 0 to 1.
         instant backoff_until;         ///< After a failed connect.
@@ -501,6 +566,22 @@
                              std::uint32_t reading) const;
     double cost(const target_state& it, const routing_request& request,
                 double predicted, instant now) const;
+    double cost_of_predicted(const target_state& it,
+                             const routing_request& request, double predicted,
+                             instant now) const;
+    static double tokens_ahead(const target_state& it, int urgency);
+    double curve_cost(const target_state& it, const routing_request& request,
+                      std::uint32_t reading, instant now) const;
+    double work_growth(instant now) const;
+    void note_work(target_state& it, const choice& made, instant now);
+    std::optional<no_target_reason>
+    memory_exclusion(const target_state& it,
+                     const routing_request& request) const;
+    static void add_waiting(target_state& it, const assigned_work& work,
+                            int sign);
+    void learn(target_state& it, const choice& made, duration waited,
+               instant now);
+    void forget_services();
     void back_off(target_state& it, duration first, instant now);
     static void mark_active(target_state& it, instant now);
     void note_bytes(target_state& it, const choice& made, instant now);
@@ -509,9 +590,8 @@
     target_state* find(const target_id& target, catalog::target_start start);
     target_state* find(const catalog::target_process& target);
     target_state* find(const target_load& load);
-    static void apply_entry(target_state& it,
-                            const catalog::target_entry& entry, instant now,
-                            std::vector<catalog::target_entry>& replaced);
+    void apply_entry(target_state& it, const catalog::target_entry& entry,
+                     instant now, std::vector<catalog::target_entry>& replaced);
     static void forget_address(target_state& it);
     void recount_peers();
     void add_peer(const std::vector<target_load>& load, int sign);
@@ -522,6 +602,8 @@
     std::vector<data_center_id> evacuated_; ///< Sorted.
     std::unordered_map<service_id, cold_start_profile> profiles_;
     state_map targets_;
+    std::unordered_map<service_id, service_state> services_;
+    instant recent_work_epoch_;
     /// In order of their ids.
     std::unordered_map<service_id, std::vector<target_state*>> by_service_;
     std::map<host_id, std::vector<target_load>> peer_loads_;
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <numeric>
 
 namespace fennelladder::dispatch {
 
@@ -100,14 +101,60 @@
                              instant now) const
 {
     const double slowness = std::exp(decayed(it.log_slowness, now));
+    return cost_of_predicted(it, request, predicted * slowness, now);
+}
+
+/// The predicted time with what failures and the distance add.
+double target_registry::cost_of_predicted(const target_state& it,
+                                          const routing_request& request,
+                                          double predicted, instant now) const
+{
     const double objective = std::max(to_seconds(request.objective), 0.05);
-    double out = predicted * slowness + decayed(it.failure_rate, now) *
-                                            options_.failure_cost * objective;
+    double out = predicted + decayed(it.failure_rate, now) *
+                                 options_.failure_cost * objective;
     if (it.entry.data_center != options_.own_data_center || is_relayed(it))
         out += to_seconds(options_.remote_penalty);
     return out;
 }
 
+/// Tokens that this node has the target read before those of a request of this
+/// urgency. What peers report is read before their reports arrive.
+double target_registry::tokens_ahead(const target_state& it, int urgency)
+{
+    const auto level = static_cast<std::size_t>(
+        std::clamp<int>(urgency, 0, urgency_levels - 1));
+    const auto* first = it.reading_by_urgency.data();
+    const std::int64_t own =
+        std::accumulate(first, first + level + 1, std::int64_t(0));
+    return static_cast<double>(std::max<std::int64_t>(own, 0));
+}
+
+/// Cost by the measured curve, in seconds.
+double target_registry::curve_cost(const target_state& it,
+                                   const routing_request& request,
+                                   std::uint32_t reading, instant now) const
+{
+    const service_curve& curve = it.curve ? *it.curve : it.service->curve;
+    const int running = it.running + it.peers_running;
+    const double ahead = tokens_ahead(it, request.urgency);
+    double out = curve.predicted_seconds(
+        {ahead + reading, running, it.entry.slots}, now);
+    const double occupancy =
+        static_cast<double>(running) / std::max(it.entry.slots, 1U);
+    if (!request.on_engine)
+        out *= 1 + occupancy;
+    // Lateness is convex in the time: a large prompt gains more from a fast
+    // target than small ones of as many tokens.
+    const double objective = std::max(to_seconds(request.objective), 0.05);
+    out *= 1 + out * out / (objective * objective);
+    // Each more urgent request that waits there is read beside this one.
+    for (int level = 0; level < std::min<int>(request.urgency, urgency_levels);
+         ++level)
+        out += it.waiting_by_urgency[static_cast<std::size_t>(level)] *
+               (reading / curve.tokens_per_ms() / 1000);
+    return cost_of_predicted(it, request, out, now);
+}
+
 bool target_registry::was_tried(const target_state& it,
                                 const routing_request& request) const
 {
@@ -140,6 +187,9 @@
         return no_target_reason::outside_regions;
     if (is_evacuated(it))
         return no_target_reason::evacuated;
+    const auto memory = memory_exclusion(it, request);
+    if (memory == no_target_reason::too_large)
+        return memory;
     if (cold_quota_used_up(it, now))
         return no_target_reason::cold;
     if (backoff_requested(it, now))
@@ -148,7 +198,7 @@
         return no_target_reason::limited;
     if (!has_room(it, request, now))
         return no_target_reason::no_room;
-    return std::nullopt;
+    return memory;
 }
 
 /// Whether no node reaches any target of the service that could be used.
@@ -211,7 +261,8 @@
         const auto reason = exclusion_reason(*it, without_avoid, now);
         if (!reason || *reason == no_target_reason::cold ||
             *reason == no_target_reason::limited ||
-            *reason == no_target_reason::no_room)
+            *reason == no_target_reason::no_room ||
+            *reason == no_target_reason::no_memory)
             return std::nullopt;
         if (*reason != no_target_reason::backing_off)
             continue;
@@ -263,12 +314,31 @@
     choice out;
     out.candidates = candidates.size();
     const target_state* chosen = nullptr;
+    const bool by_curve = options_.uses_service_curves && !request.isolated;
     const std::uint32_t shared = shared_size(request.prompt);
-    const std::size_t first = random.below(candidates.size());
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const candidate& each = candidates[(first + i) % candidates.size()];
+    double work_weight = 0;
+    double least_work = 0;
+    double spread = 0;
+    if (by_curve) {
+        const double growth = work_growth(now);
+        double sum = 0;
+        int running = 0;
+        int peers_running = 0;
+        for (const candidate& it : candidates) {
+            sum += it.state->recent_work;
+            running += it.state->running;
+            peers_running += it.state->peers_running;
+        }
+        const double all_running = std::max(running + peers_running, 1);
+        spread =
+            to_seconds(options_.choice_spread) * peers_running / all_running;
+        work_weight = options_.recent_work_weight / growth;
+        least_work = sum / static_cast<double>(candidates.size()) -
+                     to_seconds(options_.max_work_credit) * growth;
+    }
+    const auto consider = [&](const candidate& each) {
         if (!all_backing_off && each.backing_off)
-            continue;
+            return false;
         const target_state* it = each.state;
         const std::uint32_t here = each.held;
         const std::uint32_t reading = request.prompt_size - here;
@@ -281,22 +351,34 @@
         const double again = shared > here ? shared - here : 0;
         const auto weighted = static_cast<std::uint32_t>(
             reading + again * (options_.shared_weight - 1));
-        const double target_cost =
-            request.isolated
-                ? it->running + it->peers_running
-                : cost(*it, request, predicted_seconds(*it, request, weighted),
-                       now);
+        double target_cost = 0;
+        if (request.isolated)
+            target_cost = it->running + it->peers_running;
+        else if (by_curve)
+            target_cost = curve_cost(*it, request, weighted, now) +
+                          work_weight * std::max(it->recent_work, least_work) +
+                          (spread > 0 ? random.exponential(spread) : 0);
+        else
+            target_cost = cost(*it, request,
+                               predicted_seconds(*it, request, weighted), now);
         if (chosen != nullptr && target_cost >= out.cost)
-            continue;
+            return true;
         chosen = it;
         out.cost = target_cost;
         out.work.reading = reading - static_cast<std::uint32_t>(
                                          fetched * (1 - options_.fetch_cost));
-        out.predicted =
-            from_seconds(predicted_seconds(*it, request, out.work.reading));
         out.fetch_from = fetched > 0 ? holder->entry.address : std::string();
-    }
+        return true;
+    };
+    const std::size_t first = random.below(candidates.size());
+    for (std::size_t i = 0; i < candidates.size(); ++i)
+        consider(candidates[(first + i) % candidates.size()]);
     assert(chosen != nullptr);
+    out.predicted =
+        from_seconds(predicted_seconds(*chosen, request, out.work.reading));
+    out.work.max_tokens = request.max_tokens;
+    out.work.urgency = request.urgency;
+    out.work.ahead = tokens_ahead(*chosen, request.urgency);
     out.target = chosen->entry.id;
     out.start = chosen->entry.start;
     out.address = chosen->entry.address;
--- a/libs/dispatch/target_quotas.cpp
+++ b/libs/dispatch/target_quotas.cpp
@@ -1,5 +1,5 @@
 // The part of target_registry that keeps this node's quotas for targets that
-// are cold, may be cold, or announce a limit.
+// are cold, may be cold, or announce a limit, and the bound of their memory.
 
 #include "fennelladder/dispatch/target_registry.hpp"
 
@@ -104,6 +104,23 @@
            it.peers_running < slots * options_.shared_room;
 }
 
+/// Whether the request doesn't fit beside those known to run on an engine.
+std::optional<no_target_reason>
+target_registry::memory_exclusion(const target_state& it,
+                                  const routing_request& request) const
+{
+    if (!options_.bounds_memory || request.target_memory == 0)
+        return std::nullopt;
+    const auto memory = static_cast<double>(request.target_memory);
+    if (request.max_tokens > memory)
+        return no_target_reason::too_large;
+    const double unreported = it.peers_unreported * it.service->mean_tokens;
+    const auto known = static_cast<double>(it.max_tokens + it.peers_max_tokens);
+    if (known + unreported + request.max_tokens > memory)
+        return no_target_reason::no_memory;
+    return std::nullopt;
+}
+
 /// Treats a target that answers after it was unreachable as possibly cold. It
 /// may have crashed and restarted under its id: it then looks idle, and all
 /// nodes would choose it before its entry says that it is cold.
--- a/libs/dispatch/target_registry.cpp
+++ b/libs/dispatch/target_registry.cpp
@@ -20,6 +20,12 @@
 /// Seconds. Shorter waits reflect the network rather than the target.
 constexpr double min_wait = 0.005;
 
+/// Weight of a request in the mean of the tokens that requests may use.
+constexpr double mean_tokens_weight = 0.05;
+
+/// Growth of recent work after which its epoch is moved.
+constexpr double max_work_growth = 1e6;
+
 } // namespace
 
 std::string_view to_string(target_evidence value)
@@ -50,6 +56,10 @@
     switch (value) {
     case no_target_reason::none_usable:
         return "no usable target";
+    case no_target_reason::too_large:
+        return "its targets' memory is too small";
+    case no_target_reason::no_memory:
+        return "its targets' memory is taken";
     case no_target_reason::other_version:
         return "no target of the version that began the stream";
     case no_target_reason::leaving:
@@ -106,10 +116,21 @@
         processes.push_back({state.process, state.entry.service});
     }
     reach_.set_targets(processes);
+    forget_services();
     recount_peers();
     return replaced;
 }
 
+/// Removes services without targets.
+void target_registry::forget_services()
+{
+    std::erase_if(services_, [&](const auto& service) {
+        return std::ranges::none_of(targets_, [&](const auto& it) {
+            return it.second.service == &service.second;
+        });
+    });
+}
+
 /// Resets the state learned at an address that the process has left.
 void target_registry::forget_address(target_state& it)
 {
@@ -153,6 +174,11 @@
         forget_address(it);
     it.entry = entry;
     it.process = entry.process();
+    it.service =
+        &services_
+             .try_emplace(entry.service,
+                          service_state{service_curve(options_.curve), 0})
+             .first->second;
     it.gone = false;
     it.usable_until.reset();
 }
@@ -164,6 +190,8 @@
     for (auto& [id, state] : targets_) {
         state.peers_running = 0;
         state.peers_reading = 0;
+        state.peers_max_tokens = 0;
+        state.peers_unreported = 0;
     }
     for (const auto& [peer, load] : peer_loads_)
         add_peer(load, 1);
@@ -176,6 +204,10 @@
             state->peers_running += sign * static_cast<int>(it.running);
             state->peers_reading +=
                 sign * static_cast<std::int64_t>(it.reading);
+            state->peers_max_tokens +=
+                sign * static_cast<std::int64_t>(it.max_tokens);
+            if (it.max_tokens == 0)
+                state->peers_unreported += sign * static_cast<int>(it.running);
         }
 }
 
@@ -373,6 +405,15 @@
     if (it->awaiting_first_byte++ == 0)
         mark_active(*it, now);
     it->reading += made.work.reading;
+    it->max_tokens += made.work.max_tokens;
+    add_waiting(*it, made.work, 1);
+    note_work(*it, made, now);
+    if (made.work.max_tokens > 0) {
+        double& mean = it->service->mean_tokens;
+        mean = mean == 0
+                   ? made.work.max_tokens
+                   : mean + mean_tokens_weight * (made.work.max_tokens - mean);
+    }
     // A target that peers hear from didn't restart, so it isn't cold.
     if (made.relayed)
         it->consecutive_backoffs = 0;
@@ -385,6 +426,55 @@
     trim_parts(*it, now);
 }
 
+void target_registry::add_waiting(target_state& it, const assigned_work& work,
+                                  int sign)
+{
+    const auto level = static_cast<std::size_t>(
+        std::clamp<int>(work.urgency, 0, urgency_levels - 1));
+    it.reading_by_urgency[level] +=
+        sign * static_cast<std::int64_t>(work.reading);
+    it.waiting_by_urgency[level] += sign;
+}
+
+/// By how much a second of work sent now counts more than one sent at the epoch
+/// of recent work. All targets decay alike, so that choose() needs one factor.
+double target_registry::work_growth(instant now) const
+{
+    return std::exp2(to_seconds(now - recent_work_epoch_) /
+                     to_seconds(options_.recent_work_half_life));
+}
+
+void target_registry::note_work(target_state& it, const choice& made,
+                                instant now)
+{
+    if (!options_.uses_service_curves)
+        return;
+    if (work_growth(now) > max_work_growth) {
+        const double growth = work_growth(now);
+        for (auto& [id, state] : targets_)
+            state.recent_work /= growth;
+        recent_work_epoch_ = now;
+    }
+    const service_curve& curve = it.curve ? *it.curve : it.service->curve;
+    const double seconds =
+        made.work.reading > 0
+            ? made.work.reading / curve.tokens_per_ms() / 1000
+            : to_seconds(curve.fixed_time()) / std::max(it.entry.slots, 1U);
+    it.recent_work += seconds * work_growth(now);
+}
+
+/// Feeds the curves of the target and of its service.
+void target_registry::learn(target_state& it, const choice& made,
+                            duration waited, instant now)
+{
+    const load_point at{made.work.reading + made.work.ahead, made.running,
+                        it.entry.slots};
+    if (!it.curve)
+        it.curve = service_curve::with_prior(it.service->curve, now);
+    it.curve->observe(at, waited, now);
+    it.service->curve.observe(at, waited, now);
+}
+
 void target_registry::trim_parts(target_state& it, instant now) const
 {
     if (it.parts.size() <= options_.max_parts)
@@ -404,8 +494,13 @@
         return;
     it->reading -= made.work.reading;
     --it->awaiting_first_byte;
+    add_waiting(*it, made.work, -1);
     note_bytes(*it, made, now);
     end_probe(*it, now);
+    if (options_.uses_service_curves) {
+        learn(*it, made, waited, now);
+        return;
+    }
     const double predicted = std::max(to_seconds(made.predicted), min_wait);
     const double slowness =
         std::clamp(to_seconds(waited) / predicted, min_slowness, max_slowness);
@@ -420,9 +515,11 @@
         return;
     assert(it->running > 0);
     --it->running;
+    it->max_tokens -= made.work.max_tokens;
     if (!prefilled) {
         it->reading -= made.work.reading;
         --it->awaiting_first_byte;
+        add_waiting(*it, made.work, -1);
     }
     const bool answered = evidence == target_evidence::answered ||
                           evidence == target_evidence::failed ||
@@ -526,7 +623,9 @@
             out.push_back({id, static_cast<std::uint32_t>(state.running),
                            static_cast<std::uint32_t>(
                                std::max<std::int64_t>(state.reading, 0)),
-                           state.entry.start});
+                           state.entry.start,
+                           static_cast<std::uint64_t>(
+                               std::max<std::int64_t>(state.max_tokens, 0))});
     return out;
 }
 
--- a/libs/dispatch/target_registry_test.cpp
+++ b/libs/dispatch/target_registry_test.cpp
@@ -578,3 +578,98 @@
     alone.started(*made, request, start);
     CHECK(alone.choose(request, start + seconds(5), random).has_value());
 }
+
+// Guards against an engine that crashes since its requests need more memory
+// than it has, by requests of this node or of its peers.
+TEST(target_registry, requests_stay_within_the_memory_of_a_target)
+{
+    target_registry_options options;
+    options.bounds_memory = true;
+    target_registry bounded(options);
+    bounded.sync(engines(1), false, start);
+    routing_request request = prompt(5);
+    request.max_tokens = 8'000;
+    request.target_memory = 20'000;
+    const auto first = bounded.choose(request, start, random);
+    bounded.started(*first, request, start);
+    bounded.started(*bounded.choose(request, start, random), request, start);
+    CHECK(!bounded.choose(request, start, random));
+    CHECK(bounded.why_no_target(request, start) == no_target_reason::no_memory);
+    CHECK(bounded.may_take_later(request, start));
+    // The first byte doesn't free memory, the end does.
+    bounded.first_byte(*first, milliseconds(100), start);
+    CHECK(!bounded.choose(request, start, random));
+    bounded.finished(*first, true, target_evidence::answered, start);
+    CHECK(bounded.choose(request, start, random).has_value());
+    // Requests of peers that don't report tokens count as the average.
+    const target_id target("i-0");
+    bounded.set_peer_load(host_id("n1"), {{target, 1, 0, {}}});
+    CHECK(!bounded.choose(request, start, random));
+    bounded.set_peer_load(host_id("n1"), {{target, 1, 0, {}, 4'000}});
+    CHECK(bounded.choose(request, start, random).has_value());
+    bounded.set_peer_load(host_id("n1"), {{target, 1, 0, {}, 4'001}});
+    CHECK(!bounded.choose(request, start, random));
+    bounded.forget_peer(host_id("n1"));
+    CHECK(bounded.choose(request, start, random).has_value());
+    // A request that is larger than the memory never fits.
+    request.max_tokens = 20'001;
+    CHECK(bounded.why_no_target(request, start) == no_target_reason::too_large);
+    CHECK(!bounded.may_take_later(request, start));
+    // Without the switch, or without a known memory, nothing is excluded.
+    CHECK(registry.choose(request, start, random).has_value());
+    request.target_memory = 0;
+    CHECK(bounded.choose(request, start, random).has_value());
+}
+
+// Guards against urgent requests that avoid a target because of prompts which
+// it reads after theirs, and less urgent ones that are put beside urgent ones.
+TEST(target_registry, urgent_requests_count_only_urgent_work_as_ahead)
+{
+    target_registry_options options;
+    options.uses_service_curves = true;
+    options.predicts_part_holders = false;
+    options.recent_work_weight = 0;
+    target_registry by_curve(options);
+    by_curve.sync(engines(2), false, start);
+    routing_request large = prompt(5, 30'000);
+    large.prompt.clear();
+    large.urgency = 2;
+    const auto first = by_curve.choose(large, start, random);
+    by_curve.started(*first, large, start);
+    routing_request urgent = large;
+    urgent.urgency = 0;
+    const auto second = by_curve.choose(urgent, start, random);
+    DOUBLES_EQUAL(0, second->work.ahead, 0);
+    by_curve.started(*second, urgent, start);
+    // Another less urgent one waits for both, wherever it is put.
+    for (int i = 0; i < 20; ++i)
+        CHECK(by_curve.choose(large, start, random)->work.ahead > 0);
+    by_curve.finished(*first, false, target_evidence::answered, start);
+    for (int i = 0; i < 20; ++i)
+        CHECK(by_curve.choose(large, start, random)->target != second->target);
+}
+
+// Guards against large prompts at slow targets while a fast one is free.
+TEST(target_registry, large_prompts_go_to_targets_measured_as_fast)
+{
+    target_registry_options options;
+    options.uses_service_curves = true;
+    options.recent_work_weight = 0;
+    target_registry by_curve(options);
+    by_curve.sync(engines(2), false, start);
+    routing_request large = prompt(5, 30'000);
+    large.prompt.clear();
+    const auto learn = [&](int n) {
+        for (int i = 0; i < n; ++i) {
+            const auto made = by_curve.choose(large, start, random);
+            by_curve.started(*made, large, start);
+            const bool fast = made->target == target_id("i-1");
+            by_curve.first_byte(*made, milliseconds(fast ? 200 : 600), start);
+            by_curve.finished(*made, true, target_evidence::answered, start);
+        }
+    };
+    learn(20);
+    for (int i = 0; i < 20; ++i)
+        CHECK(by_curve.choose(large, start, random)->target ==
+              target_id("i-1"));
+}
--- a/libs/edge/request_attempts.cpp
+++ b/libs/edge/request_attempts.cpp
@@ -5,6 +5,7 @@
 #include "request_run.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace fennelladder::edge {
 
@@ -73,6 +74,14 @@
         out.prompt.push_back({it.id, it.size});
     out.prompt_size = static_cast<std::uint32_t>(
         request_.header_values.prompt_size.value_or(tokens(0)).count());
+    out.urgency = urgency();
+    if (engine_ == nullptr)
+        return out;
+    const auto max_tokens = std::max<std::int64_t>(max_cost().count(), 0);
+    out.max_tokens = static_cast<std::uint32_t>(std::min<std::int64_t>(
+        max_tokens, std::numeric_limits<std::uint32_t>::max()));
+    out.target_memory = static_cast<std::uint64_t>(
+        std::max<std::int64_t>(engine_->cache_size.count(), 0));
     return out;
 }
 
