Use service curves for engines only

A plain target measured at 120 ms was preferred to one at 30 ms, 40 of 40 times, with target.service-curve on: its curve stays close to its service's.

--- a/include/fennelladder/dispatch/target_registry.hpp
+++ b/include/fennelladder/dispatch/target_registry.hpp
@@ -17,10 +17,10 @@
 //     times the target's recent slowness (measured / predicted time),
 //     plus a penalty for its recently failed requests.
 //
-// With target_registry_options::uses_service_curves, the prediction comes from
-// measured curves (dispatch/service_curve.hpp) instead, and slowness isn't
-// counted. Loads that peers report are up to 1.5 s old, and prompts are read
-// within a tenth of a second, so the tokens that peers have a target read
+// With target_registry_options::uses_service_curves, the prediction for engines
+// comes from measured curves (dispatch/service_curve.hpp) instead, and slowness
+// isn't counted. Loads that peers report are up to 1.5 s old, and prompts are
+// read within a tenth of a second, so the tokens that peers have a target read
 // aren't counted. Nodes that see the same reports would all choose the same
 // target until the next ones. Against this, the cost includes the work that
 // this node itself recently sent to the target, and a random time, in
@@ -169,7 +169,8 @@
     /// Address of a target that holds more of the prompt's shared parts; empty
     /// if a fetch isn't worth it.
     std::string fetch_from;
-    bool relayed = false; ///< Only peers reach the target.
+    bool relayed = false;       ///< Only peers reach the target.
+    bool teaches_curve = false; ///< Its wait is evidence for a service curve.
 
     catalog::target_process process() const { return {target, start}; }
 };
@@ -263,7 +264,8 @@
     /// Whether all nodes expect a shared part at the same target before any of
     /// them has sent it there.
     bool predicts_part_holders = true;
-    /// Predicts with measured curves of each target.
+    /// Predicts with measured curves of each engine. Plain targets keep the
+    /// rule above: their curves may not differ enough from their service's.
     bool uses_service_curves = false;
     /// Keeps the tokens of an engine's requests within its memory.
     bool bounds_memory = false;
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -314,7 +314,8 @@
     choice out;
     out.candidates = candidates.size();
     const target_state* chosen = nullptr;
-    const bool by_curve = options_.uses_service_curves && !request.isolated;
+    out.teaches_curve = options_.uses_service_curves && request.on_engine;
+    const bool by_curve = out.teaches_curve && !request.isolated;
     const std::uint32_t shared = shared_size(request.prompt);
     double work_weight = 0;
     double least_work = 0;
--- a/libs/dispatch/target_registry.cpp
+++ b/libs/dispatch/target_registry.cpp
@@ -447,7 +447,7 @@
 void target_registry::note_work(target_state& it, const choice& made,
                                 instant now)
 {
-    if (!options_.uses_service_curves)
+    if (!made.teaches_curve)
         return;
     if (work_growth(now) > max_work_growth) {
         const double growth = work_growth(now);
@@ -456,10 +456,7 @@
         recent_work_epoch_ = now;
     }
     const service_curve& curve = it.curve ? *it.curve : it.service->curve;
-    const double seconds =
-        made.work.reading > 0
-            ? made.work.reading / curve.tokens_per_ms() / 1000
-            : to_seconds(curve.fixed_time()) / std::max(it.entry.slots, 1U);
+    const double seconds = made.work.reading / curve.tokens_per_ms() / 1000;
     it.recent_work += seconds * work_growth(now);
 }
 
@@ -497,7 +494,7 @@
     add_waiting(*it, made.work, -1);
     note_bytes(*it, made, now);
     end_probe(*it, now);
-    if (options_.uses_service_curves) {
+    if (made.teaches_curve) {
         learn(*it, made, waited, now);
         return;
     }
--- a/libs/dispatch/target_registry_test.cpp
+++ b/libs/dispatch/target_registry_test.cpp
@@ -673,3 +673,28 @@
         CHECK(by_curve.choose(large, start, random)->target ==
               target_id("i-1"));
 }
+
+// Guards against a plain target that was measured as slow but is preferred,
+// since its curve stays close to that of its service.
+TEST(target_registry, slow_plain_targets_are_not_preferred_with_curves_on)
+{
+    target_registry_options options;
+    options.uses_service_curves = true;
+    target_registry by_curve(options);
+    by_curve.sync(engines(2), false, start);
+    routing_request plain;
+    plain.service = service_id("llm");
+    plain.objective = milliseconds(120);
+    const target_id slow("i-0");
+    for (int i = 0; i < 40; ++i) {
+        plain.avoid = {{target_id(i % 2 == 0 ? "i-0" : "i-1"), {}}};
+        const auto made = by_curve.choose(plain, start, random);
+        by_curve.started(*made, plain, start);
+        by_curve.first_byte(
+            *made, milliseconds(made->target == slow ? 120 : 30), start);
+        by_curve.finished(*made, true, target_evidence::answered, start);
+    }
+    plain.avoid.clear();
+    for (int i = 0; i < 40; ++i)
+        CHECK(by_curve.choose(plain, start, random)->target != slow);
+}
