Restore two usage examples that the formatter had broken

Line breaks had moved code of the examples in admission_control.hpp and link_load.hpp into their comments. Comments only; both headers pass the syntax check and the format check.

--- a/include/fennelladder/dispatch/admission_control.hpp
+++ b/include/fennelladder/dispatch/admission_control.hpp
@@ -3,9 +3,9 @@
 //
 //     admission_control control;
 //     control.note_busy(worked, now);            // by the event loop
-//     control.note_backlog(waited, now);         // by a probe, some 20 a
-//     second control.note_link(sent, received, now);    // shares, by the
-//     link's meter auto it = control.admit(team, urgency, longest, now, bytes);
+//     control.note_backlog(waited, now);         // by a probe
+//     control.note_link(sent, received, now);    // shares in use
+//     auto it = control.admit(team, urgency, longest, now, bytes);
 //     if (!it.admitted) ... refuse, Retry-After: it.retry_after
 //     control.note_served(now, {bytes, received, sent});  // whole answers
 //     control.max_accepts_per_second()           // bound on new connections
--- a/include/fennelladder/dispatch/link_load.hpp
+++ b/include/fennelladder/dispatch/link_load.hpp
@@ -5,8 +5,7 @@
 //     load.note_sent(bytes, now);           // bytes since the last call
 //     load.note_received(bytes, now);
 //     load.note_dial({took, timed_out, destination}, now);
-//     if (load.is_full(now)) ...            // slow dials show nothing of
-//     others
+//     if (load.is_full(now)) ...            // slow dials are no evidence
 //
 // There are two measures. The share of each direction is the number of bytes in
 // the last half second, divided by what the link carries in that time. The
