--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -1,19 +1,15 @@
 #!/usr/bin/env python3
 """A stand-in for a worker of a plain service, as a process of its own.
 
-    worker.py ID SERVICE IP:PORT STORE LOG [--born MS]
-
 It registers itself in the store and writes its entry every heartbeat. It
-crashes when it begins to run a request whose body begins with "crash". It
-appends one line to LOG for each request that it runs. SIGUSR1: it reports that
-it is draining, and serves on until it is ended.
+crashes on each request whose body begins with "crash". It appends one line to
+LOG for each request that it runs.
 """
 
+import argparse
 import http.client
 import json
 import os
-import signal
-import sys
 import threading
 import time
 from http.server import BaseHTTPRequestHandler
@@ -24,12 +20,13 @@
 
 
 class Worker:
-    def __init__(self, name, service, address, store, log, born):
-        self.name, self.service, self.address = name, service, address
-        self.store, self.born = store, born
-        self.log = os.open(log, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
-        self.state, self.sequence = "ready", 0
-        self.changed = threading.Event()
+    def __init__(self, options):
+        self.name, self.service = options.id, options.service
+        self.address, self.store = options.address, options.store
+        self.crash_after = options.crash_after_ms / 1000
+        self.born = int(time.time() * 1000)
+        self.log = os.open(options.log, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+        self.sequence = 0
         self.slots = threading.Semaphore(SLOTS)
 
     def note(self, what, request):
@@ -37,13 +34,12 @@
         os.write(self.log, line.encode())
 
     def register(self):
-        """Writes the entry, and again every heartbeat and at each change."""
+        """Writes the entry every heartbeat."""
         while True:
-            self.changed.clear()
             self.sequence += 1
             entry = {"service": self.service, "address": self.address,
                      "zone": "z", "version": "v1", "slots": SLOTS,
-                     "state": self.state, "coldRemainingMs": 0,
+                     "state": "ready", "coldRemainingMs": 0,
                      "sequence": self.sequence, "born": self.born}
             body = json.dumps({"metadata": {"name": self.name}, "spec": entry})
             for method, path in (("PUT", "/" + self.name), ("POST", "")):
@@ -57,11 +53,7 @@
                     break
                 finally:
                     call.close()
-            self.changed.wait(HEARTBEAT_S)
-
-    def drain(self, *_):
-        self.state = "draining"
-        self.changed.set()
+            time.sleep(HEARTBEAT_S)
 
     def handler(self):
         worker = self
@@ -77,8 +69,7 @@
                 body = self.rfile.read(size)
                 request = self.headers.get("X-Request-Id")
                 if self.path == "/health":
-                    healthy = worker.state == "ready"
-                    self.answer(200 if healthy else 503, request,
+                    self.answer(200, request,
                                 {"X-Instance-Id": worker.name}, b"")
                     return
                 if self.headers.get("X-Expect-Instance",
@@ -91,6 +82,7 @@
                 with worker.slots:
                     worker.note("runs", request)
                     if body.startswith(b"crash"):
+                        time.sleep(worker.crash_after)
                         os._exit(1)
                     time.sleep(0.06)
                     self.answer(200, request, {
@@ -103,9 +95,6 @@
                     self.send_header("X-Request-Id", request)
                 for key, value in headers.items():
                     self.send_header(key, value)
-                if worker.state != "ready":
-                    self.send_header("Connection", "close")
-                    self.close_connection = True
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
                 self.wfile.write(body)
@@ -117,17 +106,16 @@
     def run(self):
         ip, port = self.address.split(":")
         server = Server((ip, int(port)), self.handler())
-        signal.signal(signal.SIGUSR1, self.drain)
-        threading.Thread(target=server.serve_forever, daemon=True).start()
         threading.Thread(target=self.register, daemon=True).start()
-        while True:
-            signal.pause()
+        server.serve_forever()
 
 
 def main():
-    name, service, address, store, log = sys.argv[1:6]
-    born = int(sys.argv[7]) if len(sys.argv) > 6 else int(time.time() * 1000)
-    Worker(name, service, address, store, log, born).run()
+    parser = argparse.ArgumentParser(description=__doc__)
+    for name in ("id", "service", "address", "store", "log"):
+        parser.add_argument(name)
+    parser.add_argument("--crash-after-ms", type=float, default=0)
+    Worker(parser.parse_args()).run()
 
 
 if __name__ == "__main__":
