--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -1,14 +1,13 @@
 """Nodes of the project as processes on loopback addresses, and their settings.
 """
 
+import http.client
 import os
 import signal
 import socket
 import subprocess
-import threading
 import time
 import tomllib
-import urllib.request
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 HOST = "h.example"
@@ -118,9 +117,13 @@
             stderr=self.log)
         self.started = time.monotonic()
 
-    def kill(self):
+    def signal(self, number):
         if self.process is not None and self.process.poll() is None:
-            self.process.send_signal(signal.SIGKILL)
+            self.process.send_signal(number)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        if self.process is not None:
             self.process.wait()
         if self.started is not None:
             self.lives.append((self.started, time.monotonic()))
@@ -136,12 +139,15 @@
         return self.ran_throughout(at - CONTACT_S, at)
 
     def is_ready(self):
+        call = http.client.HTTPConnection(self.ip, self.ports["ready"],
+                                          timeout=1)
         try:
-            url = "http://%s:%d/api/ready" % (self.ip, self.ports["ready"])
-            with urllib.request.urlopen(url, timeout=1) as answer:
-                return answer.status == 200
-        except OSError:
+            call.request("GET", "/api/ready")
+            return call.getresponse().status == 200
+        except (OSError, http.client.HTTPException):
             return False
+        finally:
+            call.close()
 
 
 class Fleet:
@@ -162,8 +168,9 @@
             it.start(bootstrap)
 
     def kill(self):
+        """At the same moment, as far as possible."""
         for it in self.nodes:
-            it.process.send_signal(signal.SIGKILL)
+            it.signal(signal.SIGKILL)
         for it in self.nodes:
             it.kill()
 
@@ -174,18 +181,3 @@
                 return True
             time.sleep(0.05)
         return False
-
-
-class Record:
-    """What was sent, answered and run, one line each."""
-
-    def __init__(self, path):
-        self.lock = threading.Lock()
-        self.file = open(path, "w", encoding="utf-8")
-        self.began = time.monotonic()
-
-    def write(self, text):
-        with self.lock:
-            at = time.monotonic() - self.began
-            self.file.write("%8.3f %s\n" % (at, text))
-            self.file.flush()
