Bound the connections of the small listeners and of peers

Callers saw nothing of it until the process was gone: on readiness, entry, metrics and the peers' port a node accepted every connection, and read trailers without end into memory.

Cause: these listeners had no limit on connections, and Beast's parser has none on trailers.

Each listener now has a number of places from the settings (host_shares). At the limit new connections wait in the kernel's queue until the one that has been inactive for longest, and for half a second, makes room. Requests are read by request_intake. The kernel's buffers of accepted connections are 32 KB each way; by default they grow to megabytes. All shares of memory and descriptors are computed in one place, of the descriptors without the 200 that the platform reserves for files.

--- a/include/fennelladder/edge/caller_server.hpp
+++ b/include/fennelladder/edge/caller_server.hpp
@@ -25,6 +25,7 @@
 #define FENNELLADDER_EDGE_CALLER_SERVER_HPP
 
 #include "fennelladder/edge/connection_acceptor.hpp"
+#include "fennelladder/edge/host_shares.hpp"
 #include "fennelladder/edge/request_driver.hpp"
 
 #include <cstddef>
@@ -33,17 +34,6 @@
 
 namespace fennelladder::edge {
 
-/// Load limits of a caller_server.
-struct caller_server_limits
-{
-    std::size_t connections = 2000;
-    std::size_t requests = 600;          ///< In flight at once.
-    std::size_t body_bytes = 16'000'000; ///< Buffered, over all requests.
-};
-
-/// Limits that fit the memory and descriptors of a host.
-caller_server_limits limits_for(const adapter::host_settings& settings);
-
 class caller_session;
 
 class caller_server
--- a/include/fennelladder/edge/connection_acceptor.hpp
+++ b/include/fennelladder/edge/connection_acceptor.hpp
@@ -27,7 +27,8 @@
 /// Connections accepted in one turn at most, so that other work gets its turn.
 inline constexpr int max_accepts_per_turn = 64;
 
-/// Bounds the connections that are accepted.
+/// Bounds the connections that are accepted. Those beyond it wait in the
+/// kernel's queue.
 struct accept_limit
 {
     /// Present bound, in connections per second; unset: none.
@@ -37,6 +38,11 @@
     /// Called when connections wait for the bound.
     std::function<void()> on_wait = [] {};
     std::function<instant()> now = [] { return instant(); };
+    /// Whether there's no place for another connection.
+    std::function<bool()> is_full = [] { return false; };
+    /// Called when a connection waits and there's no place for it. Returns
+    /// whether it made one.
+    std::function<bool()> make_room = [] { return false; };
     /// Connections that may wait for the acceptor, as it was told to listen;
     /// the bound only shortens that.
     int longest_queue = asio::socket_base::max_listen_connections;
--- a/include/fennelladder/edge/relay.hpp
+++ b/include/fennelladder/edge/relay.hpp
@@ -97,7 +97,6 @@
                       std::size_t size);
 
     node_tables& tables_;
-    const std::size_t limit_;
     std::size_t active_ = 0;
     std::deque<ended_relay> ended_; ///< The last ones.
 };
--- a/include/fennelladder/edge/simple_server.hpp
+++ b/include/fennelladder/edge/simple_server.hpp
@@ -5,13 +5,14 @@
 //     });
 //     if (auto ok = server.start(); !ok) ...
 //
-// The handler is called on the node's thread and must not block. Not thread
-// safe.
+// Connections, and what each may send, are bounded. The handler is called on
+// the node's thread and must not block. Not thread safe.
 
 #ifndef FENNELLADDER_EDGE_SIMPLE_SERVER_HPP
 #define FENNELLADDER_EDGE_SIMPLE_SERVER_HPP
 
 #include "fennelladder/base/error.hpp"
+#include "fennelladder/edge/connection_slots.hpp"
 #include "fennelladder/edge/io.hpp"
 
 #include <functional>
@@ -24,7 +25,7 @@
 {
     std::string method;
     std::string path;
-    std::string query; ///< Without the question query_at.
+    std::string query; ///< Without the question mark.
 };
 
 struct simple_response
@@ -39,7 +40,16 @@
 public:
     using handler = std::function<simple_response(const simple_request&)>;
 
-    simple_server(asio::io_context& io, std::string address, handler answer);
+    /// Keeps up to `connections` open; the one that has been inactive for
+    /// longest makes room for a new one.
+    simple_server(asio::io_context& io, std::string address,
+                  std::size_t connections, handler answer);
+
+    /// Applies to new connections.
+    void set_connection_limit(std::size_t connections)
+    {
+        slots_.set_limit(connections);
+    }
 
     /// Listens and serves. Fails if the address cannot be bound.
     status start();
@@ -53,12 +63,13 @@
     asio::io_context& io_;
     std::string address_;
     handler handler_;
+    connection_slots slots_;
     tcp::acceptor acceptor_;
 };
 
 /// Makes `acceptor` listen on `address`, an IP:port. `queue` is the number of
-/// connections that may wait to be accepted. Fails if the address is invalid or
-/// cannot be bound.
+/// connections that may wait to be accepted. The kernel's buffers of accepted
+/// connections are bounded. Fails if the address is invalid or cannot be bound.
 status listen_on(tcp::acceptor& acceptor, const std::string& address,
                  int queue = asio::socket_base::max_listen_connections);
 
--- a/include/fennelladder/edge/update_exchange.hpp
+++ b/include/fennelladder/edge/update_exchange.hpp
@@ -26,6 +26,7 @@
 #define FENNELLADDER_EDGE_UPDATE_EXCHANGE_HPP
 
 #include "fennelladder/edge/configuration_datagrams.hpp"
+#include "fennelladder/edge/connection_slots.hpp"
 #include "fennelladder/edge/node_tables.hpp"
 #include "fennelladder/edge/peer_stream.hpp"
 #include "fennelladder/edge/relay.hpp"
@@ -134,6 +135,7 @@
     node_tables& tables_;
     std::string address_;
     tcp::acceptor acceptor_;
+    connection_slots connections_; ///< Of peers that ask.
     relay_server relays_;
     mesh::transfer_slots slots_;
     fetch_state targets_;
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -50,9 +50,6 @@
 /// What arrives after a refusal is discarded for so long.
 constexpr duration discard_time = milliseconds(300);
 
-/// Memory estimated per connection, including kernel buffers.
-constexpr std::size_t bytes_per_connection = 24'576;
-
 using request_parser = http::request_parser<http::string_body>;
 
 /// Bytes of a request's head, about as its caller sent it.
@@ -96,18 +93,6 @@
 
 } // namespace
 
-caller_server_limits limits_for(const adapter::host_settings& settings)
-{
-    caller_server_limits out;
-    const std::size_t memory = std::size_t(settings.memory_mb) * 1'000'000;
-    // A third of the memory for connections, a fifth for bodies, and the
-    // remainder for the process itself.
-    out.connections = std::min<std::size_t>(memory / 3 / bytes_per_connection,
-                                            settings.descriptors / 2);
-    out.body_bytes = memory / 5;
-    return out;
-}
-
 class caller_session : public std::enable_shared_from_this<caller_session>
 {
 public:
--- a/libs/edge/connection_acceptor.cpp
+++ b/libs/edge/connection_acceptor.cpp
@@ -16,7 +16,8 @@
 constexpr duration min_pause = milliseconds(2);
 constexpr duration max_pause = milliseconds(100);
 
-/// While connections are bounded, they are looked for so often. A pending
+/// While connections are bounded, or there's no place for them, they are looked
+/// for so often. A pending
 /// accept would leave the queue short until the next connection, also after the
 /// bound has ended.
 constexpr duration look_period = milliseconds(10);
@@ -39,6 +40,12 @@
         return bound_.take(now);
     }
 
+    /// Whether there is a place for one connection, if one waits.
+    bool has_place()
+    {
+        return !limit_.is_full() || (has_waiting() && limit_.make_room());
+    }
+
     bool is_bounded() const { return bound_.is_bounded(); }
 
     void give_back() { bound_.give_back(); }
@@ -52,12 +59,17 @@
     /// Tells the owner of the bound if connections wait for it.
     void report_waiting()
     {
-        pollfd it{acceptor_.native_handle(), POLLIN, 0};
-        if (::poll(&it, 1, 0) > 0 && (it.revents & POLLIN) != 0)
+        if (has_waiting())
             limit_.on_wait();
     }
 
 private:
+    bool has_waiting()
+    {
+        pollfd it{acceptor_.native_handle(), POLLIN, 0};
+        return ::poll(&it, 1, 0) > 0 && (it.revents & POLLIN) != 0;
+    }
+
     /// Listening again on a socket that listens changes the length of its
     /// queue.
     void set_queue(int length)
@@ -91,7 +103,7 @@
     for (int taken = 0; !ec; ++taken) {
         take(std::move(socket));
         if (taken + 1 == max_accepts_per_turn || !acceptor.is_open() ||
-            !bounded.may_accept())
+            !bounded.has_place() || !bounded.may_accept())
             co_return net_error();
         socket = tcp::socket(acceptor.get_executor());
         acceptor.accept(socket, ec);
@@ -111,6 +123,10 @@
     net_error ec;
     acceptor.non_blocking(true, ec);
     while (acceptor.is_open()) {
+        if (!bounded.has_place()) {
+            co_await sleep_on(timer, look_period);
+            continue;
+        }
         if (!bounded.may_accept()) {
             bounded.report_waiting();
             co_await sleep_on(timer, bounded.pause());
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -88,8 +88,9 @@
                               simple_server::handler handler) -> status {
         if (address.empty())
             return {};
-        servers_.push_back(
-            std::make_unique<simple_server>(io_, address, std::move(handler)));
+        servers_.push_back(std::make_unique<simple_server>(
+            io_, address, simple_connections_for(tables_.settings),
+            std::move(handler)));
         return servers_.back()->start();
     };
     const auto& listen = tables_.settings.listen;
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -1,5 +1,6 @@
 #include "fennelladder/edge/relay.hpp"
 
+#include "fennelladder/edge/host_shares.hpp"
 #include "fennelladder/mesh/source_choice.hpp"
 #include "fennelladder/telemetry/log.hpp"
 #include "platform/request_headers.hpp"
@@ -24,9 +25,6 @@
 
 constexpr std::size_t copy_bytes = 16'384;
 
-/// Memory of a relayed connection: two copy buffers and the kernel's buffers.
-constexpr std::size_t bytes_per_relay = 65'536;
-
 /// Bytes searched for the head of the target's answer.
 constexpr std::size_t max_head_bytes = 16'384;
 
@@ -40,14 +38,6 @@
 /// A node that has its whole answer closes the connection within this time.
 constexpr duration delivery_timeout = seconds(1);
 
-/// An eighth of the memory and of the descriptors, two a connection.
-std::size_t limit_for(const adapter::host_settings& settings)
-{
-    const std::size_t memory = std::size_t(settings.memory_mb) * 1'000'000;
-    return std::min<std::size_t>(memory / 8 / bytes_per_relay,
-                                 settings.descriptors / 8 / 2);
-}
-
 /// The peers that may relay to the target and accept requests. Those that are
 /// cut off from some service themselves only if there are no others.
 std::vector<const mesh::peer_record*>
@@ -214,16 +204,16 @@
     }
 };
 
-relay_server::relay_server(node_tables& tables)
-    : tables_(tables), limit_(limit_for(tables.settings))
+relay_server::relay_server(node_tables& tables) : tables_(tables)
 {}
 
 relay_result relay_server::check(const mesh::relay_request& ask) const
 {
     const bool lost =
         tables_.registry.reach().lost_since(ask.target).has_value();
-    if (tables_.state() != mesh::node_state::ready || active_ >= limit_ ||
-        lost || tables_.failures_show_nothing())
+    if (tables_.state() != mesh::node_state::ready ||
+        active_ >= relays_for(tables_.settings) || lost ||
+        tables_.failures_show_nothing())
         return relay_result::busy;
     if (!tables_.registry.may_relay_to(ask.target, tables_.now()))
         return relay_result::refused;
--- a/libs/edge/simple_server.cpp
+++ b/libs/edge/simple_server.cpp
@@ -1,8 +1,11 @@
 #include "fennelladder/edge/simple_server.hpp"
 
 #include "fennelladder/edge/connection_acceptor.hpp"
+#include "fennelladder/edge/request_intake.hpp"
 #include "fennelladder/edge/socket_deadline.hpp"
 
+#include <algorithm>
+
 namespace fennelladder::edge {
 
 namespace {
@@ -11,7 +14,14 @@
 constexpr std::uint32_t header_limit = 8'192;
 constexpr std::uint64_t body_limit = 16'384;
 
-simple_request to_simple_request(const http::request<http::string_body>& from)
+/// Kernel buffers of an accepted connection, which Linux doubles for its own
+/// needs. By default they grow to megabytes, which a caller that doesn't read
+/// fills.
+constexpr int kernel_buffer_bytes = 32'768;
+
+using intake_request = http::request<growing_body>;
+
+simple_request to_simple_request(const intake_request& from)
 {
     const std::string target(from.target().data(), from.target().size());
     const auto query_at = std::min(target.find('?'), target.size());
@@ -22,6 +32,24 @@
     return out;
 }
 
+/// Reads until the request is whole or faulty. Returns false if the connection
+/// ended.
+awaitable<bool> read_whole(tcp::socket& socket, beast::flat_buffer& buf,
+                           request_intake& intake)
+{
+    for (;;) {
+        intake.parse_all();
+        if (intake.is_whole() || intake.fault() != intake_fault::none)
+            co_return true;
+        net_error ec;
+        const std::size_t n = co_await socket.async_read_some(
+            buf.prepare(intake.read_size()), into(ec));
+        if (ec)
+            co_return false;
+        buf.commit(n);
+    }
+}
+
 } // namespace
 
 status listen_on(tcp::acceptor& acceptor, const std::string& address, int queue)
@@ -33,6 +61,11 @@
     try {
         acceptor.open(endpoint->protocol());
         acceptor.set_option(tcp::acceptor::reuse_address(true));
+        // Accepted sockets inherit these.
+        acceptor.set_option(
+            asio::socket_base::receive_buffer_size(kernel_buffer_bytes));
+        acceptor.set_option(
+            asio::socket_base::send_buffer_size(kernel_buffer_bytes));
         acceptor.bind(*endpoint);
         acceptor.listen(queue);
     } catch (const std::exception& failure) {
@@ -42,19 +75,22 @@
 }
 
 simple_server::simple_server(asio::io_context& io, std::string address,
-                             handler answer)
+                             std::size_t connections, handler answer)
     : io_(io), address_(std::move(address)), handler_(std::move(answer)),
-      acceptor_(io)
+      slots_(connections), acceptor_(io)
 {}
 
 status simple_server::start()
 {
     if (auto ok = listen_on(acceptor_, address_); !ok)
         return ok;
-    spawn(io_, accept_connections(acceptor_, [this](tcp::socket socket) {
-              spawn(io_,
-                    serve(std::make_shared<tcp::socket>(std::move(socket))));
-          }));
+    spawn(io_, accept_connections(
+                   acceptor_,
+                   [this](tcp::socket socket) {
+                       spawn(io_, serve(std::make_shared<tcp::socket>(
+                                      std::move(socket))));
+                   },
+                   [](const auto&) {}, accept_limit_of(slots_)));
     return {};
 }
 
@@ -67,29 +103,41 @@
 awaitable<void> simple_server::serve(std::shared_ptr<tcp::socket> socket)
 {
     enable_keepalive(*socket, idle_timeout);
+    const auto slot =
+        slots_.take(socket, asio::steady_timer::clock_type::now());
+    catalog::caller_limits limits;
+    limits.header_bytes = header_limit;
+    limits.body_bytes = body_limit;
     beast::flat_buffer buf;
-    socket_deadline limit(socket);
-    for (;;) {
-        limit.close_after(idle_timeout);
-        http::request_parser<http::string_body> parser;
-        parser.header_limit(header_limit);
-        parser.body_limit(body_limit);
-        net_error ec;
-        co_await http::async_read(*socket, buf, parser, into(ec));
-        if (ec)
+    socket_deadline deadline(socket);
+    for (bool keeps_open = true; keeps_open;) {
+        deadline.close_after(idle_timeout);
+        request_intake intake(buf, limits);
+        const bool read = co_await read_whole(*socket, buf, intake);
+        if (!read)
             co_return;
-        const auto& request = parser.get();
-        const simple_response response = handler_(to_simple_request(request));
+        slot->note_active(asio::steady_timer::clock_type::now());
+        const intake_fault fault = intake.fault();
+        keeps_open =
+            fault == intake_fault::none && intake.parsed().keep_alive();
+        const simple_response response =
+            fault == intake_fault::none
+                ? handler_(to_simple_request(intake.parsed().get()))
+                : simple_response{status_of(fault), "text/plain",
+                                  std::string(reason_of(fault)) + "\n"};
         http::response<http::string_body> answer(
             http::int_to_status(response.status), 11);
         answer.set(http::field::content_type, response.content_type);
         answer.body() = response.body;
-        answer.keep_alive(request.keep_alive());
+        answer.keep_alive(keeps_open);
         answer.prepare_payload();
+        net_error ec;
         co_await http::async_write(*socket, answer, into(ec));
-        if (ec || !request.keep_alive())
+        if (ec)
             co_return;
     }
+    net_error ec;
+    socket->shutdown(tcp::socket::shutdown_send, ec);
 }
 
 } // namespace fennelladder::edge
--- a/libs/edge/update_exchange.cpp
+++ b/libs/edge/update_exchange.cpp
@@ -1,6 +1,6 @@
 #include "fennelladder/edge/update_exchange.hpp"
 
-#include "fennelladder/edge/connection_acceptor.hpp"
+#include "fennelladder/edge/host_shares.hpp"
 #include "fennelladder/edge/simple_server.hpp"
 #include "fennelladder/mesh/text_compression.hpp"
 #include "fennelladder/telemetry/log.hpp"
@@ -94,7 +94,8 @@
 update_exchange::update_exchange(node_tables& tables, std::string address,
                                  configuration_datagrams::sender send)
     : tables_(tables), address_(std::move(address)), acceptor_(tables.io),
-      relays_(tables), slots_(tables.settings.link_bits_per_second),
+      connections_(peer_connections_for(tables.settings)), relays_(tables),
+      slots_(tables.settings.link_bits_per_second),
       targets_(tables.metrics, sync_part::targets),
       configuration_(tables.metrics, sync_part::configuration),
       fetched_bytes_(tables.metrics.counter_of(fetched_bytes_metric)),
@@ -116,10 +117,14 @@
 {
     if (auto ok = listen_on(acceptor_, address_); !ok)
         return ok;
-    spawn(tables_.io, accept_connections(acceptor_, [this](tcp::socket socket) {
-              spawn(tables_.io,
-                    serve(std::make_shared<tcp::socket>(std::move(socket))));
-          }));
+    spawn(tables_.io, accept_connections(
+                          acceptor_,
+                          [this](tcp::socket socket) {
+                              spawn(tables_.io,
+                                    serve(std::make_shared<tcp::socket>(
+                                        std::move(socket))));
+                          },
+                          [](const auto&) {}, accept_limit_of(connections_)));
     return {};
 }
 
@@ -395,11 +400,16 @@
 
 awaitable<void> update_exchange::serve(std::shared_ptr<tcp::socket> socket)
 {
+    connections_.set_limit(peer_connections_for(tables_.settings));
+    const auto slot =
+        connections_.take(socket, asio::steady_timer::clock_type::now());
     peer_stream stream(socket);
     std::string bytes;
     const bool read = co_await stream.read(bytes, max_request_bytes);
     if (!read)
         co_return;
+    // Its answer's time is bounded, and peers wait for it.
+    slot->keep();
     const auto ask = mesh::decode_sync_request(bytes);
     if (!ask) {
         note_unreadable("a question", ask.error());
