Give the agreement of quarantines a test program of its own

It draws two arguments of one call from a random source, and compilers evaluate them in another order there, so it plays other sequences than on x86-64.

--- a/libs/dispatch/quarantine_test.cpp
+++ b/libs/dispatch/quarantine_test.cpp
@@ -2,6 +2,7 @@
 
 #include "fennelladder/base/random.hpp"
 #include "fennelladder/dispatch/run_leases.hpp"
+#include "quarantine_samples.hpp"
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
@@ -12,39 +13,6 @@
 using namespace fennelladder;
 using namespace fennelladder::dispatch;
 
-namespace {
-
-constexpr instant start = instant(seconds(1000));
-const crash_mark bad = crash_mark::of_part(0xbad);
-const crash_mark other = crash_mark::of_part(0x07);
-const crash_mark first = crash_mark::of_part(0xa1);
-const run_place v1 = place_of(service_id("s"), catalog::software_version("v1"));
-const run_place v2 = place_of(service_id("s"), catalog::software_version("v2"));
-
-instant at(double s)
-{
-    return start + from_seconds(s);
-}
-
-/// The death of target `id` at `s`, of a request that ran there for 0.1 s.
-crash_death<instant> death(const std::string& id, double s, bool leased = false,
-                           run_place place = v1)
-{
-    return {{target_id(id), catalog::target_start(1)},
-            place,
-            at(s),
-            milliseconds(100),
-            leased};
-}
-
-suspicion level_of(const quarantine& table, const crash_mark& mark, double s,
-                   run_place place = v1)
-{
-    return table.assess(mark, {}, place, at(s)).level;
-}
-
-} // namespace
-
 TEST_GROUP(quarantine)
 {
     quarantine table;
@@ -332,44 +300,6 @@
     }
 }
 
-// Records may be lost, repeated and reordered on their way.
-TEST(quarantine, nodes_that_have_the_same_records_agree)
-{
-    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
-        random_source random(seed);
-        quarantine nodes[3];
-        const auto exchange = [&](double s, std::size_t from, std::size_t to) {
-            for (const auto& it : nodes[from].take_news(minutes(10), 64, at(s)))
-                nodes[to].merge(it, at(s));
-        };
-        double s = 0;
-        for (int i = 0; i < 30; ++i) {
-            s += random.unit();
-            quarantine& node = nodes[random.below(3)];
-            const crash_mark mark = crash_mark::of_part(random.below(3));
-            const std::vector<crash_mark> one{mark};
-            if (random.unit() < 0.7)
-                node.note_death(mark,
-                                death("t" + std::to_string(random.below(8)), s,
-                                      random.unit() < 0.3),
-                                at(s));
-            else
-                node.note_answer(one, v1, at(s));
-            if (random.unit() < 0.5)
-                exchange(s, random.below(3), random.below(3));
-        }
-        for (std::size_t i = 0; i < 9; ++i)
-            exchange(s, i % 3, (i + 1 + i / 3) % 3);
-        for (std::uint64_t part = 0; part < 3; ++part) {
-            const auto mark = crash_mark::of_part(part);
-            const auto levels = {level_of(nodes[0], mark, s),
-                                 level_of(nodes[1], mark, s),
-                                 level_of(nodes[2], mark, s)};
-            CHECK(std::ranges::count(levels, *levels.begin()) == 3);
-        }
-    }
-}
-
 // Neither newer suspects nor a caller who invents parts displace a condemned
 // mark, in the table or in what peers are told.
 TEST(quarantine, condemned_marks_are_not_crowded_out)
