Count and bound what callers hold from the first byte on

What callers saw: a node that ran out of memory, and with it every connection cut; or, while connections with unfinished requests held all places, no answer at all.

Cause: bytes of bodies were counted only once a request was served. What was being read counted nowhere: neither bodies that stop short, nor the parser's buffer, in which a chunk's line or trailers without end grew without limit. Requests in flight were copied for each attempt, and responses of up to 512 KB were held twice for callers that don't read them. At the limit of connections only idle ones made room, and one with an unfinished request never is idle.

Now a session reads with request_intake and claims all that its request and response hold from buffer_budget; what doesn't fit makes others give way in its order. Requests get 408 or 503, which is true, since they were not sent on; unread responses are reset. Connections beyond the limit wait in the kernel's queue until one is idle or behind. Bodies are shared with writes to targets, responses are written without being joined. Read-ahead is taken in small steps and claimed. A head or body that takes too long is answered with 408; its connection closed without a word before. Refusals are followed by a bounded time and amount of discarding, so that a caller that still writes can read them.

Why it works: nothing of a caller is in memory that the sum doesn't have, and the sum is a quarter of the memory.

connection_limit, the old test of idle connections, expected a new connection to be closed while all others had been idle for less than half a second. It now waits for its place and is answered; the test checks that no connection makes room earlier, that only one does, and the answer.

crowd.py counted connections that wait to be accepted as unread bytes and waited for minutes; crowds and bounds are as they were.

--- a/include/fennelladder/edge/attempt.hpp
+++ b/include/fennelladder/edge/attempt.hpp
@@ -27,8 +27,10 @@
 #include "fennelladder/edge/response_writer.hpp"
 #include "platform/request_headers.hpp"
 
+#include <memory>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace fennelladder::edge {
 
@@ -38,11 +40,18 @@
     std::string method;
     std::string path; ///< Including the query, as the caller sent it.
     adapter::header_fields fields;
-    std::string body;
+    /// Shared with a write to a target, which may outlive the request. Null if
+    /// it has none.
+    std::shared_ptr<const std::string> body;
     bool has_body = false;
     adapter::request_header_values header_values;
     instant arrived; ///< When the head had been read.
     bool first_on_connection = false;
+
+    std::string_view body_text() const
+    {
+        return body ? std::string_view(*body) : std::string_view();
+    }
 };
 
 /// How a target's response says where its body ends.
--- a/include/fennelladder/edge/caller_server.hpp
+++ b/include/fennelladder/edge/caller_server.hpp
@@ -8,9 +8,12 @@
 //     server.stop_accepting();
 //     server.reject_new_requests();
 //
-// Limits on connections, requests in flight and buffered body bytes keep a
-// flood from exhausting the process. Connections beyond the limit are closed;
-// requests beyond it are answered 503 at once ("not run").
+// Limits on connections, requests in flight and buffered bytes keep callers
+// from exhausting the process, whatever they send or leave unread. Who gives
+// way when the bytes are spent says dispatch/buffer_budget.hpp; requests that
+// give way are answered 408 or 503 ("not run"). Connections beyond the limit
+// wait to be accepted until one that is idle is closed, or one whose request or
+// response is behind its pace.
 //
 // With tuning option admission.limit, requests are decided about when their
 // heads have been read. A refused request's short body is read, and its
@@ -24,6 +27,7 @@
 #ifndef FENNELLADDER_EDGE_CALLER_SERVER_HPP
 #define FENNELLADDER_EDGE_CALLER_SERVER_HPP
 
+#include "fennelladder/dispatch/buffer_budget.hpp"
 #include "fennelladder/edge/connection_acceptor.hpp"
 #include "fennelladder/edge/host_shares.hpp"
 #include "fennelladder/edge/request_driver.hpp"
@@ -31,9 +35,15 @@
 #include <cstddef>
 #include <memory>
 #include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace fennelladder::edge {
 
+/// Reason of a refusal for want of memory, or of places for requests.
+inline constexpr const char* too_much_at_once = "too much at once";
+
 class caller_session;
 
 class caller_server
@@ -57,6 +67,22 @@
     /// arrived.
     void reject_new_requests();
 
+    /// Applies other limits. What is over them gives way, except for requests
+    /// that are being served.
+    void set_limits(caller_server_limits limits);
+
+    /// Closes connections over the limit that may make a place for others.
+    /// Call regularly.
+    void shed_connections();
+
+    const caller_server_limits& limits() const { return limits_; }
+
+    /// What the requests and responses of callers hold.
+    const dispatch::buffer_budget& buffers() const
+    {
+        return exchanges_->budget;
+    }
+
     /// Number of open connections of callers.
     std::size_t sessions() const { return sessions_->size(); }
 
@@ -67,19 +93,47 @@
     friend class caller_session;
     using session_set = std::set<caller_session*>;
 
+    struct exchange_table
+    {
+        explicit exchange_table(dispatch::buffer_limits limits) : budget(limits)
+        {}
+
+        dispatch::buffer_budget budget;
+        std::unordered_map<dispatch::exchange_id, caller_session*> sessions;
+    };
+
     void take(tcp::socket socket);
+    bool make_place();
     bool close_longest_idle();
     void log_not_accepted(const std::string& reason) const;
-    const char* rejection_reason(std::size_t body_bytes) const;
     accept_limit new_connection_limit();
 
+    /// Why no request is served now; null if some are.
+    const char* rejection_reason() const;
+
+    /// Why a request with a body of this size isn't served now; null if it is.
+    const char* rejection_reason(std::size_t body_bytes) const;
+
+    const dispatch::buffer_limits& buffer_limits() const
+    {
+        return exchanges_->budget.limits();
+    }
+
+    /// Ends these exchanges, which the budget has taken out.
+    void displace(const std::vector<dispatch::displaced>& all,
+                  bool place_is_needed);
+    void log_displaced(const std::string& id, dispatch::displacement why,
+                       std::size_t bytes, bool is_response);
+    void count_rejection(const char* reason);
+    void count_refusal(const char* reason);
+
     node_tables& tables_;
     request_driver& driver_;
-    const caller_server_limits limits_;
+    caller_server_limits limits_;
     tcp::acceptor acceptor_;
     std::shared_ptr<session_set> sessions_ = std::make_shared<session_set>();
-    std::size_t active_requests_ = 0;
-    std::size_t body_bytes_ = 0;
+    std::shared_ptr<exchange_table> exchanges_;
+    instant last_full_log_;
     bool draining_ = false;
     bool rejecting_ = false;
 };
--- a/include/fennelladder/edge/edge_node.hpp
+++ b/include/fennelladder/edge/edge_node.hpp
@@ -74,6 +74,7 @@
     simple_response answer_readiness(const simple_request& request);
     simple_response answer_metrics(const simple_request& request);
     void update_gauges();
+    void update_caller_gauges();
 
     asio::io_context& io_;
     const edge_node_options options_;
--- a/include/fennelladder/edge/response_writer.hpp
+++ b/include/fennelladder/edge/response_writer.hpp
@@ -48,6 +48,23 @@
     std::string message;                 ///< Error text of the JSON body.
 };
 
+/// What the memory that responses occupy is counted on. Not thread safe.
+class response_account
+{
+public:
+    virtual ~response_account() = default;
+
+    /// The response waits for its caller to read, or no longer does.
+    virtual void set_unread(bool waits) = 0;
+
+    /// The caller's kernel, or this host's, has taken so many bytes.
+    virtual void note_read(std::size_t bytes) = 0;
+
+    /// Whether so many bytes of the response may be held in memory from now
+    /// on. Less than before is always allowed.
+    virtual bool may_hold(std::size_t bytes) = 0;
+};
+
 /// Writes the responses of one connection, one after the other. Not thread
 /// safe.
 class response_writer
@@ -60,6 +77,17 @@
     /// writer.
     void count_on(link_meter& link) { link_ = &link; }
 
+    /// Counts the memory of responses from now on. `account` must outlive the
+    /// writer.
+    void set_account(response_account* account) { account_ = account; }
+
+    /// Whether so many bytes of the response may be held in memory until they
+    /// are written.
+    bool may_hold(std::size_t bytes)
+    {
+        return account_ == nullptr || account_->may_hold(bytes);
+    }
+
     /// Sends a response of the node itself, with a JSON body.
     awaitable<bool> send_local(const local_response& answer);
 
@@ -109,13 +137,15 @@
     void reset();
 
 private:
-    awaitable<bool> write(std::string bytes);
+    awaitable<bool> write(std::string head, std::string_view body = {});
+    awaitable<void> write_slowly(std::string_view head, std::string_view body);
     std::string encode_head(const response_head& head) const;
     std::string length_line(const response_head& head,
                             const std::string& body) const;
 
     tcp::socket& socket_;
-    link_meter* link_ = nullptr; ///< Null: nothing is counted.
+    link_meter* link_ = nullptr;          ///< Null: nothing is counted.
+    response_account* account_ = nullptr; ///< The same.
     bool closes_connection_ = false;
     bool omits_body_ = false;
     bool omits_chunk_sizes_ = false;
--- a/include/fennelladder/edge/socket_deadline.hpp
+++ b/include/fennelladder/edge/socket_deadline.hpp
@@ -45,12 +45,19 @@
     /// that has already passed.
     void close_after(duration length);
 
+    /// Cancels what waits on the socket `length` from now, and leaves it open.
+    /// Replaces any earlier deadline.
+    void cancel_after(duration length);
+
     /// Removes the deadline.
     void clear();
 
     /// Whether a deadline has closed the socket.
     bool has_closed() const;
 
+    /// Whether the deadline that was set last has passed.
+    bool has_expired() const;
+
 private:
     class state;
 
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -41,8 +41,13 @@
 struct outgoing_request
 {
     std::string head;
-    std::string body;
+    std::shared_ptr<const std::string> body; ///< Null if there is none.
     connection_ptr connection;
+
+    std::string_view body_text() const
+    {
+        return body ? std::string_view(*body) : std::string_view();
+    }
     bool done = false;
 };
 
@@ -302,7 +307,7 @@
     outgoing_ = std::make_shared<outgoing_request>();
     std::optional<std::size_t> body_size;
     if (request.has_body)
-        body_size = request.body.size();
+        body_size = request.body_text().size();
     outgoing_->head =
         adapter::encode_request_head(request.method, request.path,
                                      request.fields, in_.forwarding, body_size);
@@ -310,9 +315,10 @@
     outgoing_->connection = connection_;
     connection_->awaiting_response = true;
     out_.sent_at = in_.tables.now();
-    in_.tables.link.add_sent(outgoing_->head.size() + outgoing_->body.size());
+    const std::string_view body = outgoing_->body_text();
+    in_.tables.link.add_sent(outgoing_->head.size() + body.size());
     const std::array<asio::const_buffer, 2> bytes{
-        asio::buffer(outgoing_->head), asio::buffer(outgoing_->body)};
+        asio::buffer(outgoing_->head), asio::buffer(body.data(), body.size())};
     asio::async_write(connection_->socket, bytes,
                       [sent = outgoing_](net_error ec, std::size_t) {
                           sent->done = !ec;
@@ -440,7 +446,7 @@
     // A target may reject a request before it has read a long body, and then
     // close the connection because of the unread bytes.
     const bool unread = header_values.not_run &&
-                        outgoing_->body.size() > max_body_read_with_head;
+                        outgoing_->body_text().size() > max_body_read_with_head;
     // When the caller leaves, the sending side of this connection is shut
     // down, so no other request can be sent on it.
     const bool clean = !caller_has_left() && !unread && parser.is_done() &&
@@ -603,7 +609,8 @@
         if (!more)
             co_return;
         restart_idle_timer(in_.progress_timeout);
-        if (body.size() > max_buffered_bytes) {
+        if (body.size() > max_buffered_bytes ||
+            !in_.reply.may_hold(body.capacity())) {
             co_await relay_unbuffered(parser, std::move(body));
             co_return;
         }
@@ -627,6 +634,8 @@
         const bool more = co_await read_body_part(parser, out_.body);
         if (!more)
             co_return;
+        if (!in_.reply.may_hold(out_.body.capacity()))
+            break;
     }
     if (!parser.is_done()) {
         end(attempt_end::garbled, target_evidence::broke,
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -330,9 +330,28 @@
             adapter::encode_entry_response(addresses, validity)};
 }
 
+/// What callers hold, and the limits on it.
+void edge_node::update_caller_gauges()
+{
+    const auto set = [this](const char* name, std::size_t value) {
+        tables_.metrics.gauge_of(name).set(static_cast<std::int64_t>(value));
+    };
+    const dispatch::buffer_budget& buffers = callers_.buffers();
+    const caller_server_limits& limits = callers_.limits();
+    set("fennelladder_caller_connections", callers_.sessions());
+    set("fennelladder_caller_connections_limit", limits.connections);
+    set("fennelladder_buffered_bytes", buffers.held());
+    set("fennelladder_buffered_bytes_limit", limits.buffered_bytes);
+    set("fennelladder_buffered_bytes_served", buffers.held_by_served());
+    set("fennelladder_buffered_bytes_served_limit", limits.body_bytes);
+    set("fennelladder_requests_reading",
+        buffers.exchanges() - buffers.served());
+}
+
 void edge_node::update_gauges()
 {
     auto& metrics = tables_.metrics;
+    update_caller_gauges();
     metrics.gauge_of("fennelladder_requests_under_way")
         .set(static_cast<std::int64_t>(callers_.requests_in_flight()));
     metrics.gauge_of("fennelladder_nodes_alive")
--- a/libs/edge/request_admission.cpp
+++ b/libs/edge/request_admission.cpp
@@ -99,9 +99,9 @@
 
 void request_run::set_marks()
 {
-    fingerprint_ =
-        dispatch::fingerprint_of(request_.method, request_.path,
-                                 team_ ? team_->id : team_id(), request_.body);
+    fingerprint_ = dispatch::fingerprint_of(request_.method, request_.path,
+                                            team_ ? team_->id : team_id(),
+                                            request_.body_text());
     marks_.push_back(dispatch::crash_mark::of(fingerprint_));
     const auto& prompt = request_.header_values.prompt;
     for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -16,14 +16,17 @@
 /// Urgency runs from 0, the most urgent, to this value.
 constexpr int lowest_urgency = 9;
 
+/// A caller that doesn't read its refusal is disconnected after this time.
+constexpr duration max_refusal_time = seconds(2);
+
 /// Bytes between the name and the value of a header line, and after it.
 constexpr std::size_t header_line_extra = 4;
 
 /// Bytes that the caller sent, as far as they were kept.
 std::size_t size_of(const caller_request& request)
 {
-    std::size_t out =
-        request.method.size() + request.path.size() + request.body.size();
+    std::size_t out = request.method.size() + request.path.size() +
+                      request.body_text().size();
     for (const auto& it : request.fields)
         out += it.name_string().size() + it.value().size() + header_line_extra;
     return out;
@@ -58,6 +61,8 @@
     auto refused = find_route();
     if (!refused && decided)
         refused = check_prepaid();
+    if (refused || decided)
+        cancellation_->set_deadline(tables_.now() + max_refusal_time);
     if (refused) {
         co_await refuse(*refused);
         co_return;
--- a/libs/edge/response_writer.cpp
+++ b/libs/edge/response_writer.cpp
@@ -2,7 +2,8 @@
 
 #include "platform/request_headers.hpp"
 
-#include <boost/asio/write.hpp>
+#include <algorithm>
+#include <array>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
@@ -18,6 +19,14 @@
     return size + bytes + "\r\n";
 }
 
+/// Two buffers, of which either may be empty.
+std::array<asio::const_buffer, 2> buffers_of(std::string_view head,
+                                             std::string_view body)
+{
+    return {asio::buffer(head.data(), head.size()),
+            asio::buffer(body.data(), body.size())};
+}
+
 } // namespace
 
 response_writer::response_writer(tcp::socket& socket) : socket_(socket)
@@ -40,27 +49,49 @@
 }
 
 /// Writes what the socket takes at once, and waits only if that isn't all.
-awaitable<bool> response_writer::write(std::string bytes)
+/// Precondition: `body` stays valid until the end.
+awaitable<bool> response_writer::write(std::string head, std::string_view body)
 {
     write_error_ = {};
+    const std::size_t size = head.size() + body.size();
     if (link_ != nullptr)
-        link_->add_sent(bytes.size());
+        link_->add_sent(size);
     std::size_t sent = 0;
     if (socket_.non_blocking())
-        sent = socket_.write_some(asio::buffer(bytes), write_error_);
+        sent = socket_.write_some(buffers_of(head, body), write_error_);
     if (is_transient(write_error_))
         write_error_ = {};
-    if (!write_error_ && sent < bytes.size()) {
-        writing_ = true;
-        co_await asio::async_write(socket_, asio::buffer(bytes) + sent,
-                                   into(write_error_));
-        writing_ = false;
+    if (!write_error_ && sent < size) {
+        const std::size_t of_head = std::min(sent, head.size());
+        co_await write_slowly(std::string_view(head).substr(of_head),
+                              body.substr(sent - of_head));
     }
     if (!write_error_)
-        bytes_sent_ += bytes.size();
+        bytes_sent_ += size;
     co_return !write_error_;
 }
 
+/// Writes as the caller reads, and reports how it does.
+awaitable<void> response_writer::write_slowly(std::string_view head,
+                                              std::string_view body)
+{
+    writing_ = true;
+    if (account_ != nullptr)
+        account_->set_unread(true);
+    while (!write_error_ && !(head.empty() && body.empty())) {
+        const std::size_t n = co_await socket_.async_write_some(
+            buffers_of(head, body), into(write_error_));
+        if (account_ != nullptr)
+            account_->note_read(n);
+        const std::size_t of_head = std::min(n, head.size());
+        head.remove_prefix(of_head);
+        body.remove_prefix(n - of_head);
+    }
+    if (account_ != nullptr)
+        account_->set_unread(false);
+    writing_ = false;
+}
+
 std::string response_writer::encode_head(const response_head& head) const
 {
     std::string out = "HTTP/1.1 " + std::to_string(head.status) + " ";
@@ -105,9 +136,9 @@
     std::string out = encode_head(head) + length_line(head, body) + "\r\n";
     // The caller would parse a body after a response to HEAD as the next
     // response.
-    if (!omits_body_)
-        out += body;
-    const bool sent = co_await write(std::move(out));
+    const std::string_view sent_body =
+        omits_body_ ? std::string_view() : std::string_view(body);
+    const bool sent = co_await write(std::move(out), sent_body);
     finished_ = sent;
     co_return sent;
 }
--- a/libs/edge/socket_deadline.cpp
+++ b/libs/edge/socket_deadline.cpp
@@ -11,15 +11,16 @@
         : socket_(socket), timer_(socket->get_executor())
     {}
 
-    void set(time_point at);
+    void set(time_point at, bool closes);
     void clear();
     bool has_closed() const { return has_closed_; }
+    bool has_expired() const { return has_expired_; }
 
 private:
     void wait_until(time_point at);
     void on_timer();
     bool has_unread() const;
-    void close();
+    void expire();
 
     std::weak_ptr<tcp::socket> socket_;
     asio::steady_timer timer_;
@@ -27,12 +28,16 @@
     std::optional<time_point> armed_for_;
     expiry_check<time_point> check_;
     bool extended_for_unread_ = false;
+    bool closes_ = true;
     bool has_closed_ = false;
+    bool has_expired_ = false;
 };
 
-void socket_deadline::state::set(time_point at)
+void socket_deadline::state::set(time_point at, bool closes)
 {
     deadline_ = at;
+    closes_ = closes;
+    has_expired_ = false;
     check_.reset();
     extended_for_unread_ = false;
     // A timer that fires before the new deadline waits for the remaining time.
@@ -74,7 +79,7 @@
         extended_for_unread_ = true;
         return wait_until(now + expiry_grace);
     }
-    close();
+    expire();
 }
 
 bool socket_deadline::state::has_unread() const
@@ -84,13 +89,17 @@
     return socket && socket->available(ec) > 0;
 }
 
-void socket_deadline::state::close()
+void socket_deadline::state::expire()
 {
     deadline_.reset();
-    has_closed_ = true;
+    has_expired_ = true;
+    has_closed_ = has_closed_ || closes_;
     net_error ec;
-    if (const auto socket = socket_.lock())
+    const auto socket = socket_.lock();
+    if (socket && closes_)
         socket->close(ec);
+    else if (socket)
+        socket->cancel(ec);
 }
 
 socket_deadline::socket_deadline(const std::shared_ptr<tcp::socket>& socket)
@@ -99,12 +108,17 @@
 
 void socket_deadline::close_at(time_point at)
 {
-    state_->set(at);
+    state_->set(at, true);
 }
 
 void socket_deadline::close_after(duration length)
 {
-    state_->set(asio::steady_timer::clock_type::now() + length);
+    state_->set(asio::steady_timer::clock_type::now() + length, true);
+}
+
+void socket_deadline::cancel_after(duration length)
+{
+    state_->set(asio::steady_timer::clock_type::now() + length, false);
 }
 
 void socket_deadline::clear()
@@ -117,4 +131,9 @@
     return state_->has_closed();
 }
 
+bool socket_deadline::has_expired() const
+{
+    return state_->has_expired();
+}
+
 } // namespace fennelladder::edge
--- a/libs/report/request_timeline.cpp
+++ b/libs/report/request_timeline.cpp
@@ -89,6 +89,23 @@
            "time, and host " + std::string(it.get("giver")) + " gave no leave.";
 }
 
+/// What a request, or its response, gave way to.
+std::string describe_displacement(const log_line& it)
+{
+    const std::string of(it.get("of"));
+    std::string out = "Its " + of + " held " + std::string(it.get("bytes")) +
+                      " bytes and gave way, ";
+    if (it.get("reason") == "larger")
+        out += "as the largest of those that arrived";
+    else if (of == "response")
+        out += "since its caller read it too slowly";
+    else
+        out += "since it arrived too slowly";
+    return out + ": others needed its memory or its connection's place (" +
+           std::string(it.get("held")) + " bytes held and " +
+           std::string(it.get("connections")) + " connections at the node).";
+}
+
 struct request_ending
 {
     const log_line& last;
@@ -396,6 +413,7 @@
     const log_line* attempt = nullptr;
     const log_line* resumption = nullptr;
     const log_line* suspicion = nullptr;
+    const log_line* displacement = nullptr;
     const log_line* last = nullptr;
     for (const log_line& it : lines) {
         out << it.time << ' ' << it.host << ' ' << it.name;
@@ -411,6 +429,8 @@
             resumption = &it;
         if (it.event == event::request_suspected)
             suspicion = &it;
+        if (it.event == event::exchange_displaced)
+            displacement = &it;
         if (find_rule(it) != nullptr)
             last = &it;
     }
@@ -419,6 +439,8 @@
         out << describe_resumption(*resumption) << '\n';
     if (suspicion != nullptr)
         out << describe_suspicion(*suspicion) << '\n';
+    if (displacement != nullptr)
+        out << describe_displacement(*displacement) << '\n';
     if (last == nullptr)
         out << "These logs don't contain the outcome.\n"
             << dropped_lines_note(context_);
--- a/libs/report/request_timeline_test.cpp
+++ b/libs/report/request_timeline_test.cpp
@@ -47,6 +47,24 @@
                                "last got tokens 10.6 s before, by host b"));
 }
 
+// A caller asks why its upload was refused though it kept to the limits: the
+// operator must find what it held, and that others needed it.
+TEST(request_timeline, a_request_that_gave_way_says_what_it_held)
+{
+    request_timeline timeline("r1");
+    timeline.add(line("05.100", "a", 1521,
+                      R"(,"id":"r1","reason":"behind","of":"request",)"
+                      R"("bytes":"400000","held":"21000000",)"
+                      R"("connections":"900")"));
+    timeline.add(line("05.101", "a", 1515,
+                      R"(,"id":"r1","outcome":"408",)"
+                      R"("reason":"the request arrives too slowly")"));
+    CHECK(explanation_contains(timeline, "Its request held 400000 bytes"));
+    CHECK(explanation_contains(timeline, "since it arrived too slowly"));
+    CHECK(explanation_contains(timeline, "Refused, and not run: the request "
+                                         "arrives too slowly (status 408)"));
+}
+
 // A stream is refused, and the operator must find out which version began it
 // or why nobody knew.
 TEST(request_timeline, a_resumed_stream_names_the_version_that_began_it)
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -251,6 +251,10 @@
      "A request has a mark (itself, or a part of its prompt) that may crash "
      "targets; the line says what is known of it, and whether the request was "
      "refused or runs alone with it."},
+    {event::exchange_displaced, severity::warning, "exchange_displaced",
+     "A caller's request, or a response that its caller doesn't read, gave way "
+     "to others that need its memory or its connection's place; a request was "
+     "refused as not run, a response was cut off."},
     {event::call_rejected, severity::info, "call_rejected",
      "A request was rejected as invalid: no such route, no valid key, or a "
      "malformed request."},
--- a/tools/crowds/crowd.py
+++ b/tools/crowds/crowd.py
@@ -16,13 +16,18 @@
 SEGMENT = 1460
 
 
+LISTENING = "0A"
+
+
 def unread_bytes(port):
     """Bytes that wait in the kernel for the process that listens there."""
     out = 0
     with open("/proc/net/tcp", encoding="ascii") as file:
         for line in list(file)[1:]:
             fields = line.split()
-            if int(fields[1].split(":")[1], 16) == port:
+            # Of a listening socket it is the number of connections.
+            if (fields[3] != LISTENING
+                    and int(fields[1].split(":")[1], 16) == port):
                 out += int(fields[4].split(":")[1], 16)
     return out
 
