Apply memory and descriptor limits that change with the settings

Cause: a reload took over addresses and the grace period only.

A reload now divides memory and descriptors anew. What is over the sum gives way at once, in the usual order; connections over their limit are closed once a second as far as they are idle or behind. Requests in flight are kept.

--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -228,15 +228,27 @@
         return;
     }
     settings_text_ = std::move(text);
-    // Listening addresses and limits are fixed for this incarnation. Only the
-    // addresses of the store and the seeds, and the grace period, can change.
+    // Listening addresses are fixed for this incarnation. The addresses of the
+    // store and the seeds, the grace period, and the limits on memory and
+    // descriptors can change.
     tables_.settings.store_address = read->store_address;
     tables_.settings.seeds = read->seeds;
     tables_.settings.stop_grace = read->stop_grace;
+    tables_.settings.memory_mb = read->memory_mb;
+    tables_.settings.descriptors = read->descriptors;
+    apply_limits();
     add_seed_nodes();
     log_event(event::settings_reloaded, {{"path", options_.settings_path}});
 }
 
+/// Divides memory and descriptors as the settings say now.
+void edge_node::apply_limits()
+{
+    callers_.set_limits(limits_for(tables_.settings));
+    for (const auto& it : servers_)
+        it->set_connection_limit(simple_connections_for(tables_.settings));
+}
+
 awaitable<void> edge_node::run_periodic_tasks()
 {
     asio::steady_timer timer(io_);
@@ -249,6 +261,7 @@
             next_maintenance = now + maintenance_period;
             tables_.pool.close_expired(now);
             tables_.update_sharing_hosts();
+            callers_.shed_connections();
             reload_settings();
         }
         if (now >= next_summary) {
