Add callers that don't behave to the soak

They stop short of the end of their requests or send without end, beside kills, pauses, shutdowns and restarts.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -21,6 +21,8 @@
     (crashing_parts.py);
   - each team is served, also when its callers keep to one node and send
     several times their usual (fair_shares.py);
+  - nodes stay within their memory beside callers that don't behave
+    (unruly_callers.py);
   - targets of evacuated data centres, cold ones and those of other regions
     get no more than they may (restricted_targets.py);
   - at the end, with all faults over, calls are answered again.
@@ -51,6 +53,7 @@
 from fair_shares import FairShares, Floods
 from senders import Senders
 from target_signals import TargetSignals
+from unruly_callers import UnrulyCallers
 
 NODES = 3
 TARGETS = 3
@@ -495,6 +498,7 @@
         seeds = ",".join(f"{ip}:1" for ip in ips[:2])
         self.nodes = [Node(args.binary, self.folder, i, address, ip, seeds)
                       for i, ip in enumerate(ips)]
+        self.unruly = UnrulyCallers(self.nodes, self.note)
 
     def list_target(self, name):
         """As a process that starts now."""
@@ -767,7 +771,8 @@
         callers += [threading.Thread(
             target=run, args=[random.Random(self.plan_seed + n), self.stop])
                     for n, run in ((2, self.restricted.evacuate_some),
-                                   (3, self.restricted.cool_some))]
+                                   (3, self.restricted.cool_some),
+                                   (4, self.unruly.run))]
         callers.append(threading.Thread(target=self.floods.run))
         callers.append(threading.Thread(target=self.speak))
         callers.append(threading.Thread(target=self.storms))
@@ -810,7 +815,7 @@
           f"{dict(soak.outcomes)}, {soak.runs.tokens('t')} of "
           f"{PREPAID['t']} tokens, {soak.store.era - 1} restores, "
           f"{soak.parts.summary}, "
-          f"{soak.restricted.summary}, "
+          f"{soak.restricted.summary}, {soak.unruly.summary}, "
           f"served {soak.shares.summary}, "
           f"logs in {soak.folder}")
     if answered == 0:
