Keep a refusal from being displaced while it is written

A whole request that there was no memory or place to serve was refused while its exchange was still counted as being read, so it could give way to others, and its caller lost the 503. Found by reading. The exchange ends before the refusal is written.

--- a/libs/edge/caller_session.cpp
+++ b/libs/edge/caller_session.cpp
@@ -623,10 +623,12 @@
             break;
         if (server_.draining_)
             reply_.close_when_done();
-        if (const char* reason = reason_not_to_serve())
+        if (const char* reason = reason_not_to_serve()) {
+            end_exchange();
             co_await refuse(request, reason);
-        else
+        } else {
             co_await serve(std::move(request));
+        }
         end_exchange();
         if (!reply_.finished() || reply_.closes_connection())
             break;
