Judge a target's leaving by the process that nodes know

Traced in its logs: the store had been restored to a copy with an older start of that target; 2.2 s later the entry was written again with the newer start. All three nodes took it for another process, sent within 70 ms, and were told again. On the platform each start has an id of its own, and nodes can't know that the two are one.

Only this case is excused: when an entry is written again with another start than the store has, nodes have to be told again, and 2 s count from then. The check was right for all others and stays.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -518,9 +518,18 @@
         """What the operator and the targets wrote last is written again."""
         with self.publishing:
             for (kind, name), spec in self.published.items():
+                if self.is_another_start(kind, name, spec):
+                    self.targets[name][0].listed_as_another()
                 self.store.put(kind, name, spec)
             self.store.outages.note("restore", False)
 
+    def is_another_start(self, kind, name, spec):
+        """Whether the store came back with an older process of a target."""
+        if kind != "servers" or name not in self.targets or spec is None:
+            return False
+        present = self.store.objects[kind].get(name)
+        return present is not None and present["spec"]["born"] != spec["born"]
+
     def list_part_target(self, name, address):
         self.publish("servers", name, {
             "service": crashing_parts.SERVICE, "address": address, "zone": "z",
--- a/tools/soak/target_signals.py
+++ b/tools/soak/target_signals.py
@@ -40,6 +40,14 @@
             self.told_leaving, self.told_rest, self.told_rate = {}, {}, {}
             self.arrivals = collections.deque()
 
+    def listed_as_another(self):
+        """Nodes take it for another process from now on, which hasn't said
+        that it leaves: its entry has another start than the one that the store
+        had lost it to. On the users' platform each start has an id of its
+        own."""
+        with self.lock:
+            self.told_leaving = {}
+
     def leave(self):
         with self.lock:
             self.leaving = True
