Choose who gives way in one place

One function says who is next, one who is slowest in a set; whether a phase counts as served is asked in one place too.

--- a/include/fennelladder/dispatch/buffer_budget.hpp
+++ b/include/fennelladder/dispatch/buffer_budget.hpp
@@ -156,16 +156,18 @@
     using by_pace = std::set<std::pair<instant, exchange_id>>;
     using by_size = std::set<std::pair<std::size_t, exchange_id>>;
 
-    bool may_be_displaced(const exchange& it) const;
+    static bool is_served(phase of);
+    static bool may_be_displaced(const exchange& it);
     void list(exchange_id id, const exchange& it);
     void unlist(exchange_id id, const exchange& it);
     void set_held(exchange& it, std::size_t bytes);
     void set_phase(exchange_id id, exchange& it, phase to);
     void displace(exchange_id id);
-    std::optional<exchange_id> slowest(instant now) const;
-    std::optional<exchange_id> larger_than(std::size_t bytes) const;
-    bool make_room(exchange_id id, std::size_t bytes, bool also_larger,
-                   instant now, claim_result& out);
+    static std::optional<displaced> slowest(const by_pace& of, instant now);
+    std::optional<displaced> next_to_give_way(std::size_t bytes,
+                                              instant now) const;
+    bool make_room(exchange_id id, std::size_t bytes, instant now,
+                   claim_result& out);
 
     buffer_limits limits_;
     const pace_options pace_;
--- a/libs/dispatch/buffer_budget.cpp
+++ b/libs/dispatch/buffer_budget.cpp
@@ -22,7 +22,12 @@
     : limits_(limits), pace_(pace)
 {}
 
-bool buffer_budget::may_be_displaced(const exchange& it) const
+bool buffer_budget::is_served(phase of)
+{
+    return of == phase::serving || of == phase::unread;
+}
+
+bool buffer_budget::may_be_displaced(const exchange& it)
 {
     return it.now == phase::reading || it.now == phase::unread;
 }
@@ -47,18 +52,14 @@
 /// Precondition: `it` isn't listed.
 void buffer_budget::set_held(exchange& it, std::size_t bytes)
 {
-    const bool served = it.now == phase::serving || it.now == phase::unread;
     held_ += bytes - it.held;
-    if (served)
+    if (is_served(it.now))
         held_by_served_ += bytes - it.held;
     it.held = bytes;
 }
 
 void buffer_budget::set_phase(exchange_id id, exchange& it, phase to)
 {
-    const auto is_served = [](phase of) {
-        return of == phase::serving || of == phase::unread;
-    };
     unlist(id, it);
     if (is_served(it.now) && !is_served(to)) {
         held_by_served_ -= it.held;
@@ -108,41 +109,47 @@
     list(id, it);
 }
 
-std::optional<exchange_id> buffer_budget::slowest(instant now) const
+std::optional<displaced> buffer_budget::slowest(const by_pace& of, instant now)
 {
-    if (by_pace_.empty() || by_pace_.begin()->first >= now)
+    if (of.empty() || of.begin()->first >= now)
         return std::nullopt;
-    return by_pace_.begin()->second;
+    return displaced{of.begin()->second, displacement::behind};
 }
 
-std::optional<exchange_id> buffer_budget::larger_than(std::size_t bytes) const
+/// Who gives way next: the slowest, or else the largest of the requests that
+/// are being read, if it holds more than `bytes`.
+std::optional<displaced> buffer_budget::next_to_give_way(std::size_t bytes,
+                                                         instant now) const
 {
+    if (const auto slow = slowest(by_pace_, now))
+        return slow;
     if (by_size_.empty() || by_size_.rbegin()->first <= bytes)
         return std::nullopt;
-    return by_size_.rbegin()->second;
+    return displaced{by_size_.rbegin()->second, displacement::larger};
 }
 
 /// Displaces others until `id` may hold `bytes`. Returns false if it may not.
-bool buffer_budget::make_room(exchange_id id, std::size_t bytes,
-                              bool also_larger, instant now, claim_result& out)
+bool buffer_budget::make_room(exchange_id id, std::size_t bytes, instant now,
+                              claim_result& out)
 {
-    const std::size_t before = exchanges_.at(id).held;
+    const exchange& it = exchanges_.at(id);
     // Nothing that gives way would help.
     if (bytes > limits_.total_bytes)
         return false;
-    while (held_ - before + bytes > limits_.total_bytes) {
-        auto next = slowest(now);
-        auto why = displacement::behind;
-        if (!next && also_larger) {
-            next = larger_than(bytes);
-            why = displacement::larger;
-        }
-        if (!next || *next == id) {
-            out.refused = next ? why : displacement::full;
+    while (held_ - it.held + bytes > limits_.total_bytes) {
+        // A response needn't be buffered, so no request that moves gives way
+        // to it.
+        const auto next = it.now == phase::reading
+                              ? next_to_give_way(bytes, now)
+                              : slowest(by_pace_, now);
+        if (!next)
+            return false;
+        if (next->exchange == id) {
+            out.refused = next->why;
             return false;
         }
-        displace(*next);
-        out.others.push_back({*next, why});
+        displace(next->exchange);
+        out.others.push_back(*next);
     }
     return true;
 }
@@ -155,12 +162,10 @@
     if (it.now == phase::over)
         return out;
     const bool grows = bytes > it.held;
-    const bool is_read = it.now == phase::reading;
-    if (grows && !is_read &&
+    if (grows && is_served(it.now) &&
         held_by_served_ - it.held + bytes > limits_.serving_bytes)
         return out;
-    // A response needn't be buffered, so no request gives way to it.
-    if (grows && !make_room(id, bytes, is_read, now, out))
+    if (grows && !make_room(id, bytes, now, out))
         return out;
     unlist(id, it);
     set_held(it, bytes);
@@ -184,14 +189,13 @@
     exchange& it = exchanges_.at(id);
     // Responses that nobody reads make room.
     while (!may_serve(bytes)) {
-        if (unread_by_pace_.empty() || unread_by_pace_.begin()->first >= now) {
+        const auto slow = slowest(unread_by_pace_, now);
+        if (!slow) {
             out.granted = false;
-            out.refused = displacement::full;
             return out;
         }
-        const exchange_id slow = unread_by_pace_.begin()->second;
-        displace(slow);
-        out.others.push_back({slow, displacement::behind});
+        displace(slow->exchange);
+        out.others.push_back(*slow);
     }
     set_phase(id, it, phase::serving);
     return out;
@@ -200,7 +204,7 @@
 void buffer_budget::set_unread(exchange_id id, bool waits, instant now)
 {
     exchange& it = exchanges_.at(id);
-    if (it.now != phase::serving && it.now != phase::unread)
+    if (!is_served(it.now))
         return;
     if (waits && it.now == phase::serving) {
         unlist(id, it);
@@ -213,11 +217,10 @@
 
 std::optional<displaced> buffer_budget::displace_slowest(instant now)
 {
-    const auto found = slowest(now);
-    if (!found)
-        return std::nullopt;
-    displace(*found);
-    return displaced{*found, displacement::behind};
+    const auto out = slowest(by_pace_, now);
+    if (out)
+        displace(out->exchange);
+    return out;
 }
 
 std::vector<displaced> buffer_budget::set_limits(buffer_limits limits,
@@ -226,14 +229,11 @@
     limits_ = limits;
     std::vector<displaced> out;
     while (held_ > limits_.total_bytes) {
-        auto next = slowest(now);
-        const auto why = next ? displacement::behind : displacement::larger;
-        if (!next)
-            next = larger_than(0);
+        const auto next = next_to_give_way(0, now);
         if (!next)
             break; // The rest is being served.
-        displace(*next);
-        out.push_back({*next, why});
+        displace(next->exchange);
+        out.push_back(*next);
     }
     return out;
 }
