Ask the settings for the limit of a listener's connections

Each small listener kept a copy of its limit. A reload had to set it on all of them, and the peers' listener set it again with every connection. The limit follows from the settings, so connection_slots asks for it before it accepts; the copies and what kept them up to date are gone. The limits are the same, but a change holds for the peers' listener at once and not from its next connection on.

--- a/include/fennelladder/edge/connection_slots.hpp
+++ b/include/fennelladder/edge/connection_slots.hpp
@@ -1,8 +1,8 @@
-// The open connections of one listener for short requests, up to a limit. The
-// connection on which nothing has happened for longest makes room for a new
-// one.
+// The open connections of one listener for short requests, up to a limit, which
+// may change. The connection on which nothing has happened for longest makes
+// room for a new one.
 //
-//     connection_slots slots(limit);
+//     connection_slots slots([&] { return peer_connections_for(settings); });
 //     spawn(io, accept_connections(acceptor, take, on_failure,
 //                                  accept_limit_of(slots)));
 //     const auto slot = slots.take(socket, now);   // keeps its place
@@ -17,9 +17,11 @@
 #include "fennelladder/edge/io.hpp"
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace fennelladder::edge {
 
@@ -52,12 +54,12 @@
         std::optional<time_point> active_; ///< Unset: it is kept.
     };
 
-    explicit connection_slots(std::size_t limit) : limit_(limit) {}
+    using limit_source = std::function<std::size_t()>;
 
-    /// Applies to new connections.
-    void set_limit(std::size_t limit) { limit_ = limit; }
+    /// `limit` is asked before each connection is accepted.
+    explicit connection_slots(limit_source limit) : limit_(std::move(limit)) {}
 
-    bool is_full() const { return open_->size() >= limit_; }
+    bool is_full() const { return open_->size() >= limit_(); }
 
     std::unique_ptr<slot> take(std::shared_ptr<tcp::socket> socket,
                                time_point now);
@@ -67,7 +69,7 @@
     bool make_room(time_point now);
 
 private:
-    std::size_t limit_;
+    limit_source limit_;
     std::shared_ptr<std::set<slot*>> open_ =
         std::make_shared<std::set<slot*>>();
 };
--- a/include/fennelladder/edge/edge_node.hpp
+++ b/include/fennelladder/edge/edge_node.hpp
@@ -68,7 +68,6 @@
     awaitable<void> probe_backlog();
     void add_seed_nodes();
     void reload_settings();
-    void apply_limits();
     void log_tokens();
     std::vector<entry_node> entry_nodes() const;
     simple_response answer_entry(const simple_request& request);
--- a/include/fennelladder/edge/simple_server.hpp
+++ b/include/fennelladder/edge/simple_server.hpp
@@ -43,13 +43,7 @@
     /// Keeps up to `connections` open; the one that has been inactive for
     /// longest makes room for a new one.
     simple_server(asio::io_context& io, std::string address,
-                  std::size_t connections, handler answer);
-
-    /// Applies to new connections.
-    void set_connection_limit(std::size_t connections)
-    {
-        slots_.set_limit(connections);
-    }
+                  connection_slots::limit_source connections, handler answer);
 
     /// Listens and serves. Fails if the address cannot be bound.
     status start();
--- a/libs/edge/connection_slots_test.cpp
+++ b/libs/edge/connection_slots_test.cpp
@@ -9,7 +9,8 @@
 TEST_GROUP(connection_slots)
 {
     asio::io_context io;
-    connection_slots slots{2};
+    std::size_t limit = 2;
+    connection_slots slots{[this] { return limit; }};
     connection_slots::time_point now{seconds(100)};
 
     std::shared_ptr<tcp::socket> open_socket()
@@ -56,6 +57,6 @@
         CHECK(slots.is_full());
     }
     CHECK(!slots.is_full());
-    slots.set_limit(0);
+    limit = 0;
     CHECK(slots.is_full());
 }
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -89,7 +89,8 @@
         if (address.empty())
             return {};
         servers_.push_back(std::make_unique<simple_server>(
-            io_, address, simple_connections_for(tables_.settings),
+            io_, address,
+            [this] { return simple_connections_for(tables_.settings); },
             std::move(handler)));
         return servers_.back()->start();
     };
@@ -236,19 +237,11 @@
     tables_.settings.stop_grace = read->stop_grace;
     tables_.settings.memory_mb = read->memory_mb;
     tables_.settings.descriptors = read->descriptors;
-    apply_limits();
+    callers_.set_limits(limits_for(tables_.settings));
     add_seed_nodes();
     log_event(event::settings_reloaded, {{"path", options_.settings_path}});
 }
 
-/// Divides memory and descriptors as the settings say now.
-void edge_node::apply_limits()
-{
-    callers_.set_limits(limits_for(tables_.settings));
-    for (const auto& it : servers_)
-        it->set_connection_limit(simple_connections_for(tables_.settings));
-}
-
 awaitable<void> edge_node::run_periodic_tasks()
 {
     asio::steady_timer timer(io_);
--- a/libs/edge/simple_server.cpp
+++ b/libs/edge/simple_server.cpp
@@ -5,6 +5,7 @@
 #include "fennelladder/edge/socket_deadline.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace fennelladder::edge {
 
@@ -75,9 +76,10 @@
 }
 
 simple_server::simple_server(asio::io_context& io, std::string address,
-                             std::size_t connections, handler answer)
+                             connection_slots::limit_source connections,
+                             handler answer)
     : io_(io), address_(std::move(address)), handler_(std::move(answer)),
-      slots_(connections), acceptor_(io)
+      slots_(std::move(connections)), acceptor_(io)
 {}
 
 status simple_server::start()
--- a/libs/edge/update_exchange.cpp
+++ b/libs/edge/update_exchange.cpp
@@ -94,8 +94,8 @@
 update_exchange::update_exchange(node_tables& tables, std::string address,
                                  configuration_datagrams::sender send)
     : tables_(tables), address_(std::move(address)), acceptor_(tables.io),
-      connections_(peer_connections_for(tables.settings)), relays_(tables),
-      slots_(tables.settings.link_bits_per_second),
+      connections_([this] { return peer_connections_for(tables_.settings); }),
+      relays_(tables), slots_(tables.settings.link_bits_per_second),
       targets_(tables.metrics, sync_part::targets),
       configuration_(tables.metrics, sync_part::configuration),
       fetched_bytes_(tables.metrics.counter_of(fetched_bytes_metric)),
@@ -400,7 +400,6 @@
 
 awaitable<void> update_exchange::serve(std::shared_ptr<tcp::socket> socket)
 {
-    connections_.set_limit(peer_connections_for(tables_.settings));
     const auto slot =
         connections_.take(socket, asio::steady_timer::clock_type::now());
     peer_stream stream(socket);
