Write what a session does before it refuses, and its claims, once

Three functions gave back what a request held, marked the rest of it to be discarded and let the answer close the connection, each in its own order; two claimed memory; two looked up the limits of the configuration; progress had two names. Each stands once now. A refusal takes the request's id from the session in place of a request made up for it, and a request without a body no longer allocates one.

One difference, found by this: a request that was refused on its head by the driver had no deadline for its answer but the kernel's, 10 s. It has the 2 s of all other refusals.

--- a/include/fennelladder/edge/response_writer.hpp
+++ b/include/fennelladder/edge/response_writer.hpp
@@ -58,7 +58,7 @@
     virtual void set_unread(bool waits) = 0;
 
     /// The caller's kernel, or this host's, has taken so many bytes.
-    virtual void note_read(std::size_t bytes) = 0;
+    virtual void note_progress(std::size_t bytes) = 0;
 
     /// Whether so many bytes of the response may be held in memory from now
     /// on. Less than before is always allowed.
--- a/libs/edge/caller_session.cpp
+++ b/libs/edge/caller_session.cpp
@@ -176,18 +176,17 @@
     exchange_.reset();
 }
 
-/// Returns false, and sets why, if the exchange may not hold so much.
+/// Whether the exchange may hold so much from now on. Others may give way.
 bool caller_session::claim(std::size_t bytes)
 {
     if (bytes == claimed_)
-        return !gave_way_;
+        return true;
     const dispatch::claim_result got =
         exchanges_->budget.claim(*exchange_, bytes, tables_.now());
     server_.displace(got.others, false);
+    refused_ = got.refused;
     if (got.granted)
         claimed_ = bytes;
-    else if (!gave_way_)
-        gave_way_ = got.refused;
     return got.granted;
 }
 
@@ -203,27 +202,15 @@
         exchanges_->budget.note_progress(*exchange_, bytes, tables_.now());
 }
 
-void caller_session::note_read(std::size_t bytes)
-{
-    note_progress(bytes);
-}
-
 /// Of a request that is being served, and its response.
 bool caller_session::may_hold(std::size_t bytes)
 {
     if (!exchange_)
         return true;
-    const std::size_t wanted = request_bytes_ + buf_.capacity() + bytes;
-    if (wanted == claimed_)
-        return true;
-    const dispatch::claim_result got =
-        exchanges_->budget.claim(*exchange_, wanted, tables_.now());
-    server_.displace(got.others, false);
-    if (got.granted) {
-        claimed_ = wanted;
-        response_bytes_ = bytes;
-    }
-    return got.granted;
+    if (!claim(request_bytes_ + buf_.capacity() + bytes))
+        return false;
+    response_bytes_ = bytes;
+    return true;
 }
 
 void caller_session::give_way(dispatch::displacement why, bool place_is_needed)
@@ -245,15 +232,19 @@
 
 // Reading.
 
+catalog::caller_limits caller_session::present_limits() const
+{
+    return tables_.config ? tables_.config->parts().limits
+                          : catalog::caller_limits();
+}
+
 awaitable<bool> caller_session::wait_for_request()
 {
     if (buf_.size() > 0)
         co_return true;
     if (buf_.capacity() > max_idle_buffer)
         buf_.shrink_to_fit();
-    const auto config = tables_.config;
-    const catalog::caller_limits limits =
-        config ? config->parts().limits : catalog::caller_limits();
+    const catalog::caller_limits limits = present_limits();
     read_deadline_->close_after(
         first_request_ ? std::min(limits.header_timeout, limits.idle_timeout)
                        : limits.idle_timeout);
@@ -265,19 +256,25 @@
     co_return !ec && socket_.is_open();
 }
 
-/// Answers a request that isn't read any further.
-awaitable<void> caller_session::reject(unsigned status, const char* reason)
+/// Before the answer to a request that isn't read any further: gives back what
+/// it holds. The answer is the connection's last one.
+void caller_session::stop_reading()
 {
     end_exchange();
     intake_.reset();
+    discards_input_ = true;
+    reply_.close_when_done();
+    read_deadline_->close_after(refusal_timeout);
+}
+
+awaitable<void> caller_session::reject(unsigned status, const char* reason)
+{
+    stop_reading();
     telemetry::log_event(telemetry::event::call_rejected,
                          {{"id", present_id_},
                           {"outcome", std::to_string(status)},
                           {"reason", reason}});
     server_.count_rejection(reason);
-    discards_input_ = true;
-    reply_.close_when_done();
-    read_deadline_->close_after(refusal_timeout);
     local_response answer{status, present_id_, std::nullopt, reason};
     (void)co_await reply_.send_local(answer);
 }
@@ -288,13 +285,8 @@
         co_await reject(408, "the request arrives too slowly");
         co_return;
     }
-    end_exchange();
-    intake_.reset();
-    discards_input_ = true;
-    reply_.close_when_done();
-    caller_request unread;
-    unread.header_values.id = present_id_;
-    co_await refuse(unread, "too much at once");
+    stop_reading();
+    co_await refuse(too_much_at_once);
 }
 
 void caller_session::log_incomplete_request(const char* part,
@@ -349,6 +341,8 @@
         std::size_t n = 0;
         if (claim(intake_->held()))
             n = co_await socket_.async_read_some(room, into(ec));
+        else
+            gave_way_ = refused_;
         if (gave_way_)
             continue;
         if (ec) {
@@ -401,17 +395,14 @@
             server_.driver_.check_head(head, reply_, decided_.bytes);
 }
 
-awaitable<void> caller_session::refuse(const caller_request& request,
-                                       const char* reason)
+awaitable<void> caller_session::refuse(const char* reason)
 {
-    telemetry::log_event(telemetry::event::request_refused,
-                         {{"id", request.header_values.id},
-                          {"outcome", "503"},
-                          {"reason", reason}});
+    telemetry::log_event(
+        telemetry::event::request_refused,
+        {{"id", present_id_}, {"outcome", "503"}, {"reason", reason}});
     server_.count_refusal(reason);
     read_deadline_->close_after(refusal_timeout);
-    local_response answer{503, request.header_values.id, default_retry_after,
-                          reason};
+    local_response answer{503, present_id_, default_retry_after, reason};
     (void)co_await reply_.send_local(answer);
     read_deadline_->clear();
 }
@@ -419,11 +410,9 @@
 /// Refuses a request without reading its body.
 awaitable<void> caller_session::refuse_unread(const caller_request& head)
 {
-    end_exchange();
-    discards_input_ = true;
-    reply_.close_when_done();
+    stop_reading();
     if (reason_ != nullptr)
-        co_await refuse(head, reason_);
+        co_await refuse(reason_);
     else
         co_await server_.driver_.refuse(head, reply_, *decided_.refused);
 }
@@ -446,9 +435,7 @@
 
 awaitable<bool> caller_session::read_request(caller_request& out)
 {
-    const auto config = tables_.config;
-    const catalog::caller_limits limits =
-        config ? config->parts().limits : catalog::caller_limits();
+    const catalog::caller_limits limits = present_limits();
     begin_exchange();
     intake_.emplace(buf_, limits);
     set_read_deadline(limits.header_timeout);
@@ -462,7 +449,6 @@
     }
     decide_on_head(out);
     if (is_refused() && has_long_body(intake_->parsed(), waits_for_continue)) {
-        read_deadline_->clear();
         co_await refuse_unread(out);
         co_return false;
     }
@@ -483,7 +469,8 @@
         out.fields.insert(it.name(), it.name_string(), it.value());
     request_bytes_ = intake_->held() - buf_.capacity() +
                      out.header_values.prompt.size() * bytes_per_prompt_part;
-    out.body = std::make_shared<const std::string>(intake_->take_body());
+    if (out.has_body)
+        out.body = std::make_shared<const std::string>(intake_->take_body());
     intake_.reset();
     co_return true;
 }
@@ -625,11 +612,11 @@
             reply_.close_when_done();
         if (const char* reason = reason_not_to_serve()) {
             end_exchange();
-            co_await refuse(request, reason);
+            co_await refuse(reason);
         } else {
             co_await serve(std::move(request));
+            end_exchange();
         }
-        end_exchange();
         if (!reply_.finished() || reply_.closes_connection())
             break;
     }
--- a/libs/edge/caller_session.hpp
+++ b/libs/edge/caller_session.hpp
@@ -67,10 +67,12 @@
     void decide_on_head(const caller_request& head);
     bool is_refused() const { return reason_ != nullptr || decided_.refused; }
     awaitable<void> refuse_unread(const caller_request& head);
-    awaitable<void> refuse(const caller_request& request, const char* reason);
+    awaitable<void> refuse(const char* reason);
     awaitable<void> refuse_for_memory(dispatch::displacement why);
     awaitable<void> discard_input();
     void set_read_deadline(duration length);
+    void stop_reading();
+    catalog::caller_limits present_limits() const;
     awaitable<void> reject(unsigned status, const char* reason);
     void log_incomplete_request(const char* part, const net_error& ec) const;
     awaitable<void> serve(caller_request request);
@@ -86,10 +88,9 @@
     void begin_exchange();
     void end_exchange();
     bool claim(std::size_t bytes);
-    void note_progress(std::size_t bytes);
 
     void set_unread(bool waits) override;
-    void note_read(std::size_t bytes) override;
+    void note_progress(std::size_t bytes) override;
     bool may_hold(std::size_t bytes) override;
 
     caller_server& server_;
@@ -107,6 +108,8 @@
     std::size_t request_bytes_ = 0;  ///< Of a request that is served.
     std::size_t response_bytes_ = 0; ///< Of its response.
     bool reads_ahead_ = true;        ///< There is memory for the next requests.
+    /// Why the last claim wasn't granted; of no meaning if it was.
+    dispatch::displacement refused_ = dispatch::displacement::full;
     std::optional<dispatch::displacement> gave_way_;
     bool place_is_needed_ = false;
     std::string present_id_;        ///< Of the request, once its head was read.
--- a/libs/edge/response_writer.cpp
+++ b/libs/edge/response_writer.cpp
@@ -82,7 +82,7 @@
         const std::size_t n = co_await socket_.async_write_some(
             buffers_of(head, body), into(write_error_));
         if (account_ != nullptr)
-            account_->note_read(n);
+            account_->note_progress(n);
         const std::size_t of_head = std::min(n, head.size());
         head.remove_prefix(of_head);
         body.remove_prefix(n - of_head);
