Share the loopback servers of the soak and the crowds

Both had the same server, its thread and the search for free ports. They move to a module of their own; the soak's servers let 512 connections wait to be accepted as the crowds' do, 128 before. A plan's last bytes, which no crowd sends, are gone; what crowds send and their bounds are as they were.

--- a/tools/crowds/crowd.py
+++ b/tools/crowds/crowd.py
@@ -34,11 +34,11 @@
 
 class Plan:
     """What each connection sends: `begin`, then `repeated` over and over until
-    `most` bytes are sent, then `end`. It never closes."""
+    `most` bytes are sent. It never closes."""
 
-    def __init__(self, begin=b"", repeated=b"", most=0, end=b"", reads=True):
+    def __init__(self, begin=b"", repeated=b"", most=0, reads=True):
         self.begin, self.repeated, self.most = begin, repeated, most
-        self.end, self.reads = end, reads
+        self.reads = reads
         self.piece = repeated * max(1, 16384 // max(1, len(repeated)))
 
     def next_bytes(self, sent):
@@ -48,8 +48,7 @@
         if self.repeated and sent < self.most:
             at = (sent - len(self.begin)) % len(self.repeated)
             return self.piece[at:][:self.most - sent]
-        at = sent - max(len(self.begin), self.most if self.repeated else 0)
-        return self.end[at:]
+        return b""
 
 
 class Member:
--- a/tools/crowds/fleet.py
+++ b/tools/crowds/fleet.py
@@ -16,11 +16,12 @@
 import socket
 import subprocess
 import tempfile
-import threading
 import time
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import BaseHTTPRequestHandler
 from urllib.parse import parse_qs, urlparse
 
+from loopback import free_ports, serve
+
 HOST = "h.example"
 BODY_LIMIT = 262144
 HEADER_LIMIT = 16384
@@ -61,20 +62,6 @@
                           "maxConnections": 2000}]}
 
 
-class Server(ThreadingHTTPServer):
-    daemon_threads = True
-    request_queue_size = 512
-
-    def handle_error(self, *_):
-        pass  # The peer closed its connection.
-
-
-def serve(handler):
-    server = Server(("127.0.0.1", 0), handler)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
-    return server, "127.0.0.1:%d" % server.server_address[1]
-
-
 class Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
@@ -140,16 +127,6 @@
     do_GET = do_POST = do_any
 
 
-def free_ports(count):
-    held = [socket.socket() for _ in range(count)]
-    for it in held:
-        it.bind(("127.0.0.1", 0))
-    ports = [it.getsockname()[1] for it in held]
-    for it in held:
-        it.close()
-    return ports
-
-
 class Rig:
     def __init__(self, binary, memory_mb, descriptors):
         self.binary = binary
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -38,19 +38,22 @@
 import os
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import threading
 import time
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import BaseHTTPRequestHandler
 from urllib.parse import parse_qs, urlparse
 
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
+                                "..", "crowds"))
+
 import crashing_parts
 import restored_store
 import restricted_targets
 from fair_shares import FairShares, Floods
+from loopback import free_ports, serve
 from senders import Senders
 from target_signals import TargetSignals
 from unruly_callers import UnrulyCallers
@@ -337,30 +340,6 @@
     return Handler
 
 
-class Server(ThreadingHTTPServer):
-    daemon_threads = True
-    request_queue_size = 128
-
-    def handle_error(self, *_):
-        pass  # A node that was killed took its connections with it.
-
-
-def serve(handler):
-    server = Server(("127.0.0.1", 0), handler)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
-    return server, "127.0.0.1:%d" % server.server_address[1]
-
-
-def free_ports(count):
-    held = [socket.socket() for _ in range(count)]
-    for it in held:
-        it.bind(("127.0.0.1", 0))
-    ports = [it.getsockname()[1] for it in held]
-    for it in held:
-        it.close()
-    return ports
-
-
 def route(name, kind, resume=False, service="s"):
     return {"name": name, "host": HOST, "pathPrefix": f"/{name}/",
             "kind": kind, "timeoutMs": 3000, "targetLatencyMs": 400,
--- a/tools/soak/unruly_callers.py
+++ b/tools/soak/unruly_callers.py
@@ -3,14 +3,10 @@
 within the memory of their settings; what else holds, the soak checks.
 """
 
-import os
 import re
-import sys
 
-sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "crowds"))
-
-import crowds  # noqa: E402
-from crowd import Crowd, Plan  # noqa: E402
+import crowds
+from crowd import Crowd, Plan
 
 # That of settings that state none.
 MEMORY_BYTES = 128_000_000
