--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -80,7 +80,8 @@
 class Worker:
     """`run(worker, request, send)` answers a request; by default `plain`."""
 
-    def __init__(self, store, service, ip, zone="z1", slots=64, run=None, engine=False):
+    def __init__(self, store, service, ip, zone="z1", slots=64, run=None, engine=False,
+                 born=None, name=None):
         self.store = store
         self.service = service
         self.zone = zone
@@ -94,18 +95,22 @@
         self.connections = set()
         self.lock = threading.Lock()
         self.runs = []  # (time, request id, tenant, path)
-        self.start()
-
-    def start(self):
-        """A new incarnation, at the same address."""
-        self.id = "i-" + uuid.uuid4().hex[:8]
+        self.state = "ready"
+        self.dark = False
+        self.start(same_id=name, born=born)
+
+    def start(self, same_id=None, born=None):
+        """A new incarnation, at the same address. `born`: Unix milliseconds of
+        the start, if the worker says so."""
+        self.id = same_id or "i-" + uuid.uuid4().hex[:8]
+        self.born = born
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind((self.ip, self.port))
         self.port = self.listener.getsockname()[1]
         self.listener.listen(256)
         self.alive = True
-        life = self.id
+        life = (self.id, self.born)
         threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
         threading.Thread(target=self.beat, args=(life,), daemon=True).start()
 
@@ -120,23 +125,49 @@
         for it in open_now:
             reset(it)
 
-    def entry(self, state="ready"):
+    def go_dark(self):
+        """From now on nothing is answered, and new connections hang."""
+        self.dark = True
+        self.listener.listen(0)
+        self.fillers = []
+        for _ in range(4):
+            it = socket.socket()
+            it.setblocking(False)
+            it.connect_ex((self.ip, self.port))
+            self.fillers.append(it)
+
+    def come_back(self):
+        for it in self.fillers:
+            it.close()
+        self.listener.listen(256)
+        self.dark = False
+
+    def leave(self):
+        """Reports that it leaves, and goes on serving."""
+        self.state = "draining"
+        self.store.put("servers", self.id, self.entry())
+
+    def entry(self):
         out = {
             "service": self.service, "address": "%s:%d" % (self.ip, self.port),
             "zone": self.zone, "version": "v1", "slots": self.slots,
-            "state": state, "coldRemainingMs": 0, "sequence": next(self.sequence),
+            "state": self.state, "coldRemainingMs": 0, "sequence": next(self.sequence),
         }
+        if self.born is not None:
+            out["born"] = self.born
         if self.engine:
             out["stage"] = "prefill_decode"
             out["models"] = [{"name": "m", "version": 1, "adapters": []}]
         return out
 
     def beat(self, life):
-        while self.alive and self.id == life:
-            self.store.put("servers", life, self.entry())
+        while self.alive and (self.id, self.born) == life:
+            if not self.dark:
+                self.store.put("servers", life[0], self.entry())
             time.sleep(HEARTBEAT_S)
         time.sleep(3 * HEARTBEAT_S)
-        self.store.remove("servers", life)
+        if self.id != life[0]:
+            self.store.remove("servers", life[0])
 
     def accept(self, listener):
         while True:
@@ -144,6 +175,8 @@
                 it, _ = listener.accept()
             except OSError:
                 return
+            while self.dark:
+                time.sleep(0.01)
             it.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self.lock:
                 self.connections.add(it)
