--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,8 +1,8 @@
 """A worker is dark until its entry has lapsed, and is back soon after.
 
-At the moment of the lapse a node has chosen this worker for a request that is
-suspected of a worker's death, and waits for leave from a node that is frozen.
-Other requests are under way at the same node, on kept connections.
+At that moment a node has chosen it, the last worker of its version, for a
+stream that is resumed after its first worker died, and waits for leave from a
+node that is frozen. Other requests are under way there, on kept connections.
 """
 
 import json
@@ -38,6 +38,8 @@
     fleet = fleets.Fleet(NODES)
     config = sample.configuration()
     config["services"].append(dict(config["services"][1], name="other"))
+    config["routes"].append(sample.route("resumable", "/resumable/", "llm", "streaming", 12000,
+                                         sticky=True, resume=True, attempts=1))
     config["routes"].append(sample.route("other", "/other/", "other", "non_idempotent", 6000))
     fleet.store.put("config", "main", config)
     start = time.monotonic()
@@ -48,17 +50,28 @@
         with lock:
             lines.append("%7.3f %s" % (time.monotonic() - start, text))
 
-    dying = set()
+    dying = threading.Event()
+    whole = workers.stream(12)
 
-    def desk(worker, request, it):
-        if worker.id in dying:
-            note("worker %s ends while it runs %s" % (worker.id, request.path))
-            worker.crash()
-            return False
-        return workers.plain(worker, request, it)
-
-    desks = [workers.Worker(fleet.store, "desk", "%s.%d" % (fleet.net, 110 + i), slots=6,
-                            run=desk) for i in range(3)]
+    def engine(worker, request, it):
+        if not dying.is_set():
+            return whole(worker, request, it)
+        dying.clear()
+        head = workers.response(200, worker.signed(request) + [
+            ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")],
+            b"", length=False)
+        event = b"id: 1\ndata: ttttttt\n\n"
+        it.sendall(head + b"%x\r\n%s\r\n" % (len(event), event))
+        time.sleep(0.1)
+        note("worker %s ends for good while it runs %s" % (worker.id, request.path))
+        worker.crash()
+        return False
+
+    def add_engine(number, version):
+        return workers.Worker(fleet.store, "llm", "%s.%d" % (fleet.net, 100 + number),
+                              engine=True, run=engine, version=version)
+
+    engines = [add_engine(i, "v1") for i in range(6)]
     others = [workers.Worker(fleet.store, "other", "%s.%d" % (fleet.net, 120 + i), slots=6,
                              run=slow) for i in range(3)]
     fleet.start_all()
@@ -67,48 +80,61 @@
         os._exit(2)
     time.sleep(4)
 
-    def ask(node, path):
+    def ask(node, path, resume_after=""):
         request_id = client.new_id()
         it = client.Client(fleet.front(node))
-        got = it.ask("POST", path, sample.fields(request_id), b"the same body")
+        extra = sample.prompt(300, 84, [(7, 200), (8 + ord(path[-1]), 100)])
+        if resume_after:
+            extra.append(("Last-Event-Id", resume_after))
+        got = it.ask("POST", path, sample.fields(request_id, 6000, extra=extra), b"the same")
         it.close()
-        note("node %d %s %s: %s" % (node, request_id, path, got.status if got else "none"))
+        shown = "none" if got is None else "%d%s" % (got.status, "" if got.whole else ", cut")
+        note("node %d %s %s%s: %s" % (node, request_id, path,
+                                      " after event " + resume_after if resume_after else "",
+                                      shown))
         return got
 
     def die_of(path, node):
-        """Some worker ends for good while it runs the request."""
-        for it in desks:
-            dying.add(it.id)
+        """The worker that begins the stream ends for good after an event."""
+        dying.set()
         ask(node, path)
-        dying.clear()
         time.sleep(1.0)
 
     # The node that gives leave is found in the log of one that asks.
-    die_of("/ticket/a", 0)
     for i in range(NODES):
-        ask(i, "/ticket/a")
-    givers = set()
-    for i in range(NODES):
-        for line in fleet.log(i).splitlines():
-            if '"request_suspected"' in line:
-                givers.add(json.loads(line).get("giver"))
-    givers = [it for it in givers if it]
+        die_of("/resumable/a%d" % i, i)
+        ask(i, "/resumable/a%d" % i, "1")
+        givers = set()
+        for k in range(NODES):
+            for line in fleet.log(k).splitlines():
+                if '"request_suspected"' in line:
+                    givers.add(json.loads(line).get("giver", ""))
+        givers.discard("")
+        if givers:
+            break
     if not givers:
         note("no node asked for leave")
         fleet.stop_all()
         print("\n".join(lines))
         os._exit(2)
-    giver = int(givers[0].rsplit("-", 1)[1])
+    giver = int(givers.pop().rsplit("-", 1)[1])
     node = (giver + 1) % NODES
     note("node %d gives leave; requests go to node %d" % (giver, node))
-    die_of("/ticket/b", node)
-    left = [it for it in desks if it.alive]
-    note("workers left: %s" % [it.id for it in left])
-    # The entries of the ended workers lapse, and idle connections end.
-    time.sleep(2 * LAPSE_S)
-    for it in desks:
-        if not it.alive:
-            pass
+    # A release: new workers start first, the old ones leave one after the other.
+    path = "/resumable/b"
+    die_of(path, node)
+    left = [it for it in engines if it.alive]
+    for i, it in enumerate(left[1:]):
+        add_engine(10 + i, "v2")
+        time.sleep(1.0)
+        it.leave()
+        note("worker %s of v1 is draining, one of v2 takes its place" % it.id)
+    for i in range(2):
+        add_engine(20 + i, "v2")
+    note("two more workers of v2 are added")
+    last = left[0]
+    note("the last worker of v1: %s" % last.id)
+    time.sleep(2.0)
     clients = [client.Client(fleet.front(node)) for _ in range(CLIENTS)]
     answers = {}
 
@@ -122,7 +148,6 @@
     for turn in range(2):
         threads = [threading.Thread(target=long_request, args=(it,)) for it in clients]
         if turn == 1:
-            last = left[0]
             last.go_dark()
             note("worker %s is dark" % last.id)
             time.sleep(LAPSE_S)
@@ -133,7 +158,7 @@
             if TROUBLE:
                 fleet.signal(giver, signal.SIGSTOP)
                 note("node %d is frozen" % giver)
-            asking = threading.Thread(target=ask, args=(node, "/ticket/b"))
+            asking = threading.Thread(target=ask, args=(node, path, "1"))
             asking.start()
             time.sleep(0.07)
             fleet.store.remove("servers", last.id)
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -81,7 +81,8 @@
     """`run(worker, request, send)` answers a request; by default `plain`."""
 
     def __init__(self, store, service, ip, zone="z1", slots=64, run=None, engine=False,
-                 born=None, name=None):
+                 born=None, name=None,
+                 version="v1"):
         self.store = store
         self.service = service
         self.zone = zone
@@ -96,6 +97,7 @@
         self.lock = threading.Lock()
         self.runs = []  # (time, request id, tenant, path)
         self.state = "ready"
+        self.version = version
         self.dark = False
         self.start(same_id=name, born=born)
 
@@ -150,7 +152,7 @@
     def entry(self):
         out = {
             "service": self.service, "address": "%s:%d" % (self.ip, self.port),
-            "zone": self.zone, "version": "v1", "slots": self.slots,
+            "zone": self.zone, "version": self.version, "slots": self.slots,
             "state": self.state, "coldRemainingMs": 0, "sequence": next(self.sequence),
         }
         if self.born is not None:
