Refuse answers with a status that is none

What callers saw: a target answered with status 000, 099 or 101, and callers got a body that wasn't the target's. A status of 600 to 999 reached them as the target's.

Cause: every status below 200 counted as interim. The head was dropped and its body was parsed as the next head; a body that contains a response was passed on as the answer. The relay that reads signals did the same. Above 599 nothing was checked.

Names with blanks or control bytes (15 forms, each twice), trailers with such names and malformed chunks were refused before as well; their tests stay.

Why the fix works: response_intake is the one place that parses heads, for attempts and for what a relay reads. It takes 100 to 599 but for 101 as a status, and no byte after another one is parsed. The attempt ends as garbled, with evidence against the target, so that a request that may run again goes to another one and others get 502. Sound answers of unusual forms, whole and in pieces of one byte, are passed on as before.

Event 1522, a counter and explain name target, place and fault. All heads of an answer together are bounded by 16 KB, as a single one was by 8.

--- a/include/fennelladder/telemetry/event_catalog.hpp
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -141,6 +141,7 @@
 constexpr int stream_resumed = 1519;
 constexpr int request_suspected = 1520;
 constexpr int exchange_displaced = 1521;
+constexpr int answer_malformed = 1522;
 constexpr int target_died = 1610;
 constexpr int target_limited = 1611;
 constexpr int target_leaving = 1612;
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -5,10 +5,11 @@
 #include "fennelladder/edge/attempt.hpp"
 
 #include "fennelladder/edge/relay.hpp"
+#include "fennelladder/edge/response_intake.hpp"
+#include "fennelladder/telemetry/log.hpp"
 
 #include <array>
 #include <boost/asio/write.hpp>
-#include <limits>
 
 namespace fennelladder::edge {
 
@@ -23,9 +24,6 @@
 /// Responses to other requests that are discarded before the right one.
 constexpr int max_skipped_responses = 4;
 
-/// Interim responses before one final response. More are no answer.
-constexpr int max_interim_responses = 16;
-
 /// Bytes of a chunk's size with its extensions, or of all trailers.
 constexpr std::size_t max_unparsed_bytes = 16'384;
 
@@ -51,10 +49,11 @@
     bool done = false;
 };
 
-using response_parser = http::response_parser<http::buffer_body>;
+using target_response = response_intake<http::buffer_body>;
 
-body_framing framing_of(const response_parser& parser)
+body_framing framing_of(const target_response& response)
 {
+    const target_response::parser& parser = response.parsed();
     if (parser.chunked())
         return body_framing::chunks;
     if (parser.need_eof())
@@ -77,7 +76,7 @@
     awaitable<bool> connect();
     awaitable<bool> connect_through_peer();
     bool take_idle(const target_endpoint& to);
-    void record_signals(const response_parser& parser,
+    void record_signals(const target_response& response,
                         const adapter::response_header_values& header_values);
     bool may_still_send();
     bool caller_has_left() const;
@@ -85,26 +84,28 @@
     bool is_head_request() const;
     void send();
     awaitable<void> read_responses();
-    awaitable<bool> read_head(std::optional<response_parser>& parser);
-    net_error parse_body(response_parser& parser, std::string& out);
-    awaitable<bool> read_body_part(response_parser& parser, std::string& out);
-    awaitable<bool> discard(response_parser& parser);
+    awaitable<void> read_some();
+    awaitable<bool> read_head(std::optional<target_response>& response);
+    net_error parse_body(target_response& response, std::string& out);
+    awaitable<bool> read_body_part(target_response& response, std::string& out);
+    awaitable<bool> discard(target_response& response);
     awaitable<void>
-    handle_response(response_parser& parser,
+    handle_response(target_response& response,
                     const adapter::response_header_values& header_values);
-    awaitable<void> relay_stream(response_parser& parser);
-    awaitable<void> relay_buffered(response_parser& parser);
-    awaitable<void> relay_unbuffered(response_parser& parser,
+    awaitable<void> relay_stream(target_response& response);
+    awaitable<void> relay_buffered(target_response& response);
+    awaitable<void> relay_unbuffered(target_response& response,
                                      std::string begun);
-    awaitable<void> buffer_failure(response_parser& parser);
-    awaitable<bool> finish_response(const response_parser& parser);
-    awaitable<bool> relay_events(const response_parser& parser);
-    response_head to_response_head(const response_parser& parser) const;
+    awaitable<void> buffer_failure(target_response& response);
+    awaitable<bool> finish_response(const target_response& response);
+    awaitable<bool> relay_events(const target_response& response);
+    response_head to_response_head(const target_response& response) const;
     void end(attempt_end how, target_evidence evidence, std::string detail);
     void end_with_error(const char* where);
     void end_incomplete(const char* detail);
+    void end_malformed(const char* where);
     void restart_idle_timer(std::optional<duration> limit);
-    void release_connection(const response_parser& parser);
+    void release_connection(const target_response& response);
     void record_first_byte();
 
     attempt_input& in_;
@@ -152,6 +153,8 @@
     case stop_reason::none:
         break;
     }
+    if (is_malformed(ec_))
+        return end_malformed(where);
     // A reused connection that ended before any response most likely ended
     // before the request arrived, which says nothing about the target.
     out_.stale_connection = out_.reused_connection && !out_.first_byte;
@@ -161,6 +164,26 @@
         std::string(where) + ": " + ec_.message());
 }
 
+/// Ends the attempt after bytes that aren't proper HTTP. The target that sent
+/// them runs, so its connection's end doesn't show whether it has died.
+void attempt::end_malformed(const char* where)
+{
+    const std::string fault = ec_.message();
+    telemetry::log_event(telemetry::event::answer_malformed,
+                         {{"id", in_.request.header_values.id},
+                          {"target", in_.target.target.str()},
+                          {"address", in_.target.address},
+                          {"relay", out_.relay.str()},
+                          {"where", where},
+                          {"fault", fault},
+                          {"begun", in_.reply.begun() ? "yes" : "no"}});
+    in_.tables.metrics
+        .counter_of("fennelladder_malformed_answers_total", {{"fault", fault}})
+        .add();
+    end(attempt_end::garbled, target_evidence::broke,
+        std::string(where) + ": " + fault);
+}
+
 /// Ends the attempt after a response whose end is there, but not all that
 /// belongs before it.
 void attempt::end_incomplete(const char* detail)
@@ -326,48 +349,50 @@
                       });
 }
 
-awaitable<bool> attempt::read_head(std::optional<response_parser>& parser)
-{
-    for (int interim = 0; interim <= max_interim_responses; ++interim) {
-        parser.emplace();
-        parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-        // A response to HEAD has no body, whatever length its head states;
-        // waiting for one would last until the deadline.
-        parser->skip(is_head_request());
-        const std::size_t buffered = connection_->buf.size();
-        const std::size_t parsed = co_await http::async_read_header(
-            connection_->socket, connection_->buf, *parser, into(ec_));
-        in_.tables.link.add_received(parsed + connection_->buf.size() -
-                                     buffered);
-        connection_->awaiting_response = false;
-        if (ec_ || !may_use_response()) {
-            out_.produced_nothing =
-                ec_ == http::error::end_of_stream && outgoing_->done &&
-                in_.cancellation.stopped() == stop_reason::caller_left;
-            end_with_error("answer's head");
-            co_return false;
-        }
-        // Interim (1xx) responses precede the final one.
-        if (parser->get().result_int() >= 200)
-            co_return true;
+/// Reads once, in any part of a response.
+awaitable<void> attempt::read_some()
+{
+    const std::size_t n = co_await connection_->socket.async_read_some(
+        connection_->buf.prepare(read_bytes), into(ec_));
+    connection_->buf.commit(n);
+    in_.tables.link.add_received(n);
+}
+
+awaitable<bool> attempt::read_head(std::optional<target_response>& response)
+{
+    response.emplace(is_head_request());
+    ec_ = {};
+    response->parse_head(connection_->buf, ec_);
+    while (!ec_ && !response->has_head()) {
+        co_await read_some();
+        if (ec_ == asio::error::eof)
+            ec_ = response->end_of_input();
+        else if (!ec_)
+            response->parse_head(connection_->buf, ec_);
     }
-    end(attempt_end::garbled, target_evidence::broke, "interim responses");
+    connection_->awaiting_response = false;
+    if (!ec_ && may_use_response())
+        co_return true;
+    out_.produced_nothing =
+        ec_ == http::error::end_of_stream && outgoing_->done &&
+        in_.cancellation.stopped() == stop_reason::caller_left;
+    end_with_error("answer's head");
     co_return false;
 }
 
 /// Parses what was read of the body and appends it to `out`. Parsing stops at
 /// what can't be part of a body; what was before is handled first.
-net_error attempt::parse_body(response_parser& parser, std::string& out)
+net_error attempt::parse_body(target_response& response, std::string& out)
 {
     beast::flat_buffer& buf = connection_->buf;
     const std::size_t before = out.size();
     out.resize(before + buf.size());
-    auto& body = parser.get().body();
+    auto& body = response.get().body();
     body.data = out.data() + before;
     body.size = buf.size();
     net_error ec;
-    while (!ec && !parser.is_done() && buf.size() > 0)
-        buf.consume(parser.put(buf.data(), ec));
+    while (!ec && !response.is_whole() && buf.size() > 0)
+        response.put(buf, ec);
     out.resize(out.size() - body.size);
     if (ec == http::error::need_more)
         return {};
@@ -379,23 +404,20 @@
 
 /// Appends the next part of the body to `out`. On failure, ends the attempt and
 /// returns false.
-awaitable<bool> attempt::read_body_part(response_parser& parser,
+awaitable<bool> attempt::read_body_part(target_response& response,
                                         std::string& out)
 {
     beast::flat_buffer& buf = connection_->buf;
     const std::size_t before = out.size();
     ec_ = parse_error_;
     if (!ec_)
-        ec_ = parse_body(parser, out);
-    while (!ec_ && !parser.is_done() && out.size() == before) {
-        const std::size_t n = co_await connection_->socket.async_read_some(
-            buf.prepare(read_bytes), into(ec_));
-        buf.commit(n);
-        in_.tables.link.add_received(n);
+        ec_ = parse_body(response, out);
+    while (!ec_ && !response.is_whole() && out.size() == before) {
+        co_await read_some();
         if (!ec_)
-            ec_ = parse_body(parser, out);
+            ec_ = parse_body(response, out);
         else if (ec_ == asio::error::eof)
-            parser.put_eof(ec_);
+            ec_ = response.end_of_input();
         if (!ec_ && buf.size() > max_unparsed_bytes)
             ec_ = http::error::buffer_overflow;
     }
@@ -405,52 +427,53 @@
     co_return false;
 }
 
-awaitable<bool> attempt::discard(response_parser& parser)
+awaitable<bool> attempt::discard(target_response& response)
 {
-    if (parser.need_eof()) {
+    if (response.parsed().need_eof()) {
         end(attempt_end::garbled, target_evidence::broke,
             "response to another request, without a length");
         co_return false;
     }
     std::string discarded;
     std::size_t total = 0;
-    while (!parser.is_done() && total <= max_discarded_bytes) {
-        const bool more = co_await read_body_part(parser, discarded);
+    while (!response.is_whole() && total <= max_discarded_bytes) {
+        const bool more = co_await read_body_part(response, discarded);
         if (!more)
             co_return false;
         total += discarded.size();
         discarded.clear();
     }
-    if (!parser.is_done())
+    if (!response.is_whole())
         end(attempt_end::garbled, target_evidence::broke,
             "a body that is too long to be discarded");
-    co_return parser.is_done();
+    co_return response.is_whole();
 }
 
-response_head attempt::to_response_head(const response_parser& parser) const
+response_head attempt::to_response_head(const target_response& response) const
 {
     response_head out;
-    out.status = parser.get().result_int();
-    const auto reason = parser.get().reason();
+    out.status = response.get().result_int();
+    const auto reason = response.get().reason();
     out.reason = std::string(reason.data(), reason.size());
-    out.headers = adapter::encode_response_headers(parser.get().base());
-    const auto length = parser.get()[http::field::content_length];
+    out.headers = adapter::encode_response_headers(response.get().base());
+    const auto length = response.get()[http::field::content_length];
     out.content_length = std::string(length.data(), length.size());
     return out;
 }
 
-void attempt::release_connection(const response_parser& parser)
+void attempt::release_connection(const target_response& response)
 {
     const auto header_values =
-        adapter::parse_response_headers(parser.get().base());
+        adapter::parse_response_headers(response.get().base());
     // A target may reject a request before it has read a long body, and then
     // close the connection because of the unread bytes.
     const bool unread = header_values.not_run &&
                         outgoing_->body_text().size() > max_body_read_with_head;
     // When the caller leaves, the sending side of this connection is shut
     // down, so no other request can be sent on it.
-    const bool clean = !caller_has_left() && !unread && parser.is_done() &&
-                       !parser.need_eof() && parser.keep_alive() &&
+    const bool clean = !caller_has_left() && !unread && response.is_whole() &&
+                       !response.parsed().need_eof() &&
+                       response.parsed().keep_alive() &&
                        !header_values.closes_connection && outgoing_->done &&
                        connection_->buf.size() == 0;
     in_.cancellation.detach();
@@ -475,12 +498,12 @@
 /// Returns false if the caller has disconnected. The idle timeout is suspended,
 /// since a caller that reads slowly does not make the target idle; the
 /// request's deadline limits that time.
-awaitable<bool> attempt::relay_events(const response_parser& parser)
+awaitable<bool> attempt::relay_events(const target_response& response)
 {
     restart_idle_timer(std::nullopt);
     bool sent = true;
     if (!in_.reply.begun()) {
-        const response_head head = to_response_head(parser);
+        const response_head head = to_response_head(response);
         sent = co_await in_.reply.begin(head);
     }
     const std::string whole = in_.events.take();
@@ -495,10 +518,10 @@
 /// false, and ends the attempt, if that may not be the response's end: one that
 /// states none is over when the target closes its connection, and the end of a
 /// relayed one may be the relaying peer's.
-awaitable<bool> attempt::finish_response(const response_parser& parser)
+awaitable<bool> attempt::finish_response(const target_response& response)
 {
     if (!through_peer_ || out_.framing != body_framing::connection_end) {
-        release_connection(parser);
+        release_connection(response);
         co_return true;
     }
     restart_idle_timer(std::nullopt);
@@ -506,7 +529,7 @@
         in_.tables, out_.relay, in_.target.process(),
         in_.request.header_values.id, in_.tables.connect_timeout());
     if (got == mesh::relay_end::orderly && may_use_response()) {
-        release_connection(parser);
+        release_connection(response);
         co_return true;
     }
     end_incomplete(got ? "the relay says that the target broke off"
@@ -516,13 +539,13 @@
     co_return false;
 }
 
-awaitable<void> attempt::relay_stream(response_parser& parser)
+awaitable<void> attempt::relay_stream(target_response& response)
 {
     in_.events.discard_incomplete();
     std::string part;
-    while (!parser.is_done()) {
+    while (!response.is_whole()) {
         part.clear();
-        const bool more = co_await read_body_part(parser, part);
+        const bool more = co_await read_body_part(response, part);
         if (!more)
             co_return;
         in_.tables.registry.note_activity(in_.target, in_.tables.now());
@@ -539,7 +562,7 @@
         // completes in time is still relayed.
         if (caller_has_left())
             continue;
-        const bool passed_on = co_await relay_events(parser);
+        const bool passed_on = co_await relay_events(response);
         if (!passed_on)
             co_return;
         restart_idle_timer(in_.progress_timeout);
@@ -554,10 +577,10 @@
         end_incomplete("the stream ended without an event");
         co_return;
     }
-    const bool ended = co_await finish_response(parser);
+    const bool ended = co_await finish_response(response);
     if (!ended)
         co_return;
-    const bool passed_on = co_await relay_events(parser);
+    const bool passed_on = co_await relay_events(response);
     if (!passed_on)
         co_return;
     // Comments after the last event are part of the target's response.
@@ -573,24 +596,24 @@
 /// Relays a response that is too large to buffer. It cannot be resumed, so it
 /// has no idle timeout, and no other attempt may continue it: two responses
 /// joined in one would look complete.
-awaitable<void> attempt::relay_unbuffered(response_parser& parser,
+awaitable<void> attempt::relay_unbuffered(target_response& response,
                                           std::string part)
 {
     restart_idle_timer(std::nullopt);
     out_.partial_body_sent = true;
-    const response_head head = to_response_head(parser);
+    const response_head head = to_response_head(response);
     bool relayed = co_await in_.reply.begin(head);
     while (relayed) {
         relayed = co_await in_.reply.send_chunk(part);
-        if (!relayed || parser.is_done())
+        if (!relayed || response.is_whole())
             break;
         part.clear();
-        const bool more = co_await read_body_part(parser, part);
+        const bool more = co_await read_body_part(response, part);
         if (!more)
             co_return;
     }
     if (relayed) {
-        const bool ended = co_await finish_response(parser);
+        const bool ended = co_await finish_response(response);
         if (!ended)
             co_return;
         relayed = co_await in_.reply.finish();
@@ -601,25 +624,25 @@
         end(attempt_end::caller_left, target_evidence::nothing, "caller");
 }
 
-awaitable<void> attempt::relay_buffered(response_parser& parser)
+awaitable<void> attempt::relay_buffered(target_response& response)
 {
     std::string body;
-    while (!parser.is_done()) {
-        const bool more = co_await read_body_part(parser, body);
+    while (!response.is_whole()) {
+        const bool more = co_await read_body_part(response, body);
         if (!more)
             co_return;
         restart_idle_timer(in_.progress_timeout);
         if (body.size() > max_buffered_bytes ||
             !in_.reply.may_hold(body.capacity())) {
-            co_await relay_unbuffered(parser, std::move(body));
+            co_await relay_unbuffered(response, std::move(body));
             co_return;
         }
     }
     restart_idle_timer(std::nullopt);
-    const bool ended = co_await finish_response(parser);
+    const bool ended = co_await finish_response(response);
     if (!ended)
         co_return;
-    const response_head head = to_response_head(parser);
+    const response_head head = to_response_head(response);
     const bool sent = co_await in_.reply.send_complete(head, body);
     if (sent)
         end(attempt_end::answered, target_evidence::answered, "");
@@ -627,22 +650,22 @@
         end(attempt_end::caller_left, target_evidence::nothing, "caller");
 }
 
-awaitable<void> attempt::buffer_failure(response_parser& parser)
+awaitable<void> attempt::buffer_failure(target_response& response)
 {
-    out_.head = to_response_head(parser);
-    while (!parser.is_done() && out_.body.size() <= max_buffered_bytes) {
-        const bool more = co_await read_body_part(parser, out_.body);
+    out_.head = to_response_head(response);
+    while (!response.is_whole() && out_.body.size() <= max_buffered_bytes) {
+        const bool more = co_await read_body_part(response, out_.body);
         if (!more)
             co_return;
         if (!in_.reply.may_hold(out_.body.capacity()))
             break;
     }
-    if (!parser.is_done()) {
+    if (!response.is_whole()) {
         end(attempt_end::garbled, target_evidence::broke,
             "the body of a failure is too long");
         co_return;
     }
-    const bool ended = co_await finish_response(parser);
+    const bool ended = co_await finish_response(response);
     if (!ended)
         co_return;
     end(attempt_end::failed_there, target_evidence::failed,
@@ -654,11 +677,11 @@
 /// requests; only a response that the target signed for this request is known
 /// to carry its latest signal.
 void attempt::record_signals(
-    const response_parser& parser,
+    const target_response& response,
     const adapter::response_header_values& header_values)
 {
-    auto signals = adapter::parse_target_signals(parser.get().result_int(),
-                                                 parser.get().base());
+    auto signals = adapter::parse_target_signals(response.get().result_int(),
+                                                 response.get().base());
     if (!signals)
         return;
     signals->is_latest = header_values.signed_by_target &&
@@ -669,14 +692,14 @@
 }
 
 awaitable<void>
-attempt::handle_response(response_parser& parser,
+attempt::handle_response(target_response& response,
                          const adapter::response_header_values& header_values)
 {
-    const unsigned status = parser.get().result_int();
+    const unsigned status = response.get().result_int();
     if (header_values.not_run ||
         status == adapter::status_misdirected_request) {
-        (void)co_await discard(parser);
-        release_connection(parser);
+        (void)co_await discard(response);
+        release_connection(response);
         const bool moved = status == adapter::status_misdirected_request;
         end(moved ? attempt_end::other_life : attempt_end::rejected,
             moved ? target_evidence::other_life : target_evidence::full,
@@ -690,13 +713,13 @@
         co_return;
     }
     if (status < 200 || status >= 300) {
-        co_await buffer_failure(parser);
+        co_await buffer_failure(response);
         co_return;
     }
-    const auto type = parser.get()[http::field::content_type];
+    const auto type = response.get()[http::field::content_type];
     if (in_.route.streams && !is_head_request() &&
         type.starts_with("text/event-stream")) {
-        co_await relay_stream(parser);
+        co_await relay_stream(response);
         co_return;
     }
     if (in_.reply.begun()) {
@@ -705,26 +728,26 @@
         co_return;
     }
     record_first_byte();
-    co_await relay_buffered(parser);
+    co_await relay_buffered(response);
 }
 
 awaitable<void> attempt::read_responses()
 {
-    std::optional<response_parser> parser;
+    std::optional<target_response> response;
     for (int skipped = 0; skipped <= max_skipped_responses; ++skipped) {
-        const bool read = co_await read_head(parser);
+        const bool read = co_await read_head(response);
         if (!read)
             co_return;
         const auto header_values =
-            adapter::parse_response_headers(parser->get().base());
-        record_signals(*parser, header_values);
+            adapter::parse_response_headers(response->get().base());
+        record_signals(*response, header_values);
         if (header_values.request.empty() ||
             header_values.request == in_.request.header_values.id) {
-            out_.framing = framing_of(*parser);
-            co_await handle_response(*parser, header_values);
+            out_.framing = framing_of(*response);
+            co_await handle_response(*response, header_values);
             co_return;
         }
-        const bool discarded_response = co_await discard(*parser);
+        const bool discarded_response = co_await discard(*response);
         if (!discarded_response)
             co_return;
     }
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -1,6 +1,7 @@
 #include "fennelladder/edge/relay.hpp"
 
 #include "fennelladder/edge/host_shares.hpp"
+#include "fennelladder/edge/response_intake.hpp"
 #include "fennelladder/mesh/source_choice.hpp"
 #include "fennelladder/telemetry/log.hpp"
 #include "platform/request_headers.hpp"
@@ -25,9 +26,6 @@
 
 constexpr std::size_t copy_bytes = 16'384;
 
-/// Bytes searched for the head of the target's answer.
-constexpr std::size_t max_head_bytes = 16'384;
-
 /// Ends of relays that are kept. The node that has the caller asks at once.
 constexpr std::size_t max_ended_relays = 256;
 
@@ -191,8 +189,10 @@
     std::shared_ptr<tcp::socket> peer;
     connection_ptr target;
     mesh::relay_request ask;
-    std::string head; ///< Of the answer, until it has been read.
-    bool head_read = false;
+    /// Reads the answer's head; empty once it was read.
+    std::unique_ptr<response_intake<http::empty_body>> answer =
+        std::make_unique<response_intake<http::empty_body>>(true);
+    beast::flat_buffer buf; ///< Of the head, until it was read.
     std::size_t request_bytes = 0;
     std::size_t answer_bytes = 0;
 
@@ -360,29 +360,25 @@
 void relay_server::read_signals(relayed_connection& it, const char* bytes,
                                 std::size_t size)
 {
-    if (it.head_read)
+    if (!it.answer)
         return;
-    it.head.append(bytes, size);
-    std::optional<http::response_parser<http::empty_body>> parser;
+    const auto room = it.buf.prepare(size);
+    std::copy_n(bytes, size, static_cast<char*>(room.data()));
+    it.buf.commit(size);
     net_error ec;
-    // Interim (1xx) responses precede the final one.
-    do {
-        parser.emplace();
-        parser->skip(true);
-        const std::size_t n = parser->put(asio::buffer(it.head), ec);
-        if (ec == http::error::need_more && it.head.size() < max_head_bytes)
-            return;
-        it.head.erase(0, n);
-    } while (!ec && parser->get().result_int() < 200);
-    it.head_read = true;
-    it.head.clear();
-    if (ec || !parser->is_header_done())
+    it.answer->parse_head(it.buf, ec);
+    if (!ec && !it.answer->has_head())
+        return;
+    const auto read = std::exchange(it.answer, nullptr);
+    it.buf = {};
+    // The node that has the caller refuses the answer.
+    if (ec)
         return;
-    const unsigned code = parser->get().result_int();
-    auto signals = adapter::parse_target_signals(code, parser->get().base());
+    const auto& head = read->get().base();
+    auto signals = adapter::parse_target_signals(head.result_int(), head);
     if (!signals)
         return;
-    const auto values = adapter::parse_response_headers(parser->get().base());
+    const auto values = adapter::parse_response_headers(head);
     signals->is_latest =
         values.signed_by_target && values.request == it.ask.request;
     const dispatch::signal_changes changes =
--- a/libs/report/request_timeline.cpp
+++ b/libs/report/request_timeline.cpp
@@ -106,6 +106,19 @@
            std::string(it.get("connections")) + " connections at the node).";
 }
 
+/// What a target sent instead of a proper answer.
+std::string describe_malformed(const log_line& it)
+{
+    const std::string relay(it.get("relay"));
+    return "Target " + std::string(it.get("target")) +
+           " sent what isn't proper HTTP, " +
+           (relay.empty() ? "" : "through " + relay + ", ") + "in the " +
+           std::string(it.get("where")) + " (" + std::string(it.get("fault")) +
+           "): " +
+           (it.get("begun") == "yes" ? "the rest of it was not passed on."
+                                     : "none of it was passed on.");
+}
+
 struct request_ending
 {
     const log_line& last;
@@ -414,6 +427,7 @@
     const log_line* resumption = nullptr;
     const log_line* suspicion = nullptr;
     const log_line* displacement = nullptr;
+    const log_line* malformed = nullptr;
     const log_line* last = nullptr;
     for (const log_line& it : lines) {
         out << it.time << ' ' << it.host << ' ' << it.name;
@@ -431,6 +445,8 @@
             suspicion = &it;
         if (it.event == event::exchange_displaced)
             displacement = &it;
+        if (it.event == event::answer_malformed)
+            malformed = &it;
         if (find_rule(it) != nullptr)
             last = &it;
     }
@@ -441,6 +457,8 @@
         out << describe_suspicion(*suspicion) << '\n';
     if (displacement != nullptr)
         out << describe_displacement(*displacement) << '\n';
+    if (malformed != nullptr)
+        out << describe_malformed(*malformed) << '\n';
     if (last == nullptr)
         out << "These logs don't contain the outcome.\n"
             << dropped_lines_note(context_);
--- a/libs/report/request_timeline_test.cpp
+++ b/libs/report/request_timeline_test.cpp
@@ -65,6 +65,22 @@
                                          "arrives too slowly (status 408)"));
 }
 
+// A request fails since its target sent what isn't HTTP: the operator must find
+// the target and the fault.
+TEST(request_timeline, a_malformed_answer_names_its_target_and_fault)
+{
+    request_timeline timeline("r1");
+    timeline.add(line("05.100", "a", 1522,
+                      R"(,"id":"r1","target":"i-7","address":"10.0.0.9:80",)"
+                      R"("relay":"b","where":"answer's head",)"
+                      R"("fault":"bad status","begun":"no")"));
+    timeline.add(line("05.101", "a", 1512,
+                      R"(,"id":"r1","outcome":"unknown","reason":"garbled")"));
+    CHECK(explanation_contains(
+        timeline, "Target i-7 sent what isn't proper HTTP, through b, in the "
+                  "answer's head (bad status): none of it was passed on."));
+}
+
 // A stream is refused, and the operator must find out which version began it
 // or why nobody knew.
 TEST(request_timeline, a_resumed_stream_names_the_version_that_began_it)
