Refuse answers whose fields are continued on the next line

What callers saw: a line that begins with a blank, in a head or in trailers, was joined to the value before it and passed on: a head that isn't sound was repaired.

Cause: Beast's parser unfolds such lines.

Evidence: on the untouched code all 8 folded heads reached callers, directly and through a peer, and so did the answer with a folded trailer.

Why the fix works: the lines that the parser consumed are searched for one that begins with a blank, and the answer is then malformed. The parser consumes a folded field, and all trailers, at once, so no fold is split between two searches. A fault stays: trailers end an answer, which would else count as whole.

--- a/include/fennelladder/edge/response_intake.hpp
+++ b/include/fennelladder/edge/response_intake.hpp
@@ -10,9 +10,13 @@
 //     }
 //     ... intake.put(buf, ec) until intake.is_whole() ...
 //
-// Beast's parser accepts any status of three digits. One outside 100 to 599 is
-// an error here, and so is 101, which is not asked for: bytes of a body could
-// pass for an answer.
+// Beast's parser accepts, or repairs, some heads that two parties may read
+// differently, so that bytes of a body could pass for an answer. These are
+// errors here:
+//
+//   - a status outside 100 to 599, and 101, which is not asked for;
+//   - a field whose value is continued on the next line, in a head or in
+//     trailers.
 //
 // Interim responses (1xx) are skipped. All heads together are bounded.
 //
@@ -47,6 +51,10 @@
 /// Checks a head that was parsed.
 net_error check_head(const http::response_header<>& head);
 
+/// Whether whole lines of a head or of trailers contain one that continues the
+/// line before.
+bool has_folded_line(std::string_view lines);
+
 template <class Body>
 class response_intake
 {
@@ -92,6 +100,11 @@
         const auto* bytes = static_cast<const char*>(buf.data().data());
         const std::size_t used = parser_->put(buf.data(), ec);
         const std::string_view parsed(bytes, used);
+        // Trailers are parsed at once, with the last chunk.
+        const bool in_trailers =
+            !in_head && parser_->chunked() && parser_->is_done();
+        if ((in_head || in_trailers) && has_folded_line(parsed))
+            ec = fault_ = http::error::bad_obs_fold;
         if (in_head)
             count_head(parsed);
         buf.consume(used);
--- a/libs/edge/response_intake.cpp
+++ b/libs/edge/response_intake.cpp
@@ -28,4 +28,10 @@
     return {};
 }
 
+bool has_folded_line(std::string_view lines)
+{
+    return lines.find("\n ") != std::string_view::npos ||
+           lines.find("\n\t") != std::string_view::npos;
+}
+
 } // namespace fennelladder::edge
