Refuse answers whose framing contradicts itself

What callers saw: bodies in a transfer coding that nobody had undone (gzip, identity, an empty one, several), framed as whole; a 204 that stated a body; after an interim response that stated a body, the bytes of that body as the answer.

Cause: Beast's parser leaves codings that it doesn't know in the body, takes "gzip, chunked" for chunks alone, and treats a 1xx or 204 as one without a body whatever its head says. Transfer-Encoding isn't passed on, so the caller couldn't know.

Lengths that differ or aren't numbers, and a length beside chunks, were refused before as well; their tests stay.

Why the fix works: check_head takes a single "chunked" of HTTP/1.1, or no coding at all, and no body where none may be.

--- a/include/fennelladder/edge/response_intake.hpp
+++ b/include/fennelladder/edge/response_intake.hpp
@@ -16,7 +16,9 @@
 //
 //   - a status outside 100 to 599, and 101, which is not asked for;
 //   - a field whose value is continued on the next line, in a head or in
-//     trailers.
+//     trailers;
+//   - any transfer coding but a single "chunked", and that of HTTP/1.0;
+//   - a body stated by an interim response or one without content (204).
 //
 // Interim responses (1xx) are skipped. All heads together are bounded.
 //
@@ -48,8 +50,9 @@
 /// failed or ended.
 bool is_malformed(const net_error& ec);
 
-/// Checks a head that was parsed.
-net_error check_head(const http::response_header<>& head);
+/// Checks a head that was parsed. `framing` is its parser.
+net_error check_head(const http::response_header<>& head,
+                     const http::basic_parser<false>& framing);
 
 /// Whether whole lines of a head or of trailers contain one that continues the
 /// line before.
@@ -147,7 +150,7 @@
 
     void end_head(net_error& ec)
     {
-        ec = fault_ = check_head(parser_->get().base());
+        ec = fault_ = check_head(parser_->get().base(), *parser_);
         if (ec)
             return;
         has_head_ = parser_->get().result_int() >= 200;
