Take a reset that a write was told of for the end that it is

What callers saw: a target answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was being written. The caller got that part as a complete answer.

Cause: the kernel tells of a reset once, to the call that comes first. Upload and answer share a connection; the event loop lets the pending write try first, so the write took the reset and its error was dropped. The read that followed returned an end of file, which ends a body without a length. A node that passes on an answer for another judged the target's end in the same way, and closed both connections when a write of the upload failed, so that the rest of a whole answer was lost.

Answers that end in order before the upload is read were served before as well, directly and through a peer; their tests stay.

Why the fix works: each connection keeps the error of its failed write, and end_of_input() decides by both. Once a FIN has been received, Linux reports a later reset to writes as a broken pipe and still gives reads the end of file, so a broken pipe doesn't count and an answer that ended in order stays whole. A relay reads on what its target no longer takes, and passes on the rest of the answer.

--- a/include/fennelladder/edge/io.hpp
+++ b/include/fennelladder/edge/io.hpp
@@ -60,6 +60,13 @@
 /// error message; empty if there was no error.
 std::string disconnect_reason(const net_error& ec);
 
+/// The error that a connection's input ended with. `read` is what the last read
+/// returned, `write` what the last write did. The kernel tells of a reset once,
+/// to the call that comes first: if that is a write, the next read returns an
+/// end of file. A broken pipe doesn't count: the other side ended its output in
+/// order, and reset the connection only afterwards.
+net_error end_of_input(const net_error& read, const net_error& write);
+
 /// Returns `address`, an IP:port, with its port replaced.
 std::string with_port(const std::string& address, std::uint16_t port);
 
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -47,6 +47,7 @@
         return body ? std::string_view(*body) : std::string_view();
     }
     bool done = false;
+    net_error error; ///< Of the write that failed.
 };
 
 using target_response = response_intake<http::buffer_body>;
@@ -345,7 +346,7 @@
     asio::async_write(connection_->socket, bytes,
                       [sent = outgoing_](net_error ec, std::size_t) {
                           sent->done = !ec;
-                          // A failure is also seen by the reader.
+                          sent->error = ec;
                       });
 }
 
@@ -356,6 +357,7 @@
         connection_->buf.prepare(read_bytes), into(ec_));
     connection_->buf.commit(n);
     in_.tables.link.add_received(n);
+    ec_ = end_of_input(ec_, outgoing_->error);
 }
 
 awaitable<bool> attempt::read_head(std::optional<target_response>& response)
--- a/libs/edge/io.cpp
+++ b/libs/edge/io.cpp
@@ -52,6 +52,13 @@
     return ec.message();
 }
 
+net_error end_of_input(const net_error& read, const net_error& write)
+{
+    const bool is_hidden =
+        read == asio::error::eof && write && write != asio::error::broken_pipe;
+    return is_hidden ? write : read;
+}
+
 std::string with_port(const std::string& address, std::uint16_t port)
 {
     return address.substr(0, address.rfind(':')) + ":" + std::to_string(port);
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -195,6 +195,8 @@
     beast::flat_buffer buf; ///< Of the head, until it was read.
     std::size_t request_bytes = 0;
     std::size_t answer_bytes = 0;
+    net_error peer_write_error;   ///< Of the write that failed.
+    net_error target_write_error; ///< The same.
 
     void close() const
     {
@@ -295,7 +297,8 @@
         ended_.pop_front();
 }
 
-/// Copies until the peer has sent all, or leaves.
+/// Copies until the peer has sent all, or leaves. What a target doesn't take
+/// any more is read all the same: the peer may still read its answer.
 awaitable<void> relay_server::copy_request(relayed_ptr it)
 {
     std::vector<char> buf(copy_bytes);
@@ -303,15 +306,17 @@
     for (;;) {
         const std::size_t n =
             co_await it->peer->async_read_some(asio::buffer(buf), into(ec));
+        ec = end_of_input(ec, it->peer_write_error);
         if (ec)
             break;
         it->request_bytes += n;
         tables_.link.add_received(n);
+        if (it->target_write_error)
+            continue;
         tables_.link.add_sent(n);
         co_await asio::async_write(it->target->socket,
-                                   asio::buffer(buf.data(), n), into(ec));
-        if (ec)
-            break;
+                                   asio::buffer(buf.data(), n),
+                                   into(it->target_write_error));
     }
     if (ec != asio::error::eof) {
         it->close();
@@ -332,6 +337,7 @@
     for (;;) {
         const std::size_t n = co_await it->target->socket.async_read_some(
             asio::buffer(buf), into(ec));
+        ec = end_of_input(ec, it->target_write_error);
         if (ec)
             break;
         it->answer_bytes += n;
@@ -340,7 +346,8 @@
         tables_.registry.reach().note_contact(it->ask.target, tables_.now());
         read_signals(*it, buf.data(), n);
         co_await asio::async_write(*it->peer, asio::buffer(buf.data(), n),
-                                   into(ec));
+                                   into(it->peer_write_error));
+        ec = it->peer_write_error;
         if (ec)
             break;
     }
