Read the platform's replies by the same rule as targets' answers

What nodes saw: a reply with status 000 counted as "nothing was carried out", one with a folded field or an unknown coding as the store's content. An interim reply counted as the final one; that was then read as the reply to the next call, as were bytes after a whole reply in the same packet. A write of allotments that was carried out could so be repeated as one that wasn't.

Cause: the replies were read by Beast's parser alone, any status below 500 but a few counted as a refusal, and a connection went back to the idle ones whatever its buffer held.

A reply without a length that is reset, or ends in order, was handled before as well; its test stays.

Why the fix works: response_intake parses these replies too. What isn't proper HTTP is no reply, which leaves open whether the call was carried out, and is logged and counted as a malformed answer. A connection with bytes left is closed.

--- a/include/fennelladder/edge/platform_client.hpp
+++ b/include/fennelladder/edge/platform_client.hpp
@@ -23,6 +23,7 @@
 #define FENNELLADDER_EDGE_PLATFORM_CLIENT_HPP
 
 #include "fennelladder/edge/node_tables.hpp"
+#include "fennelladder/edge/response_intake.hpp"
 #include "fennelladder/edge/socket_deadline.hpp"
 
 #include <array>
@@ -112,7 +113,7 @@
     };
 
     using connection_ptr = std::shared_ptr<connection>;
-    using reply_parser = http::response_parser<http::string_body>;
+    using reply_intake = response_intake<http::string_body>;
 
     awaitable<platform_reply> exchange_on(connection_ptr with,
                                           http::verb method,
@@ -121,9 +122,10 @@
                                           duration limit);
     void count(platform_call name, const platform_reply& reply);
     awaitable<bool> connect(connection_ptr made);
-    awaitable<bool> read_reply(connection_ptr with, reply_parser& parser,
-                               socket_deadline& limit, instant until,
-                               instant& first_byte_at);
+    awaitable<net_error> read_reply(connection_ptr with, reply_intake& reply,
+                                    socket_deadline& limit, instant until,
+                                    instant& first_byte_at);
+    void log_malformed(const std::string& target, const net_error& fault);
 
     node_tables& tables_;
     std::vector<connection_ptr> idle_;
--- a/include/fennelladder/edge/response_intake.hpp
+++ b/include/fennelladder/edge/response_intake.hpp
@@ -92,6 +92,18 @@
             ec = http::error::header_limit;
     }
 
+    /// Parses what the buffer holds of the whole response, for a body that
+    /// takes it all. More bytes are needed if there is neither an error nor
+    /// the whole response.
+    void parse(beast::flat_buffer& buf, net_error& ec)
+    {
+        parse_head(buf, ec);
+        while (!ec && has_head() && !is_whole() && buf.size() > 0)
+            put(buf, ec);
+        if (ec == http::error::need_more)
+            ec = {};
+    }
+
     /// Parses the next part of the response, and consumes it.
     void put(beast::flat_buffer& buf, net_error& ec)
     {
--- a/libs/edge/platform_client.cpp
+++ b/libs/edge/platform_client.cpp
@@ -24,6 +24,11 @@
 /// the bandwidth of the slowest known link.
 constexpr duration max_transfer_time = seconds(10);
 
+constexpr std::size_t read_bytes = 16'384;
+
+/// Bytes of a chunk's size with its extensions, or of all trailers.
+constexpr std::size_t max_unparsed_bytes = 16'384;
+
 /// A page of a listing has about a megabyte; anything far larger is no page.
 constexpr std::uint64_t max_reply_bytes = 16'777'216;
 
@@ -108,28 +113,49 @@
 }
 
 /// The platform may be silent until `until`; after that, bytes must keep
-/// arriving.
-awaitable<bool> platform_client::read_reply(connection_ptr with,
-                                            reply_parser& parser,
-                                            socket_deadline& limit,
-                                            instant until,
-                                            instant& first_byte_at)
+/// arriving. Returns no error if the reply is whole.
+awaitable<net_error> platform_client::read_reply(connection_ptr with,
+                                                 reply_intake& reply,
+                                                 socket_deadline& limit,
+                                                 instant until,
+                                                 instant& first_byte_at)
 {
     const instant end = until + max_transfer_time;
     net_error ec;
-    while (!parser.is_done()) {
-        const std::size_t got = co_await http::async_read_some(
-            with->socket, with->buf, parser, into(ec));
+    while (!reply.is_whole()) {
+        const std::size_t got = co_await with->socket.async_read_some(
+            with->buf.prepare(read_bytes), into(ec));
+        with->buf.commit(got);
         tables_.link.add_received(got);
+        if (ec == asio::error::eof)
+            ec = reply.end_of_input();
+        else if (!ec)
+            reply.parse(with->buf, ec);
+        if (!ec && !reply.is_whole() && with->buf.size() > max_unparsed_bytes)
+            ec = http::error::buffer_overflow;
         if (ec)
-            co_return false;
+            co_return ec;
         const instant now = tables_.now();
         if (first_byte_at == instant())
             first_byte_at = now;
         const instant next = now + progress_timeout;
         limit.close_after(std::min(std::max(until, next), end) - now);
     }
-    co_return true;
+    co_return net_error();
+}
+
+void platform_client::log_malformed(const std::string& target,
+                                    const net_error& fault)
+{
+    telemetry::log_event(telemetry::event::answer_malformed,
+                         {{"target", "platform"},
+                          {"address", tables_.settings.store_address},
+                          {"where", target},
+                          {"fault", fault.message()}});
+    tables_.metrics
+        .counter_of("fennelladder_malformed_answers_total",
+                    {{"fault", fault.message()}})
+        .add();
 }
 
 awaitable<platform_reply>
@@ -163,18 +189,21 @@
         with->timed_out = silence.has_closed();
         co_return out;
     }
-    reply_parser parser;
-    parser.body_limit(max_reply_bytes);
-    const bool complete =
-        co_await read_reply(with, parser, silence, until, out.first_byte_at);
+    reply_intake reply(false, max_reply_bytes);
+    const net_error failed =
+        co_await read_reply(with, reply, silence, until, out.first_byte_at);
     silence.clear();
     with->timed_out = silence.has_closed();
-    if (!complete)
+    if (is_malformed(failed))
+        log_malformed(target, failed);
+    if (failed)
         co_return out;
-    out.outcome = outcome_of(parser.get().result_int());
-    out.era = adapter::era_of(parser.get());
-    out.body = std::move(parser.get().body());
-    if (parser.keep_alive() && idle_.size() < max_idle_connections) {
+    out.outcome = outcome_of(reply.get().result_int());
+    out.era = adapter::era_of(reply.get());
+    out.body = std::move(reply.get().body());
+    // Bytes after a reply belong to none.
+    if (reply.parsed().keep_alive() && with->buf.size() == 0 &&
+        idle_.size() < max_idle_connections) {
         with->established = true;
         idle_.push_back(with);
     }
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -256,8 +256,9 @@
      "to others that need its memory or its connection's place; a request was "
      "refused as not run, a response was cut off."},
     {event::answer_malformed, severity::warning, "answer_malformed",
-     "A target's answer isn't proper HTTP; it was not passed on, or cut where "
-     "that showed."},
+     "What a target or the platform answered isn't proper HTTP; it was not "
+     "used "
+     "or passed on, or cut where that showed."},
     {event::call_rejected, severity::info, "call_rejected",
      "A request was rejected as invalid: no such route, no valid key, or a "
      "malformed request."},
