Join no stream of an unknown version after the death of all nodes

What callers saw: two software versions were in service, or the targets of the older one had just left, when all nodes were killed at once and came back. Callers whose streams had broken off came back for the rest and got it with status 200 from the only version that was listed: the text was joined from two.

Cause: the records of which version began a stream die with all nodes. Callers that name the attempt that began their stream were refused then. For callers that don't, the one version that a new process knew was taken, though it knew the list for a moment only.

Evidence: all_nodes_killed, whole nodes that follow the platform's stand-in: on the untouched code three of five tests fail (the version left before the kill, while no node ran, or was taken back before it); each caller that names no attempt gets the other version's events. While both versions are listed such a stream was refused before as well.

Why the fix works: the same is asked for all callers now: a record, or one version that some node has known to be the only one for a minute. The row of stream_origins_test that expected a guess ("not named, one version") was wrong: it is what joined the streams. It is gone with the field; the row that expects a refusal for what is perhaps one version holds for all callers.

Lost with it: streams that broke off with all nodes and aren't known by a record are refused for a minute, also where there was one version all along.

--- a/include/fennelladder/dispatch/stream_origins.hpp
+++ b/include/fennelladder/dispatch/stream_origins.hpp
@@ -176,9 +176,6 @@
     bool list_confirmed = false;
     service_id service;          ///< Of the request's route.
     bool has_one_service = true; ///< The route has no other.
-    /// The caller names the attempt that began the stream, so that there is a
-    /// record unless all nodes that kept it have died.
-    bool is_named = true;
 };
 
 enum class resumption : std::uint8_t
--- a/libs/dispatch/stream_origins.cpp
+++ b/libs/dispatch/stream_origins.cpp
@@ -155,9 +155,6 @@
         return resumption::at_origin;
     if (!evidence.has_one_service)
         return resumption::unknown;
-    if (!evidence.is_named)
-        return evidence.versions.only_known() ? resumption::at_only
-                                              : resumption::unknown;
     if (!evidence.versions.only())
         return resumption::unknown;
     return evidence.list_confirmed ? resumption::at_only
--- a/libs/edge/request_admission.cpp
+++ b/libs/edge/request_admission.cpp
@@ -211,7 +211,6 @@
         evidence.origin = found.origin->origin;
     evidence.service = service_;
     evidence.has_one_service = route_->services.size() == 1;
-    evidence.is_named = !request_.header_values.resumes.empty();
     const instant until =
         tables_.now() + part_of(route_->objective, list_wait_share);
     asio::steady_timer timer(tables_.io);
@@ -269,7 +268,7 @@
     if (decided == resumption::at_origin)
         software_ = found.origin->origin.version;
     else if (decided == resumption::at_only)
-        software_ = found.versions.only_known();
+        software_ = found.versions.only();
     log_event(
         event::stream_resumed,
         {{"id", values.id},
