Keep the versions that services had of late on the platform

What callers would see without it: after the death of all nodes no stream goes on, also where the service had one version all along.

Cause: only a process that knows the list for a minute can tell that there was one version, and none does after such a death.

Change: three nodes by rendezvous hashing keep the versions of the last minute in their registration on the platform; what the earlier process wrote stays for as long. A node that lacks a stream's record and knows one version, but not for long enough, reads all registrations, once in its life.

Open: streams that broke off while several versions served. The platform can't take a record of each stream.

--- a/include/fennelladder/dispatch/stream_origins.hpp
+++ b/include/fennelladder/dispatch/stream_origins.hpp
@@ -140,9 +140,28 @@
     void sync(const catalog::target_list::entry_map& listed, instant now);
 
     /// The versions of the service within the span: complete if the list is
-    /// known for that long.
+    /// known for that long, or if earlier processes recorded what they knew and
+    /// the list was known when that was read.
     recent_versions of(const service_id& service, instant now) const;
 
+    using version_map =
+        std::map<service_id, std::set<catalog::software_version>>;
+
+    /// Adds all versions that any process had recorded by `now`.
+    void add_recorded(const version_map& recorded, instant now);
+
+    /// Whether add_recorded() was called.
+    bool has_recorded() const { return recorded_at_.has_value(); }
+
+    /// Whether the list is known for the whole span.
+    bool covers_span(instant now) const
+    {
+        return known_since_ && now - *known_since_ >= span_;
+    }
+
+    /// The versions of all services within the span, as far as known.
+    version_map all(instant now) const;
+
 private:
     /// When a version was last listed; unset while it is.
     using last_listed =
@@ -151,6 +170,8 @@
     duration span_;
     std::optional<instant> known_since_;
     std::map<service_id, last_listed> versions_;
+    version_map recorded_;
+    std::optional<instant> recorded_at_;
 };
 
 /// A node that may hold the record of a stream.
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -249,6 +249,11 @@
     /// Called when the store has entered a later era.
     std::vector<std::function<void()>> on_store_era;
 
+    /// Reads the software versions that nodes have recorded on the platform,
+    /// unless that was done. Returns whether the read is under way. Set by
+    /// platform_feed.
+    std::function<bool()> read_recorded_versions = [] { return false; };
+
     /// Sends an update to all peers without waiting for the next heartbeat. Set
     /// by mesh_node.
     std::function<void()> broadcast_update = [] {};
--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -43,7 +43,9 @@
 #include "fennelladder/mesh/watch_policy.hpp"
 #include "platform/object_codec.hpp"
 
+#include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace fennelladder::edge {
@@ -96,6 +98,7 @@
         instant first_byte_at;
     };
 
+    using version_map = dispatch::version_history::version_map;
     using call_function = awaitable<bool> (platform_feed::*)();
     using view_function = mesh::watch_inputs (platform_feed::*)();
 
@@ -114,6 +117,13 @@
     void reset_backoff();
     void on_store_era();
     awaitable<bool> write_registration();
+    nlohmann::json registration() const;
+    awaitable<bool> replace_registration();
+    awaitable<void> record_versions();
+    version_map versions_to_record();
+    bool is_recorder(const service_id& service);
+    bool read_recorded_versions();
+    awaitable<void> read_versions();
     void record_reason(feed_state& feed, mesh::watch_reason reason,
                        const mesh::watch_inputs& view);
 
@@ -181,6 +191,12 @@
     feed_state evacuations_;
     catalog::revision configuration_as_of_;
     asio::steady_timer registration_; ///< Cancelled to register again.
+    version_map recorded_;  ///< What the platform has under this node's name.
+    version_map inherited_; ///< The same when this process started.
+    std::set<service_id> recorder_of_;
+    bool is_registered_ = false;
+    bool is_reading_versions_ = false;
+    instant next_versions_read_;
     bool is_cut_off_ = true; ///< Backing off since the platform is unreachable.
 };
 
--- a/libs/dispatch/stream_origins.cpp
+++ b/libs/dispatch/stream_origins.cpp
@@ -95,13 +95,31 @@
                                     instant now) const
 {
     recent_versions out;
-    out.complete = known_since_ && now - *known_since_ >= span_;
+    out.complete = covers_span(now);
     const auto found = versions_.find(service);
-    if (found == versions_.end())
+    if (found != versions_.end())
+        for (const auto& [version, gone] : found->second)
+            if (!gone || now - *gone <= span_)
+                out.versions.insert(version);
+    const auto recorded = recorded_.find(service);
+    if (out.complete || recorded == recorded_.end())
         return out;
-    for (const auto& [version, gone] : found->second)
-        if (!gone || now - *gone <= span_)
-            out.versions.insert(version);
+    out.versions.insert(recorded->second.begin(), recorded->second.end());
+    out.complete = known_since_ && *known_since_ <= *recorded_at_;
+    return out;
+}
+
+void version_history::add_recorded(const version_map& recorded, instant now)
+{
+    recorded_ = recorded;
+    recorded_at_ = now;
+}
+
+version_history::version_map version_history::all(instant now) const
+{
+    version_map out;
+    for (const auto& [service, versions] : versions_)
+        out[service] = of(service, now).versions;
     return out;
 }
 
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -75,6 +75,10 @@
     if (tables_.settings.evacuation_bound)
         spawn(tables_.io, follow_evacuations());
     spawn(tables_.io, register_node());
+    spawn(tables_.io, record_versions());
+    tables_.read_recorded_versions = [this] {
+        return read_recorded_versions();
+    };
     spawn(tables_.io, probe_platform());
 }
 
--- a/libs/edge/request_admission.cpp
+++ b/libs/edge/request_admission.cpp
@@ -203,7 +203,7 @@
 }
 
 /// What follows from what is known about the stream. Waits for the list of
-/// targets to be confirmed if that decides.
+/// targets to be confirmed, or for what nodes have recorded, if that decides.
 awaitable<dispatch::resumption> request_run::resumption_of(found_origin& found)
 {
     dispatch::resumption_evidence evidence;
@@ -222,7 +222,11 @@
         found.versions.merge(tables_.versions.of(service_, tables_.now()));
         evidence.versions = found.versions;
         const auto out = dispatch::decide_resumption(evidence);
-        if (out != dispatch::resumption::wait_for_list ||
+        const bool may_be_recorded = out == dispatch::resumption::unknown &&
+                                     !evidence.versions.complete &&
+                                     evidence.versions.only_known() &&
+                                     tables_.read_recorded_versions();
+        if ((out != dispatch::resumption::wait_for_list && !may_be_recorded) ||
             tables_.now() >= until)
             co_return out;
         co_await sleep_on(timer, list_check_interval);
