Answer requests that a planned stop would cut

What callers saw: in a planned stop of one node, requests that came late in the grace period were passed on and cut without an answer at its end, among them requests that may not be repeated. So were requests that ran longer.

Cause: a node took new requests for 2.5 s after SIGTERM however long the grace period is, whatever they need, and closed all connections at its end.

Why the fix works: 0.2 s before the node stops serving, requests under way are stopped and answered: 502 if they may have run, 503 if nothing was sent; no evidence is held against their targets. A new request that usually takes longer than is left is refused as not run with a Retry-After. What it usually takes is the smoothed time of its route with two deviations, or its objective as long as none was served. New work ends at half of the period at the latest: with 8 s it is after 2.5 s as before.

--- a/include/fennelladder/dispatch/attempt_policy.hpp
+++ b/include/fennelladder/dispatch/attempt_policy.hpp
@@ -35,7 +35,8 @@
     silent,        ///< No bytes came until the timeout; it may have run.
     garbled,       ///< The bytes received are not this request's answer.
     caller_left,
-    out_of_time
+    out_of_time,
+    node_stops ///< This node ends before the answer; it may have run.
 };
 
 std::string_view to_string(attempt_end value);
--- a/include/fennelladder/edge/caller_server.hpp
+++ b/include/fennelladder/edge/caller_server.hpp
@@ -5,6 +5,7 @@
 //     caller_server server(tables, driver, limits);
 //     server.start(address);
 //     server.start_draining();          // when the node shuts down
+//     server.answer_all_by(at);
 //     server.stop_accepting();
 //     server.reject_new_requests();
 //
@@ -63,6 +64,10 @@
     /// From now on, each response closes its connection.
     void start_draining();
 
+    /// Requests that are still under way at `at` are answered then. New ones
+    /// that usually take longer than that are refused.
+    void answer_all_by(instant at);
+
     /// Rejects new requests, and closes the connections on which none has
     /// arrived.
     void reject_new_requests();
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -17,6 +17,7 @@
 #include "fennelladder/dispatch/admission_control.hpp"
 #include "fennelladder/dispatch/quarantine.hpp"
 #include "fennelladder/dispatch/retry_budget.hpp"
+#include "fennelladder/dispatch/service_times.hpp"
 #include "fennelladder/dispatch/stream_origins.hpp"
 #include "fennelladder/dispatch/target_registry.hpp"
 #include "fennelladder/edge/link_meter.hpp"
@@ -242,6 +243,9 @@
     dispatch::admission_control admission;
     instant started; ///< When this process started to listen to peers.
     bool leaving = false;
+    /// While the node leaves: when every request has to have been answered.
+    std::optional<instant> stops_at;
+    dispatch::service_times service_times;
 
     /// Called whenever the platform answered any call. Set by platform_feed.
     std::function<void()> on_platform_answer = [] {};
--- a/include/fennelladder/edge/request_cancellation.hpp
+++ b/include/fennelladder/edge/request_cancellation.hpp
@@ -36,7 +36,8 @@
     none,
     caller_left,
     deadline_exceeded,
-    idle_timeout ///< Ends one attempt only; clear_idle_timeout() resets it.
+    idle_timeout, ///< Ends one attempt only; clear_idle_timeout() resets it.
+    node_stops
 };
 
 /// Cancellation state of one request over all of its attempts. Must be owned by
@@ -50,6 +51,9 @@
     /// Stops the request at `at`, unless it has ended `expiry_grace` later.
     void set_deadline(instant at);
 
+    /// Stops the request at `at`, when this node has to have answered it.
+    void stop_by(instant at);
+
     /// Stops the attempt at `at`, unless the deadline is extended within
     /// `expiry_grace` after it. Unset: no limit.
     void set_idle_deadline(std::optional<instant> at);
@@ -112,6 +116,7 @@
     std::optional<instant> armed_for_;
     std::optional<instant> deadline_;
     std::optional<instant> idle_deadline_;
+    std::optional<instant> stop_by_;
     expiry_check<instant> deadline_check_;
     expiry_check<instant> idle_check_;
     connection_ptr connection_;
--- a/libs/dispatch/attempt_policy.cpp
+++ b/libs/dispatch/attempt_policy.cpp
@@ -60,6 +60,8 @@
         return "caller_left";
     case attempt_end::out_of_time:
         return "out_of_time";
+    case attempt_end::node_stops:
+        return "node_stops";
     }
     return "unknown";
 }
@@ -103,7 +105,7 @@
     assert(so_far.route != nullptr);
     if (ended == attempt_end::answered || ended == attempt_end::caller_left)
         return {next_action::finish, false};
-    if (ended == attempt_end::out_of_time)
+    if (ended == attempt_end::out_of_time || ended == attempt_end::node_stops)
         return {give_up(so_far, ended), false};
     const bool not_run = proved_not_run(ended);
     const bool allowed = may_resume(so_far) &&
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -151,6 +151,8 @@
                    where);
     case stop_reason::idle_timeout:
         return end(attempt_end::silent, target_evidence::silent, where);
+    case stop_reason::node_stops:
+        return end(attempt_end::node_stops, target_evidence::nothing, where);
     case stop_reason::none:
         break;
     }
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -3,6 +3,7 @@
 #include "caller_session.hpp"
 #include "fennelladder/edge/simple_server.hpp"
 #include "fennelladder/telemetry/log.hpp"
+#include "request_run.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -91,7 +92,7 @@
 const char* caller_server::rejection_reason() const
 {
     if (rejecting_)
-        return "the node leaves";
+        return node_leaves;
     return tables_.updates_are_late() ? "news are late" : nullptr;
 }
 
@@ -160,6 +161,13 @@
     draining_ = true;
 }
 
+void caller_server::answer_all_by(instant at)
+{
+    tables_.stops_at = at;
+    for (caller_session* it : *sessions_)
+        it->stop_by(at);
+}
+
 void caller_server::reject_new_requests()
 {
     rejecting_ = true;
--- a/libs/edge/caller_session.cpp
+++ b/libs/edge/caller_session.cpp
@@ -153,6 +153,12 @@
         server_.rejecting_ ? std::min(length, draining_read_timeout) : length);
 }
 
+void caller_session::stop_by(instant at)
+{
+    if (const auto active = cancellation_.lock())
+        active->stop_by(at);
+}
+
 // What the connection holds.
 
 void caller_session::begin_exchange()
@@ -544,6 +550,9 @@
     const auto cancellation =
         std::make_shared<request_cancellation>(tables_.io, tables_.time);
     serving_ = true;
+    cancellation_ = cancellation;
+    if (tables_.stops_at)
+        cancellation->stop_by(*tables_.stops_at);
     // A caller that does not read its response blocks a write. Stopping the
     // request closes the connection and so ends the write.
     cancellation->on_stop([weak = weak_from_this()](stop_reason why) {
--- a/libs/edge/caller_session.hpp
+++ b/libs/edge/caller_session.hpp
@@ -44,6 +44,9 @@
     /// arrived.
     void close_if_unused();
 
+    /// Ends the present request at `at`, with an answer if none was begun.
+    void stop_by(instant at);
+
     /// Since when it may be closed; of no meaning if it may not.
     instant idle_since() const { return idle_since_; }
 
@@ -107,7 +110,8 @@
     std::size_t claimed_ = 0;        ///< Bytes of the present exchange.
     std::size_t request_bytes_ = 0;  ///< Of a request that is served.
     std::size_t response_bytes_ = 0; ///< Of its response.
-    bool reads_ahead_ = true;        ///< There is memory for the next requests.
+    std::weak_ptr<request_cancellation> cancellation_; ///< Of the request.
+    bool reads_ahead_ = true; ///< There is memory for the next requests.
     /// Why the last claim wasn't granted; of no meaning if it was.
     dispatch::displacement refused_ = dispatch::displacement::full;
     std::optional<dispatch::displacement> gave_way_;
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -31,6 +31,9 @@
 /// tokens and stopping.
 constexpr duration shutdown_reserve = milliseconds(700);
 
+/// Before that, time to answer the requests that are still under way.
+constexpr duration last_answer_time = milliseconds(200);
+
 std::uint64_t random_seed()
 {
     std::random_device source;
@@ -192,15 +195,17 @@
 awaitable<void> edge_node::leave()
 {
     const instant started = tables_.now();
-    const instant end =
-        started + tables_.settings.stop_grace - shutdown_reserve;
+    const duration serving =
+        std::max(tables_.settings.stop_grace - shutdown_reserve, duration(0));
+    const instant end = started + serving;
     log_event(event::node_stopping,
               {{"under_way", std::to_string(callers_.requests_in_flight())}});
     tables_.leaving = true;
     callers_.start_draining();
+    callers_.answer_all_by(end - last_answer_time);
     tables_.broadcast_update();
     asio::steady_timer timer(io_);
-    co_await sleep_on(timer, options_.drain_delay);
+    co_await sleep_on(timer, std::min(options_.drain_delay, serving / 2));
     callers_.stop_accepting();
     callers_.reject_new_requests();
     const auto in_flight = [this] {
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -310,6 +310,7 @@
     config = std::make_shared<const catalog::configuration>(std::move(parts));
     config_text = std::move(text);
     registry.set_cold_start_profiles(cold_start_profiles_of(*config, settings));
+    service_times.keep_only(*config);
     tokens prepaid;
     for (const catalog::team& it : config->parts().teams)
         prepaid += it.prepaid.value_or(tokens(0));
--- a/libs/edge/request_admission.cpp
+++ b/libs/edge/request_admission.cpp
@@ -303,6 +303,19 @@
     co_return refusal{503, later, "version of the stream unknown"};
 }
 
+/// Refuses what most likely can't end before this node does, since it would be
+/// given up then and may have run.
+std::optional<refusal> request_run::check_time_left_here() const
+{
+    if (!tables_.stops_at)
+        return std::nullopt;
+    const duration usual =
+        tables_.service_times.usual(route_->id).value_or(route_->objective);
+    if (tables_.now() + usual <= *tables_.stops_at)
+        return std::nullopt;
+    return refusal{503, default_retry_after, node_leaves};
+}
+
 /// Largest number of tokens that the request can cost.
 tokens request_run::max_cost() const
 {
--- a/libs/edge/request_cancellation.cpp
+++ b/libs/edge/request_cancellation.cpp
@@ -34,6 +34,12 @@
     arm();
 }
 
+void request_cancellation::stop_by(instant at)
+{
+    stop_by_ = at;
+    arm();
+}
+
 void request_cancellation::set_idle_deadline(std::optional<instant> at)
 {
     idle_deadline_ = at;
@@ -42,13 +48,15 @@
 
 std::optional<instant> request_cancellation::next_expiry() const
 {
-    std::optional<instant> next;
+    std::optional<instant> next = stop_by_;
+    const auto add = [&next](instant at) {
+        next = next ? std::min(*next, at) : at;
+    };
     if (deadline_)
-        next = deadline_check_.next_check(*deadline_);
-    if (!idle_deadline_)
-        return next;
-    const instant at = idle_check_.next_check(*idle_deadline_);
-    return next ? std::min(*next, at) : at;
+        add(deadline_check_.next_check(*deadline_));
+    if (idle_deadline_)
+        add(idle_check_.next_check(*idle_deadline_));
+    return next;
 }
 
 void request_cancellation::arm()
@@ -78,7 +86,9 @@
         deadline_ && deadline_check_.has_expired(*deadline_, now);
     const bool idle =
         idle_deadline_ && idle_check_.has_expired(*idle_deadline_, now);
-    if (past_deadline)
+    if (stop_by_ && now >= *stop_by_)
+        stop(stop_reason::node_stops);
+    else if (past_deadline)
         stop(stop_reason::deadline_exceeded);
     else if (!idle)
         arm();
@@ -130,7 +140,8 @@
 void request_cancellation::stop(stop_reason why)
 {
     const bool over = stopped_ == stop_reason::caller_left ||
-                      stopped_ == stop_reason::deadline_exceeded;
+                      stopped_ == stop_reason::deadline_exceeded ||
+                      stopped_ == stop_reason::node_stops;
     if (ended_ || over || stopped_ == why)
         return;
     stopped_ = why;
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -73,7 +73,9 @@
     }
     cancellation_->set_deadline(request_.arrived + total_time() +
                                 deadline_response_grace);
-    refused = co_await find_version();
+    refused = check_time_left_here();
+    if (!refused)
+        refused = co_await find_version();
     if (!refused)
         refused = co_await reserve_tokens();
     if (refused) {
--- a/libs/edge/request_end.cpp
+++ b/libs/edge/request_end.cpp
@@ -159,6 +159,9 @@
             log_end(event::caller_left, "caller_left", last.detail);
         else
             log_end(event::request_answered, "answered", "");
+        if (last.ended == attempt_end::answered)
+            tables_.service_times.note(route_->id,
+                                       tables_.now() - request_.arrived);
         served_ = last.ended != attempt_end::caller_left;
         co_return;
     case next_action::pass_on:
--- a/libs/edge/request_run.hpp
+++ b/libs/edge/request_run.hpp
@@ -24,6 +24,7 @@
 /// Reasons of refusals.
 inline constexpr const char* crashes_targets = "it crashes targets";
 inline constexpr const char* may_crash_targets = "it may crash targets";
+inline constexpr const char* node_leaves = "the node leaves";
 inline constexpr const char* over_capacity = "the host is over its capacity";
 
 /// Not thread safe.
@@ -59,6 +60,7 @@
     awaitable<void> send_refusal(const refusal& why);
     void set_marks();
     std::optional<refusal> check_condemned();
+    std::optional<refusal> check_time_left_here() const;
     awaitable<std::optional<refusal>> find_version();
     awaitable<dispatch::resumption> resumption_of(found_origin& found);
     dispatch::stream_key stream_key_of(const std::string& request) const;
