Claim the memory of what targets and the platform send without end

What other operators saw: faulty workers sent bytes without end, in a head or in a body, and the machine that had called them kept all, ran out of memory and ended, with the requests of others.

Here each connection was bounded (endless_answer), but not the sum: 256 KB of an event that doesn't end, and the parsed fields of a head, were held for each request without being claimed from the memory of the settings, and 16 MB for each call to the platform.

Why the fix works: an event and a head are claimed from the same budget as buffered bodies once they hold over 8 KB; an attempt that gets none ends as garbled. Replies of the platform share a sixteenth of the memory; a call that doesn't fit has no reply. Their bodies grow as they arrive, not as they are announced.

--- a/include/fennelladder/edge/edge_node.hpp
+++ b/include/fennelladder/edge/edge_node.hpp
@@ -7,11 +7,11 @@
 //
 // Shutdown after SIGTERM: the node reports that it isn't ready and tells its
 // peers, but continues to serve, since callers still hold entry answers that
-// name it, but for requests that usually take longer than is left. Then, at half
-// of the grace period at the latest, it accepts no connections and refuses new
-// requests ("not run"). Requests that are under way shortly before the period
-// ends are answered with a failure; streams that were begun are cut. Then it
-// transfers its tokens to other nodes and stops.
+// name it, but for requests that usually take longer than is left. Then, at
+// half of the grace period at the latest, it accepts no connections and refuses
+// new requests ("not run"). Requests that are under way shortly before the
+// period ends are answered with a failure; streams that were begun are cut.
+// Then it transfers its tokens to other nodes and stops.
 //
 // Not thread safe.
 
--- a/include/fennelladder/edge/event_splitter.hpp
+++ b/include/fennelladder/edge/event_splitter.hpp
@@ -44,6 +44,12 @@
     /// Bytes received after the last whole event.
     const std::string& incomplete() const { return incomplete_; }
 
+    /// Estimate of the memory that the buffered bytes occupy.
+    std::size_t held() const
+    {
+        return incomplete_.capacity() + complete_.capacity();
+    }
+
     /// Whether the stream may end here: of an event that isn't whole nothing
     /// was received, only comments and empty lines.
     bool is_between_events() const
--- a/include/fennelladder/edge/host_shares.hpp
+++ b/include/fennelladder/edge/host_shares.hpp
@@ -38,6 +38,9 @@
 /// Connections that are relayed for peers at once.
 std::size_t relays_for(const adapter::host_settings& settings);
 
+/// Bytes of the platform's replies that are read at once, over all calls.
+std::size_t platform_replies_for(const adapter::host_settings& settings);
+
 /// Connections of one simple_server.
 std::size_t simple_connections_for(const adapter::host_settings& settings);
 
--- a/include/fennelladder/edge/platform_client.hpp
+++ b/include/fennelladder/edge/platform_client.hpp
@@ -22,6 +22,7 @@
 #ifndef FENNELLADDER_EDGE_PLATFORM_CLIENT_HPP
 #define FENNELLADDER_EDGE_PLATFORM_CLIENT_HPP
 
+#include "fennelladder/edge/growing_body.hpp"
 #include "fennelladder/edge/node_tables.hpp"
 #include "fennelladder/edge/response_intake.hpp"
 #include "fennelladder/edge/socket_deadline.hpp"
@@ -113,7 +114,7 @@
     };
 
     using connection_ptr = std::shared_ptr<connection>;
-    using reply_intake = response_intake<http::string_body>;
+    using reply_intake = response_intake<growing_body>;
 
     awaitable<platform_reply> exchange_on(connection_ptr with,
                                           http::verb method,
@@ -125,12 +126,17 @@
     awaitable<net_error> read_reply(connection_ptr with, reply_intake& reply,
                                     socket_deadline& limit, instant until,
                                     instant& first_byte_at);
+    awaitable<net_error> receive(connection_ptr with, reply_intake& reply,
+                                 socket_deadline& limit, instant until,
+                                 instant& first_byte_at, std::size_t& held);
+    bool may_hold(std::size_t& held, std::size_t bytes);
     void log_malformed(const std::string& target, const net_error& fault);
 
     node_tables& tables_;
     std::vector<connection_ptr> idle_;
     std::array<std::uint32_t, platform_call_count>
-        call_counts_{}; ///< Since the last log_calls().
+        call_counts_{};    ///< Since the last log_calls().
+    std::size_t held_ = 0; ///< Bytes of replies that are being read.
     std::uint32_t conflicts_ = 0;
     std::uint32_t unanswered_ = 0;
 };
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -35,6 +35,11 @@
 
 constexpr std::size_t read_bytes = 4096;
 
+/// Memory of a head, and of events that aren't whole, that isn't claimed: more
+/// than any usual one needs. Claiming what is held briefly would cost each
+/// request time.
+constexpr std::size_t unclaimed_bytes = 8192;
+
 /// The request being written. Outlives the attempt, since the write may.
 struct outgoing_request
 {
@@ -86,6 +91,8 @@
     void send();
     awaitable<void> read_responses();
     awaitable<void> read_some();
+    bool may_hold(std::size_t bytes);
+    void end_too_large(const char* where);
     awaitable<bool> read_head(std::optional<target_response>& response);
     net_error parse_body(target_response& response, std::string& out);
     awaitable<bool> read_body_part(target_response& response, std::string& out);
@@ -118,6 +125,7 @@
     std::shared_ptr<outgoing_request> outgoing_;
     net_error ec_;
     net_error parse_error_; ///< After bytes that are still to be handled.
+    std::size_t held_by_head_ = 0;
 };
 
 void attempt::end(attempt_end how, target_evidence evidence, std::string detail)
@@ -362,6 +370,22 @@
     ec_ = end_of_input(ec_, outgoing_->error);
 }
 
+/// Whether so many bytes may be held besides the head. Precondition: they are
+/// held already, or about to be.
+bool attempt::may_hold(std::size_t bytes)
+{
+    const std::size_t head =
+        held_by_head_ > unclaimed_bytes ? held_by_head_ : 0;
+    return in_.reply.may_hold(bytes + head);
+}
+
+/// Ends the attempt after a response for which this host has no memory.
+void attempt::end_too_large(const char* where)
+{
+    end(attempt_end::garbled, target_evidence::broke,
+        std::string(where) + " is too large for the memory that is left");
+}
+
 awaitable<bool> attempt::read_head(std::optional<target_response>& response)
 {
     response.emplace(is_head_request());
@@ -373,6 +397,11 @@
             ec_ = response->end_of_input();
         else if (!ec_)
             response->parse_head(connection_->buf, ec_);
+        held_by_head_ = response->held_by_head();
+        if (!ec_ && held_by_head_ > unclaimed_bytes && !may_hold(0)) {
+            end_too_large("answer's head");
+            co_return false;
+        }
     }
     connection_->awaiting_response = false;
     if (!ec_ && may_use_response())
@@ -557,6 +586,11 @@
             end(attempt_end::garbled, target_evidence::broke, "events");
             co_return;
         }
+        const std::size_t held = in_.events.held();
+        if (!may_hold(held > unclaimed_bytes ? held : 0)) {
+            end_too_large("an event");
+            co_return;
+        }
         if (!in_.events.has_output())
             continue;
         record_first_byte();
@@ -636,8 +670,7 @@
         if (!more)
             co_return;
         restart_idle_timer(in_.progress_timeout);
-        if (body.size() > max_buffered_bytes ||
-            !in_.reply.may_hold(body.capacity())) {
+        if (body.size() > max_buffered_bytes || !may_hold(body.capacity())) {
             co_await relay_unbuffered(response, std::move(body));
             co_return;
         }
@@ -661,7 +694,7 @@
         const bool more = co_await read_body_part(response, out_.body);
         if (!more)
             co_return;
-        if (!in_.reply.may_hold(out_.body.capacity()))
+        if (!may_hold(out_.body.capacity()))
             break;
     }
     if (!response.is_whole()) {
--- a/libs/edge/event_splitter.cpp
+++ b/libs/edge/event_splitter.cpp
@@ -116,7 +116,7 @@
 
 void event_splitter::discard_incomplete()
 {
-    incomplete_.clear();
+    std::string().swap(incomplete_);
     line_begin_ = 0;
     searched_ = 0;
     has_field_ = false;
--- a/libs/edge/host_shares.cpp
+++ b/libs/edge/host_shares.cpp
@@ -22,6 +22,10 @@
 constexpr std::size_t most_simple_connections = 128;
 constexpr std::size_t least_simple_connections = 8;
 
+/// The longest object that the platform stores, twice: a reply's buffer grows
+/// by doubling.
+constexpr std::size_t least_platform_replies = 2'200'000;
+
 /// Descriptors that the platform reserves for files.
 constexpr std::size_t file_descriptors = 200;
 
@@ -69,6 +73,11 @@
                     sockets_of(settings) / 16);
 }
 
+std::size_t platform_replies_for(const adapter::host_settings& settings)
+{
+    return std::max(memory_of(settings) / 16, least_platform_replies);
+}
+
 std::size_t simple_connections_for(const adapter::host_settings& settings)
 {
     const std::size_t fits =
--- a/libs/edge/platform_client.cpp
+++ b/libs/edge/platform_client.cpp
@@ -1,5 +1,6 @@
 #include "fennelladder/edge/platform_client.hpp"
 
+#include "fennelladder/edge/host_shares.hpp"
 #include "fennelladder/telemetry/log.hpp"
 #include "platform/object_codec.hpp"
 
@@ -112,13 +113,38 @@
     co_return true;
 }
 
-/// The platform may be silent until `until`; after that, bytes must keep
-/// arriving. Returns no error if the reply is whole.
+/// Whether a call may hold so many bytes of its reply, with those that all
+/// other calls hold. `held` is what it held so far.
+bool platform_client::may_hold(std::size_t& held, std::size_t bytes)
+{
+    const std::size_t all = held_ - held + bytes;
+    if (bytes > held && all > platform_replies_for(tables_.settings))
+        return false;
+    held_ = all;
+    held = bytes;
+    return true;
+}
+
+/// Returns no error if the reply is whole.
 awaitable<net_error> platform_client::read_reply(connection_ptr with,
                                                  reply_intake& reply,
                                                  socket_deadline& limit,
                                                  instant until,
                                                  instant& first_byte_at)
+{
+    std::size_t held = 0;
+    const net_error out =
+        co_await receive(with, reply, limit, until, first_byte_at, held);
+    held_ -= held;
+    co_return out;
+}
+
+/// The platform may be silent until `until`; after that, bytes must keep
+/// arriving.
+awaitable<net_error>
+platform_client::receive(connection_ptr with, reply_intake& reply,
+                         socket_deadline& limit, instant until,
+                         instant& first_byte_at, std::size_t& held)
 {
     const instant end = until + max_transfer_time;
     net_error ec;
@@ -133,6 +159,9 @@
             reply.parse(with->buf, ec);
         if (!ec && !reply.is_whole() && with->buf.size() > max_unparsed_bytes)
             ec = http::error::buffer_overflow;
+        if (!ec && !may_hold(held, with->buf.capacity() +
+                                       reply.get().body().capacity()))
+            ec = http::error::body_limit;
         if (ec)
             co_return ec;
         const instant now = tables_.now();
