Refuse malformed answers in the blocking client too

What its callers would see (the /v1 interface, operators' commands and the product's own platform calls): a status of 600, names with blanks, control bytes, folded fields, codings that nobody undid and lengths that differ counted as answers.

Cause: curl hands over header lines as they come, and accepts more than two parties agree on.

Sound trailers and error statuses are still complete responses.

Why the fix works: each line of a head or of trailers is checked as it comes, and status and framing at the end of each head; the transfer then ends as broken, which says that the request may have run, and its connection isn't reused.

--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -64,6 +64,23 @@
     return text.substr(first, text.find_last_not_of(" \t\r\n") - first + 1);
 }
 
+/// RFC 9110, section 5.6.2.
+bool is_token(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::ranges::all_of(text, [&](unsigned char c) {
+        return c < 128 && (std::isalnum(c) != 0 ||
+                           marks.find(static_cast<char>(c)) != marks.npos);
+    });
+}
+
+bool has_control_byte(std::string_view text)
+{
+    return std::ranges::any_of(text, [](unsigned char c) {
+        return (c < 32 && c != '\t') || c == 127;
+    });
+}
+
 bool is_number(std::string_view text)
 {
     return !text.empty() && std::ranges::all_of(text, [](unsigned char c) {
@@ -359,6 +376,9 @@
         update_sent();
         if (ec == CURLE_OK)
             return finish_whole();
+        if (malformed_ != nullptr)
+            return end(transfer_outcome::broken,
+                       std::string("malformed response: ") + malformed_);
         if (stopped_)
             return end(transfer_outcome::stopped,
                        "stopped by the body or head callback");
@@ -393,19 +413,51 @@
         const std::string_view text = trim(line);
         if (text.empty())
             return finish_header();
-        const auto colon = text.find(':');
-        if (colon != std::string_view::npos)
-            transfer_.headers.push_back(
-                {std::string(trim(text.substr(0, colon))),
-                 std::string(trim(text.substr(colon + 1)))});
+        const auto colon = std::min(line.find(':'), line.size());
+        if (!is_token(line.substr(0, colon)) || colon == line.size())
+            return refuse("a field's name");
+        const std::string_view value = trim(line.substr(colon + 1));
+        if (has_control_byte(value))
+            return refuse("a field's value");
+        transfer_.headers.push_back(
+            {std::string(line.substr(0, colon)), std::string(value)});
         return true;
     }
 
+    // Ends the transfer. curl accepts more than two parties agree on.
+    bool refuse(const char* what)
+    {
+        malformed_ = what;
+        return false;
+    }
+
+    bool has_sound_framing() const
+    {
+        std::string_view length;
+        int codings = 0;
+        for (const header& it : transfer_.headers) {
+            if (equal_names(it.name, "Transfer-Encoding")) {
+                ++codings;
+                if (!equal_names(it.value, "chunked"))
+                    return false;
+            } else if (equal_names(it.name, "Content-Length")) {
+                if (!length.empty() && length != it.value)
+                    return false;
+                length = it.value;
+            }
+        }
+        return codings == 0 || (codings == 1 && length.empty());
+    }
+
     bool finish_header()
     {
         long code = 0;
         curl_easy_getinfo(session_.easy(), CURLINFO_RESPONSE_CODE, &code);
         transfer_.status = static_cast<int>(code);
+        if (code < 100 || code > 599 || code == 101)
+            return refuse("the status");
+        if (!has_sound_framing())
+            return refuse("the framing");
         const bool interim = code < 200;
         return interim || !on_head_ || on_head_(transfer_);
     }
@@ -463,8 +515,9 @@
     steady::time_point started_;
     steady::time_point last_progress_;
     transfer transfer_;
-    bool received_ = false; // Any byte of a response arrived.
-    bool stopped_ = false;  // A body or head callback returned false.
+    bool received_ = false;           // Any byte of a response arrived.
+    bool stopped_ = false;            // A body or head callback returned false.
+    const char* malformed_ = nullptr; // What of the response; null if nothing.
 };
 
 } // namespace
