--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -391,6 +391,7 @@
     response.emplace(is_head_request());
     ec_ = {};
     response->parse_head(connection_->buf, ec_);
+    held_by_head_ = response->held_by_head();
     while (!ec_ && !response->has_head()) {
         co_await read_some();
         if (ec_ == asio::error::eof)
