Count a request at the entry of its target, not at its id

Callers saw their kept connections closed without an answer, eight at a time: a node ended by the assertion `running > 0`. Its target was removed while a request waited for leave to run, and listed again while the request connected. started() found no entry and counted nothing; finished() found the new one.

The cause is that both were told of an id. The same mistake counted a request, or gave evidence, to another start of the target or to another address under its id.

Now started() returns a handle that counts one request at one entry and takes back what it counted when it ends, however its coroutine ends. The counts belong to the entry. The assertion stays, in the handle. After the wait for leave the target is chosen again; just before sending, the chosen process has to be in use, not its id. A relaying node checks its target again after the connect.

The tests of the registry keep the handles that they were given; what they check is unchanged.

--- a/include/fennelladder/dispatch/target_registry.hpp
+++ b/include/fennelladder/dispatch/target_registry.hpp
@@ -3,10 +3,10 @@
 //
 //     registry.sync(list.entries(), in_doubt, now);  // the platform's list
 //     auto made = registry.choose(request, now, random);
-//     registry.started(*made, request, now);
+//     target_use use = registry.started(*made, request, now);
 //     ...
-//     registry.first_byte(*made, waited, now);
-//     registry.finished(*made, true, target_evidence::answered, now);
+//     registry.first_byte(use, waited, now);
+//     registry.finished(std::move(use), target_evidence::answered, now);
 //
 // choose() returns the target with the lowest cost, which is based on the
 // predicted time to the first byte:
@@ -87,9 +87,11 @@
 //
 // All state belongs to one process of a target. When a target restarts under
 // its id, its state is reset; requests that end later at the previous process,
-// and the load that peers have there, are ignored. Signals of a process take
-// precedence over its entry in the list and outlive that entry; see
-// dispatch/signal_state.hpp.
+// and the load that peers have there, are ignored. A request counts at the
+// entry that was listed when it started (dispatch/target_use.hpp), so an entry
+// that was removed, or replaced, meanwhile gets no end of it. Signals of a
+// process take precedence over its entry in the list and outlive that entry;
+// see dispatch/signal_state.hpp.
 //
 // Cost: choose() is linear in the number of the service's targets. Not thread
 // safe.
@@ -104,10 +106,11 @@
 #include "fennelladder/dispatch/reach_table.hpp"
 #include "fennelladder/dispatch/service_curve.hpp"
 #include "fennelladder/dispatch/signal_state.hpp"
+#include "fennelladder/dispatch/target_use.hpp"
 
-#include <array>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <span>
 #include <string>
@@ -144,37 +147,6 @@
     std::optional<catalog::software_version> software;
 };
 
-/// Work added to a target's load, to be subtracted with the same value.
-struct assigned_work
-{
-    std::uint32_t reading = 0;    ///< Prompt tokens to prefill.
-    std::uint32_t max_tokens = 0; ///< That it may use: prompt and answer.
-    int urgency = 0;
-    double ahead = 0; ///< Tokens to be read before, when it was chosen.
-};
-
-/// A target chosen for a request.
-struct choice
-{
-    target_id target;
-    catalog::target_start start; ///< Of the process that was chosen.
-    std::string address;
-    data_center_id data_center;
-    catalog::software_version software;
-    assigned_work work;
-    duration predicted{0}; ///< Time to first byte of an average target.
-    double cost = 0;       ///< Of the chosen target, in seconds.
-    std::size_t candidates = 0;
-    int running = 0; ///< Requests there, as known when it was chosen.
-    /// Address of a target that holds more of the prompt's shared parts; empty
-    /// if a fetch isn't worth it.
-    std::string fetch_from;
-    bool relayed = false;       ///< Only peers reach the target.
-    bool teaches_curve = false; ///< Its wait is evidence for a service curve.
-
-    catalog::target_process process() const { return {target, start}; }
-};
-
 /// What the end of a request shows about its target.
 enum class target_evidence : std::uint8_t
 {
@@ -403,19 +375,21 @@
     no_target_reason why_no_target(const routing_request& request,
                                    instant now) const;
 
-    /// A request was sent. Every started() is followed by one finished() with
-    /// the same choice.
-    void started(const choice& made, const routing_request& of, instant now);
+    /// A request is about to be sent. It counts at the target until its use
+    /// ends. One whose process is no longer listed at the address chosen counts
+    /// nowhere.
+    [[nodiscard]] target_use started(const choice& made,
+                                     const routing_request& of, instant now);
 
     /// The first byte came `waited` after sending, so the prefill is done.
-    void first_byte(const choice& made, duration waited, instant now);
+    /// Later calls for the same use have no effect.
+    void first_byte(target_use& use, duration waited, instant now);
 
     /// Bytes of an answer came, so the target is alive.
-    void note_activity(const choice& made, instant now);
+    void note_activity(const target_use& use, instant now);
 
-    /// The request is over; `prefilled` says whether first_byte() was called.
-    void finished(const choice& made, bool prefilled, target_evidence evidence,
-                  instant now);
+    /// The request is over.
+    void finished(target_use use, target_evidence evidence, instant now);
 
     /// Records evidence that doesn't come from a started request, such as a
     /// failed connection.
@@ -434,7 +408,10 @@
     /// This node's load, for its peers.
     std::vector<target_load> own_load() const;
 
-    /// True if the target may take new work now.
+    /// True if the process may take new work now.
+    bool may_use(const catalog::target_process& target, instant now) const;
+
+    /// The same for the known process of this id.
     bool may_use(const target_id& target, instant now) const;
 
     /// True if this node may connect a peer to the target now. A cold target,
@@ -461,8 +438,6 @@
         instant at;
     };
 
-    static constexpr std::size_t urgency_levels = 4;
-
     /// What is known of all targets of a service.
     struct service_state
     {
@@ -477,15 +452,10 @@
         std::optional<instant> usable_until; ///< Left a list in doubt.
         bool gone = false;                   ///< Left the list.
         bool address_reused = false;         ///< By another process.
-        int running = 0;
-        std::int64_t reading = 0;
+        /// Of this node. Shared with the uses that count there.
+        std::shared_ptr<running_work> own = std::make_shared<running_work>();
         int peers_running = 0;
         std::int64_t peers_reading = 0;
-        /// Of this node's requests, the part of `reading` by urgency, and how
-        /// many wait for their first byte.
-        std::array<std::int64_t, urgency_levels> reading_by_urgency{};
-        std::array<int, urgency_levels> waiting_by_urgency{};
-        std::int64_t max_tokens = 0;       ///< Of this node's requests.
         std::int64_t peers_max_tokens = 0; ///< As far as they report them.
         int peers_unreported = 0; ///< Their requests without such a report.
         service_state* service = nullptr;
@@ -497,7 +467,6 @@
         decaying_average failure_rate; ///< 0 to 1.
         instant backoff_until;         ///< After a failed connect.
         instant full_until;            ///< After a rejection.
-        int awaiting_first_byte = 0;   ///< Requests.
         /// When the last byte came, or when requests began to wait.
         instant silent_since;
         int consecutive_backoffs = 0;
@@ -579,8 +548,6 @@
     std::optional<no_target_reason>
     memory_exclusion(const target_state& it,
                      const routing_request& request) const;
-    static void add_waiting(target_state& it, const assigned_work& work,
-                            int sign);
     void learn(target_state& it, const choice& made, duration waited,
                instant now);
     void forget_services();
@@ -591,6 +558,8 @@
     /// Null unless this process is the known one of its id.
     target_state* find(const target_id& target, catalog::target_start start);
     target_state* find(const catalog::target_process& target);
+    /// Null unless it is, and has the address that was chosen.
+    target_state* find(const choice& made);
     target_state* find(const target_load& load);
     void apply_entry(target_state& it, const catalog::target_entry& entry,
                      instant now, std::vector<catalog::target_entry>& replaced);
--- a/include/fennelladder/edge/attempt.hpp
+++ b/include/fennelladder/edge/attempt.hpp
@@ -72,6 +72,7 @@
     const caller_request& request;
     const catalog::route& route;
     const dispatch::choice& target;
+    dispatch::target_use& use; ///< Of `target`, by this attempt.
     adapter::forwarding_headers forwarding;
     response_writer& reply;
     event_splitter& events;
--- a/libs/dispatch/brittle_target_test.cpp
+++ b/libs/dispatch/brittle_target_test.cpp
@@ -51,7 +51,7 @@
 
 struct running_request
 {
-    choice made;
+    target_use use;
     instant end;
 };
 
@@ -146,7 +146,7 @@
         for (auto& node : nodes_)
             while (!node->running.empty() &&
                    node->running.front().end <= now_) {
-                node->registry.finished(node->running.front().made, false,
+                node->registry.finished(std::move(node->running.front().use),
                                         target_evidence::answered, now_);
                 node->running.pop_front();
             }
@@ -176,16 +176,16 @@
             const auto made = node.registry.choose(request, now_, random_);
             if (!made)
                 return;
-            node.registry.started(*made, request, now_);
+            target_use use = node.registry.started(*made, request, now_);
             const auto target =
                 std::ranges::find(targets_, made->target,
                                   [](const auto& it) { return it.entry.id; });
             if (target->accept(now_)) {
-                node.running.push_back({*made, now_ + service_time});
+                node.running.push_back({std::move(use), now_ + service_time});
                 ++served_;
                 return;
             }
-            node.registry.finished(*made, false, target_evidence::full, now_);
+            node.registry.finished(std::move(use), target_evidence::full, now_);
             request.avoid.push_back(made->process());
             request.was_rejected = true;
         }
@@ -280,17 +280,16 @@
         routing_request request;
         request.service = service_id("llm");
         int out = 0;
-        std::vector<choice> made;
+        std::vector<target_use> uses;
         while (out < 20) {
             const auto got = registry.choose(request, now, random);
             if (!got)
                 break;
-            registry.started(*got, request, now);
-            made.push_back(*got);
+            uses.push_back(registry.started(*got, request, now));
             ++out;
         }
-        for (const choice& it : made)
-            registry.finished(it, false, target_evidence::nothing, now);
+        for (target_use& it : uses)
+            registry.finished(std::move(it), target_evidence::nothing, now);
         return out;
     }
 };
--- a/libs/dispatch/limited_target_test.cpp
+++ b/libs/dispatch/limited_target_test.cpp
@@ -134,8 +134,8 @@
         const auto made = by.registry.choose(request, at(), random);
         if (!made)
             return;
-        by.registry.started(*made, request, at());
-        by.registry.finished(*made, false, target_evidence::answered, at());
+        by.registry.finished(by.registry.started(*made, request, at()),
+                             target_evidence::answered, at());
         all_.push_back(now_);
         if (now_ >= by.informed_s + 0.5)
             counted_.push_back(now_);
--- a/libs/dispatch/restricted_targets_test.cpp
+++ b/libs/dispatch/restricted_targets_test.cpp
@@ -95,8 +95,8 @@
             const auto made = by.choose(one, now, random);
             if (!made)
                 continue;
-            by.started(*made, one, now);
-            by.finished(*made, false, target_evidence::answered, now);
+            by.finished(by.started(*made, one, now), target_evidence::answered,
+                        now);
             ++out[made->target];
         }
         return out;
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -84,14 +84,14 @@
                                           const routing_request& request,
                                           std::uint32_t reading) const
 {
-    const int running = it.running + it.peers_running;
+    const int running = it.own->requests + it.peers_running;
     if (!request.on_engine) {
         const double queue =
             static_cast<double>(running) / std::max(it.entry.slots, 1U);
         return to_seconds(options_.plain_service_time) * (1 + queue);
     }
     const double tokens_first =
-        static_cast<double>(it.reading + it.peers_reading) + reading;
+        static_cast<double>(it.own->reading + it.peers_reading) + reading;
     return tokens_first / options_.prefill_speed +
            to_seconds(options_.delay_per_running) * (running + 1);
 }
@@ -123,7 +123,7 @@
 {
     const auto level = static_cast<std::size_t>(
         std::clamp<int>(urgency, 0, urgency_levels - 1));
-    const auto* first = it.reading_by_urgency.data();
+    const auto* first = it.own->reading_by_urgency.data();
     const std::int64_t own =
         std::accumulate(first, first + level + 1, std::int64_t(0));
     return static_cast<double>(std::max<std::int64_t>(own, 0));
@@ -135,7 +135,7 @@
                                    std::uint32_t reading, instant now) const
 {
     const service_curve& curve = it.curve ? *it.curve : it.service->curve;
-    const int running = it.running + it.peers_running;
+    const int running = it.own->requests + it.peers_running;
     const double ahead = tokens_ahead(it, request.urgency);
     double out = curve.predicted_seconds(
         {ahead + reading, running, it.entry.slots}, now);
@@ -150,7 +150,7 @@
     // Each more urgent request that waits there is read beside this one.
     for (int level = 0; level < std::min<int>(request.urgency, urgency_levels);
          ++level)
-        out += it.waiting_by_urgency[static_cast<std::size_t>(level)] *
+        out += it.own->waiting_by_urgency[static_cast<std::size_t>(level)] *
                (reading / curve.tokens_per_ms() / 1000);
     return cost_of_predicted(it, request, out, now);
 }
@@ -327,7 +327,7 @@
         int peers_running = 0;
         for (const candidate& it : candidates) {
             sum += it.state->recent_work;
-            running += it.state->running;
+            running += it.state->own->requests;
             peers_running += it.state->peers_running;
         }
         const double all_running = std::max(running + peers_running, 1);
@@ -354,7 +354,7 @@
             reading + again * (options_.shared_weight - 1));
         double target_cost = 0;
         if (request.isolated)
-            target_cost = it->running + it->peers_running;
+            target_cost = it->own->requests + it->peers_running;
         else if (by_curve)
             target_cost = curve_cost(*it, request, weighted, now) +
                           work_weight * std::max(it->recent_work, least_work);
@@ -387,7 +387,7 @@
     out.address = chosen->entry.address;
     out.data_center = chosen->entry.data_center;
     out.software = chosen->entry.software;
-    out.running = chosen->running + chosen->peers_running;
+    out.running = chosen->own->requests + chosen->peers_running;
     out.relayed = is_relayed(*chosen);
     return out;
 }
--- a/libs/dispatch/target_load_model.hpp
+++ b/libs/dispatch/target_load_model.hpp
@@ -87,7 +87,7 @@
 struct job
 {
     arrival from;
-    std::optional<choice> made;
+    std::shared_ptr<target_use> use; ///< Null without a registry.
     routing_request request;
     int engine = 0;
     int running_before = 0;
@@ -160,9 +160,10 @@
         return run([this, own](job& it, instant now) mutable {
             auto& registry =
                 *registries_[static_cast<std::size_t>(it.from.node)];
-            it.made = registry.choose(it.request, now, own);
-            registry.started(*it.made, it.request, now);
-            return std::stoi(it.made->target.str().substr(2));
+            const auto made = registry.choose(it.request, now, own);
+            it.use = std::make_shared<target_use>(
+                registry.started(*made, it.request, now));
+            return std::stoi(made->target.str().substr(2));
         });
     }
 
@@ -246,14 +247,14 @@
             if (it.from.large)
                 large_.push_back(waited);
         }
-        if (it.made)
+        if (it.use)
             registries_[static_cast<std::size_t>(it.from.node)]->first_byte(
-                *it.made, from_seconds(waited), now());
+                *it.use, from_seconds(waited), now());
         schedule(now_ + random_.exponential(stream_s), [this, it] {
             --engines_[static_cast<std::size_t>(it.engine)].running;
-            if (it.made)
+            if (it.use)
                 registries_[static_cast<std::size_t>(it.from.node)]->finished(
-                    *it.made, true, target_evidence::answered, now());
+                    std::move(*it.use), target_evidence::answered, now());
         });
     }
 
--- a/libs/dispatch/target_quotas.cpp
+++ b/libs/dispatch/target_quotas.cpp
@@ -99,8 +99,8 @@
     const std::uint32_t slots = it.entry.slots;
     const std::uint32_t share = assignments_.place_share(it.entry.id, slots);
     if (share > 0)
-        return static_cast<std::uint32_t>(it.running) < share;
-    return it.running == 0 && !request.was_rejected &&
+        return static_cast<std::uint32_t>(it.own->requests) < share;
+    return it.own->requests == 0 && !request.was_rejected &&
            it.peers_running < slots * options_.shared_room;
 }
 
@@ -115,7 +115,8 @@
     if (request.max_tokens > memory)
         return no_target_reason::too_large;
     const double unreported = it.peers_unreported * it.service->mean_tokens;
-    const auto known = static_cast<double>(it.max_tokens + it.peers_max_tokens);
+    const auto known =
+        static_cast<double>(it.own->max_tokens + it.peers_max_tokens);
     if (known + unreported + request.max_tokens > memory)
         return no_target_reason::no_memory;
     return std::nullopt;
--- a/libs/dispatch/target_registry.cpp
+++ b/libs/dispatch/target_registry.cpp
@@ -5,7 +5,6 @@
 #include "fennelladder/dispatch/target_registry.hpp"
 
 #include <algorithm>
-#include <cassert>
 #include <cmath>
 
 namespace fennelladder::dispatch {
@@ -104,13 +103,14 @@
         apply_entry(targets_[id], entry, now, replaced);
     std::erase_if(targets_, [&](const auto& it) {
         const target_state& state = it.second;
-        return (state.gone || state.address_reused) && state.running == 0 &&
-               !state.signals.is_active(now) && !listed.contains(it.first);
+        return (state.gone || state.address_reused) &&
+               state.own->requests == 0 && !state.signals.is_active(now) &&
+               !listed.contains(it.first);
     });
     by_service_.clear();
     std::vector<listed_process> processes;
     for (auto& [id, state] : targets_) {
-        if (state.gone && state.running == 0)
+        if (state.gone && state.own->requests == 0)
             continue;
         by_service_[state.entry.service].push_back(&state);
         processes.push_back({state.process, state.entry.service});
@@ -304,7 +304,7 @@
 /// the target was lost to this node show nothing about it.
 bool target_registry::is_silent(const target_state& it, instant now) const
 {
-    if (options_.max_silence <= duration(0) || it.awaiting_first_byte == 0)
+    if (options_.max_silence <= duration(0) || it.own->awaiting_first_byte == 0)
         return false;
     const auto lost = reach_.lost_since(it.process);
     const instant since = std::max(it.silent_since, lost.value_or(instant()));
@@ -326,10 +326,10 @@
         reach_.note_contact(it.process, now);
 }
 
-void target_registry::note_activity(const choice& made, instant now)
+void target_registry::note_activity(const target_use& use, instant now)
 {
-    if (target_state* it = find(made.target, made.start))
-        note_bytes(*it, made, now);
+    if (target_state* it = find(use.made()))
+        note_bytes(*it, use.made(), now);
 }
 
 bool target_registry::may_use(const target_id& target, instant now) const
@@ -339,12 +339,20 @@
            !backoff_requested(it->second, now);
 }
 
+bool target_registry::may_use(const catalog::target_process& target,
+                              instant now) const
+{
+    const auto it = targets_.find(target.id);
+    return it != targets_.end() && it->second.process == target &&
+           may_use(target.id, now);
+}
+
 bool target_registry::may_relay_to(const catalog::target_process& target,
                                    instant now) const
 {
     const auto it = targets_.find(target.id);
-    return it != targets_.end() && it->second.process == target &&
-           may_use(target.id, now) && !cold_quota(it->second, now);
+    return it != targets_.end() && may_use(target, now) &&
+           !cold_quota(it->second, now);
 }
 
 std::optional<catalog::target_entry>
@@ -386,6 +394,12 @@
     return find(target.id, target.start);
 }
 
+target_registry::target_state* target_registry::find(const choice& made)
+{
+    target_state* it = find(made.target, made.start);
+    return it != nullptr && it->entry.address == made.address ? it : nullptr;
+}
+
 /// A load without a start time is attributed to the known process.
 target_registry::target_state* target_registry::find(const target_load& load)
 {
@@ -395,18 +409,14 @@
     return it == targets_.end() ? nullptr : &it->second;
 }
 
-void target_registry::started(const choice& made, const routing_request& of,
-                              instant now)
+target_use target_registry::started(const choice& made,
+                                    const routing_request& of, instant now)
 {
-    target_state* it = find(made.target, made.start);
+    target_state* it = find(made);
     if (it == nullptr)
-        return;
-    ++it->running;
-    if (it->awaiting_first_byte++ == 0)
+        return {made, nullptr};
+    if (it->own->awaiting_first_byte == 0)
         mark_active(*it, now);
-    it->reading += made.work.reading;
-    it->max_tokens += made.work.max_tokens;
-    add_waiting(*it, made.work, 1);
     note_work(*it, made, now);
     if (made.work.max_tokens > 0) {
         double& mean = it->service->mean_tokens;
@@ -424,16 +434,7 @@
     for (const shared_part& part : of.prompt)
         it->parts[part.id] = now;
     trim_parts(*it, now);
-}
-
-void target_registry::add_waiting(target_state& it, const assigned_work& work,
-                                  int sign)
-{
-    const auto level = static_cast<std::size_t>(
-        std::clamp<int>(work.urgency, 0, urgency_levels - 1));
-    it.reading_by_urgency[level] +=
-        sign * static_cast<std::int64_t>(work.reading);
-    it.waiting_by_urgency[level] += sign;
+    return {made, it->own};
 }
 
 /// By how much a second of work sent now counts more than one sent at the epoch
@@ -483,15 +484,14 @@
         it.parts.clear();
 }
 
-void target_registry::first_byte(const choice& made, duration waited,
-                                 instant now)
+void target_registry::first_byte(target_use& use, duration waited, instant now)
 {
-    target_state* it = find(made.target, made.start);
+    if (!use.end_waiting())
+        return;
+    const choice& made = use.made();
+    target_state* it = find(made);
     if (it == nullptr)
         return;
-    it->reading -= made.work.reading;
-    --it->awaiting_first_byte;
-    add_waiting(*it, made.work, -1);
     note_bytes(*it, made, now);
     end_probe(*it, now);
     if (made.teaches_curve) {
@@ -504,20 +504,14 @@
     observe(it->log_slowness, std::log(slowness), now);
 }
 
-void target_registry::finished(const choice& made, bool prefilled,
-                               target_evidence evidence, instant now)
+void target_registry::finished(target_use use, target_evidence evidence,
+                               instant now)
 {
-    target_state* it = find(made.target, made.start);
+    use.end();
+    const choice& made = use.made();
+    target_state* it = find(made);
     if (it == nullptr)
         return;
-    assert(it->running > 0);
-    --it->running;
-    it->max_tokens -= made.work.max_tokens;
-    if (!prefilled) {
-        it->reading -= made.work.reading;
-        --it->awaiting_first_byte;
-        add_waiting(*it, made.work, -1);
-    }
     const bool answered = evidence == target_evidence::answered ||
                           evidence == target_evidence::failed ||
                           evidence == target_evidence::full;
@@ -621,8 +615,7 @@
                            static_cast<std::uint32_t>(
                                std::max<std::int64_t>(state.reading, 0)),
                            state.entry.start,
-                           static_cast<std::uint64_t>(
-                               std::max<std::int64_t>(state.max_tokens, 0))});
+                           static_cast<std::uint64_t>(state.own->max_tokens)});
     return out;
 }
 
--- a/libs/dispatch/target_registry_test.cpp
+++ b/libs/dispatch/target_registry_test.cpp
@@ -100,10 +100,12 @@
     for (std::uint64_t part = 2; part < 40; ++part) {
         routing_request request = prompt(part);
         // The shared parts are held by a target of the other version.
+        std::vector<target_use> uses;
         for (int i = 2; i < 6; ++i) {
             choice holder;
             holder.target = target_id("i-" + std::to_string(i));
-            registry.started(holder, request, start);
+            holder.address = registry.entry_of(holder.target)->address;
+            uses.push_back(registry.started(holder, request, start));
         }
         request.software = old;
         const auto made = registry.choose(request, start, random);
@@ -157,8 +159,9 @@
 {
     const auto request = prompt(5);
     const auto first = registry.choose(request, start, random);
+    std::vector<target_use> uses;
     for (int i = 0; i < 400; ++i)
-        registry.started(*first, request, start);
+        uses.push_back(registry.started(*first, request, start));
     const auto next = registry.choose(request, start, random);
     CHECK(next->target != first->target);
     STRCMP_EQUAL(first->address.c_str(), next->fetch_from.c_str());
@@ -177,9 +180,9 @@
     const instant later = start + seconds(30);
     const auto made = registry.choose(request, later, random);
     CHECK(made->target == dead);
-    registry.started(*made, request, later);
+    target_use use = registry.started(*made, request, later);
     CHECK(chosen(request, later) != dead);
-    registry.finished(*made, false, target_evidence::answered, later);
+    registry.finished(std::move(use), target_evidence::answered, later);
     CHECK(chosen(request, later) == dead);
 }
 
@@ -249,12 +252,12 @@
 {
     const auto request = prompt(5);
     const choice made = *registry.choose(request, start, random);
-    registry.started(made, request, start);
+    target_use use = registry.started(made, request, start);
     registry.sync({}, false, start);
     CHECK(!registry.may_use(made.target, start));
     registry.sync(engines(6), false, start);
     CHECK(registry.may_use(made.target, start));
-    registry.finished(made, false, target_evidence::other_life, start);
+    registry.finished(std::move(use), target_evidence::other_life, start);
     registry.sync(engines(6), false, start);
     CHECK(!registry.may_use(made.target, start));
 }
@@ -267,9 +270,9 @@
     fresh.prompt.back().id = 99;
     const auto made = registry.choose(request, start, random);
     for (int i = 0; i < 5; ++i) {
-        registry.started(*made, request, start);
-        registry.first_byte(*made, made->predicted * 20, start);
-        registry.finished(*made, true, target_evidence::answered, start);
+        target_use use = registry.started(*made, request, start);
+        registry.first_byte(use, made->predicted * 20, start);
+        registry.finished(std::move(use), target_evidence::answered, start);
     }
     CHECK(chosen(fresh) != made->target);
     CHECK(chosen(fresh, start + seconds(60)) == made->target);
@@ -336,8 +339,9 @@
 // one.
 TEST(target_restart, restart_resets_what_kept_requests_away)
 {
-    using step =
-        void (*)(target_registry&, const choice&, const routing_request&);
+    using step = std::function<void(target_registry&, const choice&,
+                                    const routing_request&)>;
+    std::vector<target_use> uses;
     struct row
     {
         const char* what;
@@ -367,16 +371,16 @@
         {"slow",
          [](target_registry& it, const choice& made, const routing_request&) {
              for (int i = 0; i < 9; ++i) {
-                 it.started(made, routing_request(), start);
-                 it.first_byte(made, seconds(60), start);
-                 it.finished(made, true, target_evidence::answered, start);
+                 target_use use = it.started(made, routing_request(), start);
+                 it.first_byte(use, seconds(60), start);
+                 it.finished(std::move(use), target_evidence::answered, start);
              }
          }},
         {"own load",
-         [](target_registry& it, const choice& made,
-            const routing_request& wanted) {
+         [&uses](target_registry& it, const choice& made,
+                 const routing_request& wanted) {
              for (int i = 0; i < 500; ++i)
-                 it.started(made, wanted, start);
+                 uses.push_back(it.started(made, wanted, start));
          }},
         {"load of a peer",
          [](target_registry& it, const choice& made, const routing_request&) {
@@ -413,7 +417,7 @@
     registry.sync(restarted(made.target, 100, "10.0.1.1:80"), false, start);
     const choice first = chosen(own);
     CHECK(first.target == made.target);
-    registry.started(first, prompt(5), start);
+    const target_use use = registry.started(first, prompt(5), start);
     const std::uint32_t to_prefill = chosen(prompt(5)).work.reading;
     CHECK(to_prefill < 500);
     registry.sync(restarted(made.target, 200, "10.0.1.1:80"), false, start);
@@ -425,21 +429,22 @@
 // an assertion, since the counts must not become negative).
 TEST(target_restart, requests_of_the_old_process_do_not_change_the_new_counts)
 {
+    std::vector<target_use> uses;
     for (int i = 0; i < 3; ++i)
-        registry.started(before, request, start);
+        uses.push_back(registry.started(before, request, start));
     list_restarted(200);
     CHECK(registry.own_load().empty());
     choice next = chosen(request);
-    registry.started(next, request, start);
-    registry.first_byte(before, seconds(60), start);
-    for (int i = 0; i < 3; ++i)
-        registry.finished(before, i == 0, target_evidence::unreachable, start);
+    target_use own = registry.started(next, request, start);
+    registry.first_byte(uses[0], seconds(60), start);
+    for (target_use& it : uses)
+        registry.finished(std::move(it), target_evidence::unreachable, start);
     const auto load = registry.own_load();
     UNSIGNED_LONGS_EQUAL(1, load.size());
     UNSIGNED_LONGS_EQUAL(1, load.at(0).running);
     UNSIGNED_LONGS_EQUAL(next.work.reading, load.at(0).reading);
     CHECK(load.at(0).start == catalog::target_start(200));
-    registry.finished(next, false, target_evidence::answered, start);
+    registry.finished(std::move(own), target_evidence::answered, start);
     CHECK(chosen(request).target == next.target);
     registry.note_evidence(before.process(), target_evidence::other_life,
                            start);
@@ -555,17 +560,17 @@
 {
     const auto request = prompt(5);
     const auto first = registry.choose(request, start, random);
-    registry.started(*first, request, start);
+    target_use use = registry.started(*first, request, start);
     CHECK(chosen(request) == first->target);
     const instant later = start + milliseconds(1'001);
     CHECK(chosen(request, later) != first->target);
     // It was only slow, or it works again.
-    registry.note_activity(*first, later);
+    registry.note_activity(use, later);
     CHECK(chosen(request, later) == first->target);
     // No request waits for a first byte any more.
-    registry.first_byte(*first, seconds(1), later);
+    registry.first_byte(use, seconds(1), later);
     CHECK(chosen(request, later + seconds(2)) == first->target);
-    registry.finished(*first, true, target_evidence::answered, later);
+    registry.finished(std::move(use), target_evidence::answered, later);
 }
 
 // A silent target is still used if its service has no other.
@@ -575,7 +580,7 @@
     alone.sync(engines(1), false, start);
     const auto request = prompt(5);
     const auto made = alone.choose(request, start, random);
-    alone.started(*made, request, start);
+    const target_use use = alone.started(*made, request, start);
     CHECK(alone.choose(request, start + seconds(5), random).has_value());
 }
 
@@ -591,15 +596,16 @@
     request.max_tokens = 8'000;
     request.target_memory = 20'000;
     const auto first = bounded.choose(request, start, random);
-    bounded.started(*first, request, start);
-    bounded.started(*bounded.choose(request, start, random), request, start);
+    target_use use = bounded.started(*first, request, start);
+    const target_use second = bounded.started(
+        *bounded.choose(request, start, random), request, start);
     CHECK(!bounded.choose(request, start, random));
     CHECK(bounded.why_no_target(request, start) == no_target_reason::no_memory);
     CHECK(bounded.may_take_later(request, start));
     // The first byte doesn't free memory, the end does.
-    bounded.first_byte(*first, milliseconds(100), start);
+    bounded.first_byte(use, milliseconds(100), start);
     CHECK(!bounded.choose(request, start, random));
-    bounded.finished(*first, true, target_evidence::answered, start);
+    bounded.finished(std::move(use), target_evidence::answered, start);
     CHECK(bounded.choose(request, start, random).has_value());
     // Requests of peers that don't report tokens count as the average.
     const target_id target("i-0");
@@ -635,16 +641,16 @@
     large.prompt.clear();
     large.urgency = 2;
     const auto first = by_curve.choose(large, start, random);
-    by_curve.started(*first, large, start);
+    target_use first_use = by_curve.started(*first, large, start);
     routing_request urgent = large;
     urgent.urgency = 0;
     const auto second = by_curve.choose(urgent, start, random);
     DOUBLES_EQUAL(0, second->work.ahead, 0);
-    by_curve.started(*second, urgent, start);
+    const target_use second_use = by_curve.started(*second, urgent, start);
     // Another less urgent one waits for both, wherever it is put.
     for (int i = 0; i < 20; ++i)
         CHECK(by_curve.choose(large, start, random)->work.ahead > 0);
-    by_curve.finished(*first, false, target_evidence::answered, start);
+    by_curve.finished(std::move(first_use), target_evidence::answered, start);
     for (int i = 0; i < 20; ++i)
         CHECK(by_curve.choose(large, start, random)->target != second->target);
 }
@@ -662,10 +668,10 @@
     const auto learn = [&](int n) {
         for (int i = 0; i < n; ++i) {
             const auto made = by_curve.choose(large, start, random);
-            by_curve.started(*made, large, start);
+            target_use use = by_curve.started(*made, large, start);
             const bool fast = made->target == target_id("i-1");
-            by_curve.first_byte(*made, milliseconds(fast ? 200 : 600), start);
-            by_curve.finished(*made, true, target_evidence::answered, start);
+            by_curve.first_byte(use, milliseconds(fast ? 200 : 600), start);
+            by_curve.finished(std::move(use), target_evidence::answered, start);
         }
     };
     learn(20);
@@ -689,10 +695,10 @@
     for (int i = 0; i < 40; ++i) {
         plain.avoid = {{target_id(i % 2 == 0 ? "i-0" : "i-1"), {}}};
         const auto made = by_curve.choose(plain, start, random);
-        by_curve.started(*made, plain, start);
-        by_curve.first_byte(
-            *made, milliseconds(made->target == slow ? 120 : 30), start);
-        by_curve.finished(*made, true, target_evidence::answered, start);
+        target_use use = by_curve.started(*made, plain, start);
+        by_curve.first_byte(use, milliseconds(made->target == slow ? 120 : 30),
+                            start);
+        by_curve.finished(std::move(use), target_evidence::answered, start);
     }
     plain.avoid.clear();
     for (int i = 0; i < 40; ++i)
--- a/libs/dispatch/target_signals_test.cpp
+++ b/libs/dispatch/target_signals_test.cpp
@@ -133,10 +133,10 @@
     const auto only = engine(1, 5);
     list({{only.id, only}});
     const auto made = registry.choose(request_for(), now, random);
-    registry.started(*made, request_for(), now);
+    target_use use = registry.started(*made, request_for(), now);
     registry.note_signals(only.process(), {.backoff = seconds(3)}, now);
-    registry.first_byte(*made, seconds(1), now);
-    registry.finished(*made, true, target_evidence::answered, now);
+    registry.first_byte(use, seconds(1), now);
+    registry.finished(std::move(use), target_evidence::answered, now);
     CHECK(!has_target());
     registry.note_signals(only.process(), {.backoff = seconds(1)}, now);
     registry.note_signals(only.process(), {.is_latest = true}, now);
@@ -169,9 +169,9 @@
     now += seconds(3);
     const auto probe = registry.choose(request_for(true), now, random);
     CHECK(probe->target == recovered.id);
-    registry.started(*probe, request_for(true), now);
+    target_use use = registry.started(*probe, request_for(true), now);
     CHECK(chosen() == busy.id);
-    registry.first_byte(*probe, milliseconds(10), now);
+    registry.first_byte(use, milliseconds(10), now);
     CHECK(chosen() == recovered.id);
 }
 
@@ -305,8 +305,7 @@
         const auto made = registry_.choose(request_for(), now_, random_);
         if (!made)
             return;
-        registry_.started(*made, request_for(), now_);
-        running_.push_back(*made);
+        running_.push_back(registry_.started(*made, request_for(), now_));
     }
 
     void end()
@@ -317,7 +316,7 @@
         if (running_.empty())
             return;
         const target_evidence how = ends[random_.below(std::size(ends))];
-        registry_.finished(running_.back(), false, how, now_);
+        registry_.finished(std::move(running_.back()), how, now_);
         running_.pop_back();
     }
 
@@ -341,7 +340,7 @@
     bool listed_ = false;
     bool leaving_ = false;
     instant backoff_until_;
-    std::vector<choice> running_;
+    std::vector<target_use> running_;
 };
 
 } // namespace
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -324,7 +324,7 @@
     const bool suspected = !in_.leased && in_.tables.quarantine.worst_of(
                                               in_.marks, in_.place, now);
     if (!late && !suspected &&
-        in_.tables.registry.may_use(in_.target.target, now))
+        in_.tables.registry.may_use(in_.target.process(), now))
         return true;
     // Nothing was sent: the request goes to another target, as after a failed
     // connect, without evidence against this one.
@@ -525,7 +525,7 @@
         return;
     out_.first_byte = true;
     const instant now = in_.tables.now();
-    in_.tables.registry.first_byte(in_.target, now - *out_.sent_at, now);
+    in_.tables.registry.first_byte(in_.use, now - *out_.sent_at, now);
 }
 
 /// Relays the whole events that are buffered, after the response's head.
@@ -582,7 +582,7 @@
         const bool more = co_await read_body_part(response, part);
         if (!more)
             co_return;
-        in_.tables.registry.note_activity(in_.target, in_.tables.now());
+        in_.tables.registry.note_activity(in_.use, in_.tables.now());
         if (!in_.events.feed(part)) {
             end(attempt_end::garbled, target_evidence::broke, "events");
             co_return;
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -259,6 +259,10 @@
         const auto entry = tables_.registry.entry_of(it->ask.target.id);
         it->target = tables_.pool.make({it->ask.target, entry->address});
         reply.relay = co_await connect(it->target);
+        // The target may have left while it was connected to.
+        if (reply.relay == relay_result::connected &&
+            !tables_.registry.may_relay_to(it->ask.target, tables_.now()))
+            reply.relay = relay_result::refused;
     }
     const std::string bytes = framed(mesh::encode(reply));
     const bool sent = co_await stream.write(bytes);
--- a/libs/edge/request_attempts.cpp
+++ b/libs/edge/request_attempts.cpp
@@ -164,11 +164,15 @@
 request_run::run_attempt_at(const dispatch::choice& target)
 {
     const bool repeatable = route_->repeats == catalog::repeat_rule::idempotent;
+    const dispatch::routing_request wanted = routing_request();
+    dispatch::target_use use =
+        tables_.registry.started(target, wanted, tables_.now());
     attempt_input in{.tables = tables_,
                      .cancellation = *cancellation_,
                      .request = request_,
                      .route = *route_,
                      .target = target,
+                     .use = use,
                      .forwarding = forwarding_for(target),
                      .reply = reply_,
                      .events = events_};
@@ -191,15 +195,12 @@
     in.place = dispatch::place_of(service_, target.software);
     in.leased = permit_.leased;
     note_beginning(target);
-    const dispatch::routing_request wanted = routing_request();
-    tables_.registry.started(target, wanted, tables_.now());
     retry_taken_ = false;
     attempt_began_ = tables_.now();
     cancellation_->on_idle_timeout([&] { return may_abandon_idle(target); });
     attempt_outcome got = co_await run_attempt(in);
     cancellation_->on_idle_timeout(nullptr);
-    tables_.registry.finished(target, got.first_byte, got.evidence,
-                              tables_.now());
+    tables_.registry.finished(std::move(use), got.evidence, tables_.now());
     co_return got;
 }
 
@@ -231,8 +232,11 @@
     });
 }
 
-/// Gets leave to send the request to `target`. A request that runs alone with
-/// a suspected mark goes to a target where little else would break off.
+/// Gets leave to send the request to `target`. Returns false if it may not run.
+/// After a wait the target is chosen again, among those of the same version,
+/// since its entry may have changed; unset: none takes the request any more. A
+/// request that runs alone with a suspected mark goes to a target where little
+/// else would break off.
 awaitable<bool> request_run::get_leave(std::optional<dispatch::choice>& target)
 {
     permit_ = {};
@@ -244,16 +248,20 @@
         log_quarantine(*permit_.worst, "refused", permit_.giver);
         co_return false;
     }
-    if (!permit_.leased)
+    if (permit_.number == 0)
         co_return true;
-    log_quarantine(*permit_.worst, "run alone", permit_.giver);
+    if (permit_.leased)
+        log_quarantine(*permit_.worst, "run alone", permit_.giver);
     dispatch::routing_request wanted = routing_request();
-    wanted.isolated = true;
+    wanted.isolated = permit_.leased;
     wanted.software = target->software;
+    target.reset();
     if (may_send())
-        if (auto idle =
-                tables_.registry.choose(wanted, tables_.now(), tables_.random))
-            target = idle;
+        target = tables_.registry.choose(wanted, tables_.now(), tables_.random);
+    if (!target && permit_.leased) {
+        driver_.quarantine_.release(permit_, duration(0));
+        permit_.leased = false;
+    }
     co_return true;
 }
 
@@ -367,12 +375,9 @@
     got.ended = attempt_end::not_connected;
     for (;;) {
         auto target = choose_target();
-        if (!target) {
-            got.detail = no_target_reason();
-            co_await respond(dispatch::give_up(state_, got.ended), got);
-            co_return;
-        }
-        const bool may_run = co_await get_leave(target);
+        bool may_run = true;
+        if (target)
+            may_run = co_await get_leave(target);
         if (!may_run) {
             const bool condemned =
                 permit_.worst->state.level == dispatch::suspicion::condemned;
@@ -380,6 +385,11 @@
             co_await respond(dispatch::give_up(state_, got.ended), got);
             co_return;
         }
+        if (!target) {
+            got.detail = no_target_reason();
+            co_await respond(dispatch::give_up(state_, got.ended), got);
+            co_return;
+        }
         got = co_await run_attempt_at(*target);
         record_attempt(got, *target);
         end_leave(got, *target);
