Serve requests with fields above 65,533 bytes

Callers saw their kept connections closed without an answer: a node ended on one request with a field of 65,634 bytes, which the configuration allowed. Beast's container stores the length of a value in 16 bits and throws for more, and an exception that left any coroutine ended the process.

Such values are now read beside the container and passed on unchanged, so a request within the limits is served. A field that frames or routes the message, or is continued on the next line, is refused if it is that long.

An exception ends its task: one connection, relay or call. It is logged (1008 task_failed), what the task held is given back, and what has to run all the time is started again. Tests of whole nodes, and the soak, fail on that event, as they failed on the end of the process.

--- a/include/fennelladder/edge/attempt.hpp
+++ b/include/fennelladder/edge/attempt.hpp
@@ -40,6 +40,7 @@
     std::string method;
     std::string path; ///< Including the query, as the caller sent it.
     adapter::header_fields fields;
+    std::vector<adapter::long_field> long_fields;
     /// Shared with a write to a target, which may outlive the request. Null if
     /// it has none.
     std::shared_ptr<const std::string> body;
--- a/include/fennelladder/edge/io.hpp
+++ b/include/fennelladder/edge/io.hpp
@@ -23,9 +23,11 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace fennelladder::edge {
 
@@ -92,9 +94,20 @@
 }
 
 /// Starts a coroutine on the node's io_context. An exception that escapes from
-/// it terminates the process, since the state it was changing may be
-/// inconsistent.
-void spawn(asio::io_context& io, awaitable<void> work);
+/// it ends what it was doing, as one connection, and is logged with the name of
+/// `task`; its objects are destroyed, so what it has to undo belongs into their
+/// destructors.
+void spawn(asio::io_context& io, awaitable<void> work,
+           std::string_view task = "task");
+
+/// The same for a coroutine that has to run as long as the node: after an
+/// exception has ended it, `start` is called again.
+void spawn_lasting(asio::io_context& io, std::function<awaitable<void>()> start,
+                   std::string_view task);
+
+/// Calls `run`, which runs handlers of `io`, until that is stopped. An
+/// exception that escapes from a handler is logged, and the others go on.
+void run_contained(asio::io_context& io, const std::function<void()>& run);
 
 } // namespace fennelladder::edge
 
--- a/include/fennelladder/edge/request_intake.hpp
+++ b/include/fennelladder/edge/request_intake.hpp
@@ -20,6 +20,9 @@
 //
 // The body's memory grows as it arrives, not as it is announced.
 //
+// Fields that are too long for Beast's container are read beside it
+// (edge/long_fields.hpp).
+//
 // Pure computation, but for the bytes that are in the buffer. Not thread safe.
 
 #ifndef FENNELLADDER_EDGE_REQUEST_INTAKE_HPP
@@ -28,6 +31,7 @@
 #include "fennelladder/catalog/configuration.hpp"
 #include "fennelladder/edge/growing_body.hpp"
 #include "fennelladder/edge/io.hpp"
+#include "fennelladder/edge/long_fields.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -101,11 +105,17 @@
     /// Moves the head's fields out. The parser has those of trailers later.
     http::fields take_fields();
 
+    /// Moves out the fields that the container can't hold, which are empty
+    /// there: those of the head, and later those of trailers.
+    std::vector<adapter::long_field> take_long_fields();
+
     /// Moves the body out. Precondition: is_whole().
     std::string take_body();
 
 private:
     bool needs_more() const;
+    bool take_long_lines();
+    std::size_t parse_buffer(net_error& ec);
     void check_head();
     void check_framing();
 
@@ -114,6 +124,10 @@
     parser parser_;
     intake_fault fault_ = intake_fault::none;
     bool reads_body_ = false;
+    /// The buffer begins with the line of a chunk, which the parser has seen
+    /// and waits for more.
+    bool at_chunk_line_ = false;
+    long_field_reader longer_;
     std::size_t head_bytes_ = 0;   ///< Parsed so far.
     std::size_t field_lines_ = 0;  ///< Of the head.
     std::uint64_t body_bytes_ = 0; ///< Parsed so far, with framing.
--- a/include/fennelladder/edge/response_intake.hpp
+++ b/include/fennelladder/edge/response_intake.hpp
@@ -33,6 +33,7 @@
 #include <cstdint>
 #include <limits>
 #include <optional>
+#include <stdexcept>
 #include <string_view>
 
 namespace fennelladder::edge {
@@ -113,7 +114,14 @@
         }
         const bool in_head = !parser_->is_header_done();
         const auto* bytes = static_cast<const char*>(buf.data().data());
-        const std::size_t used = parser_->put(buf.data(), ec);
+        std::size_t used = 0;
+        try {
+            used = parser_->put(buf.data(), ec);
+        } catch (const std::length_error&) {
+            // The container can't hold a field of this length.
+            ec = fault_ = http::error::header_limit;
+            return;
+        }
         const std::string_view parsed(bytes, used);
         // Trailers are parsed at once, with the last chunk.
         const bool in_trailers =
--- a/include/fennelladder/telemetry/event_catalog.hpp
+++ b/include/fennelladder/telemetry/event_catalog.hpp
@@ -51,6 +51,7 @@
 constexpr int node_not_ready = 1005;
 constexpr int node_left_unclean = 1006;
 constexpr int node_failed = 1007;
+constexpr int task_failed = 1008;
 constexpr int wish_not_applied = 1490;
 constexpr int manifest_syntax = 1100;
 constexpr int manifest_unknown_key = 1101;
--- a/libs/dispatch/target_choice.cpp
+++ b/libs/dispatch/target_choice.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <limits>
 #include <numeric>
 
 namespace fennelladder::dispatch {
@@ -20,13 +21,20 @@
     return hash64(target.str(), part);
 }
 
+/// Callers state sizes of which sums don't fit.
+std::uint32_t to_token_count(double value)
+{
+    constexpr double most = std::numeric_limits<std::uint32_t>::max();
+    return static_cast<std::uint32_t>(std::clamp(value, 0.0, most));
+}
+
 /// Tokens of all parts but the unshared last one.
 std::uint32_t shared_size(const std::vector<shared_part>& prompt)
 {
-    std::uint32_t out = 0;
+    double out = 0;
     for (std::size_t i = 0; i + 1 < prompt.size(); ++i)
         out += prompt[i].size;
-    return out;
+    return to_token_count(out);
 }
 
 } // namespace
@@ -45,7 +53,7 @@
                                            bool expected_here,
                                            instant now) const
 {
-    std::uint32_t out = 0;
+    double out = 0;
     for (std::size_t i = 0; i < request.prompt.size(); ++i) {
         const bool own = i + 1 == request.prompt.size() && i > 0;
         const auto known = it.parts.find(request.prompt[i].id);
@@ -55,7 +63,7 @@
             break;
         out += request.prompt[i].size;
     }
-    return std::min(out, request.prompt_size);
+    return std::min(to_token_count(out), request.prompt_size);
 }
 
 /// The target where all nodes expect the shared parts of the prompt.
@@ -350,8 +358,8 @@
         // a part to be fetched as if it were prefilled here, and gives tokens
         // of shared parts a higher weight than those of the unshared part.
         const double again = shared > here ? shared - here : 0;
-        const auto weighted = static_cast<std::uint32_t>(
-            reading + again * (options_.shared_weight - 1));
+        const std::uint32_t weighted =
+            to_token_count(reading + again * (options_.shared_weight - 1));
         double target_cost = 0;
         if (request.isolated)
             target_cost = it->own->requests + it->peers_running;
--- a/libs/dispatch/target_registry.cpp
+++ b/libs/dispatch/target_registry.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace fennelladder::dispatch {
 
@@ -610,10 +611,11 @@
 {
     std::vector<target_load> out;
     for (const auto& [id, state] : targets_)
-        if (state.running > 0)
-            out.push_back({id, static_cast<std::uint32_t>(state.running),
-                           static_cast<std::uint32_t>(
-                               std::max<std::int64_t>(state.reading, 0)),
+        if (state.own->requests > 0)
+            out.push_back({id, static_cast<std::uint32_t>(state.own->requests),
+                           static_cast<std::uint32_t>(std::min<std::int64_t>(
+                               state.own->reading,
+                               std::numeric_limits<std::uint32_t>::max())),
                            state.entry.start,
                            static_cast<std::uint64_t>(state.own->max_tokens)});
     return out;
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -342,9 +342,9 @@
     std::optional<std::size_t> body_size;
     if (request.has_body)
         body_size = request.body_text().size();
-    outgoing_->head =
-        adapter::encode_request_head(request.method, request.path,
-                                     request.fields, in_.forwarding, body_size);
+    outgoing_->head = adapter::encode_request_head(
+        request.method, request.path, request.fields, in_.forwarding, body_size,
+        request.long_fields);
     outgoing_->body = request.body;
     outgoing_->connection = connection_;
     connection_->awaiting_response = true;
--- a/libs/edge/caller_server.cpp
+++ b/libs/edge/caller_server.cpp
@@ -39,14 +39,18 @@
     const accept_limit limit = new_connection_limit();
     if (auto ok = listen_on(acceptor_, address, limit.longest_queue); !ok)
         return ok;
-    spawn(tables_.io,
-          accept_connections(
-              acceptor_,
-              [this](tcp::socket socket) { take(std::move(socket)); },
-              [this](const net_error& ec) {
-                  log_not_accepted(disconnect_reason(ec));
-              },
-              limit));
+    spawn_lasting(
+        tables_.io,
+        [this, limit] {
+            return accept_connections(
+                acceptor_,
+                [this](tcp::socket socket) { take(std::move(socket)); },
+                [this](const net_error& ec) {
+                    log_not_accepted(disconnect_reason(ec));
+                },
+                limit);
+        },
+        "callers");
     return {};
 }
 
@@ -222,7 +226,7 @@
     tables_.admission.note_accepted(tables_.now());
     const auto session =
         std::make_shared<caller_session>(*this, std::move(socket));
-    spawn(tables_.io, caller_session::run(session));
+    spawn(tables_.io, caller_session::run(session), "caller");
 }
 
 } // namespace fennelladder::edge
--- a/libs/edge/caller_session.cpp
+++ b/libs/edge/caller_session.cpp
@@ -380,7 +380,9 @@
     out.method = std::string(message.method_string());
     out.path = std::string(message.target());
     out.fields = intake_->take_fields();
-    out.header_values = adapter::parse_request_headers(out.fields);
+    out.long_fields = intake_->take_long_fields();
+    out.header_values =
+        adapter::parse_request_headers(out.fields, out.long_fields);
     present_id_ = out.header_values.id;
     return !has_unsupported_transfer_encoding(out.fields);
 }
@@ -473,6 +475,8 @@
     // Those of the trailers of a chunked body.
     for (const auto& it : intake_->parsed().get())
         out.fields.insert(it.name(), it.name_string(), it.value());
+    for (adapter::long_field& it : intake_->take_long_fields())
+        out.long_fields.push_back(std::move(it));
     request_bytes_ = intake_->held() - buf_.capacity() +
                      out.header_values.prompt.size() * bytes_per_prompt_part;
     if (out.has_body)
--- a/libs/edge/edge_node.cpp
+++ b/libs/edge/edge_node.cpp
@@ -132,8 +132,10 @@
     feed_.start();
     allocator_.start();
     links_.start();
-    spawn(io_, watch_signals());
-    spawn(io_, run_periodic_tasks());
+    spawn_lasting(
+        io_, [this] { return watch_signals(); }, "signals");
+    spawn_lasting(
+        io_, [this] { return run_periodic_tasks(); }, "maintenance");
     log_event(event::node_started,
               {{"host", tables_.settings.host.str()},
                {"listen", tables_.settings.listen.callers},
@@ -144,12 +146,15 @@
 void edge_node::run()
 {
     if (!tables_.options.refuses_beyond_capacity) {
-        io_.run();
+        run_contained(io_, [this] { io_.run(); });
         return;
     }
-    spawn(io_, probe_backlog());
-    run_measured(io_, tables_.time, [this](duration worked, instant now) {
-        tables_.admission.note_busy(worked, now);
+    spawn_lasting(
+        io_, [this] { return probe_backlog(); }, "backlog");
+    run_contained(io_, [this] {
+        run_measured(io_, tables_.time, [this](duration worked, instant now) {
+            tables_.admission.note_busy(worked, now);
+        });
     });
 }
 
@@ -188,7 +193,8 @@
             continue;
         }
         if (!tables_.leaving)
-            spawn(io_, leave());
+            spawn_lasting(
+                io_, [this] { return leave(); }, "shutdown");
     }
 }
 
--- a/libs/edge/io.cpp
+++ b/libs/edge/io.cpp
@@ -1,5 +1,7 @@
 #include "fennelladder/edge/io.hpp"
 
+#include "fennelladder/telemetry/log.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <exception>
@@ -18,6 +20,38 @@
                        sizeof value);
 }
 
+/// Time after which a task that failed is started again.
+constexpr duration restart_pause = milliseconds(100);
+
+void log_failure(const std::string& task, const std::exception_ptr& failure)
+{
+    std::string error = "of an unknown type";
+    try {
+        std::rethrow_exception(failure);
+    } catch (const std::exception& known) {
+        error = known.what();
+    } catch (...) {
+    }
+    telemetry::log_event(telemetry::event::task_failed,
+                         {{"task", task}, {"error", error}});
+}
+
+awaitable<void> run_lasting(asio::io_context& io,
+                            std::function<awaitable<void>()> start,
+                            std::string task)
+{
+    asio::steady_timer timer(io);
+    for (;;) {
+        try {
+            co_await start();
+            co_return;
+        } catch (...) {
+            log_failure(task, std::current_exception());
+        }
+        co_await sleep_on(timer, restart_pause);
+    }
+}
+
 } // namespace
 
 std::optional<tcp::endpoint> parse_endpoint(const std::string& address)
@@ -85,12 +119,31 @@
     co_await timer.async_wait(into(ec));
 }
 
-void spawn(asio::io_context& io, awaitable<void> work)
+void spawn(asio::io_context& io, awaitable<void> work, std::string_view task)
+{
+    asio::co_spawn(
+        io, std::move(work),
+        [name = std::string(task)](const std::exception_ptr& failure) {
+            if (failure)
+                log_failure(name, failure);
+        });
+}
+
+void spawn_lasting(asio::io_context& io, std::function<awaitable<void>()> start,
+                   std::string_view task)
+{
+    spawn(io, run_lasting(io, std::move(start), std::string(task)), task);
+}
+
+void run_contained(asio::io_context& io, const std::function<void()>& run)
 {
-    asio::co_spawn(io, std::move(work), [](const std::exception_ptr& failure) {
-        if (failure)
-            std::rethrow_exception(failure);
-    });
+    while (!io.stopped()) {
+        try {
+            run();
+        } catch (...) {
+            log_failure("handler", std::current_exception());
+        }
+    }
 }
 
 } // namespace fennelladder::edge
--- a/libs/edge/link_prober.cpp
+++ b/libs/edge/link_prober.cpp
@@ -20,7 +20,8 @@
 
 void link_prober::start()
 {
-    spawn(tables_.io, run());
+    spawn_lasting(
+        tables_.io, [this] { return run(); }, "links");
 }
 
 awaitable<void> link_prober::run()
@@ -30,7 +31,7 @@
         report_changes();
         if (const auto target =
                 tables_.registry.reach().next_probe(tables_.now()))
-            spawn(tables_.io, probe(*target));
+            spawn(tables_.io, probe(*target), "link probe");
         co_await sleep_on(timer, tick_period);
     }
 }
--- a/libs/edge/mesh_node.cpp
+++ b/libs/edge/mesh_node.cpp
@@ -120,8 +120,10 @@
     if (auto ok = exchange_.start(); !ok)
         return ok;
     tables_.broadcast_update = [this] { schedule_update(); };
-    spawn(tables_.io, receive());
-    spawn(tables_.io, tick());
+    spawn_lasting(
+        tables_.io, [this] { return receive(); }, "datagrams");
+    spawn_lasting(
+        tables_.io, [this] { return tick(); }, "heartbeats");
     return {};
 }
 
@@ -293,7 +295,7 @@
     if (update_scheduled_)
         return;
     update_scheduled_ = true;
-    spawn(tables_.io, send_scheduled_update());
+    spawn(tables_.io, send_scheduled_update(), "update");
 }
 
 awaitable<void> mesh_node::send_scheduled_update()
--- a/libs/edge/platform_feed.cpp
+++ b/libs/edge/platform_feed.cpp
@@ -70,16 +70,22 @@
     tables_.on_platform_answer = [this] { reset_backoff(); };
     tables_.on_store_era.push_back([this] { on_store_era(); });
     configuration_.last_attempt = tables_.now();
-    spawn(tables_.io, follow_targets());
-    spawn(tables_.io, follow_configuration());
+    spawn_lasting(
+        tables_.io, [this] { return follow_targets(); }, "targets");
+    spawn_lasting(
+        tables_.io, [this] { return follow_configuration(); }, "configuration");
     if (tables_.settings.evacuation_bound)
-        spawn(tables_.io, follow_evacuations());
-    spawn(tables_.io, register_node());
-    spawn(tables_.io, record_versions());
+        spawn_lasting(
+            tables_.io, [this] { return follow_evacuations(); }, "evacuations");
+    spawn_lasting(
+        tables_.io, [this] { return register_node(); }, "registration");
+    spawn_lasting(
+        tables_.io, [this] { return record_versions(); }, "versions");
     tables_.read_recorded_versions = [this] {
         return read_recorded_versions();
     };
-    spawn(tables_.io, probe_platform());
+    spawn_lasting(
+        tables_.io, [this] { return probe_platform(); }, "platform");
 }
 
 /// A watch without an answer doesn't show that the platform is unreachable,
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -1,5 +1,6 @@
 #include "fennelladder/edge/relay.hpp"
 
+#include "fennelladder/base/on_failure.hpp"
 #include "fennelladder/edge/host_shares.hpp"
 #include "fennelladder/edge/response_intake.hpp"
 #include "fennelladder/mesh/source_choice.hpp"
@@ -253,6 +254,10 @@
     reply.relay = check(ask);
     ++active_;
     const auto it = std::make_shared<relayed_connection>();
+    const on_failure failed([this, it] {
+        --active_;
+        it->close();
+    });
     it->peer = std::move(socket);
     it->ask = std::move(ask);
     if (reply.relay == relay_result::connected) {
--- a/libs/edge/request_admission.cpp
+++ b/libs/edge/request_admission.cpp
@@ -104,10 +104,11 @@
                                             request_.body_text());
     marks_.push_back(dispatch::crash_mark::of(fingerprint_));
     const auto& prompt = request_.header_values.prompt;
-    for (std::size_t i = 0; i + 1 < prompt.size(); ++i) {
+    for (std::size_t i = 0; i + 1 < prompt.size() && marks_.size() < max_marks;
+         ++i) {
         const auto mark = dispatch::crash_mark::of_part(prompt[i].id);
         const bool known = std::ranges::find(marks_, mark) != marks_.end();
-        if (!known && marks_.size() < max_marks)
+        if (!known)
             marks_.push_back(mark);
     }
 }
--- a/libs/edge/request_attempts.cpp
+++ b/libs/edge/request_attempts.cpp
@@ -44,6 +44,13 @@
 /// Time until all nodes know of a death.
 constexpr duration death_notice_time = seconds(1);
 
+/// As the registry counts them.
+std::uint32_t to_token_count(tokens stated)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        stated.count(), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 } // namespace
 
 /// Records at which version the stream begins, if it may be resumed.
@@ -72,14 +79,12 @@
     out.regions = catalog::regions_for(*route_, team_);
     for (const adapter::prompt_part& it : request_.header_values.prompt)
         out.prompt.push_back({it.id, it.size});
-    out.prompt_size = static_cast<std::uint32_t>(
-        request_.header_values.prompt_size.value_or(tokens(0)).count());
+    out.prompt_size =
+        to_token_count(request_.header_values.prompt_size.value_or(tokens(0)));
     out.urgency = urgency();
     if (engine_ == nullptr)
         return out;
-    const auto max_tokens = std::max<std::int64_t>(max_cost().count(), 0);
-    out.max_tokens = static_cast<std::uint32_t>(std::min<std::int64_t>(
-        max_tokens, std::numeric_limits<std::uint32_t>::max()));
+    out.max_tokens = to_token_count(max_cost());
     out.target_memory = static_cast<std::uint64_t>(
         std::max<std::int64_t>(engine_->cache_size.count(), 0));
     return out;
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -1,5 +1,6 @@
 #include "fennelladder/edge/request_driver.hpp"
 
+#include "fennelladder/base/on_failure.hpp"
 #include "fennelladder/telemetry/log.hpp"
 #include "request_run.hpp"
 
@@ -29,6 +30,8 @@
                       request.body_text().size();
     for (const auto& it : request.fields)
         out += it.name_string().size() + it.value().size() + header_line_extra;
+    for (const adapter::long_field& it : request.long_fields)
+        out += it.name.size() + it.value.size() + header_line_extra;
     return out;
 }
 
@@ -111,6 +114,7 @@
     tables_.link.add_received(size_of(request));
     reply.count_on(tables_.link);
     request_run run(*this, request, reply, std::move(cancellation));
+    const on_failure failed([&run] { run.abandon(); });
     co_await run.run(decided.refused);
     if (!run.was_served())
         co_return;
--- a/libs/edge/request_end.cpp
+++ b/libs/edge/request_end.cpp
@@ -54,6 +54,18 @@
     reserved_.reset();
 }
 
+void request_run::abandon()
+{
+    if (reserved_) {
+        used_ = *reserved_;
+        driver_.allocator_.settle(team_->id, *reserved_, used_);
+        reserved_.reset();
+    }
+    if (permit_.leased)
+        driver_.quarantine_.release(permit_, duration(0));
+    permit_.leased = false;
+}
+
 void request_run::log_end(int number, std::string_view outcome,
                           std::string_view reason)
 {
--- a/libs/edge/request_intake.cpp
+++ b/libs/edge/request_intake.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <stdexcept>
 #include <string_view>
 #include <utility>
 
@@ -30,16 +31,25 @@
     return static_cast<std::size_t>(std::count(bytes, bytes + size, '\n'));
 }
 
-/// Whether the line that begins a chunk is whole, so that it is the last chunk
-/// and what follows is trailers. The parser leaves the line break that ends the
-/// chunk before in the buffer.
-bool has_chunk_line(const beast::flat_buffer& buf)
+/// Where the line ends that begins a chunk. If it is whole, it is that of the
+/// last chunk, and what follows is trailers. The parser leaves the line break
+/// that ends the chunk before in the buffer.
+std::optional<std::size_t> end_of_chunk_line(const beast::flat_buffer& buf)
 {
-    std::string_view bytes(static_cast<const char*>(buf.data().data()),
-                           buf.size());
-    if (bytes.starts_with("\r\n"))
-        bytes.remove_prefix(2);
-    return bytes.find('\n') != std::string_view::npos;
+    const std::string_view bytes(static_cast<const char*>(buf.data().data()),
+                                 buf.size());
+    const auto end = bytes.find('\n', bytes.starts_with("\r\n") ? 2 : 0);
+    if (end == std::string_view::npos)
+        return std::nullopt;
+    return end + 1;
+}
+
+/// Where the first line of the buffer ends; 0 if it isn't whole.
+std::size_t end_of_first_line(const beast::flat_buffer& buf)
+{
+    const std::string_view bytes(static_cast<const char*>(buf.data().data()),
+                                 buf.size());
+    return bytes.find('\n') + 1;
 }
 
 } // namespace
@@ -96,13 +106,47 @@
            !(reads_body_ ? is_whole() : has_head());
 }
 
+/// Reads values that are too long for the parser from what it gets next.
+/// Returns false if one is malformed.
+bool request_intake::take_long_lines()
+{
+    if (buf_.size() <= max_parsed_line)
+        return true;
+    if (!has_head() && field_lines_ > 0)
+        return longer_.take_from(buf_, 0);
+    if (!has_head()) {
+        const std::size_t first = end_of_first_line(buf_);
+        return first == 0 || longer_.take_from(buf_, first);
+    }
+    const auto trailers =
+        at_chunk_line_ ? end_of_chunk_line(buf_) : std::nullopt;
+    return !trailers || longer_.take_from(buf_, *trailers);
+}
+
+/// Returns how many bytes were parsed. The container throws for a field that it
+/// can't hold.
+std::size_t request_intake::parse_buffer(net_error& ec)
+{
+    try {
+        return parser_.put(buf_.data(), ec);
+    } catch (const std::length_error&) {
+        ec = http::error::bad_field;
+        return 0;
+    }
+}
+
 void request_intake::parse()
 {
     net_error ec;
     while (needs_more() && !ec && buf_.size() > 0) {
         const bool in_head = !has_head();
+        if (!take_long_lines()) {
+            ec = http::error::bad_field;
+            break;
+        }
         const auto* bytes = static_cast<const char*>(buf_.data().data());
-        const std::size_t used = parser_.put(buf_.data(), ec);
+        const std::size_t used = parse_buffer(ec);
+        at_chunk_line_ = !in_head && ec == http::error::need_more;
         if (in_head) {
             head_bytes_ += used;
             field_lines_ += count_lines(bytes, used);
@@ -110,6 +154,8 @@
             body_bytes_ += used;
         }
         buf_.consume(used);
+        if (used > 0)
+            longer_.on_consumed();
     }
     if (ec && ec != http::error::need_more)
         fault_ = fault_of(ec);
@@ -133,8 +179,8 @@
     if (!needs_more())
         return;
     if (buf_.size() > limits_.header_bytes)
-        fault_ = has_chunk_line(buf_) ? intake_fault::trailers_too_large
-                                      : intake_fault::chunk_line_too_long;
+        fault_ = end_of_chunk_line(buf_) ? intake_fault::trailers_too_large
+                                         : intake_fault::chunk_line_too_long;
     else if (body_bytes_ - data > framing_per_byte * data + framing_allowance)
         fault_ = intake_fault::too_much_framing;
 }
@@ -168,7 +214,7 @@
 std::size_t request_intake::held() const
 {
     return buf_.capacity() + parser_.get().body().capacity() + head_bytes_ +
-           field_lines_ * bytes_per_field;
+           longer_.bytes() + field_lines_ * bytes_per_field;
 }
 
 void request_intake::drop_body()
@@ -183,6 +229,11 @@
     return out;
 }
 
+std::vector<adapter::long_field> request_intake::take_long_fields()
+{
+    return longer_.take();
+}
+
 std::string request_intake::take_body()
 {
     return std::move(parser_.get().body());
--- a/libs/edge/request_intake_test.cpp
+++ b/libs/edge/request_intake_test.cpp
@@ -308,3 +308,47 @@
     }
     CHECK(whole > 100);
 }
+
+// Guards against a field that the parser's container can't hold, which is lost
+// or changed where its bytes are split, and against a message that is read
+// differently because of it.
+TEST(request_intake, reads_long_fields_in_pieces_of_any_size)
+{
+    catalog::caller_limits limits;
+    limits.header_bytes = 400'000;
+    const std::string value = repeat("0123456789", 70'000);
+    const std::string more = repeat("abc", 90'000);
+    const std::string bytes =
+        "POST /x HTTP/1.1\r\nHost: h.example\r\nX-Long: " + value +
+        "\r\nX-Short: 1\r\nX-Last: " + more +
+        "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("hello") +
+        "0\r\nX-Trailer: 2\r\nX-Long-Trailer: " + value + "\r\n\r\nGET /";
+    std::mt19937 random(7);
+    for (int round = 0; round < 40; ++round) {
+        beast::flat_buffer buf;
+        request_intake intake(buf, limits);
+        const std::size_t most =
+            std::size_t(1) << std::uniform_int_distribution(9, 15)(random);
+        std::uniform_int_distribution<std::size_t> size(1, most);
+        for (std::size_t at = 0; at < bytes.size() && !intake.is_whole();) {
+            const std::size_t n =
+                std::min({intake.read_size(), size(random), bytes.size() - at});
+            std::memcpy(buf.prepare(n).data(), bytes.data() + at, n);
+            buf.commit(n);
+            at += n;
+            intake.parse_all();
+            CHECK(intake.fault() == intake_fault::none);
+        }
+        CHECK(intake.is_whole());
+        STRCMP_EQUAL("hello", intake.take_body().c_str());
+        CHECK(intake.parsed().get()["X-Short"] == "1");
+        CHECK(intake.parsed().get()["X-Trailer"] == "2");
+        const auto longer = intake.take_long_fields();
+        UNSIGNED_LONGS_EQUAL(3, longer.size());
+        STRCMP_EQUAL("X-Long", longer[0].name.c_str());
+        CHECK(longer[0].value == value);
+        CHECK(longer[1].value == more);
+        STRCMP_EQUAL("X-Long-Trailer", longer[2].name.c_str());
+        CHECK(longer[2].value == value);
+    }
+}
--- a/libs/edge/request_run.hpp
+++ b/libs/edge/request_run.hpp
@@ -48,6 +48,10 @@
     /// Answers a request that was refused on its head.
     awaitable<void> refuse_at_head(const refusal& why);
 
+    /// Gives back what an unexpected error left: a lease, and tokens, of which
+    /// all count as spent.
+    void abandon();
+
     /// Whether the caller got a target's whole answer. What is given up or
     /// refused later shows nothing of what the host can do.
     bool was_served() const { return served_; }
--- a/libs/edge/simple_server.cpp
+++ b/libs/edge/simple_server.cpp
@@ -86,13 +86,17 @@
 {
     if (auto ok = listen_on(acceptor_, address_); !ok)
         return ok;
-    spawn(io_, accept_connections(
-                   acceptor_,
-                   [this](tcp::socket socket) {
-                       spawn(io_, serve(std::make_shared<tcp::socket>(
-                                      std::move(socket))));
-                   },
-                   [](const auto&) {}, accept_limit_of(slots_)));
+    const auto take = [this](tcp::socket socket) {
+        spawn(io_, serve(std::make_shared<tcp::socket>(std::move(socket))),
+              "small listener");
+    };
+    spawn_lasting(
+        io_,
+        [this, take] {
+            return accept_connections(
+                acceptor_, take, [](const auto&) {}, accept_limit_of(slots_));
+        },
+        "small listeners");
     return {};
 }
 
--- a/libs/edge/stock_refiller.cpp
+++ b/libs/edge/stock_refiller.cpp
@@ -48,7 +48,8 @@
 
 void stock_refiller::start()
 {
-    spawn(tables_.io, run());
+    spawn_lasting(
+        tables_.io, [this] { return run(); }, "stock");
 }
 
 // Selection of the writer.
--- a/libs/edge/token_allocator.cpp
+++ b/libs/edge/token_allocator.cpp
@@ -561,7 +561,8 @@
                       tables_.token_balances.free_of(request.team).count())}});
     update_gauge();
     if (!std::exchange(repeats_grants_, true))
-        spawn(tables_.io, repeat_grants());
+        spawn_lasting(
+            tables_.io, [this] { return repeat_grants(); }, "grants");
 }
 
 /// Repeats grants until none is in transit.
@@ -710,7 +711,7 @@
         const mesh::token_push push{tables_.incarnation, last_number_, it.team,
                                     tables_.token_balances.debit_all(it.team)};
         pushes_[last_number_] = push;
-        spawn(tables_.io, repeat_push(push, taker, until));
+        spawn(tables_.io, repeat_push(push, taker, until), "push");
     }
 }
 
--- a/libs/edge/update_exchange.cpp
+++ b/libs/edge/update_exchange.cpp
@@ -1,5 +1,6 @@
 #include "fennelladder/edge/update_exchange.hpp"
 
+#include "fennelladder/base/on_failure.hpp"
 #include "fennelladder/edge/host_shares.hpp"
 #include "fennelladder/edge/simple_server.hpp"
 #include "fennelladder/mesh/text_compression.hpp"
@@ -117,14 +118,18 @@
 {
     if (auto ok = listen_on(acceptor_, address_); !ok)
         return ok;
-    spawn(tables_.io, accept_connections(
-                          acceptor_,
-                          [this](tcp::socket socket) {
-                              spawn(tables_.io,
-                                    serve(std::make_shared<tcp::socket>(
-                                        std::move(socket))));
-                          },
-                          [](const auto&) {}, accept_limit_of(connections_)));
+    const auto take = [this](tcp::socket socket) {
+        spawn(tables_.io,
+              serve(std::make_shared<tcp::socket>(std::move(socket))), "peer");
+    };
+    spawn_lasting(
+        tables_.io,
+        [this, take] {
+            return accept_connections(
+                acceptor_, take, [](const auto&) {},
+                accept_limit_of(connections_));
+        },
+        "peers");
     return {};
 }
 
@@ -154,11 +159,12 @@
     if (fetch.under_way)
         return;
     fetch.under_way = true;
-    spawn(tables_.io, fetch_all(fetch));
+    spawn(tables_.io, fetch_all(fetch), "fetch");
 }
 
 awaitable<void> update_exchange::fetch_all(fetch_state& fetch)
 {
+    const on_failure failed([&fetch] { fetch.under_way = false; });
     asio::steady_timer timer(tables_.io);
     co_await sleep_on(timer, fetch_delay(fetch));
     for (;;) {
--- a/libs/telemetry/event_catalog.cpp
+++ b/libs/telemetry/event_catalog.cpp
@@ -28,6 +28,9 @@
     {event::node_failed, severity::error, "node_failed",
      "An error left the node's work incomplete; its process ends and is "
      "restarted."},
+    {event::task_failed, severity::error, "task_failed",
+     "An unexpected error ended one task, such as a caller's connection; the "
+     "node goes on."},
     {event::wish_not_applied, severity::debug, "wish_not_applied",
      "The ledger did not apply a record of this node; the verdict says why."},
     {event::manifest_syntax, severity::error, "manifest_syntax",
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -717,6 +717,11 @@
             number = int(request[1:].split(".")[0], 16)
             if number % 3 == 0 and len(marks) > 1:
                 self.note(f"{request}: may run once, ran {len(marks)} times")
+        for node in self.nodes:
+            with open(node.log.name, errors="replace") as log:
+                failed = [it for it in log if '"name":"task_failed"' in it]
+            if failed:
+                self.note(f"n{node.number}: {failed[0].strip()}")
         for team, prepaid in PREPAID.items():
             tokens = self.runs.tokens(team)
             if tokens > prepaid:
