Take back what targets haven't got of requests that are given up

Callers were answered, and seconds later their requests ran at targets that were leaving: a cut that heals delivers what the kernel still holds. Connections of attempts that were given up were closed in order, and those on which nothing was acknowledged were ended by the kernel's own limit. Only a reset by the sender takes bytes back.

target_connection::close() is now the one way in which a connection to a target ends: by a reset, unless the target has begun to answer and all bytes were acknowledged. The socket is set so from its begin, for a process that is killed. In place of the kernel's limit the node watches for acknowledgements itself, and resets after 2.5 s without one. Relays do the same on both connections, and notice a reset while they wait to write.

An answer that is still being read, also beside an upload that its target doesn't read, goes on as before.

--- a/include/fennelladder/edge/io.hpp
+++ b/include/fennelladder/edge/io.hpp
@@ -81,6 +81,18 @@
 /// pauses while its kernel answers isn't affected.
 void enable_keepalive(tcp::socket& socket, duration limit);
 
+/// The same without the user timeout, so that only silent connections on which
+/// all bytes were acknowledged end: by the count of probes.
+void enable_probes(tcp::socket& socket, duration limit);
+
+/// Bytes written to the connection that the peer's kernel hasn't acknowledged;
+/// unset if the kernel doesn't say.
+std::optional<std::size_t> unacknowledged_bytes(tcp::socket& socket);
+
+/// Lets close(), and the end of the process, reset the connection: the kernel
+/// then discards what it hasn't delivered. Off: it goes on sending that.
+void set_reset_on_close(tcp::socket& socket, bool resets);
+
 /// Waits for `length`. Returns early if the timer is cancelled.
 awaitable<void> sleep_on(asio::steady_timer& timer, duration length);
 
--- a/include/fennelladder/edge/relay.hpp
+++ b/include/fennelladder/edge/relay.hpp
@@ -90,6 +90,7 @@
 
     mesh::relay_result check(const mesh::relay_request& ask) const;
     awaitable<mesh::relay_result> connect(connection_ptr made);
+    awaitable<void> watch_peer(relayed_ptr it);
     awaitable<void> copy_request(relayed_ptr it);
     awaitable<void> copy_answer(relayed_ptr it);
     void note_end(const mesh::relay_request& ask, mesh::relay_end end);
--- a/include/fennelladder/edge/socket_deadline.hpp
+++ b/include/fennelladder/edge/socket_deadline.hpp
@@ -21,6 +21,7 @@
 #include "fennelladder/edge/expiry_check.hpp"
 #include "fennelladder/edge/io.hpp"
 
+#include <functional>
 #include <memory>
 
 namespace fennelladder::edge {
@@ -31,8 +32,10 @@
     using time_point = asio::steady_timer::time_point;
 
     /// Sets no deadline yet. Does not keep the socket alive; a socket that has
-    /// been destroyed needs no closing.
-    explicit socket_deadline(const std::shared_ptr<tcp::socket>& socket);
+    /// been destroyed needs no closing. `close` is called in place of the
+    /// socket's own function; it must not keep the socket alive either.
+    explicit socket_deadline(const std::shared_ptr<tcp::socket>& socket,
+                             std::function<void()> close = nullptr);
 
     ~socket_deadline() { clear(); }
     socket_deadline(const socket_deadline&) = delete;
--- a/include/fennelladder/edge/target_connection.hpp
+++ b/include/fennelladder/edge/target_connection.hpp
@@ -15,6 +15,15 @@
 // requests that must not be sent twice use only connections that were idle for
 // a very short time.
 //
+// A request that is given up must not reach its target later: a network that
+// heals delivers what the kernel still holds, seconds after the caller was
+// answered. So a connection ends by a reset, which takes these bytes back,
+// unless the target has begun to answer and all bytes were acknowledged. This
+// holds for each way in which one ends, also the end of this process. For the
+// same reason the kernel's limit on unacknowledged bytes isn't used for them,
+// since nothing takes back what it gives up: watch_sending() resets the
+// connection instead.
+//
 // Connections are pooled by process and address: one that was opened to an
 // earlier process of a target, or to an address that the target has left, is
 // never used for the current process.
@@ -46,24 +55,57 @@
 };
 
 /// One connection to a target. It may be idle in the pool or carry a request.
+/// Owned by shared pointers. Not thread safe.
 struct target_connection
 {
     target_connection(asio::io_context& io, target_endpoint target);
+    ~target_connection() { close(); }
+    target_connection(const target_connection&) = delete;
+    target_connection& operator=(const target_connection&) = delete;
+
+    /// Ends the connection, and takes back what the target hasn't got.
+    void close();
 
     target_endpoint to;
     tcp::socket socket;
     beast::flat_buffer buf;         ///< Bytes read but not yet parsed.
     bool used = false;              ///< Has carried a request.
     bool awaiting_response = false; ///< Sent, no response yet.
+    /// Bytes received so far. Signs of a live target, see watch_sending().
+    std::size_t received = 0;
+    bool timed_out = false; ///< Ended by watch_sending().
     instant idle_since;
     duration idle_timeout{0};
+
+private:
+    friend void watch_sending(const std::shared_ptr<target_connection>& it,
+                              std::size_t bytes, duration limit);
+    using time_point = asio::steady_timer::time_point;
+
+    void arm(std::weak_ptr<target_connection> self, duration length);
+    void check_sending(const std::weak_ptr<target_connection>& self);
+
+    asio::steady_timer watch_;
+    bool is_watched_ = false;
+    duration limit_{0};
+    std::size_t last_unacknowledged_ = 0;
+    std::size_t last_received_ = 0;
+    time_point stalled_since_;
 };
 
 using connection_ptr = std::shared_ptr<target_connection>;
 
+/// Resets the connection once its target has acknowledged nothing more, and
+/// sent nothing, for `limit`. Call it when a write of `bytes` begins; the watch
+/// ends by itself when all is acknowledged.
+void watch_sending(const connection_ptr& it, std::size_t bytes, duration limit);
+
 struct connection_pool_options
 {
-    duration keepalive_timeout = seconds(3); ///< See enable_keepalive().
+    duration keepalive_timeout = seconds(3); ///< See enable_probes().
+    /// See watch_sending(). Shorter than the former, so that the kernel doesn't
+    /// end the connection first, whatever it counts.
+    duration sending_timeout = milliseconds(2500);
     /// Idle timeout of connections whose target states none. A stated timeout
     /// is shortened by a fifth, so that the target does not close first.
     duration idle_timeout = seconds(4);
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -358,6 +358,8 @@
                           sent->done = !ec;
                           sent->error = ec;
                       });
+    watch_sending(connection_, outgoing_->head.size() + body.size(),
+                  in_.tables.pool.options().sending_timeout);
 }
 
 /// Reads once, in any part of a response.
@@ -366,8 +368,11 @@
     const std::size_t n = co_await connection_->socket.async_read_some(
         connection_->buf.prepare(read_bytes), into(ec_));
     connection_->buf.commit(n);
+    connection_->received += n;
     in_.tables.link.add_received(n);
     ec_ = end_of_input(ec_, outgoing_->error);
+    if (ec_ && connection_->timed_out)
+        ec_ = asio::error::timed_out;
 }
 
 /// Whether so many bytes may be held besides the head. Precondition: they are
@@ -404,7 +409,7 @@
             co_return false;
         }
     }
-    connection_->awaiting_response = false;
+    connection_->awaiting_response = !response->has_head();
     if (!ec_ && may_use_response())
         co_return true;
     out_.produced_nothing =
@@ -785,6 +790,7 @@
             co_await handle_response(*response, header_values);
             co_return;
         }
+        connection_->awaiting_response = true;
         const bool discarded_response = co_await discard(*response);
         if (!discarded_response)
             co_return;
@@ -805,10 +811,8 @@
     in_.cancellation.detach();
     // Close a connection that did not return to the pool, so that its target
     // learns that nobody is waiting any more.
-    if (connection_) {
-        net_error ec;
-        connection_->socket.close(ec);
-    }
+    if (connection_)
+        connection_->close();
     co_return std::move(out_);
 }
 
--- a/libs/edge/io.cpp
+++ b/libs/edge/io.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <charconv>
 #include <exception>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace fennelladder::edge {
@@ -99,6 +101,13 @@
 }
 
 void enable_keepalive(tcp::socket& socket, duration limit)
+{
+    enable_probes(socket, limit);
+    const auto ms = std::chrono::duration_cast<milliseconds>(limit).count();
+    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ms));
+}
+
+void enable_probes(tcp::socket& socket, duration limit)
 {
     net_error ec;
     socket.set_option(tcp::no_delay(true), ec);
@@ -109,7 +118,20 @@
     set_option(socket, IPPROTO_TCP, TCP_KEEPIDLE, idle_seconds);
     set_option(socket, IPPROTO_TCP, TCP_KEEPINTVL, 1);
     set_option(socket, IPPROTO_TCP, TCP_KEEPCNT, 2);
-    set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(ms));
+}
+
+std::optional<std::size_t> unacknowledged_bytes(tcp::socket& socket)
+{
+    int out = 0;
+    if (::ioctl(socket.native_handle(), SIOCOUTQ, &out) != 0 || out < 0)
+        return std::nullopt;
+    return static_cast<std::size_t>(out);
+}
+
+void set_reset_on_close(tcp::socket& socket, bool resets)
+{
+    net_error ec;
+    socket.set_option(asio::socket_base::linger(resets, 0), ec);
 }
 
 awaitable<void> sleep_on(asio::steady_timer& timer, duration length)
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -109,7 +109,8 @@
         reply && reply->relay ? *reply->relay : relay_result::busy;
     if (out == relay_result::connected) {
         stream.release();
-        enable_keepalive(made->socket, tables.pool.options().keepalive_timeout);
+        enable_probes(made->socket, tables.pool.options().keepalive_timeout);
+        set_reset_on_close(made->socket, true);
     }
     co_return out;
 }
@@ -203,7 +204,8 @@
     {
         net_error ec;
         peer->close(ec);
-        target->socket.close(ec);
+        if (target)
+            target->close();
     }
 };
 
@@ -273,7 +275,8 @@
     const bool sent = co_await stream.write(bytes);
     if (sent && reply.relay == relay_result::connected) {
         enable_keepalive(*it->peer, tables_.pool.options().keepalive_timeout);
-        spawn(tables_.io, copy_request(it));
+        spawn(tables_.io, copy_request(it), "relayed request");
+        spawn(tables_.io, watch_peer(it), "relayed request");
         co_await copy_answer(it);
         it->close();
     }
@@ -306,6 +309,16 @@
         ended_.pop_front();
 }
 
+/// Ends the relay when the peer resets its connection, which a write that waits
+/// for the target would not show.
+awaitable<void> relay_server::watch_peer(relayed_ptr it)
+{
+    net_error ec;
+    co_await it->peer->async_wait(tcp::socket::wait_error, into(ec));
+    if (!ec)
+        it->close();
+}
+
 /// Copies until the peer has sent all, or leaves. What a target doesn't take
 /// any more is read all the same: the peer may still read its answer.
 awaitable<void> relay_server::copy_request(relayed_ptr it)
@@ -323,6 +336,8 @@
         if (it->target_write_error)
             continue;
         tables_.link.add_sent(n);
+        it->target->awaiting_response = it->answer_bytes == 0;
+        watch_sending(it->target, n, tables_.pool.options().sending_timeout);
         co_await asio::async_write(it->target->socket,
                                    asio::buffer(buf.data(), n),
                                    into(it->target_write_error));
@@ -350,6 +365,8 @@
         if (ec)
             break;
         it->answer_bytes += n;
+        it->target->awaiting_response = false;
+        it->target->received += n;
         tables_.link.add_received(n);
         tables_.link.add_sent(n);
         tables_.registry.reach().note_contact(it->ask.target, tables_.now());
--- a/libs/edge/request_cancellation.cpp
+++ b/libs/edge/request_cancellation.cpp
@@ -145,12 +145,11 @@
     if (ended_ || over || stopped_ == why)
         return;
     stopped_ = why;
-    net_error ec;
     if (connection_ && connection_->awaiting_response &&
         why == stop_reason::caller_left)
         half_close();
     else if (connection_)
-        connection_->socket.close(ec);
+        connection_->close();
     if (on_stop_)
         on_stop_(why);
 }
@@ -169,7 +168,12 @@
     // A stopped request needs no limits any more.
     armed_for_.reset();
     timer_.cancel();
-    half_close_deadline_.emplace(socket_of(connection_));
+    half_close_deadline_.emplace(
+        socket_of(connection_),
+        [weak = std::weak_ptr<target_connection>(connection_)] {
+            if (const auto it = weak.lock())
+                it->close();
+        });
     half_close_deadline_->close_after(half_close_timeout);
 }
 
--- a/libs/edge/socket_deadline.cpp
+++ b/libs/edge/socket_deadline.cpp
@@ -1,14 +1,17 @@
 #include "fennelladder/edge/socket_deadline.hpp"
 
 #include <optional>
+#include <utility>
 
 namespace fennelladder::edge {
 
 class socket_deadline::state : public std::enable_shared_from_this<state>
 {
 public:
-    explicit state(const std::shared_ptr<tcp::socket>& socket)
-        : socket_(socket), timer_(socket->get_executor())
+    state(const std::shared_ptr<tcp::socket>& socket,
+          std::function<void()> close)
+        : socket_(socket), close_(std::move(close)),
+          timer_(socket->get_executor())
     {}
 
     void set(time_point at, bool closes);
@@ -23,6 +26,7 @@
     void expire();
 
     std::weak_ptr<tcp::socket> socket_;
+    const std::function<void()> close_;
     asio::steady_timer timer_;
     std::optional<time_point> deadline_;
     std::optional<time_point> armed_for_;
@@ -96,14 +100,17 @@
     has_closed_ = has_closed_ || closes_;
     net_error ec;
     const auto socket = socket_.lock();
-    if (socket && closes_)
+    if (socket && closes_ && close_)
+        close_();
+    else if (socket && closes_)
         socket->close(ec);
     else if (socket)
         socket->cancel(ec);
 }
 
-socket_deadline::socket_deadline(const std::shared_ptr<tcp::socket>& socket)
-    : state_(std::make_shared<state>(socket))
+socket_deadline::socket_deadline(const std::shared_ptr<tcp::socket>& socket,
+                                 std::function<void()> close)
+    : state_(std::make_shared<state>(socket, std::move(close)))
 {}
 
 void socket_deadline::close_at(time_point at)
--- a/libs/edge/target_connection.cpp
+++ b/libs/edge/target_connection.cpp
@@ -8,11 +8,73 @@
 
 namespace fennelladder::edge {
 
+namespace {
+
+/// Checks of a connection within the limit on its silence.
+constexpr int checks_per_limit = 4;
+
+} // namespace
+
 target_connection::target_connection(asio::io_context& io,
                                      target_endpoint target)
-    : to(std::move(target)), socket(io)
+    : to(std::move(target)), socket(io), watch_(io)
 {}
 
+void target_connection::close()
+{
+    if (!socket.is_open())
+        return;
+    const bool delivered =
+        !awaiting_response && unacknowledged_bytes(socket) == 0U;
+    set_reset_on_close(socket, !delivered);
+    net_error ec;
+    socket.close(ec);
+}
+
+void target_connection::arm(std::weak_ptr<target_connection> self,
+                            duration length)
+{
+    is_watched_ = true;
+    watch_.expires_after(length);
+    watch_.async_wait([self = std::move(self)](net_error ec) {
+        const auto it = self.lock();
+        if (!ec && it)
+            it->check_sending(self);
+    });
+}
+
+void target_connection::check_sending(
+    const std::weak_ptr<target_connection>& self)
+{
+    is_watched_ = false;
+    const auto left = socket.is_open() ? unacknowledged_bytes(socket)
+                                       : std::optional<std::size_t>();
+    if (!left || *left == 0)
+        return;
+    const auto now = asio::steady_timer::clock_type::now();
+    if (*left != last_unacknowledged_ || received != last_received_) {
+        last_unacknowledged_ = *left;
+        last_received_ = received;
+        stalled_since_ = now;
+    }
+    if (now - stalled_since_ < limit_)
+        return arm(self, std::min<duration>(limit_ / checks_per_limit,
+                                            stalled_since_ + limit_ - now));
+    timed_out = true;
+    close();
+}
+
+void watch_sending(const connection_ptr& it, std::size_t bytes, duration limit)
+{
+    it->limit_ = limit;
+    it->last_unacknowledged_ = bytes;
+    it->last_received_ = it->received;
+    it->stalled_since_ = asio::steady_timer::clock_type::now();
+    // A timer that fires sooner waits for the rest.
+    if (!it->is_watched_)
+        it->arm(it, limit / 2);
+}
+
 bool is_stale(tcp::socket& socket)
 {
     char byte = 0;
@@ -81,7 +143,8 @@
                        "no connection in time");
     if (ec)
         co_return fail(error_code::unavailable, "connect: " + ec.message());
-    enable_keepalive(made->socket, options_.keepalive_timeout);
+    enable_probes(made->socket, options_.keepalive_timeout);
+    set_reset_on_close(made->socket, true);
     co_return status();
 }
 
--- a/libs/edge/target_prober.cpp
+++ b/libs/edge/target_prober.cpp
@@ -149,8 +149,7 @@
         const std::function<bool()> goes_on = [] { return false; };
         const relay_outcome got =
             co_await connect_relayed(tables_, made, no_request, goes_on);
-        net_error ec;
-        made->socket.close(ec);
+        made->close();
         co_return got.result == mesh::relay_result::connected;
     }
     co_return false;
