Resume no stream by a history of versions that has a gap

Report of another operator: streams that had begun at a new version were taken up at a node that had been cut off, or stood still, and went on at the version before.

A stream whose record isn't found goes on if its service had one version only. The history of versions counted as complete after a minute, whatever gaps it had: a version that came, began streams and went within a gap was in no list. Entries that came and went in one answer were not seen either. A node's own record of a stream was used without asking others, also if it was of an earlier attempt.

The history is now told when the list was current, and is known only since the last gap, unless each change within it was seen. Each change counts. The nodes that keep a stream's record are always asked, and its last attempt counts.

--- a/include/fennelladder/dispatch/stream_origins.hpp
+++ b/include/fennelladder/dispatch/stream_origins.hpp
@@ -88,7 +88,7 @@
     explicit stream_origin_table(stream_origin_options options = {});
 
     /// Adds a record that was made `age` ago, or replaces the known one, unless
-    /// that has a later attempt.
+    /// that has a later attempt, or the same and was made later.
     void note(const stream_origin& origin, instant now,
               duration age = duration(0));
 
@@ -131,17 +131,41 @@
 };
 
 /// The software versions that each service had of late.
+///
+///     history.note_changes(changes, now);   // each change that was seen
+///     history.sync(list.entries(), now);    // the list after them
+///     history.confirm(at, true);            // the list was current at `at`
+///
+/// A version may come, begin streams and go while this process doesn't follow
+/// the list, since it stands still or is cut off. It is then in no list. So the
+/// history is known only since the last gap between two confirmations, unless
+/// the changes within the gap were seen one by one.
 class version_history
 {
 public:
-    explicit version_history(duration span) : span_(span) {}
+    /// `max_gap` is shorter than any target is listed.
+    version_history(duration span, duration max_gap)
+        : span_(span), max_gap_(max_gap)
+    {}
 
     /// Applies the list of targets. Call after each change of the list.
     void sync(const catalog::target_list::entry_map& listed, instant now);
 
-    /// The versions of the service within the span: complete if the list is
-    /// known for that long, or if earlier processes recorded what they knew and
-    /// the list was known when that was read.
+    /// Adds the versions in changes of the list, which may be gone again.
+    void note_changes(std::span<const catalog::target_change> changes,
+                      instant now);
+
+    /// Records that the list was current at `at`. `follows_all`: all changes
+    /// before that were passed to note_changes(). Has no effect if a later
+    /// confirmation is recorded.
+    void confirm(instant at, bool follows_all);
+
+    /// When the list was current last; unset if it never was.
+    const std::optional<instant>& confirmed_at() const { return confirmed_at_; }
+
+    /// The versions of the service within the span: complete if the list was
+    /// followed for that long, or if earlier processes recorded what they knew
+    /// and the list was followed since that was read.
     recent_versions of(const service_id& service, instant now) const;
 
     using version_map =
@@ -150,13 +174,17 @@
     /// Adds all versions that any process had recorded by `now`.
     void add_recorded(const version_map& recorded, instant now);
 
-    /// Whether add_recorded() was called.
-    bool has_recorded() const { return recorded_at_.has_value(); }
+    /// Whether add_recorded() was called since the last gap.
+    bool has_recorded() const
+    {
+        return recorded_at_ &&
+               (!known_since_ || *known_since_ <= *recorded_at_);
+    }
 
-    /// Whether the list is known for the whole span.
+    /// Whether the list was followed for the whole span.
     bool covers_span(instant now) const
     {
-        return known_since_ && now - *known_since_ >= span_;
+        return is_followed(now) && now - *known_since_ >= span_;
     }
 
     /// The versions of all services within the span, as far as known.
@@ -167,8 +195,16 @@
     using last_listed =
         std::map<catalog::software_version, std::optional<instant>>;
 
+    bool is_followed(instant now) const
+    {
+        return known_since_ && confirmed_at_ &&
+               now - *confirmed_at_ <= max_gap_;
+    }
+
     duration span_;
-    std::optional<instant> known_since_;
+    duration max_gap_;
+    std::optional<instant> known_since_; ///< Without a gap.
+    std::optional<instant> confirmed_at_;
     std::map<service_id, last_listed> versions_;
     version_map recorded_;
     std::optional<instant> recorded_at_;
--- a/include/fennelladder/edge/node_tables.hpp
+++ b/include/fennelladder/edge/node_tables.hpp
@@ -166,7 +166,8 @@
     /// Records that the state of this node was the newest one at `at`, as
     /// stated by the platform or by a peer with the same state.
     void confirm_configuration(instant at);
-    void confirm_targets(instant at);
+    /// `follows_all`: see dispatch::version_history.
+    void confirm_targets(instant at, bool follows_all = false);
 
     /// Records that some node had the newest target list at `at`, whether or
     /// not this node has it.
@@ -224,7 +225,9 @@
     dispatch::retry_budget retries;
     dispatch::quarantine quarantine;
     dispatch::stream_origin_table stream_origins;
-    dispatch::version_history versions{stream_origins.options().retention};
+    /// No target is listed for less than the time within which it may leave.
+    dispatch::version_history versions{stream_origins.options().retention,
+                                       settings.leaving_bound};
     prepaid::token_balances token_balances;
     prepaid::loss_tracker losses;
     mesh::peer_view peers;
--- a/include/fennelladder/edge/platform_feed.hpp
+++ b/include/fennelladder/edge/platform_feed.hpp
@@ -132,7 +132,7 @@
     mesh::watch_inputs view_targets();
     mesh::watch_inputs view_evacuations();
     void confirm_configuration(instant at);
-    void confirm_targets(instant at);
+    void confirm_targets(instant at, bool follows_all);
     void confirm_evacuations(instant at);
     void apply_evacuations(catalog::evacuation_state state,
                            instant first_byte_at);
--- a/include/fennelladder/edge/stream_origin_exchange.hpp
+++ b/include/fennelladder/edge/stream_origin_exchange.hpp
@@ -51,8 +51,9 @@
     /// the request is sent there.
     void begin(const dispatch::stream_origin& origin);
 
-    /// Looks the stream up here, then at other nodes. Completes when one of
-    /// them knows it, when all have answered, or at `until`.
+    /// Looks the stream up here and at other nodes, since this one may have
+    /// missed the last record. Completes when all have answered, shortly after
+    /// one is known to have it, or at `until`.
     awaitable<found_origin> find(dispatch::stream_key key, service_id service,
                                  instant until);
 
--- a/libs/dispatch/stream_origins.cpp
+++ b/libs/dispatch/stream_origins.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace fennelladder::dispatch {
 
@@ -33,7 +34,8 @@
         records_.try_emplace(origin.key, record{origin, made});
     if (added)
         by_age_.emplace_back(origin.key, now);
-    else if (it->second.origin.attempt <= origin.attempt)
+    else if (std::pair(it->second.origin.attempt, it->second.made) <=
+             std::pair(origin.attempt, made))
         it->second = {origin, made};
     evict(now);
 }
@@ -91,6 +93,25 @@
             versions_[service][version] = std::nullopt;
 }
 
+void version_history::note_changes(
+    std::span<const catalog::target_change> changes, instant now)
+{
+    for (const catalog::target_change& it : changes)
+        if (it.entry)
+            versions_[it.entry->service].try_emplace(it.entry->software, now);
+}
+
+void version_history::confirm(instant at, bool follows_all)
+{
+    if (confirmed_at_ && at <= *confirmed_at_)
+        return;
+    const bool has_gap =
+        confirmed_at_ && !follows_all && at - *confirmed_at_ > max_gap_;
+    if (has_gap && known_since_)
+        known_since_ = std::max(*known_since_, at);
+    confirmed_at_ = at;
+}
+
 recent_versions version_history::of(const service_id& service,
                                     instant now) const
 {
@@ -105,7 +126,7 @@
     if (out.complete || recorded == recorded_.end())
         return out;
     out.versions.insert(recorded->second.begin(), recorded->second.end());
-    out.complete = known_since_ && *known_since_ <= *recorded_at_;
+    out.complete = is_followed(now) && has_recorded();
     return out;
 }
 
--- a/libs/dispatch/stream_origins_test.cpp
+++ b/libs/dispatch/stream_origins_test.cpp
@@ -52,7 +52,14 @@
 TEST_GROUP(stream_origins)
 {
     stream_origin_table table{{.retention = seconds(10), .max_records = 100}};
-    version_history history{seconds(10)};
+    version_history history{seconds(10), seconds(2)};
+
+    /// The list is current each second from `from` on, until `to`.
+    void confirm(duration from, duration to)
+    {
+        for (duration at = from; at <= to; at += seconds(1))
+            history.confirm(start + at, false);
+    }
 };
 
 TEST(stream_origins, the_last_attempt_before_the_first_event_counts)
@@ -108,10 +115,14 @@
 TEST(stream_origins, a_version_counts_for_a_while_after_it_is_gone)
 {
     history.sync(targets({"v1", "v1"}), start);
+    confirm(seconds(0), seconds(9));
     CHECK(!history.of(llm, start + seconds(9)).only());
+    confirm(seconds(10), seconds(10));
     CHECK(history.of(llm, start + seconds(10)).only() == version("v1"));
+    confirm(seconds(11), seconds(20));
     history.sync(targets({"v1", "v2"}), start + seconds(20));
     CHECK(!history.of(llm, start + seconds(20)).only());
+    confirm(seconds(21), seconds(62));
     history.sync(targets({"v2", "v2"}), start + seconds(50));
     CHECK(!history.of(llm, start + seconds(60)).only());
     CHECK(history.of(llm, start + seconds(61)).only() == version("v2"));
@@ -120,6 +131,74 @@
     CHECK(!history.of(service_id("other"), start + seconds(62)).only());
 }
 
+// Guards against a version that came, began streams and went while the node
+// stood still or was cut off, so that it was in no list.
+TEST(stream_origins, a_gap_may_hide_a_version)
+{
+    history.sync(targets({"v1"}), start);
+    confirm(seconds(0), seconds(20));
+    CHECK(history.of(llm, start + seconds(22)).only() == version("v1"));
+    // Until the list is current again, and for the span afterwards.
+    CHECK(!history.of(llm, start + seconds(23)).only());
+    confirm(seconds(23), seconds(32));
+    CHECK(!history.of(llm, start + seconds(32)).only());
+    confirm(seconds(33), seconds(33));
+    CHECK(history.of(llm, start + seconds(33)).only() == version("v1"));
+    CHECK(history.covers_span(start + seconds(33)));
+    // A confirmation that comes late is of no use.
+    history.confirm(start + seconds(30), false);
+    CHECK(!history.of(llm, start + seconds(36)).only());
+}
+
+// Guards against refusing streams after each gap, although all changes within
+// it were seen one by one, and against the versions in them being lost.
+TEST(stream_origins, changes_that_were_seen_leave_no_gap)
+{
+    history.sync(targets({"v1"}), start);
+    confirm(seconds(0), seconds(20));
+    history.confirm(start + seconds(26), true);
+    CHECK(history.of(llm, start + seconds(26)).only() == version("v1"));
+    catalog::target_entry entry;
+    entry.id = target_id("i-9");
+    entry.service = llm;
+    entry.software = version("v2");
+    const std::vector<catalog::target_change> changes{
+        {entry.id, entry, catalog::revision(8)},
+        {entry.id, std::nullopt, catalog::revision(9)}};
+    history.note_changes(changes, start + seconds(30));
+    history.sync(targets({"v1"}), start + seconds(30));
+    history.confirm(start + seconds(30), true);
+    CHECK(!history.of(llm, start + seconds(30)).only());
+    confirm(seconds(31), seconds(41));
+    CHECK(history.of(llm, start + seconds(41)).only() == version("v1"));
+}
+
+// Guards against what earlier processes recorded before a gap.
+TEST(stream_origins, records_count_only_if_they_were_read_after_a_gap)
+{
+    history.sync(targets({"v1"}), start);
+    confirm(seconds(0), seconds(1));
+    history.add_recorded({{llm, {version("v1")}}}, start + seconds(1));
+    CHECK(history.of(llm, start + seconds(1)).only() == version("v1"));
+    history.confirm(start + seconds(6), false);
+    CHECK(!history.has_recorded());
+    CHECK(!history.of(llm, start + seconds(6)).only());
+    history.add_recorded({{llm, {version("v1")}}}, start + seconds(6));
+    CHECK(history.of(llm, start + seconds(6)).only() == version("v1"));
+    history.confirm(start + seconds(7), false);
+    history.add_recorded({{llm, {version("v1"), version("v2")}}},
+                         start + seconds(7));
+    CHECK(!history.of(llm, start + seconds(7)).only());
+}
+
+// Guards against a record that a leaving node hands over late.
+TEST(stream_origins, an_older_record_does_not_replace_a_younger_one)
+{
+    table.note(origin(1, "v2", 0), start, seconds(1));
+    table.note(origin(1, "v1", 0), start, seconds(3));
+    CHECK(table.find(stream_key(1), start)->origin.version == version("v2"));
+}
+
 TEST(stream_origins, nodes_that_know_different_versions_know_of_several)
 {
     recent_versions old{{version("v1")}, true};
--- a/libs/edge/node_tables.cpp
+++ b/libs/edge/node_tables.cpp
@@ -393,11 +393,12 @@
         configuration_freshness.confirm(at);
 }
 
-void node_tables::confirm_targets(instant at)
+void node_tables::confirm_targets(instant at, bool follows_all)
 {
     if (!targets.known())
         return;
     targets_freshness.confirm(at);
+    versions.confirm(at, follows_all);
     note_targets_confirmed(at);
 }
 
--- a/libs/edge/platform_feed_targets.cpp
+++ b/libs/edge/platform_feed_targets.cpp
@@ -14,10 +14,10 @@
 
 } // namespace
 
-void platform_feed::confirm_targets(instant at)
+void platform_feed::confirm_targets(instant at, bool follows_all)
 {
     targets_.previous_age = tables_.targets_freshness.age(tables_.now());
-    tables_.confirm_targets(at);
+    tables_.confirm_targets(at, follows_all);
 }
 
 std::optional<catalog::target_change>
@@ -71,7 +71,7 @@
     const bool known = tables_.targets.known();
     if (!tables_.targets.replace_all(entries, listed->value.as_of))
         co_return true;
-    confirm_targets(listed->first_byte_at);
+    confirm_targets(listed->first_byte_at, false);
     if (!known || tables_.targets.latest_change() != before) {
         tables_.update_target_registry();
         tables_.broadcast_update();
@@ -93,7 +93,8 @@
     const auto changes = parse_changes(answer->value);
     if (!tables_.targets.apply(changes, answer->value.as_of))
         co_return true;
-    confirm_targets(answer->first_byte_at);
+    tables_.versions.note_changes(changes, tables_.now());
+    confirm_targets(answer->first_byte_at, true);
     if (!changes.empty()) {
         tables_.update_target_registry();
         tables_.broadcast_update();
--- a/libs/edge/request_admission.cpp
+++ b/libs/edge/request_admission.cpp
@@ -215,21 +215,29 @@
     const instant until =
         tables_.now() + part_of(route_->objective, list_wait_share);
     asio::steady_timer timer(tables_.io);
+    const dispatch::version_history& history = tables_.versions;
     for (;;) {
         const auto age = tables_.targets_freshness.age(tables_.now());
         evidence.list_confirmed =
             age && tables_.now() - *age >= request_.arrived;
-        // Changes that the list has got meanwhile count.
-        found.versions.merge(tables_.versions.of(service_, tables_.now()));
+        // Changes that the list has got meanwhile count. What happened since
+        // its last confirmation shows with the next one.
+        const instant known_at =
+            evidence.list_confirmed
+                ? tables_.now()
+                : history.confirmed_at().value_or(tables_.now());
         evidence.versions = found.versions;
+        evidence.versions.merge(history.of(service_, known_at));
         const auto out = dispatch::decide_resumption(evidence);
         const bool may_be_recorded = out == dispatch::resumption::unknown &&
                                      !evidence.versions.complete &&
                                      evidence.versions.only_known() &&
                                      tables_.read_recorded_versions();
         if ((out != dispatch::resumption::wait_for_list && !may_be_recorded) ||
-            tables_.now() >= until)
+            tables_.now() >= until) {
+            found.versions = evidence.versions;
             co_return out;
+        }
         co_await sleep_on(timer, list_check_interval);
     }
 }
--- a/libs/edge/stream_origin_exchange.cpp
+++ b/libs/edge/stream_origin_exchange.cpp
@@ -23,6 +23,20 @@
 /// Records that fit one packet.
 constexpr std::size_t records_per_datagram = 16;
 
+/// How long to wait for a later record once one is known: a node that was out
+/// of step may have the one before it.
+constexpr duration later_record_wait = milliseconds(30);
+
+/// Whether the record replaces `known`: it is of a later attempt of one
+/// request, or of a later request with the same words.
+bool is_later(const dispatch::aged_origin& it,
+              const std::optional<dispatch::aged_origin>& known)
+{
+    if (!known || it.origin.attempt != known->origin.attempt)
+        return !known || it.origin.attempt > known->origin.attempt;
+    return it.age < known->age;
+}
+
 } // namespace
 
 stream_origin_exchange::stream_origin_exchange(node_tables& tables, sender send)
@@ -73,20 +87,24 @@
     known.source = tables_.settings.host;
     known.origin = tables_.stream_origins.find(key, tables_.now());
     known.versions = tables_.versions.of(service, tables_.now());
-    if (known.origin)
-        co_return known;
     const auto asked = std::make_shared<open_question>(tables_.io);
     asked->found = known;
-    for (const host_id& it : holders(key, nodes_asked, false))
+    // With a record at hand, only those that would have a later one are asked.
+    const std::size_t most = known.origin ? record_holders : nodes_asked;
+    for (const host_id& it : holders(key, most, false))
         asked->waiting_for.insert(it);
     asked->found.asked = asked->waiting_for.size();
     const mesh::origin_question question{tables_.incarnation, ++last_number_,
                                          key, std::move(service)};
     questions_.emplace(question.number, asked);
-    const repeated_question repeated{
+    const repeated_question for_any{
         [&] { send_question(question, *asked); },
         [&] { return asked->found.origin || asked->waiting_for.empty(); }};
-    co_await ask_until_answered(tables_, asked->timer, repeated, until);
+    co_await ask_until_answered(tables_, asked->timer, for_any, until);
+    const repeated_question for_all{for_any.send,
+                                    [&] { return asked->waiting_for.empty(); }};
+    const instant last = std::min(until, tables_.now() + later_record_wait);
+    co_await ask_until_answered(tables_, asked->timer, for_all, last);
     questions_.erase(question.number);
     co_return asked->found;
 }
@@ -140,7 +158,7 @@
     if (asked.waiting_for.erase(answer.host) == 0)
         return;
     ++asked.found.answered;
-    if (answer.origin) {
+    if (answer.origin && is_later(*answer.origin, asked.found.origin)) {
         asked.found.origin = answer.origin;
         asked.found.source = answer.host;
     }
