Take no names with control bytes into headers

Report of another operator: one odd entry among those of the workers ended machines, or stopped them from following the list.

--- a/include/fennelladder/base/text.hpp
+++ b/include/fennelladder/base/text.hpp
@@ -1,4 +1,4 @@
-// Helpers for parsing text that people write, for instance in settings files.
+// Helpers for text that people and other programs write.
 //
 // Thread safe.
 
@@ -14,6 +14,9 @@
 /// Splits `text` at commas; empty parts are left out.
 std::vector<std::string> split_list(std::string_view text);
 
+/// Whether the text has a control byte (of ASCII).
+bool has_control_byte(std::string_view text);
+
 } // namespace fennelladder
 
 #endif
--- a/libs/base/text.cpp
+++ b/libs/base/text.cpp
@@ -17,4 +17,12 @@
     return out;
 }
 
+bool has_control_byte(std::string_view text)
+{
+    return std::ranges::any_of(text, [](char c) {
+        const auto byte = static_cast<unsigned char>(c);
+        return byte < 0x20 || byte == 0x7f;
+    });
+}
+
 } // namespace fennelladder
--- a/libs/catalog/target_entry.cpp
+++ b/libs/catalog/target_entry.cpp
@@ -7,6 +7,7 @@
 #include "fennelladder/catalog/target_entry.hpp"
 
 #include "fennelladder/base/address.hpp"
+#include "fennelladder/base/text.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -16,9 +17,11 @@
 
 namespace {
 
+/// Ids are sent in headers, where a control byte would end the line.
 bool is_id(const std::string& text)
 {
-    return !text.empty() && text.size() <= max_target_id_bytes;
+    return !text.empty() && text.size() <= max_target_id_bytes &&
+           !has_control_byte(text);
 }
 
 } // namespace
