Take no head that stops for a whole response in the blocking client

Report of another operator: a worker stopped in the middle of its answer's head and closed, and clients got a 200 with an empty body, framed as whole.

The blocking client took a head that ends after "Content-Length: 0" for a whole response, since curl does: it now needs the end of the head.

--- a/libs/http/client.cpp
+++ b/libs/http/client.cpp
@@ -388,9 +388,12 @@
     }
 
     // A response that is delimited only by the closing of the connection can't
-    // be told from a truncated one, so it doesn't count as complete.
+    // be told from a truncated one, so it doesn't count as complete. Nor does
+    // one that ends inside its head, after a length of 0.
     void finish_whole()
     {
+        if (!has_head_)
+            return end(transfer_outcome::broken, "incomplete head");
         const bool bodiless = request_.method == "HEAD" ||
                               transfer_.status == 204 ||
                               transfer_.status == 304;
@@ -408,6 +411,7 @@
         if (line.starts_with("HTTP/")) {
             transfer_.headers.clear();
             transfer_.status = 0;
+            has_head_ = false;
             return true;
         }
         const std::string_view text = trim(line);
@@ -458,8 +462,8 @@
             return refuse("the status");
         if (!has_sound_framing())
             return refuse("the framing");
-        const bool interim = code < 200;
-        return interim || !on_head_ || on_head_(transfer_);
+        has_head_ = code >= 200;
+        return !has_head_ || !on_head_ || on_head_(transfer_);
     }
 
     bool receive_body(std::string_view bytes)
@@ -516,6 +520,7 @@
     steady::time_point last_progress_;
     transfer transfer_;
     bool received_ = false;           // Any byte of a response arrived.
+    bool has_head_ = false;           // Of a final response, to its end.
     bool stopped_ = false;            // A body or head callback returned false.
     const char* malformed_ = nullptr; // What of the response; null if nothing.
 };
--- a/libs/http/client_test.cpp
+++ b/libs/http/client_test.cpp
@@ -261,3 +261,32 @@
     STRCMP_EQUAL("a%2Fb", encode_query("a/b").c_str());
     STRCMP_EQUAL("a/b +\xc3\xa9", decode_path("a%2Fb%20+%C3%A9").c_str());
 }
+
+// Guards against part of a response's head that is taken for a whole response
+// without a body, on a connection that was used before and on a new one.
+TEST(http_client, a_head_that_stops_is_no_response)
+{
+    const std::string interim = "HTTP/1.1 103 Early\r\nLink: <a>\r\n\r\n";
+    for (const std::string fields :
+         {"Content-Length: 2\r\n", "X-Y: z\r\n", "Content-Length: 0\r\n",
+          "Transfer-Encoding: chunked\r\n"}) {
+        const std::string head = "HTTP/1.1 200 OK\r\n" + fields + "\r\n";
+        for (std::size_t bytes = 0; bytes < head.size(); ++bytes) {
+            const std::string part = head.substr(0, bytes);
+            scripted_server server({{ok("whole")},
+                                    {part, after::close},
+                                    {part, after::close},
+                                    {interim + part, after::close}});
+            client sender;
+            const request what{.method = "POST", .url = server.url()};
+            CHECK(sender.fetch(what, long_timeouts).has_value());
+            for (int i = 0; i < 3; ++i) {
+                const transfer end = sender.stream(what, long_timeouts,
+                                                   [](auto) { return true; });
+                CHECK_TEXT(end.outcome == transfer_outcome::broken,
+                           (fields + std::to_string(bytes)).c_str());
+            }
+            LONGS_EQUAL(4, server.requests());
+        }
+    }
+}
