Let a write that a reset has ended complete before an end of input counts

Callers would get a 200 with part of a body.

The kernel tells of a reset once. When the relay has bytes to forward and the target's reset in one turn of its loop, the write is told, the read returns an end of file, and the write's handler runs last: the end counted as orderly. Traced with the ends that relay and forwarder saw in each failing run.

The reader now lets ready handlers run before it takes an end of file for orderly.

In the same change, what a task has to undo after an exception is called by undo_on_failure(): the guard before it could not tell an exception from the end of the process while another one was under way, which ended test programs that had failed by a double free.

--- a/include/fennelladder/edge/io.hpp
+++ b/include/fennelladder/edge/io.hpp
@@ -12,6 +12,7 @@
 
 #include <utility> // awaitable.hpp needs it and does not include it
 
+#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -72,6 +73,11 @@
 /// Returns `address`, an IP:port, with its port replaced.
 std::string with_port(const std::string& address, std::uint16_t port);
 
+/// Lets the handlers run that are ready. A write that a reset has ended may
+/// have been told so before a read that returned an end of file, and complete
+/// after it.
+awaitable<void> run_ready_handlers(asio::any_io_executor executor);
+
 /// Sets TCP_NODELAY, keepalive probes and the TCP user timeout. A peer that
 /// vanished, or a connection whose state was lost between the two ends (as in a
 /// NAT or firewall), shows neither an end nor an error; the kernel's probes and
@@ -108,11 +114,17 @@
 /// Starts a coroutine on the node's io_context. An exception that escapes from
 /// it ends what it was doing, as one connection, and is logged with the name of
 /// `task`; its objects are destroyed, so what it has to undo belongs into their
-/// destructors.
+/// destructors, or into undo_on_failure().
 void spawn(asio::io_context& io, awaitable<void> work,
            std::string_view task = "task");
 
-/// The same for a coroutine that has to run as long as the node: after an
+/// Completes with `work`. If an exception leaves that, calls `undo`, which must
+/// not throw, and passes the exception on. `undo` isn't called if the coroutine
+/// is destroyed while it waits, as at the end of the process.
+awaitable<void> undo_on_failure(awaitable<void> work,
+                                std::function<void()> undo);
+
+/// Starts a coroutine that has to run as long as the node: after an
 /// exception has ended it, `start` is called again.
 void spawn_lasting(asio::io_context& io, std::function<awaitable<void>()> start,
                    std::string_view task);
--- a/include/fennelladder/edge/relay.hpp
+++ b/include/fennelladder/edge/relay.hpp
@@ -90,6 +90,8 @@
 
     mesh::relay_result check(const mesh::relay_request& ask) const;
     awaitable<mesh::relay_result> connect(connection_ptr made);
+    awaitable<void> relay(peer_stream& stream, relayed_ptr it,
+                          mesh::sync_reply& reply);
     awaitable<void> watch_peer(relayed_ptr it);
     awaitable<void> copy_request(relayed_ptr it);
     awaitable<void> copy_answer(relayed_ptr it);
--- a/libs/edge/attempt.cpp
+++ b/libs/edge/attempt.cpp
@@ -370,6 +370,8 @@
     connection_->buf.commit(n);
     connection_->received += n;
     in_.tables.link.add_received(n);
+    if (ec_ == asio::error::eof && !outgoing_->done)
+        co_await run_ready_handlers(connection_->socket.get_executor());
     ec_ = end_of_input(ec_, outgoing_->error);
     if (ec_ && connection_->timed_out)
         ec_ = asio::error::timed_out;
--- a/libs/edge/configuration_datagrams.cpp
+++ b/libs/edge/configuration_datagrams.cpp
@@ -1,6 +1,5 @@
 #include "fennelladder/edge/configuration_datagrams.hpp"
 
-#include "fennelladder/base/on_failure.hpp"
 #include "fennelladder/telemetry/log.hpp"
 
 #include <algorithm>
@@ -72,7 +71,8 @@
     if (is_asking_ || !is_enabled())
         return;
     is_asking_ = true;
-    spawn(tables_.io, ask(), "configuration");
+    spawn(tables_.io, undo_on_failure(ask(), [this] { is_asking_ = false; }),
+          "configuration");
 }
 
 /// The live nodes that have a newer configuration.
@@ -88,7 +88,6 @@
 
 awaitable<void> configuration_datagrams::ask()
 {
-    const on_failure failed([this] { is_asking_ = false; });
     download_.clear();
     started_ = tables_.now();
     for (;;) {
--- a/libs/edge/io.cpp
+++ b/libs/edge/io.cpp
@@ -3,6 +3,7 @@
 #include "fennelladder/telemetry/log.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <charconv>
 #include <exception>
 #include <linux/sockios.h>
@@ -95,6 +96,11 @@
     return is_hidden ? write : read;
 }
 
+awaitable<void> run_ready_handlers(asio::any_io_executor executor)
+{
+    co_await asio::post(executor, asio::use_awaitable);
+}
+
 std::string with_port(const std::string& address, std::uint16_t port)
 {
     return address.substr(0, address.rfind(':')) + ":" + std::to_string(port);
@@ -151,6 +157,17 @@
         });
 }
 
+awaitable<void> undo_on_failure(awaitable<void> work,
+                                std::function<void()> undo)
+{
+    try {
+        co_await std::move(work);
+    } catch (...) {
+        undo();
+        throw;
+    }
+}
+
 void spawn_lasting(asio::io_context& io, std::function<awaitable<void>()> start,
                    std::string_view task)
 {
--- a/libs/edge/platform_feed_nodes.cpp
+++ b/libs/edge/platform_feed_nodes.cpp
@@ -4,7 +4,6 @@
 
 #include "fennelladder/base/address.hpp"
 #include "fennelladder/base/hash.hpp"
-#include "fennelladder/base/on_failure.hpp"
 #include "fennelladder/telemetry/log.hpp"
 
 #include <algorithm>
@@ -231,7 +230,10 @@
         return false;
     if (!is_reading_versions_ && tables_.now() >= next_versions_read_) {
         is_reading_versions_ = true;
-        spawn(tables_.io, read_versions(), "versions");
+        spawn(tables_.io,
+              undo_on_failure(read_versions(),
+                              [this] { is_reading_versions_ = false; }),
+              "versions");
     }
     return is_reading_versions_;
 }
@@ -240,7 +242,6 @@
 {
     version_map all;
     const instant begun = tables_.now();
-    const on_failure failed([this] { is_reading_versions_ = false; });
     const auto pages =
         co_await list_all(platform_call::list_nodes, object_kind::nodes);
     is_reading_versions_ = false;
--- a/libs/edge/relay.cpp
+++ b/libs/edge/relay.cpp
@@ -1,6 +1,5 @@
 #include "fennelladder/edge/relay.hpp"
 
-#include "fennelladder/base/on_failure.hpp"
 #include "fennelladder/edge/host_shares.hpp"
 #include "fennelladder/edge/response_intake.hpp"
 #include "fennelladder/mesh/source_choice.hpp"
@@ -245,6 +244,30 @@
         : relay_result::busy;
 }
 
+/// Connects to the target if `reply` says so, tells the peer, and copies.
+awaitable<void> relay_server::relay(peer_stream& stream, relayed_ptr it,
+                                    mesh::sync_reply& reply)
+{
+    if (reply.relay == relay_result::connected) {
+        const auto entry = tables_.registry.entry_of(it->ask.target.id);
+        it->target = tables_.pool.make({it->ask.target, entry->address});
+        reply.relay = co_await connect(it->target);
+        // The target may have left while it was connected to.
+        if (reply.relay == relay_result::connected &&
+            !tables_.registry.may_relay_to(it->ask.target, tables_.now()))
+            reply.relay = relay_result::refused;
+    }
+    const std::string bytes = framed(mesh::encode(reply));
+    const bool sent = co_await stream.write(bytes);
+    if (!sent || reply.relay != relay_result::connected)
+        co_return;
+    enable_keepalive(*it->peer, tables_.pool.options().keepalive_timeout);
+    spawn(tables_.io, copy_request(it), "relayed request");
+    spawn(tables_.io, watch_peer(it), "relayed request");
+    co_await copy_answer(it);
+    it->close();
+}
+
 awaitable<void> relay_server::serve(peer_stream& stream,
                                     std::shared_ptr<tcp::socket> socket,
                                     mesh::relay_request ask)
@@ -256,30 +279,14 @@
     reply.relay = check(ask);
     ++active_;
     const auto it = std::make_shared<relayed_connection>();
-    const on_failure failed([this, it] {
-        --active_;
-        it->close();
-    });
     it->peer = std::move(socket);
     it->ask = std::move(ask);
-    if (reply.relay == relay_result::connected) {
-        const auto entry = tables_.registry.entry_of(it->ask.target.id);
-        it->target = tables_.pool.make({it->ask.target, entry->address});
-        reply.relay = co_await connect(it->target);
-        // The target may have left while it was connected to.
-        if (reply.relay == relay_result::connected &&
-            !tables_.registry.may_relay_to(it->ask.target, tables_.now()))
-            reply.relay = relay_result::refused;
-    }
-    const std::string bytes = framed(mesh::encode(reply));
-    const bool sent = co_await stream.write(bytes);
-    if (sent && reply.relay == relay_result::connected) {
-        enable_keepalive(*it->peer, tables_.pool.options().keepalive_timeout);
-        spawn(tables_.io, copy_request(it), "relayed request");
-        spawn(tables_.io, watch_peer(it), "relayed request");
-        co_await copy_answer(it);
+    const std::function<void()> undo = [this, it] {
+        --active_;
         it->close();
-    }
+    };
+    awaitable<void> work = relay(stream, it, reply);
+    co_await undo_on_failure(std::move(work), undo);
     --active_;
     log_event(event::request_relayed,
               {{"id", it->ask.request},
@@ -328,6 +335,8 @@
     for (;;) {
         const std::size_t n =
             co_await it->peer->async_read_some(asio::buffer(buf), into(ec));
+        if (ec == asio::error::eof)
+            co_await run_ready_handlers(tables_.io.get_executor());
         ec = end_of_input(ec, it->peer_write_error);
         if (ec)
             break;
@@ -361,6 +370,8 @@
     for (;;) {
         const std::size_t n = co_await it->target->socket.async_read_some(
             asio::buffer(buf), into(ec));
+        if (ec == asio::error::eof)
+            co_await run_ready_handlers(tables_.io.get_executor());
         ec = end_of_input(ec, it->target_write_error);
         if (ec)
             break;
--- a/libs/edge/request_driver.cpp
+++ b/libs/edge/request_driver.cpp
@@ -1,6 +1,5 @@
 #include "fennelladder/edge/request_driver.hpp"
 
-#include "fennelladder/base/on_failure.hpp"
 #include "fennelladder/telemetry/log.hpp"
 #include "request_run.hpp"
 
@@ -114,8 +113,9 @@
     tables_.link.add_received(size_of(request));
     reply.count_on(tables_.link);
     request_run run(*this, request, reply, std::move(cancellation));
-    const on_failure failed([&run] { run.abandon(); });
-    co_await run.run(decided.refused);
+    const std::function<void()> undo = [&run] { run.abandon(); };
+    awaitable<void> work = run.run(decided.refused);
+    co_await undo_on_failure(std::move(work), undo);
     if (!run.was_served())
         co_return;
     // The request comes in and goes out again, and so does its answer.
--- a/libs/edge/target_prober.cpp
+++ b/libs/edge/target_prober.cpp
@@ -1,6 +1,5 @@
 #include "fennelladder/edge/target_prober.hpp"
 
-#include "fennelladder/base/on_failure.hpp"
 #include "fennelladder/edge/relay.hpp"
 #include "fennelladder/telemetry/log.hpp"
 
@@ -39,7 +38,10 @@
     const bool under_way = runs_.contains(target);
     runs_[target].push_back(std::move(run));
     if (!under_way)
-        spawn(tables_.io, probe(target), "target probe");
+        spawn(tables_.io,
+              undo_on_failure(probe(target),
+                              [this, target] { runs_.erase(target); }),
+              "target probe");
 }
 
 void target_prober::on_unfinished_request(const catalog::target_process& target,
@@ -157,7 +159,6 @@
 
 awaitable<void> target_prober::probe(catalog::target_process target)
 {
-    const on_failure failed([&] { runs_.erase(target); });
     asio::steady_timer timer(tables_.io);
     co_await sleep_on(timer, probe_delay);
     bool unreachable = co_await is_unreachable(target);
--- a/libs/edge/update_exchange.cpp
+++ b/libs/edge/update_exchange.cpp
@@ -1,6 +1,5 @@
 #include "fennelladder/edge/update_exchange.hpp"
 
-#include "fennelladder/base/on_failure.hpp"
 #include "fennelladder/edge/host_shares.hpp"
 #include "fennelladder/edge/simple_server.hpp"
 #include "fennelladder/mesh/text_compression.hpp"
@@ -159,12 +158,14 @@
     if (fetch.under_way)
         return;
     fetch.under_way = true;
-    spawn(tables_.io, fetch_all(fetch), "fetch");
+    spawn(tables_.io,
+          undo_on_failure(fetch_all(fetch),
+                          [&fetch] { fetch.under_way = false; }),
+          "fetch");
 }
 
 awaitable<void> update_exchange::fetch_all(fetch_state& fetch)
 {
-    const on_failure failed([&fetch] { fetch.under_way = false; });
     asio::steady_timer timer(tables_.io);
     co_await sleep_on(timer, fetch_delay(fetch));
     for (;;) {
